--- /dev/null
+++ b/include/cornelrudder/state/RunRequest.h
@@ -0,0 +1,137 @@
+#ifndef CORNELRUDDER_STATE_RUN_REQUEST_H
+#define CORNELRUDDER_STATE_RUN_REQUEST_H
+
+#include "cornelrudder/state/Ids.h"
+
+#include <chrono>
+#include <string>
+
+namespace cornelrudder::state {
+
+/** A request to run on a runner. */
+class RunRequest
+{
+public:
+  RunRequest(RequestId aId,
+             OrganisationId aOrganisation,
+             TeamId aTeam,
+             ClassName aClass,
+             std::string aIdempotencyKey,
+             std::string aBody,
+             std::chrono::milliseconds aTimeout)
+    : mId(std::move(aId))
+    , mOrganisation(std::move(aOrganisation))
+    , mTeam(std::move(aTeam))
+    , mClass(std::move(aClass))
+    , mIdempotencyKey(std::move(aIdempotencyKey))
+    , mBody(std::move(aBody))
+    , mTimeout(aTimeout)
+  {
+  }
+
+  const RequestId& Name() const { return mId; }
+  const OrganisationId& Organisation() const { return mOrganisation; }
+  const TeamId& Team() const { return mTeam; }
+  const ClassName& Class() const { return mClass; }
+
+  /** Empty if the caller gave none. */
+  const std::string& IdempotencyKey() const { return mIdempotencyKey; }
+
+  const std::string& Body() const { return mBody; }
+
+  /** Time the caller gives; 0 means that of the class. */
+  std::chrono::milliseconds Timeout() const { return mTimeout; }
+
+  auto operator<=>(const RunRequest&) const = default;
+
+private:
+  RequestId mId;
+  OrganisationId mOrganisation;
+  TeamId mTeam;
+  ClassName mClass;
+  std::string mIdempotencyKey;
+  std::string mBody;
+  std::chrono::milliseconds mTimeout;
+};
+
+/** Whether work ran, as far as can be truthfully said. */
+enum class Ran
+{
+  kYes,
+  kNo,
+  kUnknown
+};
+
+/** Why work was refused or failed. */
+enum class RefusalReason
+{
+  kNone,
+  kUnknownClass,
+  kUnknownOrganisation,
+  kKeyRequired,
+  kKeyReused,
+  kInProgress,
+  kNoCapacity,
+  kOverloaded,
+  kTimedOut,
+  kEndpointFailed,
+  kStoreUnavailable,
+  kNeverFits,
+  kQuotaExceeded,
+  kNoOwner,
+  kCancelled,
+  kShuttingDown,
+  kJobFails
+};
+
+/** @return The name of a reason in answers and logs. */
+std::string_view
+ReasonName(RefusalReason aReason);
+
+/** @return "yes", "no" or "unknown". */
+std::string_view
+RanName(Ran aRan);
+
+/** What became of a request. */
+class RunOutcome
+{
+public:
+  /** @return An outcome with the runner's whole answer. */
+  static RunOutcome Answered(std::string aBody);
+
+  /**
+   * @param aReason Why.
+   * @param aRan kNo only if it is certain that nothing ran.
+   * @param aRetryAfter When a repeat makes sense; 0 for never.
+   * @param aDetail Explanation for people.
+   */
+  static RunOutcome Refused(RefusalReason aReason,
+                            Ran aRan,
+                            std::chrono::milliseconds aRetryAfter,
+                            std::string aDetail);
+
+  bool IsAnswer() const { return mReason == RefusalReason::kNone; }
+  RefusalReason Reason() const { return mReason; }
+  Ran HasRun() const { return mRan; }
+  std::chrono::milliseconds RetryAfter() const { return mRetryAfter; }
+
+  /** The answer's body, or the explanation of a refusal. */
+  const std::string& Text() const { return mText; }
+
+  auto operator<=>(const RunOutcome&) const = default;
+
+private:
+  RunOutcome(RefusalReason aReason,
+             Ran aRan,
+             std::chrono::milliseconds aRetryAfter,
+             std::string aText);
+
+  RefusalReason mReason;
+  Ran mRan;
+  std::chrono::milliseconds mRetryAfter;
+  std::string mText;
+};
+
+} // namespace cornelrudder::state
+
+#endif // CORNELRUDDER_STATE_RUN_REQUEST_H
--- /dev/null
+++ b/include/cornelrudder/state/RunnerChoice.h
@@ -0,0 +1,85 @@
+#ifndef CORNELRUDDER_STATE_RUNNER_CHOICE_H
+#define CORNELRUDDER_STATE_RUNNER_CHOICE_H
+
+#include "cornelrudder/state/Ids.h"
+
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace cornelrudder::state {
+
+/** A runner as one daemon sees it when it chooses. */
+class RunnerLoad
+{
+public:
+  RunnerLoad(VmId aRunner,
+             ZoneId aZone,
+             int aSlots,
+             int aInFlight,
+             bool aUsable)
+    : mRunner(std::move(aRunner))
+    , mZone(std::move(aZone))
+    , mSlots(aSlots)
+    , mInFlight(aInFlight)
+    , mUsable(aUsable)
+  {
+  }
+
+  const VmId& Runner() const { return mRunner; }
+  const ZoneId& Zone() const { return mZone; }
+
+  /** Slots that this daemon may use. */
+  int Slots() const { return mSlots; }
+
+  /** Requests of this daemon that run there. */
+  int InFlight() const { return mInFlight; }
+
+  /** False for a runner that is leaving or in quarantine. */
+  bool Usable() const { return mUsable; }
+
+  bool HasFreeSlot() const { return mUsable && mInFlight < mSlots; }
+
+  auto operator<=>(const RunnerLoad&) const = default;
+
+private:
+  VmId mRunner;
+  ZoneId mZone;
+  int mSlots;
+  int mInFlight;
+  bool mUsable;
+};
+
+/** Strategy that chooses a runner for a request. */
+class RunnerChoice
+{
+public:
+  virtual ~RunnerChoice() = default;
+
+  virtual std::string_view Name() const = 0;
+  virtual std::string_view Description() const = 0;
+
+  /**
+   * @param aRunners The runners.
+   * @param aOwnZone Zone of the daemon.
+   * @param aTried Runners that this request was already sent to.
+   * @return Index of the chosen runner, or nothing if none has a free slot.
+   */
+  virtual std::optional<std::size_t> Choose(
+    std::span<const RunnerLoad> aRunners,
+    const ZoneId& aOwnZone,
+    std::span<const VmId> aTried) const = 0;
+};
+
+/** @return All strategies; the first is the naive baseline. */
+std::span<const RunnerChoice* const>
+AllRunnerChoices();
+
+/** @return The strategy of this name, or null. */
+const RunnerChoice*
+FindRunnerChoice(std::string_view aName);
+
+} // namespace cornelrudder::state
+
+#endif // CORNELRUDDER_STATE_RUNNER_CHOICE_H
--- /dev/null
+++ b/include/cornelrudder/state/RunnerExchange.h
@@ -0,0 +1,104 @@
+#ifndef CORNELRUDDER_STATE_RUNNER_EXCHANGE_H
+#define CORNELRUDDER_STATE_RUNNER_EXCHANGE_H
+
+#include "cornelrudder/state/Ids.h"
+
+#include <chrono>
+#include <string>
+
+namespace cornelrudder::state {
+
+/** One attempt to run a request on one runner. */
+class RunDispatch
+{
+public:
+  RunDispatch(std::string aAddress,
+              RequestId aRequest,
+              ClassName aClass,
+              bool aIdempotent,
+              std::string aBody,
+              std::chrono::milliseconds aTimeout)
+    : mAddress(std::move(aAddress))
+    , mRequest(std::move(aRequest))
+    , mClass(std::move(aClass))
+    , mIdempotent(aIdempotent)
+    , mBody(std::move(aBody))
+    , mTimeout(aTimeout)
+  {
+  }
+
+  const std::string& Address() const { return mAddress; }
+  const RequestId& Request() const { return mRequest; }
+  const ClassName& Class() const { return mClass; }
+  bool Idempotent() const { return mIdempotent; }
+  const std::string& Body() const { return mBody; }
+  std::chrono::milliseconds Timeout() const { return mTimeout; }
+
+  auto operator<=>(const RunDispatch&) const = default;
+
+private:
+  std::string mAddress;
+  RequestId mRequest;
+  ClassName mClass;
+  bool mIdempotent;
+  std::string mBody;
+  std::chrono::milliseconds mTimeout;
+};
+
+enum class RunnerStatus
+{
+  /** A whole answer to this request. */
+  kAnswered,
+  /** The runner refused before it started. */
+  kNotStarted,
+  /** No byte left. */
+  kNotSent,
+  /** The connection broke or timed out after bytes had left. */
+  kBroken,
+  /** The answer was another request's, or not whole. */
+  kMismatched,
+  /** The runner answered that it failed. */
+  kFailed
+};
+
+/** @return The name of a status in logs and counters. */
+std::string_view
+RunnerStatusName(RunnerStatus aStatus);
+
+/** What a runner made of an attempt. */
+class RunnerResult
+{
+public:
+  RunnerResult(RunnerStatus aStatus, bool aLeaving, std::string aBody)
+    : mStatus(aStatus)
+    , mLeaving(aLeaving)
+    , mBody(std::move(aBody))
+  {
+  }
+
+  RunnerStatus Status() const { return mStatus; }
+
+  /** Whether the runner said that it is leaving. */
+  bool Leaving() const { return mLeaving; }
+
+  /** The answer; empty unless the status is kAnswered. */
+  const std::string& Body() const { return mBody; }
+
+  /** @return Whether it is certain that nothing ran. */
+  bool CertainlyNotRun() const
+  {
+    return mStatus == RunnerStatus::kNotStarted ||
+           mStatus == RunnerStatus::kNotSent;
+  }
+
+  auto operator<=>(const RunnerResult&) const = default;
+
+private:
+  RunnerStatus mStatus;
+  bool mLeaving;
+  std::string mBody;
+};
+
+} // namespace cornelrudder::state
+
+#endif // CORNELRUDDER_STATE_RUNNER_EXCHANGE_H
--- /dev/null
+++ b/src/state/RunRequest.cpp
@@ -0,0 +1,76 @@
+#include "cornelrudder/state/RunRequest.h"
+
+#include <array>
+
+namespace cornelrudder::state {
+
+namespace {
+
+/** Indexed by RefusalReason. */
+constexpr std::array<std::string_view, 17> kReasonNames{
+  "none",
+  "unknown_class",
+  "unknown_organisation",
+  "key_required",
+  "key_reused",
+  "in_progress",
+  "no_capacity",
+  "overloaded",
+  "timed_out",
+  "endpoint_failed",
+  "store_unavailable",
+  "never_fits",
+  "quota_exceeded",
+  "no_owner",
+  "cancelled",
+  "shutting_down",
+  "job_fails",
+};
+
+/** Indexed by Ran. */
+constexpr std::array<std::string_view, 3> kRanNames{ "yes", "no", "unknown" };
+
+} // namespace
+
+std::string_view
+ReasonName(RefusalReason aReason)
+{
+  return kReasonNames.at(static_cast<std::size_t>(aReason));
+}
+
+std::string_view
+RanName(Ran aRan)
+{
+  return kRanNames.at(static_cast<std::size_t>(aRan));
+}
+
+RunOutcome::RunOutcome(RefusalReason aReason,
+                       Ran aRan,
+                       std::chrono::milliseconds aRetryAfter,
+                       std::string aText)
+  : mReason(aReason)
+  , mRan(aRan)
+  , mRetryAfter(aRetryAfter)
+  , mText(std::move(aText))
+{
+}
+
+RunOutcome
+RunOutcome::Answered(std::string aBody)
+{
+  return { RefusalReason::kNone,
+           Ran::kYes,
+           std::chrono::milliseconds(0),
+           std::move(aBody) };
+}
+
+RunOutcome
+RunOutcome::Refused(RefusalReason aReason,
+                    Ran aRan,
+                    std::chrono::milliseconds aRetryAfter,
+                    std::string aDetail)
+{
+  return { aReason, aRan, aRetryAfter, std::move(aDetail) };
+}
+
+} // namespace cornelrudder::state
--- /dev/null
+++ b/tests/state/SlotShareTest.cpp
@@ -0,0 +1,24 @@
+#include "cornelrudder/state/SlotShare.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cornelrudder::state;
+
+TEST_GROUP(SlotShare){};
+
+// Guards against two daemons using one slot, or none using it.
+TEST(SlotShare, SlotsArePartitioned)
+{
+  std::vector<VmId> daemons;
+  for (int i = 0; i < 9; ++i) {
+    daemons.emplace_back("entry-" + std::to_string(i));
+  }
+  for (int runner = 0; runner < 48; ++runner) {
+    int total = 0;
+    for (const VmId& daemon : daemons) {
+      total +=
+        OwnSlots(VmId("runner-" + std::to_string(runner)), 8, daemons, daemon);
+    }
+    LONGS_EQUAL(8, total);
+  }
+}
