Add one path from end to end: a request through a daemon to a runner

The daemon reads settings and VMs from the platform's table, routes a request to a runner and passes on the whole answer.

--- /dev/null
+++ b/apps/cornelrudderd/DaemonSettings.cpp
@@ -0,0 +1,312 @@
+#include "cornelrudderd/DaemonSettings.h"
+
+#include "cornelrudder/state/SettingsSchema.h"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <sstream>
+#include <variant>
+
+#include <toml++/toml.h>
+
+namespace cornelrudder::daemon {
+
+namespace {
+
+using Values = DaemonSettingsValues;
+using TextMember = std::string Values::*;
+using NumberMember = std::int64_t Values::*;
+using ListMember = std::vector<std::string> Values::*;
+
+/** One key of the file and the member that it sets. */
+struct FileKey
+{
+  std::string_view mSection;
+  std::string_view mName;
+  std::variant<TextMember, NumberMember, ListMember> mMember;
+  bool mRequired;
+  std::int64_t mMinimum;
+  std::int64_t mMaximum;
+  std::string_view mChoices;
+};
+
+constexpr std::int64_t kMinuteMs = 60'000;
+
+const std::array kFileKeys{
+  FileKey{ "daemon", "id", &Values::mId, true, 1, 64, "" },
+  FileKey{ "daemon", "region", &Values::mRegion, true, 1, 64, "" },
+  FileKey{ "daemon", "zone", &Values::mZone, true, 1, 64, "" },
+  FileKey{ "daemon", "http_address", &Values::mHttpAddress, true, 1, 64, "" },
+  FileKey{ "daemon", "peer_address", &Values::mPeerAddress, true, 1, 64, "" },
+  FileKey{ "daemon", "seeds", &Values::mSeeds, false, 0, 64, "" },
+  FileKey{ "platform", "address", &Values::mPlatformAddress, true, 1, 64, "" },
+  FileKey{ "log",
+           "level",
+           &Values::mLogLevel,
+           false,
+           1,
+           16,
+           "info|warning|error" },
+  FileKey{ "log", "format", &Values::mLogFormat, false, 1, 16, "text|json" },
+  FileKey{ "timing", "poll_ms", &Values::mPollMs, false, 50, kMinuteMs, "" },
+  FileKey{ "timing",
+           "store_timeout_ms",
+           &Values::mStoreTimeoutMs,
+           false,
+           50,
+           kMinuteMs,
+           "" },
+  FileKey{ "timing",
+           "drain_notice_ms",
+           &Values::mDrainNoticeMs,
+           false,
+           0,
+           kMinuteMs,
+           "" },
+  FileKey{ "timing",
+           "drain_grace_ms",
+           &Values::mDrainGraceMs,
+           false,
+           0,
+           10 * kMinuteMs,
+           "" },
+  FileKey{ "timing", "lease_ms", &Values::mLeaseMs, false, 300, kMinuteMs, "" },
+  FileKey{ "timing",
+           "heartbeat_ms",
+           &Values::mHeartbeatMs,
+           false,
+           50,
+           kMinuteMs,
+           "" },
+};
+
+/** Collects the faults of a file. */
+class FaultList
+{
+public:
+  explicit FaultList(std::string aName)
+    : mName(std::move(aName))
+  {
+  }
+
+  void Add(std::size_t aLine,
+           const std::string& aKey,
+           const std::string& aFound,
+           const std::string& aAllowed)
+  {
+    mText << mName << ":" << aLine << ": " << aKey << ": found " << aFound
+          << "; allowed is " << aAllowed << "\n";
+  }
+
+  void ThrowIfAny() const
+  {
+    const std::string text = mText.str();
+    if (!text.empty()) {
+      throw SettingsFileError(text.substr(0, text.size() - 1));
+    }
+  }
+
+private:
+  std::string mName;
+  std::ostringstream mText;
+};
+
+std::string
+FullName(const FileKey& aKey)
+{
+  return std::string(aKey.mSection) + "." + std::string(aKey.mName);
+}
+
+std::string
+Show(const toml::node& aNode)
+{
+  std::ostringstream text;
+  aNode.visit([&text](const auto& aValue) { text << aValue; });
+  return text.str();
+}
+
+std::string
+RangeOf(const FileKey& aKey)
+{
+  return std::to_string(aKey.mMinimum) + " to " + std::to_string(aKey.mMaximum);
+}
+
+bool
+IsChoice(std::string_view aChoices, const std::string& aText)
+{
+  const std::string choices = "|" + std::string(aChoices) + "|";
+  return choices.find("|" + aText + "|") != std::string::npos;
+}
+
+/** Sets the member of a key from a node, or reports the fault. */
+class KeyReader
+{
+public:
+  KeyReader(const FileKey& aKey,
+            const toml::node& aNode,
+            Values& aValues,
+            FaultList& aFaults)
+    : mKey(aKey)
+    , mNode(aNode)
+    , mValues(aValues)
+    , mFaults(aFaults)
+  {
+  }
+
+  void operator()(TextMember aMember)
+  {
+    const auto text = mNode.value_exact<std::string>();
+    if (!mKey.mChoices.empty()) {
+      if (!text || !IsChoice(mKey.mChoices, *text)) {
+        Fault("one of " + std::string(mKey.mChoices));
+        return;
+      }
+    } else if (!text || !InRange(text->size())) {
+      Fault("a text of " + RangeOf(mKey) + " characters");
+      return;
+    }
+    mValues.*aMember = *text;
+  }
+
+  void operator()(NumberMember aMember)
+  {
+    const auto n = mNode.value_exact<std::int64_t>();
+    if (!n || *n < mKey.mMinimum || *n > mKey.mMaximum) {
+      Fault("a whole number from " + RangeOf(mKey));
+      return;
+    }
+    mValues.*aMember = *n;
+  }
+
+  void operator()(ListMember aMember)
+  {
+    const toml::array* list = mNode.as_array();
+    if (list == nullptr || !InRange(list->size())) {
+      Fault("a list of up to " + std::to_string(mKey.mMaximum) + " texts");
+      return;
+    }
+    std::vector<std::string> texts;
+    for (const toml::node& node : *list) {
+      const auto text = node.value_exact<std::string>();
+      if (!text) {
+        Fault("a list of texts");
+        return;
+      }
+      texts.push_back(*text);
+    }
+    mValues.*aMember = std::move(texts);
+  }
+
+private:
+  bool InRange(std::size_t aSize) const
+  {
+    const auto n = static_cast<std::int64_t>(aSize);
+    return n >= mKey.mMinimum && n <= mKey.mMaximum;
+  }
+
+  void Fault(const std::string& aAllowed)
+  {
+    mFaults.Add(
+      mNode.source().begin.line, FullName(mKey), Show(mNode), aAllowed);
+  }
+
+  const FileKey& mKey;
+  const toml::node& mNode;
+  Values& mValues;
+  FaultList& mFaults;
+};
+
+void
+AddUnknownKey(const std::string& aName, std::size_t aLine, FaultList& aFaults)
+{
+  std::vector<std::string> names;
+  names.reserve(kFileKeys.size());
+  for (const FileKey& key : kFileKeys) {
+    names.push_back(FullName(key));
+  }
+  const std::vector<std::string_view> views(names.begin(), names.end());
+  const std::string nearest = state::NearestName(aName, views);
+  aFaults.Add(aLine,
+              aName,
+              "an unknown key",
+              nearest.empty() ? "a known key"
+                              : "a known key; nearest is " + nearest);
+}
+
+void
+CheckUnknownKeys(const toml::table& aFile, FaultList& aFaults)
+{
+  for (const auto& [section, node] : aFile) {
+    const std::string sectionName(section.str());
+    const toml::table* table = node.as_table();
+    if (table == nullptr) {
+      AddUnknownKey(sectionName, node.source().begin.line, aFaults);
+      continue;
+    }
+    for (const auto& [name, value] : *table) {
+      const std::string full = sectionName + "." + std::string(name.str());
+      const bool known =
+        std::any_of(kFileKeys.begin(), kFileKeys.end(), [&](const auto& aKey) {
+          return FullName(aKey) == full;
+        });
+      if (!known) {
+        AddUnknownKey(full, value.source().begin.line, aFaults);
+      }
+    }
+  }
+}
+
+void
+CheckId(std::string_view aKey, const std::string& aText, FaultList& aFaults)
+{
+  if (!aText.empty() && !state::IsValidId(aText)) {
+    aFaults.Add(
+      0, std::string(aKey), aText, "1 to 64 characters of A-Z a-z 0-9 . _ -");
+  }
+}
+
+} // namespace
+
+DaemonSettings
+DaemonSettings::Load(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    throw SettingsFileError(aPath + ": cannot be read");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return Parse(text.str(), aPath);
+}
+
+DaemonSettings
+DaemonSettings::Parse(std::string_view aText, const std::string& aName)
+{
+  toml::table file;
+  try {
+    file = toml::parse(aText);
+  } catch (const toml::parse_error& error) {
+    throw SettingsFileError(aName + ":" +
+                            std::to_string(error.source().begin.line) + ": " +
+                            std::string(error.description()));
+  }
+  FaultList faults(aName);
+  DaemonSettingsValues values;
+  CheckUnknownKeys(file, faults);
+  for (const FileKey& key : kFileKeys) {
+    const toml::node* node = file[key.mSection][key.mName].node();
+    if (node != nullptr) {
+      std::visit(KeyReader(key, *node, values, faults), key.mMember);
+    } else if (key.mRequired) {
+      faults.Add(0, FullName(key), "nothing", "a value; the key is required");
+    }
+  }
+  CheckId("daemon.id", values.mId, faults);
+  CheckId("daemon.region", values.mRegion, faults);
+  CheckId("daemon.zone", values.mZone, faults);
+  faults.ThrowIfAny();
+  return DaemonSettings(std::move(values));
+}
+
+} // namespace cornelrudder::daemon
--- /dev/null
+++ b/apps/cornelrudderd/DaemonSettings.h
@@ -0,0 +1,111 @@
+#ifndef CORNELRUDDERD_DAEMON_SETTINGS_H
+#define CORNELRUDDERD_DAEMON_SETTINGS_H
+
+#include "cornelrudder/state/Ids.h"
+
+#include <chrono>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cornelrudder::daemon {
+
+/** Thrown for a settings file with faults; the text has a line for each. */
+class SettingsFileError : public std::runtime_error
+{
+public:
+  using std::runtime_error::runtime_error;
+};
+
+/** Raw values of the settings file, by "section.key". */
+struct DaemonSettingsValues
+{
+  std::string mId;
+  std::string mRegion;
+  std::string mZone;
+  std::string mHttpAddress;
+  std::string mPeerAddress;
+  std::vector<std::string> mSeeds;
+  std::string mPlatformAddress;
+  std::string mLogLevel = "info";
+  std::string mLogFormat = "text";
+  std::int64_t mPollMs = 2'000;
+  std::int64_t mStoreTimeoutMs = 1'000;
+  std::int64_t mDrainNoticeMs = 2'000;
+  std::int64_t mDrainGraceMs = 30'000;
+  std::int64_t mLeaseMs = 6'000;
+  std::int64_t mHeartbeatMs = 1'000;
+
+  auto operator<=>(const DaemonSettingsValues&) const = default;
+};
+
+/** The checked settings of a daemon. */
+class DaemonSettings
+{
+public:
+  /**
+   * Reads a TOML file.
+   * @throws SettingsFileError with file, line, key, what was found and what is
+   *   allowed, for each fault.
+   */
+  static DaemonSettings Load(const std::string& aPath);
+
+  /**
+   * Reads TOML text.
+   * @param aName Name of the source for messages.
+   * @throws SettingsFileError
+   */
+  static DaemonSettings Parse(std::string_view aText, const std::string& aName);
+
+  state::VmId Id() const { return state::VmId(mValues.mId); }
+  state::RegionId Region() const { return state::RegionId(mValues.mRegion); }
+  state::ZoneId Zone() const { return state::ZoneId(mValues.mZone); }
+  const std::string& HttpAddress() const { return mValues.mHttpAddress; }
+  const std::string& PeerAddress() const { return mValues.mPeerAddress; }
+  const std::vector<std::string>& Seeds() const { return mValues.mSeeds; }
+  const std::string& PlatformAddress() const
+  {
+    return mValues.mPlatformAddress;
+  }
+  const std::string& LogLevelName() const { return mValues.mLogLevel; }
+  bool LogsJson() const { return mValues.mLogFormat == "json"; }
+  std::chrono::milliseconds PollInterval() const
+  {
+    return std::chrono::milliseconds(mValues.mPollMs);
+  }
+  std::chrono::milliseconds StoreTimeout() const
+  {
+    return std::chrono::milliseconds(mValues.mStoreTimeoutMs);
+  }
+  std::chrono::milliseconds DrainNotice() const
+  {
+    return std::chrono::milliseconds(mValues.mDrainNoticeMs);
+  }
+  std::chrono::milliseconds DrainGrace() const
+  {
+    return std::chrono::milliseconds(mValues.mDrainGraceMs);
+  }
+  std::chrono::milliseconds LeaseTime() const
+  {
+    return std::chrono::milliseconds(mValues.mLeaseMs);
+  }
+  std::chrono::milliseconds HeartbeatInterval() const
+  {
+    return std::chrono::milliseconds(mValues.mHeartbeatMs);
+  }
+
+  auto operator<=>(const DaemonSettings&) const = default;
+
+private:
+  explicit DaemonSettings(DaemonSettingsValues aValues)
+    : mValues(std::move(aValues))
+  {
+  }
+
+  DaemonSettingsValues mValues;
+};
+
+} // namespace cornelrudder::daemon
+
+#endif // CORNELRUDDERD_DAEMON_SETTINGS_H
--- /dev/null
+++ b/apps/cornelrudderd/FrontTask.cpp
@@ -0,0 +1,356 @@
+#include "cornelrudderd/FrontTask.h"
+
+#include "cornelrudder/coordination/Messages.h"
+#include "cornelrudder/protocol/CallerCodec.h"
+#include "cornelrudder/protocol/ProtocolError.h"
+#include "cornelrudder/protocol/SettingsCodec.h"
+
+#include <caf/actor_system.hpp>
+#include <caf/event_based_actor.hpp>
+
+#include <array>
+#include <charconv>
+#include <memory>
+#include <optional>
+
+#include <nlohmann/json.hpp>
+
+namespace cornelrudder::daemon {
+
+namespace {
+
+using nlohmann::json;
+using protocol::EncodeError;
+using protocol::HttpResponse;
+
+using PathArguments = std::vector<std::string>;
+
+/**
+ * Matches a path with a pattern, where '*' is one segment and '**' the rest.
+ * @return What the wildcards matched, or nothing.
+ */
+std::optional<PathArguments>
+MatchPath(std::string_view aPattern, std::string_view aPath)
+{
+  PathArguments arguments;
+  while (true) {
+    const auto n = aPattern.find('/');
+    const std::string_view part = aPattern.substr(0, n);
+    if (part == "**" && !aPath.empty()) {
+      arguments.emplace_back(aPath);
+      return arguments;
+    }
+    const auto m = aPath.find('/');
+    const std::string_view segment = aPath.substr(0, m);
+    if (part == "*" && !segment.empty()) {
+      arguments.emplace_back(segment);
+    } else if (part != segment) {
+      return std::nullopt;
+    }
+    const bool patternEnds = n == std::string_view::npos;
+    const bool pathEnds = m == std::string_view::npos;
+    if (patternEnds || pathEnds) {
+      return patternEnds && pathEnds ? std::optional(arguments) : std::nullopt;
+    }
+    aPattern.remove_prefix(n + 1);
+    aPath.remove_prefix(m + 1);
+  }
+}
+
+std::optional<state::SettingsVersion>
+ParseVersion(const std::string& aText)
+{
+  std::string_view text = aText;
+  if (text.size() >= 2 && text.front() == '"' && text.back() == '"') {
+    text = text.substr(1, text.size() - 2);
+  }
+  state::SettingsVersion n = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, ec] = std::from_chars(text.data(), end, n);
+  if (text.empty() || ec != std::errc() || rest != end) {
+    return std::nullopt;
+  }
+  return n;
+}
+
+class FrontTask : public caf::event_based_actor
+{
+public:
+  FrontTask(caf::actor_config& aConfig,
+            FrontPeers aPeers,
+            std::string aIdPrefix)
+    : caf::event_based_actor(aConfig)
+    , mPeers(std::move(aPeers))
+    , mIdPrefix(std::move(aIdPrefix))
+  {
+  }
+
+  caf::behavior make_behavior() override
+  {
+    return {
+      [this](const HttpCall& aCall) { Serve(aCall); },
+      [this](const BeginDrain&) { mDraining = true; },
+    };
+  }
+
+private:
+  using Handler = void (FrontTask::*)(const HttpCall&, const PathArguments&);
+
+  struct Route
+  {
+    std::string_view mMethod;
+    std::string_view mPattern;
+    Handler mHandler;
+  };
+
+  static const std::array<Route, 7> kRoutes;
+
+  void Serve(const HttpCall& aCall)
+  {
+    const std::string_view path = aCall.mRequest.Path();
+    std::string allowed;
+    for (const Route& route : kRoutes) {
+      const auto arguments = MatchPath(route.mPattern, path);
+      if (!arguments) {
+        continue;
+      }
+      if (route.mMethod == aCall.mRequest.Method()) {
+        (this->*route.mHandler)(aCall, *arguments);
+        return;
+      }
+      allowed += (allowed.empty() ? "" : ", ") + std::string(route.mMethod);
+    }
+    if (allowed.empty()) {
+      aCall.mRespond(EncodeError(
+        404, "unknown_path", "no such path; see docs/operations.md"));
+      return;
+    }
+    aCall.mRespond(
+      EncodeError(405, "bad_method", "allowed on this path: " + allowed));
+  }
+
+  void RunRequest(const HttpCall& aCall, const PathArguments& aArguments)
+  {
+    const state::RequestId id = NextRequestId();
+    try {
+      Ask(mPeers.mRouting,
+          protocol::DecodeRunRequest(id, aArguments[0], aCall.mRequest),
+          aCall,
+          [id](const state::RunOutcome& aOutcome) {
+            return protocol::EncodeRunOutcome(id, aOutcome);
+          });
+    } catch (const protocol::ProtocolError& error) {
+      aCall.mRespond(EncodeError(400, "bad_request", error.what()));
+    }
+  }
+
+  void ListSettings(const HttpCall& aCall, const PathArguments& /*unused*/)
+  {
+    Ask(mPeers.mSettings,
+        coordination::GetSettings{},
+        aCall,
+        [](const state::SettingsView& aView) {
+          return HttpResponse::Json(200,
+                                    protocol::EncodeSettingsHead(aView.Head()));
+        });
+  }
+
+  void GetSettings(const HttpCall& aCall, const PathArguments& aArguments)
+  {
+    Ask(mPeers.mSettings,
+        coordination::GetSettings{},
+        aCall,
+        [path = aArguments[0]](const state::SettingsView& aView) {
+          const state::SettingsDocument* document = aView.Find(path);
+          if (document == nullptr) {
+            return EncodeError(
+              404, "unknown_settings", "no settings at " + path);
+          }
+          return DocumentResponse(200, *document);
+        });
+  }
+
+  void PutSettings(const HttpCall& aCall, const PathArguments& aArguments)
+  {
+    const auto version = ParseVersion(aCall.mRequest.Header("if-match"));
+    if (!version) {
+      aCall.mRespond(EncodeError(
+        428,
+        "version_required",
+        "header if-match must hold the version that is changed; 0 for new"));
+      return;
+    }
+    try {
+      Ask(mPeers.mSettings,
+          coordination::PutSettings{
+            aArguments[0],
+            *version,
+            protocol::DecodeSettingValues(aCall.mRequest.Body()),
+            Author(aCall.mRequest) },
+          aCall,
+          EncodePutResult);
+    } catch (const protocol::ProtocolError& error) {
+      aCall.mRespond(EncodeError(400, "bad_settings", error.what()));
+    }
+  }
+
+  void Health(const HttpCall& aCall, const PathArguments& /*unused*/)
+  {
+    aCall.mRespond(HttpResponse::Json(200, R"({"status":"ok"})"));
+  }
+
+  void Ready(const HttpCall& aCall, const PathArguments& /*unused*/)
+  {
+    aCall.mRespond(mDraining
+                     ? EncodeError(503, "leaving", "the daemon is stopping")
+                     : HttpResponse::Json(200, R"({"status":"ready"})"));
+  }
+
+  /** Asks each task in turn and answers with the sums. */
+  void Metrics(const HttpCall& aCall, const PathArguments& /*unused*/)
+  {
+    auto total = std::make_shared<coordination::Counters>();
+    auto left = std::make_shared<std::size_t>(mPeers.mCounted.size());
+    for (const caf::actor& task : mPeers.mCounted) {
+      auto finish = [respond = aCall.mRespond, total, left] {
+        if (--*left == 0) {
+          respond(EncodeCounters(*total));
+        }
+      };
+      request(task, caf::infinite, coordination::GetCounters{})
+        .then(
+          [total, finish](const coordination::Counters& aCounters) {
+            for (const auto& [name, value] : aCounters) {
+              (*total)[name] += value;
+            }
+            finish();
+          },
+          [finish](const caf::error&) { finish(); });
+    }
+  }
+
+  static HttpResponse EncodeCounters(const coordination::Counters& aCounters)
+  {
+    std::string text;
+    for (const auto& [name, value] : aCounters) {
+      text += "cornelrudder_" + name + " " + std::to_string(value) + "\n";
+    }
+    return { 200, { { "content-type", "text/plain; version=0.0.4" } }, text };
+  }
+
+  static HttpResponse DocumentResponse(int aStatus,
+                                       const state::SettingsDocument& aDocument)
+  {
+    return { aStatus,
+             { { "content-type", "application/json" },
+               { "etag", "\"" + std::to_string(aDocument.Version()) + "\"" } },
+             protocol::EncodeSettingsDocument(aDocument) };
+  }
+
+  static HttpResponse EncodePutResult(
+    const coordination::PutSettingsResult& aResult)
+  {
+    switch (aResult.mStatus) {
+      case coordination::PutSettingsStatus::kAccepted:
+        return DocumentResponse(200, aResult.mDocument.front());
+      case coordination::PutSettingsStatus::kConflict:
+        return EncodeConflict(aResult);
+      case coordination::PutSettingsStatus::kRejected:
+        return EncodeFaults(aResult);
+      case coordination::PutSettingsStatus::kUnavailable:
+        break;
+    }
+    return EncodeError(
+      503, "store_unavailable", "the store did not confirm the change");
+  }
+
+  static HttpResponse EncodeConflict(
+    const coordination::PutSettingsResult& aResult)
+  {
+    json body{ { "error", "conflict" },
+               { "reason", "the settings changed since that version" } };
+    body["current"] = nullptr;
+    if (!aResult.mDocument.empty()) {
+      body["current"] = json::parse(
+        protocol::EncodeSettingsDocument(aResult.mDocument.front()));
+    }
+    return HttpResponse::Json(409, body.dump());
+  }
+
+  static HttpResponse EncodeFaults(
+    const coordination::PutSettingsResult& aResult)
+  {
+    json faults = json::array();
+    for (const state::SettingsFault& fault : aResult.mFaults) {
+      faults.push_back({ { "key", fault.mKey },
+                         { "found", fault.mFound },
+                         { "allowed", fault.mAllowed } });
+    }
+    const json body{ { "error", "bad_settings" },
+                     { "reason", "nothing was applied" },
+                     { "faults", faults } };
+    return HttpResponse::Json(422, body.dump());
+  }
+
+  static std::string Author(const protocol::HttpRequest& aRequest)
+  {
+    const std::string author = aRequest.Header("x-operator");
+    return author.empty() ? "unknown" : author;
+  }
+
+  /** Sends a message and answers the call with the encoded response. */
+  template<typename Message, typename Encoder>
+  void Ask(const caf::actor& aTask,
+           Message aMessage,
+           const HttpCall& aCall,
+           Encoder aEncoder)
+  {
+    AskFor(aTask, std::move(aMessage), aCall.mRespond, std::function(aEncoder));
+  }
+
+  template<typename Message, typename Reply>
+  void AskFor(const caf::actor& aTask,
+              Message aMessage,
+              const transport::HttpResponder& aRespond,
+              std::function<HttpResponse(const Reply&)> aEncoder)
+  {
+    request(aTask, caf::infinite, std::move(aMessage))
+      .then([respond = aRespond, encoder = std::move(aEncoder)](
+              const Reply& aReply) { respond(encoder(aReply)); },
+            [respond = aRespond](const caf::error&) {
+              respond(EncodeError(500, "internal", "a task failed"));
+            });
+  }
+
+  state::RequestId NextRequestId()
+  {
+    return state::RequestId(mIdPrefix + "-" + std::to_string(++mRequests));
+  }
+
+  FrontPeers mPeers;
+  std::string mIdPrefix;
+  std::uint64_t mRequests = 0;
+  bool mDraining = false;
+};
+
+const std::array<FrontTask::Route, 7> FrontTask::kRoutes{ {
+  { "POST", "/v1/requests/*", &FrontTask::RunRequest },
+  { "GET", "/v1/settings", &FrontTask::ListSettings },
+  { "GET", "/v1/settings/**", &FrontTask::GetSettings },
+  { "PUT", "/v1/settings/**", &FrontTask::PutSettings },
+  { "GET", "/healthz", &FrontTask::Health },
+  { "GET", "/readyz", &FrontTask::Ready },
+  { "GET", "/metrics", &FrontTask::Metrics },
+} };
+
+} // namespace
+
+caf::actor
+SpawnFrontTask(caf::actor_system& aSystem,
+               FrontPeers aPeers,
+               std::string aIdPrefix)
+{
+  return aSystem.spawn<FrontTask>(std::move(aPeers), std::move(aIdPrefix));
+}
+
+} // namespace cornelrudder::daemon
--- /dev/null
+++ b/apps/cornelrudderd/PlatformAdapters.cpp
@@ -0,0 +1,109 @@
+#include "cornelrudderd/PlatformAdapters.h"
+
+#include "cornelrudder/protocol/ProtocolError.h"
+#include "cornelrudder/protocol/StoreCodec.h"
+
+namespace cornelrudder::daemon {
+
+using state::StoreResult;
+using state::StoreStatus;
+
+namespace {
+
+StoreResult
+ToStoreResult(const transport::HttpResult& aResult, bool aIsWrite)
+{
+  const StoreStatus lost =
+    aIsWrite ? StoreStatus::kUnknown : StoreStatus::kUnavailable;
+  if (aResult.Failure() == transport::HttpFailure::kNotSent) {
+    return { StoreStatus::kUnavailable, {} };
+  }
+  if (aResult.Failure() != transport::HttpFailure::kNone) {
+    return { lost, {} };
+  }
+  try {
+    StoreResult result = protocol::DecodeStoreResponse(aResult.Response());
+    // An error status may follow a write that took effect.
+    if (result.Status() == StoreStatus::kUnavailable) {
+      return { lost, {} };
+    }
+    return result;
+  } catch (const protocol::ProtocolError&) {
+    return { lost, {} };
+  }
+}
+
+} // namespace
+
+StoreAdapter::StoreAdapter(transport::HttpClient& aClient,
+                           std::string aAddress,
+                           std::chrono::milliseconds aTimeout)
+  : mClient(aClient)
+  , mAddress(std::move(aAddress))
+  , mTimeout(aTimeout)
+{
+}
+
+void
+StoreAdapter::ReadRow(const std::string& aKey, Completion aCompletion)
+{
+  Send(protocol::EncodeReadRow(aKey), false, std::move(aCompletion));
+}
+
+void
+StoreAdapter::ListRows(const std::string& aPrefix, Completion aCompletion)
+{
+  Send(protocol::EncodeListRows(aPrefix), false, std::move(aCompletion));
+}
+
+void
+StoreAdapter::Transact(const state::Transaction& aTransaction,
+                       Completion aCompletion)
+{
+  Send(protocol::EncodeTransaction(aTransaction), true, std::move(aCompletion));
+}
+
+void
+StoreAdapter::Send(protocol::HttpRequest aRequest,
+                   bool aIsWrite,
+                   Completion aCompletion)
+{
+  mClient.Send(mAddress,
+               std::move(aRequest),
+               { mTimeout, true },
+               [aIsWrite, completion = std::move(aCompletion)](
+                 const transport::HttpResult& aResult) {
+                 completion(ToStoreResult(aResult, aIsWrite));
+               });
+}
+
+FleetAdapter::FleetAdapter(transport::HttpClient& aClient,
+                           std::string aAddress,
+                           std::chrono::milliseconds aTimeout)
+  : mClient(aClient)
+  , mAddress(std::move(aAddress))
+  , mTimeout(aTimeout)
+{
+}
+
+void
+FleetAdapter::List(Completion aCompletion)
+{
+  mClient.Send(mAddress,
+               protocol::EncodeListVms(),
+               { mTimeout, true },
+               [completion = std::move(aCompletion)](
+                 const transport::HttpResult& aResult) {
+                 if (aResult.Failure() != transport::HttpFailure::kNone) {
+                   completion(std::nullopt);
+                   return;
+                 }
+                 try {
+                   completion(protocol::DecodeVmList(aResult.Response()));
+                 } catch (const protocol::ProtocolError&) {
+                   completion(std::nullopt);
+                 }
+               });
+}
+
+} // namespace cornelrudder::daemon
--- /dev/null
+++ b/apps/cornelrudderd/PlatformAdapters.h
@@ -0,0 +1,56 @@
+#ifndef CORNELRUDDERD_PLATFORM_ADAPTERS_H
+#define CORNELRUDDERD_PLATFORM_ADAPTERS_H
+
+#include "cornelrudder/coordination/FleetPort.h"
+#include "cornelrudder/coordination/StorePort.h"
+#include "cornelrudder/transport/HttpClient.h"
+
+#include <chrono>
+#include <string>
+
+namespace cornelrudder::daemon {
+
+/** The platform's table over HTTP. */
+class StoreAdapter final : public coordination::StorePort
+{
+public:
+  /** @param aClient Must outlive the adapter. */
+  StoreAdapter(transport::HttpClient& aClient,
+               std::string aAddress,
+               std::chrono::milliseconds aTimeout);
+
+  void ReadRow(const std::string& aKey, Completion aCompletion) override;
+  void ListRows(const std::string& aPrefix, Completion aCompletion) override;
+  void Transact(const state::Transaction& aTransaction,
+                Completion aCompletion) override;
+
+private:
+  void Send(protocol::HttpRequest aRequest,
+            bool aIsWrite,
+            Completion aCompletion);
+
+  transport::HttpClient& mClient;
+  std::string mAddress;
+  std::chrono::milliseconds mTimeout;
+};
+
+/** The platform's list of VMs over HTTP. */
+class FleetAdapter final : public coordination::FleetPort
+{
+public:
+  /** @param aClient Must outlive the adapter. */
+  FleetAdapter(transport::HttpClient& aClient,
+               std::string aAddress,
+               std::chrono::milliseconds aTimeout);
+
+  void List(Completion aCompletion) override;
+
+private:
+  transport::HttpClient& mClient;
+  std::string mAddress;
+  std::chrono::milliseconds mTimeout;
+};
+
+} // namespace cornelrudder::daemon
+
+#endif // CORNELRUDDERD_PLATFORM_ADAPTERS_H
--- /dev/null
+++ b/apps/cornelrudderd/RunnerAdapter.cpp
@@ -0,0 +1,56 @@
+#include "cornelrudderd/RunnerAdapter.h"
+
+#include "cornelrudder/protocol/RunnerCodec.h"
+
+namespace cornelrudder::daemon {
+
+using state::RunnerResult;
+using state::RunnerStatus;
+using transport::HttpFailure;
+
+namespace {
+
+RunnerResult
+ToRunnerResult(const state::RequestId& aRequest,
+               const transport::HttpResult& aResult)
+{
+  if (aResult.Failure() == HttpFailure::kNotSent) {
+    return { RunnerStatus::kNotSent, false, "" };
+  }
+  if (aResult.Failure() != HttpFailure::kNone) {
+    return { RunnerStatus::kBroken, false, "" };
+  }
+  return protocol::DecodeRun(aRequest, aResult.Response());
+}
+
+} // namespace
+
+RunnerAdapter::RunnerAdapter(transport::HttpClient& aClient)
+  : mClient(aClient)
+{
+}
+
+void
+RunnerAdapter::Run(const state::RunDispatch& aDispatch, Completion aCompletion)
+{
+  // A connection that the runner closed while idle would leave open whether a
+  // non-idempotent request was seen, so that one gets a new connection.
+  const transport::HttpExchangeOptions options{ aDispatch.Timeout(),
+                                                aDispatch.Idempotent() };
+  mClient.Send(aDispatch.Address(),
+               protocol::EncodeRun(aDispatch),
+               options,
+               [this,
+                address = aDispatch.Address(),
+                id = aDispatch.Request(),
+                completion = std::move(aCompletion)](
+                 const transport::HttpResult& aResult) {
+                 RunnerResult result = ToRunnerResult(id, aResult);
+                 if (result.Status() == RunnerStatus::kMismatched) {
+                   mClient.CloseIdle(address);
+                 }
+                 completion(std::move(result));
+               });
+}
+
+} // namespace cornelrudder::daemon
--- /dev/null
+++ b/examples/embedding/choose_runner.cpp
@@ -0,0 +1,28 @@
+/**
+ * @file
+ * Uses the decision code alone: chooses a runner with each known policy.
+ */
+
+#include <cornelrudder.h>
+#include <cornelrudder/state/RunnerChoice.h>
+
+#include <cstdio>
+#include <string>
+#include <vector>
+
+int
+main()
+{
+  using namespace cornelrudder::state;
+  const std::vector<RunnerLoad> runners{
+    { VmId("runner-1"), ZoneId("zone-a"), 8, 7, true },
+    { VmId("runner-2"), ZoneId("zone-b"), 8, 0, true },
+  };
+  for (const RunnerChoice* choice : AllRunnerChoices()) {
+    const auto chosen = choice->Choose(runners, ZoneId("zone-b"), {});
+    std::printf("%s: %s\n",
+                std::string(choice->Name()).c_str(),
+                chosen ? runners[*chosen].Runner().Text().c_str() : "none");
+  }
+  return 0;
+}
--- /dev/null
+++ b/include/cornelrudder/coordination/RowCodec.h
@@ -0,0 +1,31 @@
+#ifndef CORNELRUDDER_COORDINATION_ROW_CODEC_H
+#define CORNELRUDDER_COORDINATION_ROW_CODEC_H
+
+#include "cornelrudder/state/SettingsDocument.h"
+
+#include <string>
+
+namespace cornelrudder::coordination {
+
+/** Converts between values and the encoded values of table rows. */
+class RowCodec
+{
+public:
+  virtual ~RowCodec() = default;
+
+  virtual std::string EncodeDocument(
+    const state::SettingsDocument& aDocument) const = 0;
+
+  /** @throws CoordinationError if the row is malformed. */
+  virtual state::SettingsDocument DecodeDocument(
+    const std::string& aValue) const = 0;
+
+  virtual std::string EncodeHead(const state::SettingsHead& aHead) const = 0;
+
+  /** @throws CoordinationError if the row is malformed. */
+  virtual state::SettingsHead DecodeHead(const std::string& aValue) const = 0;
+};
+
+} // namespace cornelrudder::coordination
+
+#endif // CORNELRUDDER_COORDINATION_ROW_CODEC_H
--- /dev/null
+++ b/include/cornelrudder/protocol/JsonRowCodec.h
@@ -0,0 +1,22 @@
+#ifndef CORNELRUDDER_PROTOCOL_JSON_ROW_CODEC_H
+#define CORNELRUDDER_PROTOCOL_JSON_ROW_CODEC_H
+
+#include "cornelrudder/coordination/RowCodec.h"
+
+namespace cornelrudder::protocol {
+
+/** Table rows as JSON; their errors become those of coordination. */
+class JsonRowCodec final : public coordination::RowCodec
+{
+public:
+  std::string EncodeDocument(
+    const state::SettingsDocument& aDocument) const override;
+  state::SettingsDocument DecodeDocument(
+    const std::string& aValue) const override;
+  std::string EncodeHead(const state::SettingsHead& aHead) const override;
+  state::SettingsHead DecodeHead(const std::string& aValue) const override;
+};
+
+} // namespace cornelrudder::protocol
+
+#endif // CORNELRUDDER_PROTOCOL_JSON_ROW_CODEC_H
--- /dev/null
+++ b/include/cornelrudder/protocol/RunnerCodec.h
@@ -0,0 +1,23 @@
+#ifndef CORNELRUDDER_PROTOCOL_RUNNER_CODEC_H
+#define CORNELRUDDER_PROTOCOL_RUNNER_CODEC_H
+
+#include "cornelrudder/protocol/HttpMessage.h"
+#include "cornelrudder/state/RunnerExchange.h"
+
+namespace cornelrudder::protocol {
+
+/** @return The request that runs a dispatch on its runner. */
+HttpRequest
+EncodeRun(const state::RunDispatch& aDispatch);
+
+/**
+ * Checks that a response is the whole answer to a request.
+ * @param aRequest The request that was sent.
+ * @param aResponse The runner's response.
+ */
+state::RunnerResult
+DecodeRun(const state::RequestId& aRequest, const HttpResponse& aResponse);
+
+} // namespace cornelrudder::protocol
+
+#endif // CORNELRUDDER_PROTOCOL_RUNNER_CODEC_H
--- /dev/null
+++ b/include/cornelrudder/protocol/StoreCodec.h
@@ -0,0 +1,40 @@
+#ifndef CORNELRUDDER_PROTOCOL_STORE_CODEC_H
+#define CORNELRUDDER_PROTOCOL_STORE_CODEC_H
+
+#include "cornelrudder/protocol/HttpMessage.h"
+#include "cornelrudder/state/StoreRow.h"
+#include "cornelrudder/state/Vm.h"
+
+namespace cornelrudder::protocol {
+
+/** @return The request that reads one row. */
+HttpRequest
+EncodeReadRow(const std::string& aKey);
+
+/** @return The request that reads all rows whose key has a prefix. */
+HttpRequest
+EncodeListRows(const std::string& aPrefix);
+
+/** @return The request that runs a transaction. */
+HttpRequest
+EncodeTransaction(const state::Transaction& aTransaction);
+
+/**
+ * Decodes the response to any of these requests.
+ * @return kUnavailable for a status of 500 and more.
+ * @throws ProtocolError if the body is malformed.
+ */
+state::StoreResult
+DecodeStoreResponse(const HttpResponse& aResponse);
+
+/** @return The request that lists the VMs. */
+HttpRequest
+EncodeListVms();
+
+/** @throws ProtocolError if the list is malformed. */
+state::VmList
+DecodeVmList(const HttpResponse& aResponse);
+
+} // namespace cornelrudder::protocol
+
+#endif // CORNELRUDDER_PROTOCOL_STORE_CODEC_H
--- /dev/null
+++ b/include/cornelrudder/transport/HttpServer.h
@@ -0,0 +1,68 @@
+#ifndef CORNELRUDDER_TRANSPORT_HTTP_SERVER_H
+#define CORNELRUDDER_TRANSPORT_HTTP_SERVER_H
+
+#include "cornelrudder/protocol/HttpMessage.h"
+#include "cornelrudder/transport/IoThread.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cornelrudder::transport {
+
+struct HttpServerLimits
+{
+  std::uint32_t mHeaderBytes = 16 * 1024;
+  std::uint64_t mBodyBytes = 8ULL * 1024 * 1024;
+  std::size_t mConnections = 2000;
+  std::chrono::milliseconds mIdleTimeout{ 60'000 };
+  std::chrono::milliseconds mWriteTimeout{ 30'000 };
+};
+
+/** Answers one request; may be called from any thread, once. */
+using HttpResponder = std::function<void(protocol::HttpResponse)>;
+
+/** Called on the I/O thread for each request. */
+using HttpHandler = std::function<void(protocol::HttpRequest, HttpResponder)>;
+
+/** HTTP/1.1 server; each connection is a task that owns its socket. */
+class HttpServer
+{
+public:
+  /**
+   * Listens at once.
+   * @param aAddress "a.b.c.d:port"; port 0 picks a free one.
+   * @param aHandler A responder that it drops is answered with status 500.
+   * @throws TransportError if the address is malformed or in use.
+   */
+  HttpServer(IoThread& aThread,
+             const std::string& aAddress,
+             HttpServerLimits aLimits,
+             HttpHandler aHandler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /** @return The address with the port in use. */
+  const std::string& Address() const;
+
+  /**
+   * Stops accepting, lets running exchanges end and closes idle connections.
+   * @param aGrace Time given to running exchanges.
+   * @param aDone Called on the I/O thread with the number of exchanges that
+   *   were cut off.
+   */
+  void Drain(std::chrono::milliseconds aGrace,
+             std::function<void(std::size_t)> aDone);
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> mImpl;
+};
+
+} // namespace cornelrudder::transport
+
+#endif // CORNELRUDDER_TRANSPORT_HTTP_SERVER_H
--- /dev/null
+++ b/src/coordination/SettingsTask.cpp
@@ -0,0 +1,284 @@
+#include "cornelrudder/coordination/SettingsTask.h"
+
+#include "cornelrudder/coordination/CoordinationError.h"
+#include "cornelrudder/coordination/Messages.h"
+
+#include <caf/actor_system.hpp>
+#include <caf/event_based_actor.hpp>
+#include <caf/typed_response_promise.hpp>
+
+namespace cornelrudder::coordination {
+
+namespace {
+
+using state::SettingsDocument;
+using state::StoreResult;
+using state::StoreStatus;
+
+const std::string kHeadKey = "settings/head";
+const std::string kDocumentPrefix = "settings/doc/";
+
+/** Retries when another document's change moved the head meanwhile. */
+constexpr int kMaxHeadRetries = 20;
+
+class SettingsTask : public caf::event_based_actor
+{
+public:
+  SettingsTask(caf::actor_config& aConfig,
+               caf::actor aStore,
+               const RowCodec& aCodec,
+               EventLog& aLog,
+               WriteIds aWriteIds,
+               SettingsTaskOptions aOptions)
+    : caf::event_based_actor(aConfig)
+    , mStore(std::move(aStore))
+    , mCodec(aCodec)
+    , mLog(aLog)
+    , mWriteIds(std::move(aWriteIds))
+    , mOptions(aOptions)
+  {
+  }
+
+  caf::behavior make_behavior() override
+  {
+    send(this, Tick{});
+    return {
+      [this](const Tick&) { PollHead(); },
+      [this](const GetSettings&) { return mView; },
+      [this](const PutSettings& aPut) { return StartPut(aPut); },
+      [this](const Subscribe& aSubscribe) {
+        mSubscribers.push_back(aSubscribe.mReceiver);
+        send(aSubscribe.mReceiver, mView);
+      },
+      [this](const GetCounters&) { return mCounters; },
+    };
+  }
+
+private:
+  struct Change
+  {
+    PutSettings mPut;
+    caf::typed_response_promise<PutSettingsResult> mPromise;
+    std::string mWriteId;
+    int mRetries = 0;
+  };
+
+  using ChangePtr = std::shared_ptr<Change>;
+
+  /** Reads a row; an error of the store task counts as unavailable. */
+  template<typename Handler>
+  void Read(const std::string& aKey, Handler aHandler)
+  {
+    Ask(ReadRow{ aKey }, std::move(aHandler));
+  }
+
+  template<typename Message, typename Handler>
+  void Ask(Message aMessage, Handler aHandler)
+  {
+    request(mStore, caf::infinite, std::move(aMessage))
+      .then([aHandler](const StoreResult& aResult) { aHandler(aResult); },
+            [aHandler](const caf::error&) {
+              aHandler(StoreResult(StoreStatus::kUnknown, {}));
+            });
+  }
+
+  void PollHead()
+  {
+    Read(kHeadKey, [this](const StoreResult& aResult) {
+      delayed_send(this, mOptions.mPollInterval, Tick{});
+      if (aResult.Status() != StoreStatus::kOk || aResult.Rows().empty()) {
+        return;
+      }
+      FetchNewer(aResult.Rows().front());
+    });
+  }
+
+  void FetchNewer(const state::StoreRow& aHeadRow)
+  {
+    const state::SettingsHead head = mCodec.DecodeHead(aHeadRow.Value());
+    for (const auto& [path, version] : head) {
+      const SettingsDocument* held = mView.Find(path);
+      if (held != nullptr && held->Version() >= version) {
+        continue;
+      }
+      Read(kDocumentPrefix + path, [this](const StoreResult& aResult) {
+        if (aResult.Status() == StoreStatus::kOk && !aResult.Rows().empty()) {
+          Apply(mCodec.DecodeDocument(aResult.Rows().front().Value()));
+        }
+      });
+    }
+  }
+
+  void Apply(const SettingsDocument& aDocument)
+  {
+    auto view = mView.WithDocument(aDocument);
+    if (!view) {
+      return;
+    }
+    mView = *std::move(view);
+    ++mCounters["settings_applied_total"];
+    mLog.Write({ LogEvent::kSettingsApplied,
+                 { { "path", aDocument.Path() },
+                   { "version", std::to_string(aDocument.Version()) } } });
+    for (const caf::actor& receiver : mSubscribers) {
+      send(receiver, mView);
+    }
+  }
+
+  caf::result<PutSettingsResult> StartPut(const PutSettings& aPut)
+  {
+    auto promise = make_response_promise<PutSettingsResult>();
+    auto change =
+      std::make_shared<Change>(Change{ aPut, promise, mWriteIds.Next(), 0 });
+    auto faults = state::CheckSettings(aPut.mPath, aPut.mValues);
+    if (!faults.empty()) {
+      mLog.Write({ LogEvent::kSettingsRejected, { { "path", aPut.mPath } } });
+      promise.deliver(PutSettingsResult{
+        PutSettingsStatus::kRejected, {}, std::move(faults) });
+      return promise;
+    }
+    ReadForPut(change);
+    return promise;
+  }
+
+  void ReadForPut(const ChangePtr& aChange)
+  {
+    Read(kHeadKey, [this, aChange](const StoreResult& aHead) {
+      if (aHead.Status() != StoreStatus::kOk) {
+        FailPut(aChange);
+        return;
+      }
+      Read(kDocumentPrefix + aChange->mPut.mPath,
+           [this, aChange, aHead](const StoreResult& aDocument) {
+             if (aDocument.Status() != StoreStatus::kOk) {
+               FailPut(aChange);
+               return;
+             }
+             WritePut(aChange, aHead, aDocument);
+           });
+    });
+  }
+
+  void WritePut(const ChangePtr& aChange,
+                const StoreResult& aHead,
+                const StoreResult& aDocument)
+  {
+    const PutSettings& put = aChange->mPut;
+    std::optional<SettingsDocument> current;
+    std::uint64_t rowVersion = 0;
+    if (!aDocument.Rows().empty()) {
+      current = mCodec.DecodeDocument(aDocument.Rows().front().Value());
+      rowVersion = aDocument.Rows().front().Version();
+    }
+    if (current && current->HasWrite(aChange->mWriteId)) {
+      // An earlier try took effect although its answer was lost.
+      AcceptPut(aChange, *current);
+      return;
+    }
+    if ((current ? current->Version() : 0) != put.mExpectedVersion) {
+      RefusePut(aChange, current);
+      return;
+    }
+    const SettingsDocument next = NextDocument(*aChange, current);
+    state::SettingsHead head;
+    std::uint64_t headVersion = 0;
+    if (!aHead.Rows().empty()) {
+      head = mCodec.DecodeHead(aHead.Rows().front().Value());
+      headVersion = aHead.Rows().front().Version();
+    }
+    head[put.mPath] = next.Version();
+    Ask(state::Transaction(aChange->mWriteId,
+                           { { kHeadKey, headVersion, mCodec.EncodeHead(head) },
+                             { kDocumentPrefix + put.mPath,
+                               rowVersion,
+                               mCodec.EncodeDocument(next) } }),
+        [this, aChange, next](const StoreResult& aResult) {
+          FinishWrite(aChange, next, aResult);
+        });
+  }
+
+  static SettingsDocument NextDocument(
+    const Change& aChange,
+    const std::optional<SettingsDocument>& aCurrent)
+  {
+    const PutSettings& put = aChange.mPut;
+    if (aCurrent) {
+      return aCurrent->WithValues(put.mValues, aChange.mWriteId, put.mAuthor);
+    }
+    return {
+      put.mPath, 1, put.mValues, { { 1, aChange.mWriteId, put.mAuthor } }
+    };
+  }
+
+  void FinishWrite(const ChangePtr& aChange,
+                   const SettingsDocument& aNext,
+                   const StoreResult& aResult)
+  {
+    if (aResult.Status() == StoreStatus::kOk) {
+      AcceptPut(aChange, aNext);
+      return;
+    }
+    if (++aChange->mRetries > kMaxHeadRetries) {
+      FailPut(aChange);
+      return;
+    }
+    // Conflict on the head only, or an unknown outcome: reading tells which.
+    ReadForPut(aChange);
+  }
+
+  void AcceptPut(const ChangePtr& aChange, const SettingsDocument& aDocument)
+  {
+    mLog.Write({ LogEvent::kSettingsChanged,
+                 { { "path", aDocument.Path() },
+                   { "version", std::to_string(aDocument.Version()) },
+                   { "author", aChange->mPut.mAuthor } } });
+    Apply(aDocument);
+    aChange->mPromise.deliver(
+      PutSettingsResult{ PutSettingsStatus::kAccepted, { aDocument }, {} });
+  }
+
+  void RefusePut(const ChangePtr& aChange,
+                 const std::optional<SettingsDocument>& aCurrent)
+  {
+    mLog.Write({ LogEvent::kSettingsConflict,
+                 { { "path", aChange->mPut.mPath },
+                   { "author", aChange->mPut.mAuthor } } });
+    std::vector<SettingsDocument> documents;
+    if (aCurrent) {
+      documents.push_back(*aCurrent);
+    }
+    aChange->mPromise.deliver(PutSettingsResult{
+      PutSettingsStatus::kConflict, std::move(documents), {} });
+  }
+
+  void FailPut(const ChangePtr& aChange)
+  {
+    aChange->mPromise.deliver(
+      PutSettingsResult{ PutSettingsStatus::kUnavailable, {}, {} });
+  }
+
+  caf::actor mStore;
+  const RowCodec& mCodec;
+  EventLog& mLog;
+  WriteIds mWriteIds;
+  SettingsTaskOptions mOptions;
+  state::SettingsView mView;
+  std::vector<caf::actor> mSubscribers;
+  Counters mCounters;
+};
+
+} // namespace
+
+caf::actor
+SpawnSettingsTask(caf::actor_system& aSystem,
+                  const caf::actor& aStore,
+                  const RowCodec& aCodec,
+                  EventLog& aLog,
+                  WriteIds aWriteIds,
+                  SettingsTaskOptions aOptions)
+{
+  return aSystem.spawn<SettingsTask>(
+    aStore, std::cref(aCodec), std::ref(aLog), std::move(aWriteIds), aOptions);
+}
+
+} // namespace cornelrudder::coordination
--- /dev/null
+++ b/src/protocol/JsonRowCodec.cpp
@@ -0,0 +1,48 @@
+#include "cornelrudder/protocol/JsonRowCodec.h"
+
+#include "cornelrudder/coordination/CoordinationError.h"
+#include "cornelrudder/protocol/ProtocolError.h"
+#include "cornelrudder/protocol/SettingsCodec.h"
+
+namespace cornelrudder::protocol {
+
+namespace {
+
+template<typename Decoder>
+auto
+Translate(Decoder aDecoder, const std::string& aValue)
+{
+  try {
+    return aDecoder(aValue);
+  } catch (const ProtocolError& error) {
+    throw coordination::CoordinationError(error.what());
+  }
+}
+
+} // namespace
+
+std::string
+JsonRowCodec::EncodeDocument(const state::SettingsDocument& aDocument) const
+{
+  return EncodeSettingsDocument(aDocument);
+}
+
+state::SettingsDocument
+JsonRowCodec::DecodeDocument(const std::string& aValue) const
+{
+  return Translate(DecodeSettingsDocument, aValue);
+}
+
+std::string
+JsonRowCodec::EncodeHead(const state::SettingsHead& aHead) const
+{
+  return EncodeSettingsHead(aHead);
+}
+
+state::SettingsHead
+JsonRowCodec::DecodeHead(const std::string& aValue) const
+{
+  return Translate(DecodeSettingsHead, aValue);
+}
+
+} // namespace cornelrudder::protocol
