--- a/include/cornelrudder/coordination/Messages.h
+++ b/include/cornelrudder/coordination/Messages.h
@@ -2,6 +2,8 @@
 #define CORNELRUDDER_COORDINATION_MESSAGES_H
 
 #include "cornelrudder/state/Ids.h"
+#include "cornelrudder/state/JobCommand.h"
+#include "cornelrudder/state/Lease.h"
 #include "cornelrudder/state/RunRequest.h"
 #include "cornelrudder/state/RunnerExchange.h"
 #include "cornelrudder/state/SettingsDocument.h"
@@ -105,6 +107,18 @@
   auto operator<=>(const Tick&) const = default;
 };
 
+/** Which daemon owns a placement domain; sent by the lease task. */
+struct DomainOwner
+{
+  const state::RegionId mDomain;
+  /** Empty if no owner is known. */
+  const std::vector<state::VmId> mOwner;
+  /** This daemon's own hold; epoch 0 if another one or nobody owns it. */
+  const state::Lease mLease;
+
+  auto operator<=>(const DomainOwner&) const = default;
+};
+
 /** Tells the routing task that an attempt ended. */
 struct RunFinished
 {
@@ -134,9 +148,12 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::GetSettings)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::PutSettings)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::PutSettingsResult)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::DomainOwner)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::Tick)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::RunFinished)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::VmListRead)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::JobCommand)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::JobReply)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::RunRequest)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::RunOutcome)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::SettingsView)
--- /dev/null
+++ b/include/cornelrudder/state/FleetLoad.h
@@ -0,0 +1,83 @@
+#ifndef CORNELRUDDER_STATE_FLEET_LOAD_H
+#define CORNELRUDDER_STATE_FLEET_LOAD_H
+
+#include "cornelrudder/state/Job.h"
+#include "cornelrudder/state/Shape.h"
+#include "cornelrudder/state/Vm.h"
+
+#include <vector>
+
+namespace cornelrudder::state {
+
+/** A placed gang as placement decisions see it. */
+class PlacedGang
+{
+public:
+  PlacedGang(JobId aJob,
+             OrganisationId aOrganisation,
+             bool aPreemptible,
+             double aAcceleratorHours,
+             GangPlacement aPlacement)
+    : mJob(std::move(aJob))
+    , mOrganisation(std::move(aOrganisation))
+    , mPreemptible(aPreemptible)
+    , mAcceleratorHours(aAcceleratorHours)
+    , mPlacement(std::move(aPlacement))
+  {
+  }
+
+  const JobId& Job() const { return mJob; }
+  const OrganisationId& Organisation() const { return mOrganisation; }
+
+  /** Whether it may be stopped for another organisation's shape. */
+  bool Preemptible() const { return mPreemptible; }
+
+  /** Work that a stop would lose, since the last checkpoint. */
+  double AcceleratorHours() const { return mAcceleratorHours; }
+
+  const GangPlacement& Placement() const { return mPlacement; }
+
+  auto operator<=>(const PlacedGang&) const = default;
+
+private:
+  JobId mJob;
+  OrganisationId mOrganisation;
+  bool mPreemptible;
+  double mAcceleratorHours;
+  GangPlacement mPlacement;
+};
+
+/** All that a placement decision depends on. */
+class FleetLoad
+{
+public:
+  /**
+   * @param aWorkers Usable workers of the domain; not those that are leaving
+   *   or in quarantine.
+   * @param aGangs Gangs that hold accelerators.
+   * @param aGuarantees Shapes of all active organisations in the domain.
+   */
+  FleetLoad(VmList aWorkers,
+            std::vector<PlacedGang> aGangs,
+            std::vector<GuaranteedShape> aGuarantees)
+    : mWorkers(std::move(aWorkers))
+    , mGangs(std::move(aGangs))
+    , mGuarantees(std::move(aGuarantees))
+  {
+  }
+
+  const VmList& Workers() const { return mWorkers; }
+  const std::vector<PlacedGang>& Gangs() const { return mGangs; }
+  const std::vector<GuaranteedShape>& Guarantees() const { return mGuarantees; }
+
+  auto operator<=>(const FleetLoad&) const = default;
+
+private:
+  VmList mWorkers;
+  std::vector<PlacedGang> mGangs;
+  std::vector<GuaranteedShape> mGuarantees;
+};
+
+} // namespace cornelrudder::state
+
+#endif // CORNELRUDDER_STATE_FLEET_LOAD_H
--- /dev/null
+++ b/include/cornelrudder/state/Job.h
@@ -0,0 +1,180 @@
+#ifndef CORNELRUDDER_STATE_JOB_H
+#define CORNELRUDDER_STATE_JOB_H
+
+#include "cornelrudder/state/Ids.h"
+#include "cornelrudder/state/RunRequest.h"
+#include "cornelrudder/state/Shape.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cornelrudder::state {
+
+/** What a caller asks for: a gang of tasks on adjacent accelerators. */
+class JobSpec
+{
+public:
+  JobSpec(JobId aId,
+          OrganisationId aOrganisation,
+          TeamId aTeam,
+          ClassName aClass,
+          Shape aShape,
+          std::string aKey,
+          std::chrono::seconds aExpected)
+    : mId(std::move(aId))
+    , mOrganisation(std::move(aOrganisation))
+    , mTeam(std::move(aTeam))
+    , mClass(std::move(aClass))
+    , mShape(aShape)
+    , mKey(std::move(aKey))
+    , mExpected(aExpected)
+  {
+  }
+
+  const JobId& Name() const { return mId; }
+  const OrganisationId& Organisation() const { return mOrganisation; }
+  const TeamId& Team() const { return mTeam; }
+  const ClassName& Class() const { return mClass; }
+  const Shape& What() const { return mShape; }
+
+  /** A repeated submission with the same key gives the same job. */
+  const std::string& Key() const { return mKey; }
+
+  /** The caller's estimate; often far off, so nothing may rely on it. */
+  std::chrono::seconds Expected() const { return mExpected; }
+
+  auto operator<=>(const JobSpec&) const = default;
+
+private:
+  JobId mId;
+  OrganisationId mOrganisation;
+  TeamId mTeam;
+  ClassName mClass;
+  Shape mShape;
+  std::string mKey;
+  std::chrono::seconds mExpected;
+};
+
+/** The accelerators of one worker that a gang member holds. */
+class MemberPlacement
+{
+public:
+  MemberPlacement(VmId aWorker, std::vector<int> aAccelerators)
+    : mWorker(std::move(aWorker))
+    , mAccelerators(std::move(aAccelerators))
+  {
+  }
+
+  const VmId& Worker() const { return mWorker; }
+
+  /** Indexes from 0, ascending. */
+  const std::vector<int>& Accelerators() const { return mAccelerators; }
+
+  auto operator<=>(const MemberPlacement&) const = default;
+
+private:
+  VmId mWorker;
+  std::vector<int> mAccelerators;
+};
+
+/** Where all members of a gang lie. */
+class GangPlacement
+{
+public:
+  GangPlacement() = default;
+
+  explicit GangPlacement(std::vector<MemberPlacement> aMembers)
+    : mMembers(std::move(aMembers))
+  {
+  }
+
+  const std::vector<MemberPlacement>& Members() const { return mMembers; }
+
+  auto operator<=>(const GangPlacement&) const = default;
+
+private:
+  std::vector<MemberPlacement> mMembers;
+};
+
+enum class JobState
+{
+  kQueued,
+  kPlaced,
+  kReserved,
+  kCommitted,
+  kRunning,
+  kStopping,
+  kDone,
+  kFailed,
+  kRefused,
+  kCancelled
+};
+
+/** @return The lower-case name of a state. */
+std::string_view
+JobStateName(JobState aState);
+
+/** @return Whether a job in this state changes no more. */
+bool
+IsFinal(JobState aState);
+
+/** A job as recorded in the table. */
+class Job
+{
+public:
+  /** @return A new job in state kQueued with attempt 0. */
+  static Job Queued(JobSpec aSpec);
+
+  Job(JobSpec aSpec,
+      JobState aState,
+      std::uint32_t aAttempt,
+      std::uint64_t aEpoch,
+      GangPlacement aPlacement,
+      RefusalReason aReason,
+      Ran aRan,
+      std::string aDetail);
+
+  const JobSpec& Spec() const { return mSpec; }
+  JobState State() const { return mState; }
+
+  /** Counts placements; a number is never used again. */
+  std::uint32_t Attempt() const { return mAttempt; }
+
+  /** Lease epoch under which the current attempt was placed. */
+  std::uint64_t Epoch() const { return mEpoch; }
+
+  const GangPlacement& Placement() const { return mPlacement; }
+  RefusalReason Reason() const { return mReason; }
+  Ran HasRun() const { return mRan; }
+  const std::string& Detail() const { return mDetail; }
+
+  Job WithState(JobState aState) const;
+
+  /** @return The next attempt, in state kPlaced. */
+  Job WithPlacement(GangPlacement aPlacement, std::uint64_t aEpoch) const;
+
+  /** @return The job in a final state or back in the queue, unplaced. */
+  Job WithOutcome(JobState aState,
+                  RefusalReason aReason,
+                  Ran aRan,
+                  std::string aDetail) const;
+
+  auto operator<=>(const Job&) const = default;
+
+private:
+  JobSpec mSpec;
+  JobState mState;
+  std::uint32_t mAttempt;
+  std::uint64_t mEpoch;
+  GangPlacement mPlacement;
+  RefusalReason mReason;
+  Ran mRan;
+  std::string mDetail;
+};
+
+} // namespace cornelrudder::state
+
+#endif // CORNELRUDDER_STATE_JOB_H
--- /dev/null
+++ b/include/cornelrudder/state/Lease.h
@@ -0,0 +1,52 @@
+#ifndef CORNELRUDDER_STATE_LEASE_H
+#define CORNELRUDDER_STATE_LEASE_H
+
+#include "cornelrudder/state/Ids.h"
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+
+namespace cornelrudder::state {
+
+/**
+ * Ownership of a placement domain as its holder knows it. Each effect needs
+ * HeldAt() just before it, since the process may have been paused.
+ */
+class Lease
+{
+public:
+  /**
+   * @param aDomain The region whose placement is owned.
+   * @param aEpoch Fencing token; 0 if not held.
+   * @param aUntil Monotonic time at which the holder stops acting.
+   */
+  Lease(RegionId aDomain,
+        std::uint64_t aEpoch,
+        std::chrono::milliseconds aUntil)
+    : mDomain(std::move(aDomain))
+    , mEpoch(aEpoch)
+    , mUntil(aUntil)
+  {
+  }
+
+  const RegionId& Domain() const { return mDomain; }
+  std::uint64_t Epoch() const { return mEpoch; }
+  std::chrono::milliseconds Until() const { return mUntil; }
+
+  bool HeldAt(std::chrono::milliseconds aNow) const
+  {
+    return mEpoch != 0 && aNow < mUntil;
+  }
+
+  auto operator<=>(const Lease&) const = default;
+
+private:
+  RegionId mDomain;
+  std::uint64_t mEpoch;
+  std::chrono::milliseconds mUntil;
+};
+
+} // namespace cornelrudder::state
+
+#endif // CORNELRUDDER_STATE_LEASE_H
--- /dev/null
+++ b/include/cornelrudder/state/PlacementStrategy.h
@@ -0,0 +1,107 @@
+#ifndef CORNELRUDDER_STATE_PLACEMENT_STRATEGY_H
+#define CORNELRUDDER_STATE_PLACEMENT_STRATEGY_H
+
+#include "cornelrudder/state/FleetLoad.h"
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cornelrudder::state {
+
+/** What is to be placed. */
+class PlacementRequest
+{
+public:
+  PlacementRequest(OrganisationId aOrganisation,
+                   Shape aShape,
+                   bool aPreemptible)
+    : mOrganisation(std::move(aOrganisation))
+    , mShape(aShape)
+    , mPreemptible(aPreemptible)
+  {
+  }
+
+  const OrganisationId& Organisation() const { return mOrganisation; }
+  const Shape& What() const { return mShape; }
+  bool Preemptible() const { return mPreemptible; }
+
+  auto operator<=>(const PlacementRequest&) const = default;
+
+private:
+  OrganisationId mOrganisation;
+  Shape mShape;
+  bool mPreemptible;
+};
+
+enum class PlacementKind
+{
+  /** The accelerators are free. */
+  kPlaced,
+  /** The organisation is owed its shape; the victims must stop first. */
+  kReclaim,
+  /** It fits the fleet, but not now. */
+  kWait,
+  /** It cannot fit the fleet even when that is empty. */
+  kNeverFits
+};
+
+/** A placement decision with its reason. */
+class PlacementDecision
+{
+public:
+  PlacementDecision(PlacementKind aKind,
+                    GangPlacement aPlacement,
+                    std::vector<JobId> aVictims,
+                    std::string aReason)
+    : mKind(aKind)
+    , mPlacement(std::move(aPlacement))
+    , mVictims(std::move(aVictims))
+    , mReason(std::move(aReason))
+  {
+  }
+
+  PlacementKind Kind() const { return mKind; }
+
+  /** Set for kPlaced and kReclaim. */
+  const GangPlacement& Placement() const { return mPlacement; }
+
+  /** Preemptible gangs to stop, for kReclaim. */
+  const std::vector<JobId>& Victims() const { return mVictims; }
+
+  const std::string& Reason() const { return mReason; }
+
+  auto operator<=>(const PlacementDecision&) const = default;
+
+private:
+  PlacementKind mKind;
+  GangPlacement mPlacement;
+  std::vector<JobId> mVictims;
+  std::string mReason;
+};
+
+/** Strategy that places gangs; each keeps the joint guarantee. */
+class PlacementStrategy
+{
+public:
+  virtual ~PlacementStrategy() = default;
+
+  virtual std::string_view Name() const = 0;
+  virtual std::string_view Description() const = 0;
+
+  virtual PlacementDecision Place(const FleetLoad& aLoad,
+                                  const PlacementRequest& aRequest) const = 0;
+};
+
+/** @return All strategies; the first is the naive baseline. */
+std::span<const PlacementStrategy* const>
+AllPlacementStrategies();
+
+/** @return The strategy of this name, or null. */
+const PlacementStrategy*
+FindPlacementStrategy(std::string_view aName);
+
+} // namespace cornelrudder::state
+
+#endif // CORNELRUDDER_STATE_PLACEMENT_STRATEGY_H
