Add a history checker and a fault run over real processes

scripts/history.sh SEED starts a platform, three runners and three daemons, sends concurrent requests and racing settings changes, injects seeded faults and checks what callers, operators and runners saw.

--- /dev/null
+++ b/scripts/cluster.sh
@@ -0,0 +1,125 @@
+# Functions to start a whole system on free loopback ports and to stop it;
+# sourced by the scripts that drive one. Needs $build.
+
+work=$(mktemp -d)
+declare -A pid_of address_of_name
+vms=()
+
+# Stops exactly the processes that were started here.
+stop_cluster() {
+  local name
+  for name in "${!pid_of[@]}"; do
+    kill -KILL "${pid_of[$name]}" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
+  if [ "${KEEP_LOGS:-}" ]; then
+    echo "logs: $work"
+  else
+    rm -rf "$work"
+  fi
+}
+trap stop_cluster EXIT
+
+fail() {
+  echo "FAILED: $*" >&2
+  tail -n 3 "$work"/*.log >&2 || true
+  exit 1
+}
+
+# Waits until a command succeeds, under a generous deadline.
+wait_until() {
+  local what=$1
+  shift
+  for _ in $(seq 600); do
+    if "$@" >/dev/null 2>&1; then
+      echo "ok: $what"
+      return
+    fi
+    sleep 0.1
+  done
+  fail "$what"
+}
+
+# Compares an answer with what was expected.
+expect() {
+  local what=$1 wanted=$2 got=$3
+  case "$got" in
+    *"$wanted"*) echo "ok: $what" ;;
+    *) fail "$what: wanted $wanted, got $got" ;;
+  esac
+}
+
+# Starts a program; its log is $work/NAME.log.
+start() {
+  local name=$1
+  shift
+  "$@" >>"$work/$name.log" 2>&1 &
+  pid_of[$name]=$!
+}
+
+# Waits for a line in a program's log and keeps the address in it.
+await_address() {
+  local name=$1 pattern=$2 address
+  for _ in $(seq 1200); do
+    address=$(sed -n "s/$pattern/\1/p" "$work/$name.log" 2>/dev/null | tail -n 1)
+    if [ -n "$address" ]; then
+      address_of_name[$name]=$address
+      return
+    fi
+    sleep 0.05
+  done
+  fail "$name does not listen"
+}
+
+start_standin() {
+  local name=$1 program=$2
+  start "$name" "$build/tools/$program"
+  await_address "$name" '^listening on \(.*\)$'
+}
+
+# Adds a VM to the list that publish_vms sends to the platform.
+add_vm() {
+  local id=$1 role=$2 zone=$3 rack=$4 accelerators=${5:-0}
+  vms+=("{\"id\":\"$id\",\"role\":\"$role\",\"address\":\"${address_of_name[$id]}\",\"region\":\"region-1\",\"zone\":\"$zone\",\"rack\":\"$rack\",\"accelerators\":$accelerators}")
+}
+
+publish_vms() {
+  local list
+  list=$(IFS=,; echo "${vms[*]}")
+  curl -sSf -X PUT "http://${address_of_name[platform]}/vms" \
+    -d "{\"vms\":[$list]}" >/dev/null
+}
+
+# Writes the settings file of a daemon. Usage: write_entry NAME ZONE HTTP PEER
+write_entry() {
+  local name=$1 zone=$2 http=$3 peer=$4
+  cat >"$work/$name.toml" <<TOML
+[daemon]
+id = "$name"
+region = "region-1"
+zone = "$zone"
+http_address = "$http"
+peer_address = "$peer"
+
+[platform]
+address = "${address_of_name[platform]}"
+
+[timing]
+poll_ms = 200
+drain_notice_ms = 200
+TOML
+}
+
+start_entry() {
+  local name=$1
+  start "$name" "$build/apps/cornelrudderd" --config "$work/$name.toml"
+  await_address "$name" '.*name=started http=\([0-9.:]*\).*'
+}
+
+# Sets the fault switches of a stand-in. Usage: set_faults NAME JSON
+set_faults() {
+  curl -sS -m 5 -X PUT "http://${address_of_name[$1]}/faults" -d "$2" >/dev/null ||
+    true
+}
+
+cli() { "$build/apps/cornelrudder" "$@"; }
--- /dev/null
+++ b/scripts/history.sh
@@ -0,0 +1,119 @@
+#!/usr/bin/env bash
+# Runs the whole system under seeded load and faults and checks the history of
+# what callers, operators, runners and workers saw.
+# Usage: scripts/history.sh SEED [FAULT...]   (default: all faults in turn)
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${BUILD_DIR:-build}
+seed=${1:?a seed is required}
+shift
+faults=("$@")
+if [ ${#faults[@]} -eq 0 ]; then
+  faults=(kill_entry freeze_entry store_down store_slow lose_answers
+    runner_cross runner_truncate runner_slow runner_fail kill_and_lose)
+fi
+. scripts/cluster.sh
+RANDOM=$seed
+
+start_standin platform platform_standin
+for i in 1 2 3; do
+  start_standin "runner-$i" runner_standin
+  add_vm "runner-$i" runner "zone-$(((i + 1) / 2))" "rack-r$i"
+done
+entries=(entry-1 entry-2 entry-3)
+for i in 1 2 3; do
+  write_entry "entry-$i" "zone-$(((i + 1) / 2))" 127.0.0.1:0 127.0.0.1:0
+  start_entry "entry-$i"
+  # Keeps the port over restarts.
+  sed -i "s/^http_address.*/http_address = \"${address_of_name[entry-$i]}\"/" \
+    "$work/entry-$i.toml"
+  add_vm "entry-$i" entry "zone-$(((i + 1) / 2))" "rack-e$i"
+done
+publish_vms
+servers=${address_of_name[entry-1]},${address_of_name[entry-2]},${address_of_name[entry-3]}
+
+one=${address_of_name[entry-1]}
+cli -s "$one" settings set organisations/acme display_name=Acme >/dev/null
+cli -s "$one" settings set organisations/acme/teams/night >/dev/null
+cli -s "$one" settings set classes/proof-render idempotent=true \
+  max_wait_ms=2000 timeout_ms=3000 >/dev/null
+cli -s "$one" settings set classes/kerf-check idempotent=false \
+  max_wait_ms=2000 timeout_ms=3000 >/dev/null
+for name in "${entries[@]}"; do
+  wait_until "$name has the settings" sh -c \
+    "curl -s http://${address_of_name[$name]}/v1/settings | grep -q kerf-check"
+done
+
+any_entry() { echo "${entries[$((RANDOM % 3))]}"; }
+any_runner() { echo "runner-$((RANDOM % 3 + 1))"; }
+pause() { sleep "0.$((RANDOM % 6 + 3))"; }
+
+kill_entry() {
+  local name
+  name=$(any_entry)
+  kill -KILL "${pid_of[$name]}"
+  wait "${pid_of[$name]}" 2>/dev/null || true
+  pause
+  : >"$work/$name.log"
+  start_entry "$name"
+}
+freeze_entry() {
+  local name
+  name=$(any_entry)
+  kill -STOP "${pid_of[$name]}"
+  pause
+  pause
+  kill -CONT "${pid_of[$name]}"
+}
+with_fault() {
+  set_faults "$1" "$2"
+  pause
+  pause
+  set_faults "$1" '{}'
+}
+store_down() { with_fault platform '{"down":1}'; }
+store_slow() { with_fault platform '{"slow_ms":400}'; }
+lose_answers() { with_fault platform '{"lose_answers":20}'; }
+runner_cross() { with_fault "$(any_runner)" '{"cross_next":10}'; }
+runner_truncate() { with_fault "$(any_runner)" '{"truncate_next":10}'; }
+runner_slow() { with_fault "$(any_runner)" '{"slow_ms":1500}'; }
+runner_fail() { with_fault "$(any_runner)" '{"fail_all":1}'; }
+kill_and_lose() {
+  set_faults platform '{"lose_answers":20}'
+  kill_entry
+  set_faults platform '{}'
+}
+
+echo "seed $seed, faults ${faults[*]}"
+"$build/tools/load_client" --servers "$servers" --seed "$seed" \
+  --callers 12 --calls "${HISTORY_CALLS:-250}" >"$work/load.jsonl" \
+  2>"$work/load.log" &
+load=$!
+n=0
+while kill -0 "$load" 2>/dev/null; do
+  "${faults[$((n % ${#faults[@]}))]}"
+  n=$((n + 1))
+done
+wait "$load" || fail "the load client failed"
+echo "injected $n faults"
+
+# All changes must be in force once the faults are over.
+settled() {
+  "$build/tools/load_client" --servers "$servers" --callers 0 --operators 0 \
+    >"$work/final.jsonl"
+  [ "$(wc -l <"$work/final.jsonl")" = 3 ] &&
+    [ "$(sed 's/"reader":"[^"]*",//' "$work/final.jsonl" | sort -u | wc -l)" = 1 ]
+}
+wait_until "all daemons hold the same settings" settled
+
+for i in 1 2 3; do
+  curl -sS "http://${address_of_name[runner-$i]}/journal" |
+    jq -c --arg runner "runner-$i" \
+      '.runs[] | {type: "run", runner: $runner, request, body}'
+done >"$work/journal.jsonl"
+"$build/tests/check_history" "$work/load.jsonl" "$work/final.jsonl" \
+  "$work/journal.jsonl" || {
+  KEEP_LOGS=1
+  fail "the history breaks a promise (seed $seed)"
+}
+jq -r 'select(.type == "call") | .end' "$work/load.jsonl" | sort | uniq -c
--- /dev/null
+++ b/tools/load_client.cpp
@@ -0,0 +1,327 @@
+/**
+ * @file
+ * Sends seeded requests and settings changes to daemons from many concurrent
+ * callers and prints what each caller saw as history lines (JSON).
+ */
+
+#include "cornelrudder/protocol/HttpMessage.h"
+#include "cornelrudder/transport/HttpClient.h"
+#include "cornelrudder/transport/IoThread.h"
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+#include <future>
+#include <random>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <getopt.h>
+#include <nlohmann/json.hpp>
+
+namespace {
+
+using cornelrudder::protocol::HttpRequest;
+using cornelrudder::protocol::HttpResponse;
+using cornelrudder::transport::HttpClient;
+using cornelrudder::transport::HttpFailure;
+using cornelrudder::transport::HttpResult;
+using nlohmann::json;
+
+constexpr int kExitBadInput = 2;
+constexpr int kMaxTries = 4;
+constexpr std::chrono::milliseconds kCallTimeout{ 8'000 };
+const std::string kTeamPath = "organisations/acme/teams/night";
+
+struct Options
+{
+  std::vector<std::string> mServers;
+  unsigned mSeed = 1;
+  int mCallers = 16;
+  int mCalls = 50;
+  int mOperators = 2;
+};
+
+std::vector<std::string>
+Split(const std::string& aText)
+{
+  std::vector<std::string> parts;
+  std::istringstream text(aText);
+  std::string part;
+  while (std::getline(text, part, ',')) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
+/** One caller or operator: its random numbers, connections and lines. */
+class Caller
+{
+public:
+  Caller(const Options& aOptions, int aNumber)
+    : mOptions(aOptions)
+    , mNumber(aNumber)
+    , mRandom(aOptions.mSeed * 1000U + static_cast<unsigned>(aNumber))
+    , mClient(mThread, {})
+  {
+  }
+
+  std::vector<std::string> RunCalls()
+  {
+    for (int i = 0; i < mOptions.mCalls; ++i) {
+      RunCall(i);
+    }
+    return mLines;
+  }
+
+  std::vector<std::string> RunChanges()
+  {
+    for (int i = 0; i < mOptions.mCalls; ++i) {
+      ReadSettings();
+      ChangeSettings(i);
+      Pause(20);
+    }
+    return mLines;
+  }
+
+  /** Reads the settings of each server once, after all changes. */
+  std::vector<std::string> ReadAll()
+  {
+    for (const std::string& server : mOptions.mServers) {
+      ReadSettingsOf(server);
+    }
+    return mLines;
+  }
+
+private:
+  int Pick(int aBound)
+  {
+    return static_cast<int>(mRandom() % static_cast<unsigned>(aBound));
+  }
+
+  void Pause(int aMilliseconds)
+  {
+    std::this_thread::sleep_for(std::chrono::milliseconds(aMilliseconds));
+  }
+
+  const std::string& AnyServer()
+  {
+    return mOptions.mServers[static_cast<std::size_t>(
+      Pick(static_cast<int>(mOptions.mServers.size())))];
+  }
+
+  HttpResult Send(const std::string& aServer, HttpRequest aRequest)
+  {
+    auto promise = std::make_shared<std::promise<HttpResult>>();
+    auto future = promise->get_future();
+    mClient.Send(aServer,
+                 std::move(aRequest),
+                 { kCallTimeout, false },
+                 [promise](HttpResult aResult) {
+                   promise->set_value(std::move(aResult));
+                 });
+    return future.get();
+  }
+
+  void RunCall(int aIndex)
+  {
+    const std::string name = std::to_string(mOptions.mSeed) + "-" +
+                             std::to_string(mNumber) + "-" +
+                             std::to_string(aIndex);
+    const bool idempotent = Pick(2) == 0;
+    const std::string body = "work_ms=" + std::to_string(Pick(60)) + " call-" +
+                             name + " " +
+                             std::string(static_cast<std::size_t>(Pick(2000)),
+                                         static_cast<char>('a' + Pick(26)));
+    for (int i = 0; i < kMaxTries; ++i) {
+      if (TryCall(idempotent, idempotent ? "" : "key-" + name, body)) {
+        return;
+      }
+      Pause(50 + Pick(200));
+    }
+  }
+
+  /** @return Whether the caller has its answer. */
+  bool TryCall(bool aIdempotent,
+               const std::string& aKey,
+               const std::string& aBody)
+  {
+    cornelrudder::protocol::HttpHeaders headers{ { "x-organisation", "acme" },
+                                                 { "x-team", "night" } };
+    if (!aKey.empty()) {
+      headers.emplace("idempotency-key", aKey);
+    }
+    const HttpResult result = Send(
+      AnyServer(),
+      { "POST",
+        aIdempotent ? "/v1/requests/proof-render" : "/v1/requests/kerf-check",
+        std::move(headers),
+        aBody });
+    json line{ { "type", "call" }, { "request", "" },        { "key", aKey },
+               { "body", aBody },  { "end", "no_response" }, { "answer", "" } };
+    if (result.Failure() == HttpFailure::kNone) {
+      FillCall(line, result.Response());
+    }
+    mLines.push_back(line.dump());
+    return line["end"] == "answered";
+  }
+
+  static void FillCall(json& aLine, const HttpResponse& aResponse)
+  {
+    aLine["request"] = aResponse.Header("x-request-id");
+    aLine["answer"] = aResponse.Body();
+    if (aResponse.Status() == 200) {
+      aLine["end"] = "answered";
+      return;
+    }
+    const json body = json::parse(aResponse.Body(), nullptr, false);
+    const bool notRun = body.is_object() && body.value("ran", "") == "no";
+    aLine["end"] = notRun ? "not_run" : "unknown";
+  }
+
+  void ReadSettings() { ReadSettingsOf(AnyServer()); }
+
+  void ReadSettingsOf(const std::string& aServer)
+  {
+    const HttpResult result =
+      Send(aServer, { "GET", "/v1/settings/" + kTeamPath, {}, "" });
+    const bool found = result.Failure() == HttpFailure::kNone &&
+                       result.Response().Status() == 200;
+    if (!found) {
+      return;
+    }
+    const json document = json::parse(result.Response().Body());
+    mVersion = document.at("version").get<std::uint64_t>();
+    // Callers read concurrently, so each is a reader of its own.
+    mLines.push_back(
+      json{ { "type", "settings_read" },
+            { "reader", aServer + " by " + std::to_string(mNumber) },
+            { "path", kTeamPath },
+            { "version", mVersion },
+            { "values", document.at("values").dump() } }
+        .dump());
+  }
+
+  void ChangeSettings(int aIndex)
+  {
+    const json values{ { "display_name",
+                         "by " + std::to_string(mNumber) + " change " +
+                           std::to_string(aIndex) } };
+    const HttpResult result =
+      Send(AnyServer(),
+           { "PUT",
+             "/v1/settings/" + kTeamPath,
+             { { "if-match", std::to_string(mVersion) },
+               { "x-operator", std::to_string(mNumber) } },
+             values.dump() });
+    const bool accepted = result.Failure() == HttpFailure::kNone &&
+                          result.Response().Status() == 200;
+    if (!accepted) {
+      return;
+    }
+    const json document = json::parse(result.Response().Body());
+    mLines.push_back(json{ { "type", "settings_write" },
+                           { "path", kTeamPath },
+                           { "version", document.at("version") },
+                           { "values", document.at("values").dump() } }
+                       .dump());
+  }
+
+  const Options& mOptions;
+  int mNumber;
+  std::mt19937 mRandom;
+  cornelrudder::transport::IoThread mThread;
+  HttpClient mClient;
+  std::uint64_t mVersion = 0;
+  std::vector<std::string> mLines;
+};
+
+void
+Print(const std::vector<std::string>& aLines)
+{
+  for (const std::string& line : aLines) {
+    std::puts(line.c_str());
+  }
+}
+
+int
+Run(const Options& aOptions)
+{
+  std::vector<std::future<std::vector<std::string>>> results;
+  for (int i = 0; i < aOptions.mCallers; ++i) {
+    results.push_back(std::async(std::launch::async, [&aOptions, i] {
+      return Caller(aOptions, i).RunCalls();
+    }));
+  }
+  for (int i = 0; i < aOptions.mOperators; ++i) {
+    results.push_back(std::async(std::launch::async, [&aOptions, i] {
+      return Caller(aOptions, aOptions.mCallers + i).RunChanges();
+    }));
+  }
+  for (auto& result : results) {
+    Print(result.get());
+  }
+  return 0;
+}
+
+Options
+ParseOptions(int aCount, char** aArguments)
+{
+  static const std::array<option, 6> kOptions{ {
+    { "servers", required_argument, nullptr, 's' },
+    { "seed", required_argument, nullptr, 'r' },
+    { "callers", required_argument, nullptr, 'c' },
+    { "calls", required_argument, nullptr, 'n' },
+    { "operators", required_argument, nullptr, 'o' },
+    { nullptr, 0, nullptr, 0 },
+  } };
+  Options options;
+  int flag = 0;
+  while ((flag = getopt_long(
+            aCount, aArguments, "", kOptions.data(), nullptr)) != -1) {
+    if (flag == 's') {
+      options.mServers = Split(optarg);
+    } else if (flag == 'r') {
+      options.mSeed = static_cast<unsigned>(std::stoul(optarg));
+    } else if (flag == 'c') {
+      options.mCallers = std::stoi(optarg);
+    } else if (flag == 'n') {
+      options.mCalls = std::stoi(optarg);
+    } else if (flag == 'o') {
+      options.mOperators = std::stoi(optarg);
+    } else {
+      options.mServers.clear();
+      break;
+    }
+  }
+  return options;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  try {
+    const Options options = ParseOptions(aCount, aArguments);
+    if (options.mServers.empty()) {
+      std::fprintf(stderr,
+                   "usage: %s --servers A,B,... [--seed N] [--callers N] "
+                   "[--calls N] [--operators N]\n",
+                   aArguments[0]);
+      return kExitBadInput;
+    }
+    if (options.mCallers == 0 && options.mOperators == 0) {
+      Print(Caller(options, 0).ReadAll());
+      return 0;
+    }
+    return Run(options);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "%s: %s\n", aArguments[0], error.what());
+    return kExitBadInput;
+  }
+}
