--- a/apps/cornelrudderd/Daemon.cpp
+++ b/apps/cornelrudderd/Daemon.cpp
@@ -70,7 +70,8 @@
     , mStore(mPlatformClient,
              aSettings.PlatformAddress(),
              aSettings.StoreTimeout())
-    , mFleet(mPlatformClient,
+    , mFleet(mThread,
+             mPlatformClient,
              aSettings.PlatformAddress(),
              aSettings.StoreTimeout())
     , mRunners(mRunnerClient)
--- a/apps/cornelrudderd/PlatformAdapters.cpp
+++ b/apps/cornelrudderd/PlatformAdapters.cpp
@@ -77,10 +77,12 @@
                });
 }
 
-FleetAdapter::FleetAdapter(transport::HttpClient& aClient,
+FleetAdapter::FleetAdapter(transport::IoThread& aThread,
+                           transport::HttpClient& aClient,
                            std::string aAddress,
                            std::chrono::milliseconds aTimeout)
-  : mClient(aClient)
+  : mThread(aThread)
+  , mClient(aClient)
   , mAddress(std::move(aAddress))
   , mTimeout(aTimeout)
 {
@@ -89,21 +91,38 @@
 void
 FleetAdapter::List(Completion aCompletion)
 {
-  mClient.Send(mAddress,
-               protocol::EncodeListVms(),
-               { mTimeout, true },
-               [completion = std::move(aCompletion)](
-                 const transport::HttpResult& aResult) {
-                 if (aResult.Failure() != transport::HttpFailure::kNone) {
-                   completion(std::nullopt);
-                   return;
-                 }
-                 try {
-                   completion(protocol::DecodeVmList(aResult.Response()));
-                 } catch (const protocol::ProtocolError&) {
-                   completion(std::nullopt);
-                 }
-               });
+  mThread.Post([this, completion = std::move(aCompletion)]() mutable {
+    Send(std::move(completion));
+  });
+}
+
+void
+FleetAdapter::Send(Completion aCompletion)
+{
+  mClient.Send(
+    mAddress,
+    protocol::EncodeListVms(mEtag),
+    { mTimeout, true },
+    [this, completion = std::move(aCompletion)](
+      const transport::HttpResult& aResult) { completion(Update(aResult)); });
+}
+
+std::optional<state::VmList>
+FleetAdapter::Update(const transport::HttpResult& aResult)
+{
+  if (aResult.Failure() != transport::HttpFailure::kNone) {
+    return std::nullopt;
+  }
+  if (protocol::IsUnchanged(aResult.Response())) {
+    return mList;
+  }
+  try {
+    mList = protocol::DecodeVmList(aResult.Response());
+    mEtag = aResult.Response().Header("etag");
+    return mList;
+  } catch (const protocol::ProtocolError&) {
+    return std::nullopt;
+  }
 }
 
 } // namespace cornelrudder::daemon
--- a/apps/cornelrudderd/PlatformAdapters.h
+++ b/apps/cornelrudderd/PlatformAdapters.h
@@ -38,17 +38,27 @@
 class FleetAdapter final : public coordination::FleetPort
 {
 public:
-  /** @param aClient Must outlive the adapter. */
-  FleetAdapter(transport::HttpClient& aClient,
+  /** @param aThread Must outlive the adapter, as must aClient. */
+  FleetAdapter(transport::IoThread& aThread,
+               transport::HttpClient& aClient,
                std::string aAddress,
                std::chrono::milliseconds aTimeout);
 
   void List(Completion aCompletion) override;
 
 private:
+  void Send(Completion aCompletion);
+
+  /** @return The list held after a response, or nothing. */
+  std::optional<state::VmList> Update(const transport::HttpResult& aResult);
+
+  transport::IoThread& mThread;
   transport::HttpClient& mClient;
   std::string mAddress;
   std::chrono::milliseconds mTimeout;
+  /** The list held and its entity tag; used on the I/O thread only. */
+  state::VmList mList;
+  std::string mEtag;
 };
 
 } // namespace cornelrudder::daemon
--- a/include/cornelrudder/protocol/StoreCodec.h
+++ b/include/cornelrudder/protocol/StoreCodec.h
@@ -27,9 +27,17 @@
 state::StoreResult
 DecodeStoreResponse(const HttpResponse& aResponse);
 
-/** @return The request that lists the VMs. */
+/**
+ * @param aEtag Entity tag of the list already held, or empty.
+ * @return The request that lists the VMs; answered with 304 if the list held
+ *   is current, since the list of a large fleet is over 100 KB.
+ */
 HttpRequest
-EncodeListVms();
+EncodeListVms(const std::string& aEtag);
+
+/** @return Whether the response says that the list held is current. */
+bool
+IsUnchanged(const HttpResponse& aResponse);
 
 /** @throws ProtocolError if the list is malformed. */
 state::VmList
--- a/src/protocol/StoreCodec.cpp
+++ b/src/protocol/StoreCodec.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr int kHttpOk = 200;
+constexpr int kHttpNotModified = 304;
 constexpr int kHttpNotFound = 404;
 constexpr int kHttpConflict = 409;
 
@@ -128,9 +129,19 @@
 }
 
 HttpRequest
-EncodeListVms()
+EncodeListVms(const std::string& aEtag)
 {
-  return { "GET", "/vms", {}, "" };
+  HttpHeaders headers;
+  if (!aEtag.empty()) {
+    headers.emplace("if-none-match", aEtag);
+  }
+  return { "GET", "/vms", std::move(headers), "" };
+}
+
+bool
+IsUnchanged(const HttpResponse& aResponse)
+{
+  return aResponse.Status() == kHttpNotModified;
 }
 
 state::VmList
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -242,7 +242,8 @@
     }
     // A response without a length ends with the connection, so that a cut
     // could pass for its end.
-    const bool whole = parser.content_length().has_value() || parser.chunked();
+    const bool whole = parser.content_length().has_value() ||
+                       parser.chunked() || HasNoBody(parser.get().result());
     if (!whole) {
       return { HttpFailure::kBroken, "response without a length" };
     }
@@ -253,6 +254,12 @@
     return HttpResult(ToResponse(parser.release()));
   }
 
+  static bool HasNoBody(http::status aStatus)
+  {
+    return aStatus == http::status::no_content ||
+           aStatus == http::status::not_modified;
+  }
+
   static HttpResult Failure(error_code aError)
   {
     const bool timedOut = aError == beast::error::timeout;
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -50,6 +50,23 @@
   }
 }
 
+// Guards against taking a response without a body for a cut one.
+TEST(Http, NotModifiedIsWhole)
+{
+  IoThread thread;
+  HttpServer server(thread,
+                    "127.0.0.1:0",
+                    {},
+                    [](const HttpRequest&, const HttpResponder& aRespond) {
+                      aRespond({ 304, { { "etag", "\"1\"" } }, "" });
+                    });
+  HttpClient client(thread, {});
+  const HttpResult result =
+    Send(client, server.Address(), { "GET", "/", {}, "" });
+  CHECK(result.Failure() == HttpFailure::kNone);
+  STRCMP_EQUAL("\"1\"", result.Response().Header("etag").c_str());
+}
+
 // Guards against reading a body of unbounded size.
 TEST(Http, TooLargeBodyIsRefused)
 {
--- a/tools/platform_standin.cpp
+++ b/tools/platform_standin.cpp
@@ -134,14 +134,20 @@
     aRespond(HttpResponse::Json(aStatus, aBody.dump()));
   }
 
-  void GetVms(const HttpRequest& /*aRequest*/, const HttpResponder& aRespond)
+  void GetVms(const HttpRequest& aRequest, const HttpResponder& aRespond)
   {
-    aRespond(HttpResponse::Json(200, mVms.dump()));
+    const std::string etag = "\"" + std::to_string(mVmsVersion) + "\"";
+    if (aRequest.Header("if-none-match") == etag) {
+      aRespond({ 304, { { "etag", etag } }, "" });
+      return;
+    }
+    aRespond({ 200, { { "etag", etag } }, mVms.dump() });
   }
 
   void PutVms(const HttpRequest& aRequest, const HttpResponder& aRespond)
   {
     mVms = json::parse(aRequest.Body());
+    ++mVmsVersion;
     aRespond(HttpResponse::Json(200, "{}"));
   }
 
@@ -165,6 +171,7 @@
   std::map<std::string, Row> mRows;
   std::map<std::string, std::string> mObjects;
   json mVms{ { "vms", json::array() } };
+  std::uint64_t mVmsVersion = 0;
 };
 
 const std::array<Platform::Route, 7> Platform::kRoutes{ {
