--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -24,7 +24,7 @@
 step "build" scripts/build.sh "$build"
 step "format" scripts/format.sh --check
 step "layers" scripts/check_layers.sh
-step "log events" scripts/check_log_events.sh "$build"
+step "reference pages" scripts/check_reference_pages.sh "$build"
 for program in "$build"/tests/*_tests; do
   name=$(basename "$program")
   # Fixed seed: the same verdict in every run.
--- a/tools/list_log_events.cpp
+++ b/tools/list_log_events.cpp
@@ -1,6 +1,6 @@
 /**
  * @file
- * Prints the table of log events as the rows of docs/log-events.md.
+ * Prints docs/log-events.md from the table of events in the code.
  */
 
 #include "cornelrudder/coordination/LogEvent.h"
@@ -14,6 +14,13 @@
 {
   using namespace cornelrudder::coordination;
   static constexpr std::array kLevelNames{ "info", "warning", "error" };
+  std::puts("# Log events\n\n"
+            "The daemon writes one line per event to standard error, as "
+            "`key=value` pairs or as\n"
+            "JSON. CI compares this page with the table in the code "
+            "(`build/tools/list_log_events`).\n"
+            "A number never changes and is never used again.\n\n"
+            "| number | name | level | meaning |\n|---|---|---|---|");
   for (const LogEventInfo& info : AllLogEvents()) {
     std::printf("| %d | %s | %s | %s |\n",
                 static_cast<int>(info.mEvent),
