--- a/include/cornelrudder/transport/HttpClient.h
+++ b/include/cornelrudder/transport/HttpClient.h
@@ -77,6 +77,16 @@
 /** Called once, on the I/O thread. */
 using HttpCompletion = std::function<void(HttpResult)>;
 
+/** Bytes and exchanges of a client since its start. */
+struct HttpTraffic
+{
+  std::uint64_t mExchanges = 0;
+  std::uint64_t mBytesSent = 0;
+  std::uint64_t mBytesReceived = 0;
+
+  auto operator<=>(const HttpTraffic&) const = default;
+};
+
 /** HTTP/1.1 client with a pool of connections for each address. */
 class HttpClient
 {
@@ -95,6 +105,9 @@
             HttpExchangeOptions aOptions,
             HttpCompletion aCompletion);
 
+  /** @return The traffic so far; may be called from any thread. */
+  HttpTraffic Traffic() const;
+
   /** Asks that the connection of a mismatched answer is not used again. */
   void CloseIdle(const std::string& aAddress);
 
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <cctype>
 #include <deque>
 #include <map>
@@ -138,6 +139,11 @@
 
   void Close() { mPools.clear(); }
 
+  HttpTraffic Traffic() const
+  {
+    return { mExchanges, mBytesSent, mBytesReceived };
+  }
+
 private:
   void Release(const std::string& aAddress)
   {
@@ -230,13 +236,15 @@
     beast::tcp_stream& stream = aConnection->mStream;
     stream.expires_at(aExchange.mDeadline);
     auto message = ToMessage(aExchange.mAddress, aExchange.mRequest);
-    http::async_write(stream, message, aYield[ec]);
+    mBytesSent += http::async_write(stream, message, aYield[ec]);
+    ++mExchanges;
     if (ec) {
       return Failure(ec);
     }
     http::response_parser<http::string_body> parser;
     parser.body_limit(mLimits.mBodyBytes);
-    http::async_read(stream, aConnection->mBuffer, parser, aYield[ec]);
+    mBytesReceived +=
+      http::async_read(stream, aConnection->mBuffer, parser, aYield[ec]);
     if (ec) {
       return Failure(ec);
     }
@@ -279,6 +287,10 @@
   asio::io_context& mContext;
   HttpClientLimits mLimits;
   std::map<std::string, Pool> mPools;
+  /** Written on the I/O thread, read from any. */
+  std::atomic<std::uint64_t> mExchanges{ 0 };
+  std::atomic<std::uint64_t> mBytesSent{ 0 };
+  std::atomic<std::uint64_t> mBytesReceived{ 0 };
 };
 
 HttpClient::HttpClient(IoThread& aThread, HttpClientLimits aLimits)
@@ -307,6 +319,12 @@
   });
 }
 
+HttpTraffic
+HttpClient::Traffic() const
+{
+  return mImpl->Traffic();
+}
+
 void
 HttpClient::CloseIdle(const std::string& aAddress)
 {
