Add the values and decisions of the placement lease

The holder counts its lease from before it sent the last write and stops one sixth early; a taker must see the row unchanged for the lease and one sixth on its own clock, so that clocks whose rates differ by up to 7/5 are safe.

--- /dev/null
+++ b/include/cornelrudder/state/LeaseTimes.h
@@ -0,0 +1,43 @@
+#ifndef CORNELRUDDER_STATE_LEASE_TIMES_H
+#define CORNELRUDDER_STATE_LEASE_TIMES_H
+
+#include <chrono>
+#include <compare>
+
+namespace cornelrudder::state {
+
+/**
+ * The times of a lease. The holder stops one sixth early and a taker waits
+ * one sixth longer, so that the clocks of the two may differ in rate by up to
+ * 7/5 without an overlap.
+ */
+class LeaseTimes
+{
+public:
+  /** @throws StateError if the length is less than 6 ms. */
+  explicit LeaseTimes(std::chrono::milliseconds aLength);
+
+  /** Sets each time; for tests of margins that are too small. */
+  LeaseTimes(std::chrono::milliseconds aRenewEvery,
+             std::chrono::milliseconds aHoldFor,
+             std::chrono::milliseconds aTakeAfter);
+
+  std::chrono::milliseconds RenewEvery() const { return mRenewEvery; }
+
+  /** How long the holder may act, from before it sent its last write. */
+  std::chrono::milliseconds HoldFor() const { return mHoldFor; }
+
+  /** How long a taker must see the row unchanged. */
+  std::chrono::milliseconds TakeAfter() const { return mTakeAfter; }
+
+  auto operator<=>(const LeaseTimes&) const = default;
+
+private:
+  std::chrono::milliseconds mRenewEvery;
+  std::chrono::milliseconds mHoldFor;
+  std::chrono::milliseconds mTakeAfter;
+};
+
+} // namespace cornelrudder::state
+
+#endif // CORNELRUDDER_STATE_LEASE_TIMES_H
