Add the lease task

It competes for lease/placement/{region} through the store task, with one read or write under way at a time. A release first notifies the subscribers and waits up to 1 s for them, so that they stop acting before another daemon can take the lease; the workers' epoch check covers one that does not respond. A row that cannot be decoded is logged and left alone, since writing over it could repeat an epoch.

--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -30,7 +30,15 @@
   kSettingsRejected = 303,
   kFleetChanged = 400,
   kFleetUnavailable = 401,
-  kStoreUnavailable = 500
+  kStoreUnavailable = 500,
+  kBreakerOpened = 501,
+  kBreakerClosed = 502,
+  kWriteUnknown = 503,
+  kRowMalformed = 504,
+  kLeaseTaken = 510,
+  kLeaseLost = 511,
+  kLeaseReleased = 512,
+  kDomainOwnerChanged = 513
 };
 
 /** Row of the event table. */
--- a/include/cornelrudder/coordination/Messages.h
+++ b/include/cornelrudder/coordination/Messages.h
@@ -138,6 +138,37 @@
   auto operator<=>(const VmListRead&) const = default;
 };
 
+/** Tells the lease task to give up its lease for good (planned stop). */
+struct ReleaseLease
+{
+  auto operator<=>(const ReleaseLease&) const = default;
+};
+
+/** Tells the lease task to check whether its hold has ended. */
+struct CheckHold
+{
+  auto operator<=>(const CheckHold&) const = default;
+};
+
+/** Asks the lease task for its view; the answer is a LeaseStatus. */
+struct GetLease
+{
+  auto operator<=>(const GetLease&) const = default;
+};
+
+/** The lease as this daemon sees it. */
+struct LeaseStatus
+{
+  /** Empty if no owner is known. */
+  const std::vector<state::VmId> mOwner;
+  /** Epoch in the row; 0 if it is absent or was not read yet. */
+  const std::uint64_t mEpoch;
+  /** Whether this daemon holds it. */
+  const bool mHeld;
+
+  auto operator<=>(const LeaseStatus&) const = default;
+};
+
 } // namespace cornelrudder::coordination
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::Subscribe)
@@ -160,5 +191,9 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::StoreResult)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::Transaction)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::VmList)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::ReleaseLease)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::CheckHold)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::GetLease)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::LeaseStatus)
 
 #endif // CORNELRUDDER_COORDINATION_MESSAGES_H
--- a/include/cornelrudder/coordination/RowCodec.h
+++ b/include/cornelrudder/coordination/RowCodec.h
@@ -1,6 +1,7 @@
 #ifndef CORNELRUDDER_COORDINATION_ROW_CODEC_H
 #define CORNELRUDDER_COORDINATION_ROW_CODEC_H
 
+#include "cornelrudder/state/LeaseRow.h"
 #include "cornelrudder/state/SettingsDocument.h"
 
 #include <string>
@@ -24,6 +25,11 @@
 
   /** @throws CoordinationError if the row is malformed. */
   virtual state::SettingsHead DecodeHead(const std::string& aValue) const = 0;
+
+  virtual std::string EncodeLease(const state::LeaseRow& aRow) const = 0;
+
+  /** @throws CoordinationError if the row is malformed. */
+  virtual state::LeaseRow DecodeLease(const std::string& aValue) const = 0;
 };
 
 } // namespace cornelrudder::coordination
--- a/include/cornelrudder/protocol/JsonRowCodec.h
+++ b/include/cornelrudder/protocol/JsonRowCodec.h
@@ -15,6 +15,8 @@
     const std::string& aValue) const override;
   std::string EncodeHead(const state::SettingsHead& aHead) const override;
   state::SettingsHead DecodeHead(const std::string& aValue) const override;
+  std::string EncodeLease(const state::LeaseRow& aRow) const override;
+  state::LeaseRow DecodeLease(const std::string& aValue) const override;
 };
 
 } // namespace cornelrudder::protocol
--- a/src/protocol/JsonRowCodec.cpp
+++ b/src/protocol/JsonRowCodec.cpp
@@ -1,6 +1,7 @@
 #include "cornelrudder/protocol/JsonRowCodec.h"
 
 #include "cornelrudder/coordination/CoordinationError.h"
+#include "cornelrudder/protocol/LeaseCodec.h"
 #include "cornelrudder/protocol/ProtocolError.h"
 #include "cornelrudder/protocol/SettingsCodec.h"
 
@@ -45,4 +46,16 @@
   return Translate(DecodeSettingsHead, aValue);
 }
 
+std::string
+JsonRowCodec::EncodeLease(const state::LeaseRow& aRow) const
+{
+  return EncodeLeaseRow(aRow);
+}
+
+state::LeaseRow
+JsonRowCodec::DecodeLease(const std::string& aValue) const
+{
+  return Translate(DecodeLeaseRow, aValue);
+}
+
 } // namespace cornelrudder::protocol
