Retry, resolve and limit the operations on the table

The store task handed each lost answer to its caller. It now reads the rows of a write whose answer was lost: the own write id means done; the expected versions mean that the same transaction may be sent again; the next version with another write id proves a conflict.

Retries use exponential backoff with full jitter and stay within 10% of the first tries plus a reserve of 20; the read that resolves a lost answer is not charged. The breaker opens after 5 failures and lets one probe a second through; a write that may still arrive waits for the breaker until the bound of 4 s, all others fail at once.

--- a/include/cornelrudder/coordination/Messages.h
+++ b/include/cornelrudder/coordination/Messages.h
@@ -169,6 +169,14 @@
   auto operator<=>(const LeaseStatus&) const = default;
 };
 
+/** Tells the store task to make the next attempt of an operation. */
+struct RetryStore
+{
+  const std::uint64_t mTicket;
+
+  auto operator<=>(const RetryStore&) const = default;
+};
+
 } // namespace cornelrudder::coordination
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::Subscribe)
@@ -195,5 +203,6 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::CheckHold)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::GetLease)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::LeaseStatus)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::RetryStore)
 
 #endif // CORNELRUDDER_COORDINATION_MESSAGES_H
--- /dev/null
+++ b/include/cornelrudder/state/Backoff.h
@@ -0,0 +1,38 @@
+#ifndef CORNELRUDDER_STATE_BACKOFF_H
+#define CORNELRUDDER_STATE_BACKOFF_H
+
+#include <chrono>
+#include <compare>
+
+namespace cornelrudder::state {
+
+/** Exponential backoff with full jitter. */
+class Backoff
+{
+public:
+  /** @throws StateError unless 0 < aBase <= aCap. */
+  Backoff(std::chrono::milliseconds aBase, std::chrono::milliseconds aCap);
+
+  /**
+   * @param aAttempt Attempts that have failed so far; at least 1.
+   * @return The longest delay before the next attempt.
+   */
+  std::chrono::milliseconds Ceiling(int aAttempt) const;
+
+  /**
+   * Full jitter spreads the retries of clients that failed together.
+   * @param aRandom Uniform in [0, 1).
+   * @return A delay from 0 up to the ceiling.
+   */
+  std::chrono::milliseconds Delay(int aAttempt, double aRandom) const;
+
+  auto operator<=>(const Backoff&) const = default;
+
+private:
+  std::chrono::milliseconds mBase;
+  std::chrono::milliseconds mCap;
+};
+
+} // namespace cornelrudder::state
+
+#endif // CORNELRUDDER_STATE_BACKOFF_H
--- a/src/coordination/StoreTask.cpp
+++ b/src/coordination/StoreTask.cpp
@@ -1,25 +1,53 @@
 #include "cornelrudder/coordination/StoreTask.h"
 
 #include "cornelrudder/coordination/Messages.h"
+#include "cornelrudder/state/Backoff.h"
+#include "cornelrudder/state/CircuitBreaker.h"
+#include "cornelrudder/state/RetryBudget.h"
+#include "cornelrudder/state/WriteFate.h"
 
 #include <caf/actor_system.hpp>
 #include <caf/event_based_actor.hpp>
 #include <caf/typed_response_promise.hpp>
 
+#include <random>
+#include <variant>
+
 namespace cornelrudder::coordination {
 
 namespace {
 
 using state::StoreResult;
-using StorePromise = caf::typed_response_promise<StoreResult>;
+using state::StoreRow;
+using state::StoreStatus;
+using state::Transaction;
+using state::WriteFate;
+using std::chrono::milliseconds;
+
+bool
+HasFailed(const StoreResult& aResult)
+{
+  return aResult.Status() == StoreStatus::kUnavailable ||
+         aResult.Status() == StoreStatus::kUnknown;
+}
 
 class StoreTask : public caf::event_based_actor
 {
 public:
-  StoreTask(caf::actor_config& aConfig, StorePort& aPort, EventLog& aLog)
+  StoreTask(caf::actor_config& aConfig,
+            StorePort& aPort,
+            EventLog& aLog,
+            const Clock& aClock,
+            const StoreTaskOptions& aOptions)
     : caf::event_based_actor(aConfig)
     , mPort(aPort)
     , mLog(aLog)
+    , mClock(aClock)
+    , mBound(aOptions.mBound)
+    , mBackoff(aOptions.mBackoffBase, aOptions.mBackoffCap)
+    , mBudget(aOptions.mRetryPercent, aOptions.mRetryReserve)
+    , mBreaker(aOptions.mBreakerFailures, aOptions.mProbeInterval)
+    , mRandom(aOptions.mSeed)
   {
   }
 
@@ -27,63 +55,296 @@
   {
     return {
       [this](const ReadRow& aRead) {
-        auto promise = make_response_promise<StoreResult>();
-        mPort.ReadRow(aRead.mKey, Deliver(promise));
-        return promise;
+        return Start(aRead, "store_reads_total");
       },
       [this](const ListRows& aList) {
-        auto promise = make_response_promise<StoreResult>();
-        mPort.ListRows(aList.mPrefix, Deliver(promise));
-        return promise;
+        return Start(aList, "store_reads_total");
       },
-      [this](const state::Transaction& aTransaction) {
-        auto promise = make_response_promise<StoreResult>();
-        mPort.Transact(aTransaction, Deliver(promise));
-        return promise;
+      [this](const Transaction& aTransaction) -> caf::result<StoreResult> {
+        if (aTransaction.Writes().empty()) {
+          return StoreResult(StoreStatus::kOk, {});
+        }
+        return Start(aTransaction, "store_writes_total");
       },
       [this](std::uint64_t aTicket, const StoreResult& aResult) {
         Finish(aTicket, aResult);
       },
+      [this](const RetryStore& aRetry) { Attempt(aRetry.mTicket); },
+      [this](const GetCounters&) { return mCounters; },
     };
   }
 
 private:
-  /** Brings a result from the port's thread back to this task. */
-  StorePort::Completion Deliver(const StorePromise& aPromise)
+  using Request = std::variant<ReadRow, ListRows, Transaction>;
+
+  struct Operation
   {
+    const Request mRequest;
+    caf::typed_response_promise<StoreResult> mPromise;
+    /** No attempt starts later. */
+    milliseconds mDeadline;
+    int mFailures = 0;
+    /** Whether a copy of the transaction was sent without an answer. */
+    bool mMayArrive = false;
+    /** Whether the rows of the transaction are read to learn its fate. */
+    bool mResolving = false;
+    std::size_t mRowsAsked = 0;
+    std::vector<StoreRow> mRowsRead = {};
+  };
+
+  caf::result<StoreResult> Start(Request aRequest, const char* aCounter)
+  {
+    auto promise = make_response_promise<StoreResult>();
+    ++mCounters[aCounter];
+    mBudget = mBudget.WithFirstTry();
     const std::uint64_t ticket = ++mLastTicket;
-    mPromises.emplace(ticket, aPromise);
-    return [self = caf::actor(this), ticket](StoreResult aResult) {
-      caf::anon_send(self, ticket, std::move(aResult));
+    mOperations.emplace(
+      ticket, Operation{ std::move(aRequest), promise, mClock.Now() + mBound });
+    Attempt(ticket);
+    return promise;
+  }
+
+  void Attempt(std::uint64_t aTicket)
+  {
+    const auto it = mOperations.find(aTicket);
+    if (it == mOperations.end()) {
+      return;
+    }
+    Operation& operation = it->second;
+    const auto breaker = mBreaker.WithRequest(mClock.Now());
+    if (breaker) {
+      mBreaker = *breaker;
+      Send(aTicket, operation);
+      return;
+    }
+    ++mCounters["store_breaker_refusals_total"];
+    if (operation.mMayArrive) {
+      // The fate of a write that was sent is worth waiting for.
+      WaitAndRetry(aTicket);
+      return;
+    }
+    Deliver(aTicket, { StoreStatus::kUnavailable, {} });
+  }
+
+  void Send(std::uint64_t aTicket, const Operation& aOperation)
+  {
+    auto completion = [self = caf::actor(this), aTicket](StoreResult aResult) {
+      caf::anon_send(self, aTicket, std::move(aResult));
     };
+    const Request& request = aOperation.mRequest;
+    if (aOperation.mResolving) {
+      const auto& writes = std::get<Transaction>(request).Writes();
+      mPort.ReadRow(writes[aOperation.mRowsAsked].Key(), std::move(completion));
+    } else if (const auto* read = std::get_if<ReadRow>(&request)) {
+      mPort.ReadRow(read->mKey, std::move(completion));
+    } else if (const auto* list = std::get_if<ListRows>(&request)) {
+      mPort.ListRows(list->mPrefix, std::move(completion));
+    } else {
+      mPort.Transact(std::get<Transaction>(request), std::move(completion));
+    }
   }
 
   void Finish(std::uint64_t aTicket, const StoreResult& aResult)
   {
-    const auto it = mPromises.find(aTicket);
-    if (it == mPromises.end()) {
+    const auto it = mOperations.find(aTicket);
+    if (it == mOperations.end()) {
       return;
     }
-    if (aResult.Status() == state::StoreStatus::kUnavailable ||
-        aResult.Status() == state::StoreStatus::kUnknown) {
-      mLog.Write({ LogEvent::kStoreUnavailable, {} });
+    Operation& operation = it->second;
+    UpdateBreaker(HasFailed(aResult));
+    if (operation.mResolving) {
+      FinishResolvingRead(aTicket, operation, aResult);
+    } else if (const auto* write =
+                 std::get_if<Transaction>(&operation.mRequest)) {
+      FinishWrite(aTicket, operation, *write, aResult);
+    } else if (HasFailed(aResult)) {
+      Retry(aTicket);
+    } else {
+      Deliver(aTicket, aResult);
+    }
+  }
+
+  void FinishWrite(std::uint64_t aTicket,
+                   Operation& aOperation,
+                   const Transaction& aWrite,
+                   const StoreResult& aResult)
+  {
+    switch (aResult.Status()) {
+      case StoreStatus::kOk:
+        Deliver(aTicket, aResult);
+        return;
+      case StoreStatus::kConflict:
+        FinishConflict(aTicket, aOperation, aWrite, aResult);
+        return;
+      case StoreStatus::kUnavailable:
+        Retry(aTicket);
+        return;
+      case StoreStatus::kUnknown:
+        break;
+    }
+    ++mCounters["store_unknown_outcomes_total"];
+    aOperation.mMayArrive = true;
+    StartResolving(aOperation);
+    // Not charged to the budget: without this read the outcome stays open.
+    WaitAndRetry(aTicket);
+  }
+
+  /** A copy was refused; an earlier one may have caused the conflict. */
+  void FinishConflict(std::uint64_t aTicket,
+                      const Operation& aOperation,
+                      const Transaction& aWrite,
+                      const StoreResult& aResult)
+  {
+    const WriteFate fate = JudgeWrite(aWrite, aResult.Rows(), false);
+    if (fate == WriteFate::kApplied) {
+      Deliver(aTicket, { StoreStatus::kOk, RowsAfter(aWrite) });
+      return;
+    }
+    const bool certain = !aOperation.mMayArrive || fate == WriteFate::kConflict;
+    Deliver(aTicket,
+            { certain ? StoreStatus::kConflict : StoreStatus::kUnknown,
+              aResult.Rows() });
+  }
+
+  static void StartResolving(Operation& aOperation)
+  {
+    aOperation.mResolving = true;
+    aOperation.mRowsAsked = 0;
+    aOperation.mRowsRead.clear();
+  }
+
+  void FinishResolvingRead(std::uint64_t aTicket,
+                           Operation& aOperation,
+                           const StoreResult& aResult)
+  {
+    if (HasFailed(aResult)) {
+      Retry(aTicket);
+      return;
+    }
+    const auto& write = std::get<Transaction>(aOperation.mRequest);
+    const auto& rows = aResult.Rows();
+    aOperation.mRowsRead.insert(
+      aOperation.mRowsRead.end(), rows.begin(), rows.end());
+    ++aOperation.mRowsAsked;
+    if (aOperation.mRowsAsked < write.Writes().size()) {
+      Attempt(aTicket);
+      return;
+    }
+    switch (JudgeWrite(write, aOperation.mRowsRead, true)) {
+      case WriteFate::kApplied:
+        Deliver(aTicket, { StoreStatus::kOk, RowsAfter(write) });
+        return;
+      case WriteFate::kConflict:
+        Deliver(aTicket, { StoreStatus::kConflict, aOperation.mRowsRead });
+        return;
+      case WriteFate::kUndecided:
+        Deliver(aTicket, { StoreStatus::kUnknown, aOperation.mRowsRead });
+        return;
+      case WriteFate::kOpen:
+        break;
+    }
+    aOperation.mResolving = false;
+    Retry(aTicket);
+  }
+
+  /** Tries again after a delay, if the budget allows it. */
+  void Retry(std::uint64_t aTicket)
+  {
+    const auto budget = mBudget.WithRetry();
+    if (!budget) {
+      ++mCounters["store_budget_refusals_total"];
+      GiveUp(aTicket);
+      return;
+    }
+    mBudget = *budget;
+    ++mCounters["store_retries_total"];
+    WaitAndRetry(aTicket);
+  }
+
+  void WaitAndRetry(std::uint64_t aTicket)
+  {
+    Operation& operation = mOperations.at(aTicket);
+    ++operation.mFailures;
+    const milliseconds delay =
+      mBackoff.Delay(operation.mFailures, mUniform(mRandom));
+    if (mClock.Now() + delay > operation.mDeadline) {
+      GiveUp(aTicket);
+      return;
+    }
+    // At least 1 ms, so that an open breaker is not asked without a pause.
+    delayed_send(this, std::max(delay, milliseconds(1)), RetryStore{ aTicket });
+  }
+
+  void GiveUp(std::uint64_t aTicket)
+  {
+    const Operation& operation = mOperations.at(aTicket);
+    mLog.Write({ LogEvent::kStoreUnavailable, {} });
+    Deliver(aTicket,
+            { operation.mMayArrive ? StoreStatus::kUnknown
+                                   : StoreStatus::kUnavailable,
+              {} });
+  }
+
+  void Deliver(std::uint64_t aTicket, const StoreResult& aResult)
+  {
+    const auto it = mOperations.find(aTicket);
+    if (aResult.Status() == StoreStatus::kUnknown) {
+      const auto& write = std::get<Transaction>(it->second.mRequest);
+      mLog.Write(
+        { LogEvent::kWriteUnknown,
+          { { "write_id", write.WriteId() },
+            { "key",
+              write.Writes().empty() ? "" : write.Writes()[0].Key() } } });
+    }
+    it->second.mPromise.deliver(aResult);
+    mOperations.erase(it);
+  }
+
+  void UpdateBreaker(bool aFailed)
+  {
+    const bool wasOpen = mBreaker.IsOpen();
+    mBreaker =
+      aFailed ? mBreaker.WithFailure(mClock.Now()) : mBreaker.WithSuccess();
+    if (!wasOpen && mBreaker.IsOpen()) {
+      ++mCounters["store_breaker_openings_total"];
+      mLog.Write({ LogEvent::kBreakerOpened, {} });
+    } else if (wasOpen && !mBreaker.IsOpen()) {
+      mLog.Write({ LogEvent::kBreakerClosed, {} });
     }
-    it->second.deliver(aResult);
-    mPromises.erase(it);
   }
 
   StorePort& mPort;
   EventLog& mLog;
-  std::map<std::uint64_t, StorePromise> mPromises;
+  const Clock& mClock;
+  milliseconds mBound;
+  state::Backoff mBackoff;
+  state::RetryBudget mBudget;
+  state::CircuitBreaker mBreaker;
+  std::mt19937_64 mRandom;
+  std::uniform_real_distribution<double> mUniform{ 0.0, 1.0 };
+  std::map<std::uint64_t, Operation> mOperations;
   std::uint64_t mLastTicket = 0;
+  Counters mCounters;
 };
 
 } // namespace
 
+caf::actor
+SpawnStoreTask(caf::actor_system& aSystem,
+               StorePort& aPort,
+               EventLog& aLog,
+               const Clock& aClock,
+               StoreTaskOptions aOptions)
+{
+  return aSystem.spawn<StoreTask>(
+    std::ref(aPort), std::ref(aLog), std::cref(aClock), aOptions);
+}
+
 caf::actor
 SpawnStoreTask(caf::actor_system& aSystem, StorePort& aPort, EventLog& aLog)
 {
-  return aSystem.spawn<StoreTask>(std::ref(aPort), std::ref(aLog));
+  static const BootClock sClock;
+  return SpawnStoreTask(aSystem, aPort, aLog, sClock, {});
 }
 
 } // namespace cornelrudder::coordination
