Add an exact test of the joint guarantee with an exhaustive reference

A placement may only be made if all guaranteed shapes still fit the fleet together. Own accelerators are taken first, since nobody else can use them.

FleetLoad numbers its workers once and shares that between loads, because the list changes far less often than the gangs.

--- a/include/cornelrudder/state/FleetLoad.h
+++ b/include/cornelrudder/state/FleetLoad.h
@@ -1,10 +1,13 @@
 #ifndef CORNELRUDDER_STATE_FLEET_LOAD_H
 #define CORNELRUDDER_STATE_FLEET_LOAD_H
 
+#include "cornelrudder/state/FleetTopology.h"
 #include "cornelrudder/state/Job.h"
 #include "cornelrudder/state/Shape.h"
 #include "cornelrudder/state/Vm.h"
 
+#include <memory>
+#include <tuple>
 #include <vector>
 
 namespace cornelrudder::state {
@@ -60,20 +63,41 @@
   FleetLoad(VmList aWorkers,
             std::vector<PlacedGang> aGangs,
             std::vector<GuaranteedShape> aGuarantees)
-    : mWorkers(std::move(aWorkers))
+    : mTopology(std::make_shared<const FleetTopology>(std::move(aWorkers)))
     , mGangs(std::move(aGangs))
     , mGuarantees(std::move(aGuarantees))
   {
   }
 
-  const VmList& Workers() const { return mWorkers; }
+  const VmList& Workers() const { return mTopology->Workers(); }
+  const FleetTopology& Topology() const { return *mTopology; }
   const std::vector<PlacedGang>& Gangs() const { return mGangs; }
   const std::vector<GuaranteedShape>& Guarantees() const { return mGuarantees; }
 
-  auto operator<=>(const FleetLoad&) const = default;
+  /**
+   * @return The same fleet with these gangs. Cheaper than a new load, since
+   *   the workers are not numbered again.
+   */
+  FleetLoad WithGangs(std::vector<PlacedGang> aGangs) const
+  {
+    FleetLoad load = *this;
+    load.mGangs = std::move(aGangs);
+    return load;
+  }
+
+  auto operator<=>(const FleetLoad& aOther) const
+  {
+    return std::tie(*mTopology, mGangs, mGuarantees) <=>
+           std::tie(*aOther.mTopology, aOther.mGangs, aOther.mGuarantees);
+  }
+
+  bool operator==(const FleetLoad& aOther) const
+  {
+    return std::is_eq(*this <=> aOther);
+  }
 
 private:
-  VmList mWorkers;
+  std::shared_ptr<const FleetTopology> mTopology;
   std::vector<PlacedGang> mGangs;
   std::vector<GuaranteedShape> mGuarantees;
 };
--- /dev/null
+++ b/include/cornelrudder/state/FleetTopology.h
@@ -0,0 +1,71 @@
+#ifndef CORNELRUDDER_STATE_FLEET_TOPOLOGY_H
+#define CORNELRUDDER_STATE_FLEET_TOPOLOGY_H
+
+#include "cornelrudder/state/Shape.h"
+#include "cornelrudder/state/Vm.h"
+
+#include <array>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace cornelrudder::state {
+
+/**
+ * The workers of a fleet with their groups, numbered for quick lookup. It
+ * changes only with the VM list, so placement decisions share it.
+ */
+class FleetTopology
+{
+public:
+  explicit FleetTopology(VmList aWorkers);
+
+  // The index refers to the text of the identifiers in mWorkers.
+  FleetTopology(const FleetTopology&) = delete;
+  FleetTopology& operator=(const FleetTopology&) = delete;
+  FleetTopology(FleetTopology&&) = delete;
+  FleetTopology& operator=(FleetTopology&&) = delete;
+  ~FleetTopology() = default;
+
+  const VmList& Workers() const { return mWorkers; }
+
+  std::size_t Size() const { return mWorkers.All().size(); }
+
+  /** @return Position of a worker in the list, or nothing. */
+  std::optional<std::size_t> Find(const VmId& aWorker) const;
+
+  /** @return Number of the worker, rack, zone or region of a worker. */
+  std::size_t GroupOf(Adjacency aLevel, std::size_t aWorker) const
+  {
+    return mGroups[static_cast<std::size_t>(aLevel)][aWorker];
+  }
+
+  /** @return Positions of the workers of each group of this level. */
+  const std::vector<std::vector<std::size_t>>& Members(Adjacency aLevel) const
+  {
+    return mMembers[static_cast<std::size_t>(aLevel)];
+  }
+
+  auto operator<=>(const FleetTopology& aOther) const
+  {
+    return mWorkers <=> aOther.mWorkers;
+  }
+
+  bool operator==(const FleetTopology& aOther) const
+  {
+    return mWorkers == aOther.mWorkers;
+  }
+
+private:
+  static constexpr std::size_t kLevels = 4;
+
+  VmList mWorkers;
+  std::unordered_map<std::string_view, std::size_t> mPositions;
+  std::array<std::vector<std::size_t>, kLevels> mGroups;
+  std::array<std::vector<std::vector<std::size_t>>, kLevels> mMembers;
+};
+
+} // namespace cornelrudder::state
+
+#endif // CORNELRUDDER_STATE_FLEET_TOPOLOGY_H
--- /dev/null
+++ b/include/cornelrudder/state/GuaranteeResult.h
@@ -0,0 +1,53 @@
+#ifndef CORNELRUDDER_STATE_GUARANTEE_RESULT_H
+#define CORNELRUDDER_STATE_GUARANTEE_RESULT_H
+
+#include <compare>
+#include <cstddef>
+#include <vector>
+
+namespace cornelrudder::state {
+
+enum class Feasibility
+{
+  kFeasible,
+  kInfeasible,
+  /** The search reached its limit; to be treated as infeasible. */
+  kUndecided
+};
+
+/** Whether guaranteed shapes fit a fleet together, with one way to do it. */
+class GuaranteeResult
+{
+public:
+  /** Positions of the workers of one shape, one member on each. */
+  using Workers = std::vector<std::size_t>;
+
+  GuaranteeResult(Feasibility aFeasibility,
+                  std::vector<Workers> aPlaces,
+                  std::size_t aSteps)
+    : mFeasibility(aFeasibility)
+    , mPlaces(std::move(aPlaces))
+    , mSteps(aSteps)
+  {
+  }
+
+  Feasibility Verdict() const { return mFeasibility; }
+  bool Feasible() const { return mFeasibility == Feasibility::kFeasible; }
+
+  /** One place for each shape, in the order in which they were given. */
+  const std::vector<Workers>& Places() const { return mPlaces; }
+
+  /** Places that the search tried. */
+  std::size_t Steps() const { return mSteps; }
+
+  auto operator<=>(const GuaranteeResult&) const = default;
+
+private:
+  Feasibility mFeasibility;
+  std::vector<Workers> mPlaces;
+  std::size_t mSteps;
+};
+
+} // namespace cornelrudder::state
+
+#endif // CORNELRUDDER_STATE_GUARANTEE_RESULT_H
--- /dev/null
+++ b/src/state/ExhaustiveGuaranteeTest.cpp
@@ -0,0 +1,118 @@
+#include "ExhaustiveGuaranteeTest.h"
+
+#include <algorithm>
+
+namespace cornelrudder::state {
+
+namespace {
+
+class ExhaustiveSearch
+{
+public:
+  ExhaustiveSearch(const FleetCounts& aCounts,
+                   std::span<const std::size_t> aGuarantees,
+                   std::size_t aMaxSteps)
+    : mCounts(aCounts)
+    , mGuarantees(aGuarantees)
+    , mMaxSteps(aMaxSteps)
+    , mPlaces(aGuarantees.size())
+  {
+    for (std::size_t w = 0; w < aCounts.Topology().Size(); ++w) {
+      mShared.push_back(aCounts.Shared(w));
+      auto& own = mOwn.emplace_back();
+      for (std::size_t o = 0; o < aCounts.Organisations(); ++o) {
+        own.push_back(aCounts.Own(o, w));
+      }
+    }
+  }
+
+  GuaranteeResult Run()
+  {
+    const bool found = PlaceShape(0);
+    if (found) {
+      return { Feasibility::kFeasible, std::move(mPlaces), mSteps };
+    }
+    return { mSteps > mMaxSteps ? Feasibility::kUndecided
+                                : Feasibility::kInfeasible,
+             {},
+             mSteps };
+  }
+
+private:
+  const GuaranteedShape& Guarantee(std::size_t aShape) const
+  {
+    return mCounts.Load().Guarantees()[mGuarantees[aShape]];
+  }
+
+  bool PlaceShape(std::size_t aShape)
+  {
+    if (aShape == mGuarantees.size()) {
+      return true;
+    }
+    const auto& groups =
+      mCounts.Topology().Members(Guarantee(aShape).What().Within());
+    const auto& workers = mCounts.Load().Workers().All();
+    return std::any_of(groups.begin(), groups.end(), [&](const auto& aGroup) {
+      return workers[aGroup.front()].Where().Region() ==
+               Guarantee(aShape).Region() &&
+             PlaceMember(aShape, aGroup, 0);
+    });
+  }
+
+  /** Places the next member on one of the workers from aFirst on. */
+  bool PlaceMember(std::size_t aShape,
+                   const std::vector<std::size_t>& aGroup,
+                   std::size_t aFirst)
+  {
+    const Shape& shape = Guarantee(aShape).What();
+    if (mPlaces[aShape].size() == static_cast<std::size_t>(shape.Workers())) {
+      return PlaceShape(aShape + 1);
+    }
+    const std::size_t organisation =
+      mCounts.OrganisationOf(mGuarantees[aShape]);
+    for (std::size_t i = aFirst; i < aGroup.size(); ++i) {
+      const std::size_t worker = aGroup[i];
+      int& own = mOwn[worker][organisation];
+      int& shared = mShared[worker];
+      const int wanted = shape.AcceleratorsPerWorker();
+      for (int fromOwn = 0; fromOwn <= std::min(own, wanted); ++fromOwn) {
+        if (wanted - fromOwn > shared) {
+          continue;
+        }
+        if (++mSteps > mMaxSteps) {
+          return false;
+        }
+        own -= fromOwn;
+        shared -= wanted - fromOwn;
+        mPlaces[aShape].push_back(worker);
+        if (PlaceMember(aShape, aGroup, i + 1)) {
+          return true;
+        }
+        mPlaces[aShape].pop_back();
+        own += fromOwn;
+        shared += wanted - fromOwn;
+      }
+    }
+    return false;
+  }
+
+  const FleetCounts& mCounts;
+  std::span<const std::size_t> mGuarantees;
+  std::size_t mMaxSteps;
+  std::size_t mSteps = 0;
+  std::vector<int> mShared;
+  std::vector<std::vector<int>> mOwn;
+  std::vector<GuaranteeResult::Workers> mPlaces;
+};
+
+} // namespace
+
+GuaranteeResult
+ExhaustiveGuaranteeTest::Check(const FleetCounts& aCounts,
+                               std::span<const std::size_t> aGuarantees,
+                               std::size_t aMaxSteps) const
+{
+  return ExhaustiveSearch(aCounts, aGuarantees, aMaxSteps).Run();
+}
+
+} // namespace cornelrudder::state
--- /dev/null
+++ b/src/state/ExhaustiveGuaranteeTest.h
@@ -0,0 +1,30 @@
+#ifndef CORNELRUDDER_STATE_EXHAUSTIVE_GUARANTEE_TEST_H
+#define CORNELRUDDER_STATE_EXHAUSTIVE_GUARANTEE_TEST_H
+
+#include "cornelrudder/state/GuaranteeTest.h"
+
+namespace cornelrudder::state {
+
+/**
+ * Tries every set of workers for every shape, and every split between own and
+ * shared accelerators. Nothing is merged, ordered or remembered, so that it
+ * can serve as the reference for the exact test.
+ */
+class ExhaustiveGuaranteeTest final : public GuaranteeTest
+{
+public:
+  std::string_view Name() const override { return "exhaustive"; }
+
+  std::string_view Description() const override
+  {
+    return "tries all sets of workers; the naive reference";
+  }
+
+  GuaranteeResult Check(const FleetCounts& aCounts,
+                        std::span<const std::size_t> aGuarantees,
+                        std::size_t aMaxSteps) const override;
+};
+
+} // namespace cornelrudder::state
+
+#endif // CORNELRUDDER_STATE_EXHAUSTIVE_GUARANTEE_TEST_H
--- /dev/null
+++ b/src/state/FleetCounts.cpp
@@ -0,0 +1,112 @@
+#include "cornelrudder/state/FleetCounts.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace cornelrudder::state {
+
+namespace {
+
+/** @return Bits of the accelerators of a worker that has this many. */
+std::uint64_t
+AllBits(int aAccelerators)
+{
+  const int n = std::min(aAccelerators, FleetCounts::kMaxPerWorker);
+  return n == FleetCounts::kMaxPerWorker ? ~std::uint64_t{ 0 }
+                                         : (std::uint64_t{ 1 } << n) - 1;
+}
+
+std::uint64_t
+MemberBits(const MemberPlacement& aMember)
+{
+  std::uint64_t bits = 0;
+  for (const int index : aMember.Accelerators()) {
+    if (index >= 0 && index < FleetCounts::kMaxPerWorker) {
+      bits |= std::uint64_t{ 1 } << index;
+    }
+  }
+  return bits;
+}
+
+} // namespace
+
+FleetCounts::FleetCounts(const FleetLoad& aLoad)
+  : mLoad(&aLoad)
+  , mHeld(aLoad.Topology().Size(), 0)
+{
+  for (const GuaranteedShape& guarantee : aLoad.Guarantees()) {
+    auto known = FindOrganisation(guarantee.Organisation());
+    if (!known) {
+      known = mOrganisations.size();
+      mOrganisations.push_back(&guarantee.Organisation());
+    }
+    mOrganisationOf.push_back(*known);
+  }
+
+  const std::size_t n = aLoad.Topology().Size();
+  const auto& workers = aLoad.Workers().All();
+  mFree.reserve(n);
+  mShared.reserve(n);
+  for (const Vm& worker : workers) {
+    mShared.push_back(std::popcount(AllBits(worker.Accelerators())));
+  }
+  mOwn.assign(mOrganisations.size() * n, 0);
+  for (const PlacedGang& gang : aLoad.Gangs()) {
+    const auto organisation = FindOrganisation(gang.Organisation());
+    for (const MemberPlacement& member : gang.Placement().Members()) {
+      // A worker that is lost or leaving is not in the list.
+      const auto worker = aLoad.Topology().Find(member.Worker());
+      if (!worker) {
+        continue;
+      }
+      const std::uint64_t bits = MemberBits(member) & ~mHeld[*worker] &
+                                 AllBits(workers[*worker].Accelerators());
+      mHeld[*worker] |= bits;
+      if (gang.Preemptible()) {
+        continue;
+      }
+      const int held = std::popcount(bits);
+      mShared[*worker] -= held;
+      if (organisation) {
+        mOwn[*organisation * n + *worker] += held;
+      }
+    }
+  }
+  for (std::size_t i = 0; i < n; ++i) {
+    mFree.push_back(
+      std::popcount(AllBits(workers[i].Accelerators()) & ~mHeld[i]));
+  }
+}
+
+std::optional<std::size_t>
+FleetCounts::FindOrganisation(const OrganisationId& aOrganisation) const
+{
+  const auto it = std::find_if(
+    mOrganisations.begin(),
+    mOrganisations.end(),
+    [&aOrganisation](const auto* aName) { return *aName == aOrganisation; });
+  if (it == mOrganisations.end()) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(it - mOrganisations.begin());
+}
+
+FleetCounts
+FleetCounts::WithMembers(std::optional<std::size_t> aOrganisation,
+                         std::span<const std::size_t> aWorkers,
+                         int aAcceleratorsPerWorker) const
+{
+  FleetCounts counts = *this;
+  for (const std::size_t worker : aWorkers) {
+    counts.mShared[worker] -= aAcceleratorsPerWorker;
+    counts.mFree[worker] =
+      std::max(0, counts.mFree[worker] - aAcceleratorsPerWorker);
+    if (aOrganisation) {
+      counts.mOwn[*aOrganisation * mFree.size() + worker] +=
+        aAcceleratorsPerWorker;
+    }
+  }
+  return counts;
+}
+
+} // namespace cornelrudder::state
--- /dev/null
+++ b/src/state/FleetTopology.cpp
@@ -0,0 +1,62 @@
+#include "cornelrudder/state/FleetTopology.h"
+
+#include <map>
+#include <string>
+
+namespace cornelrudder::state {
+
+namespace {
+
+/** Names the group of workers within which a shape must lie. */
+std::string
+GroupName(const Vm& aWorker, Adjacency aLevel)
+{
+  const Location& where = aWorker.Where();
+  const std::string zone = where.Region().Text() + "/" + where.Zone().Text();
+  switch (aLevel) {
+    case Adjacency::kWorker:
+      return zone + "/" + where.Rack().Text() + "/" + aWorker.Name().Text();
+    case Adjacency::kRack:
+      return zone + "/" + where.Rack().Text();
+    case Adjacency::kZone:
+      return zone;
+    case Adjacency::kRegion:
+      break;
+  }
+  return where.Region().Text();
+}
+
+} // namespace
+
+FleetTopology::FleetTopology(VmList aWorkers)
+  : mWorkers(std::move(aWorkers))
+{
+  for (std::size_t i = 0; i < Size(); ++i) {
+    mPositions.emplace(mWorkers.All()[i].Name().Text(), i);
+  }
+  for (std::size_t level = 0; level < kLevels; ++level) {
+    std::map<std::string, std::size_t> numbers;
+    for (std::size_t i = 0; i < Size(); ++i) {
+      const auto [it, added] = numbers.emplace(
+        GroupName(mWorkers.All()[i], static_cast<Adjacency>(level)),
+        numbers.size());
+      if (added) {
+        mMembers[level].emplace_back();
+      }
+      mGroups[level].push_back(it->second);
+      mMembers[level][it->second].push_back(i);
+    }
+  }
+}
+
+std::optional<std::size_t>
+FleetTopology::Find(const VmId& aWorker) const
+{
+  const auto it = mPositions.find(aWorker.Text());
+  if (it == mPositions.end()) {
+    return std::nullopt;
+  }
+  return it->second;
+}
+
+} // namespace cornelrudder::state
--- /dev/null
+++ b/tests/state/GuaranteeTestTest.cpp
@@ -0,0 +1,194 @@
+#include "PlacementFixture.h"
+
+#include "cornelrudder/state/GuaranteeTest.h"
+
+#include <CppUTest/TestHarness.h>
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace cornelrudder::state;
+using namespace cornelrudder::state::placement_test;
+
+namespace {
+
+constexpr std::size_t kNoLimit = 100000000;
+
+GuaranteeResult
+CheckAll(std::string_view aTest, const FleetLoad& aLoad)
+{
+  const FleetCounts counts(aLoad);
+  return FindGuaranteeTest(aTest)->Check(
+    counts, AllGuarantees(counts), kNoLimit);
+}
+
+/** Random small loads: losses, borrowed accelerators, own gangs. */
+rc::Gen<FleetLoad>
+GenLoad()
+{
+  return rc::gen::exec([] {
+    const int zones = *rc::gen::inRange(1, 3);
+    const int racks = *rc::gen::inRange(1, 3);
+    const int perRack = *rc::gen::inRange(1, 5);
+    const int holders = *rc::gen::inRange(5, 40);
+    std::vector<Vm> workers;
+    std::vector<PlacedGang> gangs;
+    for (int i = 0; i < zones * racks * perRack; ++i) {
+      const int accelerators = *rc::gen::inRange(0, 5);
+      const int rack = i / perRack;
+      if (*rc::gen::inRange(0, 12) != 11) {
+        workers.push_back(Worker(i, rack / racks, rack, accelerators));
+      }
+      for (int a = 0; a < accelerators; ++a) {
+        const int holder = *rc::gen::inRange(0, holders);
+        if (holder < 4) {
+          gangs.push_back(Gang("j" + std::to_string(gangs.size()),
+                               "o" + std::to_string(holder),
+                               *rc::gen::inRange(0, 3) == 0,
+                               1.0,
+                               { { i, { a } } }));
+        }
+      }
+    }
+    std::vector<GuaranteedShape> guarantees;
+    const int shapes = *rc::gen::inRange(1, 5);
+    for (int i = 0; i < shapes; ++i) {
+      const auto within = static_cast<Adjacency>(*rc::gen::inRange(0, 4));
+      const int n = within == Adjacency::kWorker ? 1 : *rc::gen::inRange(1, 4);
+      guarantees.push_back(
+        Guarantee("o" + std::to_string(*rc::gen::inRange(0, 3)),
+                  Shape(n, *rc::gen::inRange(1, 4), within)));
+    }
+    return FleetLoad(
+      VmList(std::move(workers)), std::move(gangs), std::move(guarantees));
+  });
+}
+
+/** Checks a place against the definition, accelerator by accelerator. */
+void
+RequireAllocation(const FleetLoad& aLoad, const GuaranteeResult& aResult)
+{
+  RC_ASSERT(aResult.Places().size() == aLoad.Guarantees().size());
+  const auto& workers = aLoad.Workers().All();
+  std::vector<int> shared;
+  std::vector<std::map<OrganisationId, int>> own(workers.size());
+  for (const Vm& worker : workers) {
+    shared.push_back(worker.Accelerators());
+  }
+  for (const PlacedGang& gang : aLoad.Gangs()) {
+    for (const MemberPlacement& member : gang.Placement().Members()) {
+      for (std::size_t w = 0; w < workers.size(); ++w) {
+        if (workers[w].Name() == member.Worker() && !gang.Preemptible()) {
+          const int n = static_cast<int>(member.Accelerators().size());
+          shared[w] -= n;
+          own[w][gang.Organisation()] += n;
+        }
+      }
+    }
+  }
+  for (std::size_t i = 0; i < aResult.Places().size(); ++i) {
+    const GuaranteedShape& guarantee = aLoad.Guarantees()[i];
+    const auto& place = aResult.Places()[i];
+    RC_ASSERT(std::set(place.begin(), place.end()).size() ==
+              static_cast<std::size_t>(guarantee.What().Workers()));
+    const auto level = guarantee.What().Within();
+    for (const std::size_t w : place) {
+      RC_ASSERT(aLoad.Topology().GroupOf(level, w) ==
+                aLoad.Topology().GroupOf(level, place.front()));
+      int& mine = own[w][guarantee.Organisation()];
+      const int fromOwn =
+        std::min(mine, guarantee.What().AcceleratorsPerWorker());
+      mine -= fromOwn;
+      shared[w] -= guarantee.What().AcceleratorsPerWorker() - fromOwn;
+      RC_ASSERT(shared[w] >= 0);
+    }
+  }
+}
+
+} // namespace
+
+TEST_GROUP(GuaranteeTest){};
+
+// Guards against a promise that the fleet cannot keep, and against refusing
+// one that it can: the exact test must agree with the exhaustive one.
+TEST(GuaranteeTest, ExactAgreesWithExhaustive)
+{
+  int feasible = 0;
+  int infeasible = 0;
+  // With a fixed seed each run of a property sees the same 100 cases, so that
+  // more cases must come from within one case.
+  const bool passed = rc::check("exact agrees with exhaustive", [&] {
+    for (int i = 0; i < 100; ++i) {
+      const FleetLoad load = *rc::gen::noShrink(GenLoad());
+      const GuaranteeResult naive = CheckAll("exhaustive", load);
+      const GuaranteeResult exact = CheckAll("exact", load);
+      RC_ASSERT(naive.Verdict() != Feasibility::kUndecided);
+      RC_ASSERT(naive.Verdict() == exact.Verdict());
+      if (exact.Feasible()) {
+        RequireAllocation(load, exact);
+        RequireAllocation(load, naive);
+        ++feasible;
+      } else {
+        ++infeasible;
+      }
+    }
+  });
+  CHECK(passed);
+  // Both verdicts must be exercised.
+  CHECK(feasible > 1000);
+  CHECK(infeasible > 1000);
+}
+
+// Guards against counting an organisation's accelerators for another one.
+TEST(GuaranteeTest, OwnAcceleratorsCountForTheirOrganisationOnly)
+{
+  const Shape shape(1, 2, Adjacency::kWorker);
+  const auto gang = Gang("j", "a", false, 1.0, { { 0, { 0, 1 } } });
+  CHECK(
+    CheckAll("exact",
+             FleetLoad(Fleet(1, 1, 1, 2), { gang }, { Guarantee("a", shape) }))
+      .Feasible());
+  CHECK(
+    !CheckAll("exact",
+              FleetLoad(Fleet(1, 1, 1, 2), { gang }, { Guarantee("b", shape) }))
+       .Feasible());
+}
+
+// Guards against promising accelerators of a non-preemptible gang, and against
+// not promising those of a borrower.
+TEST(GuaranteeTest, BorrowersGiveWayAndOthersDoNot)
+{
+  const Shape shape(2, 8, Adjacency::kRack);
+  for (const bool preemptible : { true, false }) {
+    const auto gang = Gang("j", "b", preemptible, 1.0, { { 1, { 3 } } });
+    const FleetLoad load(
+      Fleet(1, 1, 2, 8), { gang }, { Guarantee("a", shape) });
+    LONGS_EQUAL(preemptible, CheckAll("exact", load).Feasible());
+  }
+}
+
+// Guards against a guarantee that ignores racks: enough accelerators in all,
+// but not in one rack.
+TEST(GuaranteeTest, RacksBoundShapes)
+{
+  const FleetLoad load(Fleet(1, 2, 2, 8),
+                       {},
+                       { Guarantee("a", Shape(2, 5, Adjacency::kRack)),
+                         Guarantee("b", Shape(2, 5, Adjacency::kRack)),
+                         Guarantee("c", Shape(2, 5, Adjacency::kRegion)) });
+  CHECK(!CheckAll("exact", load).Feasible());
+}
+
+// Guards against dropping every promise after a loss: only what no longer
+// fits is left out.
+TEST(GuaranteeTest, LossLeavesOtherShapesCovered)
+{
+  const FleetLoad load(Fleet(1, 1, 2, 8),
+                       {},
+                       { Guarantee("a", Shape(3, 8, Adjacency::kRack)),
+                         Guarantee("b", Shape(1, 8, Adjacency::kWorker)),
+                         Guarantee("c", Shape(1, 8, Adjacency::kWorker)) });
+  const auto covered =
+    CoveredGuarantees(*FindGuaranteeTest("exact"), FleetCounts(load));
+  CHECK((covered == std::vector<std::size_t>{ 1, 2 }));
+}
