Keep the joint guarantee in first_fit and add best_fit with reclaim

first_fit took the first free place even if another organisation's shape then no longer fitted. Both strategies now decide on one joint allocation: a place outside of what it assigns to others needs no further check; any other place is checked with the exact test. best_fit ranks the groups by the whole shapes (guaranteed ones and blocks of 8, 16, 32 and 64) that a place costs, then by what remains in the group.

A request within the guaranteed shape that finds no free place reclaims: greedy choice of the workers whose borrowers lose the fewest accelerator-hours, organisations beyond their guarantee first. A preemptible request counts all gangs of its organisation against the guarantee, since borrowers would otherwise stop each other in turns.

After a loss, covered shapes are taken from the smallest to the largest; a placement must keep all shapes that were covered before, and non-preemptible work beyond its guarantee waits while an organisation is short.

--- /dev/null
+++ b/src/state/FirstFit.cpp
@@ -0,0 +1,28 @@
+#include "FirstFit.h"
+
+#include "PlacementContext.h"
+
+namespace cornelrudder::state {
+
+PlacementDecision
+FirstFit::Place(const FleetLoad& aLoad, const PlacementRequest& aRequest) const
+{
+  const PlacementContext context(aLoad, aRequest);
+  if (context.MayUseSpare()) {
+    for (const auto& group : context.Groups()) {
+      std::vector<std::size_t> workers;
+      for (const std::size_t w : group) {
+        if (workers.size() < context.Members() &&
+            context.Counts().Free(w) >= context.PerWorker()) {
+          workers.push_back(w);
+        }
+      }
+      if (workers.size() == context.Members() && context.Keeps(workers)) {
+        return context.Placed(workers, "first free place");
+      }
+    }
+  }
+  return context.ReclaimOrWait();
+}
+
+} // namespace cornelrudder::state
--- /dev/null
+++ b/src/state/FirstFit.h
@@ -0,0 +1,25 @@
+#ifndef CORNELRUDDER_STATE_FIRST_FIT_H
+#define CORNELRUDDER_STATE_FIRST_FIT_H
+
+#include "cornelrudder/state/PlacementStrategy.h"
+
+namespace cornelrudder::state {
+
+/** Takes the first workers of the first group that keeps the guarantee. */
+class FirstFit final : public PlacementStrategy
+{
+public:
+  std::string_view Name() const override { return "first_fit"; }
+
+  std::string_view Description() const override
+  {
+    return "first free place; the naive baseline";
+  }
+
+  PlacementDecision Place(const FleetLoad& aLoad,
+                          const PlacementRequest& aRequest) const override;
+};
+
+} // namespace cornelrudder::state
+
+#endif // CORNELRUDDER_STATE_FIRST_FIT_H
--- /dev/null
+++ b/src/state/PlacementContext.cpp
@@ -0,0 +1,527 @@
+#include "PlacementContext.h"
+
+#include <algorithm>
+#include <bit>
+#include <limits>
+#include <numeric>
+#include <set>
+
+namespace cornelrudder::state {
+
+namespace {
+
+/** Places to check with the exact test before the request has to wait. */
+constexpr std::size_t kMaxReclaimChecks = 8;
+
+const GuaranteeTest&
+ExactTest()
+{
+  static const GuaranteeTest& sTest = *FindGuaranteeTest("exact");
+  return sTest;
+}
+
+/** Accelerators of a guaranteed shape that the holder's gangs do not use. */
+struct ShapeRoom
+{
+  const Shape* mShape;
+  int mLeft;
+};
+
+bool
+FitsInto(const Shape& aOuter, std::size_t aMembers, int aPerWorker)
+{
+  return aMembers <= static_cast<std::size_t>(aOuter.Workers()) &&
+         aPerWorker <= aOuter.AcceleratorsPerWorker();
+}
+
+int
+HeldAccelerators(const PlacedGang& aGang)
+{
+  std::size_t n = 0;
+  for (const MemberPlacement& member : aGang.Placement().Members()) {
+    n += member.Accelerators().size();
+  }
+  return static_cast<int>(n);
+}
+
+/** Books a gang into the fullest shape that holds it, or piecewise. */
+void
+Book(std::vector<ShapeRoom>& aRooms, const PlacedGang& aGang)
+{
+  const auto& members = aGang.Placement().Members();
+  int left = HeldAccelerators(aGang);
+  const int perWorker =
+    members.empty() ? 0
+                    : static_cast<int>(members.front().Accelerators().size());
+  ShapeRoom* best = nullptr;
+  for (ShapeRoom& room : aRooms) {
+    if (room.mLeft >= left &&
+        FitsInto(*room.mShape, members.size(), perWorker) &&
+        (best == nullptr || room.mLeft < best->mLeft)) {
+      best = &room;
+    }
+  }
+  if (best != nullptr) {
+    best->mLeft -= left;
+    return;
+  }
+  for (ShapeRoom& room : aRooms) {
+    const int taken = std::min(left, room.mLeft);
+    room.mLeft -= taken;
+    left -= taken;
+  }
+}
+
+std::vector<int>
+LowestBits(std::uint64_t aBits, int aCount)
+{
+  std::vector<int> indexes;
+  while (aBits != 0 && indexes.size() < static_cast<std::size_t>(aCount)) {
+    indexes.push_back(std::countr_zero(aBits));
+    aBits &= aBits - 1;
+  }
+  return indexes;
+}
+
+} // namespace
+
+PlacementContext::PlacementContext(const FleetLoad& aLoad,
+                                   const PlacementRequest& aRequest)
+  : mRequest(aRequest)
+  , mCounts(aLoad)
+  , mOrganisation(mCounts.FindOrganisation(aRequest.Organisation()))
+  , mAssigned(aLoad.Topology().Size(), 0)
+{
+  Allocate();
+}
+
+void
+PlacementContext::Allocate()
+{
+  mCovered = AllGuarantees(mCounts);
+  GuaranteeResult result = ExactTest().Check(mCounts, mCovered, kDecisionSteps);
+  if (!result.Feasible()) {
+    mCovered = CoveredGuarantees(ExactTest(), mCounts);
+    result = ExactTest().Check(mCounts, mCovered, kDecisionSteps);
+  }
+  // Own accelerators first, summed over the shapes of an organisation.
+  const std::size_t workers = mCounts.Topology().Size();
+  std::vector<int> used(mCounts.Organisations() * workers, 0);
+  for (std::size_t i = 0; i < result.Places().size(); ++i) {
+    const std::size_t organisation = mCounts.OrganisationOf(mCovered[i]);
+    if (organisation == mOrganisation) {
+      continue;
+    }
+    const Shape& shape = mCounts.Load().Guarantees()[mCovered[i]].What();
+    for (const std::size_t w : result.Places()[i]) {
+      int& total = used[organisation * workers + w];
+      const int own = mCounts.Own(organisation, w);
+      const int before = std::max(0, total - own);
+      total += shape.AcceleratorsPerWorker();
+      mAssigned[w] += std::max(0, total - own) - before;
+    }
+  }
+}
+
+const std::vector<std::vector<std::size_t>>&
+PlacementContext::Groups() const
+{
+  return mCounts.Topology().Members(Members() == 1 ? Adjacency::kRack
+                                                   : mRequest.What().Within());
+}
+
+bool
+PlacementContext::MayUseSpare() const
+{
+  return mRequest.Preemptible() ||
+         mCovered.size() == mCounts.Load().Guarantees().size() || IsOwed();
+}
+
+bool
+PlacementContext::Keeps(std::span<const std::size_t> aWorkers) const
+{
+  // Preemptible work can be stopped for any shape.
+  return mRequest.Preemptible() ||
+         ExactTest()
+           .Check(mCounts.WithMembers(mOrganisation, aWorkers, PerWorker()),
+                  mCovered,
+                  kDecisionSteps)
+           .Feasible();
+}
+
+GangPlacement
+PlacementContext::MakePlacement(
+  std::span<const std::size_t> aWorkers,
+  const std::vector<std::uint64_t>& aReclaimedBits) const
+{
+  std::vector<std::size_t> workers(aWorkers.begin(), aWorkers.end());
+  std::sort(workers.begin(), workers.end());
+  std::vector<MemberPlacement> members;
+  for (const std::size_t w : workers) {
+    const Vm& worker = mCounts.Load().Workers().All()[w];
+    const int n = std::min(worker.Accelerators(), FleetCounts::kMaxPerWorker);
+    std::uint64_t bits = ~mCounts.HeldBits(w);
+    if (!aReclaimedBits.empty()) {
+      bits |= aReclaimedBits[w];
+    }
+    if (n < FleetCounts::kMaxPerWorker) {
+      bits &= (std::uint64_t{ 1 } << static_cast<unsigned>(n)) - 1;
+    }
+    members.emplace_back(worker.Name(), LowestBits(bits, PerWorker()));
+  }
+  return GangPlacement(std::move(members));
+}
+
+PlacementDecision
+PlacementContext::Placed(std::span<const std::size_t> aWorkers,
+                         std::string aReason) const
+{
+  return {
+    PlacementKind::kPlaced, MakePlacement(aWorkers, {}), {}, std::move(aReason)
+  };
+}
+
+/**
+ * An organisation is owed a request that fits one of its guaranteed shapes
+ * beside the gangs that use them already. Its preemptible gangs count only if
+ * the request is preemptible, since a non-preemptible one takes precedence.
+ */
+bool
+PlacementContext::IsOwed() const
+{
+  if (!mOrganisation) {
+    return false;
+  }
+  std::vector<ShapeRoom> rooms;
+  for (const GuaranteedShape& guarantee : mCounts.Load().Guarantees()) {
+    if (guarantee.Organisation() == mRequest.Organisation()) {
+      rooms.push_back({ &guarantee.What(), guarantee.What().Accelerators() });
+    }
+  }
+  std::vector<const PlacedGang*> gangs;
+  for (const PlacedGang& gang : mCounts.Load().Gangs()) {
+    if (gang.Organisation() == mRequest.Organisation() &&
+        (mRequest.Preemptible() || !gang.Preemptible())) {
+      gangs.push_back(&gang);
+    }
+  }
+  std::stable_sort(
+    gangs.begin(), gangs.end(), [](const auto* aLeft, const auto* aRight) {
+      return HeldAccelerators(*aLeft) > HeldAccelerators(*aRight);
+    });
+  for (const PlacedGang* gang : gangs) {
+    Book(rooms, *gang);
+  }
+  const Shape& what = mRequest.What();
+  return std::any_of(rooms.begin(), rooms.end(), [&](const ShapeRoom& aRoom) {
+    return aRoom.mLeft >= what.Accelerators() &&
+           FitsInto(*aRoom.mShape, Members(), PerWorker()) &&
+           (Members() == 1 || aRoom.mShape->Within() <= what.Within());
+  });
+}
+
+/**
+ * @param aAnyHolder Include preemptible gangs of organisations that hold no
+ *   more than their guaranteed accelerators.
+ * @return By worker, what preemptible gangs hold there; least loss first.
+ */
+std::vector<std::vector<PlacementContext::Borrowed>>
+PlacementContext::ReadBorrowed(bool aAnyHolder) const
+{
+  const FleetLoad& load = mCounts.Load();
+  std::vector<int> surplus(mCounts.Organisations(), 0);
+  for (std::size_t i = 0; i < load.Guarantees().size(); ++i) {
+    surplus[mCounts.OrganisationOf(i)] -=
+      load.Guarantees()[i].What().Accelerators();
+  }
+  for (const PlacedGang& gang : load.Gangs()) {
+    if (const auto holder = mCounts.FindOrganisation(gang.Organisation())) {
+      surplus[*holder] += HeldAccelerators(gang);
+    }
+  }
+  std::vector<std::vector<Borrowed>> borrowed(load.Topology().Size());
+  for (std::size_t i = 0; i < load.Gangs().size(); ++i) {
+    const PlacedGang& gang = load.Gangs()[i];
+    const auto holder = mCounts.FindOrganisation(gang.Organisation());
+    const bool own = gang.Organisation() == mRequest.Organisation();
+    // A preemptible request does not stop other work of its organisation.
+    if (!gang.Preemptible() || (own && mRequest.Preemptible()) ||
+        (!aAnyHolder && !own && holder && surplus[*holder] <= 0)) {
+      continue;
+    }
+    for (const MemberPlacement& member : gang.Placement().Members()) {
+      const auto worker = load.Topology().Find(member.Worker());
+      if (!worker) {
+        continue;
+      }
+      std::uint64_t bits = 0;
+      for (const int index : member.Accelerators()) {
+        if (index >= 0 && index < FleetCounts::kMaxPerWorker) {
+          bits |= std::uint64_t{ 1 } << static_cast<unsigned>(index);
+        }
+      }
+      borrowed[*worker].push_back({ i, bits });
+    }
+  }
+  for (auto& gangs : borrowed) {
+    std::sort(gangs.begin(), gangs.end(), [&load](auto aLeft, auto aRight) {
+      return std::tuple(load.Gangs()[aLeft.mGang].AcceleratorHours(),
+                        aLeft.mGang) <
+             std::tuple(load.Gangs()[aRight.mGang].AcceleratorHours(),
+                        aRight.mGang);
+    });
+  }
+  return borrowed;
+}
+
+/** Takes the workers that cost least, one by one; the gangs stop whole. */
+std::optional<PlacementContext::Reclaim>
+PlacementContext::ReclaimWithin(
+  const std::vector<std::size_t>& aGroup,
+  const std::vector<std::vector<Borrowed>>& aBorrowed,
+  bool aUnassignedOnly) const
+{
+  const auto& gangs = mCounts.Load().Gangs();
+  std::vector<std::size_t> open;
+  for (const std::size_t w : aGroup) {
+    if ((aUnassignedOnly ? Unassigned(w) : mCounts.Shared(w)) >= PerWorker()) {
+      open.push_back(w);
+    }
+  }
+  Reclaim reclaim;
+  std::set<std::size_t> victims;
+  while (reclaim.mWorkers.size() < Members()) {
+    double least = std::numeric_limits<double>::infinity();
+    std::size_t best = 0;
+    std::vector<std::size_t> bestVictims;
+    for (std::size_t i = 0; i < open.size(); ++i) {
+      int room = mCounts.Free(open[i]);
+      for (const Borrowed& held : aBorrowed[open[i]]) {
+        room += victims.contains(held.mGang) ? std::popcount(held.mBits) : 0;
+      }
+      double hours = 0;
+      std::vector<std::size_t> added;
+      for (const Borrowed& held : aBorrowed[open[i]]) {
+        if (room >= PerWorker()) {
+          break;
+        }
+        if (!victims.contains(held.mGang)) {
+          room += std::popcount(held.mBits);
+          hours += gangs[held.mGang].AcceleratorHours();
+          added.push_back(held.mGang);
+        }
+      }
+      if (room >= PerWorker() && hours < least) {
+        least = hours;
+        best = i;
+        bestVictims = std::move(added);
+      }
+    }
+    if (least == std::numeric_limits<double>::infinity()) {
+      return std::nullopt;
+    }
+    reclaim.mWorkers.push_back(open[best]);
+    victims.insert(bestVictims.begin(), bestVictims.end());
+    open.erase(open.begin() + static_cast<std::ptrdiff_t>(best));
+  }
+  reclaim.mVictims.assign(victims.begin(), victims.end());
+  DropNeedlessVictims(reclaim, aBorrowed);
+  return reclaim;
+}
+
+void
+PlacementContext::DropNeedlessVictims(
+  Reclaim& aReclaim,
+  const std::vector<std::vector<Borrowed>>& aBorrowed) const
+{
+  const auto& gangs = mCounts.Load().Gangs();
+  std::sort(aReclaim.mVictims.begin(),
+            aReclaim.mVictims.end(),
+            [&gangs](std::size_t aLeft, std::size_t aRight) {
+              return std::tuple(-gangs[aLeft].AcceleratorHours(), aLeft) <
+                     std::tuple(-gangs[aRight].AcceleratorHours(), aRight);
+            });
+  std::set<std::size_t> kept(aReclaim.mVictims.begin(),
+                             aReclaim.mVictims.end());
+  for (const std::size_t victim : aReclaim.mVictims) {
+    kept.erase(victim);
+    const bool enough = std::all_of(
+      aReclaim.mWorkers.begin(), aReclaim.mWorkers.end(), [&](std::size_t w) {
+        int room = mCounts.Free(w);
+        for (const Borrowed& held : aBorrowed[w]) {
+          room += kept.contains(held.mGang) ? std::popcount(held.mBits) : 0;
+        }
+        return room >= PerWorker();
+      });
+    if (!enough) {
+      kept.insert(victim);
+    }
+  }
+  aReclaim.mVictims.assign(kept.begin(), kept.end());
+  aReclaim.mHours = 0;
+  for (const std::size_t victim : kept) {
+    aReclaim.mHours += gangs[victim].AcceleratorHours();
+  }
+}
+
+/** @return One place for each group that has one; least loss first. */
+std::vector<PlacementContext::Reclaim>
+PlacementContext::Reclaims(const std::vector<std::vector<Borrowed>>& aBorrowed,
+                           bool aUnassignedOnly) const
+{
+  std::vector<Reclaim> reclaims;
+  for (const auto& group : Groups()) {
+    if (auto reclaim = ReclaimWithin(group, aBorrowed, aUnassignedOnly)) {
+      reclaims.push_back(std::move(*reclaim));
+    }
+  }
+  std::stable_sort(reclaims.begin(),
+                   reclaims.end(),
+                   [](const Reclaim& aLeft, const Reclaim& aRight) {
+                     return std::tuple(aLeft.mHours, aLeft.mVictims.size()) <
+                            std::tuple(aRight.mHours, aRight.mVictims.size());
+                   });
+  return reclaims;
+}
+
+std::optional<PlacementDecision>
+PlacementContext::FindReclaim() const
+{
+  std::optional<Reclaim> found;
+  // Organisations beyond their guaranteed accelerators give way first.
+  for (const bool anyHolder : { false, true }) {
+    const auto borrowed = ReadBorrowed(anyHolder);
+    const auto safe = Reclaims(borrowed, true);
+    if (!safe.empty()) {
+      found = safe.front();
+      break;
+    }
+    auto others = Reclaims(borrowed, false);
+    others.resize(std::min(others.size(), kMaxReclaimChecks));
+    const auto it =
+      std::find_if(others.begin(), others.end(), [this](const Reclaim& aPlace) {
+        return Keeps(aPlace.mWorkers);
+      });
+    if (it != others.end()) {
+      found = *it;
+      break;
+    }
+  }
+  if (!found) {
+    return std::nullopt;
+  }
+  if (found->mVictims.empty()) {
+    // The strategy has overlooked a free place.
+    return Placed(found->mWorkers, "free place within the guaranteed shape");
+  }
+  const auto borrowed = ReadBorrowed(true);
+  std::vector<std::uint64_t> bits(borrowed.size(), 0);
+  for (std::size_t w = 0; w < borrowed.size(); ++w) {
+    for (const Borrowed& held : borrowed[w]) {
+      if (std::find(found->mVictims.begin(),
+                    found->mVictims.end(),
+                    held.mGang) != found->mVictims.end()) {
+        bits[w] |= held.mBits;
+      }
+    }
+  }
+  std::vector<JobId> victims;
+  for (const std::size_t victim : found->mVictims) {
+    victims.push_back(mCounts.Load().Gangs()[victim].Job());
+  }
+  std::string reason = "guaranteed shape: " + std::to_string(victims.size()) +
+                       " preemptible gangs must stop";
+  return PlacementDecision(PlacementKind::kReclaim,
+                           MakePlacement(found->mWorkers, bits),
+                           std::move(victims),
+                           std::move(reason));
+}
+
+/** @return The workers of the first group with room, or none. */
+std::vector<std::size_t>
+PlacementContext::FirstFree(int (FleetCounts::*aRoom)(std::size_t) const) const
+{
+  for (const auto& group : Groups()) {
+    std::vector<std::size_t> workers;
+    for (const std::size_t w : group) {
+      if ((mCounts.*aRoom)(w) >= PerWorker()) {
+        workers.push_back(w);
+      }
+      if (workers.size() == Members()) {
+        return workers;
+      }
+    }
+  }
+  return {};
+}
+
+bool
+PlacementContext::FitsEmptyFleet() const
+{
+  const auto& workers = mCounts.Load().Workers().All();
+  return std::any_of(Groups().begin(), Groups().end(), [&](const auto& aGroup) {
+    const auto fitting =
+      std::count_if(aGroup.begin(), aGroup.end(), [&](std::size_t w) {
+        return std::min(workers[w].Accelerators(),
+                        FleetCounts::kMaxPerWorker) >= PerWorker();
+      });
+    return static_cast<std::size_t>(fitting) >= Members();
+  });
+}
+
+std::string
+PlacementContext::WaitReason() const
+{
+  const auto& guarantees = mCounts.Load().Guarantees();
+  const auto free = FirstFree(&FleetCounts::Free);
+  if (!free.empty()) {
+    // A free place exists, so that a guarantee holds it.
+    const FleetCounts after =
+      MayUseSpare() ? mCounts.WithMembers(mOrganisation, free, PerWorker())
+                    : mCounts;
+    const auto covered = CoveredGuarantees(ExactTest(), after);
+    for (std::size_t i = 0; i < guarantees.size(); ++i) {
+      if (!std::binary_search(covered.begin(), covered.end(), i)) {
+        return "guarantee: the free place is needed for shape " +
+               guarantees[i].Name().Text() + " of organisation " +
+               guarantees[i].Organisation().Text();
+      }
+    }
+    return "guarantee: the free place is needed for guaranteed shapes";
+  }
+  int total = 0;
+  for (std::size_t w = 0; w < mCounts.Topology().Size(); ++w) {
+    total += mCounts.Free(w);
+  }
+  const Shape& what = mRequest.What();
+  if (total >= what.Accelerators()) {
+    return "fragmentation: " + std::to_string(total) +
+           " accelerators are free, but no " +
+           std::string(AdjacencyName(what.Within())) + " has " +
+           std::to_string(what.Workers()) + " workers with " +
+           std::to_string(what.AcceleratorsPerWorker()) + " each";
+  }
+  return std::string(IsOwed() ? "busy" : "quota") + ": only " +
+         std::to_string(total) + " accelerators are free, and organisation " +
+         mRequest.Organisation().Text() +
+         (IsOwed() ? " cannot reclaim its shape from non-preemptible gangs"
+                   : " is beyond its guaranteed shapes");
+}
+
+PlacementDecision
+PlacementContext::ReclaimOrWait() const
+{
+  if (!FitsEmptyFleet()) {
+    return {
+      PlacementKind::kNeverFits, {}, {}, "no part of the fleet has this shape"
+    };
+  }
+  if (IsOwed()) {
+    if (auto reclaim = FindReclaim()) {
+      return *reclaim;
+    }
+  }
+  return { PlacementKind::kWait, {}, {}, WaitReason() };
+}
+
+} // namespace cornelrudder::state
--- /dev/null
+++ b/src/state/ShapeScore.cpp
@@ -0,0 +1,119 @@
+#include "ShapeScore.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelrudder::state {
+
+namespace {
+
+/** Adds up numbers by group; a placement touches few groups. */
+class GroupSum
+{
+public:
+  void Add(std::size_t aGroup, int aNumber)
+  {
+    const auto it =
+      std::find_if(mSums.begin(), mSums.end(), [aGroup](const auto& aSum) {
+        return aSum.first == aGroup;
+      });
+    if (it == mSums.end()) {
+      mSums.emplace_back(aGroup, aNumber);
+    } else {
+      it->second += aNumber;
+    }
+  }
+
+  const std::vector<std::pair<std::size_t, int>>& All() const { return mSums; }
+
+private:
+  std::vector<std::pair<std::size_t, int>> mSums;
+};
+
+} // namespace
+
+ShapeScore::ShapeScore(const FleetCounts& aCounts)
+  : mCounts(aCounts)
+{
+  const FleetTopology& topology = aCounts.Topology();
+  std::vector<Shape> shapes;
+  for (const GuaranteedShape& guarantee : aCounts.Load().Guarantees()) {
+    shapes.push_back(guarantee.What());
+  }
+  std::sort(shapes.begin(), shapes.end());
+  shapes.erase(std::unique(shapes.begin(), shapes.end()), shapes.end());
+  for (const Shape& shape : shapes) {
+    const Adjacency level = shape.Within();
+    Kind kind{ shape,
+               level,
+               std::vector<int>(topology.Members(level).size(), 0) };
+    for (std::size_t w = 0; w < topology.Size(); ++w) {
+      if (aCounts.Free(w) >= shape.AcceleratorsPerWorker()) {
+        ++kind.mWorkers[topology.GroupOf(level, w)];
+      }
+    }
+    mKinds.push_back(std::move(kind));
+  }
+  for (const Adjacency level : { Adjacency::kRack, Adjacency::kZone }) {
+    Whole whole{ level, std::vector<int>(topology.Members(level).size(), 0) };
+    for (std::size_t w = 0; w < topology.Size(); ++w) {
+      if (IsWhole(w)) {
+        whole.mAccelerators[topology.GroupOf(level, w)] += aCounts.Free(w);
+      }
+    }
+    mWhole.push_back(std::move(whole));
+  }
+}
+
+bool
+ShapeScore::IsWhole(std::size_t aWorker) const
+{
+  return mCounts.HeldBits(aWorker) == 0;
+}
+
+int
+ShapeScore::InBlocks(int aAccelerators)
+{
+  int sum = 0;
+  for (const int block : kBlocks) {
+    sum += aAccelerators / block * block;
+  }
+  return sum;
+}
+
+int
+ShapeScore::Loss(std::span<const std::size_t> aWorkers, int aPerWorker) const
+{
+  const FleetTopology& topology = mCounts.Topology();
+  int loss = 0;
+  for (const Kind& kind : mKinds) {
+    GroupSum lost;
+    for (const std::size_t w : aWorkers) {
+      const int free = mCounts.Free(w);
+      if (free >= kind.mShape.AcceleratorsPerWorker() &&
+          free - aPerWorker < kind.mShape.AcceleratorsPerWorker()) {
+        lost.Add(topology.GroupOf(kind.mLevel, w), 1);
+      }
+    }
+    for (const auto& [group, number] : lost.All()) {
+      const int before = kind.mWorkers[group] / kind.mShape.Workers();
+      const int after = (kind.mWorkers[group] - number) / kind.mShape.Workers();
+      loss += (before - after) * kind.mShape.Accelerators();
+    }
+  }
+  for (const Whole& whole : mWhole) {
+    GroupSum lost;
+    for (const std::size_t w : aWorkers) {
+      if (IsWhole(w)) {
+        lost.Add(topology.GroupOf(whole.mLevel, w), mCounts.Free(w));
+      }
+    }
+    for (const auto& [group, number] : lost.All()) {
+      loss += InBlocks(whole.mAccelerators[group]) -
+              InBlocks(whole.mAccelerators[group] - number);
+    }
+  }
+  return loss;
+}
+
+} // namespace cornelrudder::state
