Add the order of the queue and a pass with a reservation

The first job that waits gets a reservation on named workers. Backfill leaves them alone, so that they drain, and no declared run time is needed. Only a reclaim without another place may take them.

--- a/include/cornelrudder/state/PlacementStrategy.h
+++ b/include/cornelrudder/state/PlacementStrategy.h
@@ -27,12 +27,33 @@
   const Shape& What() const { return mShape; }
   bool Preemptible() const { return mPreemptible; }
 
+  /** Workers on which accelerators are kept for another job. */
+  const std::vector<VmId>& WithheldWorkers() const { return mWithheldWorkers; }
+
+  /** Accelerators kept on each of these workers. */
+  int WithheldPerWorker() const { return mWithheldPerWorker; }
+
+  /**
+   * @return The same request, which leaves that many accelerators of each
+   *   worker free. Only a reclaim without another place may take them.
+   */
+  PlacementRequest Withholding(std::vector<VmId> aWorkers,
+                               int aAcceleratorsPerWorker) const
+  {
+    PlacementRequest request = *this;
+    request.mWithheldWorkers = std::move(aWorkers);
+    request.mWithheldPerWorker = aAcceleratorsPerWorker;
+    return request;
+  }
+
   auto operator<=>(const PlacementRequest&) const = default;
 
 private:
   OrganisationId mOrganisation;
   Shape mShape;
   bool mPreemptible;
+  std::vector<VmId> mWithheldWorkers;
+  int mWithheldPerWorker = 0;
 };
 
 enum class PlacementKind
--- a/src/state/BestFit.cpp
+++ b/src/state/BestFit.cpp
@@ -40,8 +40,8 @@
     for (const std::size_t w : group) {
       free += counts.Free(w);
       const int room = aUnassignedOnly
-                         ? std::min(counts.Free(w), aContext.Unassigned(w))
-                         : counts.Free(w);
+                         ? std::min(aContext.Room(w), aContext.Unassigned(w))
+                         : aContext.Room(w);
       if (room >= aContext.PerWorker()) {
         workers.push_back(w);
       }
--- a/src/state/FirstFit.cpp
+++ b/src/state/FirstFit.cpp
@@ -13,7 +13,7 @@
       std::vector<std::size_t> workers;
       for (const std::size_t w : group) {
         if (workers.size() < context.Members() &&
-            context.Counts().Free(w) >= context.PerWorker()) {
+            context.Room(w) >= context.PerWorker()) {
           workers.push_back(w);
         }
       }
--- /dev/null
+++ b/src/state/JobOrder.cpp
@@ -0,0 +1,146 @@
+#include "cornelrudder/state/JobOrder.h"
+
+#include "cornelrudder/state/GuaranteeTest.h"
+
+#include <algorithm>
+#include <array>
+#include <numeric>
+#include <set>
+#include <tuple>
+
+namespace cornelrudder::state {
+
+namespace {
+
+std::vector<std::size_t>
+Positions(std::size_t aCount)
+{
+  std::vector<std::size_t> positions(aCount);
+  std::iota(positions.begin(), positions.end(), std::size_t{ 0 });
+  return positions;
+}
+
+class Fifo final : public JobOrder
+{
+public:
+  std::string_view Name() const override { return "fifo"; }
+
+  std::string_view Description() const override
+  {
+    return "by time of submission, without backfill; the naive baseline";
+  }
+
+  bool Backfills() const override { return false; }
+
+  std::vector<std::size_t> Order(
+    std::span<const QueuedJob> aJobs,
+    const FleetLoad& /*aLoad*/,
+    const OrderContext& /*aContext*/) const override
+  {
+    auto order = Positions(aJobs.size());
+    std::stable_sort(
+      order.begin(), order.end(), [aJobs](std::size_t aLeft, auto aRight) {
+        return aJobs[aLeft].QueuedAt() < aJobs[aRight].QueuedAt();
+      });
+    return order;
+  }
+};
+
+/** Organisations with a guaranteed shape that a loss has left uncovered. */
+std::set<OrganisationId>
+ShortOrganisations(const FleetLoad& aLoad)
+{
+  const FleetCounts counts(aLoad);
+  const auto covered = CoveredGuarantees(*FindGuaranteeTest("exact"), counts);
+  std::set<OrganisationId> organisations;
+  for (std::size_t i = 0; i < aLoad.Guarantees().size(); ++i) {
+    if (!std::binary_search(covered.begin(), covered.end(), i)) {
+      organisations.insert(aLoad.Guarantees()[i].Organisation());
+    }
+  }
+  return organisations;
+}
+
+/** Accelerators that each organisation holds. */
+std::map<OrganisationId, std::size_t>
+HeldByOrganisation(const FleetLoad& aLoad)
+{
+  std::map<OrganisationId, std::size_t> held;
+  for (const PlacedGang& gang : aLoad.Gangs()) {
+    for (const MemberPlacement& member : gang.Placement().Members()) {
+      held[gang.Organisation()] += member.Accelerators().size();
+    }
+  }
+  return held;
+}
+
+class Fair final : public JobOrder
+{
+public:
+  std::string_view Name() const override { return "fair"; }
+
+  std::string_view Description() const override
+  {
+    return "by urgency, weighted share and age, with backfill";
+  }
+
+  bool Backfills() const override { return true; }
+
+  std::vector<std::size_t> Order(std::span<const QueuedJob> aJobs,
+                                 const FleetLoad& aLoad,
+                                 const OrderContext& aContext) const override
+  {
+    const auto held = HeldByOrganisation(aLoad);
+    const auto shortOnes = ShortOrganisations(aLoad);
+    using Rank = std::tuple<bool, bool, int, double, std::chrono::milliseconds>;
+    std::vector<Rank> ranks;
+    for (const QueuedJob& job : aJobs) {
+      const OrganisationId& organisation = job.Request().Organisation();
+      const auto share = held.find(organisation);
+      const auto weight = aContext.Weights().find(organisation);
+      const bool overdue =
+        aContext.Now() - job.QueuedAt() > aContext.OverdueAfter();
+      // Overdue jobs go by age alone, so that each becomes the first one.
+      ranks.emplace_back(!shortOnes.contains(organisation),
+                         !overdue,
+                         overdue ? 0 : -job.Urgency(),
+                         overdue || share == held.end()
+                           ? 0.0
+                           : static_cast<double>(share->second) /
+                               (weight == aContext.Weights().end()
+                                  ? 1
+                                  : std::max(1, weight->second)),
+                         job.QueuedAt());
+    }
+    auto order = Positions(aJobs.size());
+    std::stable_sort(
+      order.begin(), order.end(), [&ranks](std::size_t aLeft, auto aRight) {
+        return ranks[aLeft] < ranks[aRight];
+      });
+    return order;
+  }
+};
+
+const Fifo kFifo;
+const Fair kFair;
+const std::array<const JobOrder*, 2> kOrders{ &kFifo, &kFair };
+
+} // namespace
+
+std::span<const JobOrder* const>
+AllJobOrders()
+{
+  return kOrders;
+}
+
+const JobOrder*
+FindJobOrder(std::string_view aName)
+{
+  const auto* it =
+    std::find_if(kOrders.begin(), kOrders.end(), [aName](const auto* aOrder) {
+      return aOrder->Name() == aName;
+    });
+  return it != kOrders.end() ? *it : nullptr;
+}
+
+} // namespace cornelrudder::state
--- a/src/state/PlacementContext.cpp
+++ b/src/state/PlacementContext.cpp
@@ -91,7 +91,17 @@
   , mCounts(aLoad)
   , mOrganisation(mCounts.FindOrganisation(aRequest.Organisation()))
   , mAssigned(aLoad.Topology().Size(), 0)
+  , mWithheld(aLoad.Topology().Size(), false)
 {
+  for (std::size_t w = 0; w < aLoad.Topology().Size(); ++w) {
+    mRoom.push_back(mCounts.Free(w));
+  }
+  for (const VmId& name : aRequest.WithheldWorkers()) {
+    if (const auto w = aLoad.Topology().Find(name)) {
+      mRoom[*w] = std::max(0, mRoom[*w] - aRequest.WithheldPerWorker());
+      mWithheld[*w] = true;
+    }
+  }
   Allocate();
 }
 
@@ -279,11 +289,15 @@
 PlacementContext::ReclaimWithin(
   const std::vector<std::size_t>& aGroup,
   const std::vector<std::vector<Borrowed>>& aBorrowed,
-  bool aUnassignedOnly) const
+  bool aUnassignedOnly,
+  bool aWithheldToo) const
 {
   const auto& gangs = mCounts.Load().Gangs();
   std::vector<std::size_t> open;
   for (const std::size_t w : aGroup) {
+    if (mWithheld[w] && !aWithheldToo) {
+      continue;
+    }
     if ((aUnassignedOnly ? Unassigned(w) : mCounts.Shared(w)) >= PerWorker()) {
       open.push_back(w);
     }
@@ -367,11 +381,13 @@
 /** @return One place for each group that has one; least loss first. */
 std::vector<PlacementContext::Reclaim>
 PlacementContext::Reclaims(const std::vector<std::vector<Borrowed>>& aBorrowed,
-                           bool aUnassignedOnly) const
+                           bool aUnassignedOnly,
+                           bool aWithheldToo) const
 {
   std::vector<Reclaim> reclaims;
   for (const auto& group : Groups()) {
-    if (auto reclaim = ReclaimWithin(group, aBorrowed, aUnassignedOnly)) {
+    if (auto reclaim =
+          ReclaimWithin(group, aBorrowed, aUnassignedOnly, aWithheldToo)) {
       reclaims.push_back(std::move(*reclaim));
     }
   }
@@ -384,67 +400,65 @@
   return reclaims;
 }
 
-std::optional<PlacementDecision>
-PlacementContext::FindReclaim() const
+std::optional<PlacementContext::Reclaim>
+PlacementContext::FindReclaim(bool aWithheldToo) const
 {
-  std::optional<Reclaim> found;
   // Organisations beyond their guaranteed accelerators give way first.
   for (const bool anyHolder : { false, true }) {
     const auto borrowed = ReadBorrowed(anyHolder);
-    const auto safe = Reclaims(borrowed, true);
+    auto safe = Reclaims(borrowed, true, aWithheldToo);
     if (!safe.empty()) {
-      found = safe.front();
-      break;
+      return std::move(safe.front());
     }
-    auto others = Reclaims(borrowed, false);
+    auto others = Reclaims(borrowed, false, aWithheldToo);
     others.resize(std::min(others.size(), kMaxReclaimChecks));
-    const auto it =
-      std::find_if(others.begin(), others.end(), [this](const Reclaim& aPlace) {
-        return Keeps(aPlace.mWorkers);
-      });
-    if (it != others.end()) {
-      found = *it;
-      break;
+    for (Reclaim& place : others) {
+      if (Keeps(place.mWorkers)) {
+        return std::move(place);
+      }
     }
   }
-  if (!found) {
-    return std::nullopt;
-  }
-  if (found->mVictims.empty()) {
-    // The strategy has overlooked a free place.
-    return Placed(found->mWorkers, "free place within the guaranteed shape");
+  return std::nullopt;
+}
+
+PlacementDecision
+PlacementContext::Reclaimed(const Reclaim& aReclaim) const
+{
+  if (aReclaim.mVictims.empty()) {
+    // A free place that the strategy did not consider.
+    return Placed(aReclaim.mWorkers, "free place within the guaranteed shape");
   }
   const auto borrowed = ReadBorrowed(true);
   std::vector<std::uint64_t> bits(borrowed.size(), 0);
   for (std::size_t w = 0; w < borrowed.size(); ++w) {
     for (const Borrowed& held : borrowed[w]) {
-      if (std::find(found->mVictims.begin(),
-                    found->mVictims.end(),
-                    held.mGang) != found->mVictims.end()) {
+      if (std::find(aReclaim.mVictims.begin(),
+                    aReclaim.mVictims.end(),
+                    held.mGang) != aReclaim.mVictims.end()) {
         bits[w] |= held.mBits;
       }
     }
   }
   std::vector<JobId> victims;
-  for (const std::size_t victim : found->mVictims) {
+  for (const std::size_t victim : aReclaim.mVictims) {
     victims.push_back(mCounts.Load().Gangs()[victim].Job());
   }
   std::string reason = "guaranteed shape: " + std::to_string(victims.size()) +
                        " preemptible gangs must stop";
-  return PlacementDecision(PlacementKind::kReclaim,
-                           MakePlacement(found->mWorkers, bits),
-                           std::move(victims),
-                           std::move(reason));
+  return { PlacementKind::kReclaim,
+           MakePlacement(aReclaim.mWorkers, bits),
+           std::move(victims),
+           std::move(reason) };
 }
 
 /** @return The workers of the first group with room, or none. */
 std::vector<std::size_t>
-PlacementContext::FirstFree(int (FleetCounts::*aRoom)(std::size_t) const) const
+PlacementContext::FirstFree() const
 {
   for (const auto& group : Groups()) {
     std::vector<std::size_t> workers;
     for (const std::size_t w : group) {
-      if ((mCounts.*aRoom)(w) >= PerWorker()) {
+      if (Room(w) >= PerWorker()) {
         workers.push_back(w);
       }
       if (workers.size() == Members()) {
@@ -473,7 +487,7 @@
 PlacementContext::WaitReason() const
 {
   const auto& guarantees = mCounts.Load().Guarantees();
-  const auto free = FirstFree(&FleetCounts::Free);
+  const auto free = FirstFree();
   if (!free.empty()) {
     // A free place exists, so that a guarantee holds it.
     const FleetCounts after =
@@ -491,7 +505,7 @@
   }
   int total = 0;
   for (std::size_t w = 0; w < mCounts.Topology().Size(); ++w) {
-    total += mCounts.Free(w);
+    total += Room(w);
   }
   const Shape& what = mRequest.What();
   if (total >= what.Accelerators()) {
@@ -517,8 +531,12 @@
     };
   }
   if (IsOwed()) {
-    if (auto reclaim = FindReclaim()) {
-      return *reclaim;
+    auto reclaim = FindReclaim(false);
+    if (!reclaim && !mRequest.WithheldWorkers().empty()) {
+      reclaim = FindReclaim(true);
+    }
+    if (reclaim) {
+      return Reclaimed(*reclaim);
     }
   }
   return { PlacementKind::kWait, {}, {}, WaitReason() };
--- a/src/state/PlacementContext.h
+++ b/src/state/PlacementContext.h
@@ -36,6 +36,9 @@
    */
   const std::vector<std::vector<std::size_t>>& Groups() const;
 
+  /** @return Free accelerators that are not withheld for another job. */
+  int Room(std::size_t aWorker) const { return mRoom[aWorker]; }
+
   /**
    * @return Accelerators of a worker, free or held by preemptible gangs, that
    *   the joint allocation does not assign to other organisations. A
@@ -86,20 +89,22 @@
   std::vector<std::vector<Borrowed>> ReadBorrowed(bool aAnyHolder) const;
   std::vector<Reclaim> Reclaims(
     const std::vector<std::vector<Borrowed>>& aBorrowed,
-    bool aUnassignedOnly) const;
+    bool aUnassignedOnly,
+    bool aWithheldToo) const;
   std::optional<Reclaim> ReclaimWithin(
     const std::vector<std::size_t>& aGroup,
     const std::vector<std::vector<Borrowed>>& aBorrowed,
-    bool aUnassignedOnly) const;
+    bool aUnassignedOnly,
+    bool aWithheldToo) const;
   void DropNeedlessVictims(
     Reclaim& aReclaim,
     const std::vector<std::vector<Borrowed>>& aBorrowed) const;
-  std::optional<PlacementDecision> FindReclaim() const;
+  std::optional<Reclaim> FindReclaim(bool aWithheldToo) const;
+  PlacementDecision Reclaimed(const Reclaim& aReclaim) const;
   GangPlacement MakePlacement(
     std::span<const std::size_t> aWorkers,
     const std::vector<std::uint64_t>& aReclaimedBits) const;
-  std::vector<std::size_t> FirstFree(int (FleetCounts::*aRoom)(std::size_t)
-                                       const) const;
+  std::vector<std::size_t> FirstFree() const;
   bool FitsEmptyFleet() const;
   std::string WaitReason() const;
 
@@ -109,6 +114,9 @@
   std::vector<std::size_t> mCovered;
   /** Shared accelerators of a worker that others' shapes are assigned. */
   std::vector<int> mAssigned;
+  /** Free accelerators of a worker that are not withheld. */
+  std::vector<int> mRoom;
+  std::vector<bool> mWithheld;
 };
 
 } // namespace cornelrudder::state
--- /dev/null
+++ b/src/state/QueuePass.cpp
@@ -0,0 +1,139 @@
+#include "cornelrudder/state/QueuePass.h"
+
+#include "PlacementContext.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace cornelrudder::state {
+
+namespace {
+
+/** Distinct requests tried in one step, which bounds its cost. */
+constexpr std::size_t kMaxTries = 32;
+
+/**
+ * Chooses the place that has to wait for the fewest accelerators. It does not
+ * depend on declared run times, since these are often far off.
+ */
+std::optional<Reservation>
+Reserve(const FleetLoad& aLoad, const QueuedJob& aJob)
+{
+  const PlacementContext context(aLoad, aJob.Request());
+  const auto& workers = aLoad.Workers().All();
+  const auto missing = [&context](std::size_t w) {
+    return std::max(0, context.PerWorker() - context.Counts().Free(w));
+  };
+  std::vector<std::size_t> best;
+  int least = 0;
+  for (const auto& group : context.Groups()) {
+    std::vector<std::size_t> members;
+    for (const std::size_t w : group) {
+      // A non-preemptible job could not start on what others are assigned.
+      const int room = aJob.Request().Preemptible() ? workers[w].Accelerators()
+                                                    : context.Unassigned(w);
+      if (room >= context.PerWorker()) {
+        members.push_back(w);
+      }
+    }
+    if (members.size() < context.Members()) {
+      continue;
+    }
+    std::stable_sort(
+      members.begin(), members.end(), [&](std::size_t aLeft, auto aRight) {
+        return missing(aLeft) < missing(aRight);
+      });
+    members.resize(context.Members());
+    int sum = 0;
+    for (const std::size_t w : members) {
+      sum += missing(w);
+    }
+    if (best.empty() || sum < least) {
+      best = std::move(members);
+      least = sum;
+    }
+  }
+  if (best.empty()) {
+    return std::nullopt;
+  }
+  std::vector<VmId> names;
+  for (const std::size_t w : best) {
+    names.push_back(workers[w].Name());
+  }
+  return Reservation(aJob.Job(), std::move(names), context.PerWorker());
+}
+
+/** @return The reservation if its job still waits and its workers are left. */
+std::optional<Reservation>
+StillValid(const std::optional<Reservation>& aReservation,
+           std::span<const QueuedJob> aJobs,
+           const FleetLoad& aLoad)
+{
+  if (!aReservation ||
+      std::none_of(aJobs.begin(), aJobs.end(), [&](const QueuedJob& aJob) {
+        return aJob.Job() == aReservation->Job();
+      })) {
+    return std::nullopt;
+  }
+  const auto& workers = aReservation->Workers();
+  const bool present =
+    std::all_of(workers.begin(), workers.end(), [&](const VmId& aWorker) {
+      return aLoad.Topology().Find(aWorker).has_value();
+    });
+  return present ? aReservation : std::nullopt;
+}
+
+} // namespace
+
+QueueStep
+NextQueueStep(std::span<const QueuedJob> aJobs,
+              const FleetLoad& aLoad,
+              const JobOrder& aOrder,
+              const PlacementStrategy& aStrategy,
+              const OrderContext& aContext,
+              const std::optional<Reservation>& aReservation)
+{
+  std::optional<Reservation> reservation;
+  if (aOrder.Backfills()) {
+    reservation = StillValid(aReservation, aJobs, aLoad);
+  }
+  std::set<PlacementRequest> waiting;
+  std::optional<PlacementDecision> first;
+  for (const std::size_t position : aOrder.Order(aJobs, aLoad, aContext)) {
+    const QueuedJob& job = aJobs[position];
+    const bool reserved = reservation && reservation->Job() == job.Job();
+    // Equal requests get the same decision.
+    if (!reserved && waiting.contains(job.Request())) {
+      continue;
+    }
+    const PlacementRequest request =
+      reservation && !reserved
+        ? job.Request().Withholding(reservation->Workers(),
+                                    reservation->AcceleratorsPerWorker())
+        : job.Request();
+    PlacementDecision decision = aStrategy.Place(aLoad, request);
+    if (decision.Kind() != PlacementKind::kWait) {
+      if (reserved) {
+        reservation.reset();
+      }
+      return { position, std::move(decision), std::move(reservation) };
+    }
+    if (!first) {
+      first = std::move(decision);
+    }
+    if (!aOrder.Backfills() || waiting.size() + 1 >= kMaxTries) {
+      break;
+    }
+    waiting.insert(job.Request());
+    if (!reservation) {
+      reservation = Reserve(aLoad, job);
+    }
+  }
+  return { std::nullopt,
+           first.value_or(
+             PlacementDecision(PlacementKind::kWait, {}, {}, "empty queue")),
+           std::move(reservation) };
+}
+
+} // namespace cornelrudder::state
