Add the messages between daemons and their codec

Numbers go through cereal's portable binary archive; lengths and counts are checked against a bound and the bytes that are left before memory is taken, which cereal's own text and vector types do not do. A reply names the incarnation that asked, since a restarted daemon numbers its commands from the start again.

--- /dev/null
+++ b/include/cornelrudder/protocol/PeerCodec.h
@@ -0,0 +1,35 @@
+#ifndef CORNELRUDDER_PROTOCOL_PEER_CODEC_H
+#define CORNELRUDDER_PROTOCOL_PEER_CODEC_H
+
+#include "cornelrudder/state/PeerMessage.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace cornelrudder::protocol {
+
+/** First byte of each frame. */
+inline constexpr std::uint8_t kPeerProtocolVersion = 1;
+
+/** Longest frame between daemons, in bytes. */
+inline constexpr std::size_t kMaxPeerFrame = 1024 * 1024;
+
+/**
+ * @return The message as a frame.
+ * @throws ProtocolError if a part or the frame is longer than allowed.
+ */
+std::string
+EncodePeerMessage(const state::PeerMessage& aMessage);
+
+/**
+ * @param aFrame A frame from an untrusted sender.
+ * @throws ProtocolError if it is not exactly one encoded message.
+ */
+state::PeerMessage
+DecodePeerMessage(std::string_view aFrame);
+
+} // namespace cornelrudder::protocol
+
+#endif // CORNELRUDDER_PROTOCOL_PEER_CODEC_H
--- /dev/null
+++ b/include/cornelrudder/state/PeerMessage.h
@@ -0,0 +1,189 @@
+#ifndef CORNELRUDDER_STATE_PEER_MESSAGE_H
+#define CORNELRUDDER_STATE_PEER_MESSAGE_H
+
+#include "cornelrudder/state/Ids.h"
+#include "cornelrudder/state/JobCommand.h"
+#include "cornelrudder/state/SettingsDocument.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cornelrudder::state {
+
+/**
+ * Number of one life of a daemon; a later life has a higher number. Daemons
+ * have no disk, so it is the wall-clock time of the start.
+ */
+using Incarnation = std::uint64_t;
+
+/** Says that a daemon is there, where it listens and what it holds. */
+class Heartbeat
+{
+public:
+  /**
+   * @param aHttpAddress Where callers reach it, "a.b.c.d:port".
+   * @param aPeerAddress Where other daemons reach it.
+   * @param aLeaving Whether a graceful shutdown has begun.
+   * @param aSettingsTotal Sum of the versions of its settings documents.
+   */
+  Heartbeat(ZoneId aZone,
+            std::string aHttpAddress,
+            std::string aPeerAddress,
+            bool aLeaving,
+            SettingsVersion aSettingsTotal)
+    : mZone(std::move(aZone))
+    , mHttpAddress(std::move(aHttpAddress))
+    , mPeerAddress(std::move(aPeerAddress))
+    , mLeaving(aLeaving)
+    , mSettingsTotal(aSettingsTotal)
+  {
+  }
+
+  const ZoneId& Zone() const { return mZone; }
+  const std::string& HttpAddress() const { return mHttpAddress; }
+  const std::string& PeerAddress() const { return mPeerAddress; }
+  bool Leaving() const { return mLeaving; }
+
+  /**
+   * Grows by one with each accepted change, as the version of the head row
+   * does, so that a lower total means that changes are missing.
+   */
+  SettingsVersion SettingsTotal() const { return mSettingsTotal; }
+
+  auto operator<=>(const Heartbeat&) const = default;
+
+private:
+  ZoneId mZone;
+  std::string mHttpAddress;
+  std::string mPeerAddress;
+  bool mLeaving;
+  SettingsVersion mSettingsTotal;
+};
+
+/** Documents for a peer: a change, or a part of the answer to a query. */
+class SettingsNotice
+{
+public:
+  /**
+   * @param aHead Versions of all documents, so that the receiver knows when
+   *   it holds them all; only in the answer to a query.
+   */
+  SettingsNotice(std::vector<SettingsDocument> aDocuments,
+                 std::optional<SettingsHead> aHead)
+    : mDocuments(std::move(aDocuments))
+    , mHead(std::move(aHead))
+  {
+  }
+
+  const std::vector<SettingsDocument>& Documents() const { return mDocuments; }
+  const std::optional<SettingsHead>& Head() const { return mHead; }
+
+  auto operator<=>(const SettingsNotice&) const = default;
+
+private:
+  std::vector<SettingsDocument> mDocuments;
+  std::optional<SettingsHead> mHead;
+};
+
+/** Asks a peer for the documents that are newer than those held. */
+class SettingsQuery
+{
+public:
+  explicit SettingsQuery(SettingsHead aHeld)
+    : mHeld(std::move(aHeld))
+  {
+  }
+
+  const SettingsHead& Held() const { return mHeld; }
+
+  auto operator<=>(const SettingsQuery&) const = default;
+
+private:
+  SettingsHead mHeld;
+};
+
+/** A command about jobs for the owner of the placement domain. */
+class Forward
+{
+public:
+  /** @param aCorrelation Differs for each command of one incarnation. */
+  Forward(std::uint64_t aCorrelation, JobCommand aCommand)
+    : mCorrelation(aCorrelation)
+    , mCommand(std::move(aCommand))
+  {
+  }
+
+  std::uint64_t Correlation() const { return mCorrelation; }
+  const JobCommand& Command() const { return mCommand; }
+
+  auto operator<=>(const Forward&) const = default;
+
+private:
+  std::uint64_t mCorrelation;
+  JobCommand mCommand;
+};
+
+/** The answer to a Forward. */
+class ForwardReply
+{
+public:
+  /**
+   * @param aAsker Incarnation that sent the command: a restarted daemon counts
+   *   its commands from the start again and must not take this for its own.
+   */
+  ForwardReply(Incarnation aAsker, std::uint64_t aCorrelation, JobReply aReply)
+    : mAsker(aAsker)
+    , mCorrelation(aCorrelation)
+    , mReply(std::move(aReply))
+  {
+  }
+
+  Incarnation Asker() const { return mAsker; }
+  std::uint64_t Correlation() const { return mCorrelation; }
+  const JobReply& Reply() const { return mReply; }
+
+  auto operator<=>(const ForwardReply&) const = default;
+
+private:
+  Incarnation mAsker;
+  std::uint64_t mCorrelation;
+  JobReply mReply;
+};
+
+/** The order is that of the type numbers on the wire; append only. */
+using PeerBody =
+  std::variant<Heartbeat, SettingsNotice, SettingsQuery, Forward, ForwardReply>;
+
+/** @return The name of the type of a body. */
+std::string_view
+PeerBodyName(const PeerBody& aBody);
+
+/** A message between daemons. */
+class PeerMessage
+{
+public:
+  PeerMessage(VmId aSender, Incarnation aIncarnation, PeerBody aBody)
+    : mSender(std::move(aSender))
+    , mIncarnation(aIncarnation)
+    , mBody(std::move(aBody))
+  {
+  }
+
+  const VmId& Sender() const { return mSender; }
+  Incarnation SenderIncarnation() const { return mIncarnation; }
+  const PeerBody& Body() const { return mBody; }
+
+  auto operator<=>(const PeerMessage&) const = default;
+
+private:
+  VmId mSender;
+  Incarnation mIncarnation;
+  PeerBody mBody;
+};
+
+} // namespace cornelrudder::state
+
+#endif // CORNELRUDDER_STATE_PEER_MESSAGE_H
--- /dev/null
+++ b/src/protocol/PeerCodec.cpp
@@ -0,0 +1,423 @@
+#include "cornelrudder/protocol/PeerCodec.h"
+
+#include "PeerArchive.h"
+#include "cornelrudder/state/StateError.h"
+
+#include <array>
+#include <optional>
+
+namespace cornelrudder::protocol {
+
+using namespace state;
+
+namespace {
+
+constexpr std::size_t kMaxAddress = 64;
+constexpr std::size_t kMaxPath = 512;
+constexpr std::size_t kMaxText = 64 * 1024;
+constexpr std::size_t kMaxKeys = 256;
+constexpr std::size_t kMaxDocuments = 256;
+constexpr std::size_t kMaxHeadEntries = 8 * 1024;
+constexpr std::size_t kMaxJobs = 8 * 1024;
+/** A gang has at most one member for each accelerator. */
+constexpr std::size_t kMaxMembers = Shape::kMaxAccelerators;
+
+template<typename IdType>
+void
+PutId(PeerWriter& aWriter, const IdType& aId)
+{
+  aWriter.PutText(aId.Text(), kMaxIdLength);
+}
+
+template<typename IdType>
+IdType
+GetId(PeerReader& aReader)
+{
+  return IdType(aReader.GetText(kMaxIdLength));
+}
+
+void
+PutValue(PeerWriter& aWriter, const SettingValue& aValue)
+{
+  aWriter.Put(static_cast<std::uint8_t>(aValue.index()));
+  if (const auto* flag = std::get_if<bool>(&aValue)) {
+    aWriter.Put(static_cast<std::uint8_t>(*flag));
+  } else if (const auto* n = std::get_if<std::int64_t>(&aValue)) {
+    aWriter.Put(*n);
+  } else {
+    aWriter.PutText(std::get<std::string>(aValue), kMaxText);
+  }
+}
+
+SettingValue
+GetValue(PeerReader& aReader)
+{
+  static constexpr std::array<SettingValue (*)(PeerReader&),
+                              std::variant_size_v<SettingValue>>
+    kReaders{
+      [](PeerReader& aFrom) { return SettingValue(aFrom.GetFlag()); },
+      [](PeerReader& aFrom) { return SettingValue(aFrom.Get<std::int64_t>()); },
+      [](PeerReader& aFrom) { return SettingValue(aFrom.GetText(kMaxText)); },
+    };
+  const auto n = aReader.Get<std::uint8_t>();
+  if (n >= kReaders.size()) {
+    throw ProtocolError("peer message: unknown type of setting " +
+                        std::to_string(n));
+  }
+  return kReaders.at(n)(aReader);
+}
+
+void
+PutDocument(PeerWriter& aWriter, const SettingsDocument& aDocument)
+{
+  aWriter.PutText(aDocument.Path(), kMaxPath);
+  aWriter.Put(aDocument.Version());
+  aWriter.PutCount(aDocument.Values().size(), kMaxKeys);
+  for (const auto& [key, value] : aDocument.Values()) {
+    aWriter.PutText(key, kMaxPath);
+    PutValue(aWriter, value);
+  }
+  aWriter.PutCount(aDocument.History().size(), SettingsDocument::kMaxHistory);
+  for (const SettingsChange& change : aDocument.History()) {
+    aWriter.Put(change.Version());
+    aWriter.PutText(change.WriteId(), kMaxPath);
+    aWriter.PutText(change.Author(), kMaxText);
+  }
+}
+
+SettingsDocument
+GetDocument(PeerReader& aReader)
+{
+  std::string path = aReader.GetText(kMaxPath);
+  const auto version = aReader.Get<SettingsVersion>();
+  SettingValues values;
+  for (std::size_t n = aReader.GetCount(kMaxKeys); n > 0; --n) {
+    std::string key = aReader.GetText(kMaxPath);
+    values.insert_or_assign(std::move(key), GetValue(aReader));
+  }
+  std::vector<SettingsChange> history;
+  for (std::size_t n = aReader.GetCount(SettingsDocument::kMaxHistory); n > 0;
+       --n) {
+    const auto changed = aReader.Get<SettingsVersion>();
+    std::string writeId = aReader.GetText(kMaxPath);
+    history.emplace_back(
+      changed, std::move(writeId), aReader.GetText(kMaxText));
+  }
+  return { std::move(path), version, std::move(values), std::move(history) };
+}
+
+void
+PutHead(PeerWriter& aWriter, const SettingsHead& aHead)
+{
+  aWriter.PutCount(aHead.size(), kMaxHeadEntries);
+  for (const auto& [path, version] : aHead) {
+    aWriter.PutText(path, kMaxPath);
+    aWriter.Put(version);
+  }
+}
+
+SettingsHead
+GetHead(PeerReader& aReader)
+{
+  SettingsHead head;
+  for (std::size_t n = aReader.GetCount(kMaxHeadEntries); n > 0; --n) {
+    std::string path = aReader.GetText(kMaxPath);
+    head.insert_or_assign(std::move(path), aReader.Get<SettingsVersion>());
+  }
+  return head;
+}
+
+void
+PutSpec(PeerWriter& aWriter, const JobSpec& aSpec)
+{
+  PutId(aWriter, aSpec.Name());
+  PutId(aWriter, aSpec.Organisation());
+  PutId(aWriter, aSpec.Team());
+  PutId(aWriter, aSpec.Class());
+  aWriter.Put(static_cast<std::int32_t>(aSpec.What().Workers()));
+  aWriter.Put(static_cast<std::int32_t>(aSpec.What().AcceleratorsPerWorker()));
+  aWriter.PutEnum(aSpec.What().Within());
+  aWriter.PutText(aSpec.Key(), kMaxPath);
+  aWriter.Put(static_cast<std::int64_t>(aSpec.Expected().count()));
+}
+
+Shape
+GetShape(PeerReader& aReader)
+{
+  const auto workers = aReader.Get<std::int32_t>();
+  const auto accelerators = aReader.Get<std::int32_t>();
+  const auto within = aReader.GetEnum(AdjacencyName);
+  return { workers, accelerators, within };
+}
+
+JobSpec
+GetSpec(PeerReader& aReader)
+{
+  auto job = GetId<JobId>(aReader);
+  auto organisation = GetId<OrganisationId>(aReader);
+  auto team = GetId<TeamId>(aReader);
+  auto jobClass = GetId<ClassName>(aReader);
+  const Shape shape = GetShape(aReader);
+  std::string key = aReader.GetText(kMaxPath);
+  const std::chrono::seconds expected(aReader.Get<std::int64_t>());
+  return { std::move(job),  std::move(organisation),
+           std::move(team), std::move(jobClass),
+           shape,           std::move(key),
+           expected };
+}
+
+void
+PutPlacement(PeerWriter& aWriter, const GangPlacement& aPlacement)
+{
+  aWriter.PutCount(aPlacement.Members().size(), kMaxMembers);
+  for (const MemberPlacement& member : aPlacement.Members()) {
+    PutId(aWriter, member.Worker());
+    aWriter.PutCount(member.Accelerators().size(), kMaxMembers);
+    for (const int accelerator : member.Accelerators()) {
+      aWriter.Put(static_cast<std::int32_t>(accelerator));
+    }
+  }
+}
+
+GangPlacement
+GetPlacement(PeerReader& aReader)
+{
+  std::vector<MemberPlacement> members;
+  for (std::size_t n = aReader.GetCount(kMaxMembers); n > 0; --n) {
+    auto worker = GetId<VmId>(aReader);
+    std::vector<int> accelerators;
+    for (std::size_t m = aReader.GetCount(kMaxMembers); m > 0; --m) {
+      accelerators.push_back(aReader.Get<std::int32_t>());
+    }
+    members.emplace_back(std::move(worker), std::move(accelerators));
+  }
+  return GangPlacement(std::move(members));
+}
+
+void
+PutJob(PeerWriter& aWriter, const Job& aJob)
+{
+  PutSpec(aWriter, aJob.Spec());
+  aWriter.PutEnum(aJob.State());
+  aWriter.Put(aJob.Attempt());
+  aWriter.Put(aJob.Epoch());
+  PutPlacement(aWriter, aJob.Placement());
+  aWriter.PutEnum(aJob.Reason());
+  aWriter.PutEnum(aJob.HasRun());
+  aWriter.PutText(aJob.Detail(), kMaxText);
+}
+
+Job
+GetJob(PeerReader& aReader)
+{
+  JobSpec spec = GetSpec(aReader);
+  const auto jobState = aReader.GetEnum(JobStateName);
+  const auto attempt = aReader.Get<std::uint32_t>();
+  const auto epoch = aReader.Get<std::uint64_t>();
+  GangPlacement placement = GetPlacement(aReader);
+  const auto reason = aReader.GetEnum(ReasonName);
+  const auto ran = aReader.GetEnum(RanName);
+  return { std::move(spec),      jobState, attempt, epoch,
+           std::move(placement), reason,   ran,     aReader.GetText(kMaxText) };
+}
+
+void
+PutBody(PeerWriter& aWriter, const Heartbeat& aBody)
+{
+  PutId(aWriter, aBody.Zone());
+  aWriter.PutText(aBody.HttpAddress(), kMaxAddress);
+  aWriter.PutText(aBody.PeerAddress(), kMaxAddress);
+  aWriter.Put(static_cast<std::uint8_t>(aBody.Leaving()));
+  aWriter.Put(aBody.SettingsTotal());
+}
+
+PeerBody
+GetHeartbeat(PeerReader& aReader)
+{
+  auto zone = GetId<ZoneId>(aReader);
+  std::string http = aReader.GetText(kMaxAddress);
+  std::string peer = aReader.GetText(kMaxAddress);
+  const bool leaving = aReader.GetFlag();
+  return Heartbeat(std::move(zone),
+                   std::move(http),
+                   std::move(peer),
+                   leaving,
+                   aReader.Get<SettingsVersion>());
+}
+
+void
+PutBody(PeerWriter& aWriter, const SettingsNotice& aBody)
+{
+  aWriter.PutCount(aBody.Documents().size(), kMaxDocuments);
+  for (const SettingsDocument& document : aBody.Documents()) {
+    PutDocument(aWriter, document);
+  }
+  aWriter.Put(static_cast<std::uint8_t>(aBody.Head().has_value()));
+  if (aBody.Head()) {
+    PutHead(aWriter, *aBody.Head());
+  }
+}
+
+PeerBody
+GetSettingsNotice(PeerReader& aReader)
+{
+  std::vector<SettingsDocument> documents;
+  for (std::size_t n = aReader.GetCount(kMaxDocuments); n > 0; --n) {
+    documents.push_back(GetDocument(aReader));
+  }
+  std::optional<SettingsHead> head;
+  if (aReader.GetFlag()) {
+    head = GetHead(aReader);
+  }
+  return SettingsNotice(std::move(documents), std::move(head));
+}
+
+void
+PutBody(PeerWriter& aWriter, const SettingsQuery& aBody)
+{
+  PutHead(aWriter, aBody.Held());
+}
+
+PeerBody
+GetSettingsQuery(PeerReader& aReader)
+{
+  return SettingsQuery(GetHead(aReader));
+}
+
+void
+PutBody(PeerWriter& aWriter, const Forward& aBody)
+{
+  const JobCommand& command = aBody.Command();
+  aWriter.Put(aBody.Correlation());
+  aWriter.PutEnum(command.Kind());
+  if (command.Spec()) {
+    PutSpec(aWriter, *command.Spec());
+  } else if (command.Job()) {
+    PutId(aWriter, *command.Job());
+  }
+}
+
+/** Reads a command; the order is that of JobCommandKind. */
+JobCommand
+GetCommand(PeerReader& aReader)
+{
+  static constexpr std::array<JobCommand (*)(PeerReader&), 5> kReaders{
+    [](PeerReader& aFrom) { return JobCommand::Submit(GetSpec(aFrom)); },
+    [](PeerReader& aFrom) { return JobCommand::Get(GetId<JobId>(aFrom)); },
+    [](PeerReader&) { return JobCommand::List(); },
+    [](PeerReader& aFrom) { return JobCommand::Cancel(GetId<JobId>(aFrom)); },
+    [](PeerReader& aFrom) { return JobCommand::Explain(GetId<JobId>(aFrom)); },
+  };
+  const auto kind = aReader.Get<std::uint8_t>();
+  if (kind >= kReaders.size()) {
+    throw ProtocolError("peer message: unknown command " +
+                        std::to_string(kind));
+  }
+  return kReaders.at(kind)(aReader);
+}
+
+PeerBody
+GetForward(PeerReader& aReader)
+{
+  const auto correlation = aReader.Get<std::uint64_t>();
+  return Forward(correlation, GetCommand(aReader));
+}
+
+void
+PutBody(PeerWriter& aWriter, const ForwardReply& aBody)
+{
+  const JobReply& reply = aBody.Reply();
+  aWriter.Put(aBody.Asker());
+  aWriter.Put(aBody.Correlation());
+  aWriter.PutEnum(reply.Reason());
+  aWriter.PutEnum(reply.HasRun());
+  aWriter.PutText(reply.Detail(), kMaxText);
+  aWriter.PutCount(reply.Jobs().size(), kMaxJobs);
+  for (const Job& job : reply.Jobs()) {
+    PutJob(aWriter, job);
+  }
+}
+
+PeerBody
+GetForwardReply(PeerReader& aReader)
+{
+  const auto asker = aReader.Get<Incarnation>();
+  const auto correlation = aReader.Get<std::uint64_t>();
+  const auto reason = aReader.GetEnum(ReasonName);
+  const auto ran = aReader.GetEnum(RanName);
+  std::string detail = aReader.GetText(kMaxText);
+  std::vector<Job> jobs;
+  for (std::size_t n = aReader.GetCount(kMaxJobs); n > 0; --n) {
+    jobs.push_back(GetJob(aReader));
+  }
+  return ForwardReply(
+    asker, correlation, { reason, ran, std::move(detail), std::move(jobs) });
+}
+
+/** The type number on the wire is the index in PeerBody. */
+constexpr std::array<PeerBody (*)(PeerReader&), std::variant_size_v<PeerBody>>
+  kBodyReaders{ GetHeartbeat,
+                GetSettingsNotice,
+                GetSettingsQuery,
+                GetForward,
+                GetForwardReply };
+
+PeerMessage
+DecodeContent(std::string_view aContent)
+{
+  PeerReader reader(aContent);
+  auto sender = GetId<VmId>(reader);
+  const auto incarnation = reader.Get<Incarnation>();
+  const auto type = reader.Get<std::uint8_t>();
+  if (type >= kBodyReaders.size()) {
+    throw ProtocolError("peer message: unknown type " + std::to_string(type));
+  }
+  PeerBody body = kBodyReaders.at(type)(reader);
+  reader.RequireEnd();
+  return { std::move(sender), incarnation, std::move(body) };
+}
+
+} // namespace
+
+std::string
+EncodePeerMessage(const PeerMessage& aMessage)
+{
+  PeerWriter writer;
+  PutId(writer, aMessage.Sender());
+  writer.Put(aMessage.SenderIncarnation());
+  writer.Put(static_cast<std::uint8_t>(aMessage.Body().index()));
+  std::visit([&writer](const auto& aBody) { PutBody(writer, aBody); },
+             aMessage.Body());
+  std::string frame(1, static_cast<char>(kPeerProtocolVersion));
+  frame += writer.Bytes();
+  if (frame.size() > kMaxPeerFrame) {
+    throw ProtocolError("peer message of " + std::to_string(frame.size()) +
+                        " bytes; allowed are " + std::to_string(kMaxPeerFrame));
+  }
+  return frame;
+}
+
+PeerMessage
+DecodePeerMessage(std::string_view aFrame)
+{
+  if (aFrame.empty() || aFrame.size() > kMaxPeerFrame) {
+    throw ProtocolError("peer message of " + std::to_string(aFrame.size()) +
+                        " bytes; allowed are 1 to " +
+                        std::to_string(kMaxPeerFrame));
+  }
+  const auto version = static_cast<std::uint8_t>(aFrame.front());
+  if (version != kPeerProtocolVersion) {
+    throw ProtocolError("peer message of protocol version " +
+                        std::to_string(version) + "; known is " +
+                        std::to_string(kPeerProtocolVersion));
+  }
+  try {
+    return DecodeContent(aFrame.substr(1));
+  } catch (const StateError& error) {
+    throw ProtocolError(std::string("peer message: ") + error.what());
+  } catch (const cereal::Exception& error) {
+    throw ProtocolError(std::string("peer message: ") + error.what());
+  }
+}
+
+} // namespace cornelrudder::protocol
--- /dev/null
+++ b/tests/protocol/PeerCodecTest.cpp
@@ -0,0 +1,240 @@
+#include "cornelrudder/protocol/PeerCodec.h"
+#include "cornelrudder/protocol/ProtocolError.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <rapidcheck.h>
+
+#include <cstdio>
+
+using namespace cornelrudder;
+using namespace cornelrudder::protocol;
+
+namespace {
+
+state::JobSpec
+Spec()
+{
+  return { state::JobId("job-1"),
+           state::OrganisationId("acme"),
+           state::TeamId("night"),
+           state::ClassName("nesting"),
+           state::Shape(8, 8, state::Adjacency::kRack),
+           "key-1",
+           std::chrono::seconds(7'200) };
+}
+
+state::SettingsDocument
+Document(std::size_t aChanges)
+{
+  const state::SettingValues values{ { "idempotent", true },
+                                     { "max_wait_ms", std::int64_t{ -1 } },
+                                     { "urgency", std::int64_t{ 9 } },
+                                     { "display_name", std::string("Acme") } };
+  std::vector<state::SettingsChange> history;
+  for (std::size_t i = 0; i < aChanges; ++i) {
+    history.emplace_back(
+      i + 1, "entry-1-12345678901234567890-" + std::to_string(i), "operator");
+  }
+  return { "classes/proof-render", aChanges + 1, values, std::move(history) };
+}
+
+state::PeerMessage
+Message(state::PeerBody aBody)
+{
+  return { state::VmId("entry-1"), 1'796'380'298'000, std::move(aBody) };
+}
+
+state::Heartbeat
+Heartbeat()
+{
+  return { state::ZoneId("region-1-zone-a"),
+           "192.168.100.101:18080",
+           "192.168.100.101:18081",
+           true,
+           123'456 };
+}
+
+/** One message of each type, and each command. */
+std::vector<state::PeerMessage>
+Samples()
+{
+  const state::GangPlacement placement(
+    { { state::VmId("worker-1"), { 0, 1, 7 } },
+      { state::VmId("worker-2"), {} } });
+  const state::Job job = state::Job::Queued(Spec())
+                           .WithPlacement(placement, 7)
+                           .WithState(state::JobState::kRunning);
+  const state::Job failed =
+    job.WithOutcome(state::JobState::kFailed,
+                    state::RefusalReason::kEndpointFailed,
+                    state::Ran::kUnknown,
+                    "the worker was lost");
+  using state::JobCommand;
+  return {
+    Message(Heartbeat()),
+    Message(state::SettingsNotice({ Document(0), Document(16) }, {})),
+    Message(state::SettingsNotice(
+      { Document(3) }, state::SettingsHead{ { "classes/a", 4 }, { "b", 1 } })),
+    Message(state::SettingsQuery({ { "classes/a", 4 } })),
+    Message(state::Forward(1, JobCommand::Submit(Spec()))),
+    Message(state::Forward(2, JobCommand::Get(state::JobId("job-1")))),
+    Message(state::Forward(3, JobCommand::List())),
+    Message(state::Forward(4, JobCommand::Cancel(state::JobId("job-1")))),
+    Message(state::Forward(5, JobCommand::Explain(state::JobId("job-1")))),
+    Message(state::ForwardReply(
+      6,
+      7,
+      state::JobReply(
+        state::RefusalReason::kNone, state::Ran::kYes, "", { job, failed }))),
+    Message(state::ForwardReply(
+      6,
+      8,
+      state::JobReply(
+        state::RefusalReason::kNoOwner, state::Ran::kNo, "no owner", {}))),
+  };
+}
+
+/** @return Whether the frame was rejected with a ProtocolError. */
+bool
+IsRejected(const std::string& aFrame)
+{
+  try {
+    DecodePeerMessage(aFrame);
+    return false;
+  } catch (const ProtocolError&) {
+    return true;
+  }
+}
+
+} // namespace
+
+TEST_GROUP(PeerCodec){};
+
+// Guards against a field that is lost or swapped on the way to a peer.
+TEST(PeerCodec, EachMessageSurvivesTheRoundTrip)
+{
+  for (const state::PeerMessage& message : Samples()) {
+    CHECK(DecodePeerMessage(EncodePeerMessage(message)) == message);
+  }
+}
+
+// Guards against heartbeats that use up the budget of control traffic.
+TEST(PeerCodec, HeartbeatIsBelow200Bytes)
+{
+  CHECK(EncodePeerMessage(Message(Heartbeat())).size() < 200);
+}
+
+// Guards against decoding a frame of a version or type that may mean
+// something else.
+TEST(PeerCodec, UnknownVersionAndTypeAreRejected)
+{
+  std::string frame = EncodePeerMessage(Message(Heartbeat()));
+  LONGS_EQUAL(kPeerProtocolVersion, frame.at(0));
+  frame.at(0) = 2;
+  CHECK(IsRejected(frame));
+  frame = EncodePeerMessage(Message(Heartbeat()));
+  // Version, byte order, length and text of the sender, incarnation.
+  const std::size_t type = 1 + 1 + 4 + std::string("entry-1").size() + 8;
+  LONGS_EQUAL(0, frame.at(type));
+  frame.at(type) = 5;
+  CHECK(IsRejected(frame));
+}
+
+// Guards against accepting a message with a part missing or added.
+TEST(PeerCodec, CutAndLengthenedFramesAreRejected)
+{
+  for (const state::PeerMessage& message : Samples()) {
+    const std::string frame = EncodePeerMessage(message);
+    for (std::size_t n = 0; n < frame.size(); ++n) {
+      CHECK(IsRejected(frame.substr(0, n)));
+    }
+    CHECK(IsRejected(frame + '\0'));
+  }
+}
+
+// Guards against a length field that makes the daemon take gigabytes.
+TEST(PeerCodec, HugeLengthIsRejectedBeforeMemoryIsTaken)
+{
+  std::string frame = EncodePeerMessage(Message(Heartbeat()));
+  frame.replace(2, 4, "\xff\xff\xff\x7f");
+  CHECK(IsRejected(frame));
+  frame.replace(2, 4, std::string("\x40\x00\x00\x00", 4));
+  CHECK(IsRejected(frame));
+}
+
+// Guards against sending what no peer would accept.
+TEST(PeerCodec, TooLongMessagesAreNotEncoded)
+{
+  const std::string text(60'000, 'x');
+  const state::SettingsDocument document(
+    "policy", 1, { { "key", state::SettingValue(text) } }, {});
+  const std::vector<state::SettingsDocument> documents(20, document);
+  CHECK_THROWS(
+    ProtocolError,
+    EncodePeerMessage(Message(state::SettingsNotice(documents, std::nullopt))));
+  const state::Heartbeat heartbeat(
+    state::ZoneId("z"), std::string(65, 'x'), "", false, 0);
+  CHECK_THROWS(ProtocolError, EncodePeerMessage(Message(heartbeat)));
+}
+
+// Guards against crashes, hangs and other exceptions on what peers send.
+TEST(PeerCodec, GarbageIsRejectedOrDecoded)
+{
+  const bool held = rc::check("garbage", [](const std::string& aGarbage) {
+    // Any exception but ProtocolError fails the property.
+    IsRejected(aGarbage);
+    // The first bytes are right, so that more of the decoder is reached.
+    std::string frame("\x01\x01", 2);
+    frame += aGarbage;
+    IsRejected(frame);
+  });
+  CHECK(held);
+}
+
+// Guards against the same for frames that are almost right.
+TEST(PeerCodec, MutatedFramesAreRejectedOrDecoded)
+{
+  const auto samples = Samples();
+  const bool held = rc::check("mutated frames", [&samples] {
+    std::string frame = EncodePeerMessage(*rc::gen::elementOf(samples));
+    const int changes = *rc::gen::inRange(1, 5);
+    for (int i = 0; i < changes; ++i) {
+      const auto n = *rc::gen::inRange<std::size_t>(0, frame.size());
+      frame.at(n) = *rc::gen::arbitrary<char>();
+    }
+    if (!IsRejected(frame)) {
+      // What is accepted is a message that can be sent on.
+      const auto message = DecodePeerMessage(frame);
+      RC_ASSERT(DecodePeerMessage(EncodePeerMessage(message)) == message);
+    }
+  });
+  CHECK(held);
+}
+
+// Guards against control traffic of a daemon above 7 KB/s at 9 daemons.
+TEST(PeerCodec, ControlTrafficIsWithinTheBudget)
+{
+  constexpr double kPeers = 8;
+  constexpr double kChangesADay = 840;
+  constexpr double kSecondsADay = 86'400;
+  constexpr double kBudget = 7'000;
+  // Headers of nng, TCP with timestamps, IP and Ethernet.
+  constexpr double kSegment = 32 + 20 + 14;
+  constexpr double kFraming = 8 + kSegment;
+  constexpr double kAcknowledgement = kSegment;
+  constexpr double kPayloadOfSegment = 1'448;
+  const auto cost = [](const state::PeerBody& aBody) {
+    const auto n =
+      static_cast<double>(EncodePeerMessage(Message(aBody)).size());
+    const double segments = 1 + n / kPayloadOfSegment;
+    return n + segments * (kFraming + kAcknowledgement);
+  };
+  // Each heartbeat and notice counts where it is sent and where it arrives.
+  const double heartbeats = 2 * kPeers * cost(Heartbeat());
+  const double notices = 2 * kPeers / (kPeers + 1) * kChangesADay /
+                         kSecondsADay *
+                         cost(state::SettingsNotice({ Document(16) }, {}));
+  std::printf("heartbeats %.0f B/s, notices %.1f B/s\n", heartbeats, notices);
+  CHECK(heartbeats + notices < kBudget);
+}
