Add the membership table as a pure value

A gone peer that is still listed is kept in the table, since a listed daemon that was never heard from counts as alive.

--- /dev/null
+++ b/src/state/Membership.cpp
@@ -0,0 +1,153 @@
+#include "cornelrudder/state/Membership.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cornelrudder::state {
+
+std::string_view
+PeerStateName(PeerState aState)
+{
+  static constexpr std::array<std::string_view, 4> kNames{
+    "alive", "suspected", "leaving", "gone"
+  };
+  return kNames.at(static_cast<std::size_t>(aState));
+}
+
+Peer
+Peer::WithDropped(bool aDropped) const
+{
+  Peer peer = *this;
+  peer.mDropped = aDropped;
+  return peer;
+}
+
+std::optional<Membership>
+Membership::WithHeartbeat(const VmId& aSender,
+                          Incarnation aIncarnation,
+                          const Heartbeat& aHeartbeat,
+                          std::chrono::milliseconds aNow) const
+{
+  if (aSender == mSelf) {
+    return std::nullopt;
+  }
+  const Peer* held = Find(aSender);
+  if (held == nullptr && mPeers.size() >= kMaxPeers) {
+    return std::nullopt;
+  }
+  const bool sameLife = held != nullptr && held->Life() == aIncarnation;
+  const bool outdated = held != nullptr && aIncarnation < held->Life() &&
+                        aNow - held->Heard() < mTimeouts.mForgetAfter;
+  if (outdated) {
+    return std::nullopt;
+  }
+  // A life that the VM list dropped stays gone although it still speaks.
+  const bool dropped = sameLife && held->Dropped();
+  Membership next = *this;
+  next.mPeers.insert_or_assign(
+    aSender, Peer(aSender, aIncarnation, aHeartbeat, aNow, dropped));
+  return next;
+}
+
+Membership
+Membership::WithVms(const VmList& aVms) const
+{
+  Membership next = *this;
+  next.mListed.clear();
+  for (const Vm& vm : aVms.All()) {
+    if (vm.Role() == VmRole::kEntry) {
+      next.mListed.insert_or_assign(vm.Name(), vm.State());
+    }
+  }
+  for (auto& [id, peer] : next.mPeers) {
+    if (next.mListed.contains(id)) {
+      peer = peer.WithDropped(false);
+    } else if (mListed.contains(id)) {
+      peer = peer.WithDropped(true);
+    }
+  }
+  return next;
+}
+
+Membership
+Membership::WithoutForgotten(std::chrono::milliseconds aNow) const
+{
+  Membership next = *this;
+  std::erase_if(next.mPeers, [this, aNow](const auto& aEntry) {
+    return IsForgotten(aEntry.second, aNow);
+  });
+  return next;
+}
+
+const Peer*
+Membership::Find(const VmId& aPeer) const
+{
+  const auto it = mPeers.find(aPeer);
+  return it != mPeers.end() ? &it->second : nullptr;
+}
+
+bool
+Membership::IsCurrent(const VmId& aSender, Incarnation aIncarnation) const
+{
+  const Peer* peer = Find(aSender);
+  return peer != nullptr && peer->Life() == aIncarnation;
+}
+
+std::vector<Member>
+Membership::Members(std::chrono::milliseconds aNow) const
+{
+  std::vector<Member> members;
+  for (const auto& [id, peer] : mPeers) {
+    members.emplace_back(id, StateOf(peer, aNow), peer);
+  }
+  for (const auto& [id, vmState] : mListed) {
+    if (id != mSelf && Find(id) == nullptr) {
+      members.emplace_back(id,
+                           vmState == VmState::kLive ? PeerState::kAlive
+                                                     : PeerState::kLeaving,
+                           std::nullopt);
+    }
+  }
+  std::sort(members.begin(), members.end());
+  return members;
+}
+
+std::vector<VmId>
+Membership::Daemons(std::chrono::milliseconds aNow) const
+{
+  std::vector<VmId> daemons{ mSelf };
+  for (const Member& member : Members(aNow)) {
+    if (member.State() == PeerState::kAlive) {
+      daemons.push_back(member.Name());
+    }
+  }
+  std::sort(daemons.begin(), daemons.end());
+  return daemons;
+}
+
+PeerState
+Membership::StateOf(const Peer& aPeer, std::chrono::milliseconds aNow) const
+{
+  const auto silent = aNow - aPeer.Heard();
+  if (aPeer.Dropped() || silent >= mTimeouts.mGoneAfter) {
+    return PeerState::kGone;
+  }
+  const auto it = mListed.find(aPeer.Name());
+  const bool listedLeaving =
+    it != mListed.end() && it->second == VmState::kLeaving;
+  if (aPeer.Last().Leaving() || listedLeaving) {
+    return PeerState::kLeaving;
+  }
+  return silent >= mTimeouts.mSuspectAfter ? PeerState::kSuspected
+                                           : PeerState::kAlive;
+}
+
+bool
+Membership::IsForgotten(const Peer& aPeer, std::chrono::milliseconds aNow) const
+{
+  // A listed peer is kept: without the record it would count as alive.
+  return !mListed.contains(aPeer.Name()) &&
+         aNow - aPeer.Heard() >= mTimeouts.mForgetAfter;
+}
+
+} // namespace cornelrudder::state
