--- a/apps/cornelrudderd/Daemon.cpp
+++ b/apps/cornelrudderd/Daemon.cpp
@@ -1,9 +1,11 @@
 #include "cornelrudderd/Daemon.h"
 
 #include "cornelrudder/coordination/Clock.h"
+#include "cornelrudder/coordination/ForwardTask.h"
 #include "cornelrudder/coordination/MembershipTask.h"
 #include "cornelrudder/coordination/Messages.h"
 #include "cornelrudder/coordination/RoutingTask.h"
+#include "cornelrudder/coordination/SettingsSyncTask.h"
 #include "cornelrudder/coordination/SettingsTask.h"
 #include "cornelrudder/coordination/StoreTask.h"
 #include "cornelrudder/protocol/JsonRowCodec.h"
@@ -11,6 +13,7 @@
 #include "cornelrudder/transport/HttpServer.h"
 #include "cornelrudder/transport/IoThread.h"
 #include "cornelrudderd/FrontTask.h"
+#include "cornelrudderd/PeerAdapter.h"
 #include "cornelrudderd/PlatformAdapters.h"
 #include "cornelrudderd/RunnerAdapter.h"
 #include "cornelrudderd/SpdlogEventLog.h"
@@ -43,6 +46,24 @@
   return aId.Text().substr(0, 24) + "-" + std::to_string(n);
 }
 
+/**
+ * Daemons have no disk, so the wall clock orders the lives of one daemon.
+ */
+state::Incarnation
+MakeIncarnationNumber()
+{
+  const auto time = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<state::Incarnation>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+/** Silence is measured in heartbeats, so that tests can use short ones. */
+state::MembershipTimeouts
+TimeoutsFor(std::chrono::milliseconds aHeartbeat)
+{
+  return { 3 * aHeartbeat, 10 * aHeartbeat, 60 * aHeartbeat };
+}
+
 class TaskSystemConfig : public caf::actor_system_config
 {
 public:
@@ -65,6 +86,8 @@
            aSettings.LogLevelName(),
            aSettings.LogsJson())
     , mIncarnation(MakeIncarnation(aSettings.Id()))
+    , mIncarnationNumber(MakeIncarnationNumber())
+    , mPeers(aSettings.PeerAddress())
     , mPlatformClient(mThread, { kStoreConnections })
     , mRunnerClient(mThread, {})
     , mStore(mPlatformClient,
@@ -86,16 +109,22 @@
         caf::anon_send(front,
                        HttpCall{ std::move(aRequest), std::move(aRespond) });
       });
+    mPeers.SetReceiver(mMembership);
+    caf::anon_send(
+      mMembership,
+      coordination::AnnounceAddresses{ mServer->Address(), mPeers.Address() });
   }
 
   ~Impl()
   {
     mServer.reset();
+    mPeers.SetReceiver(nullptr);
     for (const caf::actor& task : mTasks) {
       caf::anon_send_exit(task, caf::exit_reason::user_shutdown);
     }
     mTasks.clear();
     mFront = nullptr;
+    mMembership = nullptr;
     mSystem.await_all_actors_done();
     mThread.Stop();
   }
@@ -108,6 +137,7 @@
     mThread.WatchStopSignals([this] { BeginStop(); });
     mLog.Write({ LogEvent::kStarted,
                  { { "http", mServer->Address() },
+                   { "peer", mPeers.Address() },
                    { "zone", mSettings.Zone().Text() },
                    { "incarnation", mIncarnation } } });
     const std::size_t cutOff = mDone.get_future().get();
@@ -130,16 +160,44 @@
                             mLog,
                             coordination::WriteIds(mIncarnation),
                             { mSettings.PollInterval() }));
-    const caf::actor membership = Add(SpawnMembershipTask(
-      mSystem, mFleet, mLog, { mSettings.Id(), mSettings.PollInterval() }));
+    mMembership =
+      Add(SpawnMembershipTask(mSystem,
+                              mFleet,
+                              mPeers,
+                              mClock,
+                              mLog,
+                              { mSettings.Id(),
+                                mSettings.Zone(),
+                                mIncarnationNumber,
+                                mSettings.Seeds(),
+                                mSettings.PollInterval(),
+                                mSettings.HeartbeatInterval(),
+                                TimeoutsFor(mSettings.HeartbeatInterval()) }));
+    const caf::actor sync =
+      Add(SpawnSettingsSyncTask(mSystem, settings, mMembership, mLog, {}));
+    // Without a placement task this daemon refuses forwarded commands.
+    const caf::actor forward = Add(SpawnForwardTask(
+      mSystem,
+      mMembership,
+      caf::actor(),
+      mClock,
+      mLog,
+      { mSettings.Id(), mSettings.Region(), mIncarnationNumber }));
+    caf::anon_send(mMembership, coordination::UsePeerHandlers{ sync, forward });
+    caf::anon_send(settings, coordination::Subscribe{ mMembership });
     const caf::actor routing = Add(SpawnRoutingTask(
       mSystem, mRunners, mLog, { mSettings.Id(), mSettings.Zone() }));
     caf::anon_send(settings, coordination::Subscribe{ routing });
-    caf::anon_send(membership, coordination::Subscribe{ routing });
-    mFront = Add(
-      SpawnFrontTask(mSystem,
-                     { routing, settings, { routing, settings, membership } },
-                     mIncarnation));
+    caf::anon_send(mMembership, coordination::Subscribe{ routing });
+    mFront =
+      Add(SpawnFrontTask(mSystem,
+                         { routing,
+                           settings,
+                           { routing, settings, mMembership, sync, forward },
+                           mMembership,
+                           sync,
+                           [this] { mThread.Post([this] { StartDrain(); }); } },
+                         mIncarnation));
   }
 
   caf::actor Add(caf::actor aTask)
@@ -155,9 +213,19 @@
       FinishStop(0);
       return;
     }
+    StartDrain();
+  }
+
+  /** A repeated call has no effect. */
+  void StartDrain()
+  {
+    if (mStopping) {
+      return;
+    }
     mStopping = true;
     mLog.Write({ LogEvent::kStopping, {} });
     caf::anon_send(mFront, BeginDrain{});
+    caf::anon_send(mMembership, coordination::BeginLeaving{});
     // The balancer needs time to see /readyz before the listener closes.
     mThread.PostAfter(mSettings.DrainNotice(), [this] {
       mServer->Drain(mSettings.DrainGrace(),
@@ -176,6 +244,9 @@
   DaemonSettings mSettings;
   SpdlogEventLog mLog;
   std::string mIncarnation;
+  state::Incarnation mIncarnationNumber;
+  coordination::BootClock mClock;
+  PeerAdapter mPeers;
   protocol::JsonRowCodec mCodec;
   transport::IoThread mThread;
   transport::HttpClient mPlatformClient;
@@ -187,6 +258,7 @@
   caf::actor_system mSystem;
   std::vector<caf::actor> mTasks;
   caf::actor mFront;
+  caf::actor mMembership;
   std::unique_ptr<transport::HttpServer> mServer;
   std::promise<std::size_t> mDone;
   /** Both are used on the I/O thread only. */
--- a/apps/cornelrudderd/FrontTask.cpp
+++ b/apps/cornelrudderd/FrontTask.cpp
@@ -2,6 +2,7 @@
 
 #include "cornelrudder/coordination/Messages.h"
 #include "cornelrudder/protocol/CallerCodec.h"
+#include "cornelrudder/protocol/MembersCodec.h"
 #include "cornelrudder/protocol/ProtocolError.h"
 #include "cornelrudder/protocol/SettingsCodec.h"
 
@@ -103,7 +104,7 @@
     Handler mHandler;
   };
 
-  static const std::array<Route, 7> kRoutes;
+  static const std::array<Route, 9> kRoutes;
 
   void Serve(const HttpCall& aCall)
   {
@@ -201,9 +202,38 @@
 
   void Ready(const HttpCall& aCall, const PathArguments& /*unused*/)
   {
-    aCall.mRespond(mDraining
-                     ? EncodeError(503, "leaving", "the daemon is stopping")
-                     : HttpResponse::Json(200, R"({"status":"ready"})"));
+    if (mDraining) {
+      aCall.mRespond(EncodeError(503, "leaving", "the daemon is stopping"));
+      return;
+    }
+    Ask(mPeers.mSettingsSync,
+        coordination::GetReadiness{},
+        aCall,
+        [](const coordination::Readiness& aReadiness) {
+          return aReadiness.mReady
+                   ? HttpResponse::Json(200, R"({"status":"ready"})")
+                   : EncodeError(503,
+                                 "starting",
+                                 "the settings were not read from the store "
+                                 "or a peer yet");
+        });
+  }
+
+  void Drain(const HttpCall& aCall, const PathArguments& /*unused*/)
+  {
+    mPeers.mDrain();
+    aCall.mRespond(HttpResponse::Json(202, R"({"status":"draining"})"));
+  }
+
+  void Members(const HttpCall& aCall, const PathArguments& /*unused*/)
+  {
+    Ask(mPeers.mMembership,
+        coordination::GetMembers{},
+        aCall,
+        [](const coordination::MemberList& aList) {
+          return HttpResponse::Json(
+            200, protocol::EncodeMembers(aList.mMembers, aList.mNow));
+        });
   }
 
   /** Asks each task in turn and answers with the sums. */
@@ -333,7 +363,7 @@
   bool mDraining = false;
 };
 
-const std::array<FrontTask::Route, 7> FrontTask::kRoutes{ {
+const std::array<FrontTask::Route, 9> FrontTask::kRoutes{ {
   { "POST", "/v1/requests/*", &FrontTask::RunRequest },
   { "GET", "/v1/settings", &FrontTask::ListSettings },
   { "GET", "/v1/settings/**", &FrontTask::GetSettings },
@@ -341,6 +371,8 @@
   { "GET", "/healthz", &FrontTask::Health },
   { "GET", "/readyz", &FrontTask::Ready },
   { "GET", "/metrics", &FrontTask::Metrics },
+  { "POST", "/v1/drain", &FrontTask::Drain },
+  { "GET", "/v1/members", &FrontTask::Members },
 } };
 
 } // namespace
--- a/apps/cornelrudderd/FrontTask.h
+++ b/apps/cornelrudderd/FrontTask.h
@@ -7,6 +7,7 @@
 #include <caf/actor.hpp>
 #include <caf/allowed_unsafe_message_type.hpp>
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,10 @@
   caf::actor mSettings;
   /** Tasks whose counters are shown. */
   std::vector<caf::actor> mCounted;
+  caf::actor mMembership;
+  caf::actor mSettingsSync;
+  /** Begins a graceful shutdown as SIGTERM does. */
+  std::function<void()> mDrain;
 };
 
 /**
--- /dev/null
+++ b/apps/cornelrudderd/PeerAdapter.cpp
@@ -0,0 +1,83 @@
+#include "cornelrudderd/PeerAdapter.h"
+
+#include "cornelrudder/coordination/Messages.h"
+#include "cornelrudder/protocol/PeerCodec.h"
+#include "cornelrudder/protocol/ProtocolError.h"
+#include "cornelrudder/transport/TransportError.h"
+
+#include <caf/send.hpp>
+
+namespace cornelrudder::daemon {
+
+namespace {
+
+transport::PeerSocketLimits
+Limits()
+{
+  transport::PeerSocketLimits limits;
+  limits.mFrameBytes = protocol::kMaxPeerFrame;
+  return limits;
+}
+
+} // namespace
+
+PeerAdapter::PeerAdapter(const std::string& aAddress)
+  : mSocket(aAddress, Limits(), [this](const std::string& aFrame) {
+    Receive(aFrame);
+  })
+{
+}
+
+void
+PeerAdapter::SetReceiver(caf::actor aReceiver)
+{
+  const std::lock_guard lock(mMutex);
+  mReceiver = std::move(aReceiver);
+}
+
+bool
+PeerAdapter::Connect(const std::string& aAddress)
+{
+  try {
+    mSocket.Connect(aAddress);
+    return true;
+  } catch (const transport::TransportError&) {
+    return false;
+  }
+}
+
+void
+PeerAdapter::Disconnect(const std::string& aAddress)
+{
+  mSocket.Disconnect(aAddress);
+}
+
+bool
+PeerAdapter::Send(const std::string& aAddress,
+                  const state::PeerMessage& aMessage)
+{
+  try {
+    return mSocket.Send(aAddress, protocol::EncodePeerMessage(aMessage));
+  } catch (const protocol::ProtocolError&) {
+    // A message that is too long for any peer.
+    return false;
+  }
+}
+
+void
+PeerAdapter::Receive(const std::string& aFrame)
+{
+  const std::lock_guard lock(mMutex);
+  if (!mReceiver) {
+    return;
+  }
+  try {
+    caf::anon_send(
+      mReceiver,
+      coordination::PeerReceived{ protocol::DecodePeerMessage(aFrame) });
+  } catch (const protocol::ProtocolError& error) {
+    caf::anon_send(mReceiver, coordination::PeerRejected{ error.what() });
+  }
+}
+
+} // namespace cornelrudder::daemon
--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -30,6 +30,17 @@
   kSettingsRejected = 303,
   kFleetChanged = 400,
   kFleetUnavailable = 401,
+  kPeerAlive = 410,
+  kPeerSuspected = 411,
+  kPeerLeaving = 412,
+  kPeerGone = 413,
+  kPeerRejected = 414,
+  kDuplicateDaemon = 415,
+  kSettingsFromPeer = 416,
+  kReady = 417,
+  kForwarded = 418,
+  kForwardEnded = 419,
+  kForwardTimedOut = 420,
   kStoreUnavailable = 500
 };
 
--- a/include/cornelrudder/coordination/Messages.h
+++ b/include/cornelrudder/coordination/Messages.h
@@ -4,6 +4,8 @@
 #include "cornelrudder/state/Ids.h"
 #include "cornelrudder/state/JobCommand.h"
 #include "cornelrudder/state/Lease.h"
+#include "cornelrudder/state/Membership.h"
+#include "cornelrudder/state/PeerMessage.h"
 #include "cornelrudder/state/RunRequest.h"
 #include "cornelrudder/state/RunnerExchange.h"
 #include "cornelrudder/state/SettingsDocument.h"
@@ -14,6 +16,7 @@
 #include <caf/actor.hpp>
 #include <caf/allowed_unsafe_message_type.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -138,6 +141,145 @@
   auto operator<=>(const VmListRead&) const = default;
 };
 
+/** Tells the membership task what a peer sent. */
+struct PeerReceived
+{
+  const state::PeerMessage mMessage;
+
+  auto operator<=>(const PeerReceived&) const = default;
+};
+
+/** Tells the membership task that a frame could not be decoded. */
+struct PeerRejected
+{
+  const std::string mReason;
+
+  auto operator<=>(const PeerRejected&) const = default;
+};
+
+/**
+ * Sends a message to one peer; the answer is a bool: false if it was
+ * certainly not sent.
+ */
+struct SendToPeer
+{
+  const state::VmId mPeer;
+  const state::PeerBody mBody;
+
+  auto operator<=>(const SendToPeer&) const = default;
+};
+
+/** Sends a message to all peers; there is no answer. */
+struct SendToAllPeers
+{
+  const state::PeerBody mBody;
+
+  auto operator<=>(const SendToAllPeers&) const = default;
+};
+
+/** Names the tasks that take what peers send (as PeerReceived). */
+struct UsePeerHandlers
+{
+  caf::actor mSettings;
+  caf::actor mForward;
+};
+
+/** Tells the membership task where this daemon listens; heartbeats begin. */
+struct AnnounceAddresses
+{
+  const std::string mHttp;
+  const std::string mPeer;
+
+  auto operator<=>(const AnnounceAddresses&) const = default;
+};
+
+/** Tells the membership task that a graceful shutdown has begun. */
+struct BeginLeaving
+{
+  auto operator<=>(const BeginLeaving&) const = default;
+};
+
+/** Tells a task that heartbeats are due. */
+struct HeartbeatTick
+{
+  auto operator<=>(const HeartbeatTick&) const = default;
+};
+
+/** Asks the membership task for the other daemons; the answer is MemberList. */
+struct GetMembers
+{
+  auto operator<=>(const GetMembers&) const = default;
+};
+
+/** The other daemons at one monotonic time. */
+struct MemberList
+{
+  const std::vector<state::Member> mMembers;
+  const std::chrono::milliseconds mNow;
+
+  auto operator<=>(const MemberList&) const = default;
+};
+
+/** A peer holds settings that this daemon does not. */
+struct PeerAhead
+{
+  const state::VmId mPeer;
+
+  auto operator<=>(const PeerAhead&) const = default;
+};
+
+/** Asks the settings task for SettingsAccepted and SettingsHeadRead. */
+struct WatchSettings
+{
+  caf::actor mReceiver;
+};
+
+/** A change by an operator came into force through this daemon. */
+struct SettingsAccepted
+{
+  const state::SettingsDocument mDocument;
+
+  auto operator<=>(const SettingsAccepted&) const = default;
+};
+
+/** The head was read from the store. */
+struct SettingsHeadRead
+{
+  const state::SettingsHead mHead;
+
+  auto operator<=>(const SettingsHeadRead&) const = default;
+};
+
+/** Gives the settings task documents of a peer; older ones have no effect. */
+struct ApplySettings
+{
+  const std::vector<state::SettingsDocument> mDocuments;
+
+  auto operator<=>(const ApplySettings&) const = default;
+};
+
+/** Asks whether the daemon may serve; the answer is Readiness. */
+struct GetReadiness
+{
+  auto operator<=>(const GetReadiness&) const = default;
+};
+
+/** Whether all settings that were known at the start have been read. */
+struct Readiness
+{
+  const bool mReady;
+
+  auto operator<=>(const Readiness&) const = default;
+};
+
+/** Tells the forward task that the time for a reply has passed. */
+struct ForwardExpired
+{
+  const std::uint64_t mCorrelation;
+
+  auto operator<=>(const ForwardExpired&) const = default;
+};
+
 } // namespace cornelrudder::coordination
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::Subscribe)
@@ -160,5 +302,23 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::StoreResult)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::Transaction)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::VmList)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::PeerReceived)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::PeerRejected)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::SendToPeer)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::SendToAllPeers)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::UsePeerHandlers)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::AnnounceAddresses)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::BeginLeaving)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::HeartbeatTick)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::GetMembers)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::MemberList)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::PeerAhead)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::WatchSettings)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::SettingsAccepted)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::SettingsHeadRead)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::ApplySettings)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::GetReadiness)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::Readiness)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::ForwardExpired)
 
 #endif // CORNELRUDDER_COORDINATION_MESSAGES_H
--- /dev/null
+++ b/include/cornelrudder/coordination/SettingsSyncTask.h
@@ -0,0 +1,35 @@
+#ifndef CORNELRUDDER_COORDINATION_SETTINGS_SYNC_TASK_H
+#define CORNELRUDDER_COORDINATION_SETTINGS_SYNC_TASK_H
+
+#include "cornelrudder/coordination/EventLog.h"
+
+#include <caf/fwd.hpp>
+
+#include <chrono>
+
+namespace cornelrudder::coordination {
+
+struct SettingsSyncTaskOptions
+{
+  /** How often peers are asked until the settings are known. */
+  std::chrono::milliseconds mQueryInterval{ 500 };
+};
+
+/**
+ * Starts the task that distributes settings between daemons: it tells peers
+ * of changes accepted here, gives their documents to the settings task and
+ * answers their queries. It takes PeerReceived, PeerAhead and GetReadiness.
+ * @param aSettings The settings task.
+ * @param aMembership The membership task.
+ * @param aLog Must outlive the actor system.
+ */
+caf::actor
+SpawnSettingsSyncTask(caf::actor_system& aSystem,
+                      const caf::actor& aSettings,
+                      const caf::actor& aMembership,
+                      EventLog& aLog,
+                      SettingsSyncTaskOptions aOptions);
+
+} // namespace cornelrudder::coordination
+
+#endif // CORNELRUDDER_COORDINATION_SETTINGS_SYNC_TASK_H
--- a/include/cornelrudder/coordination/SettingsTask.h
+++ b/include/cornelrudder/coordination/SettingsTask.h
@@ -18,7 +18,8 @@
 
 /**
  * Starts the task that holds the settings in force. It takes GetSettings,
- * PutSettings and Subscribe, and sends SettingsView to its subscribers.
+ * PutSettings, ApplySettings and Subscribe, and sends SettingsView to its
+ * subscribers; WatchSettings asks for SettingsAccepted and SettingsHeadRead.
  * @param aStore The store task.
  * @param aCodec Must outlive the actor system, as must aLog.
  */
--- a/include/cornelrudder/state/PeerMessage.h
+++ b/include/cornelrudder/state/PeerMessage.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
--- /dev/null
+++ b/src/coordination/ForwardTask.cpp
@@ -0,0 +1,307 @@
+#include "cornelrudder/coordination/ForwardTask.h"
+
+#include "cornelrudder/coordination/Messages.h"
+
+#include <caf/actor_system.hpp>
+#include <caf/event_based_actor.hpp>
+#include <caf/typed_response_promise.hpp>
+
+#include <array>
+#include <functional>
+#include <optional>
+
+namespace cornelrudder::coordination {
+
+namespace {
+
+using state::JobCommand;
+using state::JobCommandKind;
+using state::JobReply;
+using state::Ran;
+using state::RefusalReason;
+using state::VmId;
+
+/** What is true of a command whose answer did not come. */
+struct LostAnswer
+{
+  std::string_view mName;
+  Ran mRan;
+  std::string_view mDetail;
+};
+
+/** The order is that of JobCommandKind. */
+constexpr std::array kLostAnswers{
+  LostAnswer{ "submit",
+              Ran::kUnknown,
+              "the owner did not answer in time; the job may have been "
+              "accepted. Repeat the submission with the same key: it gives "
+              "the same job" },
+  LostAnswer{ "get",
+              Ran::kNo,
+              "the owner did not answer in time; repeat the command" },
+  LostAnswer{ "list",
+              Ran::kNo,
+              "the owner did not answer in time; repeat the command" },
+  LostAnswer{ "cancel",
+              Ran::kUnknown,
+              "the owner did not answer in time; the job may have been "
+              "cancelled. The command may be repeated" },
+  LostAnswer{ "explain",
+              Ran::kNo,
+              "the owner did not answer in time; repeat the command" },
+};
+
+constexpr std::string_view kLostWithoutKey =
+  "the owner did not answer in time; the job may have been accepted. It has "
+  "no key, so look at the list of jobs before a repeat";
+
+const LostAnswer&
+LostAnswerOf(JobCommandKind aKind)
+{
+  return kLostAnswers.at(static_cast<std::size_t>(aKind));
+}
+
+JobReply
+ReplyLost(const JobCommand& aCommand)
+{
+  const LostAnswer& lost = LostAnswerOf(aCommand.Kind());
+  const bool keyless = aCommand.Spec() && aCommand.Spec()->Key().empty();
+  return { RefusalReason::kTimedOut,
+           lost.mRan,
+           std::string(keyless ? kLostWithoutKey : lost.mDetail),
+           {} };
+}
+
+JobReply
+NoOwner(std::string aDetail)
+{
+  return { RefusalReason::kNoOwner, Ran::kNo, std::move(aDetail), {} };
+}
+
+class ForwardTask : public caf::event_based_actor
+{
+public:
+  ForwardTask(caf::actor_config& aConfig,
+              caf::actor aMembership,
+              caf::actor aPlacement,
+              const Clock& aClock,
+              EventLog& aLog,
+              ForwardTaskOptions aOptions)
+    : caf::event_based_actor(aConfig)
+    , mMembership(std::move(aMembership))
+    , mPlacement(std::move(aPlacement))
+    , mClock(aClock)
+    , mLog(aLog)
+    , mOptions(std::move(aOptions))
+  {
+  }
+
+  caf::behavior make_behavior() override
+  {
+    return {
+      [this](const JobCommand& aCommand) { return Accept(aCommand); },
+      [this](const DomainOwner& aOwner) { Learn(aOwner); },
+      [this](const PeerReceived& aReceived) { Receive(aReceived.mMessage); },
+      [this](const ForwardExpired& aExpired) { Expire(aExpired.mCorrelation); },
+      [this](const GetCounters&) { return mCounters; },
+    };
+  }
+
+private:
+  using Promise = caf::typed_response_promise<JobReply>;
+  using ReplyHandler = std::function<void(const JobReply&)>;
+
+  struct Pending
+  {
+    JobCommand mCommand;
+    VmId mOwner;
+    Promise mPromise;
+  };
+
+  void Learn(const DomainOwner& aOwner)
+  {
+    if (aOwner.mDomain != mOptions.mDomain) {
+      return;
+    }
+    mOwner.reset();
+    if (!aOwner.mOwner.empty()) {
+      mOwner = aOwner.mOwner.front();
+    }
+    mLease = aOwner.mLease;
+  }
+
+  bool OwnsDomain() const
+  {
+    return mPlacement && mLease && mLease->HeldAt(mClock.Now());
+  }
+
+  caf::result<JobReply> Accept(const JobCommand& aCommand)
+  {
+    auto promise = make_response_promise<JobReply>();
+    if (OwnsDomain()) {
+      Execute(aCommand, [promise](const JobReply& aReply) mutable {
+        promise.deliver(aReply);
+      });
+    } else if (mOwner && *mOwner != mOptions.mSelf) {
+      SendToOwner(aCommand, *mOwner, promise);
+    } else {
+      ++mCounters["forward_no_owner_total"];
+      promise.deliver(NoOwner("no daemon owns the domain at the moment"));
+    }
+    return promise;
+  }
+
+  void Execute(const JobCommand& aCommand, ReplyHandler aHandler)
+  {
+    request(mPlacement, caf::infinite, aCommand)
+      .then([aHandler](const JobReply& aReply) { aHandler(aReply); },
+            [aHandler](const caf::error&) {
+              aHandler({ RefusalReason::kTimedOut,
+                         Ran::kUnknown,
+                         "the placement task ended without an answer",
+                         {} });
+            });
+  }
+
+  void SendToOwner(const JobCommand& aCommand,
+                   const VmId& aOwner,
+                   const Promise& aPromise)
+  {
+    const std::uint64_t correlation = ++mLastCorrelation;
+    mPending.emplace(correlation, Pending{ aCommand, aOwner, aPromise });
+    ++mCounters["forwarded_total"];
+    mLog.Write(
+      { LogEvent::kForwarded,
+        { { "command", std::string(LostAnswerOf(aCommand.Kind()).mName) },
+          { "owner", aOwner.Text() },
+          { "correlation", std::to_string(correlation) } } });
+    delayed_send(this, mOptions.mReplyTimeout, ForwardExpired{ correlation });
+    request(mMembership,
+            caf::infinite,
+            SendToPeer{ aOwner, state::Forward(correlation, aCommand) })
+      .then(
+        [this, correlation](bool aSent) {
+          if (!aSent) {
+            Finish(correlation, NoOwner("the owner cannot be reached"));
+          }
+        },
+        // Whether it was sent is unknown: the deadline decides.
+        [](const caf::error&) {});
+  }
+
+  void Receive(const state::PeerMessage& aMessage)
+  {
+    const auto* forward = std::get_if<state::Forward>(&aMessage.Body());
+    const auto* reply = std::get_if<state::ForwardReply>(&aMessage.Body());
+    if (forward != nullptr) {
+      Serve(aMessage, *forward);
+    } else if (reply != nullptr) {
+      TakeReply(aMessage.Sender(), *reply);
+    }
+  }
+
+  /** Runs a peer's command here or refuses it; never forwards it. */
+  void Serve(const state::PeerMessage& aMessage, const state::Forward& aForward)
+  {
+    const ReplyHandler respond =
+      [this,
+       asker = aMessage.Sender(),
+       life = aMessage.SenderIncarnation(),
+       correlation = aForward.Correlation()](const JobReply& aReply) {
+        Respond(asker, life, correlation, aReply);
+      };
+    ++mCounters["forwards_received_total"];
+    if (!OwnsDomain()) {
+      respond(NoOwner("the daemon that was asked does not own the domain"));
+      return;
+    }
+    Execute(aForward.Command(), respond);
+  }
+
+  void Respond(const VmId& aAsker,
+               state::Incarnation aLife,
+               std::uint64_t aCorrelation,
+               const JobReply& aReply)
+  {
+    request(
+      mMembership,
+      caf::infinite,
+      SendToPeer{ aAsker, state::ForwardReply(aLife, aCorrelation, aReply) })
+      .then(
+        [this](bool aSent) {
+          mCounters["forward_replies_lost_total"] += aSent ? 0 : 1;
+        },
+        [](const caf::error&) {});
+  }
+
+  void TakeReply(const VmId& aSender, const state::ForwardReply& aReply)
+  {
+    const auto it = mPending.find(aReply.Correlation());
+    const bool matches = aReply.Asker() == mOptions.mIncarnation &&
+                         it != mPending.end() && it->second.mOwner == aSender;
+    if (!matches) {
+      ++mCounters["forward_replies_ignored_total"];
+      return;
+    }
+    Finish(aReply.Correlation(), aReply.Reply());
+  }
+
+  void Expire(std::uint64_t aCorrelation)
+  {
+    const auto it = mPending.find(aCorrelation);
+    if (it == mPending.end()) {
+      return;
+    }
+    ++mCounters["forward_timed_out_total"];
+    mLog.Write({ LogEvent::kForwardTimedOut,
+                 { { "owner", it->second.mOwner.Text() },
+                   { "correlation", std::to_string(aCorrelation) } } });
+    Finish(aCorrelation, ReplyLost(it->second.mCommand));
+  }
+
+  void Finish(std::uint64_t aCorrelation, const JobReply& aReply)
+  {
+    const auto it = mPending.find(aCorrelation);
+    if (it == mPending.end()) {
+      return;
+    }
+    mLog.Write({ LogEvent::kForwardEnded,
+                 { { "owner", it->second.mOwner.Text() },
+                   { "correlation", std::to_string(aCorrelation) },
+                   { "reason", std::string(ReasonName(aReply.Reason())) },
+                   { "ran", std::string(RanName(aReply.HasRun())) } } });
+    Promise promise = it->second.mPromise;
+    mPending.erase(it);
+    promise.deliver(aReply);
+  }
+
+  caf::actor mMembership;
+  caf::actor mPlacement;
+  const Clock& mClock;
+  EventLog& mLog;
+  ForwardTaskOptions mOptions;
+  std::optional<VmId> mOwner;
+  std::optional<state::Lease> mLease;
+  std::map<std::uint64_t, Pending> mPending;
+  std::uint64_t mLastCorrelation = 0;
+  Counters mCounters;
+};
+
+} // namespace
+
+caf::actor
+SpawnForwardTask(caf::actor_system& aSystem,
+                 const caf::actor& aMembership,
+                 const caf::actor& aPlacement,
+                 const Clock& aClock,
+                 EventLog& aLog,
+                 ForwardTaskOptions aOptions)
+{
+  return aSystem.spawn<ForwardTask>(aMembership,
+                                    aPlacement,
+                                    std::cref(aClock),
+                                    std::ref(aLog),
+                                    std::move(aOptions));
+}
+
+} // namespace cornelrudder::coordination
--- /dev/null
+++ b/src/coordination/SettingsSyncTask.cpp
@@ -0,0 +1,194 @@
+#include "cornelrudder/coordination/SettingsSyncTask.h"
+
+#include "cornelrudder/coordination/Messages.h"
+
+#include <caf/actor_system.hpp>
+#include <caf/event_based_actor.hpp>
+
+#include <algorithm>
+
+namespace cornelrudder::coordination {
+
+namespace {
+
+using state::SettingsDocument;
+using state::SettingsNotice;
+using state::SettingsQuery;
+using state::VmId;
+
+/** Keeps an answer far below the longest frame: a document has a few KB. */
+constexpr std::size_t kDocumentsPerNotice = 16;
+
+class SettingsSyncTask : public caf::event_based_actor
+{
+public:
+  SettingsSyncTask(caf::actor_config& aConfig,
+                   caf::actor aSettings,
+                   caf::actor aMembership,
+                   EventLog& aLog,
+                   SettingsSyncTaskOptions aOptions)
+    : caf::event_based_actor(aConfig)
+    , mSettings(std::move(aSettings))
+    , mMembership(std::move(aMembership))
+    , mLog(aLog)
+    , mOptions(aOptions)
+  {
+  }
+
+  caf::behavior make_behavior() override
+  {
+    send(mSettings, Subscribe{ this });
+    send(mSettings, WatchSettings{ this });
+    send(this, Tick{});
+    return {
+      [this](const Tick&) { AskUntilReady(); },
+      [this](const state::SettingsView& aView) {
+        mView = aView;
+        CheckReady();
+      },
+      [this](const SettingsHeadRead& aRead) { Expect(aRead.mHead, "store"); },
+      [this](const SettingsAccepted& aAccepted) {
+        send(mMembership,
+             SendToAllPeers{
+               SettingsNotice({ aAccepted.mDocument }, std::nullopt) });
+      },
+      [this](const PeerAhead& aAhead) {
+        SendTo(aAhead.mPeer, SettingsQuery(mView.Head()));
+      },
+      [this](const PeerReceived& aReceived) { Receive(aReceived.mMessage); },
+      [this](const GetReadiness&) { return Readiness{ mReady }; },
+      [this](const GetCounters&) { return mCounters; },
+    };
+  }
+
+private:
+  void AskUntilReady()
+  {
+    if (mReady) {
+      return;
+    }
+    send(mMembership, SendToAllPeers{ SettingsQuery(mView.Head()) });
+    delayed_send(this, mOptions.mQueryInterval, Tick{});
+  }
+
+  void Receive(const state::PeerMessage& aMessage)
+  {
+    const auto* notice = std::get_if<SettingsNotice>(&aMessage.Body());
+    const auto* query = std::get_if<SettingsQuery>(&aMessage.Body());
+    if (notice != nullptr) {
+      Take(aMessage.Sender(), *notice);
+    } else if (query != nullptr) {
+      Answer(aMessage.Sender(), *query);
+    }
+  }
+
+  void Take(const VmId& aSender, const SettingsNotice& aNotice)
+  {
+    std::vector<SettingsDocument> newer;
+    for (const SettingsDocument& document : aNotice.Documents()) {
+      if (IsNewer(document)) {
+        newer.push_back(document);
+      }
+    }
+    if (!newer.empty()) {
+      ++mCounters["settings_from_peers_total"];
+      mLog.Write({ LogEvent::kSettingsFromPeer,
+                   { { "peer", aSender.Text() },
+                     { "documents", std::to_string(newer.size()) } } });
+      send(mSettings, ApplySettings{ std::move(newer) });
+    }
+    if (aNotice.Head()) {
+      Expect(*aNotice.Head(), aSender.Text());
+    }
+  }
+
+  bool IsNewer(const SettingsDocument& aDocument) const
+  {
+    const SettingsDocument* held = mView.Find(aDocument.Path());
+    return held == nullptr || held->Version() < aDocument.Version();
+  }
+
+  /**
+   * Answers only when ready: a peer takes the answer for all settings that
+   * there are.
+   */
+  void Answer(const VmId& aSender, const SettingsQuery& aQuery)
+  {
+    if (!mReady) {
+      return;
+    }
+    std::vector<SettingsDocument> documents;
+    for (const auto& [path, document] : mView.All()) {
+      const auto it = aQuery.Held().find(path);
+      if (it != aQuery.Held().end() && it->second >= document.Version()) {
+        continue;
+      }
+      documents.push_back(document);
+      if (documents.size() == kDocumentsPerNotice) {
+        SendTo(aSender, SettingsNotice(std::move(documents), mView.Head()));
+        documents.clear();
+      }
+    }
+    SendTo(aSender, SettingsNotice(std::move(documents), mView.Head()));
+  }
+
+  void SendTo(const VmId& aPeer, state::PeerBody aBody)
+  {
+    // A loss is made good by the next query or by the store.
+    request(mMembership, caf::infinite, SendToPeer{ aPeer, std::move(aBody) })
+      .then([](bool) {}, [](const caf::error&) {});
+  }
+
+  /** Notes which versions must be held before the daemon is ready. */
+  void Expect(const state::SettingsHead& aHead, const std::string& aSource)
+  {
+    if (mReady) {
+      return;
+    }
+    mSource = aSource;
+    mExpected = aHead;
+    CheckReady();
+  }
+
+  void CheckReady()
+  {
+    if (mReady || !mExpected) {
+      return;
+    }
+    mReady = std::all_of(
+      mExpected->begin(), mExpected->end(), [this](const auto& aEntry) {
+        const SettingsDocument* held = mView.Find(aEntry.first);
+        return held != nullptr && held->Version() >= aEntry.second;
+      });
+    if (mReady) {
+      mLog.Write({ LogEvent::kReady,
+                   { { "source", mSource },
+                     { "documents", std::to_string(mView.All().size()) } } });
+    }
+  }
+
+  caf::actor mSettings;
+  caf::actor mMembership;
+  EventLog& mLog;
+  SettingsSyncTaskOptions mOptions;
+  state::SettingsView mView;
+  std::optional<state::SettingsHead> mExpected;
+  std::string mSource;
+  bool mReady = false;
+  Counters mCounters;
+};
+
+} // namespace
+
+caf::actor
+SpawnSettingsSyncTask(caf::actor_system& aSystem,
+                      const caf::actor& aSettings,
+                      const caf::actor& aMembership,
+                      EventLog& aLog,
+                      SettingsSyncTaskOptions aOptions)
+{
+  return aSystem.spawn<SettingsSyncTask>(
+    aSettings, aMembership, std::ref(aLog), aOptions);
+}
+
+} // namespace cornelrudder::coordination
--- a/src/coordination/SettingsTask.cpp
+++ b/src/coordination/SettingsTask.cpp
@@ -50,6 +50,14 @@
         mSubscribers.push_back(aSubscribe.mReceiver);
         send(aSubscribe.mReceiver, mView);
       },
+      [this](const WatchSettings& aWatch) {
+        mWatchers.push_back(aWatch.mReceiver);
+      },
+      [this](const ApplySettings& aApply) {
+        for (const SettingsDocument& document : aApply.mDocuments) {
+          Apply(document);
+        }
+      },
       [this](const GetCounters&) { return mCounters; },
     };
   }
@@ -86,7 +94,11 @@
   {
     Read(kHeadKey, [this](const StoreResult& aResult) {
       delayed_send(this, mOptions.mPollInterval, Tick{});
-      if (aResult.Status() != StoreStatus::kOk || aResult.Rows().empty()) {
+      if (aResult.Status() != StoreStatus::kOk) {
+        return;
+      }
+      if (aResult.Rows().empty()) {
+        TellWatchers(SettingsHeadRead{ {} });
         return;
       }
       FetchNewer(aResult.Rows().front());
@@ -96,6 +108,7 @@
   void FetchNewer(const state::StoreRow& aHeadRow)
   {
     const state::SettingsHead head = mCodec.DecodeHead(aHeadRow.Value());
+    TellWatchers(SettingsHeadRead{ head });
     for (const auto& [path, version] : head) {
       const SettingsDocument* held = mView.Find(path);
       if (held != nullptr && held->Version() >= version) {
@@ -125,6 +138,14 @@
     }
   }
 
+  template<typename Message>
+  void TellWatchers(const Message& aMessage)
+  {
+    for (const caf::actor& receiver : mWatchers) {
+      send(receiver, aMessage);
+    }
+  }
+
   caf::result<PutSettingsResult> StartPut(const PutSettings& aPut)
   {
     auto promise = make_response_promise<PutSettingsResult>();
@@ -233,6 +254,7 @@
                    { "version", std::to_string(aDocument.Version()) },
                    { "author", aChange->mPut.mAuthor } } });
     Apply(aDocument);
+    TellWatchers(SettingsAccepted{ aDocument });
     aChange->mPromise.deliver(
       PutSettingsResult{ PutSettingsStatus::kAccepted, { aDocument }, {} });
   }
@@ -264,6 +286,7 @@
   SettingsTaskOptions mOptions;
   state::SettingsView mView;
   std::vector<caf::actor> mSubscribers;
+  std::vector<caf::actor> mWatchers;
   Counters mCounters;
 };
 
--- /dev/null
+++ b/tests/coordination/ForwardTaskTest.cpp
@@ -0,0 +1,234 @@
+#include "cornelrudder/coordination/ForwardTask.h"
+#include "PeerTestSystem.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <caf/event_based_actor.hpp>
+
+#include <array>
+
+using namespace cornelrudder;
+using namespace cornelrudder::coordination;
+using state::JobCommand;
+using state::JobReply;
+using state::Ran;
+using state::RefusalReason;
+
+namespace {
+
+constexpr std::chrono::milliseconds kGenerous{ 60'000 };
+constexpr std::chrono::milliseconds kShort{ 50 };
+
+/** Answers each command and counts them. */
+class FakePlacement : public caf::event_based_actor
+{
+public:
+  using caf::event_based_actor::event_based_actor;
+
+  caf::behavior make_behavior() override
+  {
+    return {
+      [this](const JobCommand&) {
+        ++mCount;
+        return JobReply(RefusalReason::kNone, Ran::kNo, "placed", {});
+      },
+      [this](const GetCounters&) {
+        return Counters{ { "commands", mCount } };
+      },
+    };
+  }
+
+private:
+  std::uint64_t mCount = 0;
+};
+
+JobCommand
+Submit(const std::string& aKey)
+{
+  return JobCommand::Submit(
+    state::JobSpec(state::JobId("job-1"),
+                   state::OrganisationId("acme"),
+                   state::TeamId("night"),
+                   state::ClassName("nesting"),
+                   state::Shape(1, 1, state::Adjacency::kWorker),
+                   aKey,
+                   std::chrono::seconds(60)));
+}
+
+/** Daemons e1 and e2 that know each other, each with its placement. */
+class TwoDaemons
+{
+public:
+  explicit TwoDaemons(std::chrono::milliseconds aTimeout = kGenerous)
+    : mNodes{ &mSystem.Start("e1", {}), &mSystem.Start("e2", { "e1" }) }
+  {
+    for (const std::size_t i : { 0, 1 }) {
+      mPlacements[i] = mSystem.Add(mSystem.mSystem.spawn<FakePlacement>());
+      mForwards[i] = mSystem.Add(
+        SpawnForwardTask(mSystem.mSystem,
+                         mNodes[i]->mMembership,
+                         mPlacements[i],
+                         mSystem.mClock,
+                         mSystem.mLog,
+                         { Name(i), state::RegionId("r"), 1, aTimeout }));
+      caf::anon_send(mNodes[i]->mMembership,
+                     UsePeerHandlers{ {}, mForwards[i] });
+    }
+    CHECK(mSystem.WaitUntil([this] {
+      return mSystem.StateOf(*mNodes[0], "e2") == "alive" &&
+             mSystem.StateOf(*mNodes[1], "e1") == "alive";
+    }));
+  }
+
+  static state::VmId Name(std::size_t aIndex)
+  {
+    return state::VmId("e" + std::to_string(aIndex + 1));
+  }
+
+  /** Tells a daemon who owns the domain; epoch 0 if it does not itself. */
+  void TellOwner(std::size_t aDaemon,
+                 std::vector<state::VmId> aOwner,
+                 int aEpoch)
+  {
+    const state::RegionId region("r");
+    const state::Lease lease(region,
+                             static_cast<std::uint64_t>(aEpoch),
+                             mSystem.mClock.Now() + kGenerous);
+    caf::anon_send(mForwards[aDaemon],
+                   DomainOwner{ region, std::move(aOwner), lease });
+  }
+
+  JobReply Ask(std::size_t aDaemon, const JobCommand& aCommand)
+  {
+    return mSystem.Ask<JobReply>(mForwards[aDaemon], aCommand);
+  }
+
+  std::uint64_t Commands(std::size_t aDaemon)
+  {
+    return mSystem.Ask<Counters>(mPlacements[aDaemon],
+                                 GetCounters{})["commands"];
+  }
+
+  PeerTestSystem mSystem;
+  std::array<caf::actor, 2> mPlacements;
+  std::array<caf::actor, 2> mForwards;
+
+private:
+  std::array<PeerTestSystem::Node*, 2> mNodes;
+};
+
+} // namespace
+
+TEST_GROUP(ForwardTask){};
+
+// Guards against a command that a daemon without the lease carries out.
+TEST(ForwardTask, WithoutAnOwnerTheCommandIsRefused)
+{
+  TwoDaemons daemons;
+  JobReply reply = daemons.Ask(0, Submit("k"));
+  CHECK(reply.Reason() == RefusalReason::kNoOwner);
+  CHECK(reply.HasRun() == Ran::kNo);
+  daemons.TellOwner(0, { TwoDaemons::Name(0) }, 1);
+  CHECK(daemons.Ask(0, Submit("k")).Reason() == RefusalReason::kNone);
+  // The lease ends without a word from the lease task.
+  daemons.mSystem.mClock.Skip(kGenerous);
+  reply = daemons.Ask(0, Submit("k"));
+  CHECK(reply.Reason() == RefusalReason::kNoOwner);
+  LONGS_EQUAL(1, daemons.Commands(0));
+}
+
+TEST(ForwardTask, CommandsReachTheOwnerAndTheAnswerComesBack)
+{
+  TwoDaemons daemons;
+  daemons.TellOwner(0, { TwoDaemons::Name(1) }, 0);
+  daemons.TellOwner(1, { TwoDaemons::Name(1) }, 3);
+  const JobReply reply = daemons.Ask(0, Submit("k"));
+  CHECK(reply.Reason() == RefusalReason::kNone);
+  STRCMP_EQUAL("placed", reply.Detail().c_str());
+  LONGS_EQUAL(0, daemons.Commands(0));
+  LONGS_EQUAL(1, daemons.Commands(1));
+}
+
+// Guards against a command that travels in a circle while two daemons each
+// believe that the other one owns the domain.
+TEST(ForwardTask, ForwardedCommandsAreNotForwardedAgain)
+{
+  TwoDaemons daemons;
+  daemons.TellOwner(0, { TwoDaemons::Name(1) }, 0);
+  daemons.TellOwner(1, { TwoDaemons::Name(0) }, 0);
+  const JobReply reply = daemons.Ask(0, Submit("k"));
+  CHECK(reply.Reason() == RefusalReason::kNoOwner);
+  CHECK(reply.HasRun() == Ran::kNo);
+  LONGS_EQUAL(1, daemons.mSystem.mNet.Count<state::Forward>());
+  LONGS_EQUAL(0, daemons.Commands(0) + daemons.Commands(1));
+}
+
+// Guards against "not run" for a job that the owner accepted although its
+// answer was lost.
+TEST(ForwardTask, LostAnswerIsUnknown)
+{
+  TwoDaemons daemons(kShort);
+  daemons.TellOwner(0, { TwoDaemons::Name(1) }, 0);
+  daemons.TellOwner(1, { TwoDaemons::Name(1) }, 3);
+  daemons.mSystem.mNet.LoseIf([](const state::PeerMessage& aMessage) {
+    return std::holds_alternative<state::ForwardReply>(aMessage.Body());
+  });
+  const JobReply keyed = daemons.Ask(0, Submit("k"));
+  CHECK(keyed.Reason() == RefusalReason::kTimedOut);
+  CHECK(keyed.HasRun() == Ran::kUnknown);
+  CHECK(keyed.Detail().find("same key") != std::string::npos);
+  LONGS_EQUAL(1, daemons.Commands(1));
+  const JobReply keyless = daemons.Ask(0, Submit(""));
+  CHECK(keyless.HasRun() == Ran::kUnknown);
+  CHECK(keyless.Detail().find("same key") == std::string::npos);
+  const JobReply list = daemons.Ask(0, JobCommand::List());
+  CHECK(list.Reason() == RefusalReason::kTimedOut);
+  CHECK(list.HasRun() == Ran::kNo);
+}
+
+// Guards against a wait for an owner that certainly got nothing.
+TEST(ForwardTask, UnreachableOwnerMeansNotRun)
+{
+  TwoDaemons daemons;
+  daemons.TellOwner(0, { state::VmId("e9") }, 0);
+  const JobReply reply = daemons.Ask(0, Submit("k"));
+  CHECK(reply.Reason() == RefusalReason::kNoOwner);
+  CHECK(reply.HasRun() == Ran::kNo);
+}
+
+// Guards against the answer to a command of an earlier life, or of another
+// daemon, that is taken for the answer to this one.
+TEST(ForwardTask, OnlyTheAnswerOfTheOwnerToThisLifeCounts)
+{
+  TwoDaemons daemons;
+  daemons.TellOwner(0, { TwoDaemons::Name(1) }, 0);
+  daemons.TellOwner(1, { TwoDaemons::Name(1) }, 3);
+  daemons.mSystem.mNet.LoseIf([](const state::PeerMessage& aMessage) {
+    return std::holds_alternative<state::ForwardReply>(aMessage.Body());
+  });
+  caf::scoped_actor self(daemons.mSystem.mSystem);
+  auto pending =
+    self->request(daemons.mForwards[0], caf::infinite, Submit("k"));
+  CHECK(daemons.mSystem.WaitUntil([&] { return daemons.Commands(1) == 1; }));
+  const auto answer = [&](const std::string& aSender,
+                          state::Incarnation aAsker,
+                          const std::string& aDetail) {
+    caf::anon_send(
+      daemons.mForwards[0],
+      PeerReceived{
+        { state::VmId(aSender),
+          1,
+          state::ForwardReply(
+            aAsker,
+            1,
+            JobReply(RefusalReason::kNone, Ran::kNo, aDetail, {})) } });
+  };
+  answer("e2", 99, "earlier life");
+  answer("e9", 1, "another daemon");
+  answer("e2", 1, "right");
+  std::string detail;
+  pending.receive(
+    [&detail](const JobReply& aReply) { detail = aReply.Detail(); },
+    [](const caf::error&) {});
+  STRCMP_EQUAL("right", detail.c_str());
+}
--- /dev/null
+++ b/tests/coordination/MembershipTaskTest.cpp
@@ -0,0 +1,137 @@
+#include "PeerTestSystem.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cornelrudder;
+using namespace cornelrudder::coordination;
+
+namespace {
+
+state::PeerMessage
+Beat(const std::string& aName, state::Incarnation aIncarnation)
+{
+  return { state::VmId(aName),
+           aIncarnation,
+           state::Heartbeat(state::ZoneId("zone"), "http", aName, false, 0) };
+}
+
+} // namespace
+
+TEST_GROUP(MembershipTask){};
+
+// Guards against daemons that know only their common seed.
+TEST(MembershipTask, DaemonsWithACommonSeedKnowEachOther)
+{
+  PeerTestSystem system;
+  const auto& first = system.Start("e1", {});
+  const auto& second = system.Start("e2", { "e1" });
+  const auto& third = system.Start("e3", { "e1" });
+  CHECK(system.WaitUntil([&] {
+    return system.StateOf(second, "e3") == "alive" &&
+           system.StateOf(third, "e2") == "alive" &&
+           system.StateOf(first, "e2") == "alive" &&
+           system.StateOf(first, "e3") == "alive";
+  }));
+}
+
+// Guards against a share of the slots for a daemon that shuts down, or for
+// one that is gone although the VM list still has it.
+TEST(MembershipTask, LeavingAndGonePeersAreSeen)
+{
+  PeerTestSystem system;
+  const auto& first = system.Start("e1", {});
+  auto& second = system.Start("e2", { "e1" });
+  auto& third = system.Start("e3", { "e1" });
+  CHECK(system.WaitUntil([&] {
+    return system.StateOf(first, "e2") == "alive" &&
+           system.StateOf(first, "e3") == "alive";
+  }));
+  caf::anon_send(second.mMembership, BeginLeaving{});
+  CHECK(
+    system.WaitUntil([&] { return system.StateOf(first, "e2") == "leaving"; }));
+  system.Crash("e3", third);
+  system.mClock.Skip(std::chrono::milliseconds(4'000));
+  CHECK(system.WaitUntil([&] {
+    return system.StateOf(first, "e3") == "suspected" &&
+           system.StateOf(first, "e2") == "leaving";
+  }));
+  system.mClock.Skip(std::chrono::milliseconds(10'000));
+  CHECK(system.WaitUntil([&] {
+    return system.StateOf(first, "e3") == "gone" &&
+           system.StateOf(first, "e2") == "leaving";
+  }));
+}
+
+// Guards against a link that TCP gave up on for minutes after a cut.
+TEST(MembershipTask, SilentPeersAreDialledAgain)
+{
+  PeerTestSystem system;
+  auto& node = system.Start("e1", { "absent", "malformed" });
+  CHECK(system.WaitUntil([&] { return node.mPort.Dials("absent") == 1; }));
+  system.mClock.Skip(std::chrono::milliseconds(10'000));
+  CHECK(system.WaitUntil([&] { return node.mPort.Dials("absent") == 2; }));
+  LONGS_EQUAL(2, node.mPort.Dials("malformed"));
+}
+
+// Guards against a late message of an earlier life that takes effect.
+TEST(MembershipTask, EarlierIncarnationsAndUnknownSendersAreRejected)
+{
+  PeerTestSystem system;
+  const auto& node = system.Start("e1", {});
+  const state::PeerBody query = state::SettingsQuery({});
+  const auto send = [&](const state::PeerMessage& aMessage) {
+    caf::anon_send(node.mMembership, PeerReceived{ aMessage });
+  };
+  send(Beat("e2", 5));
+  send(Beat("e2", 4));
+  send({ state::VmId("e2"), 4, query });
+  send({ state::VmId("e9"), 1, query });
+  CHECK(system.WaitUntil([&] {
+    auto counters = system.Ask<Counters>(node.mMembership, GetCounters{});
+    return counters["peer_rejected_total"] == 2 &&
+           counters["peer_heartbeats_ignored_total"] == 1;
+  }));
+  const auto list = system.Ask<MemberList>(node.mMembership, GetMembers{});
+  LONGS_EQUAL(1, list.mMembers.size());
+  LONGS_EQUAL(5, list.mMembers.front().Known()->Life());
+}
+
+// Guards against an answer "sent" for a message that went nowhere.
+TEST(MembershipTask, SendingToAnUnknownPeerIsRefused)
+{
+  PeerTestSystem system;
+  const auto& node = system.Start("e1", {});
+  CHECK_FALSE(system.Ask<bool>(
+    node.mMembership,
+    SendToPeer{ state::VmId("e2"), state::SettingsQuery({}) }));
+}
+
+// Guards against a fresh daemon that takes all slots before it has heard
+// the others.
+TEST(MembershipTask, ListedDaemonsShareTheWorkUntilHeard)
+{
+  PeerTestSystem system;
+  const state::Location place(
+    state::RegionId("r"), state::ZoneId("z"), state::RackId("k"));
+  system.mFleet.Set(state::VmList({ state::Vm(state::VmId("e2"),
+                                              state::VmRole::kEntry,
+                                              "127.0.0.1:1",
+                                              place,
+                                              0,
+                                              state::VmState::kLive) }));
+  const auto& node = system.Start("e1", {});
+  caf::scoped_actor self(system.mSystem);
+  self->send(node.mMembership, Subscribe{ caf::actor(self) });
+  bool shared = false;
+  while (!shared) {
+    self->receive(
+      [&shared](const MembersView& aView) {
+        shared =
+          aView.mDaemons ==
+          std::vector<state::VmId>{ state::VmId("e1"), state::VmId("e2") };
+      },
+      [](const state::VmList&) {},
+      caf::after(std::chrono::seconds(60)) >>
+        [] { FAIL("no view with the listed daemon"); });
+  }
+}
