--- /dev/null
+++ b/include/cornelrudder/state/GangEvent.h
@@ -0,0 +1,174 @@
+#ifndef CORNELRUDDER_STATE_GANG_EVENT_H
+#define CORNELRUDDER_STATE_GANG_EVENT_H
+
+#include "cornelrudder/state/Job.h"
+#include "cornelrudder/state/WorkerExchange.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace cornelrudder::state {
+
+enum class GangEventKind
+{
+  kRowWritten,
+  /** The write may or may not have taken effect. */
+  kRowUnknown,
+  /** The row is as before the write; the write may be repeated. */
+  kRowUnchanged,
+  /** Another owner wrote the row. */
+  kRowConflict,
+  kPlace,
+  kRefuse,
+  kCancel,
+  /** The accelerators are reclaimed for another organisation. */
+  kPreempt,
+  kReserved,
+  kCommitted,
+  kStarted,
+  kFinished,
+  /** The worker refused the command, or the task ran and failed. */
+  kFailed,
+  /** The worker does not know the member any more. */
+  kLost,
+  /** The worker gave no whole answer. */
+  kUnreachable,
+  kStopped,
+  kCheckpointed,
+  /** The worker has seen a higher epoch. */
+  kFenced,
+  /** The lease of the placement domain lapsed. */
+  kLeaseLost,
+  kTime
+};
+
+/** Something that happened to a gang. */
+class GangEvent
+{
+public:
+  /** An event that concerns the whole gang. */
+  static GangEvent OfGang(GangEventKind aKind, std::chrono::milliseconds aNow)
+  {
+    return { aKind, aNow };
+  }
+
+  static GangEvent Place(GangPlacement aPlacement,
+                         std::chrono::milliseconds aNow)
+  {
+    GangEvent event(GangEventKind::kPlace, aNow);
+    event.mPlacement = std::move(aPlacement);
+    return event;
+  }
+
+  static GangEvent Refuse(RefusalReason aReason,
+                          std::string aDetail,
+                          std::chrono::milliseconds aNow)
+  {
+    GangEvent event(GangEventKind::kRefuse, aNow);
+    event.mReason = aReason;
+    event.mDetail = std::move(aDetail);
+    return event;
+  }
+
+  static GangEvent OfMember(GangEventKind aKind,
+                            std::uint32_t aAttempt,
+                            std::size_t aMember,
+                            std::chrono::milliseconds aNow)
+  {
+    GangEvent event(aKind, aNow);
+    event.mAttempt = aAttempt;
+    event.mMember = aMember;
+    event.mOfMember = true;
+    return event;
+  }
+
+  GangEventKind Kind() const { return mKind; }
+
+  /** Monotonic time of the event. */
+  std::chrono::milliseconds Now() const { return mNow; }
+
+  bool IsOfMember() const { return mOfMember; }
+  std::uint32_t Attempt() const { return mAttempt; }
+  std::size_t Member() const { return mMember; }
+  const GangPlacement& Placement() const { return mPlacement; }
+  RefusalReason Reason() const { return mReason; }
+  const std::string& Detail() const { return mDetail; }
+
+  auto operator<=>(const GangEvent&) const = default;
+
+private:
+  GangEvent(GangEventKind aKind, std::chrono::milliseconds aNow)
+    : mKind(aKind)
+    , mNow(aNow)
+  {
+  }
+
+  GangEventKind mKind;
+  std::chrono::milliseconds mNow;
+  bool mOfMember = false;
+  std::uint32_t mAttempt = 0;
+  std::size_t mMember = 0;
+  GangPlacement mPlacement;
+  RefusalReason mReason = RefusalReason::kNone;
+  std::string mDetail;
+};
+
+/**
+ * Translates a worker's answer to a command.
+ * @return The kind of the event, or nothing if the answer changes nothing.
+ */
+std::optional<GangEventKind>
+GangEventOf(WorkerAction aAction, const WorkerReport& aReport);
+
+enum class GangCommandKind
+{
+  /** Write the row that Gang::Writing() holds. */
+  kWriteRow,
+  /** Read the row to learn whether the write took effect. */
+  kReadRow,
+  /** Send an action to the worker of one member. */
+  kWorker
+};
+
+/** Something that the owner must do for a gang. */
+class GangCommand
+{
+public:
+  static GangCommand WriteRow()
+  {
+    return GangCommand(GangCommandKind::kWriteRow);
+  }
+  static GangCommand ReadRow()
+  {
+    return GangCommand(GangCommandKind::kReadRow);
+  }
+  static GangCommand ToWorker(WorkerAction aAction, std::size_t aMember)
+  {
+    GangCommand command(GangCommandKind::kWorker);
+    command.mAction = aAction;
+    command.mMember = aMember;
+    return command;
+  }
+
+  GangCommandKind Kind() const { return mKind; }
+  WorkerAction Action() const { return mAction; }
+  std::size_t Member() const { return mMember; }
+
+  auto operator<=>(const GangCommand&) const = default;
+
+private:
+  explicit GangCommand(GangCommandKind aKind)
+    : mKind(aKind)
+  {
+  }
+
+  GangCommandKind mKind;
+  WorkerAction mAction = WorkerAction::kRenew;
+  std::size_t mMember = 0;
+};
+
+} // namespace cornelrudder::state
+
+#endif // CORNELRUDDER_STATE_GANG_EVENT_H
--- /dev/null
+++ b/include/cornelrudder/state/WorkerExchange.h
@@ -0,0 +1,148 @@
+#ifndef CORNELRUDDER_STATE_WORKER_EXCHANGE_H
+#define CORNELRUDDER_STATE_WORKER_EXCHANGE_H
+
+#include "cornelrudder/state/Ids.h"
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace cornelrudder::state {
+
+enum class WorkerAction
+{
+  kReserve,
+  kCommit,
+  kStart,
+  kRenew,
+  kStop,
+  kCheckpoint,
+  kThrottle
+};
+
+inline constexpr std::size_t kWorkerActions = 7;
+
+/** @return The lower-case name of an action, as in its path. */
+std::string_view
+WorkerActionName(WorkerAction aAction);
+
+/** @return The action of this name, or nothing. */
+std::optional<WorkerAction>
+ParseWorkerAction(std::string_view aName);
+
+/** What a worker knows of one member of one attempt. */
+enum class MemberState
+{
+  /** The worker does not know the attempt. */
+  kUnknown,
+  kReserved,
+  kCommitted,
+  kRunning,
+  kFinished,
+  /** The task ran and failed. */
+  kFailed,
+  /** The lease ran out; the accelerators are free. */
+  kExpired,
+  kStopped
+};
+
+inline constexpr std::size_t kMemberStates = 8;
+
+/** @return The lower-case name of a state. */
+std::string_view
+MemberStateName(MemberState aState);
+
+/** @return The state of this name, or nothing. */
+std::optional<MemberState>
+ParseMemberState(std::string_view aName);
+
+/** A command to one worker about one member of a gang. */
+class WorkerCommand
+{
+public:
+  /**
+   * @param aEpoch Fencing token; a worker rejects one lower than it has seen.
+   * @param aAttempt A stopped attempt is never accepted again.
+   * @param aLease Time for which the worker holds the accelerators.
+   * @param aExpected The caller's estimate of the run time.
+   * @throws StateError if the member or an accelerator index is negative.
+   */
+  WorkerCommand(WorkerAction aAction,
+                RegionId aDomain,
+                std::uint64_t aEpoch,
+                JobId aGang,
+                std::uint32_t aAttempt,
+                int aMember,
+                std::vector<int> aAccelerators,
+                std::chrono::milliseconds aLease,
+                std::chrono::milliseconds aExpected);
+
+  WorkerAction Action() const { return mAction; }
+  const RegionId& Domain() const { return mDomain; }
+  std::uint64_t Epoch() const { return mEpoch; }
+  const JobId& Gang() const { return mGang; }
+  std::uint32_t Attempt() const { return mAttempt; }
+  int Member() const { return mMember; }
+  const std::vector<int>& Accelerators() const { return mAccelerators; }
+  std::chrono::milliseconds Lease() const { return mLease; }
+  std::chrono::milliseconds Expected() const { return mExpected; }
+
+  auto operator<=>(const WorkerCommand&) const = default;
+
+private:
+  WorkerAction mAction;
+  RegionId mDomain;
+  std::uint64_t mEpoch;
+  JobId mGang;
+  std::uint32_t mAttempt;
+  int mMember;
+  std::vector<int> mAccelerators;
+  std::chrono::milliseconds mLease;
+  std::chrono::milliseconds mExpected;
+};
+
+enum class WorkerStatus
+{
+  kAccepted,
+  /** The worker knows the command and will not carry it out. */
+  kRefused,
+  /** The worker has seen a higher epoch. */
+  kFenced,
+  /** No whole answer; the command may or may not have been carried out. */
+  kUnreachable
+};
+
+/** A worker's answer to one command. */
+class WorkerReport
+{
+public:
+  WorkerReport(WorkerStatus aStatus, MemberState aMember, bool aLeaving)
+    : mStatus(aStatus)
+    , mMember(aMember)
+    , mLeaving(aLeaving)
+  {
+  }
+
+  WorkerStatus Status() const { return mStatus; }
+
+  /** State after the command; kUnknown without an answer. */
+  MemberState Member() const { return mMember; }
+
+  /** Whether the worker says that it is leaving. */
+  bool Leaving() const { return mLeaving; }
+
+  auto operator<=>(const WorkerReport&) const = default;
+
+private:
+  WorkerStatus mStatus;
+  MemberState mMember;
+  bool mLeaving;
+};
+
+} // namespace cornelrudder::state
+
+#endif // CORNELRUDDER_STATE_WORKER_EXCHANGE_H
