--- a/include/cornelrudder/coordination/RowCodec.h
+++ b/include/cornelrudder/coordination/RowCodec.h
@@ -1,6 +1,7 @@
 #ifndef CORNELRUDDER_COORDINATION_ROW_CODEC_H
 #define CORNELRUDDER_COORDINATION_ROW_CODEC_H
 
+#include "cornelrudder/state/Job.h"
 #include "cornelrudder/state/SettingsDocument.h"
 
 #include <string>
@@ -24,6 +25,11 @@
 
   /** @throws CoordinationError if the row is malformed. */
   virtual state::SettingsHead DecodeHead(const std::string& aValue) const = 0;
+
+  virtual std::string EncodeJob(const state::Job& aJob) const = 0;
+
+  /** @throws CoordinationError if the row is malformed. */
+  virtual state::Job DecodeJob(const std::string& aValue) const = 0;
 };
 
 } // namespace cornelrudder::coordination
--- a/include/cornelrudder/protocol/JsonRowCodec.h
+++ b/include/cornelrudder/protocol/JsonRowCodec.h
@@ -15,6 +15,8 @@
     const std::string& aValue) const override;
   std::string EncodeHead(const state::SettingsHead& aHead) const override;
   state::SettingsHead DecodeHead(const std::string& aValue) const override;
+  std::string EncodeJob(const state::Job& aJob) const override;
+  state::Job DecodeJob(const std::string& aValue) const override;
 };
 
 } // namespace cornelrudder::protocol
--- /dev/null
+++ b/src/protocol/JobCodec.cpp
@@ -0,0 +1,319 @@
+#include "cornelrudder/protocol/JobCodec.h"
+
+#include "cornelrudder/protocol/CallerCodec.h"
+#include "cornelrudder/protocol/ProtocolError.h"
+#include "cornelrudder/state/StateError.h"
+
+#include <algorithm>
+#include <array>
+
+#include <nlohmann/json.hpp>
+
+namespace cornelrudder::protocol {
+
+using nlohmann::json;
+using state::Adjacency;
+using state::Job;
+using state::JobCommandKind;
+using state::JobReply;
+using state::JobSpec;
+using state::JobState;
+using state::Ran;
+using state::RefusalReason;
+
+namespace {
+
+constexpr std::size_t kJobStates = 10;
+constexpr std::size_t kReasons = 17;
+constexpr std::size_t kRans = 3;
+
+/** A job that is expected to run longer than a year is a mistake. */
+constexpr std::int64_t kMaxExpectedSeconds = 366LL * 24 * 3'600;
+
+constexpr std::array kJobFields{
+  std::string_view("organisation"),
+  std::string_view("team"),
+  std::string_view("class"),
+  std::string_view("workers"),
+  std::string_view("accelerators_per_worker"),
+  std::string_view("adjacency"),
+  std::string_view("expected_seconds"),
+  std::string_view("key"),
+};
+
+/** Refusals that a repeat may overcome. */
+constexpr std::array kRetryable{
+  RefusalReason::kNoCapacity,       RefusalReason::kOverloaded,
+  RefusalReason::kStoreUnavailable, RefusalReason::kQuotaExceeded,
+  RefusalReason::kNoOwner,          RefusalReason::kShuttingDown,
+};
+
+/** Finds the enumerator of this name among the first ones. */
+template<typename Enum, typename Namer>
+Enum
+ParseName(const std::string& aKey,
+          const std::string& aName,
+          std::size_t aCount,
+          Namer aNamer)
+{
+  for (std::size_t i = 0; i < aCount; ++i) {
+    const auto value = static_cast<Enum>(i);
+    if (aNamer(value) == aName) {
+      return value;
+    }
+  }
+  throw ProtocolError("job: " + aKey + ": unknown name \"" +
+                      aName.substr(0, state::kMaxIdLength) + "\"");
+}
+
+std::int64_t
+Integer(const json& aObject, const char* aKey, std::int64_t aMax)
+{
+  const auto it = aObject.find(aKey);
+  if (it == aObject.end()) {
+    throw ProtocolError("job: " + std::string(aKey) + " is required");
+  }
+  const bool whole = it->is_number_integer();
+  const auto n = whole ? it->get<std::int64_t>() : -1;
+  if (n < 0 || n > aMax) {
+    throw ProtocolError("job: " + std::string(aKey) + ": found " +
+                        it->dump(-1, ' ', true).substr(0, 64) +
+                        "; allowed is a whole number from 0 to " +
+                        std::to_string(aMax));
+  }
+  return n;
+}
+
+std::string
+Text(const json& aObject, const char* aKey)
+{
+  const auto it = aObject.find(aKey);
+  if (it == aObject.end() || !it->is_string()) {
+    throw ProtocolError("job: " + std::string(aKey) + ": a text is required");
+  }
+  return it->get<std::string>();
+}
+
+/** The key is optional; without one, a repeat is another job. */
+std::string
+Key(const json& aObject)
+{
+  if (!aObject.contains("key")) {
+    return {};
+  }
+  std::string key = Text(aObject, "key");
+  if (!key.empty()) {
+    state::RequireValidId("key", key);
+  }
+  return key;
+}
+
+state::Shape
+DecodeShape(const json& aObject)
+{
+  const std::string name = Text(aObject, "adjacency");
+  const auto adjacency = state::ParseAdjacency(name);
+  if (!adjacency) {
+    throw ProtocolError("job: adjacency \"" +
+                        name.substr(0, state::kMaxIdLength) +
+                        "\": allowed are worker, rack, zone, region");
+  }
+  constexpr std::int64_t kMax = state::Shape::kMaxAccelerators;
+  return { static_cast<int>(Integer(aObject, "workers", kMax)),
+           static_cast<int>(Integer(aObject, "accelerators_per_worker", kMax)),
+           *adjacency };
+}
+
+JobSpec
+SpecFromJson(const state::JobId& aId, const json& aObject)
+{
+  return { aId,
+           state::OrganisationId(Text(aObject, "organisation")),
+           state::TeamId(Text(aObject, "team")),
+           state::ClassName(Text(aObject, "class")),
+           DecodeShape(aObject),
+           Key(aObject),
+           std::chrono::seconds(
+             Integer(aObject, "expected_seconds", kMaxExpectedSeconds)) };
+}
+
+json
+SpecToJson(const JobSpec& aSpec)
+{
+  return {
+    { "organisation", aSpec.Organisation().Text() },
+    { "team", aSpec.Team().Text() },
+    { "class", aSpec.Class().Text() },
+    { "workers", aSpec.What().Workers() },
+    { "accelerators_per_worker", aSpec.What().AcceleratorsPerWorker() },
+    { "adjacency", state::AdjacencyName(aSpec.What().Within()) },
+    { "expected_seconds", aSpec.Expected().count() },
+    { "key", aSpec.Key() },
+  };
+}
+
+json
+ToJson(const Job& aJob)
+{
+  json members = json::array();
+  for (const state::MemberPlacement& member : aJob.Placement().Members()) {
+    members.push_back({ { "worker", member.Worker().Text() },
+                        { "accelerators", member.Accelerators() } });
+  }
+  json object = SpecToJson(aJob.Spec());
+  object["id"] = aJob.Spec().Name().Text();
+  object["state"] = JobStateName(aJob.State());
+  object["attempt"] = aJob.Attempt();
+  object["epoch"] = aJob.Epoch();
+  object["members"] = members;
+  object["reason"] = ReasonName(aJob.Reason());
+  object["ran"] = RanName(aJob.HasRun());
+  object["detail"] = aJob.Detail();
+  return object;
+}
+
+state::GangPlacement
+DecodePlacement(const json& aMembers)
+{
+  std::vector<state::MemberPlacement> members;
+  for (const json& member : aMembers) {
+    auto indexes = member.at("accelerators").get<std::vector<int>>();
+    const bool valid = std::all_of(
+      indexes.begin(), indexes.end(), [](int aIndex) { return aIndex >= 0; });
+    if (!valid) {
+      throw ProtocolError("job: an accelerator has a negative index");
+    }
+    members.emplace_back(state::VmId(Text(member, "worker")),
+                         std::move(indexes));
+  }
+  return state::GangPlacement(std::move(members));
+}
+
+Job
+JobFromJson(const json& aObject)
+{
+  return { SpecFromJson(state::JobId(Text(aObject, "id")), aObject),
+           ParseName<JobState>(
+             "state", Text(aObject, "state"), kJobStates, state::JobStateName),
+           aObject.at("attempt").get<std::uint32_t>(),
+           aObject.at("epoch").get<std::uint64_t>(),
+           DecodePlacement(aObject.at("members")),
+           ParseName<RefusalReason>(
+             "reason", Text(aObject, "reason"), kReasons, state::ReasonName),
+           ParseName<Ran>("ran", Text(aObject, "ran"), kRans, state::RanName),
+           Text(aObject, "detail") };
+}
+
+/** Runs a decoder and turns the errors of layers below into ProtocolError. */
+template<typename Decoder>
+auto
+Decode(std::string_view aText, Decoder aDecoder)
+{
+  try {
+    const json object = json::parse(aText);
+    if (!object.is_object()) {
+      throw ProtocolError("job: found " + std::string(object.type_name()) +
+                          "; allowed is an object");
+    }
+    return aDecoder(object);
+  } catch (const json::exception& error) {
+    throw ProtocolError(std::string("job: ") + error.what());
+  } catch (const state::StateError& error) {
+    throw ProtocolError(std::string("job: ") + error.what());
+  }
+}
+
+/** Replaces bytes that are no UTF-8, so that dump() does not throw. */
+std::string
+Dump(const json& aObject)
+{
+  return aObject.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+HttpResponse
+EncodeJobRefusal(const JobReply& aReply)
+{
+  const json body{ { "error", ReasonName(aReply.Reason()) },
+                   { "reason", aReply.Detail() },
+                   { "ran", RanName(aReply.HasRun()) } };
+  HttpHeaders headers{ { "content-type", "application/json" } };
+  if (std::find(kRetryable.begin(), kRetryable.end(), aReply.Reason()) !=
+      kRetryable.end()) {
+    headers.emplace("retry-after", "1");
+  }
+  return { HttpStatusOf(aReply.Reason()), std::move(headers), Dump(body) };
+}
+
+void
+RequireKnownFields(const json& aObject)
+{
+  for (const auto& [key, value] : aObject.items()) {
+    if (std::find(kJobFields.begin(), kJobFields.end(), key) ==
+        kJobFields.end()) {
+      throw ProtocolError("job: unknown field \"" +
+                          key.substr(0, state::kMaxIdLength) + "\"");
+    }
+  }
+}
+
+} // namespace
+
+std::string
+EncodeJob(const Job& aJob)
+{
+  return Dump(ToJson(aJob));
+}
+
+Job
+DecodeJob(std::string_view aText)
+{
+  return Decode(aText, JobFromJson);
+}
+
+JobSpec
+DecodeJobSpec(const state::JobId& aId, const HttpRequest& aRequest)
+{
+  return Decode(aRequest.Body(), [&](json aObject) {
+    RequireKnownFields(aObject);
+    const auto fill = [&](const char* aField, std::string_view aHeader) {
+      if (!aObject.contains(aField) && !aRequest.Header(aHeader).empty()) {
+        aObject[aField] = aRequest.Header(aHeader);
+      }
+    };
+    fill("organisation", "x-organisation");
+    fill("team", "x-team");
+    return SpecFromJson(aId, aObject);
+  });
+}
+
+std::string
+EncodeJobSpec(const JobSpec& aSpec)
+{
+  return Dump(SpecToJson(aSpec));
+}
+
+HttpResponse
+EncodeJobReply(JobCommandKind aKind, const JobReply& aReply)
+{
+  if (aReply.Reason() != RefusalReason::kNone) {
+    return EncodeJobRefusal(aReply);
+  }
+  if (aKind == JobCommandKind::kList) {
+    json jobs = json::array();
+    for (const Job& job : aReply.Jobs()) {
+      jobs.push_back(ToJson(job));
+    }
+    return HttpResponse::Json(200, Dump({ { "jobs", jobs } }));
+  }
+  if (aReply.Jobs().empty()) {
+    return EncodeError(404, "unknown_job", "no job has this identifier");
+  }
+  json body = ToJson(aReply.Jobs().front());
+  if (aKind == JobCommandKind::kExplain) {
+    body["explanation"] = aReply.Detail();
+  }
+  const int status = aKind == JobCommandKind::kSubmit ? 201 : 200;
+  return HttpResponse::Json(status, Dump(body));
+}
+
+} // namespace cornelrudder::protocol
--- a/src/protocol/JsonRowCodec.cpp
+++ b/src/protocol/JsonRowCodec.cpp
@@ -1,6 +1,7 @@
 #include "cornelrudder/protocol/JsonRowCodec.h"
 
 #include "cornelrudder/coordination/CoordinationError.h"
+#include "cornelrudder/protocol/JobCodec.h"
 #include "cornelrudder/protocol/ProtocolError.h"
 #include "cornelrudder/protocol/SettingsCodec.h"
 
@@ -45,4 +46,16 @@
   return Translate(DecodeSettingsHead, aValue);
 }
 
+std::string
+JsonRowCodec::EncodeJob(const state::Job& aJob) const
+{
+  return protocol::EncodeJob(aJob);
+}
+
+state::Job
+JsonRowCodec::DecodeJob(const std::string& aValue) const
+{
+  return Translate(protocol::DecodeJob, aValue);
+}
+
 } // namespace cornelrudder::protocol
