--- /dev/null
+++ b/include/cornelrudder/state/JobQueue.h
@@ -0,0 +1,118 @@
+#ifndef CORNELRUDDER_STATE_JOB_QUEUE_H
+#define CORNELRUDDER_STATE_JOB_QUEUE_H
+
+#include "cornelrudder/state/FleetLoad.h"
+#include "cornelrudder/state/Job.h"
+#include "cornelrudder/state/PlacementStrategy.h"
+#include "cornelrudder/state/SettingsDocument.h"
+
+#include <compare>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cornelrudder::state {
+
+/** A job that waits for a place. */
+class WaitingJob
+{
+public:
+  /**
+   * @param aTeamLimit Accelerators that the team may hold, if limited.
+   * @param aAvoided Workers on which the job failed before.
+   * @param aFirst Whether it goes before all others, because accelerators
+   *   were reclaimed for it.
+   */
+  WaitingJob(JobSpec aSpec,
+             int aUrgency,
+             bool aPreemptible,
+             std::optional<int> aTeamLimit,
+             std::set<VmId> aAvoided,
+             bool aFirst)
+    : mSpec(std::move(aSpec))
+    , mUrgency(aUrgency)
+    , mPreemptible(aPreemptible)
+    , mTeamLimit(aTeamLimit)
+    , mAvoided(std::move(aAvoided))
+    , mFirst(aFirst)
+  {
+  }
+
+  const JobSpec& Spec() const { return mSpec; }
+  int Urgency() const { return mUrgency; }
+  bool Preemptible() const { return mPreemptible; }
+  const std::optional<int>& TeamLimit() const { return mTeamLimit; }
+  const std::set<VmId>& Avoided() const { return mAvoided; }
+  bool First() const { return mFirst; }
+
+  auto operator<=>(const WaitingJob&) const = default;
+
+private:
+  JobSpec mSpec;
+  int mUrgency;
+  bool mPreemptible;
+  std::optional<int> mTeamLimit;
+  std::set<VmId> mAvoided;
+  bool mFirst;
+};
+
+/** Accelerators that are held, by organisation and by team. */
+struct HeldAccelerators
+{
+  std::map<OrganisationId, int> mByOrganisation;
+  std::map<std::pair<OrganisationId, TeamId>, int> mByTeam;
+
+  auto operator<=>(const HeldAccelerators&) const = default;
+};
+
+/** What was decided about one waiting job. */
+struct QueueDecision
+{
+  JobId mJob;
+  PlacementDecision mDecision;
+  /** Place in the queue, from 1. */
+  std::size_t mPosition;
+
+  auto operator<=>(const QueueDecision&) const = default;
+};
+
+/**
+ * Decides about all waiting jobs, in order of urgency, of the organisation's
+ * held share by weight, and of age (identifiers ascend with time). Later jobs
+ * only get places outside the reservation of the first job that must wait.
+ * @param aWeights Weight of each organisation; 1 if absent.
+ */
+std::vector<QueueDecision>
+DecideQueue(const FleetLoad& aLoad,
+            std::vector<WaitingJob> aQueue,
+            HeldAccelerators aHeld,
+            const std::map<OrganisationId, int>& aWeights,
+            const PlacementStrategy& aStrategy);
+
+/** @return The accelerators of a placement that no gang of the load holds. */
+GangPlacement
+FreePart(const FleetLoad& aLoad, const GangPlacement& aPlacement);
+
+/** @return The active guaranteed shapes of active organisations. */
+std::vector<GuaranteedShape>
+GuaranteedShapesOf(const SettingsView& aSettings, const RegionId& aRegion);
+
+/** Limits that a team's settings put on its jobs. */
+struct TeamLimits
+{
+  std::optional<int> mAccelerators;
+  std::optional<int> mQueuedJobs;
+
+  auto operator<=>(const TeamLimits&) const = default;
+};
+
+TeamLimits
+TeamLimitsOf(const SettingsView& aSettings,
+             const OrganisationId& aOrganisation,
+             const TeamId& aTeam);
+
+} // namespace cornelrudder::state
+
+#endif // CORNELRUDDER_STATE_JOB_QUEUE_H
