--- a/include/cornelrudder/protocol/JsonRowCodec.h
+++ b/include/cornelrudder/protocol/JsonRowCodec.h
@@ -17,6 +17,8 @@
   state::SettingsHead DecodeHead(const std::string& aValue) const override;
   std::string EncodeLease(const state::LeaseRow& aRow) const override;
   state::LeaseRow DecodeLease(const std::string& aValue) const override;
+  std::string EncodeJob(const state::Job& aJob) const override;
+  state::Job DecodeJob(const std::string& aValue) const override;
 };
 
 } // namespace cornelrudder::protocol
