Add the intent of a non-idempotent request and its decisions

A claim writes the row before anything is dispatched; only a confirmed write allows the dispatch. A claim whose outcome is unknown is refused with "ran: no" and revoked: a not_run row written at the claim's own version leaves no version at which a delayed claim could take effect.

--- a/include/cornelrudder/coordination/RowCodec.h
+++ b/include/cornelrudder/coordination/RowCodec.h
@@ -1,6 +1,7 @@
 #ifndef CORNELRUDDER_COORDINATION_ROW_CODEC_H
 #define CORNELRUDDER_COORDINATION_ROW_CODEC_H
 
+#include "cornelrudder/state/Intent.h"
 #include "cornelrudder/state/LeaseRow.h"
 #include "cornelrudder/state/SettingsDocument.h"
 
@@ -30,6 +31,11 @@
 
   /** @throws CoordinationError if the row is malformed. */
   virtual state::LeaseRow DecodeLease(const std::string& aValue) const = 0;
+
+  virtual std::string EncodeIntent(const state::Intent& aIntent) const = 0;
+
+  /** @throws CoordinationError if the row is malformed. */
+  virtual state::Intent DecodeIntent(const std::string& aValue) const = 0;
 };
 
 } // namespace cornelrudder::coordination
--- a/include/cornelrudder/protocol/JsonRowCodec.h
+++ b/include/cornelrudder/protocol/JsonRowCodec.h
@@ -17,6 +17,8 @@
   state::SettingsHead DecodeHead(const std::string& aValue) const override;
   std::string EncodeLease(const state::LeaseRow& aRow) const override;
   state::LeaseRow DecodeLease(const std::string& aValue) const override;
+  std::string EncodeIntent(const state::Intent& aIntent) const override;
+  state::Intent DecodeIntent(const std::string& aValue) const override;
 };
 
 } // namespace cornelrudder::protocol
--- a/include/cornelrudder/state/RunRequest.h
+++ b/include/cornelrudder/state/RunRequest.h
@@ -81,7 +81,9 @@
   kNoOwner,
   kCancelled,
   kShuttingDown,
-  kJobFails
+  kJobFails,
+  /** It ran, but its answer is not available any more. */
+  kAnswerNotKept
 };
 
 /** @return The name of a reason in answers and logs. */
--- a/src/protocol/CallerCodec.cpp
+++ b/src/protocol/CallerCodec.cpp
@@ -41,6 +41,7 @@
   ReasonStatus{ RefusalReason::kCancelled, 409 },
   ReasonStatus{ RefusalReason::kShuttingDown, 503 },
   ReasonStatus{ RefusalReason::kJobFails, 422 },
+  ReasonStatus{ RefusalReason::kAnswerNotKept, 410 },
 };
 
 std::string
--- /dev/null
+++ b/src/protocol/IntentCodec.cpp
@@ -0,0 +1,88 @@
+#include "cornelrudder/protocol/IntentCodec.h"
+
+#include "cornelrudder/protocol/ProtocolError.h"
+#include "cornelrudder/state/StateError.h"
+
+#include <array>
+
+#include <cereal/external/base64.hpp>
+#include <nlohmann/json.hpp>
+
+namespace cornelrudder::protocol {
+
+using nlohmann::json;
+using state::IntentState;
+
+namespace {
+
+constexpr std::array kStates{ IntentState::kDispatched,
+                              IntentState::kDone,
+                              IntentState::kNotRun };
+
+IntentState
+DecodeState(const std::string& aText)
+{
+  for (const IntentState state : kStates) {
+    if (state::IntentStateName(state) == aText) {
+      return state;
+    }
+  }
+  throw ProtocolError("intent: state \"" + aText +
+                      "\"; allowed are dispatched, done, not_run");
+}
+
+std::string
+ToBase64(const std::string& aText)
+{
+  return cereal::base64::encode(
+    reinterpret_cast<const unsigned char*>(aText.data()), aText.size());
+}
+
+std::string
+FromBase64(const std::string& aText)
+{
+  std::string text = cereal::base64::decode(aText);
+  // The decoder stops at the first character that is not base64.
+  if (ToBase64(text) != aText) {
+    throw ProtocolError("intent: the answer is not base64");
+  }
+  return text;
+}
+
+} // namespace
+
+std::string
+EncodeIntent(const state::Intent& aIntent)
+{
+  json object{ { "digest", aIntent.Digest() },
+               { "owner", aIntent.Owner() },
+               { "attempt", aIntent.Attempt() },
+               { "state", state::IntentStateName(aIntent.State()) } };
+  if (aIntent.Answer()) {
+    object["answer"] = ToBase64(*aIntent.Answer());
+  }
+  return object.dump();
+}
+
+state::Intent
+DecodeIntent(std::string_view aText)
+{
+  try {
+    const json object = json::parse(aText);
+    std::optional<std::string> answer;
+    if (object.contains("answer")) {
+      answer = FromBase64(object.at("answer").get<std::string>());
+    }
+    return { object.at("digest").get<std::string>(),
+             object.at("owner").get<std::string>(),
+             object.at("attempt").get<std::string>(),
+             DecodeState(object.at("state").get<std::string>()),
+             std::move(answer) };
+  } catch (const json::exception& error) {
+    throw ProtocolError(std::string("intent: ") + error.what());
+  } catch (const state::StateError& error) {
+    throw ProtocolError(std::string("intent: ") + error.what());
+  }
+}
+
+} // namespace cornelrudder::protocol
--- a/src/protocol/JsonRowCodec.cpp
+++ b/src/protocol/JsonRowCodec.cpp
@@ -1,6 +1,7 @@
 #include "cornelrudder/protocol/JsonRowCodec.h"
 
 #include "cornelrudder/coordination/CoordinationError.h"
+#include "cornelrudder/protocol/IntentCodec.h"
 #include "cornelrudder/protocol/LeaseCodec.h"
 #include "cornelrudder/protocol/ProtocolError.h"
 #include "cornelrudder/protocol/SettingsCodec.h"
@@ -58,4 +59,16 @@
   return Translate(DecodeLeaseRow, aValue);
 }
 
+std::string
+JsonRowCodec::EncodeIntent(const state::Intent& aIntent) const
+{
+  return protocol::EncodeIntent(aIntent);
+}
+
+state::Intent
+JsonRowCodec::DecodeIntent(const std::string& aValue) const
+{
+  return Translate(protocol::DecodeIntent, aValue);
+}
+
 } // namespace cornelrudder::protocol
--- /dev/null
+++ b/src/state/Intent.cpp
@@ -0,0 +1,175 @@
+#include "cornelrudder/state/Intent.h"
+
+#include "cornelrudder/state/StateError.h"
+
+#include <array>
+#include <cstdio>
+
+#include <xxhash.h>
+
+namespace cornelrudder::state {
+
+namespace {
+
+constexpr std::chrono::milliseconds kRetryAfter{ 1'000 };
+constexpr std::chrono::milliseconds kNever{ 0 };
+
+/** Indexed by IntentState. */
+constexpr std::array<std::string_view, 3> kStateNames{ "dispatched",
+                                                       "done",
+                                                       "not_run" };
+
+RunOutcome
+InProgress()
+{
+  return RunOutcome::Refused(
+    RefusalReason::kInProgress,
+    Ran::kUnknown,
+    kRetryAfter,
+    "a request with this key was dispatched; its outcome is not recorded");
+}
+
+RunOutcome
+StoreUnavailable()
+{
+  return RunOutcome::Refused(
+    RefusalReason::kStoreUnavailable,
+    Ran::kNo,
+    kRetryAfter,
+    "the key could not be recorded, so that nothing was dispatched");
+}
+
+} // namespace
+
+std::string_view
+IntentStateName(IntentState aState)
+{
+  return kStateNames.at(static_cast<std::size_t>(aState));
+}
+
+Intent::Intent(std::string aDigest,
+               std::string aOwner,
+               std::string aAttempt,
+               IntentState aState,
+               std::optional<std::string> aAnswer)
+  : mDigest(std::move(aDigest))
+  , mOwner(std::move(aOwner))
+  , mAttempt(std::move(aAttempt))
+  , mState(aState)
+  , mAnswer(std::move(aAnswer))
+{
+  if (mAnswer && mState != IntentState::kDone) {
+    throw StateError("intent in state " + std::string(IntentStateName(mState)) +
+                     " has an answer; only one that is done may have one");
+  }
+  if (mAnswer && mAnswer->size() > kMaxAnswer) {
+    throw StateError(
+      "intent with an answer of " + std::to_string(mAnswer->size()) +
+      " bytes; allowed are at most " + std::to_string(kMaxAnswer));
+  }
+}
+
+Intent
+Intent::WithoutRun() const
+{
+  return { mDigest, mOwner, mAttempt, IntentState::kNotRun, std::nullopt };
+}
+
+std::optional<Intent>
+Intent::WithOutcome(const RunOutcome& aOutcome) const
+{
+  if (aOutcome.IsAnswer()) {
+    const bool isKept = aOutcome.Text().size() <= kMaxAnswer;
+    return Intent(mDigest,
+                  mOwner,
+                  mAttempt,
+                  IntentState::kDone,
+                  isKept ? std::optional(aOutcome.Text()) : std::nullopt);
+  }
+  if (aOutcome.HasRun() == Ran::kNo) {
+    return WithoutRun();
+  }
+  return std::nullopt;
+}
+
+std::string
+RequestDigest(const RunRequest& aRequest)
+{
+  // Identifiers have no NUL, so that the parts cannot run into each other.
+  std::string text = aRequest.Team().Text();
+  text += '\0';
+  text += aRequest.Class().Text();
+  text += '\0';
+  text += aRequest.Body();
+  const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
+  std::array<char, 33> buf{};
+  std::snprintf(buf.data(),
+                buf.size(),
+                "%016llx%016llx",
+                static_cast<unsigned long long>(hash.high64),
+                static_cast<unsigned long long>(hash.low64));
+  return buf.data();
+}
+
+std::string
+IntentKey(const RunRequest& aRequest)
+{
+  return "intent/" + aRequest.Organisation().Text() + "/" +
+         aRequest.IdempotencyKey();
+}
+
+IntentStep
+JudgeRepeat(const FoundIntent& aFound, const std::string& aDigest)
+{
+  const Intent& intent = aFound.mIntent;
+  if (intent.Digest() != aDigest) {
+    return IntentStep::Answer(RunOutcome::Refused(
+      RefusalReason::kKeyReused,
+      Ran::kNo,
+      kNever,
+      "the key was used for a request with another team, class or body"));
+  }
+  if (intent.State() == IntentState::kNotRun) {
+    return IntentStep::Claim(aFound.mVersion);
+  }
+  if (intent.State() == IntentState::kDispatched) {
+    return IntentStep::Answer(InProgress());
+  }
+  if (!intent.Answer()) {
+    return IntentStep::Answer(
+      RunOutcome::Refused(RefusalReason::kAnswerNotKept,
+                          Ran::kYes,
+                          kNever,
+                          "the request ran; its answer was too long to keep"));
+  }
+  return IntentStep::Answer(RunOutcome::Answered(*intent.Answer()));
+}
+
+IntentStep
+AfterClaim(StoreStatus aStatus,
+           const std::optional<FoundIntent>& aFound,
+           const std::string& aDigest)
+{
+  switch (aStatus) {
+    case StoreStatus::kOk:
+      return IntentStep::Dispatch();
+    case StoreStatus::kUnavailable:
+      return IntentStep::Answer(StoreUnavailable());
+    case StoreStatus::kUnknown:
+      return IntentStep::AnswerAndRevoke(StoreUnavailable());
+    case StoreStatus::kConflict:
+      break;
+  }
+  // Without the row it is open whether an earlier request ran.
+  return aFound ? JudgeRepeat(*aFound, aDigest)
+                : IntentStep::Answer(InProgress());
+}
+
+bool
+MustEndAgain(const Intent& aFound, const std::string& aAttempt)
+{
+  return aFound.Attempt() == aAttempt &&
+         aFound.State() == IntentState::kDispatched;
+}
+
+} // namespace cornelrudder::state
--- a/src/state/RunRequest.cpp
+++ b/src/state/RunRequest.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /** Indexed by RefusalReason. */
-constexpr std::array<std::string_view, 17> kReasonNames{
+constexpr std::array<std::string_view, 18> kReasonNames{
   "none",
   "unknown_class",
   "unknown_organisation",
@@ -25,6 +25,7 @@
   "cancelled",
   "shutting_down",
   "job_fails",
+  "answer_not_kept",
 };
 
 /** Indexed by Ran. */
