Add the intent task

An unknown class is refused here, because the routing task may already hold newer settings and would let the request pass without an intent.

--- a/include/cornelrudder/coordination/Messages.h
+++ b/include/cornelrudder/coordination/Messages.h
@@ -177,6 +177,14 @@
   auto operator<=>(const RetryStore&) const = default;
 };
 
+/** Tells the intent task to write the end of an attempt again. */
+struct RetryRecord
+{
+  const std::string mAttempt;
+
+  auto operator<=>(const RetryRecord&) const = default;
+};
+
 } // namespace cornelrudder::coordination
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::Subscribe)
@@ -204,5 +212,6 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::GetLease)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::LeaseStatus)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::RetryStore)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::RetryRecord)
 
 #endif // CORNELRUDDER_COORDINATION_MESSAGES_H
--- /dev/null
+++ b/src/coordination/IntentTask.cpp
@@ -0,0 +1,472 @@
+#include "cornelrudder/coordination/IntentTask.h"
+
+#include "cornelrudder/coordination/CoordinationError.h"
+#include "cornelrudder/coordination/Messages.h"
+#include "cornelrudder/state/Intent.h"
+#include "cornelrudder/state/JobClass.h"
+
+#include <caf/actor_system.hpp>
+#include <caf/event_based_actor.hpp>
+#include <caf/typed_response_promise.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace cornelrudder::coordination {
+
+namespace {
+
+using state::FoundIntent;
+using state::Intent;
+using state::IntentStep;
+using state::Ran;
+using state::RefusalReason;
+using state::RunOutcome;
+using state::RunRequest;
+using state::StoreResult;
+using state::StoreStatus;
+using state::Transaction;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kRetryAfter{ 1'000 };
+
+/** Claims of one request; each further one follows a row found not run. */
+constexpr int kMaxClaims = 5;
+
+/**
+ * Attempts whose end is still to be written. With answers of 256 KiB at most
+ * this bounds their memory to 64 MiB; above it rows stay dispatched.
+ */
+constexpr std::size_t kMaxOpenEnds = 256;
+
+class IntentTask : public caf::event_based_actor
+{
+public:
+  IntentTask(caf::actor_config& aConfig,
+             caf::actor aStore,
+             caf::actor aRouting,
+             const RowCodec& aCodec,
+             const Clock& aClock,
+             EventLog& aLog,
+             WriteIds aWriteIds,
+             IntentTaskOptions aOptions)
+    : caf::event_based_actor(aConfig)
+    , mStore(std::move(aStore))
+    , mRouting(std::move(aRouting))
+    , mCodec(aCodec)
+    , mClock(aClock)
+    , mLog(aLog)
+    , mWriteIds(std::move(aWriteIds))
+    , mOptions(std::move(aOptions))
+  {
+  }
+
+  caf::behavior make_behavior() override
+  {
+    return {
+      [this](const RunRequest& aRequest) { return Accept(aRequest); },
+      [this](const state::SettingsView& aSettings) { mSettings = aSettings; },
+      [this](const RetryRecord& aRetry) { RetryEnd(aRetry.mAttempt); },
+      [this](const GetCounters&) { return mCounters; },
+    };
+  }
+
+private:
+  /** A request between its arrival and the answer to its caller. */
+  struct Call
+  {
+    const RunRequest mRequest;
+    const std::string mKey;
+    const std::string mDigest;
+    caf::typed_response_promise<RunOutcome> mPromise;
+    milliseconds mAcceptedAt;
+    int mClaims = 0;
+  };
+
+  using CallPtr = std::shared_ptr<Call>;
+
+  /** The end of an attempt that is to be written into its row. */
+  struct End
+  {
+    Intent mIntent;
+    Transaction mWrite;
+    std::string mKey;
+    /** The caller that waits for the first try to write it. */
+    CallPtr mCall;
+    std::optional<RunOutcome> mOutcome;
+  };
+
+  caf::result<RunOutcome> Accept(const RunRequest& aRequest)
+  {
+    const auto jobClass = FindJobClass(mSettings, aRequest.Class());
+    if (jobClass && jobClass->Idempotent()) {
+      auto promise = make_response_promise<RunOutcome>();
+      promise.delegate(mRouting, aRequest);
+      return promise;
+    }
+    auto promise = make_response_promise<RunOutcome>();
+    const auto call =
+      std::make_shared<Call>(Call{ aRequest,
+                                   state::IntentKey(aRequest),
+                                   state::RequestDigest(aRequest),
+                                   promise,
+                                   mClock.Now() });
+    // Nothing of an unknown class or team goes to the routing task, whose
+    // settings may already be newer and let it pass without an intent.
+    if (!jobClass) {
+      Refuse(*call, RefusalReason::kUnknownClass, milliseconds(0));
+    } else if (!IsActiveTeam(
+                 mSettings, aRequest.Organisation(), aRequest.Team())) {
+      Refuse(*call, RefusalReason::kUnknownOrganisation, milliseconds(0));
+    } else if (aRequest.IdempotencyKey().empty()) {
+      Refuse(*call, RefusalReason::kKeyRequired, milliseconds(0));
+    } else if (!AnswerFromMemory(*call)) {
+      mCalls.emplace(call->mKey, call);
+      Claim(call, 0);
+    }
+    return promise;
+  }
+
+  /** Answers a repeat of a request that this task still works on. */
+  bool AnswerFromMemory(Call& aCall)
+  {
+    const auto known = FindInMemory(aCall.mKey);
+    if (!known) {
+      return false;
+    }
+    const RunOutcome outcome =
+      *state::JudgeRepeat({ *known, 0 }, aCall.mDigest).Outcome();
+    LogRepeat(aCall, outcome);
+    Finish(aCall, outcome);
+    return true;
+  }
+
+  /** @return The intent of a request that runs or is not yet recorded. */
+  std::optional<Intent> FindInMemory(const std::string& aKey) const
+  {
+    const auto running = mCalls.find(aKey);
+    if (running != mCalls.end()) {
+      return NewIntent(*running->second, "");
+    }
+    for (const auto& [attempt, end] : mEnds) {
+      if (end.mKey == aKey &&
+          end.mIntent.State() == state::IntentState::kDone) {
+        return end.mIntent;
+      }
+    }
+    return std::nullopt;
+  }
+
+  Intent NewIntent(const Call& aCall, const std::string& aAttempt) const
+  {
+    return { aCall.mDigest,
+             mOptions.mIncarnation,
+             aAttempt,
+             state::IntentState::kDispatched,
+             std::nullopt };
+  }
+
+  /** Asks a task; an error of that task counts as an unknown outcome. */
+  template<typename Handler>
+  void Write(const Transaction& aWrite, Handler aHandler)
+  {
+    request(mStore, caf::infinite, aWrite)
+      .then([aHandler](const StoreResult& aResult) { aHandler(aResult); },
+            [aHandler](const caf::error&) {
+              aHandler(StoreResult(StoreStatus::kUnknown, {}));
+            });
+  }
+
+  void Claim(const CallPtr& aCall, std::uint64_t aVersion)
+  {
+    ++aCall->mClaims;
+    const std::string attempt = mWriteIds.Next();
+    const Intent intent = NewIntent(*aCall, attempt);
+    Write(
+      Transaction(attempt,
+                  { { aCall->mKey, aVersion, mCodec.EncodeIntent(intent) } }),
+      [this, aCall, intent, aVersion](const StoreResult& aResult) {
+        FinishClaim(aCall, intent, aVersion, aResult);
+      });
+  }
+
+  void FinishClaim(const CallPtr& aCall,
+                   const Intent& aIntent,
+                   std::uint64_t aVersion,
+                   const StoreResult& aResult)
+  {
+    const auto found = aResult.Status() == StoreStatus::kConflict
+                         ? Decode(aCall->mKey, aResult)
+                         : std::nullopt;
+    const IntentStep step = AfterClaim(aResult.Status(), found, aCall->mDigest);
+    switch (step.What()) {
+      case IntentStep::Kind::kDispatch:
+        ++mCounters["intent_claimed_total"];
+        Dispatch(aCall, aIntent, aVersion + 1);
+        return;
+      case IntentStep::Kind::kClaim:
+        if (aCall->mClaims < kMaxClaims) {
+          Claim(aCall, step.Version());
+        } else {
+          Refuse(*aCall, RefusalReason::kOverloaded, kRetryAfter);
+          mCalls.erase(aCall->mKey);
+        }
+        return;
+      case IntentStep::Kind::kAnswer:
+        LogRepeat(*aCall, *step.Outcome());
+        break;
+      case IntentStep::Kind::kAnswerAndRevoke:
+        ++mCounters["intent_revoked_total"];
+        mLog.Write({ LogEvent::kIntentRevoked, { { "key", aCall->mKey } } });
+        AddEnd(aCall->mKey, aIntent.WithoutRun(), aVersion, nullptr, {});
+        break;
+    }
+    mCalls.erase(aCall->mKey);
+    Finish(*aCall, *step.Outcome());
+  }
+
+  std::optional<FoundIntent> Decode(const std::string& aKey,
+                                    const StoreResult& aResult)
+  {
+    if (aResult.Rows().empty() || aResult.Rows().front().Version() == 0) {
+      return std::nullopt;
+    }
+    const state::StoreRow& row = aResult.Rows().front();
+    try {
+      return FoundIntent{ mCodec.DecodeIntent(row.Value()), row.Version() };
+    } catch (const CoordinationError& error) {
+      ++mCounters["rows_malformed_total"];
+      mLog.Write({ LogEvent::kRowMalformed,
+                   { { "key", aKey }, { "error", error.what() } } });
+      return std::nullopt;
+    }
+  }
+
+  void Dispatch(const CallPtr& aCall,
+                const Intent& aIntent,
+                std::uint64_t aVersion)
+  {
+    const auto rest = RestOf(*aCall);
+    if (!rest) {
+      FinishRun(aCall,
+                aIntent,
+                aVersion,
+                RunOutcome::Refused(RefusalReason::kTimedOut,
+                                    Ran::kNo,
+                                    kRetryAfter,
+                                    "the deadline passed before dispatch"));
+      return;
+    }
+    const RunRequest& whole = aCall->mRequest;
+    const RunRequest dispatched(whole.Name(),
+                                whole.Organisation(),
+                                whole.Team(),
+                                whole.Class(),
+                                whole.IdempotencyKey(),
+                                whole.Body(),
+                                *rest);
+    request(mRouting, caf::infinite, dispatched)
+      .then(
+        [this, aCall, aIntent, aVersion](const RunOutcome& aOutcome) {
+          FinishRun(aCall, aIntent, aVersion, aOutcome);
+        },
+        [this, aCall, aIntent, aVersion](const caf::error&) {
+          FinishRun(aCall,
+                    aIntent,
+                    aVersion,
+                    RunOutcome::Refused(RefusalReason::kEndpointFailed,
+                                        Ran::kUnknown,
+                                        milliseconds(0),
+                                        "the routing task failed"));
+        });
+  }
+
+  /** @return What is left of the caller's deadline; nothing if it passed. */
+  std::optional<milliseconds> RestOf(const Call& aCall) const
+  {
+    const milliseconds whole = aCall.mRequest.Timeout();
+    if (whole.count() == 0) {
+      return whole;
+    }
+    const milliseconds rest = whole - (mClock.Now() - aCall.mAcceptedAt);
+    return rest.count() > 0 ? std::optional(rest) : std::nullopt;
+  }
+
+  void FinishRun(const CallPtr& aCall,
+                 const Intent& aIntent,
+                 std::uint64_t aVersion,
+                 const RunOutcome& aOutcome)
+  {
+    const auto next = aIntent.WithOutcome(aOutcome);
+    if (!next) {
+      ++mCounters["intent_unknown_total"];
+      mLog.Write({ LogEvent::kIntentUnknown,
+                   { { "request", aCall->mRequest.Name().Text() },
+                     { "key", aCall->mKey } } });
+      mCalls.erase(aCall->mKey);
+      Finish(*aCall, aOutcome);
+      return;
+    }
+    AddEnd(aCall->mKey, *next, aVersion, aCall, aOutcome);
+  }
+
+  /**
+   * Writes the end of an attempt, and goes on trying after a failure. Each
+   * try uses the same write id, so that a delayed one is recognised.
+   */
+  void AddEnd(const std::string& aKey,
+              const Intent& aIntent,
+              std::uint64_t aVersion,
+              const CallPtr& aCall,
+              const std::optional<RunOutcome>& aOutcome)
+  {
+    mEnds.insert_or_assign(
+      aIntent.Attempt(),
+      End{ aIntent, EndWrite(aKey, aIntent, aVersion), aKey, aCall, aOutcome });
+    WriteEnd(aIntent.Attempt());
+  }
+
+  Transaction EndWrite(const std::string& aKey,
+                       const Intent& aIntent,
+                       std::uint64_t aVersion)
+  {
+    return { mWriteIds.Next(),
+             { { aKey, aVersion, mCodec.EncodeIntent(aIntent) } } };
+  }
+
+  void WriteEnd(const std::string& aAttempt)
+  {
+    Write(mEnds.at(aAttempt).mWrite,
+          [this, aAttempt](const StoreResult& aResult) {
+            FinishEnd(aAttempt, aResult);
+          });
+  }
+
+  void RetryEnd(const std::string& aAttempt)
+  {
+    if (mEnds.contains(aAttempt)) {
+      WriteEnd(aAttempt);
+    }
+  }
+
+  void FinishEnd(const std::string& aAttempt, const StoreResult& aResult)
+  {
+    End& end = mEnds.at(aAttempt);
+    AnswerCaller(end);
+    if (aResult.Status() == StoreStatus::kOk) {
+      ++mCounters["intent_recorded_total"];
+      mEnds.erase(aAttempt);
+      return;
+    }
+    if (aResult.Status() == StoreStatus::kConflict) {
+      FinishEndConflict(aAttempt, end, aResult);
+      return;
+    }
+    ++mCounters["intent_record_failures_total"];
+    mLog.Write(
+      { LogEvent::kIntentNotRecorded,
+        { { "key", end.mKey },
+          { "state", std::string(IntentStateName(end.mIntent.State())) } } });
+    if (mEnds.size() > kMaxOpenEnds) {
+      ++mCounters["intent_ends_dropped_total"];
+      mEnds.erase(aAttempt);
+      return;
+    }
+    delayed_send(this, mOptions.mRecordInterval, RetryRecord{ aAttempt });
+  }
+
+  void FinishEndConflict(const std::string& aAttempt,
+                         End& aEnd,
+                         const StoreResult& aResult)
+  {
+    const auto found = Decode(aEnd.mKey, aResult);
+    if (!found || !MustEndAgain(found->mIntent, aAttempt)) {
+      mEnds.erase(aAttempt);
+      return;
+    }
+    // A delayed claim took effect before its revocation.
+    aEnd.mWrite = EndWrite(aEnd.mKey, aEnd.mIntent, found->mVersion);
+    WriteEnd(aAttempt);
+  }
+
+  /** Tells the caller after the first try to record, whatever came of it. */
+  void AnswerCaller(End& aEnd)
+  {
+    if (aEnd.mCall) {
+      mCalls.erase(aEnd.mKey);
+      Finish(*aEnd.mCall, *aEnd.mOutcome);
+      aEnd.mCall = nullptr;
+      aEnd.mOutcome = std::nullopt;
+    }
+  }
+
+  void Finish(Call& aCall, const RunOutcome& aOutcome)
+  {
+    aCall.mPromise.deliver(aOutcome);
+  }
+
+  void Refuse(Call& aCall, RefusalReason aReason, milliseconds aRetryAfter)
+  {
+    const auto outcome = RunOutcome::Refused(
+      aReason, Ran::kNo, aRetryAfter, std::string(ReasonName(aReason)));
+    LogRepeat(aCall, outcome);
+    Finish(aCall, outcome);
+  }
+
+  /** Logs an answer that was given without a dispatch. */
+  void LogRepeat(const Call& aCall, const RunOutcome& aOutcome)
+  {
+    const RunRequest& request = aCall.mRequest;
+    if (aOutcome.IsAnswer()) {
+      ++mCounters["intent_replayed_total"];
+      mLog.Write(
+        { LogEvent::kIntentReplayed,
+          { { "request", request.Name().Text() }, { "key", aCall.mKey } } });
+      return;
+    }
+    ++mCounters["intent_refused_total"];
+    mLog.Write({ LogEvent::kIntentRefused,
+                 { { "request", request.Name().Text() },
+                   { "organisation", request.Organisation().Text() },
+                   { "class", request.Class().Text() },
+                   { "reason", std::string(ReasonName(aOutcome.Reason())) },
+                   { "ran", std::string(RanName(aOutcome.HasRun())) } } });
+  }
+
+  caf::actor mStore;
+  caf::actor mRouting;
+  const RowCodec& mCodec;
+  const Clock& mClock;
+  EventLog& mLog;
+  WriteIds mWriteIds;
+  IntentTaskOptions mOptions;
+  state::SettingsView mSettings;
+  /** By row key; one request per key at a time. */
+  std::map<std::string, CallPtr> mCalls;
+  /** By attempt. */
+  std::map<std::string, End> mEnds;
+  Counters mCounters;
+};
+
+} // namespace
+
+caf::actor
+SpawnIntentTask(caf::actor_system& aSystem,
+                const caf::actor& aStore,
+                const caf::actor& aRouting,
+                const RowCodec& aCodec,
+                const Clock& aClock,
+                EventLog& aLog,
+                WriteIds aWriteIds,
+                IntentTaskOptions aOptions)
+{
+  return aSystem.spawn<IntentTask>(aStore,
+                                   aRouting,
+                                   std::cref(aCodec),
+                                   std::cref(aClock),
+                                   std::ref(aLog),
+                                   std::move(aWriteIds),
+                                   std::move(aOptions));
+}
+
+} // namespace cornelrudder::coordination
--- /dev/null
+++ b/tests/coordination/IntentTaskTest.cpp
@@ -0,0 +1,346 @@
+#include "cornelrudder/coordination/IntentTask.h"
+#include "coordination/FakeTable.h"
+#include "cornelrudder/coordination/Messages.h"
+#include "cornelrudder/coordination/StoreTask.h"
+#include "cornelrudder/protocol/JsonRowCodec.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <caf/actor_system.hpp>
+#include <caf/actor_system_config.hpp>
+#include <caf/event_based_actor.hpp>
+#include <caf/scoped_actor.hpp>
+
+#include <atomic>
+
+using namespace cornelrudder;
+using namespace cornelrudder::coordination;
+using state::Ran;
+using state::RefusalReason;
+using state::RunOutcome;
+using state::RunRequest;
+using tests::FakeLog;
+using tests::FakeTable;
+using tests::TableFault;
+using tests::WaitUntil;
+
+namespace {
+
+const std::string kRowKey = "intent/acme/k1";
+
+class SystemConfig : public caf::actor_system_config
+{
+public:
+  SystemConfig() { set("scheduler.policy", caf::atom("sharing")); }
+};
+
+/** Takes requests like the routing task and gives a fixed outcome. */
+struct FakeRouting
+{
+  std::atomic<int> mDispatches{ 0 };
+  std::mutex mMutex;
+  RunOutcome mOutcome = RunOutcome::Answered("answer");
+
+  caf::behavior Behavior()
+  {
+    return { [this](const RunRequest&) {
+      ++mDispatches;
+      const std::lock_guard lock(mMutex);
+      return mOutcome;
+    } };
+  }
+
+  void SetOutcome(RunOutcome aOutcome)
+  {
+    const std::lock_guard lock(mMutex);
+    mOutcome = std::move(aOutcome);
+  }
+};
+
+state::SettingsView
+Settings()
+{
+  auto view =
+    *state::SettingsView().WithDocument({ "organisations/acme", 1, {}, {} });
+  view = *view.WithDocument({ "organisations/acme/teams/night", 1, {}, {} });
+  view =
+    *view.WithDocument({ "classes/kerf", 1, { { "idempotent", false } }, {} });
+  return *view.WithDocument(
+    { "classes/proof", 1, { { "idempotent", true } }, {} });
+}
+
+RunRequest
+Request(const std::string& aKey,
+        const std::string& aBody = "body",
+        const std::string& aClass = "kerf")
+{
+  return { state::RequestId("r1"),
+           state::OrganisationId("acme"),
+           state::TeamId("night"),
+           state::ClassName(aClass),
+           aKey,
+           aBody,
+           std::chrono::milliseconds(0) };
+}
+
+/** Daemons with an intent task each, on one table and one routing fake. */
+class Fleet
+{
+public:
+  Fleet()
+    : mSystem(mConfig)
+    , mSelf(mSystem)
+    , mRoutingTask(mSystem.spawn(
+        [this](caf::event_based_actor*) { return mRouting.Behavior(); }))
+  {
+    mTasks.push_back(mRoutingTask);
+  }
+
+  ~Fleet()
+  {
+    for (const caf::actor& task : mTasks) {
+      mSelf->send_exit(task, caf::exit_reason::user_shutdown);
+    }
+  }
+
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  caf::actor Start()
+  {
+    const std::string life = "life-" + std::to_string(++mLives);
+    StoreTaskOptions options;
+    options.mBackoffBase = std::chrono::milliseconds(1);
+    options.mBackoffCap = std::chrono::milliseconds(4);
+    options.mProbeInterval = std::chrono::milliseconds(10);
+    options.mBound = std::chrono::milliseconds(100);
+    const caf::actor store =
+      SpawnStoreTask(mSystem, mTable, mLog, mClock, options);
+    const caf::actor intents =
+      SpawnIntentTask(mSystem,
+                      store,
+                      mRoutingTask,
+                      mCodec,
+                      mClock,
+                      mLog,
+                      WriteIds(life),
+                      { life, std::chrono::milliseconds(10) });
+    mTasks.push_back(store);
+    mTasks.push_back(intents);
+    mSelf->send(intents, Settings());
+    return intents;
+  }
+
+  RunOutcome Run(const caf::actor& aIntents, const RunRequest& aRequest)
+  {
+    RunOutcome outcome = RunOutcome::Answered("none");
+    mSelf->request(aIntents, caf::infinite, aRequest)
+      .receive([&outcome](const RunOutcome& aOutcome) { outcome = aOutcome; },
+               [](const caf::error&) { FAIL("the intent task failed"); });
+    return outcome;
+  }
+
+  std::optional<state::Intent> Row()
+  {
+    const auto row = mTable.Row(kRowKey);
+    return row ? std::optional(mCodec.DecodeIntent(row->Value()))
+               : std::nullopt;
+  }
+
+  bool WaitForState(state::IntentState aState)
+  {
+    return WaitUntil([this, aState] {
+      const auto row = Row();
+      return row && row->State() == aState;
+    });
+  }
+
+  FakeTable mTable;
+  FakeLog mLog;
+  FakeRouting mRouting;
+  protocol::JsonRowCodec mCodec;
+  BootClock mClock;
+  SystemConfig mConfig;
+  caf::actor_system mSystem;
+  caf::scoped_actor mSelf;
+  caf::actor mRoutingTask;
+
+private:
+  std::vector<caf::actor> mTasks;
+  int mLives = 0;
+};
+
+RunOutcome
+Refusal(Ran aRan)
+{
+  return RunOutcome::Refused(RefusalReason::kEndpointFailed,
+                             aRan,
+                             std::chrono::milliseconds(1),
+                             "refused");
+}
+
+} // namespace
+
+TEST_GROUP(IntentTask){};
+
+// Guards against a second run for the same key, through any daemon.
+TEST(IntentTask, RepeatGetsTheRecordedAnswer)
+{
+  Fleet fleet;
+  const caf::actor first = fleet.Start();
+  STRCMP_EQUAL("answer", fleet.Run(first, Request("k1")).Text().c_str());
+  fleet.mRouting.SetOutcome(RunOutcome::Answered("second run"));
+  STRCMP_EQUAL("answer", fleet.Run(first, Request("k1")).Text().c_str());
+  STRCMP_EQUAL("answer",
+               fleet.Run(fleet.Start(), Request("k1")).Text().c_str());
+  LONGS_EQUAL(1, fleet.mRouting.mDispatches);
+}
+
+// Guards against an answer given to a request with another body.
+TEST(IntentTask, KeyIsBoundToTheBody)
+{
+  Fleet fleet;
+  const caf::actor task = fleet.Start();
+  fleet.Run(task, Request("k1"));
+  const RunOutcome outcome = fleet.Run(task, Request("k1", "other"));
+  CHECK(outcome.Reason() == RefusalReason::kKeyReused);
+  CHECK(outcome.HasRun() == Ran::kNo);
+  LONGS_EQUAL(1, fleet.mRouting.mDispatches);
+}
+
+// Guards against a non-idempotent request that nothing protects.
+TEST(IntentTask, KeyIsRequiredOnlyIfNotIdempotent)
+{
+  Fleet fleet;
+  const caf::actor task = fleet.Start();
+  CHECK(fleet.Run(task, Request("")).Reason() == RefusalReason::kKeyRequired);
+  CHECK(fleet.Run(task, Request("", "body", "proof")).IsAnswer());
+  CHECK(fleet.Run(task, Request("k1", "body", "nothing")).Reason() ==
+        RefusalReason::kUnknownClass);
+  LONGS_EQUAL(1, fleet.mRouting.mDispatches);
+  CHECK_FALSE(fleet.Row().has_value());
+}
+
+// Guards against a dispatch without an intent while the table is down.
+TEST(IntentTask, OutageRefusesAsNotRun)
+{
+  Fleet fleet;
+  const caf::actor task = fleet.Start();
+  fleet.mTable.SetDown(true);
+  const RunOutcome outcome = fleet.Run(task, Request("k1"));
+  CHECK(outcome.Reason() == RefusalReason::kStoreUnavailable);
+  CHECK(outcome.HasRun() == Ran::kNo);
+  LONGS_EQUAL(0, fleet.mRouting.mDispatches);
+  CHECK(fleet.Run(task, Request("", "body", "proof")).IsAnswer());
+}
+
+// Guards against a dispatch before a read has settled whose row it is.
+TEST(IntentTask, LostClaimAnswerIsSettledBeforeDispatch)
+{
+  Fleet fleet;
+  const caf::actor task = fleet.Start();
+  fleet.mTable.FailWrites(TableFault::kAnswerLost, 1);
+  CHECK(fleet.Run(task, Request("k1")).IsAnswer());
+  LONGS_EQUAL(1, fleet.mRouting.mDispatches);
+}
+
+// Guards against a claim that takes effect after its caller was told "not
+// run", and blocks the key for ever.
+TEST(IntentTask, UnknownClaimIsRevoked)
+{
+  Fleet fleet;
+  const caf::actor task = fleet.Start();
+  fleet.mTable.FailWrites(TableFault::kLate, 1'000'000);
+  const RunOutcome outcome = fleet.Run(task, Request("k1"));
+  CHECK(outcome.Reason() == RefusalReason::kStoreUnavailable);
+  CHECK(outcome.HasRun() == Ran::kNo);
+  fleet.mTable.FailWrites(TableFault::kNone, 0);
+  fleet.mTable.DeliverLate();
+  CHECK(fleet.WaitForState(state::IntentState::kNotRun));
+  LONGS_EQUAL(0, fleet.mRouting.mDispatches);
+  CHECK(fleet.Run(fleet.Start(), Request("k1")).IsAnswer());
+  LONGS_EQUAL(1, fleet.mRouting.mDispatches);
+}
+
+// Guards against a key that is lost although its request never ran.
+TEST(IntentTask, RequestThatDidNotRunMayBeRepeated)
+{
+  Fleet fleet;
+  const caf::actor task = fleet.Start();
+  fleet.mRouting.SetOutcome(Refusal(Ran::kNo));
+  CHECK(fleet.Run(task, Request("k1")).HasRun() == Ran::kNo);
+  CHECK(fleet.WaitForState(state::IntentState::kNotRun));
+  fleet.mRouting.SetOutcome(RunOutcome::Answered("later"));
+  STRCMP_EQUAL("later", fleet.Run(fleet.Start(), Request("k1")).Text().c_str());
+  LONGS_EQUAL(2, fleet.mRouting.mDispatches);
+}
+
+// Guards against a second run after one whose end nobody saw.
+TEST(IntentTask, UnknownRunIsNeverRepeated)
+{
+  Fleet fleet;
+  const caf::actor task = fleet.Start();
+  fleet.mRouting.SetOutcome(Refusal(Ran::kUnknown));
+  CHECK(fleet.Run(task, Request("k1")).HasRun() == Ran::kUnknown);
+  fleet.mRouting.SetOutcome(RunOutcome::Answered("second run"));
+  for (const caf::actor& any : { task, fleet.Start() }) {
+    const RunOutcome outcome = fleet.Run(any, Request("k1"));
+    CHECK(outcome.Reason() == RefusalReason::kInProgress);
+    CHECK(outcome.HasRun() == Ran::kUnknown);
+  }
+  LONGS_EQUAL(1, fleet.mRouting.mDispatches);
+}
+
+// Guards against an answer that is withheld, or never recorded, because the
+// table failed after the run.
+TEST(IntentTask, AnswerIsRecordedAfterAnOutage)
+{
+  Fleet fleet;
+  const caf::actor task = fleet.Start();
+  int writes = 0;
+  fleet.mTable.SetBeforeWrite([&](const state::Transaction&) {
+    if (++writes == 2) {
+      fleet.mTable.SetDown(true);
+    }
+  });
+  STRCMP_EQUAL("answer", fleet.Run(task, Request("k1")).Text().c_str());
+  CHECK(fleet.Row()->State() == state::IntentState::kDispatched);
+  // The daemon that ran it still knows the answer.
+  STRCMP_EQUAL("answer", fleet.Run(task, Request("k1")).Text().c_str());
+  fleet.mTable.SetDown(false);
+  CHECK(fleet.WaitForState(state::IntentState::kDone));
+  STRCMP_EQUAL("answer",
+               fleet.Run(fleet.Start(), Request("k1")).Text().c_str());
+  LONGS_EQUAL(1, fleet.mRouting.mDispatches);
+}
+
+// Guards against a task that dies of a damaged row, or runs over it.
+TEST(IntentTask, MalformedRowIsNotOverwritten)
+{
+  Fleet fleet;
+  fleet.mTable.Put(kRowKey, "garbage", "operator");
+  const RunOutcome outcome = fleet.Run(fleet.Start(), Request("k1"));
+  CHECK(outcome.HasRun() == Ran::kUnknown);
+  LONGS_EQUAL(0, fleet.mRouting.mDispatches);
+  LONGS_EQUAL(1, fleet.mLog.Count(LogEvent::kRowMalformed));
+  CHECK(fleet.Run(fleet.Start(), Request("k2")).IsAnswer());
+}
+
+// Guards against answers that are not text, and against a repeat of a long
+// one being run again.
+TEST(IntentTask, BinaryAndLongAnswers)
+{
+  Fleet fleet;
+  const caf::actor task = fleet.Start();
+  const std::string binary("\x00\xff\xfe\"\\", 5);
+  fleet.mRouting.SetOutcome(RunOutcome::Answered(binary));
+  fleet.Run(task, Request("k1"));
+  CHECK(binary == fleet.Run(task, Request("k1")).Text());
+  fleet.mRouting.SetOutcome(
+    RunOutcome::Answered(std::string(state::Intent::kMaxAnswer + 1, 'x')));
+  CHECK(fleet.Run(task, Request("k2")).IsAnswer());
+  const RunOutcome repeat = fleet.Run(task, Request("k2"));
+  CHECK(repeat.Reason() == RefusalReason::kAnswerNotKept);
+  CHECK(repeat.HasRun() == Ran::kYes);
+  LONGS_EQUAL(2, fleet.mRouting.mDispatches);
+}
