Survive damaged settings rows and say exactly what became of a change

A head or document that could not be decoded threw in a message handler and ended the settings task. It is now logged, counted and left alone; a change is not written over a damaged head, which would lose the other paths.

A change whose write may still arrive was answered with "ran: no". The task now tells "not written" from "unknown", and the response says so. After a second unknown outcome it gives up, so that the operator waits for two bounds of the store task and not for twenty.

--- a/apps/cornelrudderd/FrontTask.cpp
+++ b/apps/cornelrudderd/FrontTask.cpp
@@ -258,10 +258,19 @@
       case coordination::PutSettingsStatus::kRejected:
         return EncodeFaults(aResult);
       case coordination::PutSettingsStatus::kUnavailable:
+        return EncodeError(
+          503, "store_unavailable", "the change was not written");
+      case coordination::PutSettingsStatus::kUnknown:
         break;
     }
-    return EncodeError(
-      503, "store_unavailable", "the store did not confirm the change");
+    return HttpResponse::Json(
+      503,
+      json{ { "error", "store_unavailable" },
+            { "reason",
+              "the store did not confirm the change; it may be in force, or "
+              "come into force later" },
+            { "ran", "unknown" } }
+        .dump());
   }
 
   static HttpResponse EncodeConflict(
--- a/include/cornelrudder/coordination/Messages.h
+++ b/include/cornelrudder/coordination/Messages.h
@@ -87,7 +87,10 @@
   kAccepted,
   kRejected,
   kConflict,
-  kUnavailable
+  /** The change has not taken effect and will not. */
+  kUnavailable,
+  /** The change may have taken effect, or may still do so. */
+  kUnknown
 };
 
 /** What became of a change. */
--- a/src/coordination/SettingsTask.cpp
+++ b/src/coordination/SettingsTask.cpp
@@ -61,6 +61,8 @@
     caf::typed_response_promise<PutSettingsResult> mPromise;
     std::string mWriteId;
     int mRetries = 0;
+    /** Whether a write was sent whose outcome is unknown. */
+    bool mMayArrive = false;
   };
 
   using ChangePtr = std::shared_ptr<Change>;
@@ -95,20 +97,52 @@
 
   void FetchNewer(const state::StoreRow& aHeadRow)
   {
-    const state::SettingsHead head = mCodec.DecodeHead(aHeadRow.Value());
-    for (const auto& [path, version] : head) {
+    const auto head = DecodeHead(aHeadRow);
+    if (!head) {
+      return;
+    }
+    for (const auto& [path, version] : *head) {
       const SettingsDocument* held = mView.Find(path);
       if (held != nullptr && held->Version() >= version) {
         continue;
       }
       Read(kDocumentPrefix + path, [this](const StoreResult& aResult) {
-        if (aResult.Status() == StoreStatus::kOk && !aResult.Rows().empty()) {
-          Apply(mCodec.DecodeDocument(aResult.Rows().front().Value()));
+        if (aResult.Status() != StoreStatus::kOk || aResult.Rows().empty()) {
+          return;
+        }
+        if (const auto document = DecodeDocument(aResult.Rows().front())) {
+          Apply(*document);
         }
       });
     }
   }
 
+  /** @return The decoded row, or nothing after logging that it is damaged. */
+  std::optional<state::SettingsHead> DecodeHead(const state::StoreRow& aRow)
+  {
+    return Decode(aRow, &RowCodec::DecodeHead);
+  }
+
+  std::optional<SettingsDocument> DecodeDocument(const state::StoreRow& aRow)
+  {
+    return Decode(aRow, &RowCodec::DecodeDocument);
+  }
+
+  template<typename Value>
+  std::optional<Value> Decode(const state::StoreRow& aRow,
+                              Value (RowCodec::*aDecoder)(const std::string&)
+                                const)
+  {
+    try {
+      return (mCodec.*aDecoder)(aRow.Value());
+    } catch (const CoordinationError& error) {
+      ++mCounters["rows_malformed_total"];
+      mLog.Write({ LogEvent::kRowMalformed,
+                   { { "key", aRow.Key() }, { "error", error.what() } } });
+      return std::nullopt;
+    }
+  }
+
   void Apply(const SettingsDocument& aDocument)
   {
     auto view = mView.WithDocument(aDocument);
@@ -129,7 +163,7 @@
   {
     auto promise = make_response_promise<PutSettingsResult>();
     auto change =
-      std::make_shared<Change>(Change{ aPut, promise, mWriteIds.Next(), 0 });
+      std::make_shared<Change>(Change{ aPut, promise, mWriteIds.Next() });
     auto faults = state::CheckSettings(aPut.mPath, aPut.mValues);
     if (!faults.empty()) {
       mLog.Write({ LogEvent::kSettingsRejected, { { "path", aPut.mPath } } });
@@ -167,8 +201,12 @@
     std::optional<SettingsDocument> current;
     std::uint64_t rowVersion = 0;
     if (!aDocument.Rows().empty()) {
-      current = mCodec.DecodeDocument(aDocument.Rows().front().Value());
+      current = DecodeDocument(aDocument.Rows().front());
       rowVersion = aDocument.Rows().front().Version();
+      if (!current) {
+        FailPut(aChange);
+        return;
+      }
     }
     if (current && current->HasWrite(aChange->mWriteId)) {
       // An earlier try took effect although its answer was lost.
@@ -183,7 +221,13 @@
     state::SettingsHead head;
     std::uint64_t headVersion = 0;
     if (!aHead.Rows().empty()) {
-      head = mCodec.DecodeHead(aHead.Rows().front().Value());
+      const auto decoded = DecodeHead(aHead.Rows().front());
+      if (!decoded) {
+        // Writing a new head over a damaged one would lose the other paths.
+        FailPut(aChange);
+        return;
+      }
+      head = *decoded;
       headVersion = aHead.Rows().front().Version();
     }
     head[put.mPath] = next.Version();
@@ -218,11 +262,18 @@
       AcceptPut(aChange, aNext);
       return;
     }
-    if (++aChange->mRetries > kMaxHeadRetries) {
+    const bool isUnknown = aResult.Status() == StoreStatus::kUnknown;
+    // The store task has tried for its whole bound; a second time is enough.
+    const bool givesUp = isUnknown && aChange->mMayArrive;
+    aChange->mMayArrive = aChange->mMayArrive || isUnknown;
+    if (givesUp || aResult.Status() == StoreStatus::kUnavailable ||
+        ++aChange->mRetries > kMaxHeadRetries) {
       FailPut(aChange);
       return;
     }
     // Conflict on the head only, or an unknown outcome: reading tells which.
+    // A write that still arrives later and its repeat cannot both take effect,
+    // since both expect the same version of the document.
     ReadForPut(aChange);
   }
 
@@ -246,6 +297,7 @@
     std::vector<SettingsDocument> documents;
     if (aCurrent) {
       documents.push_back(*aCurrent);
+      Apply(*aCurrent);
     }
     aChange->mPromise.deliver(PutSettingsResult{
       PutSettingsStatus::kConflict, std::move(documents), {} });
@@ -253,8 +305,9 @@
 
   void FailPut(const ChangePtr& aChange)
   {
-    aChange->mPromise.deliver(
-      PutSettingsResult{ PutSettingsStatus::kUnavailable, {}, {} });
+    const auto status = aChange->mMayArrive ? PutSettingsStatus::kUnknown
+                                            : PutSettingsStatus::kUnavailable;
+    aChange->mPromise.deliver(PutSettingsResult{ status, {}, {} });
   }
 
   caf::actor mStore;
