Wire the lease and intent tasks into the daemon and show them

The front sends requests to the intent task, which passes on idempotent ones. The lease is given up when the drain begins. GET /v1/status shows the owner and epoch of the region's placement domain and the settings head.

scripts/demo.sh now sends a kerf check with the same key twice, through two daemons and with lost store answers: the answers are equal and the runners' journals show one run each. It also sees the lease move on, with the next epoch, when its owner stops.

--- a/apps/cornelrudderd/Daemon.cpp
+++ b/apps/cornelrudderd/Daemon.cpp
@@ -1,6 +1,8 @@
 #include "cornelrudderd/Daemon.h"
 
 #include "cornelrudder/coordination/Clock.h"
+#include "cornelrudder/coordination/IntentTask.h"
+#include "cornelrudder/coordination/LeaseTask.h"
 #include "cornelrudder/coordination/MembershipTask.h"
 #include "cornelrudder/coordination/Messages.h"
 #include "cornelrudder/coordination/RoutingTask.h"
@@ -96,6 +98,7 @@
     }
     mTasks.clear();
     mFront = nullptr;
+    mLease = nullptr;
     mSystem.await_all_actors_done();
     mThread.Stop();
   }
@@ -122,7 +125,10 @@
 private:
   void StartTasks()
   {
-    const caf::actor store = Add(SpawnStoreTask(mSystem, mStore, mLog));
+    coordination::StoreTaskOptions storeOptions;
+    storeOptions.mSeed = std::random_device()();
+    const caf::actor store =
+      Add(SpawnStoreTask(mSystem, mStore, mLog, mClock, storeOptions));
     const caf::actor settings =
       Add(SpawnSettingsTask(mSystem,
                             store,
@@ -136,10 +142,33 @@
       mSystem, mRunners, mLog, { mSettings.Id(), mSettings.Zone() }));
     caf::anon_send(settings, coordination::Subscribe{ routing });
     caf::anon_send(membership, coordination::Subscribe{ routing });
-    mFront = Add(
-      SpawnFrontTask(mSystem,
-                     { routing, settings, { routing, settings, membership } },
-                     mIncarnation));
+    const caf::actor intents =
+      Add(SpawnIntentTask(mSystem,
+                          store,
+                          routing,
+                          mCodec,
+                          mClock,
+                          mLog,
+                          coordination::WriteIds(mIncarnation + "-intent"),
+                          { mIncarnation }));
+    caf::anon_send(settings, coordination::Subscribe{ intents });
+    mLease = Add(SpawnLeaseTask(mSystem,
+                                store,
+                                mCodec,
+                                mClock,
+                                mLog,
+                                coordination::WriteIds(mIncarnation + "-lease"),
+                                { mSettings.Region(),
+                                  mSettings.Id(),
+                                  mIncarnation,
+                                  mSettings.LeaseTime() }));
+    mFront = Add(SpawnFrontTask(
+      mSystem,
+      { intents,
+        settings,
+        mLease,
+        { routing, settings, membership, store, intents, mLease } },
+      mIncarnation));
   }
 
   caf::actor Add(caf::actor aTask)
@@ -158,6 +187,7 @@
     mStopping = true;
     mLog.Write({ LogEvent::kStopping, {} });
     caf::anon_send(mFront, BeginDrain{});
+    caf::anon_send(mLease, coordination::ReleaseLease{});
     // The balancer needs time to see /readyz before the listener closes.
     mThread.PostAfter(mSettings.DrainNotice(), [this] {
       mServer->Drain(mSettings.DrainGrace(),
@@ -177,6 +207,7 @@
   SpdlogEventLog mLog;
   std::string mIncarnation;
   protocol::JsonRowCodec mCodec;
+  coordination::BootClock mClock;
   transport::IoThread mThread;
   transport::HttpClient mPlatformClient;
   transport::HttpClient mRunnerClient;
@@ -187,6 +218,7 @@
   caf::actor_system mSystem;
   std::vector<caf::actor> mTasks;
   caf::actor mFront;
+  caf::actor mLease;
   std::unique_ptr<transport::HttpServer> mServer;
   std::promise<std::size_t> mDone;
   /** Both are used on the I/O thread only. */
--- a/apps/cornelrudderd/FrontTask.cpp
+++ b/apps/cornelrudderd/FrontTask.cpp
@@ -103,7 +103,7 @@
     Handler mHandler;
   };
 
-  static const std::array<Route, 7> kRoutes;
+  static const std::array<Route, 8> kRoutes;
 
   void Serve(const HttpCall& aCall)
   {
@@ -133,7 +133,7 @@
   {
     const state::RequestId id = NextRequestId();
     try {
-      Ask(mPeers.mRouting,
+      Ask(mPeers.mIntents,
           protocol::DecodeRunRequest(id, aArguments[0], aCall.mRequest),
           aCall,
           [id](const state::RunOutcome& aOutcome) {
@@ -229,6 +229,44 @@
     }
   }
 
+  /** Asks for the lease and then for the settings. */
+  void Status(const HttpCall& aCall, const PathArguments& /*unused*/)
+  {
+    const auto fail = [respond = aCall.mRespond](const caf::error&) {
+      respond(EncodeError(500, "internal", "a task failed"));
+    };
+    request(mPeers.mLease, caf::infinite, coordination::GetLease{})
+      .then(
+        [this, respond = aCall.mRespond, fail](
+          const coordination::LeaseStatus& aLease) {
+          request(mPeers.mSettings, caf::infinite, coordination::GetSettings{})
+            .then(
+              [this, respond, aLease](const state::SettingsView& aView) {
+                respond(EncodeStatus(aLease, aView));
+              },
+              fail);
+        },
+        fail);
+  }
+
+  HttpResponse EncodeStatus(const coordination::LeaseStatus& aLease,
+                            const state::SettingsView& aView) const
+  {
+    json owner = nullptr;
+    if (!aLease.mOwner.empty()) {
+      owner = aLease.mOwner.front().Text();
+    }
+    const json body{
+      { "lease",
+        { { "owner", owner },
+          { "epoch", aLease.mEpoch },
+          { "held", aLease.mHeld } } },
+      { "settings", json::parse(protocol::EncodeSettingsHead(aView.Head())) },
+      { "draining", mDraining }
+    };
+    return HttpResponse::Json(200, body.dump());
+  }
+
   static HttpResponse EncodeCounters(const coordination::Counters& aCounters)
   {
     std::string text;
@@ -342,7 +380,7 @@
   bool mDraining = false;
 };
 
-const std::array<FrontTask::Route, 7> FrontTask::kRoutes{ {
+const std::array<FrontTask::Route, 8> FrontTask::kRoutes{ {
   { "POST", "/v1/requests/*", &FrontTask::RunRequest },
   { "GET", "/v1/settings", &FrontTask::ListSettings },
   { "GET", "/v1/settings/**", &FrontTask::GetSettings },
@@ -350,6 +388,7 @@
   { "GET", "/healthz", &FrontTask::Health },
   { "GET", "/readyz", &FrontTask::Ready },
   { "GET", "/metrics", &FrontTask::Metrics },
+  { "GET", "/v1/status", &FrontTask::Status },
 } };
 
 } // namespace
--- a/apps/cornelrudderd/FrontTask.h
+++ b/apps/cornelrudderd/FrontTask.h
@@ -28,8 +28,10 @@
 /** The tasks that the front asks. */
 struct FrontPeers
 {
-  caf::actor mRouting;
+  /** Takes RunRequest. */
+  caf::actor mIntents;
   caf::actor mSettings;
+  caf::actor mLease;
   /** Tasks whose counters are shown. */
   std::vector<caf::actor> mCounted;
 };
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -154,6 +154,51 @@
   echo "exit=$?")
 expect "an unknown organisation is refused as not run" '"ran":"no"' "$answer"
 
+echo "== non-idempotent requests"
+cli -s "$entry_1" settings set classes/kerf-check \
+  idempotent=false max_wait_ms=0 timeout_ms=10000 >/dev/null
+for i in 1 2 3; do
+  eval "address=\$entry_$i"
+  wait_until "the class kerf-check is in force on entry-$i" sh -c \
+    "curl -s http://$address/v1/status | grep -q classes/kerf-check"
+done
+# Sends a kerf check with a key. Usage: kerf_check ADDRESS KEY BODY
+kerf_check() {
+  curl -s -X POST "http://$1/v1/requests/kerf-check" -H "X-Organisation: acme" \
+    -H "X-Team: night" ${2:+-H "Idempotency-Key: $2"} -d "$3"
+}
+# Counts the runs of a body in the journals of all runners.
+runs_of() {
+  local i
+  for i in 1 2; do
+    curl -sSf "http://$(address_of "runner-$i")/journal"
+  done | jq -s --arg body "$1" '[.[].runs[] | select(.body == $body)] | length'
+}
+first=$(kerf_check "$entry_1" order-17 "kerf 17")
+expect "a kerf check is answered" "done:kerf 17" "$first"
+again=$(kerf_check "$entry_1" order-17 "kerf 17")
+expect "the same key gets the same answer" "$first" "$again"
+again=$(kerf_check "$entry_2" order-17 "kerf 17")
+expect "also through another daemon" "$first" "$again"
+expect "the journals show one run" "runs=1;" "runs=$(runs_of "kerf 17");"
+expect "the key with another body is refused" '"error":"key_reused"' \
+  "$(kerf_check "$entry_2" order-17 "kerf 18")"
+expect "a kerf check without key is refused" '"error":"key_required"' \
+  "$(kerf_check "$entry_2" "" "kerf 18")"
+curl -sSf -X PUT "http://$platform/faults" -d '{"lose_answers":3}' >/dev/null
+expect "a lost answer of the store is resolved" "done:kerf 19" \
+  "$(kerf_check "$entry_3" order-19 "kerf 19")"
+curl -sSf -X PUT "http://$platform/faults" -d '{}' >/dev/null
+expect "one run after the lost answer" "runs=1;" "runs=$(runs_of "kerf 19");"
+expect "none for refused kerf checks" "runs=0;" "runs=$(runs_of "kerf 18");"
+
+echo "== placement lease"
+status_of() { curl -s "http://$1/v1/status"; }
+owner_is_known() { status_of "$entry_1" | jq -e '.lease.owner != null'; }
+wait_until "the placement domain has an owner" owner_is_known
+owner=$(status_of "$entry_1" | jq -r .lease.owner)
+epoch=$(status_of "$entry_1" | jq -r .lease.epoch)
+
 echo "== graceful shutdown"
 cli -s "$entry_1" -o acme -t night -b "work_ms=1500 long" request run \
   proof-render >"$work/long.out" 2>&1 &
@@ -166,4 +211,11 @@
 status=0
 wait "$pid_entry_1" || status=$?
 expect "the daemon exits with status 0" "0" "$status"
+other_owner() {
+  status_of "$entry_2" | jq -e --arg owner "$owner" --argjson epoch "$epoch" \
+    '.lease.owner != null and .lease.owner != "entry-1" and
+     (if $owner == "entry-1" then .lease.epoch == $epoch + 1
+      else .lease.epoch == $epoch end)'
+}
+wait_until "the lease left the stopped daemon with the next epoch" other_owner
 echo "demo passed"
