--- a/apps/cornelrudderd/Daemon.cpp
+++ b/apps/cornelrudderd/Daemon.cpp
@@ -2,6 +2,8 @@
 
 #include "cornelrudder/coordination/Clock.h"
 #include "cornelrudder/coordination/ForwardTask.h"
+#include "cornelrudder/coordination/IntentTask.h"
+#include "cornelrudder/coordination/LeaseTask.h"
 #include "cornelrudder/coordination/MembershipTask.h"
 #include "cornelrudder/coordination/Messages.h"
 #include "cornelrudder/coordination/RoutingTask.h"
@@ -126,6 +128,7 @@
     mTasks.clear();
     mFront = nullptr;
     mMembership = nullptr;
+    mLease = nullptr;
     mSystem.await_all_actors_done();
     mThread.Stop();
   }
@@ -153,7 +156,10 @@
 private:
   void StartTasks()
   {
-    const caf::actor store = Add(SpawnStoreTask(mSystem, mStore, mLog));
+    coordination::StoreTaskOptions storeOptions;
+    storeOptions.mSeed = std::random_device()();
+    const caf::actor store =
+      Add(SpawnStoreTask(mSystem, mStore, mLog, mClock, storeOptions));
     const caf::actor settings =
       Add(SpawnSettingsTask(mSystem,
                             store,
@@ -190,11 +196,39 @@
       mSystem, mRunners, mLog, { mSettings.Id(), mSettings.Zone() }));
     caf::anon_send(settings, coordination::Subscribe{ routing });
     caf::anon_send(mMembership, coordination::Subscribe{ routing });
+    const caf::actor intents =
+      Add(SpawnIntentTask(mSystem,
+                          store,
+                          routing,
+                          mCodec,
+                          mClock,
+                          mLog,
+                          coordination::WriteIds(mIncarnation + "-intent"),
+                          { mIncarnation }));
+    caf::anon_send(settings, coordination::Subscribe{ intents });
+    mLease = Add(SpawnLeaseTask(mSystem,
+                                store,
+                                mCodec,
+                                mClock,
+                                mLog,
+                                coordination::WriteIds(mIncarnation + "-lease"),
+                                { mSettings.Region(),
+                                  mSettings.Id(),
+                                  mIncarnation,
+                                  mSettings.LeaseTime() }));
     mFront =
       Add(SpawnFrontTask(mSystem,
-                         { routing,
+                         { intents,
                            settings,
-                           { routing, settings, mMembership, sync, forward },
+                           mLease,
+                           { routing,
+                             settings,
+                             mMembership,
+                             store,
+                             intents,
+                             mLease,
+                             sync,
+                             forward },
                            mMembership,
                            sync,
                            [this] { mThread.Post([this] { StartDrain(); }); } },
@@ -227,6 +261,7 @@
     mLog.Write({ LogEvent::kStopping, {} });
     caf::anon_send(mFront, BeginDrain{});
     caf::anon_send(mMembership, coordination::BeginLeaving{});
+    caf::anon_send(mLease, coordination::ReleaseLease{});
     // The balancer needs time to see /readyz before the listener closes.
     mThread.PostAfter(mSettings.DrainNotice(), [this] {
       mServer->Drain(mSettings.DrainGrace(),
@@ -260,6 +295,7 @@
   std::vector<caf::actor> mTasks;
   caf::actor mFront;
   caf::actor mMembership;
+  caf::actor mLease;
   std::unique_ptr<transport::HttpServer> mServer;
   std::promise<std::size_t> mDone;
   /** Both are used on the I/O thread only. */
--- a/apps/cornelrudderd/FrontTask.cpp
+++ b/apps/cornelrudderd/FrontTask.cpp
@@ -104,7 +104,7 @@
     Handler mHandler;
   };
 
-  static const std::array<Route, 9> kRoutes;
+  static const std::array<Route, 10> kRoutes;
 
   void Serve(const HttpCall& aCall)
   {
@@ -134,7 +134,7 @@
   {
     const state::RequestId id = NextRequestId();
     try {
-      Ask(mPeers.mRouting,
+      Ask(mPeers.mIntents,
           protocol::DecodeRunRequest(id, aArguments[0], aCall.mRequest),
           aCall,
           [id](const state::RunOutcome& aOutcome) {
@@ -259,6 +259,44 @@
     }
   }
 
+  /** Asks for the lease and then for the settings. */
+  void Status(const HttpCall& aCall, const PathArguments& /*unused*/)
+  {
+    const auto fail = [respond = aCall.mRespond](const caf::error&) {
+      respond(EncodeError(500, "internal", "a task failed"));
+    };
+    request(mPeers.mLease, caf::infinite, coordination::GetLease{})
+      .then(
+        [this, respond = aCall.mRespond, fail](
+          const coordination::LeaseStatus& aLease) {
+          request(mPeers.mSettings, caf::infinite, coordination::GetSettings{})
+            .then(
+              [this, respond, aLease](const state::SettingsView& aView) {
+                respond(EncodeStatus(aLease, aView));
+              },
+              fail);
+        },
+        fail);
+  }
+
+  HttpResponse EncodeStatus(const coordination::LeaseStatus& aLease,
+                            const state::SettingsView& aView) const
+  {
+    json owner = nullptr;
+    if (!aLease.mOwner.empty()) {
+      owner = aLease.mOwner.front().Text();
+    }
+    const json body{
+      { "lease",
+        { { "owner", owner },
+          { "epoch", aLease.mEpoch },
+          { "held", aLease.mHeld } } },
+      { "settings", json::parse(protocol::EncodeSettingsHead(aView.Head())) },
+      { "draining", mDraining }
+    };
+    return HttpResponse::Json(200, body.dump());
+  }
+
   static HttpResponse EncodeCounters(const coordination::Counters& aCounters)
   {
     std::string text;
@@ -288,10 +326,19 @@
       case coordination::PutSettingsStatus::kRejected:
         return EncodeFaults(aResult);
       case coordination::PutSettingsStatus::kUnavailable:
+        return EncodeError(
+          503, "store_unavailable", "the change was not written");
+      case coordination::PutSettingsStatus::kUnknown:
         break;
     }
-    return EncodeError(
-      503, "store_unavailable", "the store did not confirm the change");
+    return HttpResponse::Json(
+      503,
+      json{ { "error", "store_unavailable" },
+            { "reason",
+              "the store did not confirm the change; it may be in force, or "
+              "come into force later" },
+            { "ran", "unknown" } }
+        .dump());
   }
 
   static HttpResponse EncodeConflict(
@@ -363,7 +410,7 @@
   bool mDraining = false;
 };
 
-const std::array<FrontTask::Route, 9> FrontTask::kRoutes{ {
+const std::array<FrontTask::Route, 10> FrontTask::kRoutes{ {
   { "POST", "/v1/requests/*", &FrontTask::RunRequest },
   { "GET", "/v1/settings", &FrontTask::ListSettings },
   { "GET", "/v1/settings/**", &FrontTask::GetSettings },
@@ -373,6 +420,7 @@
   { "GET", "/metrics", &FrontTask::Metrics },
   { "POST", "/v1/drain", &FrontTask::Drain },
   { "GET", "/v1/members", &FrontTask::Members },
+  { "GET", "/v1/status", &FrontTask::Status },
 } };
 
 } // namespace
--- a/include/cornelrudder/coordination/Messages.h
+++ b/include/cornelrudder/coordination/Messages.h
@@ -90,7 +90,10 @@
   kAccepted,
   kRejected,
   kConflict,
-  kUnavailable
+  /** The change has not taken effect and will not. */
+  kUnavailable,
+  /** The change may have taken effect, or may still do so. */
+  kUnknown
 };
 
 /** What became of a change. */
@@ -319,6 +322,14 @@
   auto operator<=>(const ForwardExpired&) const = default;
 };
 
+/** Tells the intent task to write the end of an attempt again. */
+struct RetryRecord
+{
+  const std::string mAttempt;
+
+  auto operator<=>(const RetryRecord&) const = default;
+};
+
 } // namespace cornelrudder::coordination
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::Subscribe)
@@ -364,5 +375,6 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::GetReadiness)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::Readiness)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::ForwardExpired)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::RetryRecord)
 
 #endif // CORNELRUDDER_COORDINATION_MESSAGES_H
--- a/include/cornelrudder/protocol/JsonRowCodec.h
+++ b/include/cornelrudder/protocol/JsonRowCodec.h
@@ -19,6 +19,8 @@
   state::LeaseRow DecodeLease(const std::string& aValue) const override;
   std::string EncodeJob(const state::Job& aJob) const override;
   state::Job DecodeJob(const std::string& aValue) const override;
+  std::string EncodeIntent(const state::Intent& aIntent) const override;
+  state::Intent DecodeIntent(const std::string& aValue) const override;
 };
 
 } // namespace cornelrudder::protocol
--- a/src/protocol/JsonRowCodec.cpp
+++ b/src/protocol/JsonRowCodec.cpp
@@ -1,6 +1,7 @@
 #include "cornelrudder/protocol/JsonRowCodec.h"
 
 #include "cornelrudder/coordination/CoordinationError.h"
+#include "cornelrudder/protocol/IntentCodec.h"
 #include "cornelrudder/protocol/JobCodec.h"
 #include "cornelrudder/protocol/LeaseCodec.h"
 #include "cornelrudder/protocol/ProtocolError.h"
@@ -71,4 +72,16 @@
   return Translate(protocol::DecodeJob, aValue);
 }
 
+std::string
+JsonRowCodec::EncodeIntent(const state::Intent& aIntent) const
+{
+  return protocol::EncodeIntent(aIntent);
+}
+
+state::Intent
+JsonRowCodec::DecodeIntent(const std::string& aValue) const
+{
+  return Translate(protocol::DecodeIntent, aValue);
+}
+
 } // namespace cornelrudder::protocol
