--- a/apps/cornelrudderd/Daemon.cpp
+++ b/apps/cornelrudderd/Daemon.cpp
@@ -64,6 +64,37 @@
   return { 3 * aHeartbeat, 10 * aHeartbeat, 60 * aHeartbeat };
 }
 
+/** Ends its tasks, also if the daemon cannot be set up after they started. */
+class TaskGroup
+{
+public:
+  explicit TaskGroup(caf::actor_system& aSystem)
+    : mSystem(aSystem)
+  {
+  }
+
+  ~TaskGroup() { Stop(); }
+
+  TaskGroup(const TaskGroup&) = delete;
+  TaskGroup& operator=(const TaskGroup&) = delete;
+
+  void Add(const caf::actor& aTask) { mTasks.push_back(aTask); }
+
+  /** Waits until all tasks have ended. */
+  void Stop()
+  {
+    for (const caf::actor& task : mTasks) {
+      caf::anon_send_exit(task, caf::exit_reason::user_shutdown);
+    }
+    mTasks.clear();
+    mSystem.await_all_actors_done();
+  }
+
+private:
+  caf::actor_system& mSystem;
+  std::vector<caf::actor> mTasks;
+};
+
 class TaskSystemConfig : public caf::actor_system_config
 {
 public:
@@ -98,6 +129,7 @@
              aSettings.StoreTimeout())
     , mRunners(mRunnerClient)
     , mSystem(mConfig)
+    , mTasks(mSystem)
   {
     StartTasks();
     mServer = std::make_unique<transport::HttpServer>(
@@ -119,13 +151,7 @@
   {
     mServer.reset();
     mPeers.SetReceiver(nullptr);
-    for (const caf::actor& task : mTasks) {
-      caf::anon_send_exit(task, caf::exit_reason::user_shutdown);
-    }
-    mTasks.clear();
-    mFront = nullptr;
-    mMembership = nullptr;
-    mSystem.await_all_actors_done();
+    mTasks.Stop();
     mThread.Stop();
   }
 
@@ -202,7 +228,7 @@
 
   caf::actor Add(caf::actor aTask)
   {
-    mTasks.push_back(aTask);
+    mTasks.Add(aTask);
     return aTask;
   }
 
@@ -256,7 +282,7 @@
   RunnerAdapter mRunners;
   TaskSystemConfig mConfig;
   caf::actor_system mSystem;
-  std::vector<caf::actor> mTasks;
+  TaskGroup mTasks;
   caf::actor mFront;
   caf::actor mMembership;
   std::unique_ptr<transport::HttpServer> mServer;
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -72,6 +72,11 @@
   fail "$1 does not listen"
 }
 
+# Prints the peer address of a daemon that has started.
+peer_address_of() {
+  sed -n 's/.*name=started .*peer=\([0-9.:]*\).*/\1/p' "$work/$1.log" | head -n 1
+}
+
 http_address_of() {
   for _ in $(seq 600); do
     if grep -q "name=started" "$work/$1.log" 2>/dev/null; then
@@ -97,8 +102,12 @@
   vms+=("{\"id\":\"runner-$i\",\"role\":\"runner\",\"address\":\"$(address_of "runner-$i")\",\"region\":\"region-1\",\"zone\":\"zone-$i\",\"rack\":\"rack-r$i\"}")
 done
 
-for i in 1 2 3; do
-  zone=$((i == 3 ? 2 : i))
+# Starts a daemon; the first one is the seed of the others.
+start_daemon() {
+  local i=$1 zone=$2 seeds=""
+  if [ "$i" != 1 ]; then
+    seeds="\"$(peer_address_of entry-1)\""
+  fi
   cat >"$work/entry-$i.toml" <<TOML
 [daemon]
 id = "entry-$i"
@@ -106,24 +115,56 @@
 zone = "zone-$zone"
 http_address = "127.0.0.1:0"
 peer_address = "127.0.0.1:0"
+seeds = [$seeds]
 
 [platform]
 address = "$platform"
 
 [timing]
 poll_ms = 200
+heartbeat_ms = 200
 drain_notice_ms = 200
 TOML
   start "entry-$i" "$build/apps/cornelrudderd" --config "$work/entry-$i.toml"
   eval "entry_$i=$(http_address_of "entry-$i")"
+}
+
+# Adds a daemon to the list of VMs that is put next.
+list_daemon() {
+  local i=$1 zone=$2 address
   eval "address=\$entry_$i"
   vms+=("{\"id\":\"entry-$i\",\"role\":\"entry\",\"address\":\"$address\",\"region\":\"region-1\",\"zone\":\"zone-$zone\",\"rack\":\"rack-e$i\"}")
+}
+
+for i in 1 2 3; do
+  zone=$((i == 3 ? 2 : i))
+  start_daemon "$i" "$zone"
+  list_daemon "$i" "$zone"
 done
 list=$(IFS=,; echo "${vms[*]}")
 curl -sSf -X PUT "http://$platform/vms" -d "{\"vms\":[$list]}" >/dev/null
 
 cli() { "$build/apps/cornelrudder" "$@"; }
 
+# Whether a daemon's peers are alive (all of them, and as many as given).
+sees_alive() {
+  local address=$1 count=$2
+  curl -sf "http://$address/v1/members" |
+    jq -e "[.members[] | select(.state == \"alive\" and .peer_address)] | length == $count"
+}
+
+is_ready() {
+  curl -sf "http://$1/readyz"
+}
+
+echo "== membership"
+for i in 1 2 3; do
+  eval "address=\$entry_$i"
+  wait_until "entry-$i hears both others, which know a common seed" \
+    sees_alive "$address" 2
+  wait_until "entry-$i is ready" is_ready "$address"
+done
+
 echo "== settings"
 cli -s "$entry_1" settings set organisations/acme display_name=Acme >/dev/null
 cli -s "$entry_1" settings set organisations/acme/teams/night >/dev/null
@@ -154,6 +195,50 @@
   echo "exit=$?")
 expect "an unknown organisation is refused as not run" '"ran":"no"' "$answer"
 
+echo "== the platform's table is down"
+curl -sSf -X PUT "http://$platform/faults" -d '{"down":1}' >/dev/null
+start_daemon 4 1
+wait_until "a daemon started meanwhile is ready" is_ready "$entry_4"
+expect "its settings came from a peer" "source=entry-" \
+  "$(grep name=ready "$work/entry-4.log")"
+# The versions are those of entry-1, which read them from the table.
+expect "it holds the same settings" \
+  "$(curl -sf "http://$entry_1/v1/settings")" \
+  "$(curl -sf "http://$entry_4/v1/settings")"
+wait_until "entry-1 hears three others" sees_alive "$entry_1" 3
+curl -sSf -X PUT "http://$platform/faults" -d '{}' >/dev/null
+
+echo "== settings by peers"
+change_settings() {
+  cli -s "$entry_2" settings set policy routing=own_zone
+}
+wait_until "the table is back" change_settings
+# Makes changes until one came from a peer: the poll of the table may be first.
+changes=0
+got_from_peer() {
+  changes=$((changes + 1))
+  cli -s "$entry_2" settings set "organisations/demo-$changes"
+  sleep 0.1
+  grep "name=settings_from_peer peer=entry-2 documents=1$" "$work/$1.log"
+}
+for i in 1 3 4; do
+  eval "address=\$entry_$i"
+  wait_until "the change is in force on entry-$i" sh -c \
+    "curl -s http://$address/v1/settings | grep -q policy"
+  wait_until "entry-$i gets a change from a peer" got_from_peer "entry-$i"
+done
+
+echo "== drain"
+expect "a drain is accepted" draining \
+  "$(curl -sSf -X POST "http://$entry_4/v1/drain")"
+wait_until "entry-1 sees entry-4 leave" \
+  grep "name=peer_leaving peer=entry-4" "$work/entry-1.log"
+status=0
+wait "$pid_entry_4" || status=$?
+expect "the drained daemon exits with status 0" "0" "$status"
+wait_until "entry-1 sees that entry-4 is gone" \
+  grep "name=peer_gone peer=entry-4" "$work/entry-1.log"
+
 echo "== graceful shutdown"
 cli -s "$entry_1" -o acme -t night -b "work_ms=1500 long" request run \
   proof-render >"$work/long.out" 2>&1 &
