--- /dev/null
+++ b/tests/daemon/DaemonTest.cpp
@@ -0,0 +1,47 @@
+#include "cornelrudderd/Daemon.h"
+#include "cornelrudder/transport/HttpServer.h"
+#include "cornelrudder/transport/PeerSocket.h"
+#include "cornelrudder/transport/TransportError.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cornelrudder;
+
+namespace {
+
+daemon::DaemonSettings
+Settings(const std::string& aHttpAddress, const std::string& aPeerAddress)
+{
+  return daemon::DaemonSettings::Parse("[daemon]\n"
+                                       "id = \"entry-1\"\n"
+                                       "region = \"r\"\n"
+                                       "zone = \"z\"\n"
+                                       "http_address = \"" +
+                                         aHttpAddress +
+                                         "\"\n"
+                                         "peer_address = \"" +
+                                         aPeerAddress +
+                                         "\"\n"
+                                         "[log]\n"
+                                         "level = \"error\"\n"
+                                         "[platform]\n"
+                                         "address = \"127.0.0.1:1\"\n",
+                                       "test");
+}
+
+} // namespace
+
+TEST_GROUP(Daemon){};
+
+// Guards against a daemon that hangs instead of reporting a port in use.
+TEST(Daemon, AddressesInUseThrow)
+{
+  const std::string any = "127.0.0.1:0";
+  transport::IoThread thread;
+  const transport::HttpServer http(thread, any, {}, {});
+  const transport::PeerSocket peer(any, {}, {});
+  CHECK_THROWS(transport::TransportError,
+               daemon::Daemon(Settings(http.Address(), any)));
+  CHECK_THROWS(transport::TransportError,
+               daemon::Daemon(Settings(any, peer.Address())));
+}
