Bound queries to peers that are ahead; keep leaving peers leaving

A peer with a higher settings total caused a query at each of its heartbeats; with 150 documents (about 6 KB) and eight peers this would exceed the budget of 7 KB/s if the difference lasted. Queries are now 5 s apart.

A heartbeat that was relayed late could bring back a peer that had begun to leave, for up to one interval.

announced_peer_address lets a daemon be reached through a relay or another address.

--- a/apps/cornelrudderd/Daemon.cpp
+++ b/apps/cornelrudderd/Daemon.cpp
@@ -144,7 +144,7 @@
     mPeers.SetReceiver(mMembership);
     caf::anon_send(
       mMembership,
-      coordination::AnnounceAddresses{ mServer->Address(), mPeers.Address() });
+      coordination::AnnounceAddresses{ mServer->Address(), PeerAddress() });
   }
 
   ~Impl()
@@ -163,7 +163,7 @@
     mThread.WatchStopSignals([this] { BeginStop(); });
     mLog.Write({ LogEvent::kStarted,
                  { { "http", mServer->Address() },
-                   { "peer", mPeers.Address() },
+                   { "peer", PeerAddress() },
                    { "zone", mSettings.Zone().Text() },
                    { "incarnation", mIncarnation } } });
     const std::size_t cutOff = mDone.get_future().get();
@@ -176,6 +176,13 @@
   }
 
 private:
+  /** The address that peers are told. */
+  const std::string& PeerAddress() const
+  {
+    const std::string& announced = mSettings.AnnouncedPeerAddress();
+    return announced.empty() ? mPeers.Address() : announced;
+  }
+
   void StartTasks()
   {
     const caf::actor store = Add(SpawnStoreTask(mSystem, mStore, mLog));
--- a/apps/cornelrudderd/DaemonSettings.h
+++ b/apps/cornelrudderd/DaemonSettings.h
@@ -26,6 +26,7 @@
   std::string mZone;
   std::string mHttpAddress;
   std::string mPeerAddress;
+  std::string mAnnouncedPeerAddress;
   std::vector<std::string> mSeeds;
   std::string mPlatformAddress;
   std::string mLogLevel = "info";
@@ -63,6 +64,12 @@
   state::ZoneId Zone() const { return state::ZoneId(mValues.mZone); }
   const std::string& HttpAddress() const { return mValues.mHttpAddress; }
   const std::string& PeerAddress() const { return mValues.mPeerAddress; }
+
+  /** Where peers reach it if that is not where it listens; else empty. */
+  const std::string& AnnouncedPeerAddress() const
+  {
+    return mValues.mAnnouncedPeerAddress;
+  }
   const std::vector<std::string>& Seeds() const { return mValues.mSeeds; }
   const std::string& PlatformAddress() const
   {
--- a/include/cornelrudder/coordination/Messages.h
+++ b/include/cornelrudder/coordination/Messages.h
@@ -228,6 +228,12 @@
   auto operator<=>(const PeerAhead&) const = default;
 };
 
+/** Tells a task that it may ask a peer that is ahead again. */
+struct AheadPauseOver
+{
+  auto operator<=>(const AheadPauseOver&) const = default;
+};
+
 /** Asks the settings task for SettingsAccepted and SettingsHeadRead. */
 struct WatchSettings
 {
@@ -313,6 +319,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::GetMembers)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::MemberList)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::PeerAhead)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::AheadPauseOver)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::WatchSettings)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::SettingsAccepted)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::SettingsHeadRead)
--- a/include/cornelrudder/coordination/SettingsSyncTask.h
+++ b/include/cornelrudder/coordination/SettingsSyncTask.h
@@ -13,6 +13,12 @@
 {
   /** How often peers are asked until the settings are known. */
   std::chrono::milliseconds mQueryInterval{ 500 };
+  /**
+   * Between two queries to peers that hold newer settings. A query names all
+   * documents, some 6 KB for 150 of them, while the budget for all control
+   * traffic is 7 KB/s.
+   */
+  std::chrono::milliseconds mAheadPause{ 5'000 };
 };
 
 /**
--- a/include/cornelrudder/state/Membership.h
+++ b/include/cornelrudder/state/Membership.h
@@ -126,8 +126,8 @@
   /**
    * @param aNow Monotonic time of the arrival.
    * @return The changed table, or nothing if the heartbeat does not count: it
-   *   carries this daemon's own identifier, is of an earlier incarnation, or
-   *   the table is full.
+   *   carries this daemon's own identifier, is of an earlier incarnation or
+   *   from before the peer began to leave, or the table is full.
    */
   std::optional<Membership> WithHeartbeat(const VmId& aSender,
                                           Incarnation aIncarnation,
--- a/src/coordination/SettingsSyncTask.cpp
+++ b/src/coordination/SettingsSyncTask.cpp
@@ -52,9 +52,8 @@
              SendToAllPeers{
                SettingsNotice({ aAccepted.mDocument }, std::nullopt) });
       },
-      [this](const PeerAhead& aAhead) {
-        SendTo(aAhead.mPeer, SettingsQuery(mView.Head()));
-      },
+      [this](const PeerAhead& aAhead) { AskAhead(aAhead.mPeer); },
+      [this](const AheadPauseOver&) { mPausing = false; },
       [this](const PeerReceived& aReceived) { Receive(aReceived.mMessage); },
       [this](const GetReadiness&) { return Readiness{ mReady }; },
       [this](const GetCounters&) { return mCounters; },
@@ -71,6 +70,16 @@
     delayed_send(this, mOptions.mQueryInterval, Tick{});
   }
 
+  void AskAhead(const VmId& aPeer)
+  {
+    if (mPausing) {
+      return;
+    }
+    mPausing = true;
+    delayed_send(this, mOptions.mAheadPause, AheadPauseOver{});
+    SendTo(aPeer, SettingsQuery(mView.Head()));
+  }
+
   void Receive(const state::PeerMessage& aMessage)
   {
     const auto* notice = std::get_if<SettingsNotice>(&aMessage.Body());
@@ -175,6 +184,7 @@
   std::optional<state::SettingsHead> mExpected;
   std::string mSource;
   bool mReady = false;
+  bool mPausing = false;
   Counters mCounters;
 };
 
--- a/src/state/Membership.cpp
+++ b/src/state/Membership.cpp
@@ -38,7 +38,9 @@
   const bool sameLife = held != nullptr && held->Life() == aIncarnation;
   const bool outdated = held != nullptr && aIncarnation < held->Life() &&
                         aNow - held->Heard() < mTimeouts.mForgetAfter;
-  if (outdated) {
+  // Nobody stops leaving within one life: this one was relayed late.
+  const bool late = sameLife && held->Last().Leaving() && !aHeartbeat.Leaving();
+  if (outdated || late) {
     return std::nullopt;
   }
   // A life that the VM list dropped stays gone although it still speaks.
--- a/tests/coordination/SettingsSyncTaskTest.cpp
+++ b/tests/coordination/SettingsSyncTaskTest.cpp
@@ -82,12 +82,12 @@
 {
   auto& node = aSystem.Start(aName, std::move(aSeeds));
   const auto settings = aSystem.Add(aSystem.mSystem.spawn<FakeSettings>());
-  const auto sync =
-    aSystem.Add(SpawnSettingsSyncTask(aSystem.mSystem,
-                                      settings,
-                                      node.mMembership,
-                                      aSystem.mLog,
-                                      { PeerTestSystem::kInterval }));
+  const auto sync = aSystem.Add(SpawnSettingsSyncTask(
+    aSystem.mSystem,
+    settings,
+    node.mMembership,
+    aSystem.mLog,
+    { PeerTestSystem::kInterval, PeerTestSystem::kInterval }));
   caf::anon_send(node.mMembership, UsePeerHandlers{ sync, {} });
   return { node, settings, sync };
 }
--- a/tests/state/MembershipTest.cpp
+++ b/tests/state/MembershipTest.cpp
@@ -89,6 +89,9 @@
   const Membership said = Heard(Empty(), 1, milliseconds(0), true);
   STRCMP_EQUAL("leaving", StateAt(said, milliseconds(5'000)).c_str());
   CHECK_FALSE(SharesWork(said, kPeer, milliseconds(0)));
+  // A heartbeat from before, relayed late, does not bring it back.
+  CHECK_FALSE(
+    said.WithHeartbeat(kPeer, 1, Beat(), milliseconds(10)).has_value());
   const Membership listed = Heard(Empty(), 1, milliseconds(0))
                               .WithVms(Listed({ kPeer }, VmState::kLeaving));
   STRCMP_EQUAL("leaving", StateAt(listed, milliseconds(0)).c_str());
@@ -203,11 +206,15 @@
       const int kind = *rc::gen::inRange(0, 4);
       if (kind <= 1) {
         const bool restart = kind == 1 && *rc::gen::arbitrary<bool>();
-        leaving = *rc::gen::arbitrary<bool>();
-        life += restart ? 1 : 0;
-        dropped = dropped && !restart && heard.has_value();
-        heard = now;
-        table = Heard(table, life, now, leaving);
+        const bool saysLeaving = *rc::gen::arbitrary<bool>();
+        table = Heard(table, life + (restart ? 1 : 0), now, saysLeaving);
+        const bool late = heard.has_value() && !restart && leaving;
+        if (!late || saysLeaving) {
+          leaving = saysLeaving;
+          life += restart ? 1 : 0;
+          dropped = dropped && !restart;
+          heard = now;
+        }
       } else if (kind == 2) {
         const bool listed = *rc::gen::arbitrary<bool>();
         dropped = heard.has_value() && !listed && (dropped || listedBefore);
