Free the tasks at exit; use wide types in size constants

The membership, synchronisation and forward tasks refer to each other, so that their actors were never freed (leak check of a sanitizer build: 232,001 bytes in daemon_tests). clang-tidy reported the products of int constants.

--- a/include/cornelrudder/transport/PeerSocket.h
+++ b/include/cornelrudder/transport/PeerSocket.h
@@ -14,7 +14,7 @@
 struct PeerSocketLimits
 {
   /** Longer frames are not sent; a peer that sends one is disconnected. */
-  std::size_t mFrameBytes = 1024 * 1024;
+  std::size_t mFrameBytes = 1024ULL * 1024;
   /** Frames that wait for one peer. */
   int mQueuedFrames = 64;
 };
--- a/src/coordination/ForwardTask.cpp
+++ b/src/coordination/ForwardTask.cpp
@@ -107,6 +107,14 @@
     };
   }
 
+  /** Tasks refer to each other; without this none would be freed. */
+  void on_exit() override
+  {
+    mMembership = nullptr;
+    mPlacement = nullptr;
+    mPending.clear();
+  }
+
 private:
   using Promise = caf::typed_response_promise<JobReply>;
   using ReplyHandler = std::function<void(const JobReply&)>;
--- a/src/coordination/MembershipTask.cpp
+++ b/src/coordination/MembershipTask.cpp
@@ -62,6 +62,13 @@
     };
   }
 
+  /** Tasks refer to each other; without this none would be freed. */
+  void on_exit() override
+  {
+    mSubscribers.clear();
+    mHandlers = {};
+  }
+
 private:
   void Poll()
   {
--- a/src/coordination/SettingsSyncTask.cpp
+++ b/src/coordination/SettingsSyncTask.cpp
@@ -60,6 +60,13 @@
     };
   }
 
+  /** Tasks refer to each other; without this none would be freed. */
+  void on_exit() override
+  {
+    mSettings = nullptr;
+    mMembership = nullptr;
+  }
+
 private:
   void AskUntilReady()
   {
--- a/src/protocol/PeerCodec.cpp
+++ b/src/protocol/PeerCodec.cpp
@@ -14,11 +14,11 @@
 
 constexpr std::size_t kMaxAddress = 64;
 constexpr std::size_t kMaxPath = 512;
-constexpr std::size_t kMaxText = 64 * 1024;
+constexpr std::size_t kMaxText = 64ULL * 1024;
 constexpr std::size_t kMaxKeys = 256;
 constexpr std::size_t kMaxDocuments = 256;
-constexpr std::size_t kMaxHeadEntries = 8 * 1024;
-constexpr std::size_t kMaxJobs = 8 * 1024;
+constexpr std::size_t kMaxHeadEntries = 8ULL * 1024;
+constexpr std::size_t kMaxJobs = 8ULL * 1024;
 /** A gang has at most one member for each accelerator. */
 constexpr std::size_t kMaxMembers = Shape::kMaxAccelerators;
 
--- a/tests/transport/PeerSocketTest.cpp
+++ b/tests/transport/PeerSocketTest.cpp
@@ -144,7 +144,7 @@
       const std::lock_guard wait(busy);
     });
     sender.Connect(peer.Address());
-    const std::string frame(512 * 1024, 'x');
+    const std::string frame(512ULL * 1024, 'x');
     CHECK(SendUntilTaken(sender, peer.Address(), frame));
     int sent = 0;
     while (sent < 1'000 && sender.Send(peer.Address(), frame)) {
--- a/tools/LinkRelay.cpp
+++ b/tools/LinkRelay.cpp
@@ -29,10 +29,10 @@
 
 namespace {
 
-constexpr std::size_t kChunkBytes = 16 * 1024;
+constexpr std::size_t kChunkBytes = 16ULL * 1024;
 
 /** A direction reads no more while it holds that much. */
-constexpr std::size_t kMaxHeldBytes = 1024 * 1024;
+constexpr std::size_t kMaxHeldBytes = 1024ULL * 1024;
 
 struct FaultName
 {
