--- a/apps/cornelrudderd/Daemon.cpp
+++ b/apps/cornelrudderd/Daemon.cpp
@@ -66,6 +66,37 @@
   return { 3 * aHeartbeat, 10 * aHeartbeat, 60 * aHeartbeat };
 }
 
+/** Ends its tasks, also if the daemon cannot be set up after they started. */
+class TaskGroup
+{
+public:
+  explicit TaskGroup(caf::actor_system& aSystem)
+    : mSystem(aSystem)
+  {
+  }
+
+  ~TaskGroup() { Stop(); }
+
+  TaskGroup(const TaskGroup&) = delete;
+  TaskGroup& operator=(const TaskGroup&) = delete;
+
+  void Add(const caf::actor& aTask) { mTasks.push_back(aTask); }
+
+  /** Waits until all tasks have ended. */
+  void Stop()
+  {
+    for (const caf::actor& task : mTasks) {
+      caf::anon_send_exit(task, caf::exit_reason::user_shutdown);
+    }
+    mTasks.clear();
+    mSystem.await_all_actors_done();
+  }
+
+private:
+  caf::actor_system& mSystem;
+  std::vector<caf::actor> mTasks;
+};
+
 class TaskSystemConfig : public caf::actor_system_config
 {
 public:
@@ -101,6 +132,7 @@
              aSettings.StoreTimeout())
     , mRunners(mRunnerClient)
     , mSystem(mConfig)
+    , mTasks(mSystem)
   {
     StartTasks();
     mServer = std::make_unique<transport::HttpServer>(
@@ -115,21 +147,14 @@
     mPeers.SetReceiver(mMembership);
     caf::anon_send(
       mMembership,
-      coordination::AnnounceAddresses{ mServer->Address(), mPeers.Address() });
+      coordination::AnnounceAddresses{ mServer->Address(), PeerAddress() });
   }
 
   ~Impl()
   {
     mServer.reset();
     mPeers.SetReceiver(nullptr);
-    for (const caf::actor& task : mTasks) {
-      caf::anon_send_exit(task, caf::exit_reason::user_shutdown);
-    }
-    mTasks.clear();
-    mFront = nullptr;
-    mMembership = nullptr;
-    mLease = nullptr;
-    mSystem.await_all_actors_done();
+    mTasks.Stop();
     mThread.Stop();
   }
 
@@ -141,7 +166,7 @@
     mThread.WatchStopSignals([this] { BeginStop(); });
     mLog.Write({ LogEvent::kStarted,
                  { { "http", mServer->Address() },
-                   { "peer", mPeers.Address() },
+                   { "peer", PeerAddress() },
                    { "zone", mSettings.Zone().Text() },
                    { "incarnation", mIncarnation } } });
     const std::size_t cutOff = mDone.get_future().get();
@@ -154,6 +179,13 @@
   }
 
 private:
+  /** The address that peers are told. */
+  const std::string& PeerAddress() const
+  {
+    const std::string& announced = mSettings.AnnouncedPeerAddress();
+    return announced.empty() ? mPeers.Address() : announced;
+  }
+
   void StartTasks()
   {
     coordination::StoreTaskOptions storeOptions;
@@ -237,7 +269,7 @@
 
   caf::actor Add(caf::actor aTask)
   {
-    mTasks.push_back(aTask);
+    mTasks.Add(aTask);
     return aTask;
   }
 
@@ -292,7 +324,7 @@
   RunnerAdapter mRunners;
   TaskSystemConfig mConfig;
   caf::actor_system mSystem;
-  std::vector<caf::actor> mTasks;
+  TaskGroup mTasks;
   caf::actor mFront;
   caf::actor mMembership;
   caf::actor mLease;
--- a/src/coordination/SettingsSyncTask.cpp
+++ b/src/coordination/SettingsSyncTask.cpp
@@ -52,15 +52,21 @@
              SendToAllPeers{
                SettingsNotice({ aAccepted.mDocument }, std::nullopt) });
       },
-      [this](const PeerAhead& aAhead) {
-        SendTo(aAhead.mPeer, SettingsQuery(mView.Head()));
-      },
+      [this](const PeerAhead& aAhead) { AskAhead(aAhead.mPeer); },
+      [this](const AheadPauseOver&) { mPausing = false; },
       [this](const PeerReceived& aReceived) { Receive(aReceived.mMessage); },
       [this](const GetReadiness&) { return Readiness{ mReady }; },
       [this](const GetCounters&) { return mCounters; },
     };
   }
 
+  /** Tasks refer to each other; without this none would be freed. */
+  void on_exit() override
+  {
+    mSettings = nullptr;
+    mMembership = nullptr;
+  }
+
 private:
   void AskUntilReady()
   {
@@ -71,6 +77,16 @@
     delayed_send(this, mOptions.mQueryInterval, Tick{});
   }
 
+  void AskAhead(const VmId& aPeer)
+  {
+    if (mPausing) {
+      return;
+    }
+    mPausing = true;
+    delayed_send(this, mOptions.mAheadPause, AheadPauseOver{});
+    SendTo(aPeer, SettingsQuery(mView.Head()));
+  }
+
   void Receive(const state::PeerMessage& aMessage)
   {
     const auto* notice = std::get_if<SettingsNotice>(&aMessage.Body());
@@ -175,6 +191,7 @@
   std::optional<state::SettingsHead> mExpected;
   std::string mSource;
   bool mReady = false;
+  bool mPausing = false;
   Counters mCounters;
 };
 
