Scan fewer workers in the exact test and measure CPU time

Workers of a group are kept largest first, so that a search for members of 8 accelerators stops at the first smaller worker; a region is a single group and needs no ranking; no more workers of a class are listed than members. The benchmark counts CPU time of its thread, because other work on the machine had moved the wall time by half.

--- a/benchmark/placement_benchmark.cpp
+++ b/benchmark/placement_benchmark.cpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cmath>
 #include <cstdio>
+#include <ctime>
 #include <map>
 #include <optional>
 #include <random>
@@ -257,6 +258,19 @@
   return jobs;
 }
 
+/**
+ * CPU time of this thread in microseconds, so that other programs on the
+ * machine do not count.
+ */
+double
+CpuMicroseconds()
+{
+  timespec now{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) * 1e6 +
+         static_cast<double>(now.tv_nsec) / 1e3;
+}
+
 /** Measures the strategy that it passes requests on to. */
 class TimedStrategy final : public PlacementStrategy
 {
@@ -276,17 +290,16 @@
   PlacementDecision Place(const FleetLoad& aLoad,
                           const PlacementRequest& aRequest) const override
   {
-    const auto begin = std::chrono::steady_clock::now();
+    const double begin = CpuMicroseconds();
     PlacementDecision decision = mStrategy.Place(aLoad, aRequest);
-    const std::chrono::duration<double, std::micro> took =
-      std::chrono::steady_clock::now() - begin;
-    mOutcome.mDecisionMicroseconds.push_back(took.count());
+    const double took = CpuMicroseconds() - begin;
+    mOutcome.mDecisionMicroseconds.push_back(took);
     // The naive twin is slow, so that only some decisions are compared. A
     // preemptible request needs no test, and without a free place there is
     // nothing to test, so that both would do without it.
     if (!aRequest.Preemptible() && decision.Kind() == PlacementKind::kPlaced &&
         ++mCompared % 11 == 0) {
-      CompareWithNaive(aLoad, aRequest, took.count());
+      CompareWithNaive(aLoad, aRequest, took);
     }
     return decision;
   }
@@ -301,7 +314,7 @@
                         const PlacementRequest& aRequest,
                         double aMicroseconds) const
   {
-    const auto begin = std::chrono::steady_clock::now();
+    const double begin = CpuMicroseconds();
     const FleetCounts counts(aLoad);
     std::size_t steps = kNaiveSteps;
     int best = -1;
@@ -310,9 +323,7 @@
       std::vector<std::size_t> chosen;
       TryAll(counts, aRequest, group, 0, chosen, steps, best);
     }
-    const std::chrono::duration<double, std::micro> took =
-      std::chrono::steady_clock::now() - begin;
-    mOutcome.mNaiveRatio.push_back(took.count() / aMicroseconds);
+    mOutcome.mNaiveRatio.push_back((CpuMicroseconds() - begin) / aMicroseconds);
     mOutcome.mNaiveCut += steps == 0 ? 1 : 0;
   }
 
--- a/include/cornelrudder/state/FleetTopology.h
+++ b/include/cornelrudder/state/FleetTopology.h
@@ -47,10 +47,14 @@
     return mMembers[static_cast<std::size_t>(aLevel)];
   }
 
-  /** @return The same without workers that have no accelerators. */
-  const std::vector<std::vector<std::size_t>>& Usable(Adjacency aLevel) const
+  /** Accelerators of a worker, held or not. */
+  int Accelerators(std::size_t aWorker) const { return mAccelerators[aWorker]; }
+
+  /** @return The same, workers with the most accelerators first. */
+  const std::vector<std::vector<std::size_t>>& LargestFirst(
+    Adjacency aLevel) const
   {
-    return mUsable[static_cast<std::size_t>(aLevel)];
+    return mLargestFirst[static_cast<std::size_t>(aLevel)];
   }
 
   auto operator<=>(const FleetTopology& aOther) const
@@ -68,9 +72,10 @@
 
   VmList mWorkers;
   std::unordered_map<std::string_view, std::size_t> mPositions;
+  std::vector<int> mAccelerators;
   std::array<std::vector<std::size_t>, kLevels> mGroups;
   std::array<std::vector<std::vector<std::size_t>>, kLevels> mMembers;
-  std::array<std::vector<std::vector<std::size_t>>, kLevels> mUsable;
+  std::array<std::vector<std::vector<std::size_t>>, kLevels> mLargestFirst;
 };
 
 } // namespace cornelrudder::state
--- a/src/state/ExactGuaranteeTest.cpp
+++ b/src/state/ExactGuaranteeTest.cpp
@@ -325,6 +325,12 @@
 
   std::vector<Candidate> Candidates(const Demand& aDemand) const
   {
+    if (aDemand.mWithin == Adjacency::kRegion) {
+      // A region is a single group, so that there is nothing to compare.
+      return aDemand.mRegion < mRegionSum.size()
+               ? std::vector<Candidate>{ { aDemand.mRegion, 0, 0 } }
+               : std::vector<Candidate>{};
+    }
     std::vector<Candidate> candidates;
     std::vector<std::uint64_t> seen;
     // By class: own accelerators that a member uses, and all that it could.
@@ -336,7 +342,7 @@
         std::min(mClasses[c].mOwn[aDemand.mOrganisation], aDemand.mPerWorker),
         usable >= aDemand.mPerWorker ? usable : 0);
     }
-    const auto& groups = mTopology.Usable(aDemand.mWithin);
+    const auto& groups = mTopology.LargestFirst(aDemand.mWithin);
     for (std::size_t g = 0; g < groups.size(); ++g) {
       if (groups[g].size() < aDemand.mMembers ||
           RegionOf(aDemand.mWithin, g) != aDemand.mRegion) {
@@ -345,6 +351,9 @@
       Candidate candidate{ g, 0, 0 };
       std::size_t workers = 0;
       for (const std::size_t w : groups[g]) {
+        if (mTopology.Accelerators(w) < aDemand.mPerWorker) {
+          break;
+        }
         const auto& [own, usable] = use[mClassOf[w]];
         if (usable > 0) {
           ++workers;
@@ -373,18 +382,30 @@
 
   std::vector<Bucket> Buckets(const Demand& aDemand, std::size_t aGroup) const
   {
+    constexpr std::size_t kUnknown = SIZE_MAX;
+    constexpr std::size_t kUnfit = SIZE_MAX - 1;
     std::vector<Bucket> buckets;
-    std::vector<std::size_t> bucketOf(mClasses.size(), SIZE_MAX);
-    for (const std::size_t w : mTopology.Usable(aDemand.mWithin)[aGroup]) {
+    std::vector<std::size_t> bucketOf(mClasses.size(), kUnknown);
+    for (const std::size_t w :
+         mTopology.LargestFirst(aDemand.mWithin)[aGroup]) {
+      if (mTopology.Accelerators(w) < aDemand.mPerWorker) {
+        break;
+      }
       const std::size_t known = mClassOf[w];
-      if (Usable(known, aDemand) < aDemand.mPerWorker) {
-        continue;
+      std::size_t& bucket = bucketOf[known];
+      if (bucket == kUnknown) {
+        bucket = kUnfit;
+        if (Usable(known, aDemand) >= aDemand.mPerWorker) {
+          bucket = buckets.size();
+          buckets.push_back({ known, {} });
+          buckets.back().mWorkers.reserve(aDemand.mMembers);
+        }
       }
-      if (bucketOf[known] == SIZE_MAX) {
-        bucketOf[known] = buckets.size();
-        buckets.push_back({ known, {} });
+      // More workers of a class than members are of no use.
+      if (bucket != kUnfit &&
+          buckets[bucket].mWorkers.size() < aDemand.mMembers) {
+        buckets[bucket].mWorkers.push_back(w);
       }
-      buckets[bucketOf[known]].mWorkers.push_back(w);
     }
     const auto rank = [this, &aDemand](const Bucket& aBucket) {
       const WorkerClass& known = mClasses[aBucket.mClass];
--- a/src/state/FleetTopology.cpp
+++ b/src/state/FleetTopology.cpp
@@ -1,5 +1,6 @@
 #include "cornelrudder/state/FleetTopology.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 
@@ -33,6 +34,7 @@
 {
   for (std::size_t i = 0; i < Size(); ++i) {
     mPositions.emplace(mWorkers.All()[i].Name().Text(), i);
+    mAccelerators.push_back(mWorkers.All()[i].Accelerators());
   }
   for (std::size_t level = 0; level < kLevels; ++level) {
     std::map<std::string, std::size_t> numbers;
@@ -42,13 +44,16 @@
         numbers.size());
       if (added) {
         mMembers[level].emplace_back();
-        mUsable[level].emplace_back();
       }
       mGroups[level].push_back(it->second);
       mMembers[level][it->second].push_back(i);
-      if (mWorkers.All()[i].Accelerators() > 0) {
-        mUsable[level][it->second].push_back(i);
-      }
+    }
+    mLargestFirst[level] = mMembers[level];
+    for (auto& members : mLargestFirst[level]) {
+      std::stable_sort(
+        members.begin(), members.end(), [this](std::size_t aLeft, auto aRight) {
+          return mAccelerators[aLeft] > mAccelerators[aRight];
+        });
     }
   }
 }
