--- a/src/state/BestFit.cpp
+++ b/src/state/BestFit.cpp
@@ -50,9 +50,9 @@
       continue;
     }
     // The fullest workers of the fullest racks first.
-    const auto rank = [&](std::size_t w) {
-      const std::size_t rack = topology.GroupOf(Adjacency::kRack, w);
-      return std::tuple(counts.Free(w), rackFree[rack], rack, w);
+    const auto rank = [&](std::size_t aWorker) {
+      const std::size_t rack = topology.GroupOf(Adjacency::kRack, aWorker);
+      return std::tuple(counts.Free(aWorker), rackFree[rack], rack, aWorker);
     };
     const auto end =
       workers.begin() + static_cast<std::ptrdiff_t>(aContext.Members());
--- a/src/state/PlacementContext.cpp
+++ b/src/state/PlacementContext.cpp
@@ -365,9 +365,11 @@
   for (const std::size_t victim : aReclaim.mVictims) {
     kept.erase(victim);
     const bool enough = std::all_of(
-      aReclaim.mWorkers.begin(), aReclaim.mWorkers.end(), [&](std::size_t w) {
-        int room = mCounts.Free(w);
-        for (const Borrowed& held : aBorrowed[w]) {
+      aReclaim.mWorkers.begin(),
+      aReclaim.mWorkers.end(),
+      [&](std::size_t aWorker) {
+        int room = mCounts.Free(aWorker);
+        for (const Borrowed& held : aBorrowed[aWorker]) {
           room += kept.contains(held.mGang) ? std::popcount(held.mBits) : 0;
         }
         return room >= PerWorker();
@@ -480,8 +482,8 @@
   const auto& workers = mCounts.Load().Workers().All();
   return std::any_of(Groups().begin(), Groups().end(), [&](const auto& aGroup) {
     const auto fitting =
-      std::count_if(aGroup.begin(), aGroup.end(), [&](std::size_t w) {
-        return std::min(workers[w].Accelerators(),
+      std::count_if(aGroup.begin(), aGroup.end(), [&](std::size_t aWorker) {
+        return std::min(workers[aWorker].Accelerators(),
                         FleetCounts::kMaxPerWorker) >= PerWorker();
       });
     return static_cast<std::size_t>(fitting) >= Members();
@@ -502,8 +504,9 @@
     }
   }
   const auto it =
-    std::find_if(aWorkers.begin(), aWorkers.end(), [this](std::size_t w) {
-      return mAssignee[w].has_value() && Unassigned(w) < PerWorker();
+    std::find_if(aWorkers.begin(), aWorkers.end(), [this](std::size_t aWorker) {
+      return mAssignee[aWorker].has_value() &&
+             Unassigned(aWorker) < PerWorker();
     });
   const std::string owner =
     it == aWorkers.end() ? "guaranteed shapes"
