Test that equal racks of unequal zones are told apart

A trial that merged equal racks regardless of their zone passed all tests, the random ones included, since small random fleets rarely need the difference. The new test fails under that change. Two other trials, without the check of a placement and with wrong use of own accelerators, were already caught.

--- a/tests/state/GuaranteeTestTest.cpp
+++ b/tests/state/GuaranteeTestTest.cpp
@@ -192,3 +192,20 @@
     CoveredGuarantees(*FindGuaranteeTest("exact"), FleetCounts(load));
   CHECK((covered == std::vector<std::size_t>{ 1, 2 }));
 }
+
+// Guards against merging equal racks of unequal zones: the rack shape must
+// take the rack of the small zone, or the zone shape finds no place.
+TEST(GuaranteeTest, EqualRacksOfUnequalZonesDiffer)
+{
+  std::vector<Vm> workers;
+  for (int i = 0; i < 6; ++i) {
+    const int rack = i / 2;
+    workers.push_back(Worker(i, rack == 2 ? 1 : 0, rack, 2));
+  }
+  const FleetLoad load(VmList(std::move(workers)),
+                       {},
+                       { Guarantee("a", Shape(2, 2, Adjacency::kRack)),
+                         Guarantee("b", Shape(4, 2, Adjacency::kZone)) });
+  CHECK(CheckAll("exhaustive", load).Feasible());
+  CHECK(CheckAll("exact", load).Feasible());
+}
