Answer from the row when a claim was overtaken

With three daemons racing for one key and store answers lost, a daemon whose claim had been overtaken twice got an undecided outcome from the store and refused with "ran: no" although the request of that key had run through another daemon. The row that comes with the result carries another attempt at a later version, which proves that the own claim had no effect and will have none; the daemon now answers from that row. The model of the stateful test returns such rows too.

Its store tasks have a larger retry reserve, so that the injected faults do not exhaust it.

A task that fails while it works on a request is now answered with "ran: unknown". The store's bound follows a shorter lease, since a renewal that is repeated for longer could not extend the hold.

--- a/apps/cornelrudderd/Daemon.cpp
+++ b/apps/cornelrudderd/Daemon.cpp
@@ -21,6 +21,7 @@
 #include <caf/actor_system_config.hpp>
 #include <caf/send.hpp>
 
+#include <algorithm>
 #include <future>
 #include <random>
 
@@ -127,6 +128,9 @@
   {
     coordination::StoreTaskOptions storeOptions;
     storeOptions.mSeed = std::random_device()();
+    // A renewal that is repeated for longer could not extend the hold.
+    storeOptions.mBound =
+      std::min(storeOptions.mBound, mSettings.LeaseTime() * 2 / 3);
     const caf::actor store =
       Add(SpawnStoreTask(mSystem, mStore, mLog, mClock, storeOptions));
     const caf::actor settings =
--- a/apps/cornelrudderd/FrontTask.cpp
+++ b/apps/cornelrudderd/FrontTask.cpp
@@ -233,7 +233,7 @@
   void Status(const HttpCall& aCall, const PathArguments& /*unused*/)
   {
     const auto fail = [respond = aCall.mRespond](const caf::error&) {
-      respond(EncodeError(500, "internal", "a task failed"));
+      respond(TaskFailed());
     };
     request(mPeers.mLease, caf::infinite, coordination::GetLease{})
       .then(
@@ -339,6 +339,13 @@
     return HttpResponse::Json(422, body.dump());
   }
 
+  /** A task that failed may have acted before. */
+  static HttpResponse TaskFailed()
+  {
+    return HttpResponse::Json(
+      500, R"({"error":"internal","reason":"a task failed","ran":"unknown"})");
+  }
+
   static std::string Author(const protocol::HttpRequest& aRequest)
   {
     const std::string author = aRequest.Header("x-operator");
@@ -364,9 +371,7 @@
     request(aTask, caf::infinite, std::move(aMessage))
       .then([respond = aRespond, encoder = std::move(aEncoder)](
               const Reply& aReply) { respond(encoder(aReply)); },
-            [respond = aRespond](const caf::error&) {
-              respond(EncodeError(500, "internal", "a task failed"));
-            });
+            [respond = aRespond](const caf::error&) { respond(TaskFailed()); });
   }
 
   state::RequestId NextRequestId()
--- a/include/cornelrudder/state/Intent.h
+++ b/include/cornelrudder/state/Intent.h
@@ -37,7 +37,7 @@
    * Longest answer that is kept for a repeat, in bytes. It bounds the row; a
    * longer answer reaches the caller but is not replayed.
    */
-  static constexpr std::size_t kMaxAnswer = 256 * 1'024;
+  static constexpr std::size_t kMaxAnswer = 262'144;
 
   /**
    * @param aDigest Digest of the request, see RequestDigest().
@@ -159,15 +159,21 @@
 
 /**
  * Decides after a claim, i.e. a write of a dispatched row.
+ * @param aClaim What was to be written.
+ * @param aVersion Version at which it was to be written.
  * @param aStatus Result of the write; only kOk proves that the row is this
  *   attempt's own.
- * @param aFound The row that was in the way after a conflict; nothing if it
- *   is not known.
+ * @param aFound The row as read after the claim was sent; nothing if it is not
+ *   known. After an unknown outcome, a later version that carries another
+ *   attempt proves that the claim had no effect and will have none: a row in
+ *   state dispatched is changed only by the life that claimed it, and this one
+ *   has not.
  */
 IntentStep
-AfterClaim(StoreStatus aStatus,
-           const std::optional<FoundIntent>& aFound,
-           const std::string& aDigest);
+AfterClaim(const Intent& aClaim,
+           std::uint64_t aVersion,
+           StoreStatus aStatus,
+           const std::optional<FoundIntent>& aFound);
 
 /**
  * Decides after a conflict of a write that ends an attempt (the record of its
--- a/src/coordination/IntentTask.cpp
+++ b/src/coordination/IntentTask.cpp
@@ -195,10 +195,11 @@
                    std::uint64_t aVersion,
                    const StoreResult& aResult)
   {
-    const auto found = aResult.Status() == StoreStatus::kConflict
+    const auto found = aResult.Status() != StoreStatus::kOk
                          ? Decode(aCall->mKey, aResult)
                          : std::nullopt;
-    const IntentStep step = AfterClaim(aResult.Status(), found, aCall->mDigest);
+    const IntentStep step =
+      AfterClaim(aIntent, aVersion, aResult.Status(), found);
     switch (step.What()) {
       case IntentStep::Kind::kDispatch:
         ++mCounters["intent_claimed_total"];
--- a/src/state/Intent.cpp
+++ b/src/state/Intent.cpp
@@ -36,7 +36,7 @@
     RefusalReason::kStoreUnavailable,
     Ran::kNo,
     kRetryAfter,
-    "the key could not be recorded, so that nothing was dispatched");
+    "the key could not be recorded, so that this attempt was not dispatched");
 }
 
 } // namespace
@@ -146,23 +146,26 @@
 }
 
 IntentStep
-AfterClaim(StoreStatus aStatus,
-           const std::optional<FoundIntent>& aFound,
-           const std::string& aDigest)
+AfterClaim(const Intent& aClaim,
+           std::uint64_t aVersion,
+           StoreStatus aStatus,
+           const std::optional<FoundIntent>& aFound)
 {
-  switch (aStatus) {
-    case StoreStatus::kOk:
-      return IntentStep::Dispatch();
-    case StoreStatus::kUnavailable:
-      return IntentStep::Answer(StoreUnavailable());
-    case StoreStatus::kUnknown:
-      return IntentStep::AnswerAndRevoke(StoreUnavailable());
-    case StoreStatus::kConflict:
-      break;
+  if (aStatus == StoreStatus::kOk) {
+    return IntentStep::Dispatch();
   }
-  // Without the row it is open whether an earlier request ran.
-  return aFound ? JudgeRepeat(*aFound, aDigest)
-                : IntentStep::Answer(InProgress());
+  if (aStatus == StoreStatus::kUnavailable) {
+    return IntentStep::Answer(StoreUnavailable());
+  }
+  const bool isOther = aFound && aFound->mVersion > aVersion &&
+                       aFound->mIntent.Attempt() != aClaim.Attempt();
+  if (isOther) {
+    return JudgeRepeat(*aFound, aClaim.Digest());
+  }
+  // After a conflict without a usable row it is open what ran before.
+  return aStatus == StoreStatus::kUnknown
+           ? IntentStep::AnswerAndRevoke(StoreUnavailable())
+           : IntentStep::Answer(InProgress());
 }
 
 bool
--- a/tests/coordination/IntentTaskTest.cpp
+++ b/tests/coordination/IntentTaskTest.cpp
@@ -12,6 +12,7 @@
 #include <caf/scoped_actor.hpp>
 
 #include <atomic>
+#include <map>
 
 using namespace cornelrudder;
 using namespace cornelrudder::coordination;
@@ -40,12 +41,14 @@
   std::atomic<int> mDispatches{ 0 };
   std::mutex mMutex;
   RunOutcome mOutcome = RunOutcome::Answered("answer");
+  std::map<std::string, int> mByKey;
 
   caf::behavior Behavior()
   {
-    return { [this](const RunRequest&) {
+    return { [this](const RunRequest& aRequest) {
       ++mDispatches;
       const std::lock_guard lock(mMutex);
+      ++mByKey[aRequest.IdempotencyKey()];
       return mOutcome;
     } };
   }
@@ -114,6 +117,7 @@
     options.mBackoffCap = std::chrono::milliseconds(4);
     options.mProbeInterval = std::chrono::milliseconds(10);
     options.mBound = std::chrono::milliseconds(100);
+    options.mRetryReserve = 1'000;
     const caf::actor store =
       SpawnStoreTask(mSystem, mTable, mLog, mClock, options);
     const caf::actor intents =
@@ -344,3 +348,35 @@
   CHECK(repeat.HasRun() == Ran::kYes);
   LONGS_EQUAL(2, fleet.mRouting.mDispatches);
 }
+
+// Guards against two daemons that dispatch the same key when the answers of
+// the table get lost.
+TEST(IntentTask, RacingDaemonsDispatchOnce)
+{
+  Fleet fleet;
+  const std::vector<caf::actor> daemons{ fleet.Start(),
+                                         fleet.Start(),
+                                         fleet.Start() };
+  constexpr int kKeys = 100;
+  for (int key = 0; key < kKeys; ++key) {
+    fleet.mTable.FailWrites(
+      key % 2 == 0 ? TableFault::kAnswerLost : TableFault::kLate, key % 4);
+    for (const caf::actor& daemon : daemons) {
+      fleet.mSelf->send(daemon, Request("key-" + std::to_string(key)));
+    }
+    int answers = 0;
+    for (std::size_t i = 0; i < daemons.size(); ++i) {
+      fleet.mSelf->receive([&answers](const RunOutcome& aOutcome) {
+        answers += aOutcome.IsAnswer() ? 1 : 0;
+        CHECK(aOutcome.IsAnswer() || aOutcome.HasRun() == Ran::kUnknown);
+      });
+    }
+    CHECK(answers >= 1);
+    fleet.mTable.DeliverLate();
+  }
+  const std::lock_guard lock(fleet.mRouting.mMutex);
+  LONGS_EQUAL(kKeys, fleet.mRouting.mByKey.size());
+  for (const auto& [key, count] : fleet.mRouting.mByKey) {
+    LONGS_EQUAL(1, count);
+  }
+}
--- a/tests/state/IntentTest.cpp
+++ b/tests/state/IntentTest.cpp
@@ -19,43 +19,51 @@
 constexpr std::size_t kSteps = 250;
 
 /** The decision after a claim; wrong ones must be noticed. */
-using ClaimJudge = IntentStep (*)(StoreStatus,
-                                  const std::optional<FoundIntent>&,
-                                  const std::string&);
+using ClaimJudge = IntentStep (*)(const Intent&,
+                                  std::uint64_t,
+                                  StoreStatus,
+                                  const std::optional<FoundIntent>&);
 
 /** Dispatches although the outcome of the claim is unknown. */
 IntentStep
-DispatchOnUnknown(StoreStatus aStatus,
-                  const std::optional<FoundIntent>& aFound,
-                  const std::string& aDigest)
+DispatchOnUnknown(const Intent& aClaim,
+                  std::uint64_t aVersion,
+                  StoreStatus aStatus,
+                  const std::optional<FoundIntent>& aFound)
 {
   return aStatus == StoreStatus::kUnknown
            ? IntentStep::Dispatch()
-           : AfterClaim(aStatus, aFound, aDigest);
+           : AfterClaim(aClaim, aVersion, aStatus, aFound);
 }
 
 /** Takes over a row that another daemon has dispatched. */
 IntentStep
-TakeOverDispatched(StoreStatus aStatus,
-                   const std::optional<FoundIntent>& aFound,
-                   const std::string& aDigest)
+TakeOverDispatched(const Intent& aClaim,
+                   std::uint64_t aVersion,
+                   StoreStatus aStatus,
+                   const std::optional<FoundIntent>& aFound)
 {
   const bool isDispatched =
     aStatus == StoreStatus::kConflict && aFound &&
     aFound->mIntent.State() == IntentState::kDispatched &&
-    aFound->mIntent.Digest() == aDigest;
+    aFound->mIntent.Digest() == aClaim.Digest();
   return isDispatched ? IntentStep::Claim(aFound->mVersion)
-                      : AfterClaim(aStatus, aFound, aDigest);
+                      : AfterClaim(aClaim, aVersion, aStatus, aFound);
 }
 
 /** Ignores the digest, so that another body gets this body's answer. */
 IntentStep
-IgnoreDigest(StoreStatus aStatus,
-             const std::optional<FoundIntent>& aFound,
-             const std::string& aDigest)
+IgnoreDigest(const Intent& aClaim,
+             std::uint64_t aVersion,
+             StoreStatus aStatus,
+             const std::optional<FoundIntent>& aFound)
 {
-  return AfterClaim(
-    aStatus, aFound, aFound ? aFound->mIntent.Digest() : aDigest);
+  const Intent claim(aFound ? aFound->mIntent.Digest() : aClaim.Digest(),
+                     aClaim.Owner(),
+                     aClaim.Attempt(),
+                     aClaim.State(),
+                     std::nullopt);
+  return AfterClaim(claim, aVersion, aStatus, aFound);
 }
 
 enum class StepKind
@@ -331,10 +339,28 @@
     }
   }
 
+  /**
+   * The row that the store returns with a result. After an unknown outcome it
+   * is one that has moved on, as read when the sender gave up; a row with the
+   * own write id would have made the result kOk.
+   */
+  std::optional<FoundIntent> FoundAfter(const Write& aWrite,
+                                        StoreStatus aStatus) const
+  {
+    if (aStatus != StoreStatus::kUnknown) {
+      return aWrite.mFound;
+    }
+    const auto it = mTable.find(aWrite.mKey);
+    const bool isReturned =
+      it != mTable.end() && it->second.mVersion > aWrite.mExpected &&
+      it->second.mIntent.Attempt() != aWrite.mIntent.Attempt();
+    return isReturned ? std::optional(it->second) : std::nullopt;
+  }
+
   void ResolveClaim(const Write& aWrite, StoreStatus aStatus)
   {
-    const IntentStep step =
-      mJudge(aStatus, aWrite.mFound, mCalls[aWrite.mCall].mDigest);
+    const IntentStep step = mJudge(
+      aWrite.mIntent, aWrite.mExpected, aStatus, FoundAfter(aWrite, aStatus));
     switch (step.What()) {
       case IntentStep::Kind::kDispatch:
         mDispatches.push_back({ aWrite.mCall, aWrite.mIntent });
