Add the placement task, its worker port and the routes of jobs

The task owns the jobs of one region while it holds the lease, which it checks just before each effect; without it, only leases of running members are renewed. A job is in the table before its caller hears of it. A write whose outcome is unknown is resolved by reading the row, and a caller that waited too long is told that the outcome is unknown.

Found by the tests: a worker that does not answer but is still listed was chosen again for each attempt, so that the job never ended; workers on which an attempt ended are now avoided. Ruled out: counting such a worker against the job, since only a task that fails speaks against the job.

Daemon.cpp makes one daemon the owner for ever in lines that are marked as temporary, until the lease task sends DomainOwner.

--- a/apps/cornelrudderd/Daemon.cpp
+++ b/apps/cornelrudderd/Daemon.cpp
@@ -3,6 +3,7 @@
 #include "cornelrudder/coordination/Clock.h"
 #include "cornelrudder/coordination/MembershipTask.h"
 #include "cornelrudder/coordination/Messages.h"
+#include "cornelrudder/coordination/PlacementTask.h"
 #include "cornelrudder/coordination/RoutingTask.h"
 #include "cornelrudder/coordination/SettingsTask.h"
 #include "cornelrudder/coordination/StoreTask.h"
@@ -14,6 +15,7 @@
 #include "cornelrudderd/PlatformAdapters.h"
 #include "cornelrudderd/RunnerAdapter.h"
 #include "cornelrudderd/SpdlogEventLog.h"
+#include "cornelrudderd/WorkerAdapter.h"
 
 #include <caf/actor_system.hpp>
 #include <caf/actor_system_config.hpp>
@@ -33,6 +35,9 @@
 /** Two threads are enough: tasks only decide, they never block. */
 constexpr std::size_t kTaskThreads = 2;
 
+/** Shorter than the bound that gangs assume for the way of a command. */
+constexpr std::chrono::milliseconds kWorkerTimeout{ 1'000 };
+
 /** Differs for each life of the process, so that ids are never used again. */
 std::string
 MakeIncarnation(const state::VmId& aId)
@@ -74,6 +79,8 @@
              aSettings.PlatformAddress(),
              aSettings.StoreTimeout())
     , mRunners(mRunnerClient)
+    , mWorkerClient(mThread, {})
+    , mWorkers(mWorkerClient, kWorkerTimeout)
     , mSystem(mConfig)
   {
     StartTasks();
@@ -136,10 +143,35 @@
       mSystem, mRunners, mLog, { mSettings.Id(), mSettings.Zone() }));
     caf::anon_send(settings, coordination::Subscribe{ routing });
     caf::anon_send(membership, coordination::Subscribe{ routing });
-    mFront = Add(
-      SpawnFrontTask(mSystem,
-                     { routing, settings, { routing, settings, membership } },
-                     mIncarnation));
+    const caf::actor placement =
+      Add(SpawnPlacementTask(mSystem,
+                             store,
+                             { mWorkers, mCodec, mClock, mLog },
+                             coordination::WriteIds(mIncarnation + "-jobs"),
+                             { mSettings.Id(), mSettings.Region() }));
+    caf::anon_send(settings, coordination::Subscribe{ placement });
+    caf::anon_send(membership, coordination::Subscribe{ placement });
+    // TEMPORARY, until the lease task sends DomainOwner: one daemon of the
+    // region, "entry-2" by its identifier, owns placement for ever.
+    if (mSettings.Id().Text() == "entry-2") {
+      caf::anon_send(placement, TemporaryOwner());
+    }
+    mFront = Add(SpawnFrontTask(mSystem,
+                                { routing,
+                                  settings,
+                                  { routing, settings, membership, placement },
+                                  placement },
+                                mIncarnation));
+  }
+
+  // TEMPORARY, goes with its use in StartTasks().
+  coordination::DomainOwner TemporaryOwner() const
+  {
+    return { mSettings.Region(),
+             { mSettings.Id() },
+             state::Lease(mSettings.Region(),
+                          static_cast<std::uint64_t>(mClock.Now().count()),
+                          mClock.Now() + std::chrono::hours(24)) };
   }
 
   caf::actor Add(caf::actor aTask)
@@ -183,6 +215,9 @@
   StoreAdapter mStore;
   FleetAdapter mFleet;
   RunnerAdapter mRunners;
+  transport::HttpClient mWorkerClient;
+  WorkerAdapter mWorkers;
+  coordination::BootClock mClock;
   TaskSystemConfig mConfig;
   caf::actor_system mSystem;
   std::vector<caf::actor> mTasks;
--- a/apps/cornelrudderd/FrontTask.cpp
+++ b/apps/cornelrudderd/FrontTask.cpp
@@ -2,14 +2,17 @@
 
 #include "cornelrudder/coordination/Messages.h"
 #include "cornelrudder/protocol/CallerCodec.h"
+#include "cornelrudder/protocol/JobCodec.h"
 #include "cornelrudder/protocol/ProtocolError.h"
 #include "cornelrudder/protocol/SettingsCodec.h"
+#include "cornelrudder/state/StateError.h"
 
 #include <caf/actor_system.hpp>
 #include <caf/event_based_actor.hpp>
 
 #include <array>
 #include <charconv>
+#include <chrono>
 #include <memory>
 #include <optional>
 
@@ -103,7 +106,7 @@
     Handler mHandler;
   };
 
-  static const std::array<Route, 7> kRoutes;
+  static const std::array<Route, 12> kRoutes;
 
   void Serve(const HttpCall& aCall)
   {
@@ -229,6 +232,59 @@
     }
   }
 
+  void SubmitJob(const HttpCall& aCall, const PathArguments& /*unused*/)
+  {
+    try {
+      AskJobs(state::JobCommand::Submit(
+                protocol::DecodeJobSpec(NextJobId(), aCall.mRequest)),
+              aCall);
+    } catch (const protocol::ProtocolError& error) {
+      aCall.mRespond(EncodeError(400, "bad_request", error.what()));
+    }
+  }
+
+  void ListJobs(const HttpCall& aCall, const PathArguments& /*unused*/)
+  {
+    AskJobs(state::JobCommand::List(), aCall);
+  }
+
+  void GetJob(const HttpCall& aCall, const PathArguments& aArguments)
+  {
+    AskAboutJob(&state::JobCommand::Get, aCall, aArguments);
+  }
+
+  void CancelJob(const HttpCall& aCall, const PathArguments& aArguments)
+  {
+    AskAboutJob(&state::JobCommand::Cancel, aCall, aArguments);
+  }
+
+  void ExplainJob(const HttpCall& aCall, const PathArguments& aArguments)
+  {
+    AskAboutJob(&state::JobCommand::Explain, aCall, aArguments);
+  }
+
+  void AskAboutJob(state::JobCommand (*aMake)(state::JobId),
+                   const HttpCall& aCall,
+                   const PathArguments& aArguments)
+  {
+    try {
+      AskJobs(aMake(state::JobId(aArguments[0])), aCall);
+    } catch (const state::StateError& error) {
+      aCall.mRespond(EncodeError(400, "bad_request", error.what()));
+    }
+  }
+
+  void AskJobs(state::JobCommand aCommand, const HttpCall& aCall)
+  {
+    const auto kind = aCommand.Kind();
+    Ask(mPeers.mJobs,
+        std::move(aCommand),
+        aCall,
+        [kind](const state::JobReply& aReply) {
+          return protocol::EncodeJobReply(kind, aReply);
+        });
+  }
+
   static HttpResponse EncodeCounters(const coordination::Counters& aCounters)
   {
     std::string text;
@@ -327,13 +383,29 @@
     return state::RequestId(mIdPrefix + "-" + std::to_string(++mRequests));
   }
 
+  /**
+   * The time comes first, because the queue takes the order of identifiers for
+   * that of submissions, also after a takeover. Clocks that differ between
+   * daemons change the order of jobs that arrive almost together.
+   */
+  state::JobId NextJobId()
+  {
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+    const std::string start =
+      "j" + std::to_string(now.count()) + "-" + std::to_string(++mJobs) + "-";
+    return state::JobId(
+      start + mIdPrefix.substr(0, state::kMaxIdLength - start.size()));
+  }
+
   FrontPeers mPeers;
   std::string mIdPrefix;
+  std::uint64_t mJobs = 0;
   std::uint64_t mRequests = 0;
   bool mDraining = false;
 };
 
-const std::array<FrontTask::Route, 7> FrontTask::kRoutes{ {
+const std::array<FrontTask::Route, 12> FrontTask::kRoutes{ {
   { "POST", "/v1/requests/*", &FrontTask::RunRequest },
   { "GET", "/v1/settings", &FrontTask::ListSettings },
   { "GET", "/v1/settings/**", &FrontTask::GetSettings },
@@ -341,6 +413,11 @@
   { "GET", "/healthz", &FrontTask::Health },
   { "GET", "/readyz", &FrontTask::Ready },
   { "GET", "/metrics", &FrontTask::Metrics },
+  { "POST", "/v1/jobs", &FrontTask::SubmitJob },
+  { "GET", "/v1/jobs", &FrontTask::ListJobs },
+  { "GET", "/v1/jobs/*", &FrontTask::GetJob },
+  { "DELETE", "/v1/jobs/*", &FrontTask::CancelJob },
+  { "GET", "/v1/jobs/*/explain", &FrontTask::ExplainJob },
 } };
 
 } // namespace
--- a/apps/cornelrudderd/FrontTask.h
+++ b/apps/cornelrudderd/FrontTask.h
@@ -32,6 +32,8 @@
   caf::actor mSettings;
   /** Tasks whose counters are shown. */
   std::vector<caf::actor> mCounted;
+  /** Takes JobCommand. */
+  caf::actor mJobs;
 };
 
 /**
--- /dev/null
+++ b/apps/cornelrudderd/WorkerAdapter.h
@@ -0,0 +1,34 @@
+#ifndef CORNELRUDDERD_WORKER_ADAPTER_H
+#define CORNELRUDDERD_WORKER_ADAPTER_H
+
+#include "cornelrudder/coordination/WorkerPort.h"
+#include "cornelrudder/transport/HttpClient.h"
+
+#include <chrono>
+
+namespace cornelrudder::daemon {
+
+/** Workers over HTTP. */
+class WorkerAdapter final : public coordination::WorkerPort
+{
+public:
+  /**
+   * @param aClient Must outlive the adapter.
+   * @param aTimeout Bound of each command; GangTiming::mCommandBound must not
+   *   be shorter.
+   */
+  WorkerAdapter(transport::HttpClient& aClient,
+                std::chrono::milliseconds aTimeout);
+
+  void Send(const std::string& aAddress,
+            const state::WorkerCommand& aCommand,
+            Completion aCompletion) override;
+
+private:
+  transport::HttpClient& mClient;
+  std::chrono::milliseconds mTimeout;
+};
+
+} // namespace cornelrudder::daemon
+
+#endif // CORNELRUDDERD_WORKER_ADAPTER_H
--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -30,7 +30,21 @@
   kSettingsRejected = 303,
   kFleetChanged = 400,
   kFleetUnavailable = 401,
-  kStoreUnavailable = 500
+  kStoreUnavailable = 500,
+  kJobAccepted = 700,
+  kJobRefused = 701,
+  kGangPlaced = 702,
+  kGangWaiting = 703,
+  kGangReclaim = 704,
+  kGangPhase = 705,
+  kGangRequeued = 706,
+  kJobEnded = 707,
+  kWorkerQuarantined = 708,
+  kWorkerReleased = 709,
+  kJobsRecovered = 710,
+  kPlacementLapsed = 711,
+  kBadJobRow = 712,
+  kOwnerFenced = 713
 };
 
 /** Row of the event table. */
--- a/include/cornelrudder/coordination/Messages.h
+++ b/include/cornelrudder/coordination/Messages.h
@@ -10,6 +10,7 @@
 #include "cornelrudder/state/SettingsSchema.h"
 #include "cornelrudder/state/StoreRow.h"
 #include "cornelrudder/state/Vm.h"
+#include "cornelrudder/state/WorkerExchange.h"
 
 #include <caf/actor.hpp>
 #include <caf/allowed_unsafe_message_type.hpp>
@@ -138,6 +139,16 @@
   auto operator<=>(const VmListRead&) const = default;
 };
 
+/** Tells the placement task what a worker answered to a command. */
+struct WorkerReported
+{
+  const state::WorkerCommand mCommand;
+  const state::VmId mWorker;
+  const state::WorkerReport mReport;
+
+  auto operator<=>(const WorkerReported&) const = default;
+};
+
 } // namespace cornelrudder::coordination
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::Subscribe)
@@ -152,6 +163,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::Tick)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::RunFinished)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::VmListRead)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::WorkerReported)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::JobCommand)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::JobReply)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::RunRequest)
--- /dev/null
+++ b/include/cornelrudder/coordination/PlacementTask.h
@@ -0,0 +1,57 @@
+#ifndef CORNELRUDDER_COORDINATION_PLACEMENT_TASK_H
+#define CORNELRUDDER_COORDINATION_PLACEMENT_TASK_H
+
+#include "cornelrudder/coordination/Clock.h"
+#include "cornelrudder/coordination/EventLog.h"
+#include "cornelrudder/coordination/RowCodec.h"
+#include "cornelrudder/coordination/WorkerPort.h"
+#include "cornelrudder/coordination/WriteIds.h"
+#include "cornelrudder/state/Gang.h"
+#include "cornelrudder/state/Ids.h"
+
+#include <caf/fwd.hpp>
+
+#include <chrono>
+
+namespace cornelrudder::coordination {
+
+struct PlacementTaskOptions
+{
+  state::VmId mSelf;
+  state::RegionId mRegion;
+  state::GangTiming mTiming{};
+  /** How often leases, retries and waiting callers are looked at. */
+  std::chrono::milliseconds mTickInterval{ 250 };
+  /** Pause before a row whose write is unresolved is read or written again. */
+  std::chrono::milliseconds mRowRetry{ 250 };
+  /** Longest wait of a caller for a write; after it the outcome is open. */
+  std::chrono::milliseconds mReplyBound{ 5'000 };
+  /** Pause after a failed attempt, doubled by each up to 64 times. */
+  std::chrono::milliseconds mRequeuePause{ 500 };
+};
+
+/** What a placement task uses; all must outlive the actor system. */
+struct PlacementPorts
+{
+  WorkerPort& mWorkers;
+  const RowCodec& mCodec;
+  const Clock& mClock;
+  EventLog& mLog;
+};
+
+/**
+ * Starts the task that owns the jobs of one region while this daemon holds the
+ * region's lease. It takes JobCommand and answers with JobReply; it takes
+ * VmList, SettingsView and DomainOwner.
+ * @param aStore The store task.
+ */
+caf::actor
+SpawnPlacementTask(caf::actor_system& aSystem,
+                   const caf::actor& aStore,
+                   PlacementPorts aPorts,
+                   WriteIds aWriteIds,
+                   PlacementTaskOptions aOptions);
+
+} // namespace cornelrudder::coordination
+
+#endif // CORNELRUDDER_COORDINATION_PLACEMENT_TASK_H
--- /dev/null
+++ b/include/cornelrudder/coordination/WorkerPort.h
@@ -0,0 +1,31 @@
+#ifndef CORNELRUDDER_COORDINATION_WORKER_PORT_H
+#define CORNELRUDDER_COORDINATION_WORKER_PORT_H
+
+#include "cornelrudder/state/WorkerExchange.h"
+
+#include <functional>
+#include <string>
+
+namespace cornelrudder::coordination {
+
+/** Sends commands to workers. */
+class WorkerPort
+{
+public:
+  /** Called exactly once, from any thread. */
+  using Completion = std::function<void(state::WorkerReport)>;
+
+  virtual ~WorkerPort() = default;
+
+  /**
+   * Makes one attempt at one command; never retries.
+   * @param aAddress The worker, "a.b.c.d:port".
+   */
+  virtual void Send(const std::string& aAddress,
+                    const state::WorkerCommand& aCommand,
+                    Completion aCompletion) = 0;
+};
+
+} // namespace cornelrudder::coordination
+
+#endif // CORNELRUDDER_COORDINATION_WORKER_PORT_H
--- a/include/cornelrudder/state/Gang.h
+++ b/include/cornelrudder/state/Gang.h
@@ -148,9 +148,12 @@
   /** Whether a task of any attempt may have run. */
   Ran HasRun() const;
 
-  /** Member whose failure ended the last attempt, or nothing. */
+  /** Worker whose failure ended the last attempt, or nothing. */
   const std::optional<VmId>& FailedWorker() const { return mFailedWorker; }
 
+  /** Whether the task itself failed there, and not only the worker. */
+  bool TaskFailed() const { return mTaskFailed; }
+
   auto operator<=>(const Gang&) const = default;
 
 private:
@@ -210,6 +213,8 @@
 
   Gang InPhase(GangPhase aPhase) const;
   Gang WithMember(const GangEvent& aEvent, MemberState aState) const;
+  /** Notes whose failure ends the attempt; for a copy that is not given out. */
+  void Blame(const VmId& aWorker, bool aTaskFailed);
   Outcome CancelOutcome() const;
   bool AllIn(std::initializer_list<MemberState> aStates) const;
   bool RowPending() const { return mWriting.has_value(); }
@@ -225,6 +230,7 @@
   /** What is recorded once the members have stopped. */
   std::optional<Outcome> mOutcome;
   std::optional<VmId> mFailedWorker;
+  bool mTaskFailed = false;
   /** Failure seen while the row in state kCommitted was being written. */
   std::optional<std::string> mFault;
   std::chrono::milliseconds mDeadline{ 0 };
--- a/src/state/Gang.cpp
+++ b/src/state/Gang.cpp
@@ -259,6 +259,7 @@
   }
   Gang next = *this;
   next.mFailedWorker.reset();
+  next.mTaskFailed = false;
   next.mFault.reset();
   next.mPreempt = false;
   next.mStarted = false;
@@ -363,7 +364,7 @@
   Gang next = WithMember(aEvent, MemberState::kFailed);
   next.mHasRun = true;
   const VmId& worker = mJob.Placement().Members().at(aEvent.Member()).Worker();
-  next.mFailedWorker = worker;
+  next.Blame(worker, true);
   return next.Fail("the task failed on " + worker.Text(), aEvent.Now());
 }
 
@@ -371,7 +372,9 @@
 Gang::OnLost(const GangEvent& aEvent) const
 {
   const VmId& worker = mJob.Placement().Members().at(aEvent.Member()).Worker();
-  return Fail(worker.Text() + " does not hold its member", aEvent.Now());
+  Gang next = *this;
+  next.Blame(worker, false);
+  return next.Fail(worker.Text() + " does not hold its member", aEvent.Now());
 }
 
 GangStep
@@ -381,7 +384,9 @@
     return Nothing();
   }
   const VmId& worker = mJob.Placement().Members().at(aEvent.Member()).Worker();
-  return Fail(worker.Text() + " does not answer", aEvent.Now());
+  Gang next = *this;
+  next.Blame(worker, false);
+  return next.Fail(worker.Text() + " does not answer", aEvent.Now());
 }
 
 GangStep
@@ -628,6 +633,7 @@
     if (mPhase != GangPhase::kOrphaned &&
         aNow - member.Heard() > mTiming.mLease) {
       const VmId& worker = mJob.Placement().Members().at(i).Worker();
+      step.mNext.Blame(worker, false);
       GangStep failed =
         step.mNext.Fail(worker.Text() + " did not renew its lease", aNow);
       if (failed.mNext.mPhase == GangPhase::kStopping) {
@@ -671,6 +677,16 @@
   return next;
 }
 
+void
+Gang::Blame(const VmId& aWorker, bool aTaskFailed)
+{
+  // What fails after the first failure may only be its consequence.
+  if (!mFailedWorker && RenewsLeases()) {
+    mFailedWorker = aWorker;
+    mTaskFailed = aTaskFailed;
+  }
+}
+
 Gang::Outcome
 Gang::CancelOutcome() const
 {
--- /dev/null
+++ b/tests/coordination/PlacementTaskTest.cpp
@@ -0,0 +1,470 @@
+#include "cornelrudder/coordination/PlacementTask.h"
+#include "PlacementFakes.h"
+#include "cornelrudder/coordination/Messages.h"
+#include "cornelrudder/coordination/StoreTask.h"
+#include "cornelrudder/protocol/JsonRowCodec.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <caf/actor_system.hpp>
+#include <caf/actor_system_config.hpp>
+#include <caf/scoped_actor.hpp>
+
+#include <set>
+#include <thread>
+
+using namespace cornelrudder;
+using namespace cornelrudder::coordination;
+using namespace cornelrudder::state;
+using std::chrono::milliseconds;
+using tests::FakeTable;
+using tests::FakeWorkers;
+
+namespace {
+
+/** Far longer than any test needs. */
+constexpr milliseconds kForever{ 3'600'000 };
+
+SettingsView
+Settings(std::optional<std::int64_t> aMaxAccelerators = std::nullopt,
+         std::optional<std::int64_t> aMaxQueued = std::nullopt)
+{
+  const auto classOf = [](bool aIdempotent) {
+    return SettingValues{ { "idempotent", aIdempotent },
+                          { "max_wait_ms", std::int64_t{ 0 } },
+                          { "timeout_ms", std::int64_t{ 500 } } };
+  };
+  SettingValues team;
+  if (aMaxAccelerators) {
+    team.emplace("max_accelerators", *aMaxAccelerators);
+  }
+  if (aMaxQueued) {
+    team.emplace("max_queued_jobs", *aMaxQueued);
+  }
+  auto view = *SettingsView().WithDocument({ "organisations/acme", 1, {}, {} });
+  view = *view.WithDocument({ "organisations/acme/teams/night", 1, team, {} });
+  view = *view.WithDocument({ "classes/nest", 1, classOf(true), {} });
+  return *view.WithDocument({ "classes/billed", 1, classOf(false), {} });
+}
+
+std::string
+AddressOf(int aWorker)
+{
+  return "127.0.0.1:" + std::to_string(aWorker);
+}
+
+VmList
+Workers(int aCount)
+{
+  std::vector<Vm> vms;
+  const Location place(RegionId("r"), ZoneId("z"), RackId("k"));
+  for (int i = 1; i <= aCount; ++i) {
+    vms.emplace_back(VmId("worker-" + std::to_string(i)),
+                     VmRole::kWorker,
+                     AddressOf(i),
+                     place,
+                     8,
+                     VmState::kLive);
+  }
+  return VmList(std::move(vms));
+}
+
+JobSpec
+Spec(const std::string& aId,
+     int aWorkers,
+     const std::string& aKey = "",
+     const std::string& aClass = "nest",
+     std::chrono::seconds aExpected = std::chrono::seconds(0))
+{
+  return { JobId(aId),
+           OrganisationId("acme"),
+           TeamId("night"),
+           ClassName(aClass),
+           Shape(aWorkers, 8, Adjacency::kRack),
+           aKey,
+           aExpected };
+}
+
+class TestConfig : public caf::actor_system_config
+{
+public:
+  TestConfig() { set("scheduler.policy", caf::atom("sharing")); }
+};
+
+} // namespace
+
+TEST_GROUP(PlacementTask)
+{
+  tests::SilentLog mLog;
+  FakeTable mTable;
+  FakeWorkers mWorkers;
+  BootClock mClock;
+  protocol::JsonRowCodec mCodec;
+  TestConfig mConfig;
+  std::unique_ptr<caf::actor_system> mSystem;
+  std::unique_ptr<caf::scoped_actor> mSelf;
+  std::vector<caf::actor> mTasks;
+  int mOwners = 0;
+
+  void setup() override
+  {
+    mSystem = std::make_unique<caf::actor_system>(mConfig);
+    mSelf = std::make_unique<caf::scoped_actor>(*mSystem);
+  }
+
+  void teardown() override
+  {
+    for (const caf::actor& task : mTasks) {
+      (*mSelf)->send_exit(task, caf::exit_reason::user_shutdown);
+    }
+    mTasks.clear();
+    mSelf.reset();
+    mSystem->await_all_actors_done();
+    mSystem.reset();
+  }
+
+  /** Starts a task without the lease. */
+  caf::actor SpawnOwner(int aWorkers, const SettingsView& aSettings)
+  {
+    const caf::actor store = SpawnStoreTask(*mSystem, mTable, mLog);
+    const std::string name = "entry-" + std::to_string(++mOwners);
+    PlacementTaskOptions options{ VmId(name), RegionId("r") };
+    options.mTiming = {
+      milliseconds(600), milliseconds(50), milliseconds(100), milliseconds(100)
+    };
+    options.mTickInterval = milliseconds(10);
+    options.mRowRetry = milliseconds(10);
+    options.mReplyBound = milliseconds(500);
+    options.mRequeuePause = milliseconds(1);
+    const caf::actor task =
+      SpawnPlacementTask(*mSystem,
+                         store,
+                         { mWorkers, mCodec, mClock, mLog },
+                         WriteIds(name),
+                         options);
+    (*mSelf)->send(task, aSettings);
+    (*mSelf)->send(task, Workers(aWorkers));
+    mTasks.push_back(store);
+    mTasks.push_back(task);
+    return task;
+  }
+
+  void Own(
+    const caf::actor& aTask, std::uint64_t aEpoch, milliseconds aFor = kForever)
+  {
+    (*mSelf)->send(
+      aTask,
+      DomainOwner{
+        RegionId("r"), {}, Lease(RegionId("r"), aEpoch, mClock.Now() + aFor) });
+  }
+
+  JobReply Ask(const caf::actor& aTask, const JobCommand& aCommand)
+  {
+    JobReply reply(RefusalReason::kNoOwner, Ran::kUnknown, "no reply", {});
+    (*mSelf)
+      ->request(aTask, caf::infinite, aCommand)
+      .receive([&reply](const JobReply& aReply) { reply = aReply; },
+               [](const caf::error&) { FAIL("the task failed"); });
+    return reply;
+  }
+
+  /** Waits until a condition holds, under a generous deadline. */
+  template<typename Condition>
+  void WaitUntil(Condition aCondition)
+  {
+    for (int i = 0; i < 6'000; ++i) {
+      if (aCondition()) {
+        return;
+      }
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    FAIL("a condition did not come true");
+  }
+
+  /** Waits until the task has read the jobs of its domain. */
+  void WaitForOwner(const caf::actor& aTask)
+  {
+    WaitUntil([&] {
+      return Ask(aTask, JobCommand::List()).Reason() == RefusalReason::kNone;
+    });
+  }
+
+  caf::actor Owner(int aWorkers, const SettingsView& aSettings = Settings())
+  {
+    const caf::actor task = SpawnOwner(aWorkers, aSettings);
+    Own(task, static_cast<std::uint64_t>(mOwners));
+    WaitForOwner(task);
+    return task;
+  }
+
+  Job WaitForEnd(const caf::actor& aTask, const std::string& aJob)
+  {
+    std::optional<Job> job;
+    WaitUntil([&] {
+      const auto reply = Ask(aTask, JobCommand::Get(JobId(aJob)));
+      if (reply.Jobs().empty() || !IsFinal(reply.Jobs().front().State())) {
+        return false;
+      }
+      job = reply.Jobs().front();
+      return true;
+    });
+    return *job;
+  }
+
+  Job Recorded(const std::string& aJob)
+  {
+    for (const StoreRow& row : mTable.Rows()) {
+      if (row.Key() == "job/r/" + aJob) {
+        return mCodec.DecodeJob(row.Value());
+      }
+    }
+    FAIL("the job is not in the table");
+    return Job::Queued(Spec(aJob, 1));
+  }
+
+  int Events(const std::string& aEvent)
+  {
+    int n = 0;
+    for (const auto& entry : mWorkers.Journal()) {
+      n += entry.mEvent == aEvent ? 1 : 0;
+    }
+    return n;
+  }
+};
+
+// Guards against an acceptance that the table does not know of, and against
+// a gang that is reported as done in part.
+TEST(PlacementTask, AcceptedJobIsRecordedAndRunsWhole)
+{
+  const caf::actor owner = Owner(4);
+  const auto reply = Ask(owner, JobCommand::Submit(Spec("job-1", 3)));
+  CHECK(reply.Reason() == RefusalReason::kNone);
+  STRCMP_EQUAL("job-1", Recorded("job-1").Spec().Name().Text().c_str());
+  CHECK(WaitForEnd(owner, "job-1").State() == JobState::kDone);
+  CHECK(Recorded("job-1").State() == JobState::kDone);
+  LONGS_EQUAL(3, Events("commit"));
+  LONGS_EQUAL(3, Events("start"));
+  LONGS_EQUAL(3, Events("finish"));
+}
+
+// Guards against a daemon that acts without the lease.
+TEST(PlacementTask, WithoutTheLeaseCommandsAreRefusedAsNotRun)
+{
+  const caf::actor task = SpawnOwner(2, Settings());
+  const auto reply = Ask(task, JobCommand::Submit(Spec("job-1", 1)));
+  CHECK(reply.Reason() == RefusalReason::kNoOwner);
+  CHECK(reply.HasRun() == Ran::kNo);
+  CHECK(mTable.Rows().empty());
+}
+
+// Guards against accepting jobs that can or must never run.
+TEST(PlacementTask, BadSubmissionsAreRefusedBeforeAcceptance)
+{
+  const caf::actor owner = Owner(2, Settings(16, 1));
+  const auto reasonOf = [&](const JobSpec& aSpec) {
+    const auto reply = Ask(owner, JobCommand::Submit(aSpec));
+    CHECK(reply.HasRun() == Ran::kNo);
+    return reply.Reason();
+  };
+  CHECK(reasonOf(Spec("job-1", 3)) == RefusalReason::kNeverFits);
+  CHECK(reasonOf(Spec("job-2", 1, "", "nothing")) ==
+        RefusalReason::kUnknownClass);
+  CHECK(reasonOf(Spec("job-3", 1, "", "billed")) ==
+        RefusalReason::kKeyRequired);
+  const JobSpec stranger(JobId("job-4"),
+                         OrganisationId("acme"),
+                         TeamId("day"),
+                         ClassName("nest"),
+                         Shape(1, 1, Adjacency::kWorker),
+                         "",
+                         std::chrono::seconds(0));
+  CHECK(reasonOf(stranger) == RefusalReason::kUnknownOrganisation);
+  CHECK(mTable.Rows().empty());
+}
+
+// Guards against a team that fills the queue or holds too much.
+TEST(PlacementTask, QuotasHold)
+{
+  const caf::actor owner = Owner(4, Settings(8, 1));
+  const auto submit = [&](const std::string& aId, int aCount) {
+    return Ask(owner,
+               JobCommand::Submit(
+                 Spec(aId, aCount, "", "nest", std::chrono::hours(1))))
+      .Reason();
+  };
+  CHECK(submit("job-1", 2) == RefusalReason::kQuotaExceeded);
+  CHECK(submit("job-2", 1) == RefusalReason::kNone);
+  WaitUntil([&] { return Events("start") == 1; });
+  CHECK(submit("job-3", 1) == RefusalReason::kNone);
+  CHECK(submit("job-4", 1) == RefusalReason::kQuotaExceeded);
+  const auto reply = Ask(owner, JobCommand::Explain(JobId("job-3")));
+  STRCMP_CONTAINS("the team holds 8 of its 8", reply.Detail().c_str());
+}
+
+// Guards against running a job twice because its caller repeated it.
+TEST(PlacementTask, RepeatedKeyGivesTheSameJob)
+{
+  const caf::actor owner = Owner(2);
+  Ask(owner, JobCommand::Submit(Spec("job-1", 1, "k")));
+  const auto reply = Ask(owner, JobCommand::Submit(Spec("job-2", 1, "k")));
+  STRCMP_EQUAL("job-1", reply.Jobs().at(0).Spec().Name().Text().c_str());
+  const auto other = Ask(owner, JobCommand::Submit(Spec("job-3", 2, "k")));
+  CHECK(other.Reason() == RefusalReason::kKeyReused);
+  WaitForEnd(owner, "job-1");
+  const auto late = Ask(owner, JobCommand::Submit(Spec("job-4", 1, "k")));
+  STRCMP_EQUAL("job-1", late.Jobs().at(0).Spec().Name().Text().c_str());
+  LONGS_EQUAL(1, Events("start"));
+}
+
+// Guards against "not run" for a job that may be in the table.
+TEST(PlacementTask, UnknownWriteIsReportedAsUnknown)
+{
+  const caf::actor owner = Owner(2);
+  mTable.SetFault(FakeTable::Fault::kUnavailable);
+  auto reply = Ask(owner, JobCommand::Submit(Spec("job-1", 1)));
+  CHECK(reply.Reason() == RefusalReason::kStoreUnavailable);
+  CHECK(reply.HasRun() == Ran::kNo);
+  mTable.SetFault(FakeTable::Fault::kSilent);
+  reply = Ask(owner, JobCommand::Submit(Spec("job-2", 1)));
+  CHECK(reply.Reason() == RefusalReason::kStoreUnavailable);
+  CHECK(reply.HasRun() == Ran::kUnknown);
+  mTable.SetFault(FakeTable::Fault::kNone);
+  CHECK(WaitForEnd(owner, "job-2").State() == JobState::kDone);
+}
+
+// Guards against a step taken twice because an answer was lost.
+TEST(PlacementTask, LostAnswersAreResolvedByReading)
+{
+  const caf::actor owner = Owner(2);
+  mTable.SetFault(FakeTable::Fault::kLoseAnswers);
+  CHECK(Ask(owner, JobCommand::Submit(Spec("job-1", 2))).Reason() ==
+        RefusalReason::kNone);
+  CHECK(WaitForEnd(owner, "job-1").State() == JobState::kDone);
+  CHECK(Recorded("job-1").Attempt() == 1);
+  LONGS_EQUAL(2, Events("start"));
+}
+
+// Guards against losing running gangs to an outage of the store, and against
+// acting on anything else without the lease.
+TEST(PlacementTask, LeasesAreRenewedWithoutStoreAndWithoutLease)
+{
+  const caf::actor owner = Owner(2);
+  Ask(
+    owner,
+    JobCommand::Submit(Spec("job-1", 2, "", "nest", std::chrono::seconds(2))));
+  WaitUntil([&] { return Events("start") == 2; });
+  mTable.SetFault(FakeTable::Fault::kSilent);
+  Own(owner, 0, milliseconds(0));
+  const int before = mWorkers.Count(WorkerAction::kRenew);
+  WaitUntil([&] { return Events("finish") == 2; });
+  CHECK(mWorkers.Count(WorkerAction::kRenew) > before);
+  LONGS_EQUAL(0, mWorkers.Count(WorkerAction::kStop));
+  CHECK(Recorded("job-1").State() == JobState::kCommitted);
+  mTable.SetFault(FakeTable::Fault::kNone);
+  Own(owner, 2);
+  CHECK(WaitForEnd(owner, "job-1").State() == JobState::kDone);
+  LONGS_EQUAL(2, Events("start"));
+}
+
+// Guards against a takeover that loses a running gang or starts it again.
+TEST(PlacementTask, NewOwnerCarriesOnWithARunningGang)
+{
+  const caf::actor first = Owner(2);
+  Ask(first,
+      JobCommand::Submit(
+        Spec("job-1", 2, "k", "billed", std::chrono::seconds(1))));
+  WaitUntil([&] { return Events("start") == 2; });
+  (*mSelf)->send_exit(first, caf::exit_reason::kill);
+  const caf::actor second = Owner(2);
+  const Job job = WaitForEnd(second, "job-1");
+  CHECK(job.State() == JobState::kDone);
+  LONGS_EQUAL(1, job.Attempt());
+  LONGS_EQUAL(2, Events("start"));
+}
+
+// Guards against two owners: the workers stop listening to the first one.
+TEST(PlacementTask, FormerOwnerIsFenced)
+{
+  const caf::actor first = Owner(2);
+  Ask(
+    first,
+    JobCommand::Submit(Spec("job-1", 2, "", "nest", std::chrono::seconds(1))));
+  WaitUntil([&] { return Events("start") == 2; });
+  const caf::actor second = Owner(2);
+  CHECK(WaitForEnd(second, "job-1").State() == JobState::kDone);
+  LONGS_EQUAL(2, Events("start"));
+  LONGS_EQUAL(0, Events("stop"));
+  CHECK(Recorded("job-1").State() == JobState::kDone);
+}
+
+// Guards against a non-idempotent job that is repeated after a failure.
+TEST(PlacementTask, NonIdempotentJobFailsWithUnknownOutcome)
+{
+  const caf::actor owner = Owner(2);
+  Ask(
+    owner,
+    JobCommand::Submit(Spec("job-1", 2, "k", "billed", std::chrono::hours(1))));
+  WaitUntil([&] { return Events("start") == 2; });
+  mWorkers.SetCut(AddressOf(1), true);
+  const Job job = WaitForEnd(owner, "job-1");
+  CHECK(job.State() == JobState::kFailed);
+  CHECK(job.HasRun() != Ran::kNo);
+  LONGS_EQUAL(2, Events("start"));
+  WaitUntil([&] { return Events("stop") + Events("expire") == 2; });
+}
+
+// Guards against members that keep running when another one is lost.
+TEST(PlacementTask, IdempotentJobRunsAgainElsewhere)
+{
+  const caf::actor owner = Owner(3);
+  Ask(
+    owner,
+    JobCommand::Submit(Spec("job-1", 2, "", "nest", std::chrono::seconds(1))));
+  WaitUntil([&] { return Events("start") == 2; });
+  mWorkers.SetCut(AddressOf(1), true);
+  const Job job = WaitForEnd(owner, "job-1");
+  CHECK(job.State() == JobState::kDone);
+  CHECK(job.Attempt() > 1);
+}
+
+// Guards against a cancelled job that runs on.
+TEST(PlacementTask, CancelStopsAllMembers)
+{
+  const caf::actor owner = Owner(2);
+  Ask(owner,
+      JobCommand::Submit(Spec("job-1", 2, "", "nest", std::chrono::hours(1))));
+  WaitUntil([&] { return Events("start") == 2; });
+  const auto reply = Ask(owner, JobCommand::Cancel(JobId("job-1")));
+  CHECK(reply.Reason() == RefusalReason::kNone);
+  CHECK(Recorded("job-1").Reason() == RefusalReason::kCancelled);
+  CHECK(WaitForEnd(owner, "job-1").State() == JobState::kCancelled);
+  LONGS_EQUAL(2, Events("stop"));
+}
+
+// Guards against a faulty job that is repeated for ever.
+TEST(PlacementTask, JobThatFailsOnThreeWorkersIsRefused)
+{
+  for (int i = 1; i <= 4; ++i) {
+    mWorkers.With(AddressOf(i), [](auto& aModel) { aModel.SetFailAll(true); });
+  }
+  const caf::actor owner = Owner(4);
+  Ask(owner, JobCommand::Submit(Spec("job-1", 1)));
+  const Job job = WaitForEnd(owner, "job-1");
+  CHECK(job.State() == JobState::kRefused);
+  CHECK(job.Reason() == RefusalReason::kJobFails);
+  CHECK(job.HasRun() == Ran::kYes);
+  LONGS_EQUAL(3, Events("start"));
+}
+
+// Guards against a worker that takes every job and fails it.
+TEST(PlacementTask, WorkerThatFailsEverythingGetsNoMoreWork)
+{
+  mWorkers.With(AddressOf(1), [](auto& aModel) { aModel.SetFailAll(true); });
+  const caf::actor owner = Owner(3);
+  for (int i = 0; i < 8; ++i) {
+    const std::string id = "job-" + std::to_string(i);
+    Ask(owner, JobCommand::Submit(Spec(id, 1)));
+    CHECK(WaitForEnd(owner, id).State() == JobState::kDone);
+  }
+  LONGS_EQUAL(3, Events("fail"));
+}
