Add job commands to the command line and gangs to the demo

The demo runs a gang of 4 x 8 on 6 workers of one rack and reads the workers' journals: 4 commits, 4 starts, 4 finishes. A job of 7 x 8 is refused as not run with exit status 1.

--- a/apps/cornelrudder/Commands.cpp
+++ b/apps/cornelrudder/Commands.cpp
@@ -2,9 +2,15 @@
 
 #include "cornelrudder/protocol/SettingsCodec.h"
 
+#include "cornelrudder/state/Ids.h"
+
 #include <array>
 #include <charconv>
+#include <chrono>
 #include <cstdio>
+#include <thread>
+
+#include <nlohmann/json.hpp>
 
 namespace cornelrudder::cli {
 
@@ -107,6 +113,97 @@
   return Get(aServer, "/metrics");
 }
 
+int
+ParseNumber(const std::string& aOption, const std::string& aText)
+{
+  int n = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [rest, ec] = std::from_chars(aText.data(), end, n);
+  if (aText.empty() || ec != std::errc() || rest != end || n < 0) {
+    throw UsageError("--" + aOption + " \"" + aText +
+                     "\": allowed is a whole number");
+  }
+  return n;
+}
+
+int
+SubmitJob(ServerConnection& aServer, const CommandInput& aInput)
+{
+  const nlohmann::json body{
+    { "organisation", aInput.mOrganisation },
+    { "team", aInput.mTeam },
+    { "class", aInput.mWords.at(0) },
+    { "workers", ParseNumber("workers", aInput.mWorkers) },
+    { "accelerators_per_worker",
+      ParseNumber("accelerators", aInput.mAccelerators) },
+    { "adjacency", aInput.mAdjacency },
+    { "expected_seconds", ParseNumber("expected", aInput.mExpected) },
+    { "key", aInput.mKey }
+  };
+  return Print(aServer.Send({ "POST", "/v1/jobs", {}, body.dump() }));
+}
+
+std::string
+JobTarget(const CommandInput& aInput)
+{
+  const std::string& id = aInput.mWords.at(0);
+  if (!state::IsValidId(id)) {
+    throw UsageError("\"" + id + "\": allowed is the identifier of a job");
+  }
+  return "/v1/jobs/" + id;
+}
+
+int
+JobStatus(ServerConnection& aServer, const CommandInput& aInput)
+{
+  return Print(aServer.Send({ "GET", JobTarget(aInput), {}, "" }));
+}
+
+/** Polls until the job ends; only a job that is done is a success. */
+int
+WaitForJob(ServerConnection& aServer, const CommandInput& aInput)
+{
+  constexpr std::chrono::milliseconds kPollInterval{ 500 };
+  while (true) {
+    const auto response = aServer.Send({ "GET", JobTarget(aInput), {}, "" });
+    const auto job = nlohmann::json::parse(response.Body(), nullptr, false);
+    const bool readable = response.Status() == 200 && job.is_object();
+    const std::string state = readable ? job.value("state", "") : "";
+    if (state == "done") {
+      return Print(response);
+    }
+    const bool ended =
+      state == "failed" || state == "refused" || state == "cancelled";
+    if (ended) {
+      std::fprintf(stderr, "%s\n", response.Body().c_str());
+      return kExitRefused;
+    }
+    // While a new owner takes over, nobody knows the job.
+    if (!readable && response.Status() != 503) {
+      return Print(response);
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+}
+
+int
+CancelJob(ServerConnection& aServer, const CommandInput& aInput)
+{
+  return Print(aServer.Send({ "DELETE", JobTarget(aInput), {}, "" }));
+}
+
+int
+ListJobs(ServerConnection& aServer, const CommandInput& /*aInput*/)
+{
+  return Print(aServer.Send({ "GET", "/v1/jobs", {}, "" }));
+}
+
+int
+ExplainJob(ServerConnection& aServer, const CommandInput& aInput)
+{
+  return Print(aServer.Send({ "GET", JobTarget(aInput) + "/explain", {}, "" }));
+}
+
 constexpr std::array kCommands{
   Command{ "settings", "list", "", "paths and versions", ListSettings },
   Command{ "settings", "get", "PATH", "one document", GetSettings },
@@ -121,6 +218,16 @@
            "run a request and print the answer",
            RunRequest },
   Command{ "counters", "show", "", "counters of the daemon", Metrics },
+  Command{ "job", "submit", "CLASS", "submit a gang job", SubmitJob },
+  Command{ "job", "status", "JOB", "state of a job", JobStatus },
+  Command{ "job", "wait", "JOB", "wait until a job has ended", WaitForJob },
+  Command{ "job", "cancel", "JOB", "stop a job", CancelJob },
+  Command{ "job", "list", "", "all jobs of the region", ListJobs },
+  Command{ "job",
+           "explain",
+           "JOB",
+           "why a job waits or ended; also \"explain JOB\"",
+           ExplainJob },
 };
 
 } // namespace
--- a/apps/cornelrudder/Commands.h
+++ b/apps/cornelrudder/Commands.h
@@ -34,6 +34,10 @@
   std::string mBody;
   std::string mVersion;
   std::string mOperator;
+  std::string mWorkers;
+  std::string mAccelerators;
+  std::string mAdjacency;
+  std::string mExpected;
 };
 
 /** One command of the program. */
--- a/apps/cornelrudder/main.cpp
+++ b/apps/cornelrudder/main.cpp
@@ -22,6 +22,10 @@
   "  -b, --body TEXT          body of the request\n"
   "  -v, --version-of N       version that a change replaces (default 0)\n"
   "      --operator NAME      who makes the change\n"
+  "      --workers N          workers of a job (default 1)\n"
+  "      --accelerators N     accelerators on each worker (default 1)\n"
+  "      --adjacency LEVEL    worker, rack, zone or region (default rack)\n"
+  "      --expected SECONDS   estimated run time of a job (default 60)\n"
   "  -h, --help               show this help\n"
   "  -V, --version            show the version\n"
   "\n"
@@ -49,9 +53,13 @@
   TextOption{ 'b', &CommandInput::mBody },
   TextOption{ 'v', &CommandInput::mVersion },
   TextOption{ 'O', &CommandInput::mOperator },
+  TextOption{ 'W', &CommandInput::mWorkers },
+  TextOption{ 'A', &CommandInput::mAccelerators },
+  TextOption{ 'J', &CommandInput::mAdjacency },
+  TextOption{ 'E', &CommandInput::mExpected },
 };
 
-const std::array<option, 10> kOptions{ {
+const std::array<option, 14> kOptions{ {
   { "server", required_argument, nullptr, 's' },
   { "organisation", required_argument, nullptr, 'o' },
   { "team", required_argument, nullptr, 't' },
@@ -59,6 +67,10 @@
   { "body", required_argument, nullptr, 'b' },
   { "version-of", required_argument, nullptr, 'v' },
   { "operator", required_argument, nullptr, 'O' },
+  { "workers", required_argument, nullptr, 'W' },
+  { "accelerators", required_argument, nullptr, 'A' },
+  { "adjacency", required_argument, nullptr, 'J' },
+  { "expected", required_argument, nullptr, 'E' },
   { "help", no_argument, nullptr, 'h' },
   { "version", no_argument, nullptr, 'V' },
   { nullptr, 0, nullptr, 0 },
@@ -104,6 +116,10 @@
   Arguments arguments;
   arguments.mInput.mVersion = "0";
   arguments.mInput.mOperator = "cornelrudder";
+  arguments.mInput.mWorkers = "1";
+  arguments.mInput.mAccelerators = "1";
+  arguments.mInput.mAdjacency = "rack";
+  arguments.mInput.mExpected = "60";
   int flag = 0;
   while ((flag = getopt_long(
             aCount, aArguments, "s:o:t:k:b:v:hV", kOptions.data(), nullptr)) !=
@@ -121,8 +137,12 @@
 }
 
 const Command&
-FindCommand(const std::vector<std::string>& aWords)
+FindCommand(std::vector<std::string>& aWords)
 {
+  // "explain JOB" is short for "job explain JOB".
+  if (!aWords.empty() && aWords[0] == "explain") {
+    aWords.insert(aWords.begin(), "job");
+  }
   if (aWords.size() < 2) {
     throw UsageError("a group and a command are required; see --help");
   }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -97,6 +97,12 @@
   vms+=("{\"id\":\"runner-$i\",\"role\":\"runner\",\"address\":\"$(address_of "runner-$i")\",\"region\":\"region-1\",\"zone\":\"zone-$i\",\"rack\":\"rack-r$i\"}")
 done
 
+for i in 1 2 3 4 5 6; do
+  start "worker-$i" "$build/tools/worker_standin"
+  eval "worker_$i=$(address_of "worker-$i")"
+  vms+=("{\"id\":\"worker-$i\",\"role\":\"worker\",\"address\":\"$(address_of "worker-$i")\",\"region\":\"region-1\",\"zone\":\"zone-1\",\"rack\":\"rack-w1\",\"accelerators\":8}")
+done
+
 for i in 1 2 3; do
   zone=$((i == 3 ? 2 : i))
   cat >"$work/entry-$i.toml" <<TOML
@@ -154,6 +160,37 @@
   echo "exit=$?")
 expect "an unknown organisation is refused as not run" '"ran":"no"' "$answer"
 
+echo "== gang jobs"
+cli -s "$entry_1" settings set classes/nesting idempotent=true \
+  max_wait_ms=60000 timeout_ms=10000 >/dev/null
+submit_job() {
+  cli -s "$entry_2" -o acme -t night -k night-shift --workers 4 \
+    --accelerators 8 --expected 1 job submit nesting >"$work/job.json" 2>&1
+}
+wait_until "a gang of 4 x 8 is accepted" submit_job
+job=$(jq -r .id "$work/job.json")
+answer=$(cli -s "$entry_2" job wait "$job" 2>&1 || echo "exit=$?")
+expect "the gang is done" '"state":"done"' "$answer"
+# Sums an event of the job over the journals of all workers.
+count_events() {
+  for n in 1 2 3 4 5 6; do
+    eval "address=\$worker_$n"
+    curl -sSf "http://$address/journal"
+  done | jq -s --arg event "$1" --arg job "$job" \
+    '[.[].entries[] | select(.event == $event and .gang == $job)] | length'
+}
+for event in commit start finish; do
+  expect "4 members: $event" "=4=" "=$(count_events "$event")="
+done
+submit_job
+expect "a repeated key gives the same job" "$job" "$(jq -r .id "$work/job.json")"
+answer=$(cli -s "$entry_2" -o acme -t night --workers 7 --accelerators 8 \
+  job submit nesting 2>&1 || echo "exit=$?")
+expect "a job that never fits is refused as not run" '"ran":"no"' "$answer"
+expect "its exit status is 1" "exit=1" "$answer"
+answer=$(cli -s "$entry_2" explain "$job" 2>&1 || echo "exit=$?")
+expect "a job is explained" '"explanation":"done"' "$answer"
+
 echo "== graceful shutdown"
 cli -s "$entry_1" -o acme -t night -b "work_ms=1500 long" request run \
   proof-render >"$work/long.out" 2>&1 &
