--- a/include/cornelrudder/coordination/PlacementTask.h
+++ b/include/cornelrudder/coordination/PlacementTask.h
@@ -8,6 +8,7 @@
 #include "cornelrudder/coordination/WriteIds.h"
 #include "cornelrudder/state/Gang.h"
 #include "cornelrudder/state/Ids.h"
+#include "cornelrudder/state/PlacementStrategy.h"
 
 #include <caf/fwd.hpp>
 
@@ -28,6 +29,8 @@
   std::chrono::milliseconds mReplyBound{ 5'000 };
   /** Pause after a failed attempt, doubled by each up to 64 times. */
   std::chrono::milliseconds mRequeuePause{ 500 };
+  /** Used instead of the strategy that the settings name, unless null. */
+  const state::PlacementStrategy* mStrategy = nullptr;
 };
 
 /** What a placement task uses; all must outlive the actor system. */
--- a/src/coordination/PlacementTask.cpp
+++ b/src/coordination/PlacementTask.cpp
@@ -1159,6 +1159,9 @@
 
   const state::PlacementStrategy& Strategy() const
   {
+    if (mOptions.mStrategy != nullptr) {
+      return *mOptions.mStrategy;
+    }
     const auto* document = mSettings.Find("policy");
     const std::string name = document != nullptr
                                ? document->TextOr("placement", kDefaultStrategy)
--- a/tests/coordination/PlacementTaskTest.cpp
+++ b/tests/coordination/PlacementTaskTest.cpp
@@ -10,7 +10,7 @@
 #include <caf/actor_system_config.hpp>
 #include <caf/scoped_actor.hpp>
 
-#include <set>
+#include <atomic>
 #include <thread>
 
 using namespace cornelrudder;
@@ -44,6 +44,9 @@
   auto view = *SettingsView().WithDocument({ "organisations/acme", 1, {}, {} });
   view = *view.WithDocument({ "organisations/acme/teams/night", 1, team, {} });
   view = *view.WithDocument({ "classes/nest", 1, classOf(true), {} });
+  SettingValues borrowed = classOf(true);
+  borrowed.emplace("preemptible", true);
+  view = *view.WithDocument({ "classes/borrowed", 1, borrowed, {} });
   return *view.WithDocument({ "classes/billed", 1, classOf(false), {} });
 }
 
@@ -85,6 +88,57 @@
            aExpected };
 }
 
+/** A clock that a test moves forward, as a pause of the process does. */
+class ShiftedClock final : public Clock
+{
+public:
+  milliseconds Now() const override
+  {
+    return mClock.Now() + milliseconds(mShift.load());
+  }
+
+  void Shift(milliseconds aBy) { mShift += aBy.count(); }
+
+private:
+  BootClock mClock;
+  std::atomic<std::int64_t> mShift{ 0 };
+};
+
+/** First fit that takes the place of all preemptible gangs if none is free. */
+class ReclaimAll final : public PlacementStrategy
+{
+public:
+  std::string_view Name() const override { return "reclaim_all"; }
+  std::string_view Description() const override { return "for tests"; }
+
+  PlacementDecision Place(const FleetLoad& aLoad,
+                          const PlacementRequest& aRequest) const override
+  {
+    const auto& firstFit = *FindPlacementStrategy("first_fit");
+    PlacementDecision decision = firstFit.Place(aLoad, aRequest);
+    if (decision.Kind() != PlacementKind::kWait || aRequest.Preemptible()) {
+      return decision;
+    }
+    std::vector<PlacedGang> kept;
+    std::vector<JobId> victims;
+    for (const PlacedGang& gang : aLoad.Gangs()) {
+      if (gang.Preemptible()) {
+        victims.push_back(gang.Job());
+      } else {
+        kept.push_back(gang);
+      }
+    }
+    const auto place = firstFit.Place({ aLoad.Workers(), kept, {} }, aRequest);
+    if (place.Kind() != PlacementKind::kPlaced) {
+      return decision;
+    }
+    return { PlacementKind::kReclaim,
+             place.Placement(),
+             victims,
+             "the organisation is owed its shape" };
+  }
+};
+
 class TestConfig : public caf::actor_system_config
 {
 public:
@@ -98,7 +152,9 @@
   tests::SilentLog mLog;
   FakeTable mTable;
   FakeWorkers mWorkers;
-  BootClock mClock;
+  ShiftedClock mClock;
+  ReclaimAll mReclaimAll;
+  const PlacementStrategy* mStrategy = nullptr;
   protocol::JsonRowCodec mCodec;
   TestConfig mConfig;
   std::unique_ptr<caf::actor_system> mSystem;
@@ -136,6 +192,7 @@
     options.mRowRetry = milliseconds(10);
     options.mReplyBound = milliseconds(500);
     options.mRequeuePause = milliseconds(1);
+    options.mStrategy = mStrategy;
     const caf::actor task =
       SpawnPlacementTask(*mSystem,
                          store,
@@ -468,3 +525,56 @@
   }
   LONGS_EQUAL(3, Events("fail"));
 }
+
+// Guards against an owner that acts after a pause longer than its lease.
+TEST(PlacementTask, PausedOwnerActsNoMore)
+{
+  const caf::actor owner = Owner(2);
+  Ask(owner,
+      JobCommand::Submit(Spec("job-1", 2, "", "nest", std::chrono::hours(1))));
+  WaitUntil([&] { return Events("start") == 2; });
+  mClock.Shift(2 * kForever);
+  CHECK(Ask(owner, JobCommand::Submit(Spec("job-2", 1))).Reason() ==
+        RefusalReason::kNoOwner);
+  CHECK(Ask(owner, JobCommand::Cancel(JobId("job-1"))).Reason() ==
+        RefusalReason::kNoOwner);
+  const int before = mWorkers.Count(WorkerAction::kRenew);
+  WaitUntil([&] { return mWorkers.Count(WorkerAction::kRenew) > before + 4; });
+  LONGS_EQUAL(0, mWorkers.Count(WorkerAction::kStop));
+  LONGS_EQUAL(1, mTable.Rows().size());
+  CHECK(Recorded("job-1").State() == JobState::kCommitted);
+}
+
+// Guards against placing a reclaimed shape on accelerators still in use, and
+// against losing the job that had to give way.
+TEST(PlacementTask, ReclaimStopsTheVictimFirstAndRequeuesIt)
+{
+  mStrategy = &mReclaimAll;
+  const caf::actor owner = Owner(2);
+  Ask(owner,
+      JobCommand::Submit(
+        Spec("job-1", 2, "", "borrowed", std::chrono::seconds(1))));
+  WaitUntil([&] { return Events("start") == 2; });
+  Ask(owner, JobCommand::Submit(Spec("job-2", 2)));
+  CHECK(WaitForEnd(owner, "job-2").State() == JobState::kDone);
+  LONGS_EQUAL(2, Events("checkpoint"));
+  LONGS_EQUAL(2, Events("stop"));
+  const Job victim = WaitForEnd(owner, "job-1");
+  CHECK(victim.State() == JobState::kDone);
+  LONGS_EQUAL(2, victim.Attempt());
+}
+
+// Guards against new work for a worker that the VM list still calls live.
+TEST(PlacementTask, LeavingWorkerGetsNoNewWork)
+{
+  mWorkers.With(AddressOf(1), [](auto& aModel) { aModel.SetLeaving(true); });
+  const caf::actor owner = Owner(2);
+  for (int i = 0; i < 3; ++i) {
+    const std::string id = "job-" + std::to_string(i);
+    Ask(owner, JobCommand::Submit(Spec(id, 1)));
+    CHECK(WaitForEnd(owner, id).State() == JobState::kDone);
+  }
+  // Only the first job was offered to it.
+  LONGS_EQUAL(4, mWorkers.Count(WorkerAction::kReserve));
+  LONGS_EQUAL(3, Events("start"));
+}
