--- a/src/coordination/PlacementTask.cpp
+++ b/src/coordination/PlacementTask.cpp
@@ -55,6 +55,9 @@
 /** Looks at the queue even if nothing is known to have changed. */
 constexpr milliseconds kQueueInterval{ 5'000 };
 
+/** Pause after a look at the queue, as a multiple of the time it took. */
+constexpr int kQueueRest = 4;
+
 /** Longest wait of a new owner for the settings of the jobs' classes. */
 constexpr milliseconds kSettingsBound{ 5'000 };
 
@@ -149,6 +152,7 @@
     std::vector<Waiter> mSubmitters;
     std::vector<Waiter> mCancellers;
     std::string mExplanation;
+    std::string mWaitReason;
     /** Workers on which an attempt ended, and those where the task failed. */
     std::set<VmId> mAvoided;
     std::set<VmId> mFailedOn;
@@ -1095,7 +1099,7 @@
     for (const JobId& id : std::exchange(mFinished, {})) {
       End(id);
     }
-    if (mQueueDue && mRecovered && HoldsLease()) {
+    if (mQueueDue && mRecovered && HoldsLease() && Now() >= mQueueNotBefore) {
       RunQueue();
     }
     if (mLapsed) {
@@ -1292,6 +1296,9 @@
       Follow(decision, now);
     }
     Probe(now);
+    // A long queue is looked at less often, so that a burst of jobs leaves the
+    // task time for everything else; a tick makes up for it.
+    mQueueNotBefore = Now() + kQueueRest * (Now() - now);
   }
 
   void Follow(const state::QueueDecision& aDecision, milliseconds aNow)
@@ -1330,6 +1337,7 @@
     ++mCounters["gangs_placed_total"];
     mJobs.at(aJob).mPlacedAt = aNow;
     mJobs.at(aJob).mExplanation.clear();
+    mJobs.at(aJob).mWaitReason.clear();
     Handle(aJob, GangEvent::Place(aPlacement, aNow));
   }
 
@@ -1337,16 +1345,16 @@
                const std::string& aPrefix)
   {
     Entry& entry = mJobs.at(aDecision.mJob);
-    const std::string text = "place " + std::to_string(aDecision.mPosition) +
-                             " in the queue; " + aPrefix +
-                             aDecision.mDecision.Reason();
-    if (text == entry.mExplanation) {
-      return;
+    const std::string reason = aPrefix + aDecision.mDecision.Reason();
+    // A position changes with each job that comes or goes; it is not logged.
+    if (reason != entry.mWaitReason) {
+      mPorts.mLog.Write(
+        { LogEvent::kGangWaiting,
+          { { "job", aDecision.mJob.Text() }, { "reason", reason } } });
     }
-    entry.mExplanation = text;
-    mPorts.mLog.Write(
-      { LogEvent::kGangWaiting,
-        { { "job", aDecision.mJob.Text() }, { "reason", text } } });
+    entry.mWaitReason = reason;
+    entry.mExplanation = "place " + std::to_string(aDecision.mPosition) +
+                         " in the queue; " + reason;
   }
 
   /** Stops the victims; the job is placed once they hold nothing. */
@@ -1454,6 +1462,7 @@
   bool mLapsed = false;
   bool mQueueDue = false;
   milliseconds mQueueAt{ 0 };
+  milliseconds mQueueNotBefore{ 0 };
   state::VmList mVms;
   std::map<VmId, std::string> mAddresses;
   std::set<VmId> mLeaving;
--- a/src/protocol/JobCodec.cpp
+++ b/src/protocol/JobCodec.cpp
@@ -12,7 +12,6 @@
 namespace cornelrudder::protocol {
 
 using nlohmann::json;
-using state::Adjacency;
 using state::Job;
 using state::JobCommandKind;
 using state::JobReply;
