--- a/apps/cornelrudderd/Daemon.cpp
+++ b/apps/cornelrudderd/Daemon.cpp
@@ -6,6 +6,7 @@
 #include "cornelrudder/coordination/LeaseTask.h"
 #include "cornelrudder/coordination/MembershipTask.h"
 #include "cornelrudder/coordination/Messages.h"
+#include "cornelrudder/coordination/PlacementTask.h"
 #include "cornelrudder/coordination/RoutingTask.h"
 #include "cornelrudder/coordination/SettingsSyncTask.h"
 #include "cornelrudder/coordination/SettingsTask.h"
@@ -19,6 +20,7 @@
 #include "cornelrudderd/PlatformAdapters.h"
 #include "cornelrudderd/RunnerAdapter.h"
 #include "cornelrudderd/SpdlogEventLog.h"
+#include "cornelrudderd/WorkerAdapter.h"
 
 #include <caf/actor_system.hpp>
 #include <caf/actor_system_config.hpp>
@@ -39,6 +41,9 @@
 /** Two threads are enough: tasks only decide, they never block. */
 constexpr std::size_t kTaskThreads = 2;
 
+/** Shorter than the bound that gangs assume for the way of a command. */
+constexpr std::chrono::milliseconds kWorkerTimeout{ 1'000 };
+
 /** Differs for each life of the process, so that ids are never used again. */
 std::string
 MakeIncarnation(const state::VmId& aId)
@@ -83,6 +88,8 @@
 
   void Add(const caf::actor& aTask) { mTasks.push_back(aTask); }
 
+  const std::vector<caf::actor>& All() const { return mTasks; }
+
   /** Waits until all tasks have ended. */
   void Stop()
   {
@@ -132,6 +139,8 @@
              aSettings.PlatformAddress(),
              aSettings.StoreTimeout())
     , mRunners(mRunnerClient)
+    , mWorkerClient(mThread, {})
+    , mWorkers(mWorkerClient, kWorkerTimeout)
     , mSystem(mConfig)
     , mTasks(mSystem)
   {
@@ -188,21 +197,62 @@
   }
 
   void StartTasks()
+  {
+    StartStateTasks();
+    StartPeerTasks();
+    StartRequestTasks();
+    Subscribe(mSettingsTask, { mMembership, mRouting, mIntents, mPlacement });
+    Subscribe(mMembership, { mRouting, mPlacement });
+    Subscribe(mLease, { mPlacement, mForward });
+    mFront =
+      Add(SpawnFrontTask(mSystem,
+                         { mIntents,
+                           mSettingsTask,
+                           mLease,
+                           mTasks.All(),
+                           mMembership,
+                           mSync,
+                           [this] { mThread.Post([this] { StartDrain(); }); },
+                           mForward },
+                         mIncarnation));
+  }
+
+  /** The tasks that use the table. */
+  void StartStateTasks()
   {
     coordination::StoreTaskOptions storeOptions;
     storeOptions.mSeed = std::random_device()();
     // A renewal that is repeated for longer could not extend the hold.
     storeOptions.mBound =
       std::min(storeOptions.mBound, mSettings.LeaseTime() * 2 / 3);
-    const caf::actor store =
+    mStoreTask =
       Add(SpawnStoreTask(mSystem, mStore, mLog, mClock, storeOptions));
-    const caf::actor settings =
-      Add(SpawnSettingsTask(mSystem,
-                            store,
-                            mCodec,
-                            mLog,
-                            coordination::WriteIds(mIncarnation),
-                            { mSettings.PollInterval() }));
+    mSettingsTask = Add(SpawnSettingsTask(mSystem,
+                                          mStoreTask,
+                                          mCodec,
+                                          mLog,
+                                          WriteIdsFor("settings"),
+                                          { mSettings.PollInterval() }));
+    mLease = Add(SpawnLeaseTask(mSystem,
+                                mStoreTask,
+                                mCodec,
+                                mClock,
+                                mLog,
+                                WriteIdsFor("lease"),
+                                { mSettings.Region(),
+                                  mSettings.Id(),
+                                  mIncarnation,
+                                  mSettings.LeaseTime() }));
+    mPlacement = Add(SpawnPlacementTask(mSystem,
+                                        mStoreTask,
+                                        { mWorkers, mCodec, mClock, mLog },
+                                        WriteIdsFor("jobs"),
+                                        { mSettings.Id(), mSettings.Region() }));
+  }
+
+  /** The tasks that talk with the other daemons. */
+  void StartPeerTasks()
+  {
     mMembership =
       Add(SpawnMembershipTask(mSystem,
                               mFleet,
@@ -216,59 +266,46 @@
                                 mSettings.PollInterval(),
                                 mSettings.HeartbeatInterval(),
                                 TimeoutsFor(mSettings.HeartbeatInterval()) }));
-    const caf::actor sync =
-      Add(SpawnSettingsSyncTask(mSystem, settings, mMembership, mLog, {}));
-    // Without a placement task this daemon refuses forwarded commands.
-    const caf::actor forward = Add(SpawnForwardTask(
+    mSync =
+      Add(SpawnSettingsSyncTask(mSystem, mSettingsTask, mMembership, mLog, {}));
+    mForward = Add(SpawnForwardTask(
       mSystem,
       mMembership,
-      caf::actor(),
+      mPlacement,
       mClock,
       mLog,
       { mSettings.Id(), mSettings.Region(), mIncarnationNumber }));
-    caf::anon_send(mMembership, coordination::UsePeerHandlers{ sync, forward });
-    caf::anon_send(settings, coordination::Subscribe{ mMembership });
-    const caf::actor routing = Add(SpawnRoutingTask(
+    caf::anon_send(mMembership,
+                   coordination::UsePeerHandlers{ mSync, mForward });
+  }
+
+  /** The tasks that serve requests. */
+  void StartRequestTasks()
+  {
+    mRouting = Add(SpawnRoutingTask(
       mSystem, mRunners, mLog, { mSettings.Id(), mSettings.Zone() }));
-    caf::anon_send(settings, coordination::Subscribe{ routing });
-    caf::anon_send(mMembership, coordination::Subscribe{ routing });
-    const caf::actor intents =
-      Add(SpawnIntentTask(mSystem,
-                          store,
-                          routing,
-                          mCodec,
-                          mClock,
-                          mLog,
-                          coordination::WriteIds(mIncarnation + "-intent"),
-                          { mIncarnation }));
-    caf::anon_send(settings, coordination::Subscribe{ intents });
-    mLease = Add(SpawnLeaseTask(mSystem,
-                                store,
-                                mCodec,
-                                mClock,
-                                mLog,
-                                coordination::WriteIds(mIncarnation + "-lease"),
-                                { mSettings.Region(),
-                                  mSettings.Id(),
-                                  mIncarnation,
-                                  mSettings.LeaseTime() }));
-    mFront =
-      Add(SpawnFrontTask(mSystem,
-                         { intents,
-                           settings,
-                           mLease,
-                           { routing,
-                             settings,
-                             mMembership,
-                             store,
-                             intents,
-                             mLease,
-                             sync,
-                             forward },
-                           mMembership,
-                           sync,
-                           [this] { mThread.Post([this] { StartDrain(); }); } },
-                         mIncarnation));
+    mIntents = Add(SpawnIntentTask(mSystem,
+                                   mStoreTask,
+                                   mRouting,
+                                   mCodec,
+                                   mClock,
+                                   mLog,
+                                   WriteIdsFor("intent"),
+                                   { mIncarnation }));
+  }
+
+  static void Subscribe(const caf::actor& aSource,
+                        const std::vector<caf::actor>& aReceivers)
+  {
+    for (const caf::actor& receiver : aReceivers) {
+      caf::anon_send(aSource, coordination::Subscribe{ receiver });
+    }
+  }
+
+  /** Write ids of one task; two tasks of one life share none. */
+  coordination::WriteIds WriteIdsFor(const std::string& aTask) const
+  {
+    return coordination::WriteIds(mIncarnation + "-" + aTask);
   }
 
   caf::actor Add(caf::actor aTask)
@@ -326,12 +363,22 @@
   StoreAdapter mStore;
   FleetAdapter mFleet;
   RunnerAdapter mRunners;
+  transport::HttpClient mWorkerClient;
+  WorkerAdapter mWorkers;
+  coordination::BootClock mClock;
   TaskSystemConfig mConfig;
   caf::actor_system mSystem;
   TaskGroup mTasks;
-  caf::actor mFront;
-  caf::actor mMembership;
+  caf::actor mStoreTask;
+  caf::actor mSettingsTask;
   caf::actor mLease;
+  caf::actor mPlacement;
+  caf::actor mMembership;
+  caf::actor mSync;
+  caf::actor mForward;
+  caf::actor mRouting;
+  caf::actor mIntents;
+  caf::actor mFront;
   std::unique_ptr<transport::HttpServer> mServer;
   std::promise<std::size_t> mDone;
   /** Both are used on the I/O thread only. */
--- a/apps/cornelrudderd/FrontTask.cpp
+++ b/apps/cornelrudderd/FrontTask.cpp
@@ -3,14 +3,17 @@
 #include "cornelrudder/coordination/Messages.h"
 #include "cornelrudder/protocol/CallerCodec.h"
 #include "cornelrudder/protocol/MembersCodec.h"
+#include "cornelrudder/protocol/JobCodec.h"
 #include "cornelrudder/protocol/ProtocolError.h"
 #include "cornelrudder/protocol/SettingsCodec.h"
+#include "cornelrudder/state/StateError.h"
 
 #include <caf/actor_system.hpp>
 #include <caf/event_based_actor.hpp>
 
 #include <array>
 #include <charconv>
+#include <chrono>
 #include <memory>
 #include <optional>
 
@@ -104,7 +107,7 @@
     Handler mHandler;
   };
 
-  static const std::array<Route, 10> kRoutes;
+  static const std::array<Route, 15> kRoutes;
 
   void Serve(const HttpCall& aCall)
   {
@@ -297,6 +300,59 @@
     return HttpResponse::Json(200, body.dump());
   }
 
+  void SubmitJob(const HttpCall& aCall, const PathArguments& /*unused*/)
+  {
+    try {
+      AskJobs(state::JobCommand::Submit(
+                protocol::DecodeJobSpec(NextJobId(), aCall.mRequest)),
+              aCall);
+    } catch (const protocol::ProtocolError& error) {
+      aCall.mRespond(EncodeError(400, "bad_request", error.what()));
+    }
+  }
+
+  void ListJobs(const HttpCall& aCall, const PathArguments& /*unused*/)
+  {
+    AskJobs(state::JobCommand::List(), aCall);
+  }
+
+  void GetJob(const HttpCall& aCall, const PathArguments& aArguments)
+  {
+    AskAboutJob(&state::JobCommand::Get, aCall, aArguments);
+  }
+
+  void CancelJob(const HttpCall& aCall, const PathArguments& aArguments)
+  {
+    AskAboutJob(&state::JobCommand::Cancel, aCall, aArguments);
+  }
+
+  void ExplainJob(const HttpCall& aCall, const PathArguments& aArguments)
+  {
+    AskAboutJob(&state::JobCommand::Explain, aCall, aArguments);
+  }
+
+  void AskAboutJob(state::JobCommand (*aMake)(state::JobId),
+                   const HttpCall& aCall,
+                   const PathArguments& aArguments)
+  {
+    try {
+      AskJobs(aMake(state::JobId(aArguments[0])), aCall);
+    } catch (const state::StateError& error) {
+      aCall.mRespond(EncodeError(400, "bad_request", error.what()));
+    }
+  }
+
+  void AskJobs(state::JobCommand aCommand, const HttpCall& aCall)
+  {
+    const auto kind = aCommand.Kind();
+    Ask(mPeers.mJobs,
+        std::move(aCommand),
+        aCall,
+        [kind](const state::JobReply& aReply) {
+          return protocol::EncodeJobReply(kind, aReply);
+        });
+  }
+
   static HttpResponse EncodeCounters(const coordination::Counters& aCounters)
   {
     std::string text;
@@ -409,13 +465,29 @@
     return state::RequestId(mIdPrefix + "-" + std::to_string(++mRequests));
   }
 
+  /**
+   * The time comes first, because the queue takes the order of identifiers for
+   * that of submissions, also after a takeover. Clocks that differ between
+   * daemons change the order of jobs that arrive almost together.
+   */
+  state::JobId NextJobId()
+  {
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+    const std::string start =
+      "j" + std::to_string(now.count()) + "-" + std::to_string(++mJobs) + "-";
+    return state::JobId(
+      start + mIdPrefix.substr(0, state::kMaxIdLength - start.size()));
+  }
+
   FrontPeers mPeers;
   std::string mIdPrefix;
+  std::uint64_t mJobs = 0;
   std::uint64_t mRequests = 0;
   bool mDraining = false;
 };
 
-const std::array<FrontTask::Route, 10> FrontTask::kRoutes{ {
+const std::array<FrontTask::Route, 15> FrontTask::kRoutes{ {
   { "POST", "/v1/requests/*", &FrontTask::RunRequest },
   { "GET", "/v1/settings", &FrontTask::ListSettings },
   { "GET", "/v1/settings/**", &FrontTask::GetSettings },
@@ -426,6 +498,11 @@
   { "POST", "/v1/drain", &FrontTask::Drain },
   { "GET", "/v1/members", &FrontTask::Members },
   { "GET", "/v1/status", &FrontTask::Status },
+  { "POST", "/v1/jobs", &FrontTask::SubmitJob },
+  { "GET", "/v1/jobs", &FrontTask::ListJobs },
+  { "GET", "/v1/jobs/*", &FrontTask::GetJob },
+  { "DELETE", "/v1/jobs/*", &FrontTask::CancelJob },
+  { "GET", "/v1/jobs/*/explain", &FrontTask::ExplainJob },
 } };
 
 } // namespace
--- a/apps/cornelrudderd/FrontTask.h
+++ b/apps/cornelrudderd/FrontTask.h
@@ -39,6 +39,8 @@
   caf::actor mSettingsSync;
   /** Begins a graceful shutdown as SIGTERM does. */
   std::function<void()> mDrain;
+  /** Takes JobCommand. */
+  caf::actor mJobs;
 };
 
 /**
--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -54,7 +54,21 @@
   kLeaseTaken = 510,
   kLeaseLost = 511,
   kLeaseReleased = 512,
-  kDomainOwnerChanged = 513
+  kDomainOwnerChanged = 513,
+  kJobAccepted = 700,
+  kJobRefused = 701,
+  kGangPlaced = 702,
+  kGangWaiting = 703,
+  kGangReclaim = 704,
+  kGangPhase = 705,
+  kGangRequeued = 706,
+  kJobEnded = 707,
+  kWorkerQuarantined = 708,
+  kWorkerReleased = 709,
+  kJobsRecovered = 710,
+  kPlacementLapsed = 711,
+  kBadJobRow = 712,
+  kOwnerFenced = 713
 };
 
 /** Row of the event table. */
