Add admission policies: one queue as baseline, fair queues by class and organisation

A burst of one class or one organisation took all slots, since requests were sent to the first free slot and refused otherwise. The fair policy keeps minimum shares between classes and start-time fair queueing by measured run time between organisations.

Strict work conservation was ruled out for classes with max_wait_ms 0: they can use only slots that are free when a request comes, so a flood that borrows all slots would take their share. Slots of their share stay free up to their recent peak demand; all other unused shares are lent.

A differential test compares the policy with a recomputation from plain lists; properties cover work conservation, starvation, minimum shares and bounds.

--- /dev/null
+++ b/src/state/FifoAdmission.h
@@ -0,0 +1,50 @@
+#ifndef CORNELRUDDER_STATE_FIFO_ADMISSION_H
+#define CORNELRUDDER_STATE_FIFO_ADMISSION_H
+
+#include "AdmissionEstimates.h"
+#include "cornelrudder/state/AdmissionPolicy.h"
+
+#include <deque>
+
+namespace cornelrudder::state {
+
+/** One queue for all; knows neither classes nor organisations. */
+class FifoAdmission final : public AdmissionQueue
+{
+public:
+  explicit FifoAdmission(AdmissionTerms aTerms);
+
+  void Apply(const AdmissionTerms& aTerms) override;
+  void SetSlots(int aSlots) override;
+  AdmissionVerdict Offer(const AdmissionItem& aItem,
+                         std::chrono::milliseconds aNow) override;
+  std::optional<AdmissionGrant> Next(std::chrono::milliseconds aNow) override;
+  std::vector<AdmissionItem> Expire(std::chrono::milliseconds aNow) override;
+  std::optional<std::chrono::milliseconds> NextExpiry() const override;
+  void Finish(const AdmissionGrant& aGrant,
+              std::chrono::milliseconds aRunTime,
+              bool aAnswered) override;
+  void Adopt(const AdmissionGrant& aGrant) override;
+  std::vector<AdmissionItem> TakeWaiting() override;
+  int Slots() const override;
+  int Running() const override;
+  std::size_t Waiting() const override;
+
+private:
+  struct Entry
+  {
+    AdmissionItem mItem;
+    std::chrono::milliseconds mLatestStart;
+  };
+
+  AdmissionTerms mTerms;
+  int mSlots = 0;
+  int mRunning = 0;
+  std::deque<Entry> mEntries;
+  std::size_t mBytes = 0;
+  RunTimeEstimate mEstimate;
+};
+
+} // namespace cornelrudder::state
+
+#endif // CORNELRUDDER_STATE_FIFO_ADMISSION_H
--- /dev/null
+++ b/tests/state/AdmissionPolicyTest.cpp
@@ -0,0 +1,729 @@
+#include "cornelrudder/state/AdmissionPolicy.h"
+#include "cornelrudder/state/StateError.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <map>
+#include <tuple>
+
+using namespace cornelrudder::state;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kNever{ 1'000'000'000 };
+
+JobClass
+MakeClass(const std::string& aName, int aWeight, int aUrgency, int aMaxWait)
+{
+  return JobClass(
+    SettingsDocument("classes/" + aName,
+                     1,
+                     { { "idempotent", true },
+                       { "weight", std::int64_t{ aWeight } },
+                       { "urgency", std::int64_t{ aUrgency } },
+                       { "max_wait_ms", std::int64_t{ aMaxWait } },
+                       { "timeout_ms", std::int64_t{ 1'000 } } },
+                     {}));
+}
+
+AdmissionTerms
+MakeTerms(const std::vector<JobClass>& aClasses,
+          const std::map<std::string, int>& aWeights)
+{
+  AdmissionTerms::Classes classes;
+  for (const JobClass& jobClass : aClasses) {
+    classes.emplace(jobClass.Name(), jobClass);
+  }
+  AdmissionTerms::Weights weights;
+  for (const auto& [name, weight] : aWeights) {
+    weights.emplace(OrganisationId(name), weight);
+  }
+  return { std::move(classes), std::move(weights) };
+}
+
+constexpr int kLongWait = 1'000'000;
+
+/** Two classes that queue and two that never do. */
+AdmissionTerms
+MixedTerms()
+{
+  return MakeTerms({ MakeClass("kerf", 2, 5, 0),
+                     MakeClass("nesting", 3, 0, kLongWait),
+                     MakeClass("proof", 4, 9, 0),
+                     MakeClass("raster", 1, 4, kLongWait) },
+                   { { "a", 1 }, { "b", 2 }, { "c", 1 } });
+}
+
+AdmissionItem
+MakeItem(int aNumber,
+         const std::string& aOrganisation,
+         const std::string& aClass,
+         milliseconds aDeadline = kNever)
+{
+  return { RequestId("r" + std::to_string(aNumber)),
+           OrganisationId(aOrganisation),
+           ClassName(aClass),
+           100,
+           aDeadline };
+}
+
+const std::vector<std::string> kClassNames{ "kerf",
+                                            "nesting",
+                                            "proof",
+                                            "raster" };
+const std::vector<std::string> kOrganisationNames{ "a", "b", "c" };
+
+/**
+ * The rules of the fair policy, computed from plain lists with no index, no
+ * running sums and no order of expiry.
+ */
+class NaiveFair
+{
+public:
+  NaiveFair(AdmissionTerms aTerms, int aSlots)
+    : mTerms(std::move(aTerms))
+    , mSlots(aSlots)
+  {
+  }
+
+  /** @return "start", "queue" or "refuse". */
+  std::string Offer(const AdmissionItem& aItem, milliseconds aNow)
+  {
+    const JobClass& jobClass = ClassOf(aItem.Class());
+    if (!Queues(aItem.Class())) {
+      mDemands.push_back(
+        { aNow, aItem.Class(), std::nullopt, Held(aItem.Class()) + 1 });
+      mDemands.push_back({ aNow,
+                           aItem.Class(),
+                           aItem.Organisation(),
+                           Held(aItem.Class(), aItem.Organisation()) + 1 });
+    }
+    const int free = mSlots - static_cast<int>(mRunning.size());
+    const bool starts =
+      Queues(aItem.Class())
+        ? mWaiting.empty() && free > KeptFree(std::nullopt, aNow)
+        : free > KeptFree(aItem.Class(), aNow) + KeptInside(aItem, aNow);
+    if (starts) {
+      Start(aItem);
+      return "start";
+    }
+    if (!Queues(aItem.Class()) ||
+        WaitMs(aItem) > static_cast<double>(jobClass.MaxWait().count())) {
+      return "refuse";
+    }
+    double& virtualTime = mTimes[{ aItem.Class(), aItem.Organisation() }];
+    const bool first = std::none_of(
+      mWaiting.begin(), mWaiting.end(), [&aItem](const auto& aPair) {
+        return aPair.first.Class() == aItem.Class() &&
+               aPair.first.Organisation() == aItem.Organisation();
+      });
+    if (first) {
+      virtualTime = std::max(virtualTime, mClassTimes[aItem.Class()]);
+    }
+    mWaiting.emplace_back(
+      aItem, std::min(aNow + jobClass.MaxWait(), aItem.Deadline()));
+    return "queue";
+  }
+
+  std::optional<RequestId> Next(milliseconds aNow)
+  {
+    const int free = mSlots - static_cast<int>(mRunning.size());
+    if (mWaiting.empty() || free <= KeptFree(std::nullopt, aNow)) {
+      return std::nullopt;
+    }
+    // Among the first items of all queues, the one with the lowest rank.
+    using Rank = std::tuple<bool, double, std::size_t, double, OrganisationId>;
+    std::optional<std::pair<Rank, std::size_t>> best;
+    for (std::size_t i = 0; i < mWaiting.size(); ++i) {
+      const AdmissionItem& item = mWaiting[i].first;
+      const int share = std::max(1, Share(item.Class()));
+      const int held = Held(item.Class());
+      const Rank rank(held >= share,
+                      held >= share ? -ClassOf(item.Class()).Urgency()
+                                    : static_cast<double>(held) / share,
+                      mLastStarts[item.Class()],
+                      mTimes[{ item.Class(), item.Organisation() }],
+                      item.Organisation());
+      if (!best || rank < best->first) {
+        best = std::pair(rank, i);
+      }
+    }
+    const AdmissionItem item = mWaiting[best->second].first;
+    mWaiting.erase(mWaiting.begin() + static_cast<long>(best->second));
+    Start(item);
+    return item.Request();
+  }
+
+  std::vector<RequestId> Expire(milliseconds aNow)
+  {
+    std::vector<RequestId> expired;
+    std::erase_if(mWaiting, [&expired, aNow](const auto& aPair) {
+      if (aPair.second > aNow) {
+        return false;
+      }
+      expired.push_back(aPair.first.Request());
+      return true;
+    });
+    std::sort(expired.begin(), expired.end());
+    return expired;
+  }
+
+  void Finish(const RequestId& aRequest, milliseconds aRunTime, bool aAnswered)
+  {
+    const auto it = std::find_if(
+      mRunning.begin(), mRunning.end(), [&aRequest](const auto& aPair) {
+        return aPair.first.Request() == aRequest;
+      });
+    const AdmissionItem item = it->first;
+    const double charge = it->second;
+    mRunning.erase(it);
+    mTimes[{ item.Class(), item.Organisation() }] +=
+      (std::max(1.0, static_cast<double>(aRunTime.count())) - charge) /
+      mTerms.AllWeights().at(item.Organisation());
+    if (aAnswered) {
+      mRuns[item.Class()].push_back(static_cast<double>(aRunTime.count()));
+    }
+  }
+
+private:
+  struct Demand
+  {
+    milliseconds mTime;
+    ClassName mClass;
+    std::optional<OrganisationId> mOrganisation;
+    int mHeld;
+  };
+
+  const JobClass& ClassOf(const ClassName& aClass) const
+  {
+    return mTerms.AllClasses().at(aClass);
+  }
+
+  bool Queues(const ClassName& aClass) const
+  {
+    return ClassOf(aClass).MaxWait().count() > 0;
+  }
+
+  int Share(const ClassName& aClass) const
+  {
+    int total = 0;
+    for (const auto& [name, jobClass] : mTerms.AllClasses()) {
+      total += jobClass.Weight();
+    }
+    return mSlots * ClassOf(aClass).Weight() / total;
+  }
+
+  int Held(const ClassName& aClass,
+           const std::optional<OrganisationId>& aOrganisation = {}) const
+  {
+    return static_cast<int>(
+      std::count_if(mRunning.begin(), mRunning.end(), [&](const auto& aPair) {
+        return aPair.first.Class() == aClass &&
+               (!aOrganisation || aPair.first.Organisation() == aOrganisation);
+      }));
+  }
+
+  /** Highest demand in this window of 30 s and the one before. */
+  int Peak(const ClassName& aClass,
+           const std::optional<OrganisationId>& aOrganisation,
+           milliseconds aNow) const
+  {
+    constexpr long kWindow = 30'000;
+    int peak = 0;
+    std::optional<long> first;
+    for (const Demand& demand : mDemands) {
+      if (demand.mClass != aClass || demand.mOrganisation != aOrganisation) {
+        continue;
+      }
+      const long window = demand.mTime.count() / kWindow;
+      first = first ? first : window;
+      if (window >= aNow.count() / kWindow - 1) {
+        peak = std::max(peak, demand.mHeld);
+      }
+    }
+    const bool unseen = !first || *first >= aNow.count() / kWindow - 1;
+    return unseen && !aOrganisation ? std::numeric_limits<int>::max() : peak;
+  }
+
+  int KeptFree(const std::optional<ClassName>& aExcept, milliseconds aNow) const
+  {
+    int n = 0;
+    for (const auto& [name, jobClass] : mTerms.AllClasses()) {
+      if (name != aExcept && !Queues(name)) {
+        const int peak = std::max(1, Peak(name, std::nullopt, aNow));
+        n += std::max(0, std::min(Share(name), peak) - Held(name));
+      }
+    }
+    return n;
+  }
+
+  int KeptInside(const AdmissionItem& aItem, milliseconds aNow) const
+  {
+    int total = 0;
+    for (const auto& [id, weight] : mTerms.AllWeights()) {
+      total += weight;
+    }
+    const int share = std::max(1, Share(aItem.Class()));
+    const int own =
+      share * mTerms.AllWeights().at(aItem.Organisation()) / total;
+    if (Held(aItem.Class(), aItem.Organisation()) < own) {
+      return 0;
+    }
+    int n = 0;
+    int silent = 0;
+    for (const auto& [id, weight] : mTerms.AllWeights()) {
+      if (id != aItem.Organisation()) {
+        const int held = Held(aItem.Class(), id);
+        const int peak = Peak(aItem.Class(), id, aNow);
+        n += std::max(0, std::min(share * weight / total, peak) - held);
+        silent += held == 0 && peak == 0 ? 1 : 0;
+      }
+    }
+    return n + (silent > 0 && share >= 8 ? 1 : 0);
+  }
+
+  double MeanMs(const ClassName& aClass) const
+  {
+    const auto it = mRuns.find(aClass);
+    if (it == mRuns.end()) {
+      return 200;
+    }
+    double mean = std::max(1.0, it->second.front());
+    for (std::size_t i = 1; i < it->second.size(); ++i) {
+      mean += (std::max(1.0, it->second[i]) - mean) / 16;
+    }
+    return mean;
+  }
+
+  double WaitMs(const AdmissionItem& aItem) const
+  {
+    const int slots =
+      std::max({ 1, Share(aItem.Class()), Held(aItem.Class()) });
+    const int own = mTerms.AllWeights().at(aItem.Organisation());
+    int total = 0;
+    long queued = 0;
+    for (const auto& [id, weight] : mTerms.AllWeights()) {
+      const long n = std::count_if(
+        mWaiting.begin(), mWaiting.end(), [&, &other = id](const auto& aPair) {
+          return aPair.first.Class() == aItem.Class() &&
+                 aPair.first.Organisation() == other;
+        });
+      const bool self = id == aItem.Organisation();
+      queued = self ? n : queued;
+      total += self || n > 0 ? weight : 0;
+    }
+    return static_cast<double>(queued + 1) * MeanMs(aItem.Class()) * total /
+           slots / own;
+  }
+
+  void Start(const AdmissionItem& aItem)
+  {
+    double& virtualTime = mTimes[{ aItem.Class(), aItem.Organisation() }];
+    double& classTime = mClassTimes[aItem.Class()];
+    virtualTime = std::max(virtualTime, classTime);
+    classTime = virtualTime;
+    const double charge = std::round(MeanMs(aItem.Class()));
+    virtualTime += charge / mTerms.AllWeights().at(aItem.Organisation());
+    mLastStarts[aItem.Class()] = ++mStarts;
+    mRunning.emplace_back(aItem, charge);
+  }
+
+  AdmissionTerms mTerms;
+  int mSlots;
+  std::size_t mStarts = 0;
+  std::vector<std::pair<AdmissionItem, milliseconds>> mWaiting;
+  std::vector<std::pair<AdmissionItem, double>> mRunning;
+  std::vector<Demand> mDemands;
+  std::map<std::pair<ClassName, OrganisationId>, double> mTimes;
+  std::map<ClassName, double> mClassTimes;
+  std::map<ClassName, std::size_t> mLastStarts;
+  std::map<ClassName, std::vector<double>> mRuns;
+};
+
+std::string
+KindName(AdmissionKind aKind)
+{
+  switch (aKind) {
+    case AdmissionKind::kStart:
+      return "start";
+    case AdmissionKind::kQueue:
+      return "queue";
+    case AdmissionKind::kRefuse:
+      break;
+  }
+  return "refuse";
+}
+
+std::unique_ptr<AdmissionQueue>
+MakeFair(const AdmissionTerms& aTerms, int aSlots)
+{
+  auto queue = FindAdmissionPolicy("fair")->MakeQueue(aTerms);
+  queue->SetSlots(aSlots);
+  return queue;
+}
+
+/** Drives a queue with random steps and keeps what runs. */
+class RandomDrive
+{
+public:
+  RandomDrive(std::unique_ptr<AdmissionQueue> aQueue)
+    : mQueue(std::move(aQueue))
+  {
+  }
+
+  AdmissionQueue& Queue() { return *mQueue; }
+  std::vector<AdmissionGrant>& Running() { return mRunning; }
+  milliseconds Now() const { return mNow; }
+  int Offered() const { return mOffered; }
+
+  AdmissionItem NextItem()
+  {
+    const auto deadline = *rc::gen::element(kNever, mNow + milliseconds(700));
+    return MakeItem(++mOffered,
+                    *rc::gen::elementOf(kOrganisationNames),
+                    *rc::gen::elementOf(kClassNames),
+                    deadline);
+  }
+
+  void Advance(int aMost) { mNow += milliseconds(*rc::gen::inRange(0, aMost)); }
+
+  AdmissionKind Offer(const AdmissionItem& aItem)
+  {
+    const AdmissionVerdict verdict = mQueue->Offer(aItem, mNow);
+    if (verdict.Grant()) {
+      mRunning.push_back(*verdict.Grant());
+    }
+    return verdict.Kind();
+  }
+
+  /** @return What was started. */
+  std::optional<RequestId> Next()
+  {
+    const auto grant = mQueue->Next(mNow);
+    if (!grant) {
+      return std::nullopt;
+    }
+    mRunning.push_back(*grant);
+    return grant->Item().Request();
+  }
+
+  /** @return Which request finished, how long it ran, whether it answered. */
+  std::tuple<RequestId, milliseconds, bool> FinishOne()
+  {
+    const auto i = *rc::gen::inRange<std::size_t>(0, mRunning.size());
+    const AdmissionGrant grant = mRunning[i];
+    const milliseconds runTime(*rc::gen::inRange(0, 500));
+    const bool answered = *rc::gen::arbitrary<bool>();
+    mRunning.erase(mRunning.begin() + static_cast<long>(i));
+    mQueue->Finish(grant, runTime, answered);
+    return { grant.Item().Request(), runTime, answered };
+  }
+
+private:
+  std::unique_ptr<AdmissionQueue> mQueue;
+  std::vector<AdmissionGrant> mRunning;
+  milliseconds mNow{ 5'000 };
+  int mOffered = 0;
+};
+
+} // namespace
+
+TEST_GROUP(AdmissionPolicy){};
+
+// Guards against an index or a running sum that drifts from the rules.
+TEST(AdmissionPolicy, FairEqualsNaiveRecomputation)
+{
+  CHECK(rc::check("fair equals the naive recomputation", [] {
+    const int slots = *rc::gen::inRange(1, 48);
+    RandomDrive drive(MakeFair(MixedTerms(), slots));
+    NaiveFair naive(MixedTerms(), slots);
+    const int steps = *rc::gen::inRange(1, 200);
+    for (int step = 0; step < steps; ++step) {
+      drive.Advance(*rc::gen::element(2, 20'000));
+      std::vector<RequestId> expired;
+      for (const auto& item : drive.Queue().Expire(drive.Now())) {
+        expired.push_back(item.Request());
+      }
+      std::sort(expired.begin(), expired.end());
+      RC_ASSERT(expired == naive.Expire(drive.Now()));
+      if (!drive.Running().empty() && *rc::gen::inRange(0, 3) == 0) {
+        const auto [id, runTime, answered] = drive.FinishOne();
+        naive.Finish(id, runTime, answered);
+      } else {
+        const AdmissionItem item = drive.NextItem();
+        const std::string expected = naive.Offer(item, drive.Now());
+        RC_ASSERT(KindName(drive.Offer(item)) == expected);
+      }
+      std::optional<RequestId> started;
+      do {
+        started = drive.Next();
+        RC_ASSERT(started == naive.Next(drive.Now()));
+      } while (started);
+    }
+  }));
+}
+
+// Guards against idle slots while requests wait, beyond the shares that are
+// kept for classes that cannot wait, and against taking too many slots.
+TEST(AdmissionPolicy, WorkConserving)
+{
+  CHECK(rc::check("no slot idles while a request waits", [] {
+    const int slots = *rc::gen::inRange(1, 24);
+    const bool mixed = *rc::gen::arbitrary<bool>();
+    const AdmissionTerms terms =
+      mixed ? MixedTerms()
+            : MakeTerms({ MakeClass("kerf", 2, 5, kLongWait),
+                          MakeClass("nesting", 3, 0, kLongWait),
+                          MakeClass("proof", 4, 9, kLongWait),
+                          MakeClass("raster", 1, 4, kLongWait) },
+                        { { "a", 1 }, { "b", 2 }, { "c", 1 } });
+    // Shares of kerf and proof, which never queue in the mixed terms.
+    const int kept = mixed ? slots * 2 / 10 + slots * 4 / 10 : 0;
+    RandomDrive drive(MakeFair(terms, slots));
+    const int steps = *rc::gen::inRange(1, 200);
+    for (int step = 0; step < steps; ++step) {
+      drive.Advance(100);
+      if (!drive.Running().empty() && *rc::gen::inRange(0, 3) == 0) {
+        drive.FinishOne();
+      } else {
+        drive.Offer(drive.NextItem());
+      }
+      while (drive.Next()) {
+      }
+      AdmissionQueue& queue = drive.Queue();
+      RC_ASSERT(queue.Running() == static_cast<int>(drive.Running().size()));
+      RC_ASSERT(queue.Running() <= slots);
+      RC_ASSERT(queue.Waiting() == 0 || queue.Running() >= slots - kept);
+    }
+  }));
+}
+
+// Guards against a request that waits forever behind other classes or
+// organisations, also when these run for no time or are more urgent.
+TEST(AdmissionPolicy, NoStarvation)
+{
+  CHECK(rc::check("each queued request starts after finitely many runs", [] {
+    const int slots = *rc::gen::inRange(1, 12);
+    const milliseconds runTime(*rc::gen::inRange(0, 3));
+    RandomDrive drive(MakeFair(MixedTerms(), slots));
+    const std::string victim = *rc::gen::element<std::string>("a", "b", "c");
+    const std::string victimClass =
+      *rc::gen::element<std::string>("nesting", "raster");
+    int n = 1'000;
+    auto flood = [&drive, &n] {
+      for (const std::string& organisation : kOrganisationNames) {
+        for (const std::string& name : kClassNames) {
+          drive.Offer(MakeItem(++n, organisation, name));
+        }
+      }
+    };
+    for (int i = 0; i < 20; ++i) {
+      flood();
+    }
+    const AdmissionItem item = MakeItem(1, victim, victimClass);
+    bool started = drive.Offer(item) == AdmissionKind::kStart;
+    for (int i = 0; i < 2'000 && !started; ++i) {
+      const AdmissionGrant done = drive.Running().front();
+      drive.Running().erase(drive.Running().begin());
+      drive.Queue().Finish(done, runTime, true);
+      for (auto id = drive.Next(); id; id = drive.Next()) {
+        started = started || *id == item.Request();
+      }
+      flood();
+    }
+    RC_ASSERT(started);
+  }));
+}
+
+// Guards against a flood of one class that takes the minimum share of another
+// one, be it the most or the least urgent.
+TEST(AdmissionPolicy, MinimumShares)
+{
+  CHECK(rc::check("waiting classes reach their minimum share", [] {
+    const int slots = *rc::gen::inRange(10, 60);
+    const std::string flooding =
+      *rc::gen::element<std::string>("nesting", "proof", "raster", "kerf");
+    RandomDrive drive(MakeFair(MixedTerms(), slots));
+    int n = 0;
+    for (int i = 0; i < 3 * slots; ++i) {
+      drive.Offer(MakeItem(++n, "a", flooding));
+    }
+    for (const std::string& name : kClassNames) {
+      for (int i = 0; i < 3 * slots; ++i) {
+        drive.Offer(MakeItem(++n, "b", name));
+      }
+    }
+    // The flood goes on while its first runs finish.
+    for (int i = 0; i < 3 * slots; ++i) {
+      const AdmissionGrant done = drive.Running().front();
+      drive.Running().erase(drive.Running().begin());
+      drive.Queue().Finish(done, milliseconds(50), true);
+      while (drive.Next()) {
+      }
+      drive.Offer(MakeItem(++n, "a", flooding));
+      for (const std::string& name : kClassNames) {
+        for (const std::string& organisation : kOrganisationNames) {
+          drive.Offer(MakeItem(++n, organisation, name));
+        }
+      }
+    }
+    const std::map<std::string, int> weights{
+      { "kerf", 2 }, { "nesting", 3 }, { "proof", 4 }, { "raster", 1 }
+    };
+    for (const auto& [name, weight] : weights) {
+      const auto held =
+        std::count_if(drive.Running().begin(),
+                      drive.Running().end(),
+                      [&name = name](const auto& aGrant) {
+                        return aGrant.Item().Class().Text() == name;
+                      });
+      RC_ASSERT(held >= slots * weight / 10);
+    }
+  }));
+}
+
+// Guards against queues that grow beyond what can be served in time.
+TEST(AdmissionPolicy, QueueIsBoundedByTheLongestWait)
+{
+  for (const AdmissionPolicy* policy : AllAdmissionPolicies()) {
+    const auto queue = policy->MakeQueue(
+      MakeTerms({ MakeClass("nesting", 1, 0, 1'000) }, { { "a", 1 } }));
+    queue->SetSlots(2);
+    int queued = 0;
+    std::optional<AdmissionVerdict> last;
+    for (int i = 0; i < 100; ++i) {
+      last = queue->Offer(MakeItem(i, "a", "nesting"), milliseconds(0));
+      queued += last->Kind() == AdmissionKind::kQueue ? 1 : 0;
+    }
+    // 200 ms are assumed for each run, on 2 slots.
+    LONGS_EQUAL(10, queued);
+    CHECK(last->Kind() == AdmissionKind::kRefuse);
+    CHECK(last->Wait().count() > 0);
+  }
+}
+
+// Guards against memory that grows with the size of waiting bodies.
+TEST(AdmissionPolicy, QueueIsBoundedByBytes)
+{
+  for (const AdmissionPolicy* policy : AllAdmissionPolicies()) {
+    const auto queue = policy->MakeQueue(
+      MakeTerms({ MakeClass("nesting", 1, 0, kLongWait) }, { { "a", 1 } }));
+    queue->SetSlots(1);
+    std::size_t queuedBytes = 0;
+    for (int i = 0; i < 100; ++i) {
+      const AdmissionItem item(RequestId("r" + std::to_string(i)),
+                               OrganisationId("a"),
+                               ClassName("nesting"),
+                               8U << 20U,
+                               kNever);
+      const auto verdict = queue->Offer(item, milliseconds(0));
+      queuedBytes += verdict.Kind() == AdmissionKind::kQueue ? item.Bytes() : 0;
+    }
+    CHECK(queuedBytes <= 64U << 20U);
+    CHECK(queuedBytes > 0);
+  }
+}
+
+// Guards against estimates that trust declared times or learn from failures.
+TEST(AdmissionPolicy, EstimatesLearnFromWholeRuns)
+{
+  const auto queue = MakeFair(
+    MakeTerms({ MakeClass("nesting", 1, 0, 1'000) }, { { "a", 1 } }), 1);
+  for (int i = 0; i < 40; ++i) {
+    const auto verdict =
+      queue->Offer(MakeItem(i, "a", "nesting"), milliseconds(0));
+    queue->Finish(*verdict.Grant(), milliseconds(2'000), true);
+  }
+  for (int i = 0; i < 40; ++i) {
+    const auto verdict =
+      queue->Offer(MakeItem(i, "a", "nesting"), milliseconds(0));
+    queue->Finish(*verdict.Grant(), milliseconds(1), false);
+  }
+  queue->Offer(MakeItem(1, "a", "nesting"), milliseconds(0));
+  const auto verdict =
+    queue->Offer(MakeItem(2, "a", "nesting"), milliseconds(0));
+  CHECK(verdict.Kind() == AdmissionKind::kRefuse);
+  LONGS_EQUAL(1'000, verdict.Wait().count());
+}
+
+// Guards against a small organisation that waits behind a large one's queue.
+TEST(AdmissionPolicy, SmallOrganisationDoesNotWaitForTheLargeOne)
+{
+  const auto queue =
+    MakeFair(MakeTerms({ MakeClass("nesting", 1, 0, kLongWait) },
+                       { { "large", 1 }, { "small", 1 } }),
+             4);
+  std::vector<AdmissionGrant> running;
+  for (int i = 0; i < 500; ++i) {
+    const auto verdict =
+      queue->Offer(MakeItem(i, "large", "nesting"), milliseconds(0));
+    if (verdict.Grant()) {
+      running.push_back(*verdict.Grant());
+    }
+  }
+  const auto verdict =
+    queue->Offer(MakeItem(999, "small", "nesting"), milliseconds(0));
+  CHECK(verdict.Kind() == AdmissionKind::kQueue);
+  CHECK(verdict.Wait() <= milliseconds(100));
+  queue->Finish(running.front(), milliseconds(200), true);
+  const auto next = queue->Next(milliseconds(200));
+  STRCMP_EQUAL("small", next->Item().Organisation().Text().c_str());
+}
+
+// Guards against slots that are lost or doubled when the settings change the
+// policy while requests run and wait.
+TEST(AdmissionPolicy, ChangeOfPolicyKeepsRunningAndWaiting)
+{
+  const AdmissionTerms terms =
+    MakeTerms({ MakeClass("nesting", 1, 0, kLongWait) }, { { "a", 1 } });
+  for (const AdmissionPolicy* policy : AllAdmissionPolicies()) {
+    const auto fifo = FindAdmissionPolicy("fifo")->MakeQueue(terms);
+    fifo->SetSlots(1);
+    const auto verdict =
+      fifo->Offer(MakeItem(1, "a", "nesting"), milliseconds(0));
+    fifo->Offer(MakeItem(2, "a", "nesting"), milliseconds(0));
+    const auto queue = policy->MakeQueue(terms);
+    queue->SetSlots(1);
+    queue->Adopt(*verdict.Grant());
+    for (const AdmissionItem& item : fifo->TakeWaiting()) {
+      CHECK(queue->Offer(item, milliseconds(0)).Kind() ==
+            AdmissionKind::kQueue);
+    }
+    LONGS_EQUAL(0, fifo->Waiting());
+    CHECK_FALSE(queue->Next(milliseconds(0)).has_value());
+    queue->Finish(*verdict.Grant(), milliseconds(5), true);
+    CHECK(queue->Next(milliseconds(5)).has_value());
+    LONGS_EQUAL(1, queue->Running());
+  }
+}
+
+// Guards against a class that the settings do not know.
+TEST(AdmissionPolicy, UnknownClassThrows)
+{
+  for (const AdmissionPolicy* policy : AllAdmissionPolicies()) {
+    const auto queue = policy->MakeQueue({});
+    CHECK_THROWS(StateError,
+                 queue->Offer(MakeItem(1, "a", "x"), milliseconds(0)));
+  }
+}
+
+// Guards against an organisation that takes all slots of a class that cannot
+// queue, so that the others' requests are refused.
+TEST(AdmissionPolicy, LargeOrganisationLeavesSlotsInAClassThatNeverQueues)
+{
+  const auto queue = MakeFair(MakeTerms({ MakeClass("proof", 1, 9, 0) },
+                                        { { "large", 1 }, { "small", 1 } }),
+                              8);
+  for (int i = 0; i < 100; ++i) {
+    queue->Offer(MakeItem(i, "large", "proof"), milliseconds(i));
+  }
+  const auto verdict =
+    queue->Offer(MakeItem(100, "small", "proof"), milliseconds(100));
+  CHECK(verdict.Kind() == AdmissionKind::kStart);
+}
