Add endpoint health and the retry budget of requests

A runner that fails everything at once always has free slots, so it would attract most of the work.

Retries are limited by credit per first attempt rather than by a rate, which needs no clock and cannot multiply a load that already fails.

--- /dev/null
+++ b/src/state/EndpointHealth.cpp
@@ -0,0 +1,67 @@
+#include "cornelrudder/state/EndpointHealth.h"
+
+#include <algorithm>
+
+namespace cornelrudder::state {
+
+bool
+EndpointHealth::FailsMostly() const
+{
+  const auto failures = static_cast<std::size_t>(std::count_if(
+    mExchanges.begin(), mExchanges.end(), [](const auto& aExchange) {
+      return aExchange.Failed();
+    }));
+  return mExchanges.size() >= kLeastExchanges &&
+         2 * failures > mExchanges.size();
+}
+
+bool
+EndpointHealth::HasFailed(const ClassName& aClass) const
+{
+  return std::any_of(
+    mExchanges.begin(), mExchanges.end(), [&aClass](const auto& aExchange) {
+      return aExchange.Failed() && aExchange.Class() == aClass;
+    });
+}
+
+EndpointHealth
+EndpointHealth::WithExchange(const EndpointExchange& aExchange,
+                             bool aSucceedsElsewhere,
+                             std::chrono::milliseconds aNow) const
+{
+  EndpointHealth health = *this;
+  health.mExchanges.push_back(aExchange);
+  if (health.mExchanges.size() > kWindow) {
+    health.mExchanges.erase(health.mExchanges.begin());
+  }
+  health.mSuccessesInRow = aExchange.Failed() ? 0 : mSuccessesInRow + 1;
+  if (mState == EndpointState::kQuarantined) {
+    if (health.mSuccessesInRow >= kSuccessesToRecover) {
+      return {};
+    }
+    return health;
+  }
+  const bool quarantine =
+    aExchange.Failed() && aSucceedsElsewhere && health.FailsMostly();
+  if (quarantine) {
+    health.mState = EndpointState::kQuarantined;
+    health.mNextProbe = aNow + kProbeInterval;
+  }
+  return health;
+}
+
+bool
+EndpointHealth::ProbeDue(std::chrono::milliseconds aNow) const
+{
+  return mState == EndpointState::kQuarantined && aNow >= mNextProbe;
+}
+
+EndpointHealth
+EndpointHealth::WithProbe(std::chrono::milliseconds aNow) const
+{
+  EndpointHealth health = *this;
+  health.mNextProbe = aNow + kProbeInterval;
+  return health;
+}
+
+} // namespace cornelrudder::state
--- /dev/null
+++ b/src/state/RequestRetry.cpp
@@ -0,0 +1,75 @@
+#include "cornelrudder/state/RequestRetry.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cornelrudder::state {
+
+namespace {
+
+/** Indexed by RunnerStatus. */
+struct StatusRule
+{
+  bool mFailed;
+  /** Whether it is certain that nothing ran. */
+  bool mNotRun;
+};
+
+constexpr std::array<StatusRule, 6> kStatusRules{ {
+  { false, false }, // kAnswered
+  { true, true },   // kNotStarted
+  { true, true },   // kNotSent
+  { true, false },  // kBroken
+  { true, false },  // kMismatched
+  { true, false },  // kFailed
+} };
+
+} // namespace
+
+RequestRetryBudget
+RequestRetryBudget::WithFirstAttempt() const
+{
+  RequestRetryBudget budget;
+  budget.mHundredths =
+    std::min(mHundredths + kPercent, kMostRetries * kRetryCost);
+  return budget;
+}
+
+RequestRetryBudget
+RequestRetryBudget::WithRetry() const
+{
+  RequestRetryBudget budget;
+  budget.mHundredths = mHundredths - kRetryCost;
+  return budget;
+}
+
+std::string_view
+RetryDecisionName(RetryDecision aDecision)
+{
+  static constexpr std::array<std::string_view, 6> kNames{
+    "retry",     "not_needed", "may_have_run",
+    "no_budget", "no_time",    "no_other_runner",
+  };
+  return kNames.at(static_cast<std::size_t>(aDecision));
+}
+
+RetryDecision
+DecideRetry(RunnerStatus aStatus,
+            bool aIdempotent,
+            const RequestRetryBudget& aBudget,
+            std::chrono::milliseconds aTimeLeft)
+{
+  const StatusRule rule = kStatusRules.at(static_cast<std::size_t>(aStatus));
+  if (!rule.mFailed) {
+    return RetryDecision::kNotNeeded;
+  }
+  if (!aIdempotent && !rule.mNotRun) {
+    return RetryDecision::kMayHaveRun;
+  }
+  if (aTimeLeft.count() <= 0) {
+    return RetryDecision::kNoTime;
+  }
+  return aBudget.Allows() ? RetryDecision::kRetry : RetryDecision::kNoBudget;
+}
+
+} // namespace cornelrudder::state
