Fix the tie rule in the test's recomputation of fair admission

Two classes that both never had a start tie; the policy takes them in order of their names, the recomputation compared virtual times of different classes, which have no common scale.

--- a/tests/state/AdmissionPolicyTest.cpp
+++ b/tests/state/AdmissionPolicyTest.cpp
@@ -138,7 +138,8 @@
       return std::nullopt;
     }
     // Among the first items of all queues, the one with the lowest rank.
-    using Rank = std::tuple<bool, double, std::size_t, double, OrganisationId>;
+    using Rank =
+      std::tuple<bool, double, std::size_t, ClassName, double, OrganisationId>;
     std::optional<std::pair<Rank, std::size_t>> best;
     for (std::size_t i = 0; i < mWaiting.size(); ++i) {
       const AdmissionItem& item = mWaiting[i].first;
@@ -148,6 +149,7 @@
                       held >= share ? -ClassOf(item.Class()).Urgency()
                                     : static_cast<double>(held) / share,
                       mLastStarts[item.Class()],
+                      item.Class(),
                       mTimes[{ item.Class(), item.Organisation() }],
                       item.Organisation());
       if (!best || rank < best->first) {
