Add the runner table: slots, leaving runners, quarantine and probes

The routing task kept only a list of VMs and counts, and hashed all slots again for each request. The table keeps the loads up to date instead. A runner's own word that it is leaving outweighs the platform's list, which lags; only a later change of the list revokes it. The last usable runner is never quarantined.

--- a/include/cornelrudder/state/EndpointHealth.h
+++ b/include/cornelrudder/state/EndpointHealth.h
@@ -60,8 +60,8 @@
   /** @return Whether more than half of the last exchanges failed. */
   bool FailsMostly() const;
 
-  /** @return Whether one of the last exchanges of a class failed. */
-  bool HasFailed(const ClassName& aClass) const;
+  /** @return Whether one of the last exchanges of a class succeeded. */
+  bool HasSucceeded(const ClassName& aClass) const;
 
   /**
    * Adds an exchange. Quarantine begins when failures exceed half and the
--- a/include/cornelrudder/state/RunnerChoice.h
+++ b/include/cornelrudder/state/RunnerChoice.h
@@ -39,6 +39,12 @@
   /** False for a runner that is leaving or in quarantine. */
   bool Usable() const { return mUsable; }
 
+  /** @return The same runner under another load. */
+  RunnerLoad WithLoad(int aSlots, int aInFlight, bool aUsable) const
+  {
+    return { mRunner, mZone, aSlots, aInFlight, aUsable };
+  }
+
   bool HasFreeSlot() const { return mUsable && mInFlight < mSlots; }
 
   auto operator<=>(const RunnerLoad&) const = default;
--- a/src/state/EndpointHealth.cpp
+++ b/src/state/EndpointHealth.cpp
@@ -16,11 +16,11 @@
 }
 
 bool
-EndpointHealth::HasFailed(const ClassName& aClass) const
+EndpointHealth::HasSucceeded(const ClassName& aClass) const
 {
   return std::any_of(
     mExchanges.begin(), mExchanges.end(), [&aClass](const auto& aExchange) {
-      return aExchange.Failed() && aExchange.Class() == aClass;
+      return !aExchange.Failed() && aExchange.Class() == aClass;
     });
 }
 
--- /dev/null
+++ b/src/state/RunnerTable.cpp
@@ -0,0 +1,235 @@
+#include "cornelrudder/state/RunnerTable.h"
+
+#include "cornelrudder/state/SlotShare.h"
+
+#include <algorithm>
+
+namespace cornelrudder::state {
+
+namespace {
+
+/** Overdue time after which any request may be a probe. */
+constexpr std::chrono::milliseconds kOverdueProbe =
+  2 * EndpointHealth::kProbeInterval;
+
+int
+FreeSlotsOf(const RunnerLoad& aLoad)
+{
+  return aLoad.HasFreeSlot() ? aLoad.Slots() - aLoad.InFlight() : 0;
+}
+
+bool
+WasTried(const VmId& aRunner, std::span<const VmId> aTried)
+{
+  return std::find(aTried.begin(), aTried.end(), aRunner) != aTried.end();
+}
+
+} // namespace
+
+RunnerTable::RunnerTable(VmId aSelf, int aSlotsPerRunner)
+  : mSelf(std::move(aSelf))
+  , mSlotsPerRunner(aSlotsPerRunner)
+  , mDaemons{ mSelf }
+{
+}
+
+void
+RunnerTable::Apply(const VmList& aRunners)
+{
+  for (Entry& entry : mEntries) {
+    entry.mListed = false;
+  }
+  for (const Vm& vm : aRunners.All()) {
+    Entry* known = Find(vm.Name());
+    if (known != nullptr) {
+      ApplyTo(*known, vm);
+      continue;
+    }
+    Entry entry(vm);
+    Rehash(entry);
+    const auto place =
+      std::upper_bound(mEntries.begin(),
+                       mEntries.end(),
+                       vm.Name(),
+                       [](const VmId& aName, const Entry& aEntry) {
+                         return aName < aEntry.mVm.Name();
+                       });
+    mEntries.insert(place, std::move(entry));
+  }
+  for (Entry& entry : mEntries) {
+    entry.mListMoved = entry.mListMoved || !entry.mListed;
+  }
+  std::erase_if(mEntries, [](const Entry& aEntry) {
+    return !aEntry.mListed && aEntry.mInFlight == 0;
+  });
+  RebuildLoads();
+}
+
+void
+RunnerTable::Apply(const std::vector<VmId>& aDaemons)
+{
+  mDaemons = aDaemons;
+  for (Entry& entry : mEntries) {
+    Rehash(entry);
+  }
+  RebuildLoads();
+}
+
+std::optional<std::size_t>
+RunnerTable::Choose(const RunnerChoice& aChoice,
+                    const ZoneId& aOwnZone,
+                    std::span<const VmId> aTried,
+                    bool aIdempotent,
+                    std::chrono::milliseconds aNow) const
+{
+  const auto probeTime = aIdempotent ? aNow : aNow - kOverdueProbe;
+  for (std::size_t i = 0; i < mEntries.size(); ++i) {
+    const Entry& entry = mEntries[i];
+    const bool probe = entry.mHealth.ProbeDue(probeTime) && IsLive(entry) &&
+                       entry.mInFlight < entry.mSlots &&
+                       !WasTried(entry.mVm.Name(), aTried);
+    if (probe) {
+      return i;
+    }
+  }
+  return aChoice.Choose(mLoads, aOwnZone, aTried);
+}
+
+void
+RunnerTable::Start(std::size_t aIndex, std::chrono::milliseconds aNow)
+{
+  Entry& entry = mEntries.at(aIndex);
+  ++entry.mInFlight;
+  if (entry.mHealth.State() == EndpointState::kQuarantined) {
+    entry.mHealth = entry.mHealth.WithProbe(aNow);
+  }
+  RefreshLoad(aIndex);
+}
+
+RunnerChange
+RunnerTable::Finish(const VmId& aRunner,
+                    const ClassName& aClass,
+                    const RunnerResult& aResult,
+                    bool aCounts,
+                    std::chrono::milliseconds aNow)
+{
+  Entry* entry = Find(aRunner);
+  if (entry == nullptr) {
+    return RunnerChange::kNone;
+  }
+  --entry->mInFlight;
+  RunnerChange change = RunnerChange::kNone;
+  if (aResult.Leaving()) {
+    change = entry->mSaidLeaving ? change : RunnerChange::kLeaving;
+    entry->mListMoved =
+      !entry->mListed || entry->mVm.State() == VmState::kLeaving;
+    entry->mSaidLeaving = true;
+  }
+  // A refusal by a leaving runner is no fault.
+  const bool failed = aResult.Status() != RunnerStatus::kAnswered;
+  if (aCounts && !(failed && aResult.Leaving())) {
+    const EndpointState before = entry->mHealth.State();
+    entry->mHealth =
+      entry->mHealth.WithExchange(EndpointExchange(aClass, failed),
+                                  failed && SucceedsElsewhere(aClass, *entry),
+                                  aNow);
+    if (entry->mHealth.State() != before) {
+      change = before == EndpointState::kHealthy ? RunnerChange::kQuarantined
+                                                 : RunnerChange::kRecovered;
+    }
+  }
+  RefreshLoad(static_cast<std::size_t>(entry - mEntries.data()));
+  return change;
+}
+
+bool
+RunnerTable::HasOther(std::span<const VmId> aTried) const
+{
+  return std::any_of(
+    mLoads.begin(), mLoads.end(), [aTried](const RunnerLoad& aLoad) {
+      return aLoad.Usable() && aLoad.Slots() > 0 &&
+             !WasTried(aLoad.Runner(), aTried);
+    });
+}
+
+RunnerTable::Entry*
+RunnerTable::Find(const VmId& aRunner)
+{
+  const auto it = std::lower_bound(mEntries.begin(),
+                                   mEntries.end(),
+                                   aRunner,
+                                   [](const Entry& aEntry, const VmId& aName) {
+                                     return aEntry.mVm.Name() < aName;
+                                   });
+  return it != mEntries.end() && it->mVm.Name() == aRunner ? &*it : nullptr;
+}
+
+void
+RunnerTable::ApplyTo(Entry& aEntry, const Vm& aVm)
+{
+  const bool replaced = aEntry.mVm.Address() != aVm.Address();
+  aEntry.mVm = aVm;
+  aEntry.mListed = true;
+  if (replaced) {
+    aEntry.mHealth = {};
+    aEntry.mListMoved = true;
+  }
+  if (aVm.State() == VmState::kLeaving) {
+    aEntry.mListMoved = true;
+  } else if (aEntry.mListMoved) {
+    aEntry.mSaidLeaving = false;
+    aEntry.mListMoved = false;
+  }
+}
+
+void
+RunnerTable::Rehash(Entry& aEntry) const
+{
+  aEntry.mSlots = OwnSlots(aEntry.mVm.Name(), mSlotsPerRunner, mDaemons, mSelf);
+}
+
+void
+RunnerTable::RebuildLoads()
+{
+  mLoads.clear();
+  mFreeSlots = 0;
+  for (std::size_t i = 0; i < mEntries.size(); ++i) {
+    mLoads.emplace_back(
+      mEntries[i].mVm.Name(), mEntries[i].mVm.Where().Zone(), 0, 0, false);
+    RefreshLoad(i);
+  }
+}
+
+void
+RunnerTable::RefreshLoad(std::size_t aIndex)
+{
+  const Entry& entry = mEntries[aIndex];
+  const bool usable =
+    IsLive(entry) && entry.mHealth.State() == EndpointState::kHealthy;
+  mFreeSlots -= FreeSlotsOf(mLoads[aIndex]);
+  mLoads[aIndex] =
+    mLoads[aIndex].WithLoad(entry.mSlots, entry.mInFlight, usable);
+  mFreeSlots += FreeSlotsOf(mLoads[aIndex]);
+}
+
+bool
+RunnerTable::IsLive(const Entry& aEntry)
+{
+  return aEntry.mListed && !aEntry.mSaidLeaving &&
+         aEntry.mVm.State() == VmState::kLive;
+}
+
+/** Quarantined runners do not count, so that one usable runner remains. */
+bool
+RunnerTable::SucceedsElsewhere(const ClassName& aClass,
+                               const Entry& aEntry) const
+{
+  return std::any_of(
+    mEntries.begin(), mEntries.end(), [&](const Entry& aOther) {
+      return &aOther != &aEntry && IsLive(aOther) &&
+             aOther.mHealth.State() == EndpointState::kHealthy &&
+             aOther.mHealth.HasSucceeded(aClass);
+    });
+}
+
+} // namespace cornelrudder::state
--- a/tests/state/EndpointHealthTest.cpp
+++ b/tests/state/EndpointHealthTest.cpp
@@ -40,8 +40,9 @@
   const EndpointHealth health = After({}, 40, true, false);
   CHECK(health.State() == EndpointState::kHealthy);
   CHECK(health.FailsMostly());
-  CHECK(health.HasFailed(kProof));
-  CHECK_FALSE(health.HasFailed(kKerf));
+  CHECK_FALSE(health.HasSucceeded(kProof));
+  CHECK(After({}, 1, false, true).HasSucceeded(kProof));
+  CHECK_FALSE(After({}, 1, false, true).HasSucceeded(kKerf));
 }
 
 // Guards against a quarantine after one failure of a runner that just came.
