Admit, queue and retry requests in the routing task

The task refused a request as soon as no slot was free, never retried, and answered "not run" after the last attempt even when an earlier one had reached a runner. It now uses the admission policy that the settings name, the runner table and the retry budget; the outcome is unknown once any attempt may have run. One delayed message wakes the task when the next wait ends.

A task that ended kept its callers waiting while a port still held its address, since promises were destroyed only with the last reference; it now drops them on exit. A policy change charged nothing for adopted requests but subtracted the charge at their end; both were found by the new tests.

Enforcing deadlines in the port alone was ruled out: a port that reports late would keep the caller waiting.

--- /dev/null
+++ b/src/coordination/RouteCounters.h
@@ -0,0 +1,90 @@
+#ifndef CORNELRUDDER_COORDINATION_ROUTE_COUNTERS_H
+#define CORNELRUDDER_COORDINATION_ROUTE_COUNTERS_H
+
+#include "cornelrudder/coordination/Messages.h"
+#include "cornelrudder/state/LatencyHistogram.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace cornelrudder::coordination {
+
+/** Counts of one class. */
+struct ClassCounts
+{
+  std::uint64_t mAdmitted = 0;
+  std::uint64_t mAnswered = 0;
+  std::uint64_t mRefused = 0;
+  std::uint64_t mRetried = 0;
+  std::uint64_t mMismatched = 0;
+  /** From arrival to outcome, of all requests that were admitted. */
+  state::LatencyHistogram mLatency;
+};
+
+/** Counts by class, private to the routing task. */
+class RouteCounters
+{
+public:
+  /** @return The counts of a class that the settings know. */
+  ClassCounts& Of(const state::ClassName& aClass) { return mClasses[aClass]; }
+
+  /** Counts a refusal before the class was known to exist. */
+  void CountUnknown() { ++mUnknown; }
+
+  /** @return The counts under the names that /metrics shows. */
+  Counters Render() const
+  {
+    Counters counters;
+    counters["refused_unknown_total"] = mUnknown;
+    for (const auto& [name, counts] : mClasses) {
+      const std::string label = "class=\"" + name.Text() + "\"";
+      for (const Row& row : kRows) {
+        counters[std::string(row.mName) + "{" + label + "}"] =
+          counts.*row.mMember;
+      }
+      RenderLatency(label, counts.mLatency, counters);
+    }
+    return counters;
+  }
+
+private:
+  struct Row
+  {
+    std::string_view mName;
+    std::uint64_t ClassCounts::*mMember;
+  };
+
+  static constexpr std::array kRows{
+    Row{ "admitted_total", &ClassCounts::mAdmitted },
+    Row{ "answered_total", &ClassCounts::mAnswered },
+    Row{ "refused_total", &ClassCounts::mRefused },
+    Row{ "retried_total", &ClassCounts::mRetried },
+    Row{ "mismatched_total", &ClassCounts::mMismatched },
+  };
+
+  static void RenderLatency(const std::string& aLabel,
+                            const state::LatencyHistogram& aLatency,
+                            Counters& aCounters)
+  {
+    const auto& bounds = state::LatencyHistogram::kBoundsMs;
+    std::uint64_t n = 0;
+    for (std::size_t i = 0; i < aLatency.AllCounts().size(); ++i) {
+      n += aLatency.AllCounts().at(i);
+      const std::string bound =
+        i < bounds.size() ? std::to_string(bounds.at(i)) : "+Inf";
+      aCounters["latency_ms_bucket{" + aLabel + ",le=\"" + bound + "\"}"] = n;
+    }
+    aCounters["latency_ms_count{" + aLabel + "}"] = n;
+    aCounters["latency_ms_sum{" + aLabel + "}"] = aLatency.SumMs();
+  }
+
+  std::map<state::ClassName, ClassCounts> mClasses;
+  std::uint64_t mUnknown = 0;
+};
+
+} // namespace cornelrudder::coordination
+
+#endif // CORNELRUDDER_COORDINATION_ROUTE_COUNTERS_H
--- a/src/coordination/RoutingTask.cpp
+++ b/src/coordination/RoutingTask.cpp
@@ -1,29 +1,46 @@
 #include "cornelrudder/coordination/RoutingTask.h"
 
+#include "RouteCounters.h"
 #include "cornelrudder/coordination/Messages.h"
+#include "cornelrudder/state/AdmissionPolicy.h"
 #include "cornelrudder/state/JobClass.h"
+#include "cornelrudder/state/RequestRetry.h"
 #include "cornelrudder/state/RunnerChoice.h"
-#include "cornelrudder/state/SlotShare.h"
+#include "cornelrudder/state/RunnerTable.h"
 
 #include <caf/actor_system.hpp>
 #include <caf/event_based_actor.hpp>
 #include <caf/typed_response_promise.hpp>
 
 #include <algorithm>
+#include <deque>
 #include <set>
 
 namespace cornelrudder::coordination {
 
 namespace {
 
+using state::AdmissionGrant;
+using state::AdmissionItem;
+using state::AdmissionKind;
 using state::Ran;
 using state::RefusalReason;
+using state::RequestId;
+using state::RetryDecision;
+using state::RunnerChange;
 using state::RunOutcome;
 using state::RunRequest;
-using state::VmId;
+using std::chrono::milliseconds;
 
-constexpr std::chrono::milliseconds kRetryAfter{ 1'000 };
-constexpr std::string_view kDefaultPolicy = "own_zone";
+constexpr milliseconds kRetryAfter{ 1'000 };
+constexpr std::string_view kDefaultRouting = "own_zone";
+constexpr std::string_view kDefaultAdmission = "fair";
+
+/** Indexed by RunnerChange; the first row is never logged. */
+constexpr std::array kChangeEvents{ LogEvent::kRunnerResult,
+                                    LogEvent::kRunnerLeaving,
+                                    LogEvent::kRunnerQuarantined,
+                                    LogEvent::kRunnerRecovered };
 
 class RoutingTask : public caf::event_based_actor
 {
@@ -36,7 +53,9 @@
     , mPort(aPort)
     , mLog(aLog)
     , mOptions(std::move(aOptions))
-    , mDaemons{ mOptions.mSelf }
+    , mRunners(mOptions.mSelf, mOptions.mSlotsPerRunner)
+    , mAdmission(state::FindAdmissionPolicy(kDefaultAdmission))
+    , mQueue(mAdmission->MakeQueue({}))
   {
   }
 
@@ -45,159 +64,521 @@
     return {
       [this](const RunRequest& aRequest) { return Accept(aRequest); },
       [this](const RunFinished& aFinished) { Finish(aFinished); },
+      [this](const Tick&) { WakeUp(); },
       [this](const state::VmList& aVms) {
-        mRunners = aVms.WithRole(state::VmRole::kRunner);
+        mRunners.Apply(aVms.WithRole(state::VmRole::kRunner));
+        ServeWaiting();
+      },
+      [this](const MembersView& aMembers) {
+        mRunners.Apply(aMembers.mDaemons);
+        ServeWaiting();
       },
-      [this](const MembersView& aMembers) { mDaemons = aMembers.mDaemons; },
-      [this](const state::SettingsView& aSettings) { mSettings = aSettings; },
-      [this](const GetCounters&) { return mCounters; },
+      [this](const state::SettingsView& aSettings) { Apply(aSettings); },
+      [this](const GetCounters&) { return mCounters.Render(); },
     };
   }
 
+  /**
+   * Ports may keep this task's address after it has ended; its callers are
+   * told nevertheless.
+   */
+  void on_exit() override { mPending.clear(); }
+
 private:
-  struct Attempt
+  /** A request from its arrival until its last attempt has ended. */
+  struct Pending
   {
     RunRequest mRequest;
     caf::typed_response_promise<RunOutcome> mPromise;
-    std::vector<VmId> mTried;
+    state::JobClass mClass;
+    milliseconds mArrived;
+    milliseconds mDeadline;
+    /** Set while the request holds a slot. */
+    std::optional<AdmissionGrant> mGrant;
+    milliseconds mStarted{ 0 };
+    /** Time that the current attempt was given. */
+    milliseconds mTimeout{ 0 };
+    /** The runners of all attempts, the current one last. */
+    std::vector<state::VmId> mTried;
+    bool mMayHaveRun = false;
+    /** Whether the caller got its outcome while an attempt still runs. */
+    bool mAnswered = false;
   };
 
+  milliseconds Now() const { return mOptions.mClock->Now(); }
+
   caf::result<RunOutcome> Accept(const RunRequest& aRequest)
   {
     auto promise = make_response_promise<RunOutcome>();
-    Attempt attempt{ aRequest, promise, {} };
-    const auto jobClass = FindJobClass(mSettings, aRequest.Class());
-    if (!jobClass) {
-      Refuse(attempt, RefusalReason::kUnknownClass, Ran::kNo);
+    const auto jobClass = mTerms.AllClasses().find(aRequest.Class());
+    if (jobClass == mTerms.AllClasses().end()) {
+      mCounters.CountUnknown();
+      Reject(aRequest, promise, RefusalReason::kUnknownClass);
       return promise;
     }
     if (!IsActiveTeam(mSettings, aRequest.Organisation(), aRequest.Team())) {
-      Refuse(attempt, RefusalReason::kUnknownOrganisation, Ran::kNo);
+      ++mCounters.Of(aRequest.Class()).mRefused;
+      Reject(aRequest, promise, RefusalReason::kUnknownOrganisation);
       return promise;
     }
-    Dispatch(std::move(attempt), *jobClass);
+    const milliseconds now = Now();
+    const state::JobClass& terms = jobClass->second;
+    const milliseconds time = aRequest.Timeout().count() > 0
+                                ? aRequest.Timeout()
+                                : terms.MaxWait() + terms.Timeout();
+    const AdmissionItem item(aRequest.Name(),
+                             aRequest.Organisation(),
+                             aRequest.Class(),
+                             aRequest.Body().size(),
+                             now + time);
+    mPending.insert_or_assign(
+      aRequest.Name(),
+      Pending{ aRequest, promise, terms, now, now + time, {}, {}, {}, {} });
+    UpdateSlots();
+    Offer(item);
+    ScheduleWakeUp();
     return promise;
   }
 
-  void Dispatch(Attempt aAttempt, const state::JobClass& aClass)
+  /** Refuses a request that was never pending. */
+  void Reject(const RunRequest& aRequest,
+              caf::typed_response_promise<RunOutcome>& aPromise,
+              RefusalReason aReason)
+  {
+    const std::string reason(ReasonName(aReason));
+    LogRefused(aRequest, reason, Ran::kNo, reason);
+    aPromise.deliver(
+      RunOutcome::Refused(aReason, Ran::kNo, kRetryAfter, reason));
+  }
+
+  void Offer(const AdmissionItem& aItem)
+  {
+    const state::AdmissionVerdict verdict = mQueue->Offer(aItem, Now());
+    Pending& pending = mPending.at(aItem.Request());
+    switch (verdict.Kind()) {
+      case AdmissionKind::kStart:
+        Begin(*verdict.Grant());
+        break;
+      case AdmissionKind::kQueue:
+        mLog.Write(
+          { LogEvent::kRequestQueued,
+            { { "request", aItem.Request().Text() },
+              { "organisation", aItem.Organisation().Text() },
+              { "class", aItem.Class().Text() },
+              { "waiting", std::to_string(mQueue->Waiting()) },
+              { "estimated_ms", std::to_string(verdict.Wait().count()) },
+              { "policy", std::string(mAdmission->Name()) } } });
+        break;
+      case AdmissionKind::kRefuse:
+        Refuse(pending,
+               mQueue->Slots() > 0 ? RefusalReason::kOverloaded
+                                   : RefusalReason::kNoCapacity,
+               verdict.Wait(),
+               verdict.Reason());
+        mPending.erase(aItem.Request());
+        break;
+    }
+  }
+
+  /** Starts the first attempt of a request that was given a slot. */
+  void Begin(const AdmissionGrant& aGrant)
   {
-    const std::vector<state::RunnerLoad> loads = Loads();
-    const state::RunnerChoice& policy = Policy();
-    const auto chosen = policy.Choose(loads, mOptions.mZone, aAttempt.mTried);
+    Pending& pending = mPending.at(aGrant.Item().Request());
+    pending.mGrant = aGrant;
+    pending.mStarted = Now();
+    ++mCounters.Of(pending.mRequest.Class()).mAdmitted;
+    mBudget = mBudget.WithFirstAttempt();
+    mDeadlines.emplace(pending.mDeadline, pending.mRequest.Name());
+    if (!Dispatch(pending)) {
+      Refuse(pending,
+             RefusalReason::kNoCapacity,
+             kRetryAfter,
+             "no runner has a free slot");
+      Remove(pending);
+    }
+  }
+
+  /** @return Whether a runner was free that was not tried yet. */
+  bool Dispatch(Pending& aPending)
+  {
+    const milliseconds now = Now();
+    const state::RunnerChoice& choice = Choice();
+    const auto chosen = mRunners.Choose(choice,
+                                        mOptions.mZone,
+                                        aPending.mTried,
+                                        aPending.mClass.Idempotent(),
+                                        now);
     if (!chosen) {
-      Refuse(aAttempt, RefusalReason::kNoCapacity, Ran::kNo);
-      return;
+      return false;
     }
-    const state::Vm& runner = mRunners.All()[*chosen];
-    const RunRequest& request = aAttempt.mRequest;
-    LogRouted(request, runner, policy);
-    ++mInFlight[runner.Name()];
-    ++mCounters["routed_total"];
-    const auto timeout = request.Timeout().count() > 0
-                           ? std::min(request.Timeout(), aClass.Timeout())
-                           : aClass.Timeout();
+    const state::Vm& runner = mRunners.At(*chosen);
+    const RunRequest& request = aPending.mRequest;
+    LogRouted(aPending, runner, choice);
+    mRunners.Start(*chosen, now);
+    aPending.mTried.push_back(runner.Name());
+    aPending.mTimeout =
+      std::min(aPending.mClass.Timeout(), aPending.mDeadline - now);
     mPort.Run(
       { runner.Address(),
         request.Name(),
         request.Class(),
-        aClass.Idempotent(),
+        aPending.mClass.Idempotent(),
         request.Body(),
-        timeout },
+        aPending.mTimeout },
       [self = caf::actor(this), id = request.Name(), name = runner.Name()](
         state::RunnerResult aResult) {
         caf::anon_send(self, RunFinished{ id, name, std::move(aResult) });
       });
-    aAttempt.mTried.push_back(runner.Name());
-    mAttempts.insert_or_assign(request.Name(), std::move(aAttempt));
+    return true;
   }
 
   void Finish(const RunFinished& aFinished)
   {
-    --mInFlight[aFinished.mRunner];
+    const auto it = mPending.find(aFinished.mRequest);
+    const bool current = it != mPending.end() && !it->second.mTried.empty() &&
+                         it->second.mTried.back() == aFinished.mRunner &&
+                         !mParked.contains(aFinished.mRequest);
     const state::RunnerResult& result = aFinished.mResult;
-    mLog.Write(
-      { LogEvent::kRunnerResult,
-        { { "request", aFinished.mRequest.Text() },
-          { "runner", aFinished.mRunner.Text() },
-          { "result", std::string(RunnerStatusName(result.Status())) } } });
-    const auto it = mAttempts.find(aFinished.mRequest);
-    if (it == mAttempts.end()) {
+    mLog.Write({ LogEvent::kRunnerResult,
+                 { { "request", aFinished.mRequest.Text() },
+                   { "runner", aFinished.mRunner.Text() },
+                   { "result", std::string(RunnerStatusName(result.Status())) },
+                   { "current", current ? "true" : "false" } } });
+    if (!current) {
       return;
     }
-    Attempt attempt = std::move(it->second);
-    mAttempts.erase(it);
+    Pending& pending = it->second;
+    UpdateRunner(pending, aFinished);
+    pending.mMayHaveRun = pending.mMayHaveRun || !result.CertainlyNotRun();
+    if (result.Status() == state::RunnerStatus::kMismatched) {
+      ++mCounters.Of(pending.mRequest.Class()).mMismatched;
+    }
     if (result.Status() == state::RunnerStatus::kAnswered) {
-      ++mCounters["answered_total"];
-      attempt.mPromise.deliver(RunOutcome::Answered(result.Body()));
+      Answer(pending, result.Body());
+      Remove(pending, true);
+    } else {
+      Retry(pending, result.Status());
+    }
+    ServeWaiting();
+  }
+
+  void UpdateRunner(const Pending& aPending, const RunFinished& aFinished)
+  {
+    const milliseconds now = Now();
+    // A caller that gives less time than the class says nothing about the
+    // runner when that time is over.
+    const bool cutShort = aPending.mTimeout < aPending.mClass.Timeout() &&
+                          now >= aPending.mDeadline;
+    const RunnerChange change = mRunners.Finish(aFinished.mRunner,
+                                                aPending.mRequest.Class(),
+                                                aFinished.mResult,
+                                                !cutShort,
+                                                now);
+    if (change != RunnerChange::kNone) {
+      mLog.Write({ kChangeEvents.at(static_cast<std::size_t>(change)),
+                   { { "runner", aFinished.mRunner.Text() },
+                     { "request", aFinished.mRequest.Text() } } });
+    }
+  }
+
+  void Answer(Pending& aPending, const std::string& aBody)
+  {
+    if (aPending.mAnswered) {
       return;
     }
-    const Ran ran = result.CertainlyNotRun() ? Ran::kNo : Ran::kUnknown;
-    Refuse(attempt, RefusalReason::kEndpointFailed, ran);
+    ClassCounts& counts = mCounters.Of(aPending.mRequest.Class());
+    ++counts.mAnswered;
+    counts.mLatency = counts.mLatency.WithSample(Now() - aPending.mArrived);
+    aPending.mPromise.deliver(RunOutcome::Answered(aBody));
   }
 
-  void Refuse(Attempt& aAttempt, RefusalReason aReason, Ran aRan)
+  void Retry(Pending& aPending, state::RunnerStatus aStatus)
   {
-    const RunRequest& request = aAttempt.mRequest;
-    ++mCounters["refused_total"];
-    mLog.Write({ LogEvent::kRouteRefused,
-                 { { "request", request.Name().Text() },
-                   { "organisation", request.Organisation().Text() },
-                   { "class", request.Class().Text() },
-                   { "reason", std::string(ReasonName(aReason)) },
-                   { "ran", std::string(RanName(aRan)) } } });
-    aAttempt.mPromise.deliver(RunOutcome::Refused(
-      aReason, aRan, kRetryAfter, std::string(ReasonName(aReason))));
+    if (aPending.mAnswered) {
+      Remove(aPending);
+      return;
+    }
+    const milliseconds left = aPending.mDeadline - Now();
+    RetryDecision decision =
+      DecideRetry(aStatus, aPending.mClass.Idempotent(), mBudget, left);
+    const bool mayWait = aPending.mClass.MaxWait().count() > 0;
+    if (decision == RetryDecision::kRetry &&
+        !mRunners.HasOther(aPending.mTried)) {
+      decision = RetryDecision::kNoOtherRunner;
+    }
+    if (decision == RetryDecision::kRetry && Dispatch(aPending)) {
+      LogRetry(aPending, decision, aStatus);
+      CountRetry(aPending);
+      return;
+    }
+    if (decision == RetryDecision::kRetry && mayWait) {
+      // The other runners are busy; the slot is kept for when one is free.
+      LogRetry(aPending, decision, aStatus);
+      mParked.insert(aPending.mRequest.Name());
+      return;
+    }
+    if (decision == RetryDecision::kRetry) {
+      decision = RetryDecision::kNoOtherRunner;
+    }
+    LogRetry(aPending, decision, aStatus);
+    Refuse(aPending,
+           left.count() > 0 ? RefusalReason::kEndpointFailed
+                            : RefusalReason::kTimedOut,
+           kRetryAfter,
+           "the last attempt ended as " +
+             std::string(RunnerStatusName(aStatus)) + "; " +
+             std::string(RetryDecisionName(decision)));
+    Remove(aPending);
   }
 
-  std::vector<state::RunnerLoad> Loads() const
+  void CountRetry(const Pending& aPending)
   {
-    std::vector<state::RunnerLoad> loads;
-    for (const state::Vm& runner : mRunners.All()) {
-      const auto it = mInFlight.find(runner.Name());
-      const int slots = OwnSlots(
-        runner.Name(), mOptions.mSlotsPerRunner, mDaemons, mOptions.mSelf);
-      loads.emplace_back(runner.Name(),
-                         runner.Where().Zone(),
-                         slots,
-                         it != mInFlight.end() ? it->second : 0,
-                         runner.State() == state::VmState::kLive);
+    mBudget = mBudget.WithRetry();
+    ++mCounters.Of(aPending.mRequest.Class()).mRetried;
+  }
+
+  /** Gives slots that became free to waiting requests. */
+  void ServeWaiting()
+  {
+    RefuseExpired();
+    ServeParked();
+    UpdateSlots();
+    while (const auto grant = mQueue->Next(Now())) {
+      Begin(*grant);
+      UpdateSlots();
     }
-    return loads;
+    ScheduleWakeUp();
   }
 
-  const state::RunnerChoice& Policy() const
+  /** Retries come first: their requests have waited longest. */
+  void ServeParked()
+  {
+    const std::set<RequestId> parked = mParked;
+    for (const RequestId& id : parked) {
+      Pending& pending = mPending.at(id);
+      const bool hopeless = !mRunners.HasOther(pending.mTried);
+      if (!hopeless && !mBudget.Allows()) {
+        continue;
+      }
+      if (hopeless) {
+        mParked.erase(id);
+        Refuse(pending,
+               RefusalReason::kEndpointFailed,
+               kRetryAfter,
+               "no other runner is usable");
+        Remove(pending);
+      } else if (Dispatch(pending)) {
+        mParked.erase(id);
+        CountRetry(pending);
+      }
+    }
+  }
+
+  /** Free slots that parked retries claim are not given to others. */
+  void UpdateSlots()
+  {
+    const int parked = static_cast<int>(mParked.size());
+    const int free = std::max(0, mRunners.FreeSlots() - parked);
+    mQueue->SetSlots(mQueue->Running() + free);
+  }
+
+  void WakeUp()
+  {
+    mWakeUpAt.reset();
+    const milliseconds now = Now();
+    while (!mDeadlines.empty() && mDeadlines.begin()->first <= now) {
+      const RequestId id = mDeadlines.begin()->second;
+      mDeadlines.erase(mDeadlines.begin());
+      TimeOut(mPending.at(id));
+    }
+    ServeWaiting();
+  }
+
+  void RefuseExpired()
+  {
+    const milliseconds now = Now();
+    for (const AdmissionItem& item : mQueue->Expire(now)) {
+      Pending& pending = mPending.at(item.Request());
+      const bool late = pending.mDeadline <= now;
+      Refuse(pending,
+             late ? RefusalReason::kTimedOut : RefusalReason::kOverloaded,
+             kRetryAfter,
+             late ? "the deadline passed in the queue"
+                  : "the class's longest wait passed in the queue");
+      mPending.erase(item.Request());
+    }
+  }
+
+  /** Answers a caller whose deadline passed; an attempt may still run. */
+  void TimeOut(Pending& aPending)
+  {
+    const bool parked = mParked.erase(aPending.mRequest.Name()) > 0;
+    aPending.mMayHaveRun = aPending.mMayHaveRun || !parked;
+    Refuse(aPending,
+           RefusalReason::kTimedOut,
+           kRetryAfter,
+           parked ? "the deadline passed before a retry"
+                  : "the deadline passed while an attempt ran");
+    aPending.mAnswered = true;
+    if (parked) {
+      Remove(aPending);
+    }
+  }
+
+  /** Gives back the slot of a request whose last attempt has ended. */
+  void Remove(Pending& aPending, bool aAnswered = false)
+  {
+    mQueue->Finish(*aPending.mGrant, Now() - aPending.mStarted, aAnswered);
+    mDeadlines.erase({ aPending.mDeadline, aPending.mRequest.Name() });
+    const RequestId id = aPending.mRequest.Name();
+    mPending.erase(id);
+  }
+
+  void Refuse(Pending& aPending,
+              RefusalReason aReason,
+              milliseconds aRetryAfter,
+              const std::string& aDetail)
+  {
+    const Ran ran = aPending.mMayHaveRun ? Ran::kUnknown : Ran::kNo;
+    ClassCounts& counts = mCounters.Of(aPending.mRequest.Class());
+    ++counts.mRefused;
+    if (aPending.mGrant) {
+      counts.mLatency = counts.mLatency.WithSample(Now() - aPending.mArrived);
+    }
+    LogRefused(
+      aPending.mRequest, std::string(ReasonName(aReason)), ran, aDetail);
+    aPending.mPromise.deliver(
+      RunOutcome::Refused(aReason, ran, aRetryAfter, aDetail));
+  }
+
+  /** One delayed message is under way at a time, unless a wait ends earlier. */
+  void ScheduleWakeUp()
+  {
+    std::optional<milliseconds> next = mQueue->NextExpiry();
+    if (!mDeadlines.empty()) {
+      const milliseconds deadline = mDeadlines.begin()->first;
+      next = next ? std::min(*next, deadline) : deadline;
+    }
+    if (!next || (mWakeUpAt && *mWakeUpAt <= *next)) {
+      return;
+    }
+    mWakeUpAt = next;
+    delayed_send(this, std::max(milliseconds(0), *next - Now()), Tick{});
+  }
+
+  void Apply(const state::SettingsView& aSettings)
+  {
+    mSettings = aSettings;
+    mTerms = state::AdmissionTerms(aSettings);
+    for (const auto& [name, jobClass] : mTerms.AllClasses()) {
+      mKnownClasses.insert_or_assign(name, jobClass);
+    }
+    const std::string name = PolicyText("admission", kDefaultAdmission);
+    const state::AdmissionPolicy* policy = state::FindAdmissionPolicy(name);
+    if (policy != nullptr && policy != mAdmission) {
+      ChangePolicy(*policy);
+    }
+    mQueue->Apply(mTerms);
+    ServeWaiting();
+  }
+
+  void ChangePolicy(const state::AdmissionPolicy& aPolicy)
+  {
+    mLog.Write({ LogEvent::kAdmissionChanged,
+                 { { "from", std::string(mAdmission->Name()) },
+                   { "to", std::string(aPolicy.Name()) },
+                   { "waiting", std::to_string(mQueue->Waiting()) } } });
+    mAdmission = &aPolicy;
+    const std::vector<AdmissionItem> waiting = mQueue->TakeWaiting();
+    // Classes that the settings dropped may still have requests.
+    mQueue = aPolicy.MakeQueue({ mKnownClasses, mTerms.AllWeights() });
+    for (const auto& [id, pending] : mPending) {
+      if (pending.mGrant) {
+        mQueue->Adopt(*pending.mGrant);
+      }
+    }
+    for (const AdmissionItem& item : waiting) {
+      UpdateSlots();
+      Offer(item);
+    }
+  }
+
+  std::string PolicyText(std::string_view aKey, std::string_view aDefault) const
   {
     const auto* document = mSettings.Find("policy");
-    const std::string name = document != nullptr
-                               ? document->TextOr("routing", kDefaultPolicy)
-                               : std::string(kDefaultPolicy);
-    const state::RunnerChoice* policy = state::FindRunnerChoice(name);
-    return policy != nullptr ? *policy : *state::AllRunnerChoices().front();
+    return document != nullptr ? document->TextOr(aKey, aDefault)
+                               : std::string(aDefault);
   }
 
-  void LogRouted(const RunRequest& aRequest,
+  const state::RunnerChoice& Choice() const
+  {
+    const state::RunnerChoice* choice =
+      state::FindRunnerChoice(PolicyText("routing", kDefaultRouting));
+    return choice != nullptr ? *choice : *state::AllRunnerChoices().front();
+  }
+
+  void LogRouted(const Pending& aPending,
                  const state::Vm& aRunner,
-                 const state::RunnerChoice& aPolicy)
+                 const state::RunnerChoice& aChoice)
   {
-    mLog.Write({ LogEvent::kRouted,
+    const RunRequest& request = aPending.mRequest;
+    mLog.Write(
+      { LogEvent::kRouted,
+        { { "request", request.Name().Text() },
+          { "organisation", request.Organisation().Text() },
+          { "class", request.Class().Text() },
+          { "runner", aRunner.Name().Text() },
+          { "zone", aRunner.Where().Zone().Text() },
+          { "attempt", std::to_string(aPending.mTried.size() + 1) },
+          { "waited_ms",
+            std::to_string((aPending.mStarted - aPending.mArrived).count()) },
+          { "candidates", std::to_string(mRunners.Loads().size()) },
+          { "policy", std::string(aChoice.Name()) } } });
+  }
+
+  void LogRefused(const RunRequest& aRequest,
+                  const std::string& aReason,
+                  Ran aRan,
+                  const std::string& aDetail)
+  {
+    mLog.Write({ LogEvent::kRouteRefused,
                  { { "request", aRequest.Name().Text() },
                    { "organisation", aRequest.Organisation().Text() },
                    { "class", aRequest.Class().Text() },
-                   { "runner", aRunner.Name().Text() },
-                   { "zone", aRunner.Where().Zone().Text() },
-                   { "candidates", std::to_string(mRunners.All().size()) },
-                   { "policy", std::string(aPolicy.Name()) } } });
+                   { "reason", aReason },
+                   { "ran", std::string(RanName(aRan)) },
+                   { "detail", aDetail } } });
+  }
+
+  void LogRetry(const Pending& aPending,
+                RetryDecision aDecision,
+                state::RunnerStatus aStatus)
+  {
+    mLog.Write({ LogEvent::kRetryDecided,
+                 { { "request", aPending.mRequest.Name().Text() },
+                   { "class", aPending.mRequest.Class().Text() },
+                   { "decision", std::string(RetryDecisionName(aDecision)) },
+                   { "result", std::string(RunnerStatusName(aStatus)) } } });
   }
 
   RunnerPort& mPort;
   EventLog& mLog;
   RoutingTaskOptions mOptions;
-  std::vector<VmId> mDaemons;
-  state::VmList mRunners;
+  state::RunnerTable mRunners;
   state::SettingsView mSettings;
-  std::map<VmId, int> mInFlight;
-  std::map<state::RequestId, Attempt> mAttempts;
-  Counters mCounters;
+  state::AdmissionTerms mTerms;
+  /** Every class that the settings ever named. */
+  state::AdmissionTerms::Classes mKnownClasses;
+  const state::AdmissionPolicy* mAdmission;
+  std::unique_ptr<state::AdmissionQueue> mQueue;
+  state::RequestRetryBudget mBudget;
+  std::map<RequestId, Pending> mPending;
+  /** Requests that hold a slot and wait for another runner. */
+  std::set<RequestId> mParked;
+  /** Deadlines of requests that hold a slot and were not answered. */
+  std::set<std::pair<milliseconds, RequestId>> mDeadlines;
+  std::optional<milliseconds> mWakeUpAt;
+  RouteCounters mCounters;
 };
 
 } // namespace
--- a/src/state/FairAdmission.cpp
+++ b/src/state/FairAdmission.cpp
@@ -165,9 +165,14 @@
 FairAdmission::Adopt(const AdmissionGrant& aGrant)
 {
   ClassState& jobClass = StateOf(aGrant.Item().Class());
+  OrganisationState& organisation =
+    StateOf(jobClass, aGrant.Item().Organisation());
+  // Finish() replaces the charge by the cost.
+  organisation.mVirtualTime +=
+    static_cast<double>(aGrant.Charge().count()) / organisation.mWeight;
   ++mRunning;
   ++jobClass.mRunning;
-  ++StateOf(jobClass, aGrant.Item().Organisation()).mRunning;
+  ++organisation.mRunning;
 }
 
 std::vector<AdmissionItem>
--- a/tests/coordination/RoutingTaskTest.cpp
+++ b/tests/coordination/RoutingTaskTest.cpp
@@ -5,110 +5,510 @@
 
 #include <caf/actor_system.hpp>
 #include <caf/actor_system_config.hpp>
+#include <caf/event_based_actor.hpp>
 #include <caf/scoped_actor.hpp>
 
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+
 using namespace cornelrudder;
 using namespace cornelrudder::coordination;
+using state::RunnerStatus;
+using std::chrono::milliseconds;
 
 namespace {
 
-class NullLog final : public EventLog
+/** Longest wait for a condition; never reached unless a test fails. */
+constexpr std::chrono::seconds kGenerous{ 30 };
+
+/** Values that other threads add and a test waits for. */
+template<typename Value>
+class Collected
 {
 public:
-  void Write(const LogRecord& /*aRecord*/) override {}
+  void Add(Value aValue)
+  {
+    const std::lock_guard lock(mMutex);
+    mValues.push_back(std::move(aValue));
+    mChanged.notify_all();
+  }
+
+  /** @return The value at an index, once it is there. */
+  Value At(std::size_t aIndex)
+  {
+    std::unique_lock lock(mMutex);
+    const bool there = mChanged.wait_for(
+      lock, kGenerous, [&] { return mValues.size() > aIndex; });
+    if (!there) {
+      FAIL("a value did not come in time");
+    }
+    return mValues[aIndex];
+  }
+
+  std::size_t Size()
+  {
+    const std::lock_guard lock(mMutex);
+    return mValues.size();
+  }
+
+private:
+  std::mutex mMutex;
+  std::condition_variable mChanged;
+  std::vector<Value> mValues;
 };
 
-/** Answers each dispatch at once with the same result. */
-class FakeRunners final : public RunnerPort
+class CollectingLog final : public EventLog
 {
 public:
-  explicit FakeRunners(state::RunnerResult aResult)
-    : mResult(std::move(aResult))
+  void Write(const LogRecord& aRecord) override { mRecords.Add(aRecord); }
+
+  /** @return The lines of an event so far. */
+  std::size_t Count(LogEvent aEvent)
   {
+    std::size_t n = 0;
+    for (std::size_t i = 0; i < mRecords.Size(); ++i) {
+      n += mRecords.At(i).Event() == aEvent ? 1 : 0;
+    }
+    return n;
   }
 
-  void Run(const state::RunDispatch& /*aDispatch*/,
-           Completion aCompletion) override
+private:
+  Collected<LogRecord> mRecords;
+};
+
+struct Call
+{
+  state::RunDispatch mDispatch;
+  RunnerPort::Completion mComplete;
+};
+
+/** Runners that answer when the test says so. */
+class ManualRunners final : public RunnerPort
+{
+public:
+  void Run(const state::RunDispatch& aDispatch, Completion aCompletion) override
   {
-    aCompletion(mResult);
+    mCalls.Add({ aDispatch, std::move(aCompletion) });
+  }
+
+  Collected<Call>& Calls() { return mCalls; }
+
+  void Complete(std::size_t aIndex,
+                RunnerStatus aStatus,
+                const std::string& aBody = "",
+                bool aLeaving = false)
+  {
+    mCalls.At(aIndex).mComplete({ aStatus, aLeaving, aBody });
   }
 
 private:
-  state::RunnerResult mResult;
+  Collected<Call> mCalls;
 };
 
+/** Settings with classes of each kind; fair admission unless named. */
 state::SettingsView
-Settings()
+Settings(const std::string& aAdmission = "fair")
 {
-  const state::SettingValues values{ { "idempotent", false },
-                                     { "max_wait_ms", std::int64_t{ 0 } },
-                                     { "timeout_ms", std::int64_t{ 500 } } };
-  auto view =
-    *state::SettingsView().WithDocument({ "organisations/acme", 1, {}, {} });
-  view = *view.WithDocument({ "organisations/acme/teams/night", 1, {}, {} });
-  return *view.WithDocument({ "classes/kerf", 1, values, {} });
+  const auto classValues = [](bool aIdempotent, int aMaxWait) {
+    return state::SettingValues{ { "idempotent", aIdempotent },
+                                 { "max_wait_ms", std::int64_t{ aMaxWait } },
+                                 { "timeout_ms", std::int64_t{ 60'000 } } };
+  };
+  const std::vector<state::SettingsDocument> documents{
+    { "organisations/acme", 1, {}, {} },
+    { "organisations/acme/teams/night", 1, {}, {} },
+    { "organisations/bolt", 1, {}, {} },
+    { "organisations/bolt/teams/night", 1, {}, {} },
+    { "classes/kerf", 1, classValues(false, 0), {} },
+    { "classes/proof", 1, classValues(true, 0), {} },
+    { "classes/nesting", 1, classValues(true, 600'000), {} },
+    { "policy", 1, { { "admission", aAdmission } }, {} },
+  };
+  state::SettingsView view;
+  for (const auto& document : documents) {
+    view = *view.WithDocument(document);
+  }
+  return view;
 }
 
 state::VmList
-Runners()
+Runners(int aCount)
 {
   const state::Location place(
     state::RegionId("r"), state::ZoneId("z"), state::RackId("k"));
-  return state::VmList({ state::Vm(state::VmId("runner-1"),
-                                   state::VmRole::kRunner,
-                                   "127.0.0.1:1",
-                                   place,
-                                   0,
-                                   state::VmState::kLive) });
-}
-
-/** Runs one request through a routing task with this runner. */
-state::RunOutcome
-RunOne(state::RunnerResult aResult)
-{
-  NullLog log;
-  FakeRunners runners(std::move(aResult));
-  caf::actor_system_config config;
-  config.set("scheduler.policy", caf::atom("sharing"));
-  caf::actor_system system(config);
-  state::RunOutcome outcome = state::RunOutcome::Answered("");
+  std::vector<state::Vm> vms;
+  for (int i = 1; i <= aCount; ++i) {
+    vms.emplace_back(state::VmId("runner-" + std::to_string(i)),
+                     state::VmRole::kRunner,
+                     "127.0.0.1:" + std::to_string(i),
+                     place,
+                     0,
+                     state::VmState::kLive);
+  }
+  return state::VmList(std::move(vms));
+}
+
+/** A routing task with manual runners. */
+class Bench
+{
+public:
+  Bench(int aRunners, int aSlots, const state::SettingsView& aSettings)
+    : mSystem(Configured(mConfig))
+    , mTask(SpawnRoutingTask(mSystem,
+                             mRunners,
+                             mLog,
+                             { state::VmId("e1"), state::ZoneId("z"), aSlots }))
+  {
+    caf::anon_send(mTask, aSettings);
+    caf::anon_send(mTask, Runners(aRunners));
+  }
+
+  Bench(int aRunners, int aSlots)
+    : Bench(aRunners, aSlots, Settings())
   {
-    caf::scoped_actor self(system);
-    const caf::actor task = SpawnRoutingTask(
-      system, runners, log, { state::VmId("e1"), state::ZoneId("z") });
-    self->send(task, Settings());
-    self->send(task, Runners());
-    const state::RunRequest request(state::RequestId("r1"),
-                                    state::OrganisationId("acme"),
-                                    state::TeamId("night"),
-                                    state::ClassName("kerf"),
-                                    "",
-                                    "body",
-                                    std::chrono::milliseconds(0));
-    self->request(task, caf::infinite, request)
-      .receive(
-        [&outcome](const state::RunOutcome& aOutcome) { outcome = aOutcome; },
-        [](const caf::error&) { FAIL("no outcome"); });
-    self->send_exit(task, caf::exit_reason::user_shutdown);
-  }
-  return outcome;
+  }
+
+  ~Bench() { caf::anon_send_exit(mTask, caf::exit_reason::user_shutdown); }
+
+  Bench(const Bench&) = delete;
+  Bench& operator=(const Bench&) = delete;
+
+  template<typename Message>
+  void Tell(const Message& aMessage)
+  {
+    caf::anon_send(mTask, aMessage);
+  }
+
+  /** Sends a request; the outcome is collected in order of completion. */
+  std::shared_ptr<Collected<state::RunOutcome>> Request(
+    const std::string& aClass,
+    const std::string& aOrganisation = "acme",
+    milliseconds aTimeout = milliseconds(0))
+  {
+    auto outcome = std::make_shared<Collected<state::RunOutcome>>();
+    const state::RunRequest request(
+      state::RequestId("r" + std::to_string(++mRequests)),
+      state::OrganisationId(aOrganisation),
+      state::TeamId("night"),
+      state::ClassName(aClass),
+      "",
+      "body",
+      aTimeout);
+    // Sent from this thread, so that requests arrive in order.
+    mSystem.spawn(
+      [task = mTask, request, outcome](caf::event_based_actor* aSelf) {
+        aSelf->request(task, caf::infinite, request)
+          .then([outcome](const state::RunOutcome& aOutcome) {
+            outcome->Add(aOutcome);
+          });
+      });
+    Settle();
+    return outcome;
+  }
+
+  Counters Count()
+  {
+    Counters counters;
+    caf::scoped_actor self(mSystem);
+    self->request(mTask, kGenerous, GetCounters{})
+      .receive([&counters](const Counters& aCounters) { counters = aCounters; },
+               [](const caf::error&) { FAIL("no counters"); });
+    return counters;
+  }
+
+  /** Returns once the task has logged what became of each request. */
+  void Settle()
+  {
+    for (int i = 0; i < 30'000; ++i) {
+      const std::size_t seen = mLog.Count(LogEvent::kRouted) +
+                               mLog.Count(LogEvent::kRequestQueued) +
+                               mLog.Count(LogEvent::kRouteRefused);
+      if (seen >= static_cast<std::size_t>(mRequests)) {
+        return;
+      }
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    FAIL("the task did not decide in time");
+  }
+
+  ManualRunners& Port() { return mRunners; }
+  CollectingLog& Log() { return mLog; }
+
+private:
+  static caf::actor_system_config& Configured(caf::actor_system_config& aConfig)
+  {
+    aConfig.set("scheduler.policy", caf::atom("sharing"));
+    aConfig.set("scheduler.max-threads", std::size_t{ 2 });
+    return aConfig;
+  }
+
+  ManualRunners mRunners;
+  CollectingLog mLog;
+  caf::actor_system_config mConfig;
+  caf::actor_system mSystem;
+  caf::actor mTask;
+  int mRequests = 0;
+};
+
+void
+CheckRefused(const state::RunOutcome& aOutcome,
+             state::RefusalReason aReason,
+             state::Ran aRan)
+{
+  STRCMP_EQUAL(std::string(ReasonName(aReason)).c_str(),
+               std::string(ReasonName(aOutcome.Reason())).c_str());
+  STRCMP_EQUAL(std::string(RanName(aRan)).c_str(),
+               std::string(RanName(aOutcome.HasRun())).c_str());
 }
 
 } // namespace
 
 TEST_GROUP(RoutingTask){};
 
-// Guards against saying "not run" when bytes had left for the runner.
-TEST(RoutingTask, BrokenExchangeIsUnknown)
+TEST(RoutingTask, AnswerIsPassedOn)
 {
-  const auto outcome = RunOne({ state::RunnerStatus::kBroken, false, "" });
-  CHECK_FALSE(outcome.IsAnswer());
-  CHECK(outcome.HasRun() == state::Ran::kUnknown);
+  Bench bench(1, 1);
+  const auto outcome = bench.Request("kerf");
+  bench.Port().Complete(0, RunnerStatus::kAnswered, "x");
+  CHECK(outcome->At(0).IsAnswer());
+  STRCMP_EQUAL("x", outcome->At(0).Text().c_str());
 }
 
-TEST(RoutingTask, AnswerIsPassedOn)
+// Guards against saying "not run" when bytes had left for the runner, and
+// against a second run of work that must run at most once.
+TEST(RoutingTask, BrokenExchangeOfNonIdempotentRequestIsUnknown)
+{
+  for (const RunnerStatus status : { RunnerStatus::kBroken,
+                                     RunnerStatus::kMismatched,
+                                     RunnerStatus::kFailed }) {
+    Bench bench(2, 1);
+    const auto outcome = bench.Request("kerf");
+    bench.Port().Complete(0, status);
+    CheckRefused(outcome->At(0),
+                 state::RefusalReason::kEndpointFailed,
+                 state::Ran::kUnknown);
+    LONGS_EQUAL(1, bench.Port().Calls().Size());
+  }
+}
+
+// Guards against giving up although nothing ran and another runner is free.
+TEST(RoutingTask, RequestThatDidNotStartIsRetriedElsewhere)
+{
+  for (const RunnerStatus status :
+       { RunnerStatus::kNotStarted, RunnerStatus::kNotSent }) {
+    Bench bench(2, 1);
+    const auto outcome = bench.Request("kerf");
+    bench.Port().Complete(0, status);
+    const Call second = bench.Port().Calls().At(1);
+    CHECK(second.mDispatch.Address() !=
+          bench.Port().Calls().At(0).mDispatch.Address());
+    bench.Port().Complete(1, RunnerStatus::kAnswered, "x");
+    CHECK(outcome->At(0).IsAnswer());
+    LONGS_EQUAL(1, bench.Log().Count(LogEvent::kRetryDecided));
+  }
+}
+
+// Guards against passing on a crossed or truncated answer, and against giving
+// up on it when the request may run again.
+TEST(RoutingTask, CrossedAndTruncatedAnswersAreRetried)
+{
+  for (const RunnerStatus status : { RunnerStatus::kMismatched,
+                                     RunnerStatus::kBroken,
+                                     RunnerStatus::kFailed }) {
+    Bench bench(2, 1);
+    const auto outcome = bench.Request("proof");
+    bench.Port().Complete(0, status, "another's answer");
+    bench.Port().Complete(1, RunnerStatus::kAnswered, "own");
+    STRCMP_EQUAL("own", outcome->At(0).Text().c_str());
+    const Counters counters = bench.Count();
+    LONGS_EQUAL(1, counters.at("retried_total{class=\"proof\"}"));
+    LONGS_EQUAL(status == RunnerStatus::kMismatched ? 1 : 0,
+                counters.at("mismatched_total{class=\"proof\"}"));
+  }
+}
+
+// Guards against "not run" because only the last of two attempts is certain.
+TEST(RoutingTask, AnEarlierAttemptKeepsTheOutcomeUnknown)
+{
+  Bench bench(2, 1);
+  const auto outcome = bench.Request("proof");
+  bench.Port().Complete(0, RunnerStatus::kBroken);
+  bench.Port().Complete(1, RunnerStatus::kNotStarted);
+  CheckRefused(outcome->At(0),
+               state::RefusalReason::kEndpointFailed,
+               state::Ran::kUnknown);
+}
+
+// Guards against an endless search when no other runner is left.
+TEST(RoutingTask, NoOtherRunnerEndsTheRetries)
+{
+  Bench bench(1, 4);
+  const auto outcome = bench.Request("nesting");
+  bench.Port().Complete(0, RunnerStatus::kNotStarted);
+  CheckRefused(
+    outcome->At(0), state::RefusalReason::kEndpointFailed, state::Ran::kNo);
+}
+
+// Guards against a retry that gives up because the others are busy for now.
+TEST(RoutingTask, RetryWaitsForABusyRunner)
+{
+  Bench bench(2, 1);
+  const auto first = bench.Request("nesting");
+  const auto second = bench.Request("nesting");
+  bench.Port().Complete(0, RunnerStatus::kFailed);
+  bench.Port().Complete(1, RunnerStatus::kAnswered, "2");
+  STRCMP_EQUAL("2", second->At(0).Text().c_str());
+  CHECK(bench.Port().Calls().At(2).mDispatch.Address() ==
+        bench.Port().Calls().At(1).mDispatch.Address());
+  bench.Port().Complete(2, RunnerStatus::kAnswered, "1");
+  STRCMP_EQUAL("1", first->At(0).Text().c_str());
+}
+
+// Guards against a caller that waits beyond its deadline, an answer that comes
+// after it, and a slot that stays taken.
+TEST(RoutingTask, LateAnswerIsUnknownAndGivesTheSlotBack)
+{
+  Bench bench(1, 1);
+  const auto late = bench.Request("nesting", "acme", milliseconds(50));
+  CheckRefused(
+    late->At(0), state::RefusalReason::kTimedOut, state::Ran::kUnknown);
+  const auto next = bench.Request("nesting");
+  LONGS_EQUAL(1, bench.Port().Calls().Size());
+  bench.Port().Complete(0, RunnerStatus::kAnswered, "late");
+  bench.Port().Complete(1, RunnerStatus::kAnswered, "next");
+  STRCMP_EQUAL("next", next->At(0).Text().c_str());
+  LONGS_EQUAL(1, late->Size());
+}
+
+// Guards against "unknown" for a request that never left the queue.
+TEST(RoutingTask, TimeoutInTheQueueIsNotRun)
+{
+  Bench bench(1, 1);
+  const auto running = bench.Request("nesting");
+  const auto waiting = bench.Request("nesting", "acme", milliseconds(50));
+  CheckRefused(
+    waiting->At(0), state::RefusalReason::kTimedOut, state::Ran::kNo);
+  LONGS_EQUAL(1, bench.Port().Calls().Size());
+  LONGS_EQUAL(0, running->Size());
+}
+
+// Guards against a queue in front of work that must start now.
+TEST(RoutingTask, AllRunnersBusy)
+{
+  Bench bench(2, 1);
+  const auto a = bench.Request("proof");
+  const auto b = bench.Request("proof");
+  const auto refused = bench.Request("proof");
+  CheckRefused(
+    refused->At(0), state::RefusalReason::kOverloaded, state::Ran::kNo);
+  CHECK(refused->At(0).RetryAfter().count() > 0);
+  const auto queued = bench.Request("nesting");
+  LONGS_EQUAL(2, bench.Port().Calls().Size());
+  bench.Port().Complete(0, RunnerStatus::kAnswered, "a");
+  bench.Port().Complete(2, RunnerStatus::kAnswered, "queued");
+  STRCMP_EQUAL("queued", queued->At(0).Text().c_str());
+  const Counters counters = bench.Count();
+  LONGS_EQUAL(2, counters.at("admitted_total{class=\"proof\"}"));
+  LONGS_EQUAL(1, counters.at("refused_total{class=\"proof\"}"));
+  LONGS_EQUAL(1, counters.at("latency_ms_count{class=\"nesting\"}"));
+}
+
+// Guards against "overloaded" when there is no runner at all.
+TEST(RoutingTask, NoRunnerIsNoCapacity)
+{
+  Bench bench(0, 1);
+  CheckRefused(bench.Request("proof")->At(0),
+               state::RefusalReason::kNoCapacity,
+               state::Ran::kNo);
+}
+
+// Guards against new work for a runner that said it is leaving while the VM
+// list still shows it live.
+TEST(RoutingTask, LeavingRunnerGetsNothingMore)
+{
+  Bench bench(2, 2);
+  const auto first = bench.Request("proof");
+  const std::string leaving = bench.Port().Calls().At(0).mDispatch.Address();
+  bench.Port().Complete(0, RunnerStatus::kAnswered, "x", true);
+  CHECK(first->At(0).IsAnswer());
+  bench.Tell(Runners(2));
+  for (std::size_t i = 1; i <= 2; ++i) {
+    bench.Request("proof");
+    CHECK(bench.Port().Calls().At(i).mDispatch.Address() != leaving);
+  }
+  CheckRefused(bench.Request("proof")->At(0),
+               state::RefusalReason::kOverloaded,
+               state::Ran::kNo);
+  LONGS_EQUAL(1, bench.Log().Count(LogEvent::kRunnerLeaving));
+}
+
+// Guards against slots of a daemon that left, which nobody uses.
+TEST(RoutingTask, MembershipChangeServesWaitingRequests)
+{
+  Bench bench(1, 1);
+  std::vector<state::VmId> daemons{ state::VmId("e1") };
+  for (int i = 2; i < 200; ++i) {
+    daemons.emplace_back("e" + std::to_string(i));
+  }
+  bench.Tell(MembersView{ daemons });
+  const auto outcome = bench.Request("nesting");
+  LONGS_EQUAL(0, bench.Port().Calls().Size());
+  bench.Tell(MembersView{ { state::VmId("e1") } });
+  bench.Port().Complete(0, RunnerStatus::kAnswered, "x");
+  CHECK(outcome->At(0).IsAnswer());
+}
+
+// Guards against a small organisation that waits behind a flood.
+TEST(RoutingTask, FloodOfOneOrganisationDoesNotDelayTheOther)
+{
+  Bench bench(2, 2);
+  for (int i = 0; i < 100; ++i) {
+    bench.Request("nesting", "acme");
+  }
+  const auto small = bench.Request("nesting", "bolt");
+  // The other two classes never queue, so one slot each is kept for them.
+  LONGS_EQUAL(2, bench.Port().Calls().Size());
+  bench.Port().Complete(0, RunnerStatus::kAnswered, "x");
+  bench.Port().Complete(2, RunnerStatus::kAnswered, "small");
+  STRCMP_EQUAL("small", small->At(0).Text().c_str());
+}
+
+// Guards against requests that are lost when the settings change the policy,
+// and against a key that is accepted and has no effect.
+TEST(RoutingTask, PolicyIsReadFromTheSettings)
+{
+  Bench bench(1, 1, Settings("fifo"));
+  bench.Request("nesting", "acme");
+  bench.Request("nesting", "acme");
+  const auto small = bench.Request("nesting", "bolt");
+  bench.Port().Complete(0, RunnerStatus::kAnswered, "x");
+  bench.Port().Calls().At(1);
+  state::SettingsView settings = Settings("fifo");
+  settings = *settings.WithDocument(
+    { "policy", 2, { { "admission", std::string("fair") } }, {} });
+  bench.Request("nesting", "acme");
+  bench.Tell(settings);
+  bench.Port().Complete(1, RunnerStatus::kAnswered, "x");
+  bench.Port().Complete(2, RunnerStatus::kAnswered, "small");
+  STRCMP_EQUAL("small", small->At(0).Text().c_str());
+  LONGS_EQUAL(2, bench.Log().Count(LogEvent::kAdmissionChanged));
+}
+
+// Guards against a slot that is given back twice by a stray completion.
+TEST(RoutingTask, SecondCompletionIsIgnored)
 {
-  const auto outcome = RunOne({ state::RunnerStatus::kAnswered, false, "x" });
-  CHECK(outcome.IsAnswer());
-  STRCMP_EQUAL("x", outcome.Text().c_str());
+  Bench bench(1, 1);
+  const auto first = bench.Request("nesting");
+  bench.Port().Complete(0, RunnerStatus::kAnswered, "1");
+  first->At(0);
+  bench.Request("nesting");
+  bench.Port().Calls().At(1);
+  bench.Port().Complete(0, RunnerStatus::kAnswered, "1");
+  bench.Request("nesting");
+  bench.Count();
+  LONGS_EQUAL(2, bench.Port().Calls().Size());
+  LONGS_EQUAL(1, first->Size());
 }
