--- a/include/cornelrudder/state/EndpointHealth.h
+++ b/include/cornelrudder/state/EndpointHealth.h
@@ -72,7 +72,13 @@
    */
   EndpointHealth WithExchange(const EndpointExchange& aExchange,
                               bool aSucceedsElsewhere,
-                              std::chrono::milliseconds aNow) const;
+                              std::chrono::milliseconds aNow) const&;
+
+  /** Uses the memory of a value that is replaced; it is on the path of each
+   * answer. */
+  EndpointHealth WithExchange(const EndpointExchange& aExchange,
+                              bool aSucceedsElsewhere,
+                              std::chrono::milliseconds aNow) &&;
 
   /** @return Whether a probe may be sent. */
   bool ProbeDue(std::chrono::milliseconds aNow) const;
--- a/include/cornelrudder/state/RunnerChoice.h
+++ b/include/cornelrudder/state/RunnerChoice.h
@@ -40,9 +40,9 @@
   bool Usable() const { return mUsable; }
 
   /** @return The same runner under another load. */
-  RunnerLoad WithLoad(int aSlots, int aInFlight, bool aUsable) const
+  RunnerLoad WithLoad(int aSlots, int aInFlight, bool aUsable) &&
   {
-    return { mRunner, mZone, aSlots, aInFlight, aUsable };
+    return { std::move(mRunner), std::move(mZone), aSlots, aInFlight, aUsable };
   }
 
   bool HasFreeSlot() const { return mUsable && mInFlight < mSlots; }
--- a/include/cornelrudder/state/RunnerTable.h
+++ b/include/cornelrudder/state/RunnerTable.h
@@ -113,6 +113,8 @@
   std::vector<Entry> mEntries;
   std::vector<RunnerLoad> mLoads;
   int mFreeSlots = 0;
+  /** Spares most choices the search for a runner to probe. */
+  int mQuarantined = 0;
 };
 
 } // namespace cornelrudder::state
--- a/src/state/EndpointHealth.cpp
+++ b/src/state/EndpointHealth.cpp
@@ -27,27 +27,31 @@
 EndpointHealth
 EndpointHealth::WithExchange(const EndpointExchange& aExchange,
                              bool aSucceedsElsewhere,
-                             std::chrono::milliseconds aNow) const
+                             std::chrono::milliseconds aNow) const&
 {
-  EndpointHealth health = *this;
-  health.mExchanges.push_back(aExchange);
-  if (health.mExchanges.size() > kWindow) {
-    health.mExchanges.erase(health.mExchanges.begin());
+  return EndpointHealth(*this).WithExchange(
+    aExchange, aSucceedsElsewhere, aNow);
+}
+
+EndpointHealth
+EndpointHealth::WithExchange(const EndpointExchange& aExchange,
+                             bool aSucceedsElsewhere,
+                             std::chrono::milliseconds aNow) &&
+{
+  if (mExchanges.size() == kWindow) {
+    mExchanges.erase(mExchanges.begin());
   }
-  health.mSuccessesInRow = aExchange.Failed() ? 0 : mSuccessesInRow + 1;
+  mExchanges.push_back(aExchange);
+  mSuccessesInRow = aExchange.Failed() ? 0 : mSuccessesInRow + 1;
   if (mState == EndpointState::kQuarantined) {
-    if (health.mSuccessesInRow >= kSuccessesToRecover) {
-      return {};
-    }
-    return health;
+    return mSuccessesInRow >= kSuccessesToRecover ? EndpointHealth()
+                                                  : std::move(*this);
   }
-  const bool quarantine =
-    aExchange.Failed() && aSucceedsElsewhere && health.FailsMostly();
-  if (quarantine) {
-    health.mState = EndpointState::kQuarantined;
-    health.mNextProbe = aNow + kProbeInterval;
+  if (aExchange.Failed() && aSucceedsElsewhere && FailsMostly()) {
+    mState = EndpointState::kQuarantined;
+    mNextProbe = aNow + kProbeInterval;
   }
-  return health;
+  return std::move(*this);
 }
 
 bool
--- a/src/state/RunnerChoice.cpp
+++ b/src/state/RunnerChoice.cpp
@@ -53,27 +53,26 @@
                                     std::span<const VmId> aTried) const override
   {
     std::optional<std::size_t> best;
+    bool bestFar = true;
     for (std::size_t i = 0; i < aRunners.size(); ++i) {
-      if (!IsCandidate(aRunners[i], aTried)) {
+      if (!aRunners[i].HasFreeSlot()) {
         continue;
       }
-      if (!best || IsBetter(aRunners[i], aRunners[*best], aOwnZone)) {
+      const bool far = aRunners[i].Zone() != aOwnZone;
+      const bool better =
+        !best ||
+        (far == bestFar ? IsLessLoaded(aRunners[i], aRunners[*best]) : bestFar);
+      if (better && IsCandidate(aRunners[i], aTried)) {
         best = i;
+        bestFar = far;
       }
     }
     return best;
   }
 
 private:
-  static bool IsBetter(const RunnerLoad& aLeft,
-                       const RunnerLoad& aRight,
-                       const ZoneId& aOwnZone)
+  static bool IsLessLoaded(const RunnerLoad& aLeft, const RunnerLoad& aRight)
   {
-    const bool leftFar = aLeft.Zone() != aOwnZone;
-    const bool rightFar = aRight.Zone() != aOwnZone;
-    if (leftFar != rightFar) {
-      return rightFar;
-    }
     return aLeft.InFlight() * aRight.Slots() <
            aRight.InFlight() * aLeft.Slots();
   }
--- a/src/state/RunnerTable.cpp
+++ b/src/state/RunnerTable.cpp
@@ -83,7 +83,7 @@
                     std::chrono::milliseconds aNow) const
 {
   const auto probeTime = aIdempotent ? aNow : aNow - kOverdueProbe;
-  for (std::size_t i = 0; i < mEntries.size(); ++i) {
+  for (std::size_t i = 0; mQuarantined > 0 && i < mEntries.size(); ++i) {
     const Entry& entry = mEntries[i];
     const bool probe = entry.mHealth.ProbeDue(probeTime) && IsLive(entry) &&
                        entry.mInFlight < entry.mSlots &&
@@ -136,6 +136,7 @@
     if (entry->mHealth.State() != before) {
       change = before == EndpointState::kHealthy ? RunnerChange::kQuarantined
                                                  : RunnerChange::kRecovered;
+      mQuarantined += before == EndpointState::kHealthy ? 1 : -1;
     }
   }
   RefreshLoad(static_cast<std::size_t>(entry - mEntries.data()));
@@ -193,6 +194,10 @@
 {
   mLoads.clear();
   mFreeSlots = 0;
+  mQuarantined = static_cast<int>(
+    std::count_if(mEntries.begin(), mEntries.end(), [](const Entry& aEntry) {
+      return aEntry.mHealth.State() == EndpointState::kQuarantined;
+    }));
   for (std::size_t i = 0; i < mEntries.size(); ++i) {
     mLoads.emplace_back(
       mEntries[i].mVm.Name(), mEntries[i].mVm.Where().Zone(), 0, 0, false);
@@ -208,7 +213,7 @@
     IsLive(entry) && entry.mHealth.State() == EndpointState::kHealthy;
   mFreeSlots -= FreeSlotsOf(mLoads[aIndex]);
   mLoads[aIndex] =
-    mLoads[aIndex].WithLoad(entry.mSlots, entry.mInFlight, usable);
+    std::move(mLoads[aIndex]).WithLoad(entry.mSlots, entry.mInFlight, usable);
   mFreeSlots += FreeSlotsOf(mLoads[aIndex]);
 }
 
