--- a/src/state/FairAdmission.cpp
+++ b/src/state/FairAdmission.cpp
@@ -84,9 +84,11 @@
     organisation.mVirtualTime =
       std::max(organisation.mVirtualTime, jobClass.mVirtualTime);
   }
-  const ExpiryKey expiry(LatestStart(aNow, aItem.Deadline(), jobClass.mClass),
-                         ++mOffers);
-  mExpiries.emplace(expiry, std::pair(&jobClass, &organisation));
+  const ExpiryKey key(LatestStart(aNow, aItem.Deadline(), jobClass.mClass),
+                      ++mOffers);
+  // Most items expire in the order in which they came.
+  const auto expiry = mExpiries.emplace_hint(
+    mExpiries.end(), key, std::pair(&jobClass, &organisation));
   organisation.mEntries.push_back({ aItem, expiry });
   organisation.mBytes += aItem.Bytes();
   ++jobClass.mWaiting;
@@ -114,17 +116,17 @@
 {
   std::vector<AdmissionItem> expired;
   while (!mExpiries.empty() && mExpiries.begin()->first.first <= aNow) {
-    const ExpiryKey key = mExpiries.begin()->first;
-    const auto [jobClass, organisation] = mExpiries.begin()->second;
+    const auto first = mExpiries.begin();
+    const auto [jobClass, organisation] = first->second;
     auto& entries = organisation->mEntries;
-    const auto it =
-      std::find_if(entries.begin(), entries.end(), [&key](const Entry& aEntry) {
-        return aEntry.mExpiry == key;
+    const auto it = std::find_if(
+      entries.begin(), entries.end(), [first](const Entry& aEntry) {
+        return aEntry.mExpiry == first;
       });
     organisation->mBytes -= it->mItem.Bytes();
     expired.push_back(std::move(it->mItem));
     entries.erase(it);
-    mExpiries.erase(key);
+    mExpiries.erase(first);
     --jobClass->mWaiting;
     --mWaiting;
   }
--- a/src/state/FairAdmission.h
+++ b/src/state/FairAdmission.h
@@ -56,10 +56,17 @@
   /** Position in the order of expiry. */
   using ExpiryKey = std::pair<std::chrono::milliseconds, std::uint64_t>;
 
+  struct ClassState;
+  struct OrganisationState;
+
+  /** Nodes of the maps stay in place, so that pointers to them stay valid. */
+  using Expiries =
+    std::map<ExpiryKey, std::pair<ClassState*, OrganisationState*>>;
+
   struct Entry
   {
     AdmissionItem mItem;
-    ExpiryKey mExpiry;
+    Expiries::iterator mExpiry;
   };
 
   struct OrganisationState
@@ -127,8 +134,7 @@
   std::size_t mWaiting = 0;
   std::uint64_t mStarts = 0;
   std::uint64_t mOffers = 0;
-  /** Nodes of the maps stay in place, so that pointers to them stay valid. */
-  std::map<ExpiryKey, std::pair<ClassState*, OrganisationState*>> mExpiries;
+  Expiries mExpiries;
 };
 
 } // namespace cornelrudder::state
