--- a/src/state/FairAdmission.h
+++ b/src/state/FairAdmission.h
@@ -20,8 +20,8 @@
  * than its minimum share, the one with the lowest part of it first; when there
  * is none, to the most urgent waiting class. A class that cannot queue gets its
  * share only from slots that are free when a request comes. Therefore slots of
- * its share are kept free, as many as it held at its recent peak; the rest is
- * lent.
+ * its share are kept free, as many as its organisations held at their recent
+ * peaks; the rest is lent.
  *
  * Between organisations of a class: start-time fair queueing. Each organisation
  * has a virtual time, the run time it was given divided by its weight; the
--- a/tests/coordination/RoutingTaskTest.cpp
+++ b/tests/coordination/RoutingTaskTest.cpp
@@ -512,3 +512,68 @@
   LONGS_EQUAL(2, bench.Port().Calls().Size());
   LONGS_EQUAL(1, first->Size());
 }
+
+namespace {
+
+/** Lets the class succeed on runner-2 and then uses runner-1 alone. */
+class QuarantineBench
+{
+public:
+  QuarantineBench()
+    : mBench(2, 8)
+  {
+    const auto first = mBench.Request("kerf");
+    const auto second = mBench.Request("kerf");
+    mBench.Port().Complete(0, RunnerStatus::kAnswered);
+    mBench.Port().Complete(1, RunnerStatus::kAnswered);
+    first->At(0);
+    second->At(0);
+  }
+
+  /** @return Address of the runner that got the request. */
+  std::string SendAndFail(milliseconds aTimeout, bool aLate)
+  {
+    const auto outcome = mBench.Request("kerf", "acme", aTimeout);
+    const std::string address =
+      mBench.Port().Calls().At(mNext).mDispatch.Address();
+    if (aLate) {
+      outcome->At(0);
+    }
+    mBench.Port().Complete(mNext++, RunnerStatus::kBroken);
+    outcome->At(0);
+    mBench.Count();
+    return address;
+  }
+
+  CollectingLog& Log() { return mBench.Log(); }
+
+private:
+  Bench mBench;
+  std::size_t mNext = 2;
+};
+
+} // namespace
+
+// Guards against a runner that attracts work because it fails it fast.
+TEST(RoutingTask, FailingRunnerIsQuarantined)
+{
+  QuarantineBench bench;
+  for (int i = 0; i < 4; ++i) {
+    STRCMP_EQUAL("127.0.0.1:1",
+                 bench.SendAndFail(milliseconds(0), false).c_str());
+  }
+  STRCMP_EQUAL("127.0.0.1:2",
+               bench.SendAndFail(milliseconds(0), false).c_str());
+  LONGS_EQUAL(1, bench.Log().Count(LogEvent::kRunnerQuarantined));
+}
+
+// Guards against a quarantine because callers give too little time.
+TEST(RoutingTask, ShortDeadlinesDoNotCountAgainstARunner)
+{
+  QuarantineBench bench;
+  for (int i = 0; i < 8; ++i) {
+    STRCMP_EQUAL("127.0.0.1:1",
+                 bench.SendAndFail(milliseconds(20), true).c_str());
+  }
+  LONGS_EQUAL(0, bench.Log().Count(LogEvent::kRunnerQuarantined));
+}
