--- a/apps/cornelrudderd/Daemon.cpp
+++ b/apps/cornelrudderd/Daemon.cpp
@@ -243,11 +243,12 @@
                                   mSettings.Id(),
                                   mIncarnation,
                                   mSettings.LeaseTime() }));
-    mPlacement = Add(SpawnPlacementTask(mSystem,
-                                        mStoreTask,
-                                        { mWorkers, mCodec, mClock, mLog },
-                                        WriteIdsFor("jobs"),
-                                        { mSettings.Id(), mSettings.Region() }));
+    mPlacement =
+      Add(SpawnPlacementTask(mSystem,
+                             mStoreTask,
+                             { mWorkers, mCodec, mClock, mLog },
+                             WriteIdsFor("jobs"),
+                             { mSettings.Id(), mSettings.Region() }));
   }
 
   /** The tasks that talk with the other daemons. */
@@ -365,7 +366,6 @@
   RunnerAdapter mRunners;
   transport::HttpClient mWorkerClient;
   WorkerAdapter mWorkers;
-  coordination::BootClock mClock;
   TaskSystemConfig mConfig;
   caf::actor_system mSystem;
   TaskGroup mTasks;
--- a/apps/cornelrudderd/FrontTask.cpp
+++ b/apps/cornelrudderd/FrontTask.cpp
@@ -2,8 +2,8 @@
 
 #include "cornelrudder/coordination/Messages.h"
 #include "cornelrudder/protocol/CallerCodec.h"
-#include "cornelrudder/protocol/MembersCodec.h"
 #include "cornelrudder/protocol/JobCodec.h"
+#include "cornelrudder/protocol/MembersCodec.h"
 #include "cornelrudder/protocol/ProtocolError.h"
 #include "cornelrudder/protocol/SettingsCodec.h"
 #include "cornelrudder/state/StateError.h"
--- a/tests/coordination/FakeTable.cpp
+++ b/tests/coordination/FakeTable.cpp
@@ -17,7 +17,7 @@
   {
     const std::lock_guard lock(mMutex);
     ++mReads;
-    if (!mDown) {
+    if (Readable()) {
       const auto it = mRows.find(aKey);
       result = it != mRows.end() ? StoreResult(StoreStatus::kOk, { it->second })
                                  : StoreResult(StoreStatus::kOk, {});
@@ -39,7 +39,7 @@
         rows.push_back(row);
       }
     }
-    if (!mDown) {
+    if (Readable()) {
       result = StoreResult(StoreStatus::kOk, std::move(rows));
     }
   }
@@ -64,11 +64,13 @@
     ++mWrites;
     const TableFault fault = mFaultsLeft > 0 ? mFault : TableFault::kNone;
     mFaultsLeft = std::max(0, mFaultsLeft - 1);
-    if (mDown || fault == TableFault::kNotSent) {
+    if (mMode == TableMode::kUnavailable || fault == TableFault::kNotSent) {
       result = StoreResult(StoreStatus::kUnavailable, {});
+    } else if (mMode == TableMode::kLoseAnswers) {
+      Apply(aTransaction);
     } else if (fault == TableFault::kLate) {
       mLate.push_back(aTransaction);
-    } else if (fault == TableFault::kNone) {
+    } else if (fault == TableFault::kNone && mMode == TableMode::kNormal) {
       result = Apply(aTransaction);
     } else if (fault == TableFault::kAnswerLost) {
       Apply(aTransaction);
@@ -86,10 +88,10 @@
 }
 
 void
-FakeTable::SetDown(bool aDown)
+FakeTable::SetMode(TableMode aMode)
 {
   const std::lock_guard lock(mMutex);
-  mDown = aDown;
+  mMode = aMode;
 }
 
 void
@@ -128,6 +130,17 @@
   return it != mRows.end() ? std::optional(it->second) : std::nullopt;
 }
 
+std::vector<StoreRow>
+FakeTable::Rows()
+{
+  const std::lock_guard lock(mMutex);
+  std::vector<StoreRow> rows;
+  for (const auto& [key, row] : mRows) {
+    rows.push_back(row);
+  }
+  return rows;
+}
+
 int
 FakeTable::Reads()
 {
--- a/tests/coordination/FakeTable.h
+++ b/tests/coordination/FakeTable.h
@@ -27,6 +27,18 @@
   kLate
 };
 
+/** What the table does with all operations. */
+enum class TableMode
+{
+  kNormal,
+  /** Nothing is carried out, and callers know it. */
+  kUnavailable,
+  /** Nothing is carried out, and callers cannot know it. */
+  kSilent,
+  /** Writes are carried out, but their answers are lost. */
+  kLoseAnswers
+};
+
 /**
  * In-memory table for several daemons; safe to use from several threads.
  * Completions run on the calling thread.
@@ -42,8 +54,13 @@
   /** Applies a fault to the next writes. */
   void FailWrites(TableFault aFault, int aCount);
 
+  void SetMode(TableMode aMode);
+
   /** Makes all operations fail, or stops that. */
-  void SetDown(bool aDown);
+  void SetDown(bool aDown)
+  {
+    SetMode(aDown ? TableMode::kUnavailable : TableMode::kNormal);
+  }
 
   /** Applies the delayed writes. */
   void DeliverLate();
@@ -57,10 +74,16 @@
            const std::string& aWriteId);
 
   std::optional<state::StoreRow> Row(const std::string& aKey);
+  std::vector<state::StoreRow> Rows();
   int Reads();
   int Writes();
 
 private:
+  bool Readable() const
+  {
+    return mMode == TableMode::kNormal || mMode == TableMode::kLoseAnswers;
+  }
+
   state::StoreResult Apply(const state::Transaction& aTransaction);
 
   std::mutex mMutex;
@@ -69,7 +92,7 @@
   std::function<void(const state::Transaction&)> mBeforeWrite;
   TableFault mFault = TableFault::kNone;
   int mFaultsLeft = 0;
-  bool mDown = false;
+  TableMode mMode = TableMode::kNormal;
   int mReads = 0;
   int mWrites = 0;
 };
--- a/tests/coordination/PlacementFakes.h
+++ b/tests/coordination/PlacementFakes.h
@@ -2,8 +2,8 @@
 #define CORNELRUDDER_TESTS_COORDINATION_PLACEMENT_FAKES_H
 
 #include "WorkerModel.h"
+#include "coordination/FakeTable.h"
 #include "cornelrudder/coordination/EventLog.h"
-#include "cornelrudder/coordination/StorePort.h"
 #include "cornelrudder/coordination/WorkerPort.h"
 
 #include <functional>
@@ -20,37 +20,6 @@
   void Write(const coordination::LogRecord& /*aRecord*/) override {}
 };
 
-/** A table in memory that answers at once; may be used by several tasks. */
-class FakeTable final : public coordination::StorePort
-{
-public:
-  enum class Fault
-  {
-    kNone,
-    /** Nothing is carried out, and callers know it. */
-    kUnavailable,
-    /** Nothing is carried out, and callers cannot know it. */
-    kSilent,
-    /** Writes are carried out, but their answers are lost. */
-    kLoseAnswers
-  };
-
-  void SetFault(Fault aFault);
-  std::vector<state::StoreRow> Rows() const;
-
-  void ReadRow(const std::string& aKey, Completion aCompletion) override;
-  void ListRows(const std::string& aPrefix, Completion aCompletion) override;
-  void Transact(const state::Transaction& aTransaction,
-                Completion aCompletion) override;
-
-private:
-  state::StoreResult Commit(const state::Transaction& aTransaction);
-
-  mutable std::mutex mMutex;
-  Fault mFault = Fault::kNone;
-  std::map<std::string, state::StoreRow> mRows;
-};
-
 /** Workers by address; each is a model with a clock of its own. */
 class FakeWorkers final : public coordination::WorkerPort
 {
--- a/tests/coordination/PlacementTaskTest.cpp
+++ b/tests/coordination/PlacementTaskTest.cpp
@@ -377,15 +377,15 @@
 TEST(PlacementTask, UnknownWriteIsReportedAsUnknown)
 {
   const caf::actor owner = Owner(2);
-  mTable.SetFault(FakeTable::Fault::kUnavailable);
+  mTable.SetMode(tests::TableMode::kUnavailable);
   auto reply = Ask(owner, JobCommand::Submit(Spec("job-1", 1)));
   CHECK(reply.Reason() == RefusalReason::kStoreUnavailable);
   CHECK(reply.HasRun() == Ran::kNo);
-  mTable.SetFault(FakeTable::Fault::kSilent);
+  mTable.SetMode(tests::TableMode::kSilent);
   reply = Ask(owner, JobCommand::Submit(Spec("job-2", 1)));
   CHECK(reply.Reason() == RefusalReason::kStoreUnavailable);
   CHECK(reply.HasRun() == Ran::kUnknown);
-  mTable.SetFault(FakeTable::Fault::kNone);
+  mTable.SetMode(tests::TableMode::kNormal);
   CHECK(WaitForEnd(owner, "job-2").State() == JobState::kDone);
 }
 
@@ -393,7 +393,7 @@
 TEST(PlacementTask, LostAnswersAreResolvedByReading)
 {
   const caf::actor owner = Owner(2);
-  mTable.SetFault(FakeTable::Fault::kLoseAnswers);
+  mTable.SetMode(tests::TableMode::kLoseAnswers);
   CHECK(Ask(owner, JobCommand::Submit(Spec("job-1", 2))).Reason() ==
         RefusalReason::kNone);
   CHECK(WaitForEnd(owner, "job-1").State() == JobState::kDone);
@@ -410,14 +410,14 @@
     owner,
     JobCommand::Submit(Spec("job-1", 2, "", "nest", std::chrono::seconds(2))));
   WaitUntil([&] { return Events("start") == 2; });
-  mTable.SetFault(FakeTable::Fault::kSilent);
+  mTable.SetMode(tests::TableMode::kSilent);
   Own(owner, 0, milliseconds(0));
   const int before = mWorkers.Count(WorkerAction::kRenew);
   WaitUntil([&] { return Events("finish") == 2; });
   CHECK(mWorkers.Count(WorkerAction::kRenew) > before);
   LONGS_EQUAL(0, mWorkers.Count(WorkerAction::kStop));
   CHECK(Recorded("job-1").State() == JobState::kCommitted);
-  mTable.SetFault(FakeTable::Fault::kNone);
+  mTable.SetMode(tests::TableMode::kNormal);
   Own(owner, 2);
   CHECK(WaitForEnd(owner, "job-1").State() == JobState::kDone);
   LONGS_EQUAL(2, Events("start"));
