--- a/src/coordination/StoreTask.cpp
+++ b/src/coordination/StoreTask.cpp
@@ -343,8 +343,8 @@
 caf::actor
 SpawnStoreTask(caf::actor_system& aSystem, StorePort& aPort, EventLog& aLog)
 {
-  static const BootClock sClock;
-  return SpawnStoreTask(aSystem, aPort, aLog, sClock, {});
+  static const BootClock kClock;
+  return SpawnStoreTask(aSystem, aPort, aLog, kClock, {});
 }
 
 } // namespace cornelrudder::coordination
--- a/tests/coordination/FakeTable.cpp
+++ b/tests/coordination/FakeTable.cpp
@@ -184,9 +184,9 @@
 FakeLog::Count(coordination::LogEvent aEvent)
 {
   const std::lock_guard lock(mMutex);
-  return static_cast<int>(
-    std::count_if(mRecords.begin(), mRecords.end(), [aEvent](const auto& it) {
-      return it.Event() == aEvent;
+  return static_cast<int>(std::count_if(
+    mRecords.begin(), mRecords.end(), [aEvent](const auto& aRecord) {
+      return aRecord.Event() == aEvent;
     }));
 }
 
--- a/tests/state/LeaseWatchTest.cpp
+++ b/tests/state/LeaseWatchTest.cpp
@@ -141,7 +141,7 @@
   }
   milliseconds ClockOf(int aHolder) const
   {
-    return milliseconds(1'000'000 * (aHolder + 1) +
+    return milliseconds(1'000'000L * (aHolder + 1) +
                         mNow.count() * kRates.at(aHolder) / 100);
   }
 
