--- a/apps/cornelrudderd/Daemon.cpp
+++ b/apps/cornelrudderd/Daemon.cpp
@@ -213,10 +213,30 @@
                            mMembership,
                            mSync,
                            [this] { mThread.Post([this] { StartDrain(); }); },
-                           mForward },
+                           mForward,
+                           [this] { return CountTraffic(); } },
                          mIncarnation));
   }
 
+  coordination::Counters CountTraffic() const
+  {
+    coordination::Counters counters;
+    AddTraffic(counters, "platform", mPlatformClient.Traffic());
+    AddTraffic(counters, "runner", mRunnerClient.Traffic());
+    AddTraffic(counters, "worker", mWorkerClient.Traffic());
+    return counters;
+  }
+
+  static void AddTraffic(coordination::Counters& aCounters,
+                         const std::string& aTarget,
+                         const transport::HttpTraffic& aTraffic)
+  {
+    const std::string label = "{target=\"" + aTarget + "\"}";
+    aCounters["http_exchanges_total" + label] = aTraffic.mExchanges;
+    aCounters["http_sent_bytes_total" + label] = aTraffic.mBytesSent;
+    aCounters["http_received_bytes_total" + label] = aTraffic.mBytesReceived;
+  }
+
   /** The tasks that use the table. */
   void StartStateTasks()
   {
--- a/apps/cornelrudderd/FrontTask.cpp
+++ b/apps/cornelrudderd/FrontTask.cpp
@@ -8,6 +8,8 @@
 #include "cornelrudder/protocol/SettingsCodec.h"
 #include "cornelrudder/state/StateError.h"
 
+#include "cornelrudderd/PathPattern.h"
+
 #include <caf/actor_system.hpp>
 #include <caf/event_based_actor.hpp>
 
@@ -27,40 +29,6 @@
 using protocol::EncodeError;
 using protocol::HttpResponse;
 
-using PathArguments = std::vector<std::string>;
-
-/**
- * Matches a path with a pattern, where '*' is one segment and '**' the rest.
- * @return What the wildcards matched, or nothing.
- */
-std::optional<PathArguments>
-MatchPath(std::string_view aPattern, std::string_view aPath)
-{
-  PathArguments arguments;
-  while (true) {
-    const auto n = aPattern.find('/');
-    const std::string_view part = aPattern.substr(0, n);
-    if (part == "**" && !aPath.empty()) {
-      arguments.emplace_back(aPath);
-      return arguments;
-    }
-    const auto m = aPath.find('/');
-    const std::string_view segment = aPath.substr(0, m);
-    if (part == "*" && !segment.empty()) {
-      arguments.emplace_back(segment);
-    } else if (part != segment) {
-      return std::nullopt;
-    }
-    const bool patternEnds = n == std::string_view::npos;
-    const bool pathEnds = m == std::string_view::npos;
-    if (patternEnds || pathEnds) {
-      return patternEnds && pathEnds ? std::optional(arguments) : std::nullopt;
-    }
-    aPattern.remove_prefix(n + 1);
-    aPath.remove_prefix(m + 1);
-  }
-}
-
 std::optional<state::SettingsVersion>
 ParseVersion(const std::string& aText)
 {
@@ -242,7 +210,7 @@
   /** Asks each task in turn and answers with the sums. */
   void Metrics(const HttpCall& aCall, const PathArguments& /*unused*/)
   {
-    auto total = std::make_shared<coordination::Counters>();
+    auto total = std::make_shared<coordination::Counters>(mPeers.mTraffic());
     auto left = std::make_shared<std::size_t>(mPeers.mCounted.size());
     for (const caf::actor& task : mPeers.mCounted) {
       auto finish = [respond = aCall.mRespond, total, left] {
--- a/apps/cornelrudderd/FrontTask.h
+++ b/apps/cornelrudderd/FrontTask.h
@@ -1,6 +1,7 @@
 #ifndef CORNELRUDDERD_FRONT_TASK_H
 #define CORNELRUDDERD_FRONT_TASK_H
 
+#include "cornelrudder/coordination/Messages.h"
 #include "cornelrudder/protocol/HttpMessage.h"
 #include "cornelrudder/transport/HttpServer.h"
 
@@ -41,6 +42,8 @@
   std::function<void()> mDrain;
   /** Takes JobCommand. */
   caf::actor mJobs;
+  /** Counters of the sockets, which no task owns; any thread may ask. */
+  std::function<coordination::Counters()> mTraffic;
 };
 
 /**
--- /dev/null
+++ b/include/cornelrudder/coordination/JobMessages.h
@@ -0,0 +1,44 @@
+#ifndef CORNELRUDDER_COORDINATION_JOB_MESSAGES_H
+#define CORNELRUDDER_COORDINATION_JOB_MESSAGES_H
+
+#include "cornelrudder/state/Ids.h"
+#include "cornelrudder/state/JobCommand.h"
+#include "cornelrudder/state/WorkerExchange.h"
+
+#include <caf/allowed_unsafe_message_type.hpp>
+
+#include <cstdint>
+
+/**
+ * @file
+ * Messages of the forward and placement tasks.
+ */
+
+namespace cornelrudder::coordination {
+
+/** Tells the forward task that the time for a reply has passed. */
+struct ForwardExpired
+{
+  const std::uint64_t mCorrelation;
+
+  auto operator<=>(const ForwardExpired&) const = default;
+};
+
+/** Tells the placement task what a worker answered to a command. */
+struct WorkerReported
+{
+  const state::WorkerCommand mCommand;
+  const state::VmId mWorker;
+  const state::WorkerReport mReport;
+
+  auto operator<=>(const WorkerReported&) const = default;
+};
+
+} // namespace cornelrudder::coordination
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::ForwardExpired)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::WorkerReported)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::JobCommand)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::JobReply)
+
+#endif // CORNELRUDDER_COORDINATION_JOB_MESSAGES_H
--- /dev/null
+++ b/include/cornelrudder/coordination/RequestMessages.h
@@ -0,0 +1,44 @@
+#ifndef CORNELRUDDER_COORDINATION_REQUEST_MESSAGES_H
+#define CORNELRUDDER_COORDINATION_REQUEST_MESSAGES_H
+
+#include "cornelrudder/state/Ids.h"
+#include "cornelrudder/state/RunRequest.h"
+#include "cornelrudder/state/RunnerExchange.h"
+
+#include <caf/allowed_unsafe_message_type.hpp>
+
+#include <string>
+
+/**
+ * @file
+ * Messages of the routing and intent tasks.
+ */
+
+namespace cornelrudder::coordination {
+
+/** Tells the routing task that an attempt ended. */
+struct RunFinished
+{
+  const state::RequestId mRequest;
+  const state::VmId mRunner;
+  const state::RunnerResult mResult;
+
+  auto operator<=>(const RunFinished&) const = default;
+};
+
+/** Tells the intent task to write the end of an attempt again. */
+struct RetryRecord
+{
+  const std::string mAttempt;
+
+  auto operator<=>(const RetryRecord&) const = default;
+};
+
+} // namespace cornelrudder::coordination
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::RunFinished)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::RetryRecord)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::RunRequest)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::RunOutcome)
+
+#endif // CORNELRUDDER_COORDINATION_REQUEST_MESSAGES_H
--- /dev/null
+++ b/include/cornelrudder/coordination/StoreMessages.h
@@ -0,0 +1,50 @@
+#ifndef CORNELRUDDER_COORDINATION_STORE_MESSAGES_H
+#define CORNELRUDDER_COORDINATION_STORE_MESSAGES_H
+
+#include "cornelrudder/state/StoreRow.h"
+
+#include <caf/allowed_unsafe_message_type.hpp>
+
+#include <cstdint>
+#include <string>
+
+/**
+ * @file
+ * Messages of the store task.
+ */
+
+namespace cornelrudder::coordination {
+
+/** Reads a row; the answer is a StoreResult. */
+struct ReadRow
+{
+  const std::string mKey;
+
+  auto operator<=>(const ReadRow&) const = default;
+};
+
+/** Lists rows; the answer is a StoreResult. */
+struct ListRows
+{
+  const std::string mPrefix;
+
+  auto operator<=>(const ListRows&) const = default;
+};
+
+/** Tells the store task to make the next attempt of an operation. */
+struct RetryStore
+{
+  const std::uint64_t mTicket;
+
+  auto operator<=>(const RetryStore&) const = default;
+};
+
+} // namespace cornelrudder::coordination
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::ReadRow)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::ListRows)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::RetryStore)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::StoreResult)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::Transaction)
+
+#endif // CORNELRUDDER_COORDINATION_STORE_MESSAGES_H
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -2,7 +2,7 @@
 # sourced by the scripts that drive one. Needs $build.
 
 work=$(mktemp -d)
-declare -A pid_of address_of_name
+declare -A pid_of address_of_name peer_of
 vms=()
 
 # Stops exactly the processes that were started here.
@@ -90,9 +90,10 @@
     -d "{\"vms\":[$list]}" >/dev/null
 }
 
-# Writes the settings file of a daemon. Usage: write_entry NAME ZONE HTTP PEER
+# Writes the settings file of a daemon.
+# Usage: write_entry NAME ZONE HTTP PEER [SEED]
 write_entry() {
-  local name=$1 zone=$2 http=$3 peer=$4
+  local name=$1 zone=$2 http=$3 peer=$4 seed=${5:-}
   cat >"$work/$name.toml" <<TOML
 [daemon]
 id = "$name"
@@ -100,12 +101,15 @@
 zone = "$zone"
 http_address = "$http"
 peer_address = "$peer"
+seeds = [${seed:+\"$seed\"}]
 
 [platform]
 address = "${address_of_name[platform]}"
 
 [timing]
 poll_ms = 200
+heartbeat_ms = 200
+lease_ms = 3000
 drain_notice_ms = 200
 TOML
 }
@@ -113,6 +117,8 @@
 start_entry() {
   local name=$1
   start "$name" "$build/apps/cornelrudderd" --config "$work/$name.toml"
+  await_address "$name" '.*name=started .*peer=\([0-9.:]*\).*'
+  peer_of[$name]=${address_of_name[$name]}
   await_address "$name" '.*name=started http=\([0-9.:]*\).*'
 }
 
--- a/scripts/history.sh
+++ b/scripts/history.sh
@@ -10,7 +10,8 @@
 faults=("$@")
 if [ ${#faults[@]} -eq 0 ]; then
   faults=(kill_entry freeze_entry store_down store_slow lose_answers
-    runner_cross runner_truncate runner_slow runner_fail kill_and_lose)
+    runner_cross runner_truncate runner_slow runner_fail worker_lose
+    kill_and_lose freeze_long)
 fi
 . scripts/cluster.sh
 RANDOM=$seed
@@ -20,12 +21,18 @@
   start_standin "runner-$i" runner_standin
   add_vm "runner-$i" runner "zone-$(((i + 1) / 2))" "rack-r$i"
 done
+for i in 1 2 3 4 5 6; do
+  start_standin "worker-$i" worker_standin
+  add_vm "worker-$i" worker zone-1 rack-w1 8
+done
 entries=(entry-1 entry-2 entry-3)
 for i in 1 2 3; do
-  write_entry "entry-$i" "zone-$(((i + 1) / 2))" 127.0.0.1:0 127.0.0.1:0
+  write_entry "entry-$i" "zone-$(((i + 1) / 2))" 127.0.0.1:0 127.0.0.1:0 \
+    "${peer_of[entry-1]:-}"
   start_entry "entry-$i"
-  # Keeps the port over restarts.
-  sed -i "s/^http_address.*/http_address = \"${address_of_name[entry-$i]}\"/" \
+  # Keeps the ports over restarts.
+  sed -i "s/^http_address.*/http_address = \"${address_of_name[entry-$i]}\"/
+    s/^peer_address.*/peer_address = \"${peer_of[entry-$i]}\"/" \
     "$work/entry-$i.toml"
   add_vm "entry-$i" entry "zone-$(((i + 1) / 2))" "rack-e$i"
 done
@@ -39,9 +46,14 @@
   max_wait_ms=2000 timeout_ms=3000 >/dev/null
 cli -s "$one" settings set classes/kerf-check idempotent=false \
   max_wait_ms=2000 timeout_ms=3000 >/dev/null
+cli -s "$one" settings set classes/nesting idempotent=true \
+  max_wait_ms=60000 timeout_ms=3000 >/dev/null
+cli -s "$one" settings set classes/billed idempotent=false \
+  max_wait_ms=60000 timeout_ms=3000 >/dev/null
 for name in "${entries[@]}"; do
+  wait_until "$name is ready" curl -sf "http://${address_of_name[$name]}/readyz"
   wait_until "$name has the settings" sh -c \
-    "curl -s http://${address_of_name[$name]}/v1/settings | grep -q kerf-check"
+    "curl -s http://${address_of_name[$name]}/v1/settings | grep -q classes/billed"
 done
 
 any_entry() { echo "${entries[$((RANDOM % 3))]}"; }
@@ -65,6 +77,14 @@
   pause
   kill -CONT "${pid_of[$name]}"
 }
+# Longer than the lease of the placement domain, so that another takes over.
+freeze_long() {
+  local name
+  name=$(any_entry)
+  kill -STOP "${pid_of[$name]}"
+  sleep 5
+  kill -CONT "${pid_of[$name]}"
+}
 with_fault() {
   set_faults "$1" "$2"
   pause
@@ -77,6 +97,7 @@
 runner_cross() { with_fault "$(any_runner)" '{"cross_next":10}'; }
 runner_truncate() { with_fault "$(any_runner)" '{"truncate_next":10}'; }
 runner_slow() { with_fault "$(any_runner)" '{"slow_ms":1500}'; }
+worker_lose() { with_fault "worker-$((RANDOM % 6 + 1))" '{"lose_answers":5}'; }
 runner_fail() { with_fault "$(any_runner)" '{"fail_all":1}'; }
 kill_and_lose() {
   set_faults platform '{"lose_answers":20}'
@@ -86,7 +107,8 @@
 
 echo "seed $seed, faults ${faults[*]}"
 "$build/tools/load_client" --servers "$servers" --seed "$seed" \
-  --callers 12 --calls "${HISTORY_CALLS:-250}" >"$work/load.jsonl" \
+  --callers 12 --calls "${HISTORY_CALLS:-250}" \
+  --submitters 3 --jobs "${HISTORY_JOBS:-8}" >"$work/load.jsonl" \
   2>"$work/load.log" &
 load=$!
 n=0
@@ -111,9 +133,15 @@
     jq -c --arg runner "runner-$i" \
       '.runs[] | {type: "run", runner: $runner, request, body}'
 done >"$work/journal.jsonl"
+for i in 1 2 3 4 5 6; do
+  curl -sS "http://${address_of_name[worker-$i]}/journal" |
+    jq -c --arg worker "worker-$i" '.entries[] | {type: "member_step",
+      worker: $worker, gang, attempt, kind: .event, at_ms}'
+done >>"$work/journal.jsonl"
 "$build/tests/check_history" "$work/load.jsonl" "$work/final.jsonl" \
   "$work/journal.jsonl" || {
   KEEP_LOGS=1
   fail "the history breaks a promise (seed $seed)"
 }
-jq -r 'select(.type == "call") | .end' "$work/load.jsonl" | sort | uniq -c
+jq -r 'select(.type == "call" or .type == "job") | .type + " " + (.end // .state)' \
+  "$work/load.jsonl" | sort | uniq -c
--- a/scripts/measure_control.sh
+++ b/scripts/measure_control.sh
@@ -15,9 +15,10 @@
   echo $((ticks * 1000 / $(getconf CLK_TCK)))
 }
 
+# Prints the sum of a traffic counter towards the platform and the workers.
 metric() {
-  curl -sS "http://$1/metrics" | awk -v name="cornelrudder_$2" \
-    '$1 == name {print $2}'
+  curl -sS "http://$1/metrics" | awk -v name="cornelrudder_http_$2_bytes_total" \
+    'index($1, name) == 1 && $1 !~ /runner/ {sum += $2} END {print sum + 0}'
 }
 
 # Usage: measure DAEMONS WORKERS TEAMS
@@ -28,7 +29,7 @@
   . scripts/cluster.sh
   start_standin platform platform_standin
   for i in $(seq "$daemons"); do
-    write_entry "entry-$i" zone-1 127.0.0.1:0 127.0.0.1:0
+    write_entry "entry-$i" zone-1 127.0.0.1:0 127.0.0.1:0 "${peer_of[entry-1]:-}"
     # The timing of production, not that of the tests.
     sed -i '/^\[timing\]/,$d' "$work/entry-$i.toml"
     start_entry "entry-$i"
@@ -48,12 +49,12 @@
   sleep 15
   pid=${pid_of[entry-1]}
   cpu=$(cpu_ms "$pid")
-  sent=$(metric "$one" control_bytes_sent_total)
-  received=$(metric "$one" control_bytes_received_total)
+  sent=$(metric "$one" sent)
+  received=$(metric "$one" received)
   sleep "$seconds"
   cpu=$(($(cpu_ms "$pid") - cpu))
-  sent=$(($(metric "$one" control_bytes_sent_total) - sent))
-  received=$(($(metric "$one" control_bytes_received_total) - received))
+  sent=$(($(metric "$one" sent) - sent))
+  received=$(($(metric "$one" received) - received))
   rss=$(awk '/^VmRSS/ {printf "%.1f", $2 / 1024}' "/proc/$pid/status")
   awk -v d="$daemons" -v w="$workers" -v t="$teams" -v c="$cpu" -v s="$sent" \
     -v r="$received" -v m="$rss" -v n="$seconds" 'BEGIN {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -32,6 +32,9 @@
 done
 step "install tree" scripts/check_install.sh "$build"
 step "demo" scripts/demo.sh --no-install
+for seed in 1 2; do
+  step "history, seed $seed" scripts/history.sh "$seed"
+done
 step "lint" scripts/lint.sh
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- /dev/null
+++ b/src/coordination/PlacementTaskCommands.cpp
@@ -0,0 +1,255 @@
+#include "PlacementTaskImpl.h"
+
+#include <algorithm>
+
+namespace cornelrudder::coordination {
+
+void
+PlacementTask::Serve(const JobCommand& aCommand, JobPromise& aPromise)
+{
+  if (!HoldsLease() || !mRecovered) {
+    Refuse(aPromise,
+           RefusalReason::kNoOwner,
+           Ran::kNo,
+           "this daemon does not own the region's placement");
+    return;
+  }
+  for (const CommandRow& row : kCommands) {
+    if (row.mKind == aCommand.Kind()) {
+      (this->*row.mHandler)(aCommand, aPromise);
+      return;
+    }
+  }
+}
+
+void
+PlacementTask::Refuse(JobPromise& aPromise,
+                      RefusalReason aReason,
+                      Ran aRan,
+                      std::string aDetail)
+{
+  aPromise.deliver(JobReply(aReason, aRan, std::move(aDetail), {}));
+}
+
+void
+PlacementTask::Answer(JobPromise& aPromise, Job aJob, std::string aDetail)
+{
+  aPromise.deliver(JobReply(
+    RefusalReason::kNone, aJob.HasRun(), std::move(aDetail), { aJob }));
+}
+
+void
+PlacementTask::Submit(const JobCommand& aCommand, JobPromise& aPromise)
+{
+  const JobSpec& spec = *aCommand.Spec();
+  if (AnswerRepeated(spec, aPromise)) {
+    return;
+  }
+  const auto [reason, detail] = CheckSubmission(spec);
+  if (reason != RefusalReason::kNone) {
+    mPorts.mLog.Write({ LogEvent::kJobRefused,
+                        { { "job", spec.Name().Text() },
+                          { "organisation", spec.Organisation().Text() },
+                          { "reason", std::string(ReasonName(reason)) },
+                          { "detail", detail } } });
+    ++mCounters["jobs_refused_total"];
+    Refuse(aPromise, reason, Ran::kNo, detail);
+    return;
+  }
+  const bool idempotent = FindJobClass(mSettings, spec.Class())->Idempotent();
+  GangStep step =
+    Gang::Submit(spec, mLease.Epoch(), idempotent, TimingOf(spec));
+  Entry& entry = mJobs.emplace(spec.Name(), Entry(step.mNext)).first->second;
+  entry.mSubmitters.push_back({ aPromise, Now() + mOptions.mReplyBound });
+  RememberKey(spec);
+  Apply(spec.Name(), std::move(step));
+}
+
+bool
+PlacementTask::AnswerRepeated(const JobSpec& aSpec, JobPromise& aPromise)
+{
+  std::optional<JobId> known;
+  const auto it =
+    mKeys.find({ aSpec.Organisation(), aSpec.Team(), aSpec.Key() });
+  if (!aSpec.Key().empty() && it != mKeys.end()) {
+    known = it->second;
+  } else if (mJobs.contains(aSpec.Name()) || mEnded.contains(aSpec.Name())) {
+    known = aSpec.Name();
+  }
+  if (!known) {
+    return false;
+  }
+  const auto active = mJobs.find(*known);
+  const Job job =
+    active != mJobs.end() ? active->second.mGang.Visible() : mEnded.at(*known);
+  const JobSpec& first = job.Spec();
+  const JobSpec same(first.Name(),
+                     aSpec.Organisation(),
+                     aSpec.Team(),
+                     aSpec.Class(),
+                     aSpec.What(),
+                     aSpec.Key(),
+                     aSpec.Expected());
+  if (same != first) {
+    Refuse(aPromise,
+           RefusalReason::kKeyReused,
+           Ran::kNo,
+           "job " + known->Text() + " was submitted with other values");
+  } else if (active != mJobs.end() &&
+             active->second.mGang.Phase() == GangPhase::kAccepting) {
+    active->second.mSubmitters.push_back(
+      { aPromise, Now() + mOptions.mReplyBound });
+  } else {
+    Answer(aPromise, job);
+  }
+  return true;
+}
+
+std::pair<RefusalReason, std::string>
+PlacementTask::CheckSubmission(const JobSpec& aSpec) const
+{
+  const auto jobClass = FindJobClass(mSettings, aSpec.Class());
+  if (!jobClass) {
+    return { RefusalReason::kUnknownClass, "no class " + aSpec.Class().Text() };
+  }
+  if (!IsActiveTeam(mSettings, aSpec.Organisation(), aSpec.Team())) {
+    return { RefusalReason::kUnknownOrganisation,
+             "no active team " + aSpec.Team().Text() + " of " +
+               aSpec.Organisation().Text() };
+  }
+  if (!jobClass->Idempotent() && aSpec.Key().empty()) {
+    return { RefusalReason::kKeyRequired,
+             "class " + aSpec.Class().Text() +
+               " is not idempotent: a key is required" };
+  }
+  const state::VmList fleet = Fleet();
+  if (fleet.All().empty()) {
+    return { RefusalReason::kNoCapacity, "no workers are known" };
+  }
+  const auto decision = Strategy().Place(
+    state::FleetLoad(fleet, {}, Guarantees()),
+    { aSpec.Organisation(), aSpec.What(), jobClass->Preemptible() });
+  if (decision.Kind() == state::PlacementKind::kNeverFits) {
+    return { RefusalReason::kNeverFits, decision.Reason() };
+  }
+  return CheckQuota(aSpec);
+}
+
+std::pair<RefusalReason, std::string>
+PlacementTask::CheckQuota(const JobSpec& aSpec) const
+{
+  const auto limits =
+    TeamLimitsOf(mSettings, aSpec.Organisation(), aSpec.Team());
+  if (limits.mAccelerators &&
+      aSpec.What().Accelerators() > *limits.mAccelerators) {
+    return { RefusalReason::kQuotaExceeded,
+             "the team may hold " + std::to_string(*limits.mAccelerators) +
+               " accelerators" };
+  }
+  const auto queued =
+    std::count_if(mJobs.begin(), mJobs.end(), [&aSpec](const auto& aEntry) {
+      const Gang& gang = aEntry.second.mGang;
+      const JobSpec& spec = gang.Recorded().Spec();
+      return spec.Organisation() == aSpec.Organisation() &&
+             spec.Team() == aSpec.Team() &&
+             (gang.Phase() == GangPhase::kAccepting ||
+              gang.Phase() == GangPhase::kQueued);
+    });
+  if (limits.mQueuedJobs && queued >= *limits.mQueuedJobs) {
+    return { RefusalReason::kQuotaExceeded,
+             "the team has " + std::to_string(queued) + " waiting jobs of " +
+               std::to_string(*limits.mQueuedJobs) };
+  }
+  return { RefusalReason::kNone, "" };
+}
+
+void
+PlacementTask::Get(const JobCommand& aCommand, JobPromise& aPromise)
+{
+  const auto job = FindJob(*aCommand.Job());
+  if (job) {
+    Answer(aPromise, *job);
+    return;
+  }
+  AnswerUnknown(aPromise);
+}
+
+void
+PlacementTask::List(const JobCommand& /*aCommand*/, JobPromise& aPromise)
+{
+  std::vector<Job> jobs;
+  for (const auto& [id, job] : mEnded) {
+    jobs.push_back(job);
+  }
+  for (const auto& [id, entry] : mJobs) {
+    if (entry.mGang.Phase() != GangPhase::kAccepting) {
+      jobs.push_back(entry.mGang.Visible());
+    }
+  }
+  aPromise.deliver(
+    JobReply(RefusalReason::kNone, Ran::kNo, "", std::move(jobs)));
+}
+
+void
+PlacementTask::Cancel(const JobCommand& aCommand, JobPromise& aPromise)
+{
+  const auto it = mJobs.find(*aCommand.Job());
+  if (it == mJobs.end()) {
+    Get(aCommand, aPromise);
+    return;
+  }
+  it->second.mCancellers.push_back({ aPromise, Now() + mOptions.mReplyBound });
+  Handle(it->first, GangEvent::OfGang(GangEventKind::kCancel, Now()));
+}
+
+void
+PlacementTask::Explain(const JobCommand& aCommand, JobPromise& aPromise)
+{
+  const auto job = FindJob(*aCommand.Job());
+  if (!job) {
+    AnswerUnknown(aPromise);
+    return;
+  }
+  Answer(aPromise, *job, ExplanationOf(*job));
+}
+
+std::string
+PlacementTask::ExplanationOf(const Job& aJob) const
+{
+  const auto it = mJobs.find(aJob.Spec().Name());
+  if (it == mJobs.end()) {
+    return std::string(JobStateName(aJob.State())) +
+           (aJob.Detail().empty() ? "" : ": " + aJob.Detail());
+  }
+  const Entry& entry = it->second;
+  if (entry.mGang.Phase() == GangPhase::kQueued) {
+    return entry.mExplanation.empty() ? "not looked at yet"
+                                      : entry.mExplanation;
+  }
+  std::string text(GangPhaseName(entry.mGang.Phase()));
+  text += " on";
+  const state::GangPlacement held = entry.mGang.Held();
+  for (const auto& member : held.Members()) {
+    text += " " + member.Worker().Text();
+  }
+  return text;
+}
+
+std::optional<Job>
+PlacementTask::FindJob(const JobId& aJob) const
+{
+  const auto it = mJobs.find(aJob);
+  if (it != mJobs.end() && it->second.mGang.Phase() != GangPhase::kAccepting) {
+    return it->second.mGang.Visible();
+  }
+  const auto ended = mEnded.find(aJob);
+  return ended != mEnded.end() ? std::optional(ended->second) : std::nullopt;
+}
+
+void
+PlacementTask::AnswerUnknown(JobPromise& aPromise)
+{
+  aPromise.deliver(JobReply(RefusalReason::kNone, Ran::kNo, "no such job", {}));
+}
+
+} // namespace cornelrudder::coordination
--- /dev/null
+++ b/src/coordination/PlacementTaskQueue.cpp
@@ -0,0 +1,339 @@
+#include "PlacementTaskImpl.h"
+
+#include <algorithm>
+
+namespace cornelrudder::coordination {
+
+namespace {
+
+constexpr std::string_view kDefaultStrategy = "best_fit";
+
+/** Looks at the queue even if nothing is known to have changed. */
+constexpr milliseconds kQueueInterval{ 5'000 };
+
+/** Pause after a look at the queue, as a multiple of the time it took. */
+constexpr int kQueueRest = 4;
+
+} // namespace
+
+state::VmList
+PlacementTask::Fleet() const
+{
+  std::vector<state::Vm> workers;
+  for (const state::Vm& vm : mVms.All()) {
+    if (vm.Role() == state::VmRole::kWorker &&
+        vm.Where().Region() == mOptions.mRegion) {
+      workers.push_back(vm);
+    }
+  }
+  return state::VmList(std::move(workers));
+}
+
+state::VmList
+PlacementTask::Usable() const
+{
+  std::vector<state::Vm> workers;
+  const state::VmList fleet = Fleet();
+  for (const state::Vm& vm : fleet.All()) {
+    const bool leaving =
+      vm.State() == state::VmState::kLeaving || mLeaving.contains(vm.Name());
+    if (!leaving && !mHealth.IsQuarantined(vm.Name())) {
+      workers.push_back(vm);
+    }
+  }
+  return state::VmList(std::move(workers));
+}
+
+std::vector<state::GuaranteedShape>
+PlacementTask::Guarantees() const
+{
+  return GuaranteedShapesOf(mSettings, mOptions.mRegion);
+}
+
+const state::PlacementStrategy&
+PlacementTask::Strategy() const
+{
+  if (mOptions.mStrategy != nullptr) {
+    return *mOptions.mStrategy;
+  }
+  const auto* document = mSettings.Find("policy");
+  const std::string name = document != nullptr
+                             ? document->TextOr("placement", kDefaultStrategy)
+                             : std::string(kDefaultStrategy);
+  const auto* strategy = state::FindPlacementStrategy(name);
+  return strategy != nullptr ? *strategy
+                             : *state::AllPlacementStrategies().front();
+}
+
+bool
+PlacementTask::IsPreemptible(const JobSpec& aSpec) const
+{
+  const auto jobClass = FindJobClass(mSettings, aSpec.Class());
+  return jobClass && jobClass->Preemptible();
+}
+
+std::vector<state::PlacedGang>
+PlacementTask::HeldGangs() const
+{
+  std::vector<state::PlacedGang> gangs;
+  for (const auto& [id, entry] : mJobs) {
+    if (entry.mGang.Held().Members().empty()) {
+      continue;
+    }
+    const JobSpec& spec = entry.mGang.Recorded().Spec();
+    const std::chrono::duration<double, std::ratio<3'600>> hours =
+      Now() - entry.mPlacedAt;
+    gangs.emplace_back(id,
+                       spec.Organisation(),
+                       IsPreemptible(spec),
+                       hours.count() * spec.What().Accelerators(),
+                       entry.mGang.Held());
+  }
+  return gangs;
+}
+
+state::HeldAccelerators
+PlacementTask::Held() const
+{
+  state::HeldAccelerators held;
+  for (const auto& [id, entry] : mJobs) {
+    if (entry.mGang.Held().Members().empty()) {
+      continue;
+    }
+    const JobSpec& spec = entry.mGang.Recorded().Spec();
+    const int n = spec.What().Accelerators();
+    held.mByOrganisation[spec.Organisation()] += n;
+    held.mByTeam[{ spec.Organisation(), spec.Team() }] += n;
+  }
+  return held;
+}
+
+std::map<state::OrganisationId, int>
+PlacementTask::Weights() const
+{
+  std::map<state::OrganisationId, int> weights;
+  for (const auto& [id, entry] : mJobs) {
+    const auto& organisation = entry.mGang.Recorded().Spec().Organisation();
+    const auto* document =
+      mSettings.Find("organisations/" + organisation.Text());
+    if (document != nullptr) {
+      weights.insert_or_assign(
+        organisation, static_cast<int>(document->IntegerOr("weight", 1)));
+    }
+  }
+  return weights;
+}
+
+bool
+PlacementTask::ReclaimPending(const JobId& aJob) const
+{
+  const auto it = mReclaims.find(aJob);
+  return it != mReclaims.end() &&
+         std::any_of(it->second.mVictims.begin(),
+                     it->second.mVictims.end(),
+                     [this](const JobId& aVictim) {
+                       const auto victim = mJobs.find(aVictim);
+                       return victim != mJobs.end() &&
+                              !victim->second.mGang.Held().Members().empty();
+                     });
+}
+
+std::vector<state::WaitingJob>
+PlacementTask::WaitingJobs(milliseconds aNow) const
+{
+  std::vector<state::WaitingJob> waiting;
+  for (const auto& [id, entry] : mJobs) {
+    if (entry.mGang.Phase() != GangPhase::kQueued || aNow < entry.mNotBefore ||
+        ReclaimPending(id)) {
+      continue;
+    }
+    const JobSpec& spec = entry.mGang.Recorded().Spec();
+    const auto jobClass = FindJobClass(mSettings, spec.Class());
+    const auto limits =
+      TeamLimitsOf(mSettings, spec.Organisation(), spec.Team());
+    waiting.emplace_back(spec,
+                         jobClass ? jobClass->Urgency() : 0,
+                         jobClass && jobClass->Preemptible(),
+                         limits.mAccelerators,
+                         entry.mAvoided,
+                         mReclaims.contains(id));
+  }
+  return waiting;
+}
+
+void
+PlacementTask::RunQueue()
+{
+  const milliseconds now = Now();
+  mQueueDue = false;
+  mQueueAt = now + kQueueInterval;
+  auto waiting = WaitingJobs(now);
+  if (waiting.empty()) {
+    return;
+  }
+  state::FleetLoad load(Usable(), HeldGangs(), Guarantees());
+  // Places for which accelerators are being reclaimed go to nobody else.
+  std::vector<state::PlacedGang> gangs = load.Gangs();
+  for (const auto& [id, reclaim] : mReclaims) {
+    if (ReclaimPending(id) && mJobs.contains(id)) {
+      const JobSpec& spec = mJobs.at(id).mGang.Recorded().Spec();
+      gangs.emplace_back(id,
+                         spec.Organisation(),
+                         IsPreemptible(spec),
+                         0.0,
+                         FreePart(load, reclaim.mPlacement));
+    }
+  }
+  load = state::FleetLoad(load.Workers(), std::move(gangs), load.Guarantees());
+  const auto decisions =
+    DecideQueue(load, std::move(waiting), Held(), Weights(), Strategy());
+  for (const state::QueueDecision& decision : decisions) {
+    Follow(decision, now);
+  }
+  Probe(now);
+  // A long queue is looked at less often, so that a burst of jobs leaves the
+  // task time for everything else; a tick makes up for it.
+  mQueueNotBefore = Now() + kQueueRest * (Now() - now);
+}
+
+void
+PlacementTask::Follow(const state::QueueDecision& aDecision, milliseconds aNow)
+{
+  const state::PlacementDecision& decision = aDecision.mDecision;
+  switch (decision.Kind()) {
+    case state::PlacementKind::kPlaced:
+      mReclaims.erase(aDecision.mJob);
+      Place(aDecision.mJob, decision.Placement(), decision.Reason(), aNow);
+      return;
+    case state::PlacementKind::kReclaim:
+      Explain(aDecision, "accelerators are being reclaimed: ");
+      Reclaim(aDecision.mJob, decision, aNow);
+      return;
+    case state::PlacementKind::kWait:
+    case state::PlacementKind::kNeverFits:
+      Explain(aDecision, "");
+      return;
+  }
+}
+
+void
+PlacementTask::Place(const JobId& aJob,
+                     const state::GangPlacement& aPlacement,
+                     const std::string& aReason,
+                     milliseconds aNow)
+{
+  std::string workers;
+  for (const auto& member : aPlacement.Members()) {
+    workers += (workers.empty() ? "" : ",") + member.Worker().Text();
+  }
+  mPorts.mLog.Write({ LogEvent::kGangPlaced,
+                      { { "job", aJob.Text() },
+                        { "workers", workers },
+                        { "strategy", std::string(Strategy().Name()) },
+                        { "reason", aReason } } });
+  ++mCounters["gangs_placed_total"];
+  mJobs.at(aJob).mPlacedAt = aNow;
+  mJobs.at(aJob).mExplanation.clear();
+  mJobs.at(aJob).mWaitReason.clear();
+  Handle(aJob, GangEvent::Place(aPlacement, aNow));
+}
+
+void
+PlacementTask::Explain(const state::QueueDecision& aDecision,
+                       const std::string& aPrefix)
+{
+  Entry& entry = mJobs.at(aDecision.mJob);
+  const std::string reason = aPrefix + aDecision.mDecision.Reason();
+  // A position changes with each job that comes or goes; it is not logged.
+  if (reason != entry.mWaitReason) {
+    mPorts.mLog.Write(
+      { LogEvent::kGangWaiting,
+        { { "job", aDecision.mJob.Text() }, { "reason", reason } } });
+  }
+  entry.mWaitReason = reason;
+  entry.mExplanation =
+    "place " + std::to_string(aDecision.mPosition) + " in the queue; " + reason;
+}
+
+void
+PlacementTask::Reclaim(const JobId& aJob,
+                       const state::PlacementDecision& aDecision,
+                       milliseconds aNow)
+{
+  std::string victims;
+  for (const JobId& victim : aDecision.Victims()) {
+    victims += (victims.empty() ? "" : ",") + victim.Text();
+  }
+  mPorts.mLog.Write({ LogEvent::kGangReclaim,
+                      { { "job", aJob.Text() },
+                        { "victims", victims },
+                        { "reason", aDecision.Reason() } } });
+  ++mCounters["gangs_reclaimed_total"];
+  mReclaims.insert_or_assign(
+    aJob, ReclaimPlan{ aDecision.Placement(), aDecision.Victims() });
+  for (const JobId& victim : aDecision.Victims()) {
+    Handle(victim, GangEvent::OfGang(GangEventKind::kPreempt, aNow));
+  }
+}
+
+void
+PlacementTask::Probe(milliseconds aNow)
+{
+  const state::VmList fleet = Fleet();
+  for (const state::Vm& worker : fleet.All()) {
+    if (!mHealth.MayProbe(worker.Name(), aNow) ||
+        worker.State() == state::VmState::kLeaving ||
+        mLeaving.contains(worker.Name())) {
+      continue;
+    }
+    for (const state::WaitingJob& job : WaitingJobs(aNow)) {
+      const auto jobClass = FindJobClass(mSettings, job.Spec().Class());
+      if (job.Spec().What().Workers() != 1 || !jobClass ||
+          !jobClass->Idempotent() || job.TeamLimit()) {
+        continue;
+      }
+      const state::FleetLoad load(
+        state::VmList({ worker }), HeldGangs(), Guarantees());
+      const auto decision = Strategy().Place(
+        load,
+        { job.Spec().Organisation(), job.Spec().What(), job.Preemptible() });
+      if (decision.Kind() == state::PlacementKind::kPlaced) {
+        mHealth = mHealth.WithProbe(worker.Name(), aNow);
+        Place(job.Spec().Name(),
+              decision.Placement(),
+              "probe of a quarantined worker",
+              aNow);
+        break;
+      }
+    }
+  }
+}
+
+void
+PlacementTask::ApplyVms(const state::VmList& aVms)
+{
+  mVms = aVms;
+  mQueueDue = true;
+  for (const state::Vm& vm : mVms.All()) {
+    if (vm.Role() == state::VmRole::kWorker) {
+      // The list lags; the address of a VM that it dropped stays in use for
+      // the gangs that still run there.
+      mAddresses.insert_or_assign(vm.Name(), vm.Address());
+    }
+  }
+}
+
+Counters
+PlacementTask::CurrentCounters() const
+{
+  Counters counters = mCounters;
+  for (const auto& [id, entry] : mJobs) {
+    ++counters["jobs_active"];
+    if (entry.mGang.Phase() == GangPhase::kQueued) {
+      ++counters["jobs_queued"];
+    }
+  }
+  return counters;
+}
+
+} // namespace cornelrudder::coordination
--- a/src/coordination/RoutingTask.cpp
+++ b/src/coordination/RoutingTask.cpp
@@ -198,16 +198,23 @@
     }
   }
 
+  /**
+   * A request with an idempotency key may have been recorded as
+   * non-idempotent while this task still held older settings of its class.
+   */
+  static bool MayRepeat(const Pending& aPending)
+  {
+    return aPending.mClass.Idempotent() &&
+           aPending.mRequest.IdempotencyKey().empty();
+  }
+
   /** @return Whether a runner was free that was not tried yet. */
   bool Dispatch(Pending& aPending)
   {
     const milliseconds now = Now();
     const state::RunnerChoice& choice = Choice();
-    const auto chosen = mRunners.Choose(choice,
-                                        mOptions.mZone,
-                                        aPending.mTried,
-                                        aPending.mClass.Idempotent(),
-                                        now);
+    const auto chosen = mRunners.Choose(
+      choice, mOptions.mZone, aPending.mTried, MayRepeat(aPending), now);
     if (!chosen) {
       return false;
     }
@@ -222,7 +229,7 @@
       { runner.Address(),
         request.Name(),
         request.Class(),
-        aPending.mClass.Idempotent(),
+        MayRepeat(aPending),
         request.Body(),
         aPending.mTimeout },
       [self = caf::actor(this), id = request.Name(), name = runner.Name()](
@@ -300,7 +307,7 @@
     }
     const milliseconds left = aPending.mDeadline - Now();
     RetryDecision decision =
-      DecideRetry(aStatus, aPending.mClass.Idempotent(), mBudget, left);
+      DecideRetry(aStatus, MayRepeat(aPending), mBudget, left);
     const bool mayWait = aPending.mClass.MaxWait().count() > 0;
     if (decision == RetryDecision::kRetry &&
         !mRunners.HasOther(aPending.mTried)) {
--- a/src/state/QueuePass.cpp
+++ b/src/state/QueuePass.cpp
@@ -22,8 +22,8 @@
 {
   const PlacementContext context(aLoad, aJob.Request());
   const auto& workers = aLoad.Workers().All();
-  const auto missing = [&context](std::size_t w) {
-    return std::max(0, context.PerWorker() - context.Counts().Free(w));
+  const auto missing = [&context](std::size_t aWorker) {
+    return std::max(0, context.PerWorker() - context.Counts().Free(aWorker));
   };
   std::vector<std::size_t> best;
   int least = 0;
--- a/tests/coordination/FakeTable.cpp
+++ b/tests/coordination/FakeTable.cpp
@@ -66,14 +66,13 @@
     mFaultsLeft = std::max(0, mFaultsLeft - 1);
     if (mMode == TableMode::kUnavailable || fault == TableFault::kNotSent) {
       result = StoreResult(StoreStatus::kUnavailable, {});
-    } else if (mMode == TableMode::kLoseAnswers) {
+    } else if (mMode == TableMode::kLoseAnswers ||
+               fault == TableFault::kAnswerLost) {
       Apply(aTransaction);
     } else if (fault == TableFault::kLate) {
       mLate.push_back(aTransaction);
     } else if (fault == TableFault::kNone && mMode == TableMode::kNormal) {
       result = Apply(aTransaction);
-    } else if (fault == TableFault::kAnswerLost) {
-      Apply(aTransaction);
     }
   }
   aCompletion(result);
--- a/tests/coordination/RoutingTaskTest.cpp
+++ b/tests/coordination/RoutingTaskTest.cpp
@@ -186,7 +186,8 @@
   std::shared_ptr<Collected<state::RunOutcome>> Request(
     const std::string& aClass,
     const std::string& aOrganisation = "acme",
-    milliseconds aTimeout = milliseconds(0))
+    milliseconds aTimeout = milliseconds(0),
+    const std::string& aKey = "")
   {
     auto outcome = std::make_shared<Collected<state::RunOutcome>>();
     const state::RunRequest request(
@@ -194,7 +195,7 @@
       state::OrganisationId(aOrganisation),
       state::TeamId("night"),
       state::ClassName(aClass),
-      "",
+      aKey,
       "body",
       aTimeout);
     // Sent from this thread, so that requests arrive in order.
@@ -294,6 +295,19 @@
   }
 }
 
+// Guards against a second run of a request that was recorded as non-idempotent
+// while this task still held the older settings of its class.
+TEST(RoutingTask, RequestWithKeyIsNotRepeated)
+{
+  Bench bench(2, 1);
+  const auto outcome = bench.Request("proof", "acme", milliseconds(0), "key-1");
+  bench.Port().Complete(0, RunnerStatus::kBroken);
+  CheckRefused(outcome->At(0),
+               state::RefusalReason::kEndpointFailed,
+               state::Ran::kUnknown);
+  LONGS_EQUAL(1, bench.Port().Calls().Size());
+}
+
 // Guards against giving up although nothing ran and another runner is free.
 TEST(RoutingTask, RequestThatDidNotStartIsRetriedElsewhere)
 {
--- a/tests/history/History.h
+++ b/tests/history/History.h
@@ -75,9 +75,7 @@
   /** "reserve", "commit", "start", "finish", "stop" or "expire". */
   std::string mKind;
   /** Time on the clock that all processes of the machine share. */
-  std::int64_t mAtUs = 0;
-  /** Members of the gang, as the command said. */
-  std::uint32_t mMembers = 0;
+  std::int64_t mAtMs = 0;
 
   auto operator<=>(const MemberStep&) const = default;
 };
@@ -86,6 +84,7 @@
 struct JobView
 {
   std::string mJob;
+  std::uint32_t mMembers = 0;
   /** Final state, or empty if none was seen. */
   std::string mState;
   /** "yes", "no" or "unknown". */
--- a/tests/history/HistoryChecker.cpp
+++ b/tests/history/HistoryChecker.cpp
@@ -157,14 +157,29 @@
 
 using AttemptKey = std::pair<std::string, std::uint32_t>;
 
+/** Members of each job; a job that no caller knows has one. */
+std::map<std::string, std::uint32_t>
+MembersOfJobs(const History& aHistory)
+{
+  std::map<std::string, std::uint32_t> members;
+  for (const MemberStep& step : aHistory.mMemberSteps) {
+    members.emplace(step.mGang, 1);
+  }
+  for (const JobView& job : aHistory.mJobs) {
+    members[job.mJob] = job.mMembers;
+  }
+  return members;
+}
+
 /** P2: a member starts only after all members of the attempt committed. */
 std::vector<Violation>
 CheckGangsStartWhole(const History& aHistory)
 {
+  auto members = MembersOfJobs(aHistory);
   std::map<AttemptKey, std::map<std::string, std::int64_t>> commits;
   for (const MemberStep& step : aHistory.mMemberSteps) {
     if (step.mKind == "commit") {
-      commits[{ step.mGang, step.mAttempt }].emplace(step.mWorker, step.mAtUs);
+      commits[{ step.mGang, step.mAttempt }].emplace(step.mWorker, step.mAtMs);
     }
   }
   std::vector<Violation> violations;
@@ -174,14 +189,14 @@
     }
     std::uint32_t before = 0;
     for (const auto& [worker, at] : commits[{ step.mGang, step.mAttempt }]) {
-      before += at <= step.mAtUs ? 1 : 0;
+      before += at <= step.mAtMs ? 1 : 0;
     }
-    if (before < step.mMembers) {
-      violations.push_back({ "P2",
-                             step.mWorker + " started gang " + step.mGang +
-                               " attempt " + std::to_string(step.mAttempt) +
-                               " after " + std::to_string(before) + " of " +
-                               std::to_string(step.mMembers) + " commits" });
+    if (before < members[step.mGang]) {
+      violations.push_back(
+        { "P2",
+          step.mWorker + " started gang " + step.mGang + " attempt " +
+            std::to_string(step.mAttempt) + " after " + std::to_string(before) +
+            " of " + std::to_string(members[step.mGang]) + " commits" });
     }
   }
   return violations;
@@ -212,16 +227,15 @@
 CheckDoneJobsAreWhole(const History& aHistory)
 {
   std::map<AttemptKey, std::set<std::string>> finished;
-  std::map<AttemptKey, std::uint32_t> members;
+  auto members = MembersOfJobs(aHistory);
   for (const MemberStep& step : aHistory.mMemberSteps) {
     if (step.mKind == "finish") {
       finished[{ step.mGang, step.mAttempt }].insert(step.mWorker);
-      members[{ step.mGang, step.mAttempt }] = step.mMembers;
     }
   }
   std::set<std::string> whole;
   for (const auto& [attempt, workers] : finished) {
-    if (workers.size() >= members[attempt]) {
+    if (workers.size() >= members[attempt.first]) {
       whole.insert(attempt.first);
     }
   }
--- a/tests/history/HistoryCheckerTest.cpp
+++ b/tests/history/HistoryCheckerTest.cpp
@@ -32,12 +32,12 @@
                              { "e1", "classes/x", 2, "v2" },
                              { "e2", "classes/x", 1, "v1" } };
   history.mMemberSteps = {
-    { "w1", "g", 1, "commit", 10, 2 }, { "w2", "g", 1, "commit", 20, 2 },
-    { "w1", "g", 1, "start", 30, 2 },  { "w2", "g", 1, "start", 31, 2 },
-    { "w1", "g", 1, "finish", 40, 2 }, { "w2", "g", 1, "finish", 41, 2 },
-    { "w1", "h", 1, "commit", 50, 2 },
+    { "w1", "g", 1, "commit", 10 }, { "w2", "g", 1, "commit", 20 },
+    { "w1", "g", 1, "start", 30 },  { "w2", "g", 1, "start", 31 },
+    { "w1", "g", 1, "finish", 40 }, { "w2", "g", 1, "finish", 41 },
+    { "w1", "h", 1, "commit", 50 },
   };
-  history.mJobs = { { "g", "done", "yes" }, { "h", "refused", "no" } };
+  history.mJobs = { { "g", 2, "done", "yes" }, { "h", 2, "refused", "no" } };
   return history;
 }
 
@@ -119,7 +119,7 @@
 TEST(HistoryChecker, RejectsStartBeforeAllCommits)
 {
   History history = GoodHistory();
-  history.mMemberSteps[1].mAtUs = 35;
+  history.mMemberSteps[1].mAtMs = 35;
   CHECK(Breaks(history, "P2"));
 }
 
@@ -133,7 +133,7 @@
 TEST(HistoryChecker, RejectsRefusedJobThatStarted)
 {
   History history = GoodHistory();
-  history.mJobs[0] = { "g", "refused", "no" };
+  history.mJobs[0] = { "g", 2, "refused", "no" };
   CHECK(Breaks(history, "P4"));
 }
 
--- a/tests/history/HistoryFile.cpp
+++ b/tests/history/HistoryFile.cpp
@@ -63,15 +63,16 @@
                                     aLine.at("gang"),
                                     aLine.at("attempt"),
                                     aLine.at("kind"),
-                                    aLine.at("at_us"),
-                                    aLine.at("members") });
+                                    aLine.at("at_ms") });
 }
 
 void
 AddJob(History& aHistory, const json& aLine)
 {
-  aHistory.mJobs.push_back(
-    { aLine.at("job"), aLine.at("state"), aLine.at("ran") });
+  aHistory.mJobs.push_back({ aLine.at("job"),
+                             aLine.at("members"),
+                             aLine.at("state"),
+                             aLine.at("ran") });
 }
 
 using LineReader = void (*)(History&, const json&);
--- a/tools/WorkerModel.cpp
+++ b/tools/WorkerModel.cpp
@@ -53,6 +53,7 @@
 void
 WorkerModel::Advance(milliseconds aNow)
 {
+  mNow = aNow;
   for (auto& [key, task] : mTasks) {
     const bool finishes = task.mState == MemberState::kRunning &&
                           task.mRunEnd <= aNow &&
@@ -211,7 +212,7 @@
                    const Task& aTask)
 {
   mJournal.push_back(
-    { aEvent, aKey.first, aTask.mAttempt, aKey.second, aTask.mEpoch });
+    { aEvent, aKey.first, aTask.mAttempt, aKey.second, aTask.mEpoch, mNow });
 }
 
 WorkerReport
--- a/tools/WorkerModel.h
+++ b/tools/WorkerModel.h
@@ -21,6 +21,8 @@
   std::uint32_t mAttempt;
   int mMember;
   std::uint64_t mEpoch;
+  /** When the worker noticed it, on its own clock. */
+  std::chrono::milliseconds mAt;
 
   auto operator<=>(const WorkerJournalEntry&) const = default;
 };
@@ -94,6 +96,7 @@
   std::map<state::RegionId, std::uint64_t> mEpochs;
   std::map<TaskKey, Task> mTasks;
   std::vector<WorkerJournalEntry> mJournal;
+  std::chrono::milliseconds mNow{ 0 };
 };
 
 } // namespace cornelrudder::tools
--- a/tools/load_client.cpp
+++ b/tools/load_client.cpp
@@ -34,6 +34,9 @@
 
 constexpr int kExitBadInput = 2;
 constexpr int kMaxTries = 4;
+constexpr int kMaxPolls = 600;
+constexpr int kPollPauseMs = 100;
+constexpr int kMaxGang = 4;
 constexpr std::chrono::milliseconds kCallTimeout{ 8'000 };
 const std::string kTeamPath = "organisations/acme/teams/night";
 
@@ -44,6 +47,8 @@
   int mCallers = 16;
   int mCalls = 50;
   int mOperators = 2;
+  int mSubmitters = 0;
+  int mJobs = 8;
 };
 
 std::vector<std::string>
@@ -88,6 +93,14 @@
     return mLines;
   }
 
+  std::vector<std::string> RunJobs()
+  {
+    for (int i = 0; i < mOptions.mJobs; ++i) {
+      RunJob(i);
+    }
+    return mLines;
+  }
+
   /** Reads the settings of each server once, after all changes. */
   std::vector<std::string> ReadAll()
   {
@@ -183,6 +196,70 @@
     aLine["end"] = notRun ? "not_run" : "unknown";
   }
 
+  /** Submits a gang until its outcome is known, and follows it to its end. */
+  void RunJob(int aIndex)
+  {
+    const int members = 1 + Pick(kMaxGang);
+    const json spec{ { "organisation", "acme" },
+                     { "team", "night" },
+                     { "class", Pick(2) == 0 ? "nesting" : "billed" },
+                     { "workers", members },
+                     { "accelerators_per_worker", 1 + Pick(4) },
+                     { "adjacency", "rack" },
+                     { "expected_seconds", Pick(3) },
+                     { "key",
+                       "job-" + std::to_string(mOptions.mSeed) + "-" +
+                         std::to_string(mNumber) + "-" +
+                         std::to_string(aIndex) } };
+    const bool cancel = Pick(6) == 0;
+    for (int i = 0; i < kMaxPolls; ++i) {
+      const HttpResult result =
+        Send(AnyServer(), { "POST", "/v1/jobs", {}, spec.dump() });
+      const json body = JsonOf(result);
+      if (body.contains("id")) {
+        FollowJob(body.at("id").get<std::string>(), members, cancel);
+        return;
+      }
+      Pause(kPollPauseMs);
+    }
+  }
+
+  void FollowJob(const std::string& aJob, int aMembers, bool aCancel)
+  {
+    const std::string path = "/v1/jobs/" + aJob;
+    json line{ { "type", "job" },
+               { "job", aJob },
+               { "members", aMembers },
+               { "state", "" },
+               { "ran", "unknown" } };
+    if (aCancel) {
+      Pause(Pick(500));
+      Send(AnyServer(), { "DELETE", path, {}, "" });
+    }
+    for (int i = 0; i < kMaxPolls; ++i) {
+      const json body = JsonOf(Send(AnyServer(), { "GET", path, {}, "" }));
+      const std::string state = body.value("state", "");
+      if (state == "done" || state == "failed" || state == "refused" ||
+          state == "cancelled") {
+        line["state"] = state;
+        line["ran"] = body.value("ran", "unknown");
+        break;
+      }
+      Pause(kPollPauseMs);
+    }
+    mLines.push_back(line.dump());
+  }
+
+  /** @return The body of a response, or an empty object. */
+  static json JsonOf(const HttpResult& aResult)
+  {
+    if (aResult.Failure() != HttpFailure::kNone) {
+      return json::object();
+    }
+    json body = json::parse(aResult.Response().Body(), nullptr, false);
+    return body.is_object() ? body : json::object();
+  }
+
   void ReadSettings() { ReadSettingsOf(AnyServer()); }
 
   void ReadSettingsOf(const std::string& aServer)
@@ -262,6 +339,12 @@
       return Caller(aOptions, aOptions.mCallers + i).RunChanges();
     }));
   }
+  for (int i = 0; i < aOptions.mSubmitters; ++i) {
+    results.push_back(std::async(std::launch::async, [&aOptions, i] {
+      return Caller(aOptions, aOptions.mCallers + aOptions.mOperators + i)
+        .RunJobs();
+    }));
+  }
   for (auto& result : results) {
     Print(result.get());
   }
@@ -271,12 +354,14 @@
 Options
 ParseOptions(int aCount, char** aArguments)
 {
-  static const std::array<option, 6> kOptions{ {
+  static const std::array<option, 8> kOptions{ {
     { "servers", required_argument, nullptr, 's' },
     { "seed", required_argument, nullptr, 'r' },
     { "callers", required_argument, nullptr, 'c' },
     { "calls", required_argument, nullptr, 'n' },
     { "operators", required_argument, nullptr, 'o' },
+    { "submitters", required_argument, nullptr, 'j' },
+    { "jobs", required_argument, nullptr, 'J' },
     { nullptr, 0, nullptr, 0 },
   } };
   Options options;
@@ -293,6 +378,10 @@
       options.mCalls = std::stoi(optarg);
     } else if (flag == 'o') {
       options.mOperators = std::stoi(optarg);
+    } else if (flag == 'j') {
+      options.mSubmitters = std::stoi(optarg);
+    } else if (flag == 'J') {
+      options.mJobs = std::stoi(optarg);
     } else {
       options.mServers.clear();
       break;
@@ -311,7 +400,7 @@
     if (options.mServers.empty()) {
       std::fprintf(stderr,
                    "usage: %s --servers A,B,... [--seed N] [--callers N] "
-                   "[--calls N] [--operators N]\n",
+                   "[--calls N] [--operators N] [--submitters N] [--jobs N]\n",
                    aArguments[0]);
       return kExitBadInput;
     }
--- a/tools/worker_standin.cpp
+++ b/tools/worker_standin.cpp
@@ -89,7 +89,8 @@
                           { "gang", entry.mGang.Text() },
                           { "attempt", entry.mAttempt },
                           { "member", entry.mMember },
-                          { "epoch", entry.mEpoch } });
+                          { "epoch", entry.mEpoch },
+                          { "at_ms", entry.mAt.count() } });
     }
     return { { "entries", entries } };
   }
