--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,152 +5,41 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
-work=$(mktemp -d)
-pids=()
-
-# Stops exactly the processes that this script started.
-cleanup() {
-  for pid in "${pids[@]}"; do
-    kill -KILL "$pid" 2>/dev/null || true
-  done
-  wait 2>/dev/null || true
-  if [ "${KEEP_LOGS:-}" ]; then
-    echo "logs: $work"
-  else
-    rm -rf "$work"
-  fi
-}
-trap cleanup EXIT
-
-fail() {
-  echo "FAILED: $*" >&2
-  tail -n 20 "$work"/*.log >&2 || true
-  exit 1
-}
-
-# Waits until a command succeeds, under a generous deadline.
-wait_until() {
-  local what=$1
-  shift
-  for _ in $(seq 600); do
-    if "$@" >/dev/null 2>&1; then
-      echo "ok: $what"
-      return
-    fi
-    sleep 0.1
-  done
-  fail "$what"
-}
-
-# Compares an answer with what was expected.
-expect() {
-  local what=$1 wanted=$2 got=$3
-  case "$got" in
-    *"$wanted"*) echo "ok: $what" ;;
-    *) fail "$what: wanted $wanted, got $got" ;;
-  esac
-}
-
-# Starts a program; its log is $work/NAME.log.
-start() {
-  local name=$1
-  shift
-  "$@" >"$work/$name.log" 2>&1 &
-  pids+=($!)
-  eval "pid_${name//-/_}=$!"
-}
-
-# Prints the address of a stand-in once it listens.
-address_of() {
-  for _ in $(seq 600); do
-    if grep -q "listening on" "$work/$1.log" 2>/dev/null; then
-      sed -n 's/^listening on //p' "$work/$1.log" | head -n 1
-      return
-    fi
-    sleep 0.05
-  done
-  fail "$1 does not listen"
-}
-
-# Prints the peer address of a daemon that has started.
-peer_address_of() {
-  sed -n 's/.*name=started .*peer=\([0-9.:]*\).*/\1/p' "$work/$1.log" | head -n 1
-}
-
-http_address_of() {
-  for _ in $(seq 600); do
-    if grep -q "name=started" "$work/$1.log" 2>/dev/null; then
-      sed -n 's/.*name=started http=\([0-9.:]*\).*/\1/p' "$work/$1.log" | head -n 1
-      return
-    fi
-    sleep 0.05
-  done
-  fail "$1 does not start"
-}
 
 if [ "${1:-}" != --no-install ]; then
   scripts/install_deps.sh
   scripts/build.sh "$build"
 fi
 
+. scripts/cluster.sh
+
 echo "== start"
-start platform "$build/tools/platform_standin"
-platform=$(address_of platform)
-vms=()
+start_standin platform platform_standin
+platform=${address_of_name[platform]}
 for i in 1 2; do
-  start "runner-$i" "$build/tools/runner_standin"
-  vms+=("{\"id\":\"runner-$i\",\"role\":\"runner\",\"address\":\"$(address_of "runner-$i")\",\"region\":\"region-1\",\"zone\":\"zone-$i\",\"rack\":\"rack-r$i\"}")
+  start_standin "runner-$i" runner_standin
+  add_vm "runner-$i" runner "zone-$i" "rack-r$i"
 done
-
 for i in 1 2 3 4 5 6; do
-  start "worker-$i" "$build/tools/worker_standin"
-  eval "worker_$i=$(address_of "worker-$i")"
-  vms+=("{\"id\":\"worker-$i\",\"role\":\"worker\",\"address\":\"$(address_of "worker-$i")\",\"region\":\"region-1\",\"zone\":\"zone-1\",\"rack\":\"rack-w1\",\"accelerators\":8}")
+  start_standin "worker-$i" worker_standin
+  add_vm "worker-$i" worker zone-1 rack-w1 8
 done
 
 # Starts a daemon; the first one is the seed of the others.
 start_daemon() {
-  local i=$1 zone=$2 seeds=""
-  if [ "$i" != 1 ]; then
-    seeds="\"$(peer_address_of entry-1)\""
-  fi
-  cat >"$work/entry-$i.toml" <<TOML
-[daemon]
-id = "entry-$i"
-region = "region-1"
-zone = "zone-$zone"
-http_address = "127.0.0.1:0"
-peer_address = "127.0.0.1:0"
-seeds = [$seeds]
-
-[platform]
-address = "$platform"
-
-[timing]
-poll_ms = 200
-heartbeat_ms = 200
-drain_notice_ms = 200
-TOML
-  start "entry-$i" "$build/apps/cornelrudderd" --config "$work/entry-$i.toml"
-  eval "entry_$i=$(http_address_of "entry-$i")"
-}
-
-# Adds a daemon to the list of VMs that is put next.
-list_daemon() {
-  local i=$1 zone=$2 address
-  eval "address=\$entry_$i"
-  vms+=("{\"id\":\"entry-$i\",\"role\":\"entry\",\"address\":\"$address\",\"region\":\"region-1\",\"zone\":\"zone-$zone\",\"rack\":\"rack-e$i\"}")
+  local i=$1 zone=$2
+  write_entry "entry-$i" "zone-$zone" 127.0.0.1:0 127.0.0.1:0 \
+    "${peer_of[entry-1]:-}"
+  start_entry "entry-$i"
+  eval "entry_$i=${address_of_name[entry-$i]}"
 }
 
 for i in 1 2 3; do
   zone=$((i == 3 ? 2 : i))
   start_daemon "$i" "$zone"
-  list_daemon "$i" "$zone"
+  add_vm "entry-$i" entry "zone-$zone" "rack-e$i"
 done
-list=$(IFS=,; echo "${vms[*]}")
-curl -sSf -X PUT "http://$platform/vms" -d "{\"vms\":[$list]}" >/dev/null
-
-cli() { "$build/apps/cornelrudder" "$@"; }
+publish_vms
 
 # Whether a daemon's peers are alive (all of them, and as many as given).
 sees_alive() {
@@ -165,7 +54,7 @@
 
 echo "== membership"
 for i in 1 2 3; do
-  eval "address=\$entry_$i"
+  address=${address_of_name[entry-$i]}
   wait_until "entry-$i hears both others, which know a common seed" \
     sees_alive "$address" 2
   wait_until "entry-$i is ready" is_ready "$address"
@@ -177,7 +66,7 @@
 cli -s "$entry_2" settings set classes/proof-render \
   idempotent=true max_wait_ms=0 timeout_ms=10000 urgency=9 >/dev/null
 for i in 1 2 3; do
-  eval "address=\$entry_$i"
+  address=${address_of_name[entry-$i]}
   wait_until "settings are in force on entry-$i" sh -c \
     "curl -s http://$address/v1/settings | grep classes/proof-render | grep -q teams/night"
 done
@@ -190,7 +79,7 @@
 
 echo "== requests"
 for i in 1 2 3; do
-  eval "address=\$entry_$i"
+  address=${address_of_name[entry-$i]}
   run_request() {
     cli -s "$address" -o acme -t night -b "spread $i" request run proof-render |
       grep -q "^done:spread $i$"
@@ -228,7 +117,7 @@
   grep "name=settings_from_peer peer=entry-2 documents=1$" "$work/$1.log"
 }
 for i in 1 3 4; do
-  eval "address=\$entry_$i"
+  address=${address_of_name[entry-$i]}
   wait_until "the change is in force on entry-$i" sh -c \
     "curl -s http://$address/v1/settings | grep -q policy"
   wait_until "entry-$i gets a change from a peer" got_from_peer "entry-$i"
@@ -240,7 +129,7 @@
 wait_until "entry-1 sees entry-4 leave" \
   grep "name=peer_leaving peer=entry-4" "$work/entry-1.log"
 status=0
-wait "$pid_entry_4" || status=$?
+wait "${pid_of[entry-4]}" || status=$?
 expect "the drained daemon exits with status 0" "0" "$status"
 wait_until "entry-1 sees that entry-4 is gone" \
   grep "name=peer_gone peer=entry-4" "$work/entry-1.log"
@@ -249,7 +138,7 @@
 cli -s "$entry_1" settings set classes/kerf-check \
   idempotent=false max_wait_ms=0 timeout_ms=10000 >/dev/null
 for i in 1 2 3; do
-  eval "address=\$entry_$i"
+  address=${address_of_name[entry-$i]}
   wait_until "the class kerf-check is in force on entry-$i" sh -c \
     "curl -s http://$address/v1/status | grep -q classes/kerf-check"
 done
@@ -262,7 +151,7 @@
 runs_of() {
   local i
   for i in 1 2; do
-    curl -sSf "http://$(address_of "runner-$i")/journal"
+    curl -sSf "http://${address_of_name[runner-$i]}/journal"
   done | jq -s --arg body "$1" '[.[].runs[] | select(.body == $body)] | length'
 }
 first=$(kerf_check "$entry_1" order-17 "kerf 17")
@@ -304,8 +193,7 @@
 # Sums an event of the job over the journals of all workers.
 count_events() {
   for n in 1 2 3 4 5 6; do
-    eval "address=\$worker_$n"
-    curl -sSf "http://$address/journal"
+    curl -sSf "http://${address_of_name[worker-$n]}/journal"
   done | jq -s --arg event "$1" --arg job "$job" \
     '[.[].entries[] | select(.event == $event and .gang == $job)] | length'
 }
@@ -326,12 +214,12 @@
   proof-render >"$work/long.out" 2>&1 &
 long=$!
 sleep 0.5
-kill -TERM "$pid_entry_1"
+kill -TERM "${pid_of[entry-1]}"
 wait "$long" || fail "a request was cut off: $(cat "$work/long.out")"
 expect "the running request got its answer" "done:work_ms=1500 long" \
   "$(cat "$work/long.out")"
 status=0
-wait "$pid_entry_1" || status=$?
+wait "${pid_of[entry-1]}" || status=$?
 expect "the daemon exits with status 0" "0" "$status"
 other_owner() {
   status_of "$entry_2" | jq -e --arg owner "$owner" --argjson epoch "$epoch" \
