Check planned stops and leaving runners in the history run; hash with xxHash

The second stop signal logged 0 cut-off requests whatever was running; it now ends the grace period and reports the true number (a test holds an exchange open). A second signal during the notice could also reach a destroyed server.

The mixer of the guarantee search is XXH3 of the library instead of own code.

--- a/apps/cornelrudderd/Daemon.cpp
+++ b/apps/cornelrudderd/Daemon.cpp
@@ -339,7 +339,7 @@
   void BeginStop()
   {
     if (mStopping) {
-      FinishStop(0);
+      DrainServer(std::chrono::milliseconds(0));
       return;
     }
     StartDrain();
@@ -357,10 +357,19 @@
     caf::anon_send(mMembership, coordination::BeginLeaving{});
     caf::anon_send(mLease, coordination::ReleaseLease{});
     // The balancer needs time to see /readyz before the listener closes.
-    mThread.PostAfter(mSettings.DrainNotice(), [this] {
-      mServer->Drain(mSettings.DrainGrace(),
-                     [this](std::size_t aCutOff) { FinishStop(aCutOff); });
-    });
+    mThread.PostAfter(mSettings.DrainNotice(),
+                      [this] { DrainServer(mSettings.DrainGrace()); });
+  }
+
+  /** The last call decides the grace; a second stop signal allows none. */
+  void DrainServer(std::chrono::milliseconds aGrace)
+  {
+    // After the end, the server is being destroyed on the main thread.
+    if (mFinished) {
+      return;
+    }
+    mServer->Drain(aGrace,
+                   [this](std::size_t aCutOff) { FinishStop(aCutOff); });
   }
 
   void FinishStop(std::size_t aCutOff)
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -83,11 +83,20 @@
   vms+=("{\"id\":\"$id\",\"role\":\"$role\",\"address\":\"${address_of_name[$id]}\",\"region\":\"region-1\",\"zone\":\"$zone\",\"rack\":\"$rack\",\"accelerators\":$accelerators}")
 }
 
-publish_vms() {
+# Prints the list of the VMs that were added.
+list_vms() {
   local list
   list=$(IFS=,; echo "${vms[*]}")
-  curl -sSf -X PUT "http://${address_of_name[platform]}/vms" \
-    -d "{\"vms\":[$list]}" >/dev/null
+  echo "{\"vms\":[$list]}"
+}
+
+# Gives the platform the list on standard input.
+put_vms() {
+  curl -sSf -X PUT "http://${address_of_name[platform]}/vms" -d @- >/dev/null
+}
+
+publish_vms() {
+  list_vms | put_vms
 }
 
 # Writes the settings file of a daemon.
--- a/scripts/history.sh
+++ b/scripts/history.sh
@@ -11,7 +11,7 @@
 if [ ${#faults[@]} -eq 0 ]; then
   faults=(kill_entry freeze_entry store_down store_slow lose_answers
     runner_cross runner_truncate runner_slow runner_fail worker_lose
-    kill_and_lose freeze_long)
+    kill_and_lose freeze_long drain_entry runner_leaves)
 fi
 . scripts/cluster.sh
 RANDOM=$seed
@@ -69,6 +69,16 @@
   : >"$work/$name.log"
   start_entry "$name"
 }
+# A planned stop under load; exit status 0 says that nothing was cut off.
+drain_entry() {
+  local name status=0
+  name=$(any_entry)
+  kill -TERM "${pid_of[$name]}"
+  wait "${pid_of[$name]}" || status=$?
+  [ "$status" = 0 ] || fail "P7: $name ended with status $status"
+  : >"$work/$name.log"
+  start_entry "$name"
+}
 freeze_entry() {
   local name
   name=$(any_entry)
@@ -85,6 +95,22 @@
   sleep 5
   kill -CONT "${pid_of[$name]}"
 }
+runs_on() {
+  curl -sS "http://${address_of_name[$1]}/journal" | jq '.runs | length'
+}
+# A runner that the platform lists as leaving gets nothing new after 3 s.
+runner_leaves() {
+  local name before after
+  name=$(any_runner)
+  list_vms | sed "s/\"id\":\"$name\"/\"state\":\"leaving\",&/" | put_vms
+  sleep 3
+  before=$(runs_on "$name")
+  sleep 1
+  after=$(runs_on "$name")
+  [ "$before" = "$after" ] ||
+    fail "P6: $name got $((after - before)) requests while it was leaving"
+  list_vms | put_vms
+}
 with_fault() {
   set_faults "$1" "$2"
   pause
--- a/src/state/ExactGuaranteeTest.cpp
+++ b/src/state/ExactGuaranteeTest.cpp
@@ -3,22 +3,18 @@
 #include <algorithm>
 #include <unordered_map>
 #include <unordered_set>
+
+#include <xxhash.h>
 #include <utility>
 
 namespace cornelrudder::state {
 
 namespace {
 
-/** Bit mixer (the finaliser of MurmurHash3). */
 std::uint64_t
 Mix(std::uint64_t aValue)
 {
-  aValue ^= aValue >> 33U;
-  aValue *= 0xff51afd7ed558ccdULL;
-  aValue ^= aValue >> 33U;
-  aValue *= 0xc4ceb9fe1a85ec53ULL;
-  aValue ^= aValue >> 33U;
-  return aValue;
+  return XXH3_64bits(&aValue, sizeof(aValue));
 }
 
 /** A guaranteed shape as the search sees it. */
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -97,6 +97,34 @@
   CHECK_THROWS(TransportError, HttpServer(thread, server.Address(), {}, Echo));
 }
 
+// Guards against a second stop signal that hides what it cuts off.
+TEST(Http, DrainWithoutGraceCountsRunningExchanges)
+{
+  IoThread thread;
+  std::promise<HttpResponder> started;
+  HttpServer server(thread,
+                    "127.0.0.1:0",
+                    {},
+                    [&started](const HttpRequest&, HttpResponder aRespond) {
+                      started.set_value(std::move(aRespond));
+                    });
+  HttpClient client(thread, {});
+  std::promise<HttpResult> result;
+  client.Send(
+    server.Address(),
+    { "GET", "/", {}, "" },
+    { kGenerous, true },
+    [&result](HttpResult aResult) { result.set_value(std::move(aResult)); });
+  const HttpResponder respond = started.get_future().get();
+  std::promise<std::size_t> drained;
+  server.Drain(kGenerous, [](std::size_t) { FAIL("the grace ended early"); });
+  server.Drain(std::chrono::milliseconds(0),
+               [&drained](std::size_t aCutOff) { drained.set_value(aCutOff); });
+  LONGS_EQUAL(1, drained.get_future().get());
+  respond({ 200, {}, "late" });
+  result.get_future().get();
+}
+
 // Guards against a shutdown that cuts off a running request.
 TEST(Http, DrainWaitsForRunningExchange)
 {
