--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -137,4 +137,16 @@
     true
 }
 
+# Prints user and system time of a process in milliseconds.
+cpu_ms() {
+  local ticks
+  ticks=$(awk '{print $14 + $15}' "/proc/$1/stat")
+  echo $((ticks * 1000 / $(getconf CLK_TCK)))
+}
+
+# Prints the resident memory of a process in MB.
+resident_mb() {
+  awk '/^VmRSS/ {printf "%.1f", $2 / 1024}' "/proc/$1/status"
+}
+
 cli() { "$build/apps/cornelrudder" "$@"; }
--- a/scripts/measure_control.sh
+++ b/scripts/measure_control.sh
@@ -8,13 +8,6 @@
 build=${BUILD_DIR:-build}
 seconds=${1:-20}
 
-# Prints user and system time of a process in milliseconds.
-cpu_ms() {
-  local ticks
-  ticks=$(awk '{print $14 + $15}' "/proc/$1/stat")
-  echo $((ticks * 1000 / $(getconf CLK_TCK)))
-}
-
 # Prints the sum of a traffic counter towards the platform and the workers.
 metric() {
   curl -sS "http://$1/metrics" | awk -v name="cornelrudder_http_$2_bytes_total" \
@@ -55,7 +48,7 @@
   cpu=$(($(cpu_ms "$pid") - cpu))
   sent=$(($(metric "$one" sent) - sent))
   received=$(($(metric "$one" received) - received))
-  rss=$(awk '/^VmRSS/ {printf "%.1f", $2 / 1024}' "/proc/$pid/status")
+  rss=$(resident_mb "$pid")
   awk -v d="$daemons" -v w="$workers" -v t="$teams" -v c="$cpu" -v s="$sent" \
     -v r="$received" -v m="$rss" -v n="$seconds" 'BEGIN {
     printf "| %d | %d | %d | %.3f%% | %s MB | %.0f B/s | %.0f B/s |\n",
--- a/scripts/measure_gangs.sh
+++ b/scripts/measure_gangs.sh
@@ -29,11 +29,6 @@
   curl -sS "http://$one/metrics" |
     awk '/target="worker"/ && /bytes/ {sum += $2} END {print sum + 0}'
 }
-cpu_ms() {
-  local ticks
-  ticks=$(awk '{print $14 + $15}' "/proc/$pid/stat")
-  echo $((ticks * 1000 / $(getconf CLK_TCK)))
-}
 submit() {
   cli -s "$one" -o o -t t --workers 1 --accelerators 1 --expected 3600 \
     job submit long
@@ -55,12 +50,12 @@
   done
   wait_until "$members members run" running "$members" >&2
   sleep 3
-  cpu=$(cpu_ms)
+  cpu=$(cpu_ms "$pid")
   bytes=$(traffic)
   sleep "$seconds"
-  cpu=$(($(cpu_ms) - cpu))
+  cpu=$(($(cpu_ms "$pid") - cpu))
   bytes=$(($(traffic) - bytes))
-  rss=$(awk '/^VmRSS/ {printf "%.1f", $2 / 1024}' "/proc/$pid/status")
+  rss=$(resident_mb "$pid")
   awk -v m="$members" -v c="$cpu" -v b="$bytes" -v r="$rss" -v n="$seconds" \
     'BEGIN {printf "| %d | %.2f%% | %s MB | %.0f B/s |\n", m, c / n / 10, r, b / n}'
 done
--- a/scripts/measure_requests.sh
+++ b/scripts/measure_requests.sh
@@ -25,18 +25,13 @@
 cli -s "$one" settings set classes/kerf-check idempotent=false \
   max_wait_ms=5000 timeout_ms=5000 >/dev/null
 sleep 5
-cpu_ms() {
-  local ticks
-  ticks=$(awk '{print $14 + $15}' "/proc/$pid/stat")
-  echo $((ticks * 1000 / $(getconf CLK_TCK)))
-}
 echo "| requests (half of them non-idempotent) | CPU of the daemon | each |"
 echo "|---|---|---|"
 for calls in 100 200 400; do
-  cpu=$(cpu_ms)
+  cpu=$(cpu_ms "$pid")
   "$build/tools/load_client" --servers "$one" --callers 16 --calls "$calls" \
     --operators 0 >"$work/load.jsonl"
-  cpu=$(($(cpu_ms) - cpu))
+  cpu=$(($(cpu_ms "$pid") - cpu))
   count=$(wc -l <"$work/load.jsonl")
   awk -v n="$count" -v c="$cpu" \
     'BEGIN {printf "| %d | %d ms | %.0f us |\n", n, c, 1000 * c / n}'
--- a/src/state/ExactGuaranteeTest.cpp
+++ b/src/state/ExactGuaranteeTest.cpp
@@ -4,8 +4,8 @@
 #include <unordered_map>
 #include <unordered_set>
 
-#include <xxhash.h>
 #include <utility>
+#include <xxhash.h>
 
 namespace cornelrudder::state {
 
--- a/tests/coordination/IntentTaskTest.cpp
+++ b/tests/coordination/IntentTaskTest.cpp
@@ -1,5 +1,6 @@
 #include "cornelrudder/coordination/IntentTask.h"
 #include "coordination/FakeTable.h"
+#include "coordination/SystemConfig.h"
 #include "cornelrudder/coordination/Messages.h"
 #include "cornelrudder/coordination/StoreTask.h"
 #include "cornelrudder/protocol/JsonRowCodec.h"
@@ -29,12 +30,6 @@
 
 const std::string kRowKey = "intent/acme/k1";
 
-class SystemConfig : public caf::actor_system_config
-{
-public:
-  SystemConfig() { set("scheduler.policy", caf::atom("sharing")); }
-};
-
 /** Takes requests like the routing task and gives a fixed outcome. */
 struct FakeRouting
 {
@@ -166,7 +161,7 @@
   FakeRouting mRouting;
   protocol::JsonRowCodec mCodec;
   BootClock mClock;
-  SystemConfig mConfig;
+  tests::SystemConfig mConfig;
   caf::actor_system mSystem;
   caf::scoped_actor mSelf;
   caf::actor mRoutingTask;
--- a/tests/coordination/LeaseTaskTest.cpp
+++ b/tests/coordination/LeaseTaskTest.cpp
@@ -1,5 +1,6 @@
 #include "cornelrudder/coordination/LeaseTask.h"
 #include "coordination/FakeTable.h"
+#include "coordination/SystemConfig.h"
 #include "cornelrudder/coordination/Messages.h"
 #include "cornelrudder/coordination/StoreTask.h"
 #include "cornelrudder/protocol/JsonRowCodec.h"
@@ -23,12 +24,6 @@
 /** Long enough that a busy machine does not let a live holder lose it. */
 constexpr std::chrono::milliseconds kLength{ 1'500 };
 
-class SystemConfig : public caf::actor_system_config
-{
-public:
-  SystemConfig() { set("scheduler.policy", caf::atom("sharing")); }
-};
-
 /** Daemons with a lease task each, on one table. */
 class Fleet
 {
@@ -95,7 +90,7 @@
   FakeLog mLog;
   protocol::JsonRowCodec mCodec;
   BootClock mClock;
-  SystemConfig mConfig;
+  tests::SystemConfig mConfig;
   caf::actor_system mSystem;
   caf::scoped_actor mSelf;
 
--- a/tests/coordination/PlacementTaskTest.cpp
+++ b/tests/coordination/PlacementTaskTest.cpp
@@ -1,5 +1,6 @@
 #include "cornelrudder/coordination/PlacementTask.h"
 #include "PlacementFakes.h"
+#include "coordination/SystemConfig.h"
 #include "cornelrudder/coordination/Messages.h"
 #include "cornelrudder/coordination/StoreTask.h"
 #include "cornelrudder/protocol/JsonRowCodec.h"
@@ -139,12 +140,6 @@
   }
 };
 
-class TestConfig : public caf::actor_system_config
-{
-public:
-  TestConfig() { set("scheduler.policy", caf::atom("sharing")); }
-};
-
 } // namespace
 
 TEST_GROUP(PlacementTask)
@@ -156,7 +151,7 @@
   ReclaimAll mReclaimAll;
   const PlacementStrategy* mStrategy = nullptr;
   protocol::JsonRowCodec mCodec;
-  TestConfig mConfig;
+  tests::SystemConfig mConfig;
   std::unique_ptr<caf::actor_system> mSystem;
   std::unique_ptr<caf::scoped_actor> mSelf;
   std::vector<caf::actor> mTasks;
--- a/tests/coordination/SettingsTaskTest.cpp
+++ b/tests/coordination/SettingsTaskTest.cpp
@@ -1,5 +1,6 @@
 #include "cornelrudder/coordination/SettingsTask.h"
 #include "coordination/FakeTable.h"
+#include "coordination/SystemConfig.h"
 #include "cornelrudder/coordination/Messages.h"
 #include "cornelrudder/coordination/StoreTask.h"
 #include "cornelrudder/protocol/JsonRowCodec.h"
@@ -23,12 +24,6 @@
 
 const std::string kHeadKey = "settings/head";
 
-class SystemConfig : public caf::actor_system_config
-{
-public:
-  SystemConfig() { set("scheduler.policy", caf::atom("sharing")); }
-};
-
 /** Daemons with a settings task each, on one table. */
 class Fleet
 {
@@ -116,7 +111,7 @@
   FakeLog mLog;
   protocol::JsonRowCodec mCodec;
   BootClock mClock;
-  SystemConfig mConfig;
+  tests::SystemConfig mConfig;
   caf::actor_system mSystem;
   caf::scoped_actor mSelf;
 
--- a/tests/coordination/StoreTaskTest.cpp
+++ b/tests/coordination/StoreTaskTest.cpp
@@ -1,5 +1,6 @@
 #include "cornelrudder/coordination/StoreTask.h"
 #include "coordination/FakeTable.h"
+#include "coordination/SystemConfig.h"
 #include "cornelrudder/coordination/Messages.h"
 
 #include <CppUTest/TestHarness.h>
@@ -19,12 +20,6 @@
 
 namespace {
 
-class SystemConfig : public caf::actor_system_config
-{
-public:
-  SystemConfig() { set("scheduler.policy", caf::atom("sharing")); }
-};
-
 /** A store task on a fake table, with short delays. */
 class Store
 {
@@ -72,7 +67,7 @@
   FakeTable mTable;
   FakeLog mLog;
   BootClock mClock;
-  SystemConfig mConfig;
+  tests::SystemConfig mConfig;
   caf::actor_system mSystem;
   caf::scoped_actor mSelf;
   caf::actor mTask;
