--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -63,12 +63,14 @@
 echo "== settings"
 cli -s "$entry_1" settings set organisations/acme display_name=Acme >/dev/null
 cli -s "$entry_1" settings set organisations/acme/teams/night >/dev/null
+cli -s "$entry_1" settings set organisations/acme/shapes/half region=region-1 \
+  workers=4 accelerators_per_worker=8 adjacency=rack >/dev/null
 cli -s "$entry_2" settings set classes/proof-render \
   idempotent=true max_wait_ms=0 timeout_ms=10000 urgency=9 >/dev/null
 for i in 1 2 3; do
   address=${address_of_name[entry-$i]}
   wait_until "settings are in force on entry-$i" sh -c \
-    "curl -s http://$address/v1/settings | grep classes/proof-render | grep -q teams/night"
+    "curl -s http://$address/v1/settings | grep classes/proof-render | grep teams/night | grep -q shapes/half"
 done
 answer=$(cli -s "$entry_3" settings set classes/proof-render idempotent=true \
   max_wait_ms=1 timeout_ms=1 2>&1 || echo "exit=$?")
