--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "cornelrudder/transport/HttpClient.h"
 
+#include "HttpFields.h"
 #include "IoThreadImpl.h"
 #include "SocketAddress.h"
 #include "cornelrudder/transport/TransportError.h"
@@ -14,7 +15,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <cctype>
 #include <deque>
 #include <map>
 #include <vector>
@@ -49,15 +49,7 @@
 protocol::HttpResponse
 ToResponse(http::response<http::string_body>&& aMessage)
 {
-  protocol::HttpHeaders headers;
-  for (const auto& field : aMessage) {
-    std::string name(field.name_string());
-    std::transform(
-      name.begin(), name.end(), name.begin(), [](unsigned char aCharacter) {
-        return static_cast<char>(std::tolower(aCharacter));
-      });
-    headers.emplace(std::move(name), std::string(field.value()));
-  }
+  protocol::HttpHeaders headers = ReadHeaders(aMessage);
   return { static_cast<int>(aMessage.result_int()),
            std::move(headers),
            std::move(aMessage.body()) };
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "cornelrudder/transport/HttpServer.h"
 
+#include "HttpFields.h"
 #include "IoThreadImpl.h"
 #include "SocketAddress.h"
 #include "cornelrudder/transport/TransportError.h"
@@ -15,7 +16,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <cctype>
 #include <set>
 #include <utility>
 
@@ -32,25 +32,10 @@
 constexpr std::size_t kMaxLingerBytes = 64ULL * 1024;
 constexpr std::chrono::milliseconds kLingerTimeout{ 1'000 };
 
-std::string
-ToLower(std::string_view aText)
-{
-  std::string text(aText);
-  std::transform(
-    text.begin(), text.end(), text.begin(), [](unsigned char aCharacter) {
-      return static_cast<char>(std::tolower(aCharacter));
-    });
-  return text;
-}
-
 protocol::HttpRequest
 ToRequest(http::request<http::string_body>&& aMessage)
 {
-  protocol::HttpHeaders headers;
-  for (const auto& field : aMessage) {
-    headers.emplace(ToLower(std::string_view(field.name_string())),
-                    std::string(field.value()));
-  }
+  protocol::HttpHeaders headers = ReadHeaders(aMessage);
   return { std::string(aMessage.method_string()),
            std::string(aMessage.target()),
            std::move(headers),
