Answer text with foreign bytes; take no unknown answer of the store for a success

Cause: an error text that quotes a caller's bytes reached json::dump(), which throws for bytes that are no UTF-8. The exception left the front task, which ended while the process and its listener stayed. Likewise a 404 for a call that the store does not know was read as 'row absent, write done', so that six daemons each took the lease with epoch 1.

Encoders use one function that replaces such bytes; the front task answers 500 for whatever a handler throws; a task that ends by an exception is logged and ends the process. A 404 counts as an absent row only if it shows the row.

Ruled out: the lease logic itself, which did what the answer said.

--- a/apps/cornelrudderd/Daemon.cpp
+++ b/apps/cornelrudderd/Daemon.cpp
@@ -20,6 +20,7 @@
 #include "cornelrudderd/PlatformAdapters.h"
 #include "cornelrudderd/RunnerAdapter.h"
 #include "cornelrudderd/SpdlogEventLog.h"
+#include "cornelrudderd/TaskGroup.h"
 #include "cornelrudderd/WorkerAdapter.h"
 
 #include <caf/actor_system.hpp>
@@ -38,9 +39,6 @@
 
 constexpr std::size_t kStoreConnections = 8;
 
-/** Two threads are enough: tasks only decide, they never block. */
-constexpr std::size_t kTaskThreads = 2;
-
 /** Shorter than the bound that gangs assume for the way of a command. */
 constexpr std::chrono::milliseconds kWorkerTimeout{ 1'000 };
 
@@ -72,50 +70,6 @@
   return { 3 * aHeartbeat, 10 * aHeartbeat, 60 * aHeartbeat };
 }
 
-/** Ends its tasks, also if the daemon cannot be set up after they started. */
-class TaskGroup
-{
-public:
-  explicit TaskGroup(caf::actor_system& aSystem)
-    : mSystem(aSystem)
-  {
-  }
-
-  ~TaskGroup() { Stop(); }
-
-  TaskGroup(const TaskGroup&) = delete;
-  TaskGroup& operator=(const TaskGroup&) = delete;
-
-  void Add(const caf::actor& aTask) { mTasks.push_back(aTask); }
-
-  const std::vector<caf::actor>& All() const { return mTasks; }
-
-  /** Waits until all tasks have ended. */
-  void Stop()
-  {
-    for (const caf::actor& task : mTasks) {
-      caf::anon_send_exit(task, caf::exit_reason::user_shutdown);
-    }
-    mTasks.clear();
-    mSystem.await_all_actors_done();
-  }
-
-private:
-  caf::actor_system& mSystem;
-  std::vector<caf::actor> mTasks;
-};
-
-class TaskSystemConfig : public caf::actor_system_config
-{
-public:
-  TaskSystemConfig()
-  {
-    // The default policy polls while idle.
-    set("scheduler.policy", caf::atom("sharing"));
-    set("scheduler.max-threads", kTaskThreads);
-  }
-};
-
 } // namespace
 
 class Daemon::Impl
@@ -142,7 +96,7 @@
     , mWorkerClient(mThread, {})
     , mWorkers(mWorkerClient, kWorkerTimeout)
     , mSystem(mConfig)
-    , mTasks(mSystem)
+    , mTasks(mSystem, mLog)
   {
     StartTasks();
     mServer = std::make_unique<transport::HttpServer>(
@@ -204,18 +158,19 @@
     Subscribe(mSettingsTask, { mMembership, mRouting, mIntents, mPlacement });
     Subscribe(mMembership, { mRouting, mPlacement });
     Subscribe(mLease, { mPlacement, mForward });
-    mFront =
-      Add(SpawnFrontTask(mSystem,
-                         { mIntents,
-                           mSettingsTask,
-                           mLease,
-                           mTasks.All(),
-                           mMembership,
-                           mSync,
-                           [this] { mThread.Post([this] { StartDrain(); }); },
-                           mForward,
-                           [this] { return CountTraffic(); } },
-                         mIncarnation));
+    mFront = mTasks.Add(
+      SpawnFrontTask(mSystem,
+                     { mIntents,
+                       mSettingsTask,
+                       mLease,
+                       mTasks.All(),
+                       mMembership,
+                       mSync,
+                       [this] { mThread.Post([this] { StartDrain(); }); },
+                       mForward,
+                       [this] { return CountTraffic(); } },
+                     mIncarnation),
+      "front");
   }
 
   coordination::Counters CountTraffic() const
@@ -245,57 +200,64 @@
     // A renewal that is repeated for longer could not extend the hold.
     storeOptions.mBound =
       std::min(storeOptions.mBound, mSettings.LeaseTime() * 2 / 3);
-    mStoreTask =
-      Add(SpawnStoreTask(mSystem, mStore, mLog, mClock, storeOptions));
-    mSettingsTask = Add(SpawnSettingsTask(mSystem,
-                                          mStoreTask,
-                                          mCodec,
-                                          mLog,
-                                          WriteIdsFor("settings"),
-                                          { mSettings.PollInterval() }));
-    mLease = Add(SpawnLeaseTask(mSystem,
-                                mStoreTask,
-                                mCodec,
-                                mClock,
-                                mLog,
-                                WriteIdsFor("lease"),
-                                { mSettings.Region(),
-                                  mSettings.Id(),
-                                  mIncarnation,
-                                  mSettings.LeaseTime() }));
+    mStoreTask = mTasks.Add(
+      SpawnStoreTask(mSystem, mStore, mLog, mClock, storeOptions), "store");
+    mSettingsTask = mTasks.Add(SpawnSettingsTask(mSystem,
+                                                 mStoreTask,
+                                                 mCodec,
+                                                 mLog,
+                                                 WriteIdsFor("settings"),
+                                                 { mSettings.PollInterval() }),
+                               "settings");
+    mLease = mTasks.Add(SpawnLeaseTask(mSystem,
+                                       mStoreTask,
+                                       mCodec,
+                                       mClock,
+                                       mLog,
+                                       WriteIdsFor("lease"),
+                                       { mSettings.Region(),
+                                         mSettings.Id(),
+                                         mIncarnation,
+                                         mSettings.LeaseTime() }),
+                        "lease");
     mPlacement =
-      Add(SpawnPlacementTask(mSystem,
-                             mStoreTask,
-                             { mWorkers, mCodec, mClock, mLog },
-                             WriteIdsFor("jobs"),
-                             { mSettings.Id(), mSettings.Region() }));
+      mTasks.Add(SpawnPlacementTask(mSystem,
+                                    mStoreTask,
+                                    { mWorkers, mCodec, mClock, mLog },
+                                    WriteIdsFor("jobs"),
+                                    { mSettings.Id(), mSettings.Region() }),
+                 "placement");
   }
 
   /** The tasks that talk with the other daemons. */
   void StartPeerTasks()
   {
-    mMembership =
-      Add(SpawnMembershipTask(mSystem,
-                              mFleet,
-                              mPeers,
-                              mClock,
-                              mLog,
-                              { mSettings.Id(),
-                                mSettings.Zone(),
-                                mIncarnationNumber,
-                                mSettings.Seeds(),
-                                mSettings.PollInterval(),
-                                mSettings.HeartbeatInterval(),
-                                TimeoutsFor(mSettings.HeartbeatInterval()) }));
-    mSync =
-      Add(SpawnSettingsSyncTask(mSystem, mSettingsTask, mMembership, mLog, {}));
-    mForward = Add(SpawnForwardTask(
-      mSystem,
-      mMembership,
-      mPlacement,
-      mClock,
-      mLog,
-      { mSettings.Id(), mSettings.Region(), mIncarnationNumber }));
+    mMembership = mTasks.Add(
+      SpawnMembershipTask(mSystem,
+                          mFleet,
+                          mPeers,
+                          mClock,
+                          mLog,
+                          { mSettings.Id(),
+                            mSettings.Zone(),
+                            mIncarnationNumber,
+                            mSettings.Seeds(),
+                            mSettings.PollInterval(),
+                            mSettings.HeartbeatInterval(),
+                            TimeoutsFor(mSettings.HeartbeatInterval()) }),
+      "membership");
+    mSync = mTasks.Add(
+      SpawnSettingsSyncTask(mSystem, mSettingsTask, mMembership, mLog, {}),
+      "settings_sync");
+    mForward =
+      mTasks.Add(SpawnForwardTask(
+                   mSystem,
+                   mMembership,
+                   mPlacement,
+                   mClock,
+                   mLog,
+                   { mSettings.Id(), mSettings.Region(), mIncarnationNumber }),
+                 "forward");
     caf::anon_send(mMembership,
                    coordination::UsePeerHandlers{ mSync, mForward });
   }
@@ -303,16 +265,19 @@
   /** The tasks that serve requests. */
   void StartRequestTasks()
   {
-    mRouting = Add(SpawnRoutingTask(
-      mSystem, mRunners, mLog, { mSettings.Id(), mSettings.Zone() }));
-    mIntents = Add(SpawnIntentTask(mSystem,
-                                   mStoreTask,
-                                   mRouting,
-                                   mCodec,
-                                   mClock,
-                                   mLog,
-                                   WriteIdsFor("intent"),
-                                   { mIncarnation }));
+    mRouting = mTasks.Add(
+      SpawnRoutingTask(
+        mSystem, mRunners, mLog, { mSettings.Id(), mSettings.Zone() }),
+      "routing");
+    mIntents = mTasks.Add(SpawnIntentTask(mSystem,
+                                          mStoreTask,
+                                          mRouting,
+                                          mCodec,
+                                          mClock,
+                                          mLog,
+                                          WriteIdsFor("intent"),
+                                          { mIncarnation }),
+                          "intents");
   }
 
   static void Subscribe(const caf::actor& aSource,
@@ -329,12 +294,6 @@
     return coordination::WriteIds(mIncarnation + "-" + aTask);
   }
 
-  caf::actor Add(caf::actor aTask)
-  {
-    mTasks.Add(aTask);
-    return aTask;
-  }
-
   /** Runs on the I/O thread for each stop signal. */
   void BeginStop()
   {
--- a/apps/cornelrudderd/FrontTask.cpp
+++ b/apps/cornelrudderd/FrontTask.cpp
@@ -7,6 +7,7 @@
 #include "cornelrudder/protocol/ProtocolError.h"
 #include "cornelrudder/protocol/SettingsCodec.h"
 #include "cornelrudder/state/StateError.h"
+#include "protocol/JsonText.h"
 
 #include "cornelrudderd/PathPattern.h"
 
@@ -77,7 +78,18 @@
 
   static const std::array<Route, 15> kRoutes;
 
+  /** Whatever a caller sends, the task goes on. */
   void Serve(const HttpCall& aCall)
+  {
+    try {
+      Dispatch(aCall);
+    } catch (const std::exception& error) {
+      // Nothing was asked of another task: that is a handler's last step.
+      aCall.mRespond(EncodeError(500, "internal", error.what()));
+    }
+  }
+
+  void Dispatch(const HttpCall& aCall)
   {
     const std::string_view path = aCall.mRequest.Path();
     std::string allowed;
@@ -265,7 +277,7 @@
       { "settings", json::parse(protocol::EncodeSettingsHead(aView.Head())) },
       { "draining", mDraining }
     };
-    return HttpResponse::Json(200, body.dump());
+    return HttpResponse::Json(200, protocol::ToText(body));
   }
 
   void SubmitJob(const HttpCall& aCall, const PathArguments& /*unused*/)
@@ -357,12 +369,12 @@
     }
     return HttpResponse::Json(
       503,
-      json{ { "error", "store_unavailable" },
-            { "reason",
-              "the store did not confirm the change; it may be in force, or "
-              "come into force later" },
-            { "ran", "unknown" } }
-        .dump());
+      protocol::ToText(
+        { { "error", "store_unavailable" },
+          { "reason",
+            "the store did not confirm the change; it may be in force, or "
+            "come into force later" },
+          { "ran", "unknown" } }));
   }
 
   static HttpResponse EncodeConflict(
@@ -375,7 +387,7 @@
       body["current"] = json::parse(
         protocol::EncodeSettingsDocument(aResult.mDocument.front()));
     }
-    return HttpResponse::Json(409, body.dump());
+    return HttpResponse::Json(409, protocol::ToText(body));
   }
 
   static HttpResponse EncodeFaults(
@@ -390,7 +402,7 @@
     const json body{ { "error", "bad_settings" },
                      { "reason", "nothing was applied" },
                      { "faults", faults } };
-    return HttpResponse::Json(422, body.dump());
+    return HttpResponse::Json(422, protocol::ToText(body));
   }
 
   /** A task that failed may have acted before. */
--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -1,7 +1,8 @@
 # Adds the library of one layer: all sources of its folder, installed and
 # exported as cornelrudder::<layer>.
 function(cornelrudder_add_layer aLayer)
-  file(GLOB sources CONFIGURE_DEPENDS "${CMAKE_CURRENT_SOURCE_DIR}/*.cpp")
+  file(GLOB sources CONFIGURE_DEPENDS "${CMAKE_CURRENT_SOURCE_DIR}/*.cpp"
+       "${CMAKE_CURRENT_SOURCE_DIR}/*/*.cpp")
   add_library(cornelrudder_${aLayer} STATIC ${sources})
   add_library(cornelrudder::${aLayer} ALIAS cornelrudder_${aLayer})
   set_target_properties(cornelrudder_${aLayer} PROPERTIES EXPORT_NAME ${aLayer})
--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -21,6 +21,7 @@
   kStopped = 102,
   kCutOff = 103,
   kBadSettingsFile = 104,
+  kTaskFailed = 105,
   kRouted = 200,
   kRouteRefused = 201,
   kRunnerResult = 202,
--- a/include/cornelrudder/state/StoreRow.h
+++ b/include/cornelrudder/state/StoreRow.h
@@ -1,7 +1,9 @@
 #ifndef CORNELRUDDER_STATE_STORE_ROW_H
 #define CORNELRUDDER_STATE_STORE_ROW_H
 
+#include <chrono>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -41,10 +43,14 @@
   std::string mValue;
 };
 
-/** A conditional write of one row. */
+/** A write of one row. */
 class RowWrite
 {
 public:
+  /** Expected version of a write without a condition on its row. */
+  static constexpr std::uint64_t kAnyVersion =
+    std::numeric_limits<std::uint64_t>::max();
+
   /**
    * @param aExpectedVersion Version the row must have; 0 for absent.
    * @param aValue The new value, or nothing to delete the row.
@@ -70,24 +76,50 @@
   std::optional<std::string> mValue;
 };
 
+/** A condition on a row that the transaction does not write. */
+class RowCheck
+{
+public:
+  /** @param aExpectedVersion Version the row must have; 0 for absent. */
+  RowCheck(std::string aKey, std::uint64_t aExpectedVersion)
+    : mKey(std::move(aKey))
+    , mExpectedVersion(aExpectedVersion)
+  {
+  }
+
+  const std::string& Key() const { return mKey; }
+  std::uint64_t ExpectedVersion() const { return mExpectedVersion; }
+
+  auto operator<=>(const RowCheck&) const = default;
+
+private:
+  std::string mKey;
+  std::uint64_t mExpectedVersion;
+};
+
 /** Rows that are written together or not at all. */
 class Transaction
 {
 public:
-  Transaction(std::string aWriteId, std::vector<RowWrite> aWrites)
+  Transaction(std::string aWriteId,
+              std::vector<RowWrite> aWrites,
+              std::vector<RowCheck> aChecks = {})
     : mWriteId(std::move(aWriteId))
     , mWrites(std::move(aWrites))
+    , mChecks(std::move(aChecks))
   {
   }
 
   const std::string& WriteId() const { return mWriteId; }
   const std::vector<RowWrite>& Writes() const { return mWrites; }
+  const std::vector<RowCheck>& Checks() const { return mChecks; }
 
   auto operator<=>(const Transaction&) const = default;
 
 private:
   std::string mWriteId;
   std::vector<RowWrite> mWrites;
+  std::vector<RowCheck> mChecks;
 };
 
 enum class StoreStatus
@@ -105,9 +137,21 @@
 class StoreResult
 {
 public:
-  StoreResult(StoreStatus aStatus, std::vector<StoreRow> aRows)
+  /**
+   * @param aVersion Newest version in the store; 0 if it is not told.
+   * @param aStoreTime The store's steady clock; 0 if it is not told.
+   * @param aHasMore Whether rows were left out for their number.
+   */
+  StoreResult(StoreStatus aStatus,
+              std::vector<StoreRow> aRows,
+              std::uint64_t aVersion = 0,
+              std::chrono::milliseconds aStoreTime = {},
+              bool aHasMore = false)
     : mStatus(aStatus)
     , mRows(std::move(aRows))
+    , mVersion(aVersion)
+    , mStoreTime(aStoreTime)
+    , mHasMore(aHasMore)
   {
   }
 
@@ -116,11 +160,18 @@
   /** Rows read, rows written, or the rows in conflict. */
   const std::vector<StoreRow>& Rows() const { return mRows; }
 
+  std::uint64_t Version() const { return mVersion; }
+  std::chrono::milliseconds StoreTime() const { return mStoreTime; }
+  bool HasMore() const { return mHasMore; }
+
   auto operator<=>(const StoreResult&) const = default;
 
 private:
   StoreStatus mStatus;
   std::vector<StoreRow> mRows;
+  std::uint64_t mVersion;
+  std::chrono::milliseconds mStoreTime;
+  bool mHasMore;
 };
 
 } // namespace cornelrudder::state
--- a/src/protocol/CallerCodec.cpp
+++ b/src/protocol/CallerCodec.cpp
@@ -1,5 +1,6 @@
 #include "cornelrudder/protocol/CallerCodec.h"
 
+#include "JsonText.h"
 #include "cornelrudder/protocol/ProtocolError.h"
 #include "cornelrudder/state/StateError.h"
 
@@ -118,7 +119,7 @@
   const json body{ { "error", state::ReasonName(aOutcome.Reason()) },
                    { "reason", aOutcome.Text() },
                    { "ran", state::RanName(aOutcome.HasRun()) } };
-  return { HttpStatusOf(aOutcome.Reason()), std::move(headers), body.dump() };
+  return { HttpStatusOf(aOutcome.Reason()), std::move(headers), ToText(body) };
 }
 
 HttpResponse
@@ -127,7 +128,7 @@
   const json body{ { "error", aReason },
                    { "reason", aDetail },
                    { "ran", "no" } };
-  return HttpResponse::Json(aStatus, body.dump());
+  return HttpResponse::Json(aStatus, ToText(body));
 }
 
 int
--- a/src/protocol/IntentCodec.cpp
+++ b/src/protocol/IntentCodec.cpp
@@ -1,5 +1,6 @@
 #include "cornelrudder/protocol/IntentCodec.h"
 
+#include "JsonText.h"
 #include "cornelrudder/protocol/ProtocolError.h"
 #include "cornelrudder/state/StateError.h"
 
@@ -61,7 +62,7 @@
   if (aIntent.Answer()) {
     object["answer"] = ToBase64(*aIntent.Answer());
   }
-  return object.dump();
+  return ToText(object);
 }
 
 state::Intent
--- a/src/protocol/JobCodec.cpp
+++ b/src/protocol/JobCodec.cpp
@@ -1,5 +1,6 @@
 #include "cornelrudder/protocol/JobCodec.h"
 
+#include "JsonText.h"
 #include "cornelrudder/protocol/CallerCodec.h"
 #include "cornelrudder/protocol/ProtocolError.h"
 #include "cornelrudder/state/StateError.h"
@@ -222,13 +223,6 @@
   }
 }
 
-/** Replaces bytes that are no UTF-8, so that dump() does not throw. */
-std::string
-Dump(const json& aObject)
-{
-  return aObject.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 HttpResponse
 EncodeJobRefusal(const JobReply& aReply)
 {
@@ -240,7 +234,7 @@
       kRetryable.end()) {
     headers.emplace("retry-after", "1");
   }
-  return { HttpStatusOf(aReply.Reason()), std::move(headers), Dump(body) };
+  return { HttpStatusOf(aReply.Reason()), std::move(headers), ToText(body) };
 }
 
 void
@@ -260,7 +254,7 @@
 std::string
 EncodeJob(const Job& aJob)
 {
-  return Dump(ToJson(aJob));
+  return ToText(ToJson(aJob));
 }
 
 Job
@@ -288,7 +282,7 @@
 std::string
 EncodeJobSpec(const JobSpec& aSpec)
 {
-  return Dump(SpecToJson(aSpec));
+  return ToText(SpecToJson(aSpec));
 }
 
 HttpResponse
@@ -302,7 +296,7 @@
     for (const Job& job : aReply.Jobs()) {
       jobs.push_back(ToJson(job));
     }
-    return HttpResponse::Json(200, Dump({ { "jobs", jobs } }));
+    return HttpResponse::Json(200, ToText({ { "jobs", jobs } }));
   }
   if (aReply.Jobs().empty()) {
     return EncodeError(404, "unknown_job", "no job has this identifier");
@@ -312,7 +306,7 @@
     body["explanation"] = aReply.Detail();
   }
   const int status = aKind == JobCommandKind::kSubmit ? 201 : 200;
-  return HttpResponse::Json(status, Dump(body));
+  return HttpResponse::Json(status, ToText(body));
 }
 
 } // namespace cornelrudder::protocol
--- a/src/protocol/LeaseCodec.cpp
+++ b/src/protocol/LeaseCodec.cpp
@@ -1,5 +1,6 @@
 #include "cornelrudder/protocol/LeaseCodec.h"
 
+#include "JsonText.h"
 #include "cornelrudder/protocol/ProtocolError.h"
 #include "cornelrudder/state/StateError.h"
 
@@ -16,11 +17,9 @@
   if (aRow.Owner()) {
     owner = aRow.Owner()->Text();
   }
-  return json{
-    { "owner", owner },
-    { "epoch", aRow.Epoch() },
-    { "incarnation", aRow.Incarnation() }
-  }.dump();
+  return ToText({ { "owner", owner },
+                  { "epoch", aRow.Epoch() },
+                  { "incarnation", aRow.Incarnation() } });
 }
 
 state::LeaseRow
--- a/src/protocol/MembersCodec.cpp
+++ b/src/protocol/MembersCodec.cpp
@@ -1,5 +1,6 @@
 #include "cornelrudder/protocol/MembersCodec.h"
 
+#include "JsonText.h"
 #include <nlohmann/json.hpp>
 
 namespace cornelrudder::protocol {
@@ -25,7 +26,7 @@
     }
     members.push_back(std::move(entry));
   }
-  return json{ { "members", members } }.dump();
+  return ToText({ { "members", members } });
 }
 
 } // namespace cornelrudder::protocol
--- a/src/protocol/SettingsCodec.cpp
+++ b/src/protocol/SettingsCodec.cpp
@@ -1,5 +1,6 @@
 #include "cornelrudder/protocol/SettingsCodec.h"
 
+#include "JsonText.h"
 #include "cornelrudder/protocol/ProtocolError.h"
 #include "cornelrudder/state/StateError.h"
 
@@ -72,7 +73,7 @@
 std::string
 EncodeSettingValues(const state::SettingValues& aValues)
 {
-  return ToJson(aValues).dump();
+  return ToText(ToJson(aValues));
 }
 
 state::SettingValues
@@ -94,7 +95,7 @@
                      { "version", aDocument.Version() },
                      { "values", ToJson(aDocument.Values()) },
                      { "history", history } };
-  return object.dump();
+  return ToText(object);
 }
 
 state::SettingsDocument
@@ -121,7 +122,7 @@
   for (const auto& [path, version] : aHead) {
     object[path] = version;
   }
-  return object.dump();
+  return ToText(object);
 }
 
 state::SettingsHead
--- a/src/protocol/StoreCodec.cpp
+++ b/src/protocol/StoreCodec.cpp
@@ -1,5 +1,6 @@
 #include "cornelrudder/protocol/StoreCodec.h"
 
+#include "JsonText.h"
 #include "cornelrudder/protocol/ProtocolError.h"
 #include "cornelrudder/state/StateError.h"
 
@@ -101,7 +102,7 @@
   return { "POST",
            "/table/transact",
            { { "content-type", "application/json" } },
-           body.dump() };
+           ToText(body) };
 }
 
 StoreResult
@@ -109,6 +110,12 @@
 {
   try {
     if (aResponse.Status() == kHttpNotFound) {
+      // An absent row is shown as a row. Any other 404 comes from a server
+      // that doesn't know the call, and says nothing about rows.
+      const json body = json::parse(aResponse.Body());
+      if (body.at("version").get<std::uint64_t>() != 0) {
+        throw ProtocolError("store response: 404 for a row that exists");
+      }
       return { StoreStatus::kOk, {} };
     }
     if (aResponse.Status() == kHttpConflict) {
--- a/src/protocol/WorkerCodec.cpp
+++ b/src/protocol/WorkerCodec.cpp
@@ -1,5 +1,6 @@
 #include "cornelrudder/protocol/WorkerCodec.h"
 
+#include "JsonText.h"
 #include "cornelrudder/protocol/ProtocolError.h"
 #include "cornelrudder/state/StateError.h"
 
@@ -78,7 +79,7 @@
            std::string(kPathPrefix) +
              std::string(WorkerActionName(aCommand.Action())),
            { { "content-type", "application/json" } },
-           body.dump() };
+           ToText(body) };
 }
 
 WorkerCommand
@@ -113,7 +114,7 @@
   }
   const json body{ { "state", state::MemberStateName(aReport.Member()) },
                    { "leaving", aReport.Leaving() } };
-  return HttpResponse::Json(it->mCode, body.dump());
+  return HttpResponse::Json(it->mCode, ToText(body));
 }
 
 WorkerReport
