--- a/apps/cornelrudderd/Daemon.cpp
+++ b/apps/cornelrudderd/Daemon.cpp
@@ -16,6 +16,8 @@
 #include "cornelrudder/transport/HttpServer.h"
 #include "cornelrudder/transport/IoThread.h"
 #include "cornelrudderd/FrontTask.h"
+#include "cornelrudderd/GracefulStop.h"
+#include "cornelrudderd/Incarnation.h"
 #include "cornelrudderd/PeerAdapter.h"
 #include "cornelrudderd/PlatformAdapters.h"
 #include "cornelrudderd/RunnerAdapter.h"
@@ -28,7 +30,6 @@
 #include <caf/send.hpp>
 
 #include <algorithm>
-#include <future>
 #include <random>
 
 namespace cornelrudder::daemon {
@@ -42,16 +43,6 @@
 /** Shorter than the bound that gangs assume for the way of a command. */
 constexpr std::chrono::milliseconds kWorkerTimeout{ 1'000 };
 
-/** Differs for each life of the process, so that ids are never used again. */
-std::string
-MakeIncarnation(const state::VmId& aId)
-{
-  std::random_device random;
-  const std::uint64_t n =
-    (static_cast<std::uint64_t>(random()) << 32U) | random();
-  return aId.Text().substr(0, 24) + "-" + std::to_string(n);
-}
-
 /**
  * Daemons have no disk, so the wall clock orders the lives of one daemon.
  */
@@ -108,6 +99,16 @@
         caf::anon_send(front,
                        HttpCall{ std::move(aRequest), std::move(aRespond) });
       });
+    mStop = std::make_unique<GracefulStop>(
+      mThread,
+      *mServer,
+      mLog,
+      StopTimes{ mSettings.DrainNotice(), mSettings.DrainGrace() },
+      [this] {
+        caf::anon_send(mFront, BeginDrain{});
+        caf::anon_send(mMembership, coordination::BeginLeaving{});
+        caf::anon_send(mLease, coordination::ReleaseLease{});
+      });
     mPeers.SetReceiver(mMembership);
     caf::anon_send(
       mMembership,
@@ -127,19 +128,13 @@
 
   std::size_t Run()
   {
-    mThread.WatchStopSignals([this] { BeginStop(); });
+    mStop->WatchSignals();
     mLog.Write({ LogEvent::kStarted,
                  { { "http", mServer->Address() },
                    { "peer", PeerAddress() },
                    { "zone", mSettings.Zone().Text() },
                    { "incarnation", mIncarnation } } });
-    const std::size_t cutOff = mDone.get_future().get();
-    if (cutOff > 0) {
-      mLog.Write(
-        { LogEvent::kCutOff, { { "requests", std::to_string(cutOff) } } });
-    }
-    mLog.Write({ LogEvent::kStopped, {} });
-    return cutOff;
+    return mStop->Wait();
   }
 
 private:
@@ -166,7 +161,7 @@
                        mTasks.All(),
                        mMembership,
                        mSync,
-                       [this] { mThread.Post([this] { StartDrain(); }); },
+                       [this] { mThread.Post([this] { mStop->Begin(); }); },
                        mForward,
                        [this] { return CountTraffic(); } },
                      mIncarnation),
@@ -294,51 +289,6 @@
     return coordination::WriteIds(mIncarnation + "-" + aTask);
   }
 
-  /** Runs on the I/O thread for each stop signal. */
-  void BeginStop()
-  {
-    if (mStopping) {
-      DrainServer(std::chrono::milliseconds(0));
-      return;
-    }
-    StartDrain();
-  }
-
-  /** A repeated call has no effect. */
-  void StartDrain()
-  {
-    if (mStopping) {
-      return;
-    }
-    mStopping = true;
-    mLog.Write({ LogEvent::kStopping, {} });
-    caf::anon_send(mFront, BeginDrain{});
-    caf::anon_send(mMembership, coordination::BeginLeaving{});
-    caf::anon_send(mLease, coordination::ReleaseLease{});
-    // The balancer needs time to see /readyz before the listener closes.
-    mThread.PostAfter(mSettings.DrainNotice(),
-                      [this] { DrainServer(mSettings.DrainGrace()); });
-  }
-
-  /** The last call decides the grace; a second stop signal allows none. */
-  void DrainServer(std::chrono::milliseconds aGrace)
-  {
-    // After the end, the server is being destroyed on the main thread.
-    if (mFinished) {
-      return;
-    }
-    mServer->Drain(aGrace,
-                   [this](std::size_t aCutOff) { FinishStop(aCutOff); });
-  }
-
-  void FinishStop(std::size_t aCutOff)
-  {
-    if (!mFinished) {
-      mFinished = true;
-      mDone.set_value(aCutOff);
-    }
-  }
-
   DaemonSettings mSettings;
   SpdlogEventLog mLog;
   std::string mIncarnation;
@@ -368,10 +318,7 @@
   caf::actor mIntents;
   caf::actor mFront;
   std::unique_ptr<transport::HttpServer> mServer;
-  std::promise<std::size_t> mDone;
-  /** Both are used on the I/O thread only. */
-  bool mStopping = false;
-  bool mFinished = false;
+  std::unique_ptr<GracefulStop> mStop;
 };
 
 Daemon::Daemon(const DaemonSettings& aSettings)
--- a/apps/cornelrudderd/DaemonSettings.cpp
+++ b/apps/cornelrudderd/DaemonSettings.cpp
@@ -38,7 +38,7 @@
   FileKey{ "daemon", "region", &Values::mRegion, true, 1, 64, "" },
   FileKey{ "daemon", "zone", &Values::mZone, true, 1, 64, "" },
   FileKey{ "daemon", "http_address", &Values::mHttpAddress, true, 1, 64, "" },
-  FileKey{ "daemon", "peer_address", &Values::mPeerAddress, true, 1, 64, "" },
+  FileKey{ "daemon", "peer_address", &Values::mPeerAddress, false, 1, 64, "" },
   FileKey{ "daemon",
            "announced_peer_address",
            &Values::mAnnouncedPeerAddress,
@@ -47,7 +47,28 @@
            64,
            "" },
   FileKey{ "daemon", "seeds", &Values::mSeeds, false, 0, 64, "" },
+  FileKey{ "daemon",
+           "readiness_address",
+           &Values::mReadinessAddress,
+           false,
+           1,
+           64,
+           "" },
+  FileKey{ "daemon",
+           "metrics_address",
+           &Values::mMetricsAddress,
+           false,
+           1,
+           64,
+           "" },
   FileKey{ "platform", "address", &Values::mPlatformAddress, true, 1, 64, "" },
+  FileKey{ "platform",
+           "kind",
+           &Values::mPlatformKind,
+           false,
+           1,
+           16,
+           "standin|fleet" },
   FileKey{ "log",
            "level",
            &Values::mLogLevel,
@@ -86,6 +107,48 @@
            50,
            kMinuteMs,
            "" },
+  FileKey{ "scheduling",
+           "worker_timeout_ms",
+           &Values::mWorkerTimeoutMs,
+           false,
+           50,
+           kMinuteMs,
+           "" },
+  FileKey{ "scheduling",
+           "worker_lease_ms",
+           &Values::mWorkerLeaseMs,
+           false,
+           500,
+           kMinuteMs,
+           "" },
+  FileKey{ "scheduling",
+           "worker_wait_ms",
+           &Values::mWorkerWaitMs,
+           false,
+           0,
+           kMinuteMs,
+           "" },
+  FileKey{ "scheduling",
+           "owner_timeout_ms",
+           &Values::mOwnerTimeoutMs,
+           false,
+           300,
+           kMinuteMs,
+           "" },
+  FileKey{ "scheduling",
+           "catalog_max_age_ms",
+           &Values::mCatalogMaxAgeMs,
+           false,
+           300,
+           kMinuteMs,
+           "" },
+  FileKey{ "scheduling",
+           "policy",
+           &Values::mPlacementPolicy,
+           false,
+           1,
+           32,
+           "urgency|arrival" },
 };
 
 /** Collects the faults of a file. */
@@ -273,6 +336,21 @@
   }
 }
 
+/** Each kind of platform needs one more address. */
+void
+CheckAddresses(const Values& aValues, FaultList& aFaults)
+{
+  const bool isOnFleet = aValues.mPlatformKind == "fleet";
+  const std::string& address =
+    isOnFleet ? aValues.mReadinessAddress : aValues.mPeerAddress;
+  if (address.empty()) {
+    aFaults.Add(0,
+                isOnFleet ? "daemon.readiness_address" : "daemon.peer_address",
+                "nothing",
+                "a value; the key is required");
+  }
+}
+
 } // namespace
 
 DaemonSettings
@@ -312,6 +390,7 @@
   CheckId("daemon.id", values.mId, faults);
   CheckId("daemon.region", values.mRegion, faults);
   CheckId("daemon.zone", values.mZone, faults);
+  CheckAddresses(values, faults);
   faults.ThrowIfAny();
   return DaemonSettings(std::move(values));
 }
--- a/apps/cornelrudderd/DaemonSettings.h
+++ b/apps/cornelrudderd/DaemonSettings.h
@@ -28,7 +28,10 @@
   std::string mPeerAddress;
   std::string mAnnouncedPeerAddress;
   std::vector<std::string> mSeeds;
+  std::string mReadinessAddress;
+  std::string mMetricsAddress;
   std::string mPlatformAddress;
+  std::string mPlatformKind = "standin";
   std::string mLogLevel = "info";
   std::string mLogFormat = "text";
   std::int64_t mPollMs = 2'000;
@@ -37,6 +40,12 @@
   std::int64_t mDrainGraceMs = 30'000;
   std::int64_t mLeaseMs = 6'000;
   std::int64_t mHeartbeatMs = 1'000;
+  std::int64_t mWorkerTimeoutMs = 600;
+  std::int64_t mWorkerLeaseMs = 6'000;
+  std::int64_t mWorkerWaitMs = 1'500;
+  std::int64_t mOwnerTimeoutMs = 1'800;
+  std::int64_t mCatalogMaxAgeMs = 3'000;
+  std::string mPlacementPolicy;
 
   auto operator<=>(const DaemonSettingsValues&) const = default;
 };
@@ -102,6 +111,39 @@
     return std::chrono::milliseconds(mValues.mHeartbeatMs);
   }
 
+  /** Where the balancer asks for readiness; only on the fleet platform. */
+  const std::string& ReadinessAddress() const
+  {
+    return mValues.mReadinessAddress;
+  }
+  const std::string& MetricsAddress() const { return mValues.mMetricsAddress; }
+  /** Whether the platform is the users' one, not the stand-in. */
+  bool IsOnFleet() const { return mValues.mPlatformKind == "fleet"; }
+  const std::string& PlacementPolicy() const
+  {
+    return mValues.mPlacementPolicy;
+  }
+  std::chrono::milliseconds WorkerTimeout() const
+  {
+    return std::chrono::milliseconds(mValues.mWorkerTimeoutMs);
+  }
+  std::chrono::milliseconds WorkerLease() const
+  {
+    return std::chrono::milliseconds(mValues.mWorkerLeaseMs);
+  }
+  std::chrono::milliseconds WorkerWait() const
+  {
+    return std::chrono::milliseconds(mValues.mWorkerWaitMs);
+  }
+  std::chrono::milliseconds OwnerTimeout() const
+  {
+    return std::chrono::milliseconds(mValues.mOwnerTimeoutMs);
+  }
+  std::chrono::milliseconds CatalogMaxAge() const
+  {
+    return std::chrono::milliseconds(mValues.mCatalogMaxAgeMs);
+  }
+
   auto operator<=>(const DaemonSettings&) const = default;
 
 private:
--- /dev/null
+++ b/apps/cornelrudderd/FleetDaemon.cpp
@@ -0,0 +1,201 @@
+#include "cornelrudderd/FleetDaemon.h"
+
+#include "cornelrudder/coordination/CatalogTask.h"
+#include "cornelrudder/coordination/Clock.h"
+#include "cornelrudder/coordination/JobGatewayTask.h"
+#include "cornelrudder/coordination/SchedulerTask.h"
+#include "cornelrudder/coordination/SchedulingMessages.h"
+#include "cornelrudder/coordination/TaskMessages.h"
+#include "cornelrudder/protocol/JsonSchedulingCodec.h"
+#include "cornelrudder/transport/HttpClient.h"
+#include "cornelrudder/transport/HttpServer.h"
+#include "cornelrudder/transport/IoThread.h"
+#include "cornelrudderd/GracefulStop.h"
+#include "cornelrudderd/Incarnation.h"
+#include "cornelrudderd/MetricsTask.h"
+#include "cornelrudderd/SpdlogEventLog.h"
+#include "cornelrudderd/TaskGroup.h"
+#include "platform/CallerFront.h"
+#include "platform/FleetCodec.h"
+#include "platform/RunnerClient.h"
+#include "platform/TableStore.h"
+
+#include <caf/send.hpp>
+
+namespace cornelrudder::daemon {
+
+namespace {
+
+using coordination::LogEvent;
+using transport::HttpClientLimits;
+using transport::HttpServer;
+using transport::HttpServerLimits;
+
+/** Long waits of the feeds and short calls at the same time. */
+constexpr std::size_t kStoreConnections = 24;
+/** One long renewal and a few orders at a time. */
+constexpr std::size_t kWorkerConnections = 8;
+
+} // namespace
+
+class FleetDaemon::Impl
+{
+public:
+  Impl(const DaemonSettings& aSettings, std::string aPath)
+    : mSettings(aSettings)
+    , mPath(std::move(aPath))
+    , mLog(aSettings.Id().Text(),
+           aSettings.LogLevelName(),
+           aSettings.LogsJson())
+    , mIncarnation(MakeIncarnation(aSettings.Id()))
+    , mStoreClient(mThread, HttpClientLimits{ kStoreConnections })
+    , mWorkerClient(mThread, HttpClientLimits{ kWorkerConnections })
+    , mStore(mStoreClient,
+             aSettings.PlatformAddress(),
+             aSettings.StoreTimeout(),
+             mLog)
+    , mWorkers(mWorkerClient, aSettings.WorkerTimeout())
+    , mSystem(mConfig)
+    , mTasks(mSystem, mLog)
+  {
+    StartTasks();
+    mServer =
+      std::make_unique<HttpServer>(mThread,
+                                   aSettings.HttpAddress(),
+                                   HttpServerLimits{},
+                                   platform::MakeCallerHandler(mGateway));
+    mReadiness =
+      std::make_unique<HttpServer>(mThread,
+                                   aSettings.ReadinessAddress(),
+                                   HttpServerLimits{},
+                                   platform::MakeReadinessHandler(mGateway));
+    if (!aSettings.MetricsAddress().empty()) {
+      mMetrics = std::make_unique<HttpServer>(mThread,
+                                              aSettings.MetricsAddress(),
+                                              HttpServerLimits{},
+                                              MakeMetricsHandler(mCounters));
+    }
+    mStop = std::make_unique<GracefulStop>(
+      mThread,
+      *mServer,
+      mLog,
+      StopTimes{ aSettings.DrainNotice(), aSettings.DrainGrace() },
+      [this] {
+        caf::anon_send(mGateway, coordination::BeginLeavingCalls{});
+        caf::anon_send(mScheduler, coordination::ReleaseOwnership{});
+      });
+  }
+
+  ~Impl()
+  {
+    mServer.reset();
+    mReadiness.reset();
+    mMetrics.reset();
+    mTasks.Stop();
+    mThread.Stop();
+  }
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  std::size_t Run()
+  {
+    mStop->WatchSignals();
+    mThread.WatchReloadSignal([this] { Reload(); });
+    mLog.Write({ LogEvent::kStarted,
+                 { { "http", mServer->Address() },
+                   { "zone", mSettings.Zone().Text() },
+                   { "incarnation", mIncarnation } } });
+    return mStop->Wait();
+  }
+
+private:
+  void StartTasks()
+  {
+    mCatalog = mTasks.Add(
+      SpawnCatalogTask(mSystem, mStore, mStore, mFleetCodec, mClock, mLog, {}),
+      "catalog");
+    coordination::JobGatewayOptions gateway;
+    gateway.mIncarnation = mIncarnation;
+    gateway.mCatalogMaxAge = mSettings.CatalogMaxAge();
+    mGateway = mTasks.Add(SpawnJobGatewayTask(mSystem,
+                                              mCatalog,
+                                              mStore,
+                                              mStore,
+                                              mCodec,
+                                              mFleetCodec,
+                                              mClock,
+                                              mLog,
+                                              std::move(gateway)),
+                          "gateway");
+    coordination::SchedulerTaskOptions scheduler;
+    scheduler.mSelf = mSettings.Id().Text();
+    scheduler.mIncarnation = mIncarnation;
+    scheduler.mOwnerTimeout = mSettings.OwnerTimeout();
+    scheduler.mWorkerLease = mSettings.WorkerLease();
+    scheduler.mRenewWait = mSettings.WorkerWait();
+    scheduler.mPolicy = mSettings.PlacementPolicy();
+    mScheduler = mTasks.Add(
+      SpawnSchedulerTask(
+        mSystem,
+        { mStore, mStore, mWorkers, mCodec, mFleetCodec, mClock, mLog },
+        std::move(scheduler)),
+      "scheduler");
+    caf::anon_send(mCatalog, coordination::Subscribe{ mScheduler });
+    mCounters = mTasks.Add(
+      SpawnMetricsTask(mSystem, { mCatalog, mGateway, mScheduler }), "metrics");
+  }
+
+  /** Addresses and identity need a restart; the file is checked at least. */
+  void Reload()
+  {
+    try {
+      const DaemonSettings settings = DaemonSettings::Load(mPath);
+      mLog.Write({ LogEvent::kReloaded,
+                   { { "changed", settings == mSettings ? "no" : "yes" },
+                     { "applied", "at the next start" } } });
+    } catch (const SettingsFileError& error) {
+      mLog.Write({ LogEvent::kBadSettingsFile, { { "error", error.what() } } });
+    }
+  }
+
+  DaemonSettings mSettings;
+  std::string mPath;
+  SpdlogEventLog mLog;
+  std::string mIncarnation;
+  coordination::BootClock mClock;
+  protocol::JsonSchedulingCodec mCodec;
+  platform::FleetCodec mFleetCodec;
+  transport::IoThread mThread;
+  transport::HttpClient mStoreClient;
+  transport::HttpClient mWorkerClient;
+  platform::TableStore mStore;
+  platform::RunnerClient mWorkers;
+  TaskSystemConfig mConfig;
+  caf::actor_system mSystem;
+  TaskGroup mTasks;
+  caf::actor mCatalog;
+  caf::actor mGateway;
+  caf::actor mScheduler;
+  caf::actor mCounters;
+  std::unique_ptr<HttpServer> mServer;
+  std::unique_ptr<HttpServer> mReadiness;
+  std::unique_ptr<HttpServer> mMetrics;
+  std::unique_ptr<GracefulStop> mStop;
+};
+
+FleetDaemon::FleetDaemon(const DaemonSettings& aSettings,
+                         const std::string& aPath)
+  : mImpl(std::make_unique<Impl>(aSettings, aPath))
+{
+}
+
+FleetDaemon::~FleetDaemon() = default;
+
+std::size_t
+FleetDaemon::Run()
+{
+  return mImpl->Run();
+}
+
+} // namespace cornelrudder::daemon
--- a/apps/cornelrudderd/FrontTask.cpp
+++ b/apps/cornelrudderd/FrontTask.cpp
@@ -9,6 +9,7 @@
 #include "cornelrudder/state/StateError.h"
 #include "protocol/JsonText.h"
 
+#include "cornelrudderd/MetricsTask.h"
 #include "cornelrudderd/PathPattern.h"
 
 #include <caf/actor_system.hpp>
@@ -333,15 +334,6 @@
         });
   }
 
-  static HttpResponse EncodeCounters(const coordination::Counters& aCounters)
-  {
-    std::string text;
-    for (const auto& [name, value] : aCounters) {
-      text += "cornelrudder_" + name + " " + std::to_string(value) + "\n";
-    }
-    return { 200, { { "content-type", "text/plain; version=0.0.4" } }, text };
-  }
-
   static HttpResponse DocumentResponse(int aStatus,
                                        const state::SettingsDocument& aDocument)
   {
--- /dev/null
+++ b/apps/cornelrudderd/MetricsTask.cpp
@@ -0,0 +1,109 @@
+#include "cornelrudderd/MetricsTask.h"
+
+#include <caf/actor_system.hpp>
+#include <caf/event_based_actor.hpp>
+#include <caf/send.hpp>
+
+#include <memory>
+
+namespace cornelrudder::daemon {
+
+/** Asks for all counters. */
+struct MetricsCall
+{
+  transport::HttpResponder mRespond;
+};
+
+} // namespace cornelrudder::daemon
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::daemon::MetricsCall)
+
+namespace cornelrudder::daemon {
+
+using coordination::Counters;
+using coordination::GetCounters;
+
+namespace {
+
+/** A task that does not answer must not hold up the others' counters. */
+constexpr std::chrono::milliseconds kAnswerTime{ 1'000 };
+
+/** Counters that are being collected for one call. */
+struct Collection
+{
+  transport::HttpResponder mRespond;
+  Counters mCounters;
+  std::size_t mOpen = 0;
+
+  void Close()
+  {
+    if (--mOpen == 0) {
+      mRespond(EncodeCounters(mCounters));
+    }
+  }
+};
+
+class MetricsTask : public caf::event_based_actor
+{
+public:
+  MetricsTask(caf::actor_config& aConfig, std::vector<caf::actor> aTasks)
+    : caf::event_based_actor(aConfig)
+    , mTasks(std::move(aTasks))
+  {
+  }
+
+  caf::behavior make_behavior() override
+  {
+    return { [this](const MetricsCall& aCall) { Collect(aCall); } };
+  }
+
+private:
+  void Collect(const MetricsCall& aCall)
+  {
+    auto collection = std::make_shared<Collection>();
+    collection->mRespond = aCall.mRespond;
+    collection->mOpen = mTasks.size();
+    for (const caf::actor& task : mTasks) {
+      request(task, kAnswerTime, GetCounters{})
+        .then(
+          [collection](const Counters& aCounters) {
+            for (const auto& [name, value] : aCounters) {
+              collection->mCounters[name] += value;
+            }
+            collection->Close();
+          },
+          [collection](const caf::error&) { collection->Close(); });
+    }
+  }
+
+  std::vector<caf::actor> mTasks;
+};
+
+} // namespace
+
+protocol::HttpResponse
+EncodeCounters(const Counters& aCounters)
+{
+  std::string text;
+  for (const auto& [name, value] : aCounters) {
+    text += "cornelrudder_" + name + " " + std::to_string(value) + "\n";
+  }
+  return { 200, { { "content-type", "text/plain; version=0.0.4" } }, text };
+}
+
+caf::actor
+SpawnMetricsTask(caf::actor_system& aSystem, std::vector<caf::actor> aTasks)
+{
+  return aSystem.spawn<MetricsTask>(std::move(aTasks));
+}
+
+transport::HttpHandler
+MakeMetricsHandler(const caf::actor& aMetrics)
+{
+  return [metrics = aMetrics](const protocol::HttpRequest& /*aRequest*/,
+                              transport::HttpResponder aRespond) {
+    caf::anon_send(metrics, MetricsCall{ std::move(aRespond) });
+  };
+}
+
+} // namespace cornelrudder::daemon
--- a/apps/cornelrudderd/SpdlogEventLog.cpp
+++ b/apps/cornelrudderd/SpdlogEventLog.cpp
@@ -34,7 +34,7 @@
                                bool aJson)
   : mLogger(std::make_shared<spdlog::logger>(
       "cornelrudderd",
-      std::make_shared<spdlog::sinks::stderr_sink_mt>()))
+      std::make_shared<spdlog::sinks::stdout_sink_mt>()))
   , mDaemon(std::move(aDaemon))
   , mJson(aJson)
 {
--- a/apps/cornelrudderd/main.cpp
+++ b/apps/cornelrudderd/main.cpp
@@ -1,6 +1,7 @@
 #include "cornelrudder/transport/TransportError.h"
 #include "cornelrudderd/Daemon.h"
 #include "cornelrudderd/DaemonSettings.h"
+#include "cornelrudderd/FleetDaemon.h"
 
 #include <array>
 #include <cstdio>
@@ -78,6 +79,10 @@
       std::printf("%s: ok\n", aArguments.mConfig.c_str());
       return kExitOk;
     }
+    if (settings.IsOnFleet()) {
+      daemon::FleetDaemon daemon(settings, aArguments.mConfig);
+      return daemon.Run() == 0 ? kExitOk : kExitCutOff;
+    }
     daemon::Daemon daemon(settings);
     return daemon.Run() == 0 ? kExitOk : kExitCutOff;
   } catch (const daemon::SettingsFileError& error) {
--- /dev/null
+++ b/include/cornelrudder/coordination/JobGatewayTask.h
@@ -0,0 +1,51 @@
+#ifndef CORNELRUDDER_COORDINATION_JOB_GATEWAY_TASK_H
+#define CORNELRUDDER_COORDINATION_JOB_GATEWAY_TASK_H
+
+#include "cornelrudder/coordination/Clock.h"
+#include "cornelrudder/coordination/EventLog.h"
+#include "cornelrudder/coordination/FeedPort.h"
+#include "cornelrudder/coordination/SchedulingCodec.h"
+#include "cornelrudder/coordination/StorePort.h"
+
+#include <caf/fwd.hpp>
+
+#include <chrono>
+#include <string>
+
+namespace cornelrudder::coordination {
+
+struct JobGatewayOptions
+{
+  /** Prefix of write ids, unique for this life of the process. */
+  std::string mIncarnation;
+  /**
+   * Age of the last confirmation of the settings up to which they are used:
+   * below the bound for withdrawn keys, less the time that a call may take.
+   */
+  std::chrono::milliseconds mCatalogMaxAge{ 3'000 };
+  /** Attempts at a write whose outcome is unknown. */
+  int mWriteAttempts = 2;
+};
+
+/**
+ * Starts the task that takes calls about jobs. It accepts a job by one write
+ * whose condition is that the settings it decided by are the newest, so that
+ * a job is stored before it is accepted and no call is judged by old
+ * settings. It takes JobCall, CatalogView and GetCounters.
+ * @param aCatalog The catalog task.
+ * @param aStore Must outlive the actor system, as must all references.
+ */
+caf::actor
+SpawnJobGatewayTask(caf::actor_system& aSystem,
+                    const caf::actor& aCatalog,
+                    StorePort& aStore,
+                    FeedPort& aFeed,
+                    const SchedulingCodec& aCodec,
+                    const FleetRowCodec& aFleetCodec,
+                    const Clock& aClock,
+                    EventLog& aLog,
+                    JobGatewayOptions aOptions);
+
+} // namespace cornelrudder::coordination
+
+#endif // CORNELRUDDER_COORDINATION_JOB_GATEWAY_TASK_H
--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -22,6 +22,7 @@
   kCutOff = 103,
   kBadSettingsFile = 104,
   kTaskFailed = 105,
+  kReloaded = 106,
   kRouted = 200,
   kRouteRefused = 201,
   kRunnerResult = 202,
@@ -75,7 +76,22 @@
   kJobsRecovered = 710,
   kPlacementLapsed = 711,
   kBadJobRow = 712,
-  kOwnerFenced = 713
+  kOwnerFenced = 713,
+  kTaskPlaced = 800,
+  kTaskWaits = 801,
+  kTaskPreempted = 802,
+  kRunEnded = 803,
+  kRunLost = 804,
+  kWorkerSilent = 805,
+  kWorkerBack = 806,
+  kWorkerGone = 807,
+  kWorkerSuspected = 808,
+  kCallAnswered = 810,
+  kCatalogApplied = 811,
+  kCatalogStale = 812,
+  kCatalogConfirmed = 813,
+  kStoreLost = 814,
+  kStoreBack = 815
 };
 
 /** Row of the event table. */
--- /dev/null
+++ b/include/cornelrudder/state/scheduling/Resources.h
@@ -0,0 +1,81 @@
+#ifndef CORNELRUDDER_STATE_SCHEDULING_RESOURCES_H
+#define CORNELRUDDER_STATE_SCHEDULING_RESOURCES_H
+
+#include <compare>
+#include <cstdint>
+
+namespace cornelrudder::state::scheduling {
+
+/** Processor, memory and accelerators: what a task needs or a worker has. */
+class Resources
+{
+public:
+  Resources() = default;
+
+  /**
+   * @param aCpuMillis Thousandths of a core.
+   * @param aMemoryMb Memory in megabytes.
+   */
+  Resources(std::int64_t aCpuMillis,
+            std::int64_t aMemoryMb,
+            std::int64_t aAccelerators)
+    : mCpuMillis(aCpuMillis)
+    , mMemoryMb(aMemoryMb)
+    , mAccelerators(aAccelerators)
+  {
+  }
+
+  std::int64_t CpuMillis() const { return mCpuMillis; }
+  std::int64_t MemoryMb() const { return mMemoryMb; }
+  std::int64_t Accelerators() const { return mAccelerators; }
+
+  /** @return Whether these resources are contained in others. */
+  bool FitsIn(const Resources& aRoom) const
+  {
+    return mCpuMillis <= aRoom.mCpuMillis && mMemoryMb <= aRoom.mMemoryMb &&
+           mAccelerators <= aRoom.mAccelerators;
+  }
+
+  Resources Plus(const Resources& aOther) const
+  {
+    return { mCpuMillis + aOther.mCpuMillis,
+             mMemoryMb + aOther.mMemoryMb,
+             mAccelerators + aOther.mAccelerators };
+  }
+
+  Resources Minus(const Resources& aOther) const
+  {
+    return { mCpuMillis - aOther.mCpuMillis,
+             mMemoryMb - aOther.mMemoryMb,
+             mAccelerators - aOther.mAccelerators };
+  }
+
+  Resources Times(std::int64_t aFactor) const
+  {
+    return { mCpuMillis * aFactor,
+             mMemoryMb * aFactor,
+             mAccelerators * aFactor };
+  }
+
+  /** @return Cores, with an accelerator counted as several of them. */
+  double WeightedCores() const
+  {
+    return static_cast<double>(mCpuMillis) / kMillisPerCore +
+           static_cast<double>(mAccelerators) * kCoresPerAccelerator;
+  }
+
+  auto operator<=>(const Resources&) const = default;
+
+private:
+  static constexpr double kMillisPerCore = 1000.0;
+  /** The platform prices an accelerator like eight cores. */
+  static constexpr double kCoresPerAccelerator = 8.0;
+
+  std::int64_t mCpuMillis = 0;
+  std::int64_t mMemoryMb = 0;
+  std::int64_t mAccelerators = 0;
+};
+
+} // namespace cornelrudder::state::scheduling
+
+#endif // CORNELRUDDER_STATE_SCHEDULING_RESOURCES_H
--- /dev/null
+++ b/include/cornelrudder/state/scheduling/StepSpec.h
@@ -0,0 +1,79 @@
+#ifndef CORNELRUDDER_STATE_SCHEDULING_STEP_SPEC_H
+#define CORNELRUDDER_STATE_SCHEDULING_STEP_SPEC_H
+
+#include "cornelrudder/state/scheduling/Resources.h"
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace cornelrudder::state::scheduling {
+
+/** Raw values of a step. */
+struct StepSpecValues
+{
+  /** Number of tasks. */
+  std::size_t mTasks = 1;
+  /** What each task needs. */
+  Resources mDemand;
+  /** The caller's rough estimate of a task's run time; 0 if there is none. */
+  std::chrono::milliseconds mEstimate{ 0 };
+  /** Earlier steps whose tasks must all be done first. */
+  std::vector<std::size_t> mAfter;
+  /** Label that a worker must have; empty for any worker. */
+  std::string mRequiredLabel;
+  /** Rack that holds the data; empty if it doesn't matter. */
+  std::string mAffinityRack;
+  /** Most tasks of the step on one worker; 0 for no limit. */
+  std::size_t mMaxPerWorker = 0;
+  /** The tasks run together or not at all. */
+  bool mGang = false;
+  /** The tasks are slower on more than one rack. */
+  bool mSameRack = false;
+  bool mCheckpointing = false;
+  /** The tasks run until the job is cancelled. */
+  bool mLongRunning = false;
+  /** Copies of a task may run in parallel. */
+  bool mSpeculative = false;
+
+  auto operator<=>(const StepSpecValues&) const = default;
+};
+
+/** One step of a job: equal tasks. */
+class StepSpec
+{
+public:
+  /** Limits the state that one submission can ask for. */
+  static constexpr std::size_t kMaxTasks = 10'000;
+
+  /**
+   * @param aPosition Number of the step within its job.
+   * @throws StateError if a value is out of range, or a step is to run after
+   *   one that is not earlier.
+   */
+  StepSpec(StepSpecValues aValues, std::size_t aPosition);
+
+  std::size_t Tasks() const { return mValues.mTasks; }
+  const Resources& Demand() const { return mValues.mDemand; }
+  std::chrono::milliseconds Estimate() const { return mValues.mEstimate; }
+  const std::vector<std::size_t>& After() const { return mValues.mAfter; }
+  const std::string& RequiredLabel() const { return mValues.mRequiredLabel; }
+  const std::string& AffinityRack() const { return mValues.mAffinityRack; }
+  std::size_t MaxPerWorker() const { return mValues.mMaxPerWorker; }
+  bool IsGang() const { return mValues.mGang; }
+  bool IsSameRack() const { return mValues.mSameRack; }
+  bool IsCheckpointing() const { return mValues.mCheckpointing; }
+  bool IsLongRunning() const { return mValues.mLongRunning; }
+  bool IsSpeculative() const { return mValues.mSpeculative; }
+
+  auto operator<=>(const StepSpec&) const = default;
+
+private:
+  StepSpecValues mValues;
+};
+
+} // namespace cornelrudder::state::scheduling
+
+#endif // CORNELRUDDER_STATE_SCHEDULING_STEP_SPEC_H
--- a/include/cornelrudder/transport/IoThread.h
+++ b/include/cornelrudder/transport/IoThread.h
@@ -34,6 +34,12 @@
    */
   void WatchStopSignals(std::function<void()> aFunction);
 
+  /**
+   * Calls a function on the thread for each SIGHUP.
+   * @throws TransportError if the signal cannot be watched.
+   */
+  void WatchReloadSignal(std::function<void()> aFunction);
+
   /** Stops the thread and waits for its end; pending work is dropped. */
   void Stop();
 
--- /dev/null
+++ b/src/coordination/CatalogTask.cpp
@@ -0,0 +1,203 @@
+#include "cornelrudder/coordination/CatalogTask.h"
+
+#include "cornelrudder/coordination/CoordinationError.h"
+#include "cornelrudder/coordination/SchedulingMessages.h"
+#include "cornelrudder/coordination/SchedulingTables.h"
+#include "cornelrudder/coordination/TaskMessages.h"
+
+#include <caf/actor_system.hpp>
+#include <caf/event_based_actor.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace cornelrudder::coordination {
+
+namespace {
+
+using state::StoreResult;
+using state::StoreStatus;
+using state::scheduling::Catalog;
+using std::chrono::milliseconds;
+
+class CatalogTask : public caf::event_based_actor
+{
+public:
+  CatalogTask(caf::actor_config& aConfig,
+              StorePort& aStore,
+              FeedPort& aFeed,
+              const FleetRowCodec& aCodec,
+              const Clock& aClock,
+              EventLog& aLog,
+              CatalogTaskOptions aOptions)
+    : caf::event_based_actor(aConfig)
+    , mStore(aStore)
+    , mFeed(aFeed)
+    , mCodec(aCodec)
+    , mClock(aClock)
+    , mLog(aLog)
+    , mOptions(aOptions)
+  {
+  }
+
+  caf::behavior make_behavior() override
+  {
+    send(this, Tick{});
+    return {
+      [this](const Tick&) { Step(); },
+      [this](const StoreAnswered& aAnswer) {
+        if (aAnswer.mTicket == mTicket) {
+          TakeAnswer(aAnswer.mResult);
+        }
+      },
+      [this](const RereadCatalog&) { Reread(); },
+      [this](const Subscribe& aSubscribe) {
+        mSubscribers.push_back(aSubscribe.mReceiver);
+        send(aSubscribe.mReceiver, View());
+      },
+      [this](const GetCounters&) { return mCounters; },
+    };
+  }
+
+private:
+  /** Reads the row first, then follows its changes. */
+  void Step()
+  {
+    mSentAt = mClock.Now();
+    const auto complete = [self = caf::actor_cast<caf::actor>(this),
+                           ticket = ++mTicket](StoreResult aResult) {
+      caf::anon_send(self, StoreAnswered{ ticket, std::move(aResult) });
+    };
+    mFollowing = mVersion != 0;
+    if (mFollowing) {
+      mFeed.Follow(kOperatorTable, mVersion, mOptions.mFeedWait, complete);
+    } else {
+      mStore.ReadRow(kCatalogKey, complete);
+    }
+  }
+
+  void Reread()
+  {
+    mVersion = 0;
+    Step();
+  }
+
+  void TakeAnswer(const StoreResult& aResult)
+  {
+    const bool isLost = aResult.Status() == StoreStatus::kConflict;
+    if (isLost) {
+      ++mCounters["catalog_history_lost_total"];
+      Reread();
+      return;
+    }
+    if (aResult.Status() != StoreStatus::kOk) {
+      ++mCounters["catalog_failures_total"];
+      CheckStale();
+      delayed_send(this, mOptions.mRetry, Tick{});
+      return;
+    }
+    for (const state::StoreRow& row : aResult.Rows()) {
+      if (row.Key() == kCatalogKey && row.Version() != 0) {
+        Apply(row);
+      }
+    }
+    mVersion = aResult.Version();
+    Confirm(aResult);
+    if (mCatalog || mFollowing) {
+      Step();
+    } else {
+      delayed_send(this, mOptions.mRetry, Tick{});
+    }
+  }
+
+  void Apply(const state::StoreRow& aRow)
+  {
+    if (mCatalog && mCatalog->RowVersion() >= aRow.Version()) {
+      return;
+    }
+    try {
+      mCatalog = std::make_shared<const Catalog>(
+        mCodec.DecodeCatalog(aRow.Value(), aRow.Version()));
+      mLog.Write(
+        { LogEvent::kCatalogApplied,
+          { { "version", std::to_string(mCatalog->Number()) },
+            { "row_version", std::to_string(aRow.Version()) },
+            { "queues", std::to_string(mCatalog->Queues().size()) } } });
+    } catch (const CoordinationError& error) {
+      ++mCounters["rows_malformed_total"];
+      mLog.Write({ LogEvent::kRowMalformed,
+                   { { "key", aRow.Key() }, { "error", error.what() } } });
+    }
+  }
+
+  /** An unchanged feed was held open; it speaks for the time it waited. */
+  void Confirm(const StoreResult& aResult)
+  {
+    const milliseconds now = mClock.Now();
+    const bool hasWaited = mFollowing && aResult.Rows().empty() &&
+                           now - mSentAt >= mOptions.mFeedWait;
+    mConfirmedAt = hasWaited ? mSentAt + mOptions.mFeedWait : mSentAt;
+    // The answer took some of the time since it was asked for.
+    mStoreClock = { aResult.StoreTime(), now };
+    if (mIsStale) {
+      mIsStale = false;
+      mLog.Write({ LogEvent::kCatalogConfirmed, {} });
+    }
+    for (const caf::actor& receiver : mSubscribers) {
+      send(receiver, View());
+    }
+  }
+
+  void CheckStale()
+  {
+    const milliseconds age = mClock.Now() - mConfirmedAt;
+    if (!mIsStale && mCatalog && age > mOptions.mStaleAfter) {
+      mIsStale = true;
+      mLog.Write({ LogEvent::kCatalogStale,
+                   { { "version", std::to_string(mCatalog->Number()) },
+                     { "age_ms", std::to_string(age.count()) } } });
+    }
+  }
+
+  CatalogView View() const { return { mCatalog, mConfirmedAt, mStoreClock }; }
+
+  StorePort& mStore;
+  FeedPort& mFeed;
+  const FleetRowCodec& mCodec;
+  const Clock& mClock;
+  EventLog& mLog;
+  CatalogTaskOptions mOptions;
+  std::vector<caf::actor> mSubscribers;
+  std::shared_ptr<const Catalog> mCatalog;
+  milliseconds mConfirmedAt{ 0 };
+  StoreClock mStoreClock;
+  /** Version of the store up to which changes were seen; 0 for none. */
+  std::uint64_t mVersion = 0;
+  /** Answers to earlier exchanges are dropped. */
+  std::uint64_t mTicket = 0;
+  bool mFollowing = false;
+  milliseconds mSentAt{ 0 };
+  bool mIsStale = false;
+  Counters mCounters;
+};
+
+} // namespace
+
+caf::actor
+SpawnCatalogTask(caf::actor_system& aSystem,
+                 StorePort& aStore,
+                 FeedPort& aFeed,
+                 const FleetRowCodec& aCodec,
+                 const Clock& aClock,
+                 EventLog& aLog,
+                 CatalogTaskOptions aOptions)
+{
+  return aSystem.spawn<CatalogTask>(std::ref(aStore),
+                                    std::ref(aFeed),
+                                    std::cref(aCodec),
+                                    std::cref(aClock),
+                                    std::ref(aLog),
+                                    aOptions);
+}
+
+} // namespace cornelrudder::coordination
--- /dev/null
+++ b/src/coordination/JobGatewayTask.cpp
@@ -0,0 +1,553 @@
+#include "cornelrudder/coordination/JobGatewayTask.h"
+
+#include "cornelrudder/coordination/CoordinationError.h"
+#include "cornelrudder/coordination/SchedulingMessages.h"
+#include "cornelrudder/coordination/SchedulingTables.h"
+#include "cornelrudder/coordination/TaskMessages.h"
+#include "cornelrudder/coordination/WriteIds.h"
+#include "cornelrudder/state/Ids.h"
+
+#include <caf/actor_system.hpp>
+#include <caf/event_based_actor.hpp>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <optional>
+
+namespace cornelrudder::coordination {
+
+namespace {
+
+using state::StoreResult;
+using state::StoreRow;
+using state::StoreStatus;
+using state::Transaction;
+using state::scheduling::Catalog;
+using state::scheduling::JobPhase;
+using state::scheduling::Queue;
+using state::scheduling::TaskJob;
+using std::chrono::milliseconds;
+
+/** Changes of the settings during one call after which it gives up. */
+constexpr int kMaxRejudgements = 5;
+
+constexpr std::array kKindNames{ "submit", "query", "cancel", "count" };
+constexpr std::array kStatusNames{ "ok",      "unavailable", "no_queue",
+                                   "bad_key", "no_job",      "bad_request",
+                                   "unknown" };
+
+/** Task identifiers and keys of rows separate their parts by dots. */
+bool
+IsJobId(const std::string& aText)
+{
+  return state::IsValidId(aText) && aText.find('.') == std::string::npos;
+}
+
+/** A call under way. */
+struct Pending
+{
+  JobCall mCall;
+  /** Identifier of the job: the path behind the queue's prefix. */
+  std::string mJob;
+  std::string mQueue;
+  std::string mOrganisation;
+  milliseconds mStartedAt{ 0 };
+  /** Whether a write may have taken effect, or may yet. */
+  bool mMayBeWritten = false;
+  int mWrites = 0;
+  int mRejudgements = 0;
+};
+
+class JobGatewayTask : public caf::event_based_actor
+{
+public:
+  JobGatewayTask(caf::actor_config& aConfig,
+                 caf::actor aCatalog,
+                 StorePort& aStore,
+                 FeedPort& aFeed,
+                 const SchedulingCodec& aCodec,
+                 const FleetRowCodec& aFleetCodec,
+                 const Clock& aClock,
+                 EventLog& aLog,
+                 const JobGatewayOptions& aOptions)
+    : caf::event_based_actor(aConfig)
+    , mCatalogTask(std::move(aCatalog))
+    , mStore(aStore)
+    , mFeed(aFeed)
+    , mCodec(aCodec)
+    , mFleetCodec(aFleetCodec)
+    , mClock(aClock)
+    , mLog(aLog)
+    , mOptions(aOptions)
+    , mWriteIds(aOptions.mIncarnation + "-call")
+  {
+  }
+
+  caf::behavior make_behavior() override
+  {
+    send(mCatalogTask, Subscribe{ this });
+    return {
+      [this](const CatalogView& aView) { UseView(aView); },
+      [this](const JobCall& aCall) { Begin(aCall); },
+      [this](const StoreAnswered& aAnswer) { TakeAnswer(aAnswer); },
+      [this](const ReadinessCall& aCall) {
+        aCall.mRespond(!mLeaving && IsConfirmed());
+      },
+      [this](const BeginLeavingCalls&) { mLeaving = true; },
+      [this](const GetCounters&) { return mCounters; },
+    };
+  }
+
+private:
+  using Step = void (JobGatewayTask::*)(std::uint64_t, Pending&);
+  using AnswerStep = void (JobGatewayTask::*)(std::uint64_t,
+                                              Pending&,
+                                              const StoreResult&);
+
+  /** What an answer of the store is for. */
+  struct Exchange
+  {
+    std::uint64_t mCall;
+    AnswerStep mThen;
+  };
+
+  void UseView(const CatalogView& aView)
+  {
+    const bool isNewer =
+      aView.mCatalog &&
+      (!mCatalog || mCatalog->RowVersion() < aView.mCatalog->RowVersion());
+    if (isNewer) {
+      mCatalog = aView.mCatalog;
+    }
+    mConfirmedAt = std::max(mConfirmedAt, aView.mConfirmedAt);
+    mStoreClock = aView.mStoreClock;
+  }
+
+  bool IsConfirmed() const
+  {
+    return mCatalog && mClock.Now() - mConfirmedAt <= mOptions.mCatalogMaxAge;
+  }
+
+  void Begin(const JobCall& aCall)
+  {
+    const std::uint64_t id = ++mCalls;
+    Pending pending;
+    pending.mCall = aCall;
+    pending.mStartedAt = mClock.Now();
+    const auto it = mPending.emplace(id, std::move(pending)).first;
+    Judge(id, it->second);
+  }
+
+  /** Checks a call against the settings and takes its first step. */
+  void Judge(std::uint64_t aId, Pending& aPending)
+  {
+    static constexpr std::array<Step, 4> kSteps{ &JobGatewayTask::Submit,
+                                                 &JobGatewayTask::Query,
+                                                 &JobGatewayTask::ReadForCancel,
+                                                 &JobGatewayTask::Count };
+    if (!IsConfirmed()) {
+      Refuse(
+        aId, JobCallStatus::kUnavailable, "the settings are not confirmed");
+      return;
+    }
+    const Queue* queue =
+      mCatalog->FindQueue(aPending.mCall.mHost, aPending.mCall.mPath);
+    if (queue == nullptr) {
+      Refuse(aId, JobCallStatus::kNoQueue, "no queue has this host and path");
+      return;
+    }
+    const std::string* organisation =
+      mCatalog->FindOrganisation(aPending.mCall.mKey);
+    if (organisation == nullptr && !queue->mPublic) {
+      Refuse(aId, JobCallStatus::kBadKey, "the key is unknown");
+      return;
+    }
+    aPending.mQueue = queue->mTerms.mQueue;
+    aPending.mOrganisation = organisation != nullptr ? *organisation : "";
+    aPending.mJob = aPending.mCall.mPath.substr(queue->mPrefix.size());
+    const bool isCount =
+      aPending.mCall.mKind == JobCallKind::kQuery && aPending.mJob.empty();
+    if (isCount) {
+      aPending.mCall.mKind = JobCallKind::kCount;
+    } else if (!IsJobId(aPending.mJob)) {
+      Refuse(aId, JobCallStatus::kBadRequest, "not an identifier of a job");
+      return;
+    }
+    (this->*kSteps.at(static_cast<std::size_t>(aPending.mCall.mKind)))(
+      aId, aPending);
+  }
+
+  void Submit(std::uint64_t aId, Pending& aPending)
+  {
+    const Queue& queue =
+      *mCatalog->FindQueue(aPending.mCall.mHost, aPending.mCall.mPath);
+    try {
+      Submission submission = aPending.mCall.mDecode(mCatalog->Limits());
+      const TaskJob job(aPending.mJob,
+                        aPending.mOrganisation,
+                        queue.mTerms,
+                        std::move(submission.mPayload),
+                        std::move(submission.mSteps),
+                        submission.mSchedule,
+                        mStoreClock.At(aPending.mStartedAt));
+      Write(aId,
+            aPending,
+            { { JobKey(aPending.mJob), 0, mCodec.EncodeTaskJob(job) } },
+            &JobGatewayTask::FinishSubmit);
+    } catch (const std::exception& error) {
+      Refuse(aId, JobCallStatus::kBadRequest, error.what());
+    }
+  }
+
+  /** Every write is conditional on the settings that the call was judged by. */
+  void Write(std::uint64_t aId,
+             Pending& aPending,
+             std::vector<state::RowWrite> aWrites,
+             AnswerStep aThen,
+             std::vector<state::RowCheck> aChecks = {})
+  {
+    ++aPending.mWrites;
+    aChecks.emplace_back(kCatalogKey, mCatalog->RowVersion());
+    mStore.Transact(
+      Transaction(mWriteIds.Next(), std::move(aWrites), std::move(aChecks)),
+      Expect(aId, aThen));
+  }
+
+  StorePort::Completion Expect(std::uint64_t aId, AnswerStep aThen)
+  {
+    const std::uint64_t ticket = ++mTickets;
+    mExchanges.emplace(ticket, Exchange{ aId, aThen });
+    return
+      [self = caf::actor_cast<caf::actor>(this), ticket](StoreResult aResult) {
+        caf::anon_send(self, StoreAnswered{ ticket, std::move(aResult) });
+      };
+  }
+
+  void TakeAnswer(const StoreAnswered& aAnswer)
+  {
+    const auto it = mExchanges.find(aAnswer.mTicket);
+    if (it == mExchanges.end()) {
+      return;
+    }
+    const Exchange exchange = it->second;
+    mExchanges.erase(it);
+    const auto call = mPending.find(exchange.mCall);
+    if (call != mPending.end()) {
+      (this->*exchange.mThen)(exchange.mCall, call->second, aAnswer.mResult);
+    }
+  }
+
+  void FinishSubmit(std::uint64_t aId,
+                    Pending& aPending,
+                    const StoreResult& aResult)
+  {
+    if (aResult.Status() == StoreStatus::kConflict) {
+      const StoreRow* row = FindRow(aResult, JobKey(aPending.mJob));
+      if (row != nullptr && row->Version() != 0) {
+        // An earlier attempt of this call or of the caller stored it.
+        Reply(aId, {});
+        return;
+      }
+    }
+    FinishWrite(aId, aPending, aResult);
+  }
+
+  /** What writes have in common once the store has answered. */
+  void FinishWrite(std::uint64_t aId,
+                   Pending& aPending,
+                   const StoreResult& aResult)
+  {
+    switch (aResult.Status()) {
+      case StoreStatus::kOk:
+        Reply(aId, {});
+        return;
+      case StoreStatus::kConflict:
+        Rejudge(aId, aPending, aResult);
+        return;
+      case StoreStatus::kUnavailable:
+        if (!aPending.mMayBeWritten) {
+          Refuse(aId, JobCallStatus::kUnavailable, "the store is unavailable");
+          return;
+        }
+        break;
+      case StoreStatus::kUnknown:
+        aPending.mMayBeWritten = true;
+        break;
+    }
+    // The condition lets the write take effect once, however often it is sent.
+    const milliseconds spent = mClock.Now() - aPending.mStartedAt;
+    if (aPending.mWrites < mOptions.mWriteAttempts &&
+        spent < aPending.mCall.mTimeout / 2) {
+      Judge(aId, aPending);
+      return;
+    }
+    Refuse(aId,
+           JobCallStatus::kUnknown,
+           "the store did not say whether the write took effect");
+  }
+
+  /** Judges a call anew after the settings have changed. */
+  void Rejudge(std::uint64_t aId, Pending& aPending, const StoreResult& aResult)
+  {
+    const StoreRow* row = FindRow(aResult, kCatalogKey);
+    if (row != nullptr && row->Version() > mCatalog->RowVersion()) {
+      try {
+        mCatalog = std::make_shared<const Catalog>(
+          mFleetCodec.DecodeCatalog(row->Value(), row->Version()));
+        mConfirmedAt = mClock.Now();
+      } catch (const CoordinationError& error) {
+        mLog.Write({ LogEvent::kRowMalformed,
+                     { { "key", row->Key() }, { "error", error.what() } } });
+      }
+    }
+    send(mCatalogTask, RereadCatalog{});
+    if (++aPending.mRejudgements > kMaxRejudgements) {
+      Refuse(aId,
+             aPending.mMayBeWritten ? JobCallStatus::kUnknown
+                                    : JobCallStatus::kUnavailable,
+             "the settings keep changing");
+      return;
+    }
+    --aPending.mWrites;
+    Judge(aId, aPending);
+  }
+
+  void Query(std::uint64_t aId, Pending& aPending)
+  {
+    mStore.ReadRow(ProgressKey(aPending.mJob),
+                   Expect(aId, &JobGatewayTask::TakeProgress));
+  }
+
+  void TakeProgress(std::uint64_t aId,
+                    Pending& aPending,
+                    const StoreResult& aResult)
+  {
+    if (aResult.Status() != StoreStatus::kOk) {
+      Refuse(aId, JobCallStatus::kUnavailable, "the store is unavailable");
+      return;
+    }
+    if (aResult.Rows().empty() || aResult.Rows().front().Version() == 0) {
+      mStore.ReadRow(JobKey(aPending.mJob),
+                     Expect(aId, &JobGatewayTask::TakeUnbegun));
+      return;
+    }
+    try {
+      const auto progress =
+        mCodec.DecodeProgress(aResult.Rows().front().Value());
+      ReplyPhase(aId, aPending, progress.Organisation(), progress.Phase());
+    } catch (const CoordinationError& error) {
+      Refuse(aId, JobCallStatus::kUnavailable, error.what());
+    }
+  }
+
+  /** A job without progress waits, if there is one. */
+  void TakeUnbegun(std::uint64_t aId,
+                   Pending& aPending,
+                   const StoreResult& aResult)
+  {
+    if (aResult.Status() != StoreStatus::kOk) {
+      Refuse(aId, JobCallStatus::kUnavailable, "the store is unavailable");
+      return;
+    }
+    if (aResult.Rows().empty() || aResult.Rows().front().Version() == 0) {
+      Refuse(aId, JobCallStatus::kNoJob, "no such job");
+      return;
+    }
+    try {
+      const TaskJob job = mCodec.DecodeTaskJob(aResult.Rows().front().Value());
+      ReplyPhase(aId, aPending, job.Organisation(), JobPhase::kQueued);
+    } catch (const CoordinationError& error) {
+      Refuse(aId, JobCallStatus::kUnavailable, error.what());
+    }
+  }
+
+  /** An organisation does not see the jobs of another one. */
+  static bool IsVisible(const Pending& aPending, const std::string& aOwner)
+  {
+    return aOwner.empty() || aOwner == aPending.mOrganisation;
+  }
+
+  void ReplyPhase(std::uint64_t aId,
+                  const Pending& aPending,
+                  const std::string& aOwner,
+                  JobPhase aPhase)
+  {
+    if (!IsVisible(aPending, aOwner)) {
+      Refuse(aId, JobCallStatus::kNoJob, "a job of another organisation");
+      return;
+    }
+    JobCallReply reply;
+    reply.mStatus = JobCallStatus::kOk;
+    reply.mPhase = aPhase;
+    Reply(aId, reply);
+  }
+
+  void ReadForCancel(std::uint64_t aId, Pending& aPending)
+  {
+    // The job's row and, right behind it, that of a cancellation.
+    mFeed.ReadRange(kJobsTable,
+                    aPending.mJob,
+                    aPending.mJob + "/",
+                    Expect(aId, &JobGatewayTask::Cancel));
+  }
+
+  void Cancel(std::uint64_t aId, Pending& aPending, const StoreResult& aResult)
+  {
+    if (aResult.Status() != StoreStatus::kOk) {
+      Refuse(aId,
+             aPending.mMayBeWritten ? JobCallStatus::kUnknown
+                                    : JobCallStatus::kUnavailable,
+             "the store is unavailable");
+      return;
+    }
+    const StoreRow* job = FindRow(aResult, JobKey(aPending.mJob));
+    if (job == nullptr) {
+      Refuse(aId, JobCallStatus::kNoJob, "no such job");
+      return;
+    }
+    if (FindRow(aResult, CancelKey(aPending.mJob)) != nullptr) {
+      Reply(aId, {});
+      return;
+    }
+    try {
+      if (!IsVisible(aPending,
+                     mCodec.DecodeTaskJob(job->Value()).Organisation())) {
+        Refuse(aId, JobCallStatus::kNoJob, "a job of another organisation");
+        return;
+      }
+    } catch (const CoordinationError& error) {
+      Refuse(aId, JobCallStatus::kUnavailable, error.what());
+      return;
+    }
+    Write(aId,
+          aPending,
+          { { CancelKey(aPending.mJob),
+              state::RowWrite::kAnyVersion,
+              aPending.mOrganisation } },
+          &JobGatewayTask::FinishWrite,
+          { { JobKey(aPending.mJob), job->Version() } });
+  }
+
+  void Count(std::uint64_t aId, Pending& /*aPending*/)
+  {
+    mStore.ReadRow(kOwnerKey, Expect(aId, &JobGatewayTask::TakeCounts));
+  }
+
+  void TakeCounts(std::uint64_t aId,
+                  Pending& aPending,
+                  const StoreResult& aResult)
+  {
+    if (aResult.Status() != StoreStatus::kOk) {
+      Refuse(aId, JobCallStatus::kUnavailable, "the store is unavailable");
+      return;
+    }
+    JobCallReply reply;
+    reply.mStatus = JobCallStatus::kOk;
+    try {
+      if (!aResult.Rows().empty() && aResult.Rows().front().Version() != 0) {
+        const auto lease =
+          mCodec.DecodeOwnerLease(aResult.Rows().front().Value());
+        const auto it = lease.mPending.find(aPending.mQueue);
+        reply.mPending = it != lease.mPending.end() ? it->second : 0;
+      }
+      Reply(aId, reply);
+    } catch (const CoordinationError& error) {
+      Refuse(aId, JobCallStatus::kUnavailable, error.what());
+    }
+  }
+
+  static const StoreRow* FindRow(const StoreResult& aResult,
+                                 const std::string& aKey)
+  {
+    const auto it =
+      std::find_if(aResult.Rows().begin(),
+                   aResult.Rows().end(),
+                   [&](const auto& aRow) { return aRow.Key() == aKey; });
+    return it != aResult.Rows().end() ? &*it : nullptr;
+  }
+
+  void Refuse(std::uint64_t aId, JobCallStatus aStatus, std::string aDetail)
+  {
+    JobCallReply reply;
+    reply.mStatus = aStatus;
+    reply.mDetail = std::move(aDetail);
+    Reply(aId, reply);
+  }
+
+  void Reply(std::uint64_t aId, const JobCallReply& aReply)
+  {
+    const auto it = mPending.find(aId);
+    const Pending& pending = it->second;
+    const auto kind = static_cast<std::size_t>(pending.mCall.mKind);
+    const auto status = static_cast<std::size_t>(aReply.mStatus);
+    ++mCounters["job_calls_total{kind=\"" + std::string(kKindNames.at(kind)) +
+                "\",status=\"" + kStatusNames.at(status) + "\"}"];
+    // Queries that succeed are counted only, for their number.
+    const bool isRoutine = aReply.mStatus == JobCallStatus::kOk &&
+                           (pending.mCall.mKind == JobCallKind::kQuery ||
+                            pending.mCall.mKind == JobCallKind::kCount);
+    if (!isRoutine) {
+      mLog.Write(
+        { LogEvent::kCallAnswered,
+          { { "job", pending.mJob },
+            { "call", kKindNames.at(kind) },
+            { "status", kStatusNames.at(status) },
+            { "queue", pending.mQueue },
+            { "organisation", pending.mOrganisation },
+            { "settings", std::to_string(mCatalog ? mCatalog->Number() : 0) },
+            { "took_ms",
+              std::to_string((mClock.Now() - pending.mStartedAt).count()) },
+            { "detail", aReply.mDetail } } });
+    }
+    const auto respond = pending.mCall.mRespond;
+    JobCallReply reply = aReply;
+    reply.mKind = pending.mCall.mKind;
+    mPending.erase(it);
+    respond(reply);
+  }
+
+  caf::actor mCatalogTask;
+  StorePort& mStore;
+  FeedPort& mFeed;
+  const SchedulingCodec& mCodec;
+  const FleetRowCodec& mFleetCodec;
+  const Clock& mClock;
+  EventLog& mLog;
+  JobGatewayOptions mOptions;
+  WriteIds mWriteIds;
+  std::shared_ptr<const Catalog> mCatalog;
+  milliseconds mConfirmedAt{ 0 };
+  StoreClock mStoreClock;
+  std::map<std::uint64_t, Pending> mPending;
+  std::map<std::uint64_t, Exchange> mExchanges;
+  bool mLeaving = false;
+  std::uint64_t mCalls = 0;
+  std::uint64_t mTickets = 0;
+  Counters mCounters;
+};
+
+} // namespace
+
+caf::actor
+SpawnJobGatewayTask(caf::actor_system& aSystem,
+                    const caf::actor& aCatalog,
+                    StorePort& aStore,
+                    FeedPort& aFeed,
+                    const SchedulingCodec& aCodec,
+                    const FleetRowCodec& aFleetCodec,
+                    const Clock& aClock,
+                    EventLog& aLog,
+                    JobGatewayOptions aOptions)
+{
+  return aSystem.spawn<JobGatewayTask>(aCatalog,
+                                       std::ref(aStore),
+                                       std::ref(aFeed),
+                                       std::cref(aCodec),
+                                       std::cref(aFleetCodec),
+                                       std::cref(aClock),
+                                       std::ref(aLog),
+                                       std::move(aOptions));
+}
+
+} // namespace cornelrudder::coordination
--- /dev/null
+++ b/src/coordination/SchedulerTask.cpp
@@ -0,0 +1,225 @@
+#include "cornelrudder/coordination/SchedulerTask.h"
+
+#include "SchedulerTaskImpl.h"
+
+#include <caf/actor_system.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace cornelrudder::coordination {
+
+namespace {
+
+using state::scheduling::OrderAnswer;
+using state::scheduling::Orders;
+using state::scheduling::RenewOrder;
+using state::scheduling::SchedulerNote;
+using state::scheduling::StartOrder;
+using state::scheduling::StopOrder;
+using state::scheduling::WorkerReport;
+using std::chrono::milliseconds;
+
+/** Events that come together are answered by one plan and one write. */
+constexpr milliseconds kGatherTime{ 3 };
+/** How often waiting work and silent workers are looked at without events. */
+constexpr milliseconds kAdvanceEvery{ 100 };
+
+/** Indexed by SchedulerNote::Kind. */
+constexpr std::array kNoteEvents{
+  LogEvent::kTaskPlaced,     LogEvent::kTaskWaits,  LogEvent::kTaskPreempted,
+  LogEvent::kRunEnded,       LogEvent::kRunLost,    LogEvent::kJobEnded,
+  LogEvent::kWorkerSilent,   LogEvent::kWorkerBack, LogEvent::kWorkerGone,
+  LogEvent::kWorkerSuspected
+};
+
+milliseconds
+WallClock()
+{
+  return std::chrono::duration_cast<milliseconds>(
+    std::chrono::system_clock::now().time_since_epoch());
+}
+
+} // namespace
+
+SchedulerTask::SchedulerTask(caf::actor_config& aConfig,
+                             SchedulerPorts aPorts,
+                             SchedulerTaskOptions aOptions)
+  : caf::event_based_actor(aConfig)
+  , mPorts(aPorts)
+  , mOptions(std::move(aOptions))
+  , mWriteIds(mOptions.mIncarnation + "-owner")
+  , mObserver(mOptions.mOwnerTimeout)
+{
+}
+
+caf::behavior
+SchedulerTask::make_behavior()
+{
+  send(this, Tick{});
+  return {
+    [this](const Tick&) { BeginTick(); },
+    [this](const coordination::Advance&) {
+      mAdvanceQueued = false;
+      Advance();
+    },
+    [this](const StoreAnswered& aAnswer) { TakeAnswer(aAnswer); },
+    [this](const RetryStep& aRetry) {
+      const bool isOwner = mMode == Mode::kOwning || mMode == Mode::kLoading;
+      if (isOwner && aRetry.mEpoch == mLease.mEpoch) {
+        (this->*aRetry.mStep)();
+      }
+    },
+    [this](const StartAnswered& aAnswer) {
+      if (IsCurrent(aAnswer.mEpoch)) {
+        mScheduler->TakeStartAnswer(aAnswer.mOrder, aAnswer.mAnswer, Now());
+        QueueAdvance(kGatherTime);
+      }
+    },
+    [this](const StopAnswered& aAnswer) {
+      if (IsCurrent(aAnswer.mEpoch)) {
+        mScheduler->TakeStopAnswer(aAnswer.mOrder, aAnswer.mAnswer, Now());
+        QueueAdvance(kGatherTime);
+      }
+    },
+    [this](const RenewAnswered& aAnswer) {
+      if (IsCurrent(aAnswer.mEpoch)) {
+        mScheduler->TakeReport(
+          aAnswer.mOrder, aAnswer.mReport, aAnswer.mSentAt, Now());
+        QueueAdvance(kGatherTime);
+      }
+    },
+    [this](const CatalogView& aView) {
+      mCatalog = aView.mCatalog;
+      if (mScheduler && mCatalog) {
+        mScheduler->UseCatalog(*mCatalog);
+      }
+    },
+    [this](const ReleaseOwnership&) { Release(); },
+    [this](const GetCounters&) { return CountAll(); },
+  };
+}
+
+bool
+SchedulerTask::IsCurrent(std::uint64_t aEpoch) const
+{
+  return mScheduler && mMode == Mode::kOwning && aEpoch == mLease.mEpoch;
+}
+
+void
+SchedulerTask::BeginTick()
+{
+  if (mMode == Mode::kReleased) {
+    return;
+  }
+  if (mMode == Mode::kFollowing) {
+    ReadLease();
+  } else if (mMode == Mode::kLoading && IsWriteDue()) {
+    Write();
+  } else if (mMode == Mode::kOwning) {
+    QueueAdvance(kGatherTime);
+  }
+  const bool isBusy = mScheduler && !mScheduler->IsIdle();
+  delayed_send(this, isBusy ? kAdvanceEvery : mOptions.mRenewEvery, Tick{});
+}
+
+void
+SchedulerTask::QueueAdvance(Millis aDelay)
+{
+  if (!mAdvanceQueued) {
+    mAdvanceQueued = true;
+    delayed_send(this, aDelay, coordination::Advance{});
+  }
+}
+
+void
+SchedulerTask::Advance()
+{
+  if (mMode != Mode::kOwning) {
+    return;
+  }
+  if (mScheduler->IsFenced()) {
+    mPorts.mLog.Write({ LogEvent::kOwnerFenced,
+                        { { "epoch", std::to_string(mLease.mEpoch) } } });
+    StepDown("fenced");
+    return;
+  }
+  if (!mReleasing) {
+    mScheduler->Plan(Now(), WallClock());
+  }
+  LogNotes();
+  if (!mReleasing) {
+    SendOrders();
+  }
+  if (IsWriteDue()) {
+    Write();
+  }
+}
+
+template<typename Answered, typename Order>
+auto
+SchedulerTask::AnswerTo(const Order& aOrder)
+{
+  return [self = caf::actor_cast<caf::actor>(this),
+          epoch = mLease.mEpoch,
+          aOrder](OrderAnswer aAnswer) {
+    caf::anon_send(self, Answered{ epoch, aOrder, std::move(aAnswer) });
+  };
+}
+
+void
+SchedulerTask::SendOrders()
+{
+  const Orders orders = mScheduler->TakeOrders(Now());
+  for (const StopOrder& order : orders.mStops) {
+    mPorts.mWorkers.Stop(order, AnswerTo<StopAnswered>(order));
+  }
+  for (const StartOrder& order : orders.mStarts) {
+    mPorts.mWorkers.Start(order, AnswerTo<StartAnswered>(order));
+  }
+  for (const RenewOrder& order : orders.mRenewals) {
+    mPorts.mWorkers.Renew(
+      order,
+      [self = caf::actor_cast<caf::actor>(this),
+       epoch = mLease.mEpoch,
+       order,
+       sentAt = Now()](WorkerReport aReport) {
+        caf::anon_send(
+          self, RenewAnswered{ epoch, order, sentAt, std::move(aReport) });
+      });
+  }
+  mCounters["worker_starts_total"] += orders.mStarts.size();
+  mCounters["worker_stops_total"] += orders.mStops.size();
+  mCounters["worker_renewals_total"] += orders.mRenewals.size();
+}
+
+void
+SchedulerTask::LogNotes()
+{
+  for (SchedulerNote& note : mScheduler->TakeNotes()) {
+    mPorts.mLog.Write({ kNoteEvents.at(static_cast<std::size_t>(note.mKind)),
+                        std::move(note.mFields) });
+  }
+}
+
+Counters
+SchedulerTask::CountAll() const
+{
+  Counters counters = mCounters;
+  counters["scheduler_is_owner"] = mMode == Mode::kOwning ? 1 : 0;
+  counters["scheduler_epoch"] = mLease.mEpoch;
+  if (mScheduler) {
+    counters.merge(mScheduler->Gauges());
+  }
+  return counters;
+}
+
+caf::actor
+SpawnSchedulerTask(caf::actor_system& aSystem,
+                   SchedulerPorts aPorts,
+                   SchedulerTaskOptions aOptions)
+{
+  return aSystem.spawn<SchedulerTask>(aPorts, std::move(aOptions));
+}
+
+} // namespace cornelrudder::coordination
--- /dev/null
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -0,0 +1,153 @@
+#ifndef CORNELRUDDER_SRC_COORDINATION_SCHEDULER_TASK_IMPL_H
+#define CORNELRUDDER_SRC_COORDINATION_SCHEDULER_TASK_IMPL_H
+
+#include "cornelrudder/coordination/SchedulerTask.h"
+#include "cornelrudder/coordination/SchedulingMessages.h"
+#include "cornelrudder/coordination/TaskMessages.h"
+#include "cornelrudder/coordination/WriteIds.h"
+#include "cornelrudder/state/scheduling/OwnerLease.h"
+#include "cornelrudder/state/scheduling/Scheduler.h"
+
+#include <caf/event_based_actor.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cornelrudder::coordination {
+
+class SchedulerTask;
+
+/** Tells the scheduler task to take a step again, if it still owns. */
+struct RetryStep
+{
+  std::uint64_t mEpoch;
+  void (SchedulerTask::*mStep)();
+};
+
+/**
+ * The task that owns scheduling, in files by subject: SchedulerTask (messages,
+ * planning, orders), SchedulerTaskOwnership (lease and writes) and
+ * SchedulerTaskRows (reading the tables and following them).
+ */
+class SchedulerTask : public caf::event_based_actor
+{
+public:
+  SchedulerTask(caf::actor_config& aConfig,
+                SchedulerPorts aPorts,
+                SchedulerTaskOptions aOptions);
+
+  caf::behavior make_behavior() override;
+
+private:
+  using Millis = std::chrono::milliseconds;
+  using AnswerStep = void (SchedulerTask::*)(const state::StoreResult&);
+
+  enum class Mode
+  {
+    /** Another daemon owns scheduling, or none does. */
+    kFollowing,
+    kTaking,
+    /** The lease is held; the tables are being read. */
+    kLoading,
+    kOwning,
+    /** Given up for a planned stop. */
+    kReleased
+  };
+
+  // Messages and orders.
+  void BeginTick();
+  void QueueAdvance(Millis aDelay);
+  void Advance();
+  void SendOrders();
+  void LogNotes();
+  Counters CountAll() const;
+  template<typename Answered, typename Order>
+  auto AnswerTo(const Order& aOrder);
+  bool IsCurrent(std::uint64_t aEpoch) const;
+
+  // Ownership.
+  void ReadLease();
+  void TakeLeaseRow(const state::StoreResult& aResult);
+  void Take(std::uint64_t aVersion,
+            const state::scheduling::OwnerLease& aSeen,
+            const char* aReason);
+  void FinishTake(const state::StoreResult& aResult);
+  void BeginOwning(std::uint64_t aVersion);
+  bool IsWriteDue() const;
+  void Write();
+  void FinishWrite(const state::StoreResult& aResult);
+  void TakeConflict(const state::StoreResult& aResult);
+  void StepDown(const char* aReason);
+  void Release();
+
+  // Tables.
+  void RetryLater(Millis aDelay, void (SchedulerTask::*aStep)());
+  void BeginLoad();
+  void ReadPage(const std::string& aTable,
+                const std::string& aFrom,
+                AnswerStep aThen);
+  void TakeWorkersPage(const state::StoreResult& aResult);
+  void TakeRunsPage(const state::StoreResult& aResult);
+  void TakeJobsPage(const state::StoreResult& aResult);
+  void FinishLoad();
+  void FollowJobs();
+  void TakeJobChanges(const state::StoreResult& aResult);
+  void FollowWorkers();
+  void TakeWorkerChanges(const state::StoreResult& aResult);
+  void RereadJobs();
+  void TakeRereadJobs(const state::StoreResult& aResult);
+  void RereadWorkers();
+  void TakeRereadWorkers(const state::StoreResult& aResult);
+  void ApplyJobRow(const state::StoreRow& aRow,
+                   const state::scheduling::JobProgress* aProgress);
+  void ApplyWorkerRow(const state::StoreRow& aRow);
+  void LogMalformed(const std::string& aKey, const std::string& aError);
+
+  StorePort::Completion Expect(AnswerStep aThen);
+  void TakeAnswer(const StoreAnswered& aAnswer);
+  void NoteStore(const state::StoreResult& aResult);
+  Millis Now() const { return mPorts.mClock.Now(); }
+
+  SchedulerPorts mPorts;
+  SchedulerTaskOptions mOptions;
+  WriteIds mWriteIds;
+  Mode mMode = Mode::kFollowing;
+  bool mReleasing = false;
+
+  std::map<std::uint64_t, AnswerStep> mExchanges;
+  std::uint64_t mTickets = 0;
+  StoreClock mStoreClock;
+  bool mStoreLost = false;
+
+  state::scheduling::LeaseObserver mObserver;
+  state::scheduling::OwnerLease mLease;
+  std::uint64_t mLeaseVersion = 0;
+  bool mReadingLease = false;
+  bool mWriting = false;
+  Millis mLastWrite{ 0 };
+  /** No write is tried before this, after a failure. */
+  Millis mWriteAfter{ 0 };
+
+  std::optional<state::scheduling::Scheduler> mScheduler;
+  std::shared_ptr<const state::scheduling::Catalog> mCatalog;
+  bool mAdvanceQueued = false;
+
+  /** Rows of a load under way. */
+  std::vector<state::StoreRow> mJobRows;
+  std::map<std::string, state::StoreRow> mRunRows;
+  std::vector<state::StoreRow> mWorkerRows;
+  std::uint64_t mJobsVersion = 0;
+  std::uint64_t mWorkersVersion = 0;
+  std::set<std::string> mListedWorkers;
+  Millis mLoadStart{ 0 };
+  Counters mCounters;
+};
+
+} // namespace cornelrudder::coordination
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::RetryStep)
+
+#endif // CORNELRUDDER_SRC_COORDINATION_SCHEDULER_TASK_IMPL_H
--- /dev/null
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -0,0 +1,281 @@
+#include "SchedulerTaskImpl.h"
+#include "cornelrudder/coordination/CoordinationError.h"
+#include "cornelrudder/coordination/SchedulingTables.h"
+
+#include <algorithm>
+
+namespace cornelrudder::coordination {
+
+namespace {
+
+using state::RowWrite;
+using state::StoreResult;
+using state::StoreRow;
+using state::StoreStatus;
+using state::Transaction;
+using state::scheduling::JobProgress;
+using state::scheduling::OwnerLease;
+using std::chrono::milliseconds;
+
+/** Pause after a write that failed. */
+constexpr milliseconds kWriteRetry{ 100 };
+/**
+ * Jobs in one write: the store takes 100 rows and 1 MB at a time, and the
+ * widest jobs have records of some 20 KB.
+ */
+constexpr std::size_t kMaxJobsPerWrite = 40;
+
+} // namespace
+
+StorePort::Completion
+SchedulerTask::Expect(AnswerStep aThen)
+{
+  const std::uint64_t ticket = ++mTickets;
+  mExchanges.emplace(ticket, aThen);
+  return
+    [self = caf::actor_cast<caf::actor>(this), ticket](StoreResult aResult) {
+      caf::anon_send(self, StoreAnswered{ ticket, std::move(aResult) });
+    };
+}
+
+void
+SchedulerTask::TakeAnswer(const StoreAnswered& aAnswer)
+{
+  const auto it = mExchanges.find(aAnswer.mTicket);
+  if (it == mExchanges.end()) {
+    // Asked before the ownership changed.
+    return;
+  }
+  const AnswerStep then = it->second;
+  mExchanges.erase(it);
+  NoteStore(aAnswer.mResult);
+  (this->*then)(aAnswer.mResult);
+}
+
+void
+SchedulerTask::NoteStore(const StoreResult& aResult)
+{
+  const bool isLost = aResult.Status() == StoreStatus::kUnavailable ||
+                      aResult.Status() == StoreStatus::kUnknown;
+  mCounters["store_failures_total"] += isLost ? 1 : 0;
+  if (isLost != mStoreLost) {
+    mStoreLost = isLost;
+    mPorts.mLog.Write(
+      { isLost ? LogEvent::kStoreLost : LogEvent::kStoreBack,
+        { { "owner", mMode == Mode::kOwning ? "yes" : "no" } } });
+  }
+  if (aResult.StoreTime().count() > 0) {
+    mStoreClock = { aResult.StoreTime(), Now() };
+  }
+}
+
+void
+SchedulerTask::ReadLease()
+{
+  if (!mReadingLease) {
+    mReadingLease = true;
+    mPorts.mStore.ReadRow(kOwnerKey, Expect(&SchedulerTask::TakeLeaseRow));
+  }
+}
+
+void
+SchedulerTask::TakeLeaseRow(const StoreResult& aResult)
+{
+  mReadingLease = false;
+  if (mMode != Mode::kFollowing || mReleasing) {
+    return;
+  }
+  if (aResult.Status() != StoreStatus::kOk) {
+    mObserver.Reset();
+    return;
+  }
+  if (aResult.Rows().empty() || aResult.Rows().front().Version() == 0) {
+    Take(0, OwnerLease{}, "no_owner_yet");
+    return;
+  }
+  const StoreRow& row = aResult.Rows().front();
+  try {
+    const OwnerLease lease = mPorts.mCodec.DecodeOwnerLease(row.Value());
+    mObserver.Observe(row.Version(), aResult.StoreTime());
+    if (lease.mIncarnation == mOptions.mIncarnation) {
+      // The answer to the write that took it was lost.
+      mLease = lease;
+      BeginOwning(row.Version());
+    } else if (lease.mOwner.empty()) {
+      Take(row.Version(), lease, "released");
+    } else if (lease.mOwner == mOptions.mSelf) {
+      Take(row.Version(), lease, "own_earlier_life");
+    } else if (mObserver.IsSilent()) {
+      Take(row.Version(), lease, "owner_silent");
+    }
+  } catch (const CoordinationError& error) {
+    LogMalformed(kOwnerKey, error.what());
+  }
+}
+
+void
+SchedulerTask::Take(std::uint64_t aVersion,
+                    const OwnerLease& aSeen,
+                    const char* aReason)
+{
+  mMode = Mode::kTaking;
+  mLease = aSeen;
+  mLease.mOwner = mOptions.mSelf;
+  mLease.mIncarnation = mOptions.mIncarnation;
+  mLease.mEpoch = aSeen.mEpoch + 1;
+  mLease.mSequence = 1;
+  mPorts.mLog.Write({ LogEvent::kDomainOwnerChanged,
+                      { { "owner", aSeen.mOwner },
+                        { "epoch", std::to_string(aSeen.mEpoch) },
+                        { "reason", aReason } } });
+  mPorts.mStore.Transact(
+    Transaction(
+      mWriteIds.Next(),
+      { { kOwnerKey, aVersion, mPorts.mCodec.EncodeOwnerLease(mLease) } }),
+    Expect(&SchedulerTask::FinishTake));
+}
+
+void
+SchedulerTask::FinishTake(const StoreResult& aResult)
+{
+  if (aResult.Status() == StoreStatus::kOk) {
+    BeginOwning(aResult.Version());
+    return;
+  }
+  // Another daemon was first, or the next read tells what became of it.
+  mMode = Mode::kFollowing;
+  mObserver.Reset();
+}
+
+void
+SchedulerTask::BeginOwning(std::uint64_t aVersion)
+{
+  mLeaseVersion = aVersion;
+  mLastWrite = Now();
+  mWriting = false;
+  mWriteAfter = Millis(0);
+  mPorts.mLog.Write(
+    { LogEvent::kLeaseTaken, { { "epoch", std::to_string(mLease.mEpoch) } } });
+  ++mCounters["lease_taken_total"];
+  BeginLoad();
+}
+
+bool
+SchedulerTask::IsWriteDue() const
+{
+  if (mWriting || Now() < mWriteAfter) {
+    return false;
+  }
+  const bool hasChanges =
+    mMode == Mode::kOwning && mScheduler && mScheduler->HasChanges();
+  return hasChanges || mReleasing || Now() - mLastWrite >= mOptions.mRenewEvery;
+}
+
+/** Writes changed records; each write renews the lease. */
+void
+SchedulerTask::Write()
+{
+  mWriting = true;
+  mLastWrite = Now();
+  ++mLease.mSequence;
+  std::vector<JobProgress> records;
+  if (mMode == Mode::kOwning) {
+    records = mScheduler->BeginWrite(kMaxJobsPerWrite);
+    mLease.mPending = mScheduler->Pending();
+  }
+  if (mReleasing) {
+    mLease.mOwner.clear();
+  }
+  std::vector<RowWrite> writes;
+  writes.emplace_back(
+    kOwnerKey, mLeaseVersion, mPorts.mCodec.EncodeOwnerLease(mLease));
+  for (const JobProgress& record : records) {
+    writes.emplace_back(ProgressKey(record.Job()),
+                        RowWrite::kAnyVersion,
+                        mPorts.mCodec.EncodeProgress(record));
+  }
+  ++mCounters["owner_writes_total"];
+  mPorts.mStore.Transact(Transaction(mWriteIds.Next(), std::move(writes)),
+                         Expect(&SchedulerTask::FinishWrite));
+}
+
+void
+SchedulerTask::FinishWrite(const StoreResult& aResult)
+{
+  mWriting = false;
+  const bool isStored = aResult.Status() == StoreStatus::kOk;
+  if (mMode == Mode::kOwning) {
+    mScheduler->FinishWrite(isStored);
+  }
+  if (isStored) {
+    mLeaseVersion = aResult.Version();
+    if (mReleasing && mLease.mOwner.empty()) {
+      mPorts.mLog.Write({ LogEvent::kLeaseReleased,
+                          { { "epoch", std::to_string(mLease.mEpoch) } } });
+      mScheduler.reset();
+      mExchanges.clear();
+      mMode = Mode::kReleased;
+      return;
+    }
+  } else if (aResult.Status() == StoreStatus::kConflict) {
+    TakeConflict(aResult);
+  } else {
+    mWriteAfter = Now() + kWriteRetry;
+  }
+  if (mMode == Mode::kOwning) {
+    QueueAdvance(Millis(0));
+  }
+}
+
+void
+SchedulerTask::TakeConflict(const StoreResult& aResult)
+{
+  for (const StoreRow& row : aResult.Rows()) {
+    if (row.Key() != kOwnerKey) {
+      continue;
+    }
+    try {
+      const OwnerLease lease = mPorts.mCodec.DecodeOwnerLease(row.Value());
+      if (lease.mIncarnation == mOptions.mIncarnation &&
+          lease.mEpoch == mLease.mEpoch) {
+        // An own write without an answer took effect; what it held and more
+        // is written again.
+        mLeaseVersion = row.Version();
+        return;
+      }
+    } catch (const CoordinationError& error) {
+      LogMalformed(row.Key(), error.what());
+    }
+  }
+  StepDown("overtaken");
+}
+
+void
+SchedulerTask::StepDown(const char* aReason)
+{
+  mPorts.mLog.Write(
+    { LogEvent::kLeaseLost,
+      { { "epoch", std::to_string(mLease.mEpoch) }, { "reason", aReason } } });
+  ++mCounters["lease_lost_total"];
+  mScheduler.reset();
+  mExchanges.clear();
+  mReadingLease = false;
+  mWriting = false;
+  mObserver.Reset();
+  mMode = mReleasing ? Mode::kReleased : Mode::kFollowing;
+}
+
+void
+SchedulerTask::Release()
+{
+  mReleasing = true;
+  if (mMode == Mode::kOwning || mMode == Mode::kLoading) {
+    if (!mWriting) {
+      Write();
+    }
+    return;
+  }
+  mMode = Mode::kReleased;
+}
+
+} // namespace cornelrudder::coordination
--- /dev/null
+++ b/src/protocol/JsonSchedulingCodec.cpp
@@ -0,0 +1,276 @@
+#include "cornelrudder/protocol/JsonSchedulingCodec.h"
+
+#include "JsonText.h"
+#include "cornelrudder/coordination/CoordinationError.h"
+#include "cornelrudder/state/StateError.h"
+
+#include <array>
+#include <chrono>
+
+#include <nlohmann/json.hpp>
+
+namespace cornelrudder::protocol {
+
+using coordination::CoordinationError;
+using nlohmann::json;
+using state::scheduling::JobPhase;
+using state::scheduling::JobProgress;
+using state::scheduling::OwnerLease;
+using state::scheduling::QueueTerms;
+using state::scheduling::RecordedState;
+using state::scheduling::Resources;
+using state::scheduling::Schedule;
+using state::scheduling::StepSpec;
+using state::scheduling::StepSpecValues;
+using state::scheduling::TaskJob;
+using state::scheduling::TaskRecord;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::array kPhaseNames{ "queued",
+                                  "running",
+                                  "done",
+                                  "failed",
+                                  "cancelled" };
+
+/** Letters of recorded states, in their order. */
+constexpr std::string_view kStateLetters = "wad";
+
+/** Runs a decoder and turns what it throws into errors of the caller. */
+template<typename Function>
+auto
+Decode(const char* aWhat, const std::string& aText, Function aDecode)
+{
+  try {
+    return aDecode(json::parse(aText));
+  } catch (const json::exception& error) {
+    throw CoordinationError(std::string(aWhat) + ": " + error.what());
+  } catch (const state::StateError& error) {
+    throw CoordinationError(std::string(aWhat) + ": " + error.what());
+  }
+}
+
+json
+StepToJson(const StepSpec& aStep)
+{
+  json step{ { "tasks", aStep.Tasks() },
+             { "cpu", aStep.Demand().CpuMillis() },
+             { "memory", aStep.Demand().MemoryMb() },
+             { "accelerators", aStep.Demand().Accelerators() },
+             { "estimate_ms", aStep.Estimate().count() } };
+  const auto put = [&step](const char* aName, const auto& aValue) {
+    if (aValue != std::decay_t<decltype(aValue)>()) {
+      step[aName] = aValue;
+    }
+  };
+  put("after", aStep.After());
+  put("label", aStep.RequiredLabel());
+  put("rack", aStep.AffinityRack());
+  put("max_per_worker", aStep.MaxPerWorker());
+  put("gang", aStep.IsGang());
+  put("same_rack", aStep.IsSameRack());
+  put("checkpointing", aStep.IsCheckpointing());
+  put("long_running", aStep.IsLongRunning());
+  put("speculative", aStep.IsSpeculative());
+  return step;
+}
+
+StepSpec
+StepFromJson(const json& aStep, std::size_t aPosition)
+{
+  StepSpecValues values;
+  values.mTasks = aStep.at("tasks").get<std::size_t>();
+  values.mDemand = Resources(aStep.at("cpu").get<std::int64_t>(),
+                             aStep.at("memory").get<std::int64_t>(),
+                             aStep.at("accelerators").get<std::int64_t>());
+  values.mEstimate = milliseconds(aStep.at("estimate_ms").get<std::int64_t>());
+  values.mAfter = aStep.value("after", std::vector<std::size_t>());
+  values.mRequiredLabel = aStep.value("label", "");
+  values.mAffinityRack = aStep.value("rack", "");
+  values.mMaxPerWorker = aStep.value("max_per_worker", std::size_t{ 0 });
+  values.mGang = aStep.value("gang", false);
+  values.mSameRack = aStep.value("same_rack", false);
+  values.mCheckpointing = aStep.value("checkpointing", false);
+  values.mLongRunning = aStep.value("long_running", false);
+  values.mSpeculative = aStep.value("speculative", false);
+  return { std::move(values), aPosition };
+}
+
+QueueTerms
+TermsFromJson(const json& aTerms)
+{
+  QueueTerms terms;
+  terms.mQueue = aTerms.at("queue").get<std::string>();
+  terms.mService = aTerms.at("service").get<std::string>();
+  terms.mPriority = aTerms.at("priority").get<int>();
+  terms.mAttempts = aTerms.at("attempts").get<int>();
+  terms.mSlackFactor = aTerms.at("slack_factor").get<double>();
+  terms.mTargetLatency =
+    milliseconds(aTerms.at("target_latency_ms").get<std::int64_t>());
+  return terms;
+}
+
+TaskJob
+TaskJobFromJson(const json& aJob)
+{
+  std::vector<StepSpec> steps;
+  for (const json& step : aJob.at("steps")) {
+    steps.push_back(StepFromJson(step, steps.size()));
+  }
+  Schedule schedule;
+  if (aJob.contains("schedule")) {
+    const json& timing = aJob.at("schedule");
+    schedule.mOccurrences = timing.at("occurrences").get<std::size_t>();
+    schedule.mStart = milliseconds(timing.at("start_ms").get<std::int64_t>());
+    schedule.mInterval =
+      milliseconds(timing.at("interval_ms").get<std::int64_t>());
+  }
+  return { aJob.at("id").get<std::string>(),
+           aJob.at("organisation").get<std::string>(),
+           TermsFromJson(aJob.at("terms")),
+           aJob.at("payload").get<std::string>(),
+           std::move(steps),
+           schedule,
+           milliseconds(aJob.at("submitted_ms").get<std::int64_t>()) };
+}
+
+/** [state, run, worker, failures, checkpoint]; 0 for an untouched task. */
+json
+RecordToJson(const TaskRecord& aRecord)
+{
+  if (aRecord == TaskRecord()) {
+    return 0;
+  }
+  return json::array(
+    { std::string(1, kStateLetters[static_cast<std::size_t>(aRecord.mState)]),
+      aRecord.mRun,
+      aRecord.mWorker,
+      aRecord.mFailures,
+      aRecord.mCheckpoint });
+}
+
+TaskRecord
+RecordFromJson(const json& aRecord)
+{
+  TaskRecord record;
+  if (!aRecord.is_array()) {
+    return record;
+  }
+  const auto letter = aRecord.at(0).get<std::string>();
+  const auto state = kStateLetters.find(letter);
+  if (letter.size() != 1 || state == std::string_view::npos) {
+    throw CoordinationError("job progress: unknown state of a task");
+  }
+  record.mState = static_cast<RecordedState>(state);
+  record.mRun = aRecord.at(1).get<std::uint64_t>();
+  record.mWorker = aRecord.at(2).get<std::string>();
+  record.mFailures = aRecord.at(3).get<int>();
+  record.mCheckpoint = aRecord.at(4).get<std::string>();
+  return record;
+}
+
+JobPhase
+PhaseFromName(const std::string& aName)
+{
+  for (std::size_t i = 0; i < kPhaseNames.size(); ++i) {
+    if (kPhaseNames.at(i) == aName) {
+      return static_cast<JobPhase>(i);
+    }
+  }
+  throw CoordinationError("job progress: unknown state \"" + aName + "\"");
+}
+
+} // namespace
+
+std::string
+JsonSchedulingCodec::EncodeTaskJob(const TaskJob& aJob) const
+{
+  json steps = json::array();
+  for (const StepSpec& step : aJob.Steps()) {
+    steps.push_back(StepToJson(step));
+  }
+  const QueueTerms& terms = aJob.Terms();
+  json job{ { "id", aJob.Id() },
+            { "organisation", aJob.Organisation() },
+            { "terms",
+              { { "queue", terms.mQueue },
+                { "service", terms.mService },
+                { "priority", terms.mPriority },
+                { "attempts", terms.mAttempts },
+                { "slack_factor", terms.mSlackFactor },
+                { "target_latency_ms", terms.mTargetLatency.count() } } },
+            { "payload", aJob.Payload() },
+            { "steps", std::move(steps) },
+            { "submitted_ms", aJob.SubmittedAt().count() } };
+  if (aJob.IsScheduled()) {
+    job["schedule"] = { { "occurrences", aJob.Timing().mOccurrences },
+                        { "start_ms", aJob.Timing().mStart.count() },
+                        { "interval_ms", aJob.Timing().mInterval.count() } };
+  }
+  return ToText(job);
+}
+
+TaskJob
+JsonSchedulingCodec::DecodeTaskJob(const std::string& aValue) const
+{
+  return Decode("task job", aValue, TaskJobFromJson);
+}
+
+std::string
+JsonSchedulingCodec::EncodeProgress(const JobProgress& aProgress) const
+{
+  json tasks = json::array();
+  for (const TaskRecord& record : aProgress.Tasks()) {
+    tasks.push_back(RecordToJson(record));
+  }
+  return ToText(
+    { { "id", aProgress.Job() },
+      { "organisation", aProgress.Organisation() },
+      { "state", kPhaseNames.at(static_cast<std::size_t>(aProgress.Phase())) },
+      { "begun", aProgress.HasBegun() },
+      { "tasks", std::move(tasks) } });
+}
+
+JobProgress
+JsonSchedulingCodec::DecodeProgress(const std::string& aValue) const
+{
+  return Decode("job progress", aValue, [](const json& aObject) {
+    std::vector<TaskRecord> records;
+    for (const json& record : aObject.at("tasks")) {
+      records.push_back(RecordFromJson(record));
+    }
+    return JobProgress(aObject.at("id").get<std::string>(),
+                       aObject.at("organisation").get<std::string>(),
+                       PhaseFromName(aObject.at("state").get<std::string>()),
+                       aObject.at("begun").get<bool>(),
+                       std::move(records));
+  });
+}
+
+std::string
+JsonSchedulingCodec::EncodeOwnerLease(const OwnerLease& aLease) const
+{
+  return ToText({ { "owner", aLease.mOwner },
+                  { "incarnation", aLease.mIncarnation },
+                  { "epoch", aLease.mEpoch },
+                  { "sequence", aLease.mSequence },
+                  { "pending", aLease.mPending } });
+}
+
+OwnerLease
+JsonSchedulingCodec::DecodeOwnerLease(const std::string& aValue) const
+{
+  return Decode("owner lease", aValue, [](const json& aObject) {
+    OwnerLease lease;
+    lease.mOwner = aObject.at("owner").get<std::string>();
+    lease.mIncarnation = aObject.at("incarnation").get<std::string>();
+    lease.mEpoch = aObject.at("epoch").get<std::uint64_t>();
+    lease.mSequence = aObject.at("sequence").get<std::uint64_t>();
+    lease.mPending =
+      aObject.at("pending").get<std::map<std::string, std::uint64_t>>();
+    return lease;
+  });
+}
+
+} // namespace cornelrudder::protocol
--- /dev/null
+++ b/src/state/scheduling/Names.cpp
@@ -0,0 +1,37 @@
+#include "cornelrudder/state/scheduling/JobProgress.h"
+#include "cornelrudder/state/scheduling/OwnerLease.h"
+#include "cornelrudder/state/scheduling/WorkerCalls.h"
+
+#include <array>
+
+namespace cornelrudder::state::scheduling {
+
+bool
+IsFinal(JobPhase aPhase)
+{
+  return aPhase == JobPhase::kDone || aPhase == JobPhase::kFailed ||
+         aPhase == JobPhase::kCancelled;
+}
+
+const char*
+RunEndName(RunEnd aEnd)
+{
+  static constexpr std::array kNames{ "done",        "failed",
+                                      "stopped",     "lease_expired",
+                                      "gang_broken", "gang_incomplete" };
+  return kNames.at(static_cast<std::size_t>(aEnd));
+}
+
+void
+LeaseObserver::Observe(std::uint64_t aVersion,
+                       std::chrono::milliseconds aStoreTime)
+{
+  if (!mSeen || aVersion != mVersion || aStoreTime < mLastSeen) {
+    mSeen = true;
+    mVersion = aVersion;
+    mFirstSeen = aStoreTime;
+  }
+  mLastSeen = aStoreTime;
+}
+
+} // namespace cornelrudder::state::scheduling
--- /dev/null
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -0,0 +1,175 @@
+#ifndef CORNELRUDDER_SRC_STATE_SCHEDULING_SCHEDULER_IMPL_H
+#define CORNELRUDDER_SRC_STATE_SCHEDULING_SCHEDULER_IMPL_H
+
+#include "RunTimes.h"
+#include "SchedulerModel.h"
+#include "cornelrudder/state/scheduling/Scheduler.h"
+
+#include <set>
+
+namespace cornelrudder::state::scheduling {
+
+/**
+ * Body of the scheduler, in files by subject: SchedulerJobs (jobs and
+ * records), SchedulerWorkers (orders, answers, reports), SchedulerPlan
+ * (what a policy sees and what becomes of its decisions).
+ */
+class Scheduler::Impl
+{
+public:
+  explicit Impl(SchedulerOptions aOptions);
+
+  void UseCatalog(const Catalog& aCatalog);
+  void AddJob(const TaskJob& aJob,
+              Millis aAge,
+              const JobProgress* aProgress,
+              Millis aNow);
+  void CancelJob(const std::string& aJob, Millis aNow);
+  bool HasChanges() const { return !mDirty.empty() || HasUnwrittenEnds(); }
+  std::vector<JobProgress> BeginWrite(std::size_t aMaxJobs);
+  void FinishWrite(bool aStored);
+  std::map<std::string, std::uint64_t> Pending() const;
+  bool IsIdle() const;
+  std::map<std::string, std::uint64_t> Gauges() const;
+
+  void SeeWorker(const WorkerInfo& aInfo, Millis aNow);
+  void DropWorker(const std::string& aWorker, Millis aNow);
+  void TakeStartAnswer(const StartOrder& aOrder,
+                       const OrderAnswer& aAnswer,
+                       Millis aNow);
+  void TakeStopAnswer(const StopOrder& aOrder,
+                      const OrderAnswer& aAnswer,
+                      Millis aNow);
+  void TakeReport(const RenewOrder& aOrder,
+                  const WorkerReport& aReport,
+                  Millis aSentAt,
+                  Millis aNow);
+  Orders TakeOrders(Millis aNow);
+  bool IsFenced() const { return mFenced; }
+
+  void Plan(Millis aNow, Millis aWallClock);
+
+  std::vector<SchedulerNote> TakeNotes() { return std::move(mNotes); }
+
+private:
+  using NoteFields = std::vector<std::pair<std::string, std::string>>;
+
+  /** What the keys of a planning view stand for. */
+  struct ViewKeys
+  {
+    std::vector<std::string> mWorkers;
+    /** Tasks of each running and of each waiting unit. */
+    std::vector<std::vector<TaskKey>> mRunning;
+    std::vector<std::vector<TaskKey>> mWaiting;
+  };
+
+  void Note(SchedulerNote::Kind aKind, NoteFields aFields)
+  {
+    mNotes.push_back({ aKind, std::move(aFields) });
+  }
+
+  // Jobs and records.
+  JobState* FindJob(const std::string& aJob);
+  void Restore(JobState& aJob, const JobProgress& aProgress, Millis aNow);
+  void MarkChanged(const JobState& aJob) { mDirty.insert(aJob.mJob.Id()); }
+  void UpdatePhase(JobState& aJob, Millis aNow);
+  void EndJob(JobState& aJob, JobPhase aPhase, Millis aNow);
+  void ForgetIfEnded(const std::string& aJob);
+  bool HasUnwrittenEnds() const;
+
+  // Runs.
+  void Assign(JobState& aJob,
+              std::size_t aTask,
+              WorkerState& aWorker,
+              std::uint64_t aRun);
+  void Unassign(JobState& aJob, std::size_t aTask);
+  void Requeue(JobState& aJob, std::size_t aTask, Millis aNow);
+  void FinishTask(JobState& aJob, std::size_t aTask, Millis aNow);
+  void EndRun(JobState& aJob,
+              std::size_t aTask,
+              RunEnd aEnd,
+              const std::string& aCheckpoint,
+              Millis aNow);
+  void FailRun(JobState& aJob, std::size_t aTask, Millis aNow);
+  void LoseRun(const TaskKey& aKey, const char* aReason, Millis aNow);
+  void WantStop(JobState& aJob, std::size_t aTask, Millis aNow);
+  void StopAll(JobState& aJob, Millis aNow);
+  void StopGang(JobState& aJob, std::size_t aTask, Millis aNow);
+
+  // Workers.
+  WorkerState& GetWorker(const std::string& aId, Millis aNow);
+  void LoseWorker(WorkerState& aWorker, const char* aReason, Millis aNow);
+  void LoseSilentWorkers(Millis aNow);
+  void ForgetUnlistedWorkers();
+  void NoteClock(WorkerState& aWorker, Millis aClock, Millis aNow);
+  void NoteAnswer(WorkerState& aWorker, Millis aNow);
+  void NoteSilence(WorkerState& aWorker, Millis aNow);
+  void NoteFailure(WorkerState& aWorker, const JobState& aJob, Millis aNow);
+  Millis ExtendLease(WorkerState& aWorker, Millis aNow);
+  void TakeEnd(WorkerState& aWorker, const EndedRun& aEnd, Millis aNow);
+  void TakeRunning(WorkerState& aWorker, const RunningRun& aRun, Millis aNow);
+  void CheckMissing(WorkerState& aWorker,
+                    const std::set<TaskKey>& aListed,
+                    Millis aSentAt,
+                    Millis aNow);
+  bool IsUsable(const WorkerState& aWorker, Millis aNow) const;
+  void CollectRuns(Orders& aOrders, Millis aNow);
+  void CollectRun(const TaskKey& aKey,
+                  WorkerState& aWorker,
+                  Orders& aOrders,
+                  Millis aNow);
+  void CollectRenewals(Orders& aOrders, Millis aNow);
+
+  // Planning.
+  PlanningView BuildView(ViewKeys& aKeys, Millis aNow, Millis aWallClock);
+  void AddWorkers(PlanningView& aView, ViewKeys& aKeys, Millis aNow) const;
+  void AddRunning(PlanningView& aView, ViewKeys& aKeys, Millis aNow) const;
+  void AddWaiting(PlanningView& aView,
+                  ViewKeys& aKeys,
+                  const JobState& aJob,
+                  Millis aNow,
+                  Millis aWallClock) const;
+  void AddWaitingStep(PlanningView& aView,
+                      ViewKeys& aKeys,
+                      const JobState& aJob,
+                      std::size_t aFirst,
+                      Millis aNow) const;
+  WaitingUnit MakeUnit(const JobState& aJob,
+                       const std::vector<TaskKey>& aTasks,
+                       const ViewKeys& aKeys,
+                       Millis aNow) const;
+  void Apply(const PlanDecision& aDecision, const ViewKeys& aKeys, Millis aNow);
+  void StopStalledRuns(Millis aNow);
+  std::int64_t GuaranteeOf(const std::string& aOrganisation) const;
+  std::set<std::string> GuaranteedJobs() const;
+  bool IsDue(const JobState& aJob,
+             std::size_t aOccurrence,
+             Millis aWallClock) const;
+  double LostWork(const JobState& aJob, const Task& aTask, Millis aNow) const;
+
+  SchedulerOptions mOptions;
+  std::unique_ptr<PlacementPolicy> mPolicy;
+  std::map<std::string, std::int64_t> mGuarantees;
+  std::map<std::string, JobState> mJobs;
+  /** Jobs that ended under this owner; a late repeat must not revive them. */
+  std::set<std::string> mEnded;
+  std::map<std::string, WorkerState> mWorkers;
+  std::set<std::string> mDirty;
+  /** Jobs of the write under way. */
+  std::set<std::string> mWriting;
+  std::uint64_t mWrites = 0;
+  std::uint64_t mStoredWrites = 0;
+  RunTimes mRunTimes;
+  /** Guaranteed jobs, as of the last planning pass. */
+  std::set<std::string> mGuaranteed;
+  /** Last reason noted for a waiting unit, by its first task. */
+  std::map<TaskKey, PlanReason> mReasons;
+  /** Runs that workers list and nobody waits for. */
+  std::vector<StopOrder> mStrays;
+  std::vector<SchedulerNote> mNotes;
+  bool mFenced = false;
+};
+
+} // namespace cornelrudder::state::scheduling
+
+#endif // CORNELRUDDER_SRC_STATE_SCHEDULING_SCHEDULER_IMPL_H
--- /dev/null
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -0,0 +1,234 @@
+#include "SchedulerImpl.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cornelrudder::state::scheduling {
+
+Scheduler::Impl::Impl(SchedulerOptions aOptions)
+  : mOptions(std::move(aOptions))
+  , mPolicy(MakePlacementPolicy(mOptions.mPolicy))
+{
+}
+
+void
+Scheduler::Impl::UseCatalog(const Catalog& aCatalog)
+{
+  mGuarantees.clear();
+  for (const CatalogOrganisation& it : aCatalog.Organisations()) {
+    mGuarantees[it.mName] = it.mGuaranteedAccelerators;
+  }
+}
+
+JobState*
+Scheduler::Impl::FindJob(const std::string& aJob)
+{
+  const auto it = mJobs.find(aJob);
+  return it != mJobs.end() ? &it->second : nullptr;
+}
+
+void
+Scheduler::Impl::AddJob(const TaskJob& aJob,
+                        Millis aAge,
+                        const JobProgress* aProgress,
+                        Millis aNow)
+{
+  if (mJobs.contains(aJob.Id()) || mEnded.contains(aJob.Id())) {
+    return;
+  }
+  JobState job(aJob, aNow - std::max(aAge, Millis(0)));
+  job.mTasks.resize(aJob.TasksPerOccurrence() * aJob.Occurrences());
+  JobState& added = mJobs.emplace(aJob.Id(), std::move(job)).first->second;
+  if (aProgress != nullptr) {
+    Restore(added, *aProgress, aNow);
+    ForgetIfEnded(aJob.Id());
+  }
+}
+
+void
+Scheduler::Impl::Restore(JobState& aJob,
+                         const JobProgress& aProgress,
+                         Millis aNow)
+{
+  aJob.mPhase = aProgress.Phase();
+  aJob.mBegun = aProgress.HasBegun();
+  const std::size_t n = std::min(aJob.mTasks.size(), aProgress.Tasks().size());
+  for (std::size_t i = 0; i < n; ++i) {
+    const TaskRecord& record = aProgress.Tasks()[i];
+    Task& task = aJob.mTasks[i];
+    task.mRun = record.mRun;
+    task.mFailures = record.mFailures;
+    task.mCheckpoint = record.mCheckpoint;
+    if (record.mState == RecordedState::kDone) {
+      task.mPhase = TaskPhase::kDone;
+    } else if (record.mState == RecordedState::kAssigned) {
+      Assign(aJob, i, GetWorker(record.mWorker, aNow), record.mRun);
+      task.mPhase = TaskPhase::kStarting;
+      task.mRecovered = true;
+      task.mStopWanted = IsFinal(aJob.mPhase);
+    }
+  }
+}
+
+void
+Scheduler::Impl::CancelJob(const std::string& aJob, Millis aNow)
+{
+  JobState* job = FindJob(aJob);
+  if (job != nullptr && !IsFinal(job->mPhase)) {
+    EndJob(*job, JobPhase::kCancelled, aNow);
+    ForgetIfEnded(aJob);
+  }
+}
+
+void
+Scheduler::Impl::UpdatePhase(JobState& aJob, Millis aNow)
+{
+  if (IsFinal(aJob.mPhase)) {
+    return;
+  }
+  const bool done =
+    std::all_of(aJob.mTasks.begin(), aJob.mTasks.end(), [](const Task& aTask) {
+      return aTask.mPhase == TaskPhase::kDone;
+    });
+  if (done) {
+    EndJob(aJob, JobPhase::kDone, aNow);
+  } else if (aJob.mBegun) {
+    aJob.mPhase = JobPhase::kRunning;
+  }
+}
+
+void
+Scheduler::Impl::EndJob(JobState& aJob, JobPhase aPhase, Millis aNow)
+{
+  static constexpr std::array kNames{
+    "queued", "running", "done", "failed", "cancelled"
+  };
+  aJob.mPhase = aPhase;
+  MarkChanged(aJob);
+  Note(SchedulerNote::Kind::kJobEnded,
+       { { "job", aJob.mJob.Id() },
+         { "queue", aJob.mJob.Terms().mQueue },
+         { "state", kNames.at(static_cast<std::size_t>(aPhase)) },
+         { "age_ms", std::to_string((aNow - aJob.mSubmittedAt).count()) } });
+  StopAll(aJob, aNow);
+}
+
+void
+Scheduler::Impl::ForgetIfEnded(const std::string& aJob)
+{
+  const JobState* job = FindJob(aJob);
+  const bool isOver = job != nullptr && IsFinal(job->mPhase) &&
+                      !job->IsAnyAssigned() && !mDirty.contains(aJob) &&
+                      !mWriting.contains(aJob);
+  if (isOver) {
+    for (std::size_t i = 0; i < job->mTasks.size(); ++i) {
+      mReasons.erase({ aJob, i });
+    }
+    mJobs.erase(aJob);
+    mEnded.insert(aJob);
+  }
+}
+
+bool
+Scheduler::Impl::HasUnwrittenEnds() const
+{
+  return std::any_of(mWorkers.begin(), mWorkers.end(), [](const auto& aIt) {
+    return aIt.second.mSeenUpTo > aIt.second.mWritingUpTo;
+  });
+}
+
+std::vector<JobProgress>
+Scheduler::Impl::BeginWrite(std::size_t aMaxJobs)
+{
+  ++mWrites;
+  std::vector<JobProgress> records;
+  while (!mDirty.empty() && records.size() < aMaxJobs) {
+    const std::string id = *mDirty.begin();
+    mDirty.erase(mDirty.begin());
+    JobState* job = FindJob(id);
+    if (job == nullptr) {
+      continue;
+    }
+    mWriting.insert(id);
+    records.push_back(job->Record());
+    for (Task& task : job->mTasks) {
+      if (task.mPhase == TaskPhase::kPlanned && task.mPlanWrite == 0) {
+        task.mPlanWrite = mWrites;
+      }
+    }
+  }
+  // An end counts as written only if no changed job was left out.
+  if (mDirty.empty()) {
+    for (auto& [id, worker] : mWorkers) {
+      worker.mWritingUpTo = worker.mSeenUpTo;
+    }
+  }
+  return records;
+}
+
+void
+Scheduler::Impl::FinishWrite(bool aStored)
+{
+  std::set<std::string> written;
+  written.swap(mWriting);
+  if (!aStored) {
+    // The next write holds newer records of the same jobs and more.
+    for (const std::string& id : written) {
+      mDirty.insert(id);
+      for (Task& task : mJobs.at(id).mTasks) {
+        task.mPlanWrite = 0;
+      }
+    }
+    for (auto& [id, worker] : mWorkers) {
+      worker.mWritingUpTo = worker.mRecordedUpTo;
+    }
+    return;
+  }
+  mStoredWrites = mWrites;
+  for (auto& [id, worker] : mWorkers) {
+    if (worker.mWritingUpTo > worker.mRecordedUpTo) {
+      worker.mRecordedUpTo = worker.mWritingUpTo;
+      // The next renewal tells it and goes out at once.
+      worker.mNextRenewal = Millis(0);
+    }
+  }
+  for (const std::string& id : written) {
+    ForgetIfEnded(id);
+  }
+}
+
+std::map<std::string, std::uint64_t>
+Scheduler::Impl::Pending() const
+{
+  std::map<std::string, std::uint64_t> pending;
+  for (const auto& [id, job] : mJobs) {
+    if (!job.mBegun && !IsFinal(job.mPhase)) {
+      ++pending[job.mJob.Terms().mQueue];
+    }
+  }
+  return pending;
+}
+
+bool
+Scheduler::Impl::IsIdle() const
+{
+  return mJobs.empty() && mDirty.empty() && mWriting.empty();
+}
+
+std::map<std::string, std::uint64_t>
+Scheduler::Impl::Gauges() const
+{
+  std::map<std::string, std::uint64_t> gauges{
+    { "scheduler_jobs", mJobs.size() }, { "scheduler_workers", mWorkers.size() }
+  };
+  for (const auto& [id, job] : mJobs) {
+    for (const Task& task : job.mTasks) {
+      gauges["scheduler_tasks_waiting"] +=
+        task.mPhase == TaskPhase::kWaiting ? 1 : 0;
+      gauges["scheduler_tasks_assigned"] += task.IsAssigned() ? 1 : 0;
+    }
+  }
+  return gauges;
+}
+
+} // namespace cornelrudder::state::scheduling
--- /dev/null
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -0,0 +1,100 @@
+#include "SchedulerModel.h"
+
+#include <algorithm>
+
+namespace cornelrudder::state::scheduling {
+
+std::size_t
+JobState::FirstTask(std::size_t aOccurrence, std::size_t aStep) const
+{
+  std::size_t n = aOccurrence * mJob.TasksPerOccurrence();
+  for (std::size_t i = 0; i < aStep; ++i) {
+    n += mJob.Steps()[i].Tasks();
+  }
+  return n;
+}
+
+TaskId
+JobState::IdOf(std::size_t aTask) const
+{
+  const std::size_t perOccurrence = mJob.TasksPerOccurrence();
+  std::size_t index = aTask % perOccurrence;
+  std::size_t step = 0;
+  while (index >= mJob.Steps()[step].Tasks()) {
+    index -= mJob.Steps()[step].Tasks();
+    ++step;
+  }
+  return { mJob.Id(), aTask / perOccurrence, step, index };
+}
+
+std::optional<std::size_t>
+JobState::Find(const TaskId& aTask) const
+{
+  if (aTask.Occurrence() >= mJob.Occurrences() ||
+      aTask.Step() >= mJob.Steps().size() ||
+      aTask.Index() >= mJob.Steps()[aTask.Step()].Tasks()) {
+    return std::nullopt;
+  }
+  return FirstTask(aTask.Occurrence(), aTask.Step()) + aTask.Index();
+}
+
+std::pair<std::size_t, std::size_t>
+JobState::StepRange(std::size_t aTask) const
+{
+  const TaskId id = IdOf(aTask);
+  const std::size_t first = aTask - id.Index();
+  return { first, first + mJob.Steps()[id.Step()].Tasks() };
+}
+
+bool
+JobState::IsStepDone(std::size_t aOccurrence, std::size_t aStep) const
+{
+  const std::size_t first = FirstTask(aOccurrence, aStep);
+  const auto begin = mTasks.begin() + static_cast<std::ptrdiff_t>(first);
+  const auto n = static_cast<std::ptrdiff_t>(mJob.Steps()[aStep].Tasks());
+  return std::all_of(begin, begin + n, [](const Task& aTask) {
+    return aTask.mPhase == TaskPhase::kDone;
+  });
+}
+
+bool
+JobState::IsStepReady(std::size_t aOccurrence, std::size_t aStep) const
+{
+  const auto& after = mJob.Steps()[aStep].After();
+  return std::all_of(after.begin(), after.end(), [&](std::size_t aEarlier) {
+    return IsStepDone(aOccurrence, aEarlier);
+  });
+}
+
+bool
+JobState::IsAnyAssigned() const
+{
+  return std::any_of(mTasks.begin(), mTasks.end(), [](const Task& aTask) {
+    return aTask.IsAssigned();
+  });
+}
+
+JobProgress
+JobState::Record() const
+{
+  std::vector<TaskRecord> records;
+  records.reserve(mTasks.size());
+  for (const Task& task : mTasks) {
+    TaskRecord record;
+    record.mRun = task.mRun;
+    record.mFailures = task.mFailures;
+    if (task.mPhase == TaskPhase::kDone) {
+      record.mState = RecordedState::kDone;
+    } else {
+      record.mCheckpoint = task.mCheckpoint;
+    }
+    if (task.IsAssigned()) {
+      record.mState = RecordedState::kAssigned;
+      record.mWorker = task.mWorker;
+    }
+    records.push_back(std::move(record));
+  }
+  return { mJob.Id(), mJob.Organisation(), mPhase, mBegun, std::move(records) };
+}
+
+} // namespace cornelrudder::state::scheduling
--- /dev/null
+++ b/src/state/scheduling/SchedulerModel.h
@@ -0,0 +1,151 @@
+#ifndef CORNELRUDDER_SRC_STATE_SCHEDULING_SCHEDULER_MODEL_H
+#define CORNELRUDDER_SRC_STATE_SCHEDULING_SCHEDULER_MODEL_H
+
+#include "cornelrudder/state/scheduling/JobProgress.h"
+#include "cornelrudder/state/scheduling/TaskJob.h"
+#include "cornelrudder/state/scheduling/WorkerCalls.h"
+#include "cornelrudder/state/scheduling/WorkerInfo.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+/**
+ * @file
+ * The scheduler's own mutable state; nothing of it leaves the scheduler.
+ */
+
+namespace cornelrudder::state::scheduling {
+
+using Millis = std::chrono::milliseconds;
+
+enum class TaskPhase
+{
+  kWaiting,
+  /** A worker was chosen; the order waits for the record to be stored. */
+  kPlanned,
+  /** The order was sent, or an earlier owner may have sent it. */
+  kStarting,
+  kRunning,
+  kDone
+};
+
+struct Task
+{
+  TaskPhase mPhase = TaskPhase::kWaiting;
+  std::uint64_t mRun = 0;
+  std::string mWorker;
+  int mFailures = 0;
+  std::string mCheckpoint;
+  /** Number of the write that holds the plan; 0 before it was begun. */
+  std::uint64_t mPlanWrite = 0;
+  /** An earlier owner ordered the run, and no report has shown it yet. */
+  bool mRecovered = false;
+  /** The order's outcome is unknown. */
+  bool mUnknown = false;
+  /** Reports that were asked for later show the run or its end. */
+  std::optional<Millis> mVisibleAt;
+  bool mStopWanted = false;
+  bool mStopInFlight = false;
+  /** From here on the run can no longer begin. */
+  std::optional<Millis> mStoppedAt;
+  Millis mStopRetryAt{ 0 };
+  int mPercent = 0;
+  Millis mProgressAt{ 0 };
+  Millis mRunningSince{ 0 };
+  /** When the last checkpoint was seen. */
+  Millis mCheckpointAt{ 0 };
+  /** Worker on which the last run failed or stalled. */
+  std::string mAvoid;
+
+  bool IsAssigned() const
+  {
+    return mPhase == TaskPhase::kPlanned || mPhase == TaskPhase::kStarting ||
+           mPhase == TaskPhase::kRunning;
+  }
+};
+
+/** Position of a task: its job and its number within the job. */
+using TaskKey = std::pair<std::string, std::size_t>;
+
+struct JobState
+{
+  JobState(TaskJob aJob, Millis aSubmittedAt)
+    : mJob(std::move(aJob))
+    , mSubmittedAt(aSubmittedAt)
+  {
+  }
+
+  TaskJob mJob;
+  /** When the job was handed in. */
+  Millis mSubmittedAt;
+  JobPhase mPhase = JobPhase::kQueued;
+  bool mBegun = false;
+  std::vector<Task> mTasks;
+  /** Last run that counted as failed, by first task of a gang. */
+  std::map<std::size_t, std::uint64_t> mFailedRuns;
+
+  /** @return Number of the first task of a step of an occurrence. */
+  std::size_t FirstTask(std::size_t aOccurrence, std::size_t aStep) const;
+
+  /** @return The identifier of a task. */
+  TaskId IdOf(std::size_t aTask) const;
+
+  /** @return The number of a task, or nothing if the job has none such. */
+  std::optional<std::size_t> Find(const TaskId& aTask) const;
+
+  const StepSpec& StepOf(std::size_t aTask) const
+  {
+    return mJob.Steps()[IdOf(aTask).Step()];
+  }
+
+  /** @return Numbers of the tasks of a step, the end exclusive. */
+  std::pair<std::size_t, std::size_t> StepRange(std::size_t aTask) const;
+
+  /** @return Whether all tasks of a step are done. */
+  bool IsStepDone(std::size_t aOccurrence, std::size_t aStep) const;
+
+  /** @return Whether all earlier steps that a step needs are done. */
+  bool IsStepReady(std::size_t aOccurrence, std::size_t aStep) const;
+
+  bool IsAnyAssigned() const;
+
+  JobProgress Record() const;
+};
+
+struct WorkerState
+{
+  WorkerInfo mInfo;
+  /** Whether the list of workers has it. */
+  bool mListed = true;
+  Resources mUsed;
+  std::set<TaskKey> mAssigned;
+  /** The worker's clock and when it was told. */
+  Millis mClock{ 0 };
+  Millis mClockAt{ 0 };
+  /** Ends that were taken in, that the write under way holds, and that are
+   * stored. */
+  std::uint64_t mSeenUpTo = 0;
+  std::uint64_t mWritingUpTo = 0;
+  std::uint64_t mRecordedUpTo = 0;
+  bool mRenewing = false;
+  Millis mNextRenewal{ 0 };
+  int mFailedRenewals = 0;
+  Millis mLastAnswer{ 0 };
+  /** After this, no run that was ordered so far can still exist. */
+  Millis mLeaseEnd{ 0 };
+  int mFailStreak = 0;
+  Millis mSuspectedUntil{ 0 };
+
+  Resources Free() const { return mInfo.mRoom.Minus(mUsed); }
+  bool HasUnrecordedEnds() const { return mSeenUpTo > mRecordedUpTo; }
+};
+
+} // namespace cornelrudder::state::scheduling
+
+#endif // CORNELRUDDER_SRC_STATE_SCHEDULING_SCHEDULER_MODEL_H
--- /dev/null
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -0,0 +1,332 @@
+#include "SchedulerImpl.h"
+
+#include <algorithm>
+
+namespace cornelrudder::state::scheduling {
+
+namespace {
+
+/** A run whose share of work stands still for this long has stalled. */
+constexpr Millis kStallTime{ 3'000 };
+/** Late results are worth something up to this many objectives. */
+constexpr int kLateObjectives = 3;
+
+} // namespace
+
+std::int64_t
+Scheduler::Impl::GuaranteeOf(const std::string& aOrganisation) const
+{
+  const auto it = mGuarantees.find(aOrganisation);
+  return it != mGuarantees.end() ? it->second : 0;
+}
+
+/** Oldest first, jobs that the organisations' guarantees cover. */
+std::set<std::string>
+Scheduler::Impl::GuaranteedJobs() const
+{
+  std::vector<const JobState*> urgent;
+  for (const auto& [id, job] : mJobs) {
+    if (job.mJob.Terms().mPriority == 0 && !IsFinal(job.mPhase)) {
+      urgent.push_back(&job);
+    }
+  }
+  std::sort(
+    urgent.begin(), urgent.end(), [](const auto* aOne, const auto* aTwo) {
+      return std::make_pair(aOne->mSubmittedAt, aOne->mJob.Id()) <
+             std::make_pair(aTwo->mSubmittedAt, aTwo->mJob.Id());
+    });
+  std::map<std::string, std::int64_t> used;
+  std::set<std::string> covered;
+  for (const JobState* job : urgent) {
+    std::int64_t& n = used[job->mJob.Organisation()];
+    const std::int64_t peak = job->mJob.PeakAccelerators();
+    if (n + peak <= GuaranteeOf(job->mJob.Organisation())) {
+      n += peak;
+      covered.insert(job->mJob.Id());
+    }
+  }
+  return covered;
+}
+
+bool
+Scheduler::Impl::IsDue(const JobState& aJob,
+                       std::size_t aOccurrence,
+                       Millis aWallClock) const
+{
+  const Schedule& schedule = aJob.mJob.Timing();
+  return !aJob.mJob.IsScheduled() ||
+         aWallClock >=
+           schedule.mStart +
+             schedule.mInterval * static_cast<Millis::rep>(aOccurrence);
+}
+
+void
+Scheduler::Impl::Plan(Millis aNow, Millis aWallClock)
+{
+  LoseSilentWorkers(aNow);
+  StopStalledRuns(aNow);
+  mGuaranteed = GuaranteedJobs();
+  ViewKeys keys;
+  const PlanningView view = BuildView(keys, aNow, aWallClock);
+  if (view.mWaiting.empty()) {
+    return;
+  }
+  for (const PlanDecision& decision : mPolicy->Plan(view)) {
+    Apply(decision, keys, aNow);
+  }
+}
+
+void
+Scheduler::Impl::StopStalledRuns(Millis aNow)
+{
+  for (auto& [id, job] : mJobs) {
+    for (std::size_t i = 0; i < job.mTasks.size(); ++i) {
+      Task& task = job.mTasks[i];
+      const bool isStalled =
+        task.mPhase == TaskPhase::kRunning && !task.mStopWanted &&
+        !job.StepOf(i).IsLongRunning() && aNow - task.mProgressAt > kStallTime;
+      const auto it = mWorkers.find(task.mWorker);
+      // Without reports, nothing is known of the progress.
+      if (!isStalled || it == mWorkers.end() ||
+          it->second.mFailedRenewals > 0 ||
+          it->second.mLastAnswer < task.mProgressAt + kStallTime) {
+        continue;
+      }
+      task.mAvoid = task.mWorker;
+      NoteFailure(it->second, job, aNow);
+      WantStop(job, i, aNow);
+    }
+  }
+}
+
+PlanningView
+Scheduler::Impl::BuildView(ViewKeys& aKeys, Millis aNow, Millis aWallClock)
+{
+  PlanningView view;
+  AddWorkers(view, aKeys, aNow);
+  for (const auto& [id, job] : mJobs) {
+    if (!IsFinal(job.mPhase)) {
+      AddWaiting(view, aKeys, job, aNow, aWallClock);
+    }
+  }
+  if (!view.mWaiting.empty()) {
+    AddRunning(view, aKeys, aNow);
+  }
+  return view;
+}
+
+void
+Scheduler::Impl::AddWorkers(PlanningView& aView,
+                            ViewKeys& aKeys,
+                            Millis aNow) const
+{
+  for (const auto& [id, worker] : mWorkers) {
+    WorkerView view;
+    view.mId = id;
+    view.mService = worker.mInfo.mService;
+    view.mRack = worker.mInfo.mRack;
+    view.mLabels = worker.mInfo.mLabels;
+    view.mRoom = worker.mInfo.mRoom;
+    view.mFree = worker.Free();
+    view.mUsable = IsUsable(worker, aNow);
+    view.mRisk = worker.mFailStreak > 0 ? 1.0 : 0.0;
+    for (const auto& [jobId, index] : worker.mAssigned) {
+      const JobState& job = mJobs.at(jobId);
+      if (job.mTasks[index].mStopWanted) {
+        view.mFreeing = view.mFreeing.Plus(job.StepOf(index).Demand());
+      }
+    }
+    aView.mWorkers.push_back(std::move(view));
+    aKeys.mWorkers.push_back(id);
+  }
+}
+
+void
+Scheduler::Impl::AddRunning(PlanningView& aView,
+                            ViewKeys& aKeys,
+                            Millis aNow) const
+{
+  std::map<std::string, std::size_t> positions;
+  for (std::size_t i = 0; i < aKeys.mWorkers.size(); ++i) {
+    positions[aKeys.mWorkers[i]] = i;
+  }
+  // Tasks of a gang form one unit, any other task one of its own.
+  std::map<TaskKey, std::size_t> units;
+  for (const auto& [id, job] : mJobs) {
+    for (std::size_t i = 0; i < job.mTasks.size(); ++i) {
+      const Task& task = job.mTasks[i];
+      if (!task.IsAssigned() || task.mStopWanted) {
+        continue;
+      }
+      const TaskKey first{ id,
+                           job.StepOf(i).IsGang() ? job.StepRange(i).first
+                                                  : i };
+      const auto [it, isNew] = units.emplace(first, aView.mRunning.size());
+      if (isNew) {
+        RunningUnit unit;
+        unit.mKey = aKeys.mRunning.size();
+        unit.mPriority = job.mJob.Terms().mPriority;
+        unit.mProtected = mGuaranteed.contains(id);
+        aView.mRunning.push_back(std::move(unit));
+        aKeys.mRunning.emplace_back();
+      }
+      RunningUnit& unit = aView.mRunning[it->second];
+      unit.mShares.push_back(
+        { positions.at(task.mWorker), job.StepOf(i).Demand() });
+      unit.mLostWork += LostWork(job, task, aNow);
+      aKeys.mRunning[unit.mKey].push_back({ id, i });
+    }
+  }
+}
+
+void
+Scheduler::Impl::AddWaiting(PlanningView& aView,
+                            ViewKeys& aKeys,
+                            const JobState& aJob,
+                            Millis aNow,
+                            Millis aWallClock) const
+{
+  for (std::size_t k = 0; k < aJob.mJob.Occurrences(); ++k) {
+    if (!IsDue(aJob, k, aWallClock)) {
+      return;
+    }
+    for (std::size_t step = 0; step < aJob.mJob.Steps().size(); ++step) {
+      if (aJob.IsStepReady(k, step)) {
+        AddWaitingStep(aView, aKeys, aJob, aJob.FirstTask(k, step), aNow);
+      }
+    }
+  }
+}
+
+void
+Scheduler::Impl::AddWaitingStep(PlanningView& aView,
+                                ViewKeys& aKeys,
+                                const JobState& aJob,
+                                std::size_t aFirst,
+                                Millis aNow) const
+{
+  const StepSpec& step = aJob.StepOf(aFirst);
+  std::vector<TaskKey> waiting;
+  for (std::size_t i = aFirst; i < aFirst + step.Tasks(); ++i) {
+    if (aJob.mTasks[i].mPhase == TaskPhase::kWaiting) {
+      waiting.push_back({ aJob.mJob.Id(), i });
+    }
+  }
+  if (step.IsGang()) {
+    // A gang starts anew only when no member of an earlier run is left.
+    if (waiting.size() == step.Tasks()) {
+      aView.mWaiting.push_back(MakeUnit(aJob, waiting, aKeys, aNow));
+      aView.mWaiting.back().mGroup = aKeys.mWaiting.size();
+      aKeys.mWaiting.push_back(std::move(waiting));
+    }
+    return;
+  }
+  const std::size_t group = aKeys.mWaiting.size();
+  for (const TaskKey& key : waiting) {
+    aView.mWaiting.push_back(MakeUnit(aJob, { key }, aKeys, aNow));
+    aView.mWaiting.back().mGroup = group;
+    aKeys.mWaiting.push_back({ key });
+  }
+}
+
+WaitingUnit
+Scheduler::Impl::MakeUnit(const JobState& aJob,
+                          const std::vector<TaskKey>& aTasks,
+                          const ViewKeys& aKeys,
+                          Millis aNow) const
+{
+  const std::size_t first = aTasks.front().second;
+  const StepSpec& step = aJob.StepOf(first);
+  const QueueTerms& terms = aJob.mJob.Terms();
+  const Millis expected = mRunTimes.Expect(terms.mQueue, step.Estimate());
+  const Millis chain = std::max(expected, aJob.mJob.EstimatedChain());
+  const Millis objective =
+    Millis(static_cast<Millis::rep>(static_cast<double>(chain.count()) *
+                                    terms.mSlackFactor)) +
+    terms.mTargetLatency;
+  WaitingUnit unit(aKeys.mWaiting.size(), terms.mService, step);
+  unit.mTasks = aTasks.size();
+  unit.mPriority = terms.mPriority;
+  unit.mGuaranteed = mGuaranteed.contains(aJob.mJob.Id());
+  unit.mAge = aNow - aJob.mSubmittedAt;
+  unit.mSlack = objective - unit.mAge - expected;
+  unit.mLateSlack = objective * kLateObjectives - unit.mAge - expected;
+  unit.mExpected = expected;
+  for (std::size_t i = 0; i < aKeys.mWorkers.size(); ++i) {
+    if (step.MaxPerWorker() > 0) {
+      const auto [begin, end] = aJob.StepRange(first);
+      for (std::size_t t = begin; t < end; ++t) {
+        if (aJob.mTasks[t].IsAssigned() &&
+            aJob.mTasks[t].mWorker == aKeys.mWorkers[i]) {
+          unit.mPeers.push_back(i);
+        }
+      }
+    }
+    for (const TaskKey& key : aTasks) {
+      if (aJob.mTasks[key.second].mAvoid == aKeys.mWorkers[i]) {
+        unit.mAvoid.push_back(i);
+      }
+    }
+  }
+  return unit;
+}
+
+void
+Scheduler::Impl::Apply(const PlanDecision& aDecision,
+                       const ViewKeys& aKeys,
+                       Millis aNow)
+{
+  const std::vector<TaskKey>& tasks = aKeys.mWaiting[aDecision.mUnit];
+  JobState& job = mJobs.at(tasks.front().first);
+  const TaskId id = job.IdOf(tasks.front().second);
+  NoteFields fields{ { "task", id.Text() },
+                     { "tasks", std::to_string(tasks.size()) },
+                     { "reason", PlanReasonName(aDecision.mReason) },
+                     { "age_ms",
+                       std::to_string((aNow - job.mSubmittedAt).count()) } };
+  if (aDecision.mReason == PlanReason::kFits) {
+    // Run numbers of a gang are equal, and its runs resume at one point.
+    std::uint64_t run = 0;
+    std::size_t furthest = tasks.front().second;
+    for (const auto& [jobId, i] : tasks) {
+      run = std::max(run, job.mTasks[i].mRun);
+      if (!job.mTasks[i].mCheckpoint.empty() &&
+          (job.mTasks[furthest].mCheckpoint.empty() ||
+           job.mTasks[i].mPercent > job.mTasks[furthest].mPercent)) {
+        furthest = i;
+      }
+    }
+    const std::string checkpoint = job.mTasks[furthest].mCheckpoint;
+    std::string workers;
+    for (std::size_t n = 0; n < tasks.size(); ++n) {
+      const std::string& worker = aKeys.mWorkers[aDecision.mWorkers[n]];
+      job.mTasks[tasks[n].second].mCheckpoint = checkpoint;
+      Assign(job, tasks[n].second, mWorkers.at(worker), run + 1);
+      workers += (workers.empty() ? "" : ",") + worker;
+    }
+    job.mBegun = true;
+    UpdatePhase(job, aNow);
+    MarkChanged(job);
+    mReasons.erase(tasks.front());
+    fields.emplace_back("run", std::to_string(run + 1));
+    fields.emplace_back("workers", workers);
+    Note(SchedulerNote::Kind::kPlaced, std::move(fields));
+    return;
+  }
+  for (const std::size_t victim : aDecision.mVictims) {
+    for (const auto& [jobId, i] : aKeys.mRunning[victim]) {
+      JobState& other = mJobs.at(jobId);
+      Note(SchedulerNote::Kind::kPreempted,
+           { { "task", other.IdOf(i).Text() }, { "for", id.Text() } });
+      WantStop(other, i, aNow);
+    }
+  }
+  const auto [it, isNew] = mReasons.emplace(tasks.front(), aDecision.mReason);
+  // One line for the first task of a step, and when the reason changes.
+  if ((isNew && id.Index() == 0) || it->second != aDecision.mReason) {
+    it->second = aDecision.mReason;
+    Note(SchedulerNote::Kind::kWaits, std::move(fields));
+  }
+}
+
+} // namespace cornelrudder::state::scheduling
--- /dev/null
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -0,0 +1,375 @@
+#include "SchedulerImpl.h"
+
+#include <algorithm>
+
+namespace cornelrudder::state::scheduling {
+
+namespace {
+
+/** A stop without an answer is repeated after this time. */
+constexpr Millis kStopRetry{ 300 };
+
+} // namespace
+
+void
+Scheduler::Impl::Assign(JobState& aJob,
+                        std::size_t aTask,
+                        WorkerState& aWorker,
+                        std::uint64_t aRun)
+{
+  Task& task = aJob.mTasks[aTask];
+  const int failures = task.mFailures;
+  std::string checkpoint = std::move(task.mCheckpoint);
+  std::string avoid = std::move(task.mAvoid);
+  task = Task();
+  task.mPhase = TaskPhase::kPlanned;
+  task.mRun = aRun;
+  task.mWorker = aWorker.mInfo.mId;
+  task.mFailures = failures;
+  task.mCheckpoint = std::move(checkpoint);
+  task.mAvoid = std::move(avoid);
+  aWorker.mAssigned.insert({ aJob.mJob.Id(), aTask });
+  aWorker.mUsed = aWorker.mUsed.Plus(aJob.StepOf(aTask).Demand());
+}
+
+void
+Scheduler::Impl::Unassign(JobState& aJob, std::size_t aTask)
+{
+  Task& task = aJob.mTasks[aTask];
+  const auto it = mWorkers.find(task.mWorker);
+  if (it != mWorkers.end() &&
+      it->second.mAssigned.erase({ aJob.mJob.Id(), aTask }) > 0) {
+    it->second.mUsed = it->second.mUsed.Minus(aJob.StepOf(aTask).Demand());
+  }
+  MarkChanged(aJob);
+}
+
+void
+Scheduler::Impl::Requeue(JobState& aJob, std::size_t aTask, Millis aNow)
+{
+  Unassign(aJob, aTask);
+  aJob.mTasks[aTask].mPhase = TaskPhase::kWaiting;
+  aJob.mTasks[aTask].mStopWanted = false;
+  if (aJob.StepOf(aTask).IsGang()) {
+    StopGang(aJob, aTask, aNow);
+  }
+}
+
+void
+Scheduler::Impl::StopGang(JobState& aJob, std::size_t aTask, Millis aNow)
+{
+  const auto [first, end] = aJob.StepRange(aTask);
+  for (std::size_t i = first; i < end; ++i) {
+    if (aJob.mTasks[i].IsAssigned()) {
+      WantStop(aJob, i, aNow);
+    }
+  }
+}
+
+void
+Scheduler::Impl::WantStop(JobState& aJob, std::size_t aTask, Millis aNow)
+{
+  Task& task = aJob.mTasks[aTask];
+  if (task.mPhase == TaskPhase::kPlanned) {
+    // The order was not sent yet and never will be.
+    Unassign(aJob, aTask);
+    task.mPhase = TaskPhase::kWaiting;
+    if (aJob.StepOf(aTask).IsGang()) {
+      StopGang(aJob, aTask, aNow);
+    }
+    return;
+  }
+  task.mStopWanted = true;
+}
+
+void
+Scheduler::Impl::StopAll(JobState& aJob, Millis aNow)
+{
+  for (std::size_t i = 0; i < aJob.mTasks.size(); ++i) {
+    if (aJob.mTasks[i].IsAssigned()) {
+      WantStop(aJob, i, aNow);
+    }
+  }
+}
+
+void
+Scheduler::Impl::FinishTask(JobState& aJob, std::size_t aTask, Millis aNow)
+{
+  Task& task = aJob.mTasks[aTask];
+  if (task.IsAssigned()) {
+    const bool whole = task.mCheckpoint.empty() && task.mRunningSince.count();
+    if (whole) {
+      mRunTimes.Learn(aJob.mJob.Terms().mQueue, aNow - task.mRunningSince);
+    }
+    Unassign(aJob, aTask);
+  }
+  task.mPhase = TaskPhase::kDone;
+  task.mCheckpoint.clear();
+}
+
+void
+Scheduler::Impl::EndRun(JobState& aJob,
+                        std::size_t aTask,
+                        RunEnd aEnd,
+                        const std::string& aCheckpoint,
+                        Millis aNow)
+{
+  Task& task = aJob.mTasks[aTask];
+  const std::string id = aJob.mJob.Id();
+  Note(SchedulerNote::Kind::kRunEnded,
+       { { "task", aJob.IdOf(aTask).Text() },
+         { "run", std::to_string(task.mRun) },
+         { "worker", task.mWorker },
+         { "end", RunEndName(aEnd) } });
+  if (!aCheckpoint.empty()) {
+    task.mCheckpoint = aCheckpoint;
+  }
+  const bool isLongRunning = aJob.StepOf(aTask).IsLongRunning();
+  if (aEnd == RunEnd::kDone && !isLongRunning) {
+    // Members of a gang end together, so that one end stands for all.
+    auto [first, end] = aJob.StepRange(aTask);
+    if (!aJob.StepOf(aTask).IsGang()) {
+      first = aTask;
+      end = aTask + 1;
+    }
+    const std::uint64_t run = task.mRun;
+    for (std::size_t i = first; i < end; ++i) {
+      if (aJob.mTasks[i].mRun == run) {
+        FinishTask(aJob, i, aNow);
+      }
+    }
+  } else if (aEnd == RunEnd::kFailed && !isLongRunning) {
+    FailRun(aJob, aTask, aNow);
+  } else {
+    Requeue(aJob, aTask, aNow);
+  }
+  UpdatePhase(aJob, aNow);
+  ForgetIfEnded(id);
+}
+
+void
+Scheduler::Impl::FailRun(JobState& aJob, std::size_t aTask, Millis aNow)
+{
+  Task& task = aJob.mTasks[aTask];
+  const bool isGang = aJob.StepOf(aTask).IsGang();
+  const std::size_t counted = isGang ? aJob.StepRange(aTask).first : aTask;
+  const std::uint64_t run = task.mRun;
+  task.mAvoid = task.mWorker;
+  if (const auto it = mWorkers.find(task.mWorker); it != mWorkers.end()) {
+    NoteFailure(it->second, aJob, aNow);
+  }
+  Requeue(aJob, aTask, aNow);
+  // Of a gang's run, the first failure counts for all members.
+  if (aJob.mFailedRuns[counted] < run) {
+    aJob.mFailedRuns[counted] = run;
+    ++aJob.mTasks[counted].mFailures;
+  }
+  if (!IsFinal(aJob.mPhase) &&
+      aJob.mTasks[counted].mFailures >= aJob.mJob.Terms().mAttempts) {
+    EndJob(aJob, JobPhase::kFailed, aNow);
+  }
+}
+
+void
+Scheduler::Impl::LoseRun(const TaskKey& aKey, const char* aReason, Millis aNow)
+{
+  JobState* job = FindJob(aKey.first);
+  if (job == nullptr || !job->mTasks[aKey.second].IsAssigned()) {
+    return;
+  }
+  const Task& task = job->mTasks[aKey.second];
+  Note(SchedulerNote::Kind::kRunLost,
+       { { "task", job->IdOf(aKey.second).Text() },
+         { "run", std::to_string(task.mRun) },
+         { "worker", task.mWorker },
+         { "reason", aReason } });
+  Requeue(*job, aKey.second, aNow);
+  ForgetIfEnded(aKey.first);
+}
+
+void
+Scheduler::Impl::TakeStartAnswer(const StartOrder& aOrder,
+                                 const OrderAnswer& aAnswer,
+                                 Millis aNow)
+{
+  const auto workerIt = mWorkers.find(aOrder.mWorker.mId);
+  if (workerIt != mWorkers.end() && aAnswer.mClock.count() > 0) {
+    NoteClock(workerIt->second, aAnswer.mClock, aNow);
+  }
+  if (aAnswer.mOutcome == OrderOutcome::kFenced) {
+    mFenced = true;
+    return;
+  }
+  JobState* job = FindJob(aOrder.mTask.Job());
+  const auto index = job != nullptr ? job->Find(aOrder.mTask) : std::nullopt;
+  if (!index) {
+    return;
+  }
+  Task& task = job->mTasks[*index];
+  if (task.mPhase != TaskPhase::kStarting || task.mRun != aOrder.mRun) {
+    return;
+  }
+  const TaskKey key{ aOrder.mTask.Job(), *index };
+  switch (aAnswer.mOutcome) {
+    case OrderOutcome::kDone:
+      task.mPhase = TaskPhase::kRunning;
+      task.mUnknown = false;
+      task.mVisibleAt = aNow;
+      task.mRunningSince = aNow;
+      task.mProgressAt = aNow;
+      break;
+    case OrderOutcome::kNoRoom:
+    case OrderOutcome::kRefused:
+      if (workerIt != mWorkers.end()) {
+        NoteFailure(workerIt->second, *job, aNow);
+      }
+      LoseRun(key, aAnswer.mDetail.c_str(), aNow);
+      break;
+    case OrderOutcome::kOtherLife:
+      if (workerIt != mWorkers.end()) {
+        LoseWorker(workerIt->second, "other_life", aNow);
+      }
+      break;
+    case OrderOutcome::kFenced:
+    case OrderOutcome::kUnknown:
+      task.mUnknown = true;
+      task.mVisibleAt = aNow;
+      if (workerIt != mWorkers.end()) {
+        workerIt->second.mNextRenewal = Millis(0);
+      }
+      break;
+  }
+}
+
+void
+Scheduler::Impl::TakeStopAnswer(const StopOrder& aOrder,
+                                const OrderAnswer& aAnswer,
+                                Millis aNow)
+{
+  const auto workerIt = mWorkers.find(aOrder.mWorker.mId);
+  if (aAnswer.mOutcome == OrderOutcome::kFenced) {
+    mFenced = true;
+    return;
+  }
+  if (aAnswer.mOutcome == OrderOutcome::kOtherLife) {
+    if (workerIt != mWorkers.end()) {
+      LoseWorker(workerIt->second, "other_life", aNow);
+    }
+    return;
+  }
+  JobState* job = FindJob(aOrder.mTask.Job());
+  const auto index = job != nullptr ? job->Find(aOrder.mTask) : std::nullopt;
+  if (!index) {
+    return;
+  }
+  Task& task = job->mTasks[*index];
+  if (!task.IsAssigned() || task.mRun != aOrder.mRun) {
+    return;
+  }
+  task.mStopInFlight = false;
+  if (aAnswer.mOutcome == OrderOutcome::kDone) {
+    task.mStoppedAt = aNow;
+  } else {
+    task.mStopRetryAt = aNow + kStopRetry;
+  }
+}
+
+void
+Scheduler::Impl::TakeEnd(WorkerState& aWorker,
+                         const EndedRun& aEnd,
+                         Millis aNow)
+{
+  JobState* job = FindJob(aEnd.mTask.Job());
+  const auto index = job != nullptr ? job->Find(aEnd.mTask) : std::nullopt;
+  if (!index) {
+    return;
+  }
+  const Task& task = job->mTasks[*index];
+  if (!task.IsAssigned() || task.mRun != aEnd.mRun ||
+      task.mWorker != aWorker.mInfo.mId) {
+    return;
+  }
+  if (aEnd.mEnd == RunEnd::kDone) {
+    aWorker.mFailStreak = 0;
+    aWorker.mSuspectedUntil = Millis(0);
+  }
+  EndRun(*job, *index, aEnd.mEnd, aEnd.mCheckpoint, aNow);
+}
+
+void
+Scheduler::Impl::TakeRunning(WorkerState& aWorker,
+                             const RunningRun& aRun,
+                             Millis aNow)
+{
+  JobState* job = FindJob(aRun.mTask.Job());
+  const auto index = job != nullptr ? job->Find(aRun.mTask) : std::nullopt;
+  if (!index) {
+    return;
+  }
+  Task& task = job->mTasks[*index];
+  const bool isExpected =
+    task.mPhase == TaskPhase::kStarting || task.mPhase == TaskPhase::kRunning;
+  if (!isExpected || task.mRun != aRun.mRun ||
+      task.mWorker != aWorker.mInfo.mId) {
+    return;
+  }
+  if (task.mPhase == TaskPhase::kStarting) {
+    task.mPhase = TaskPhase::kRunning;
+    task.mVisibleAt = aNow;
+    task.mRunningSince = task.mRecovered ? Millis(0) : aNow;
+    task.mProgressAt = aNow;
+    task.mUnknown = false;
+    task.mRecovered = false;
+  }
+  if (aRun.mPercent != task.mPercent) {
+    task.mPercent = aRun.mPercent;
+    task.mProgressAt = aNow;
+  }
+  if (!aRun.mCheckpoint.empty() && aRun.mCheckpoint != task.mCheckpoint) {
+    // Kept in memory only: a successor reads it from the worker's report.
+    task.mCheckpoint = aRun.mCheckpoint;
+    task.mCheckpointAt = aNow;
+  }
+}
+
+void
+Scheduler::Impl::CheckMissing(WorkerState& aWorker,
+                              const std::set<TaskKey>& aListed,
+                              Millis aSentAt,
+                              Millis aNow)
+{
+  const std::set<TaskKey> assigned = aWorker.mAssigned;
+  for (const TaskKey& key : assigned) {
+    JobState* job = FindJob(key.first);
+    if (aListed.contains(key) || job == nullptr ||
+        !job->mTasks[key.second].IsAssigned()) {
+      continue;
+    }
+    Task& task = job->mTasks[key.second];
+    const bool cannotRun =
+      task.mRecovered || (task.mStoppedAt && *task.mStoppedAt <= aSentAt);
+    const bool shouldShow = task.mVisibleAt && *task.mVisibleAt <= aSentAt;
+    if (cannotRun || (shouldShow && task.mPhase == TaskPhase::kRunning)) {
+      LoseRun(key, cannotRun ? "not_started" : "not_listed", aNow);
+    } else if (shouldShow && task.mUnknown) {
+      // The order may still be on its way; only a stop settles it.
+      WantStop(*job, key.second, aNow);
+    }
+  }
+}
+
+double
+Scheduler::Impl::LostWork(const JobState& aJob,
+                          const Task& aTask,
+                          Millis aNow) const
+{
+  if (aTask.mRunningSince.count() == 0) {
+    return 0.0;
+  }
+  const Millis since = std::max(aTask.mRunningSince, aTask.mCheckpointAt);
+  const auto index = static_cast<std::size_t>(&aTask - aJob.mTasks.data());
+  return aJob.StepOf(index).Demand().WeightedCores() *
+         static_cast<double>((aNow - since).count()) / 1'000.0;
+}
+
+} // namespace cornelrudder::state::scheduling
--- /dev/null
+++ b/src/state/scheduling/TaskJob.cpp
@@ -0,0 +1,74 @@
+#include "cornelrudder/state/scheduling/TaskJob.h"
+
+#include "cornelrudder/state/StateError.h"
+
+#include <algorithm>
+
+namespace cornelrudder::state::scheduling {
+
+TaskJob::TaskJob(std::string aId,
+                 std::string aOrganisation,
+                 QueueTerms aTerms,
+                 std::string aPayload,
+                 std::vector<StepSpec> aSteps,
+                 Schedule aSchedule,
+                 std::chrono::milliseconds aSubmittedAt)
+  : mId(std::move(aId))
+  , mOrganisation(std::move(aOrganisation))
+  , mTerms(std::move(aTerms))
+  , mPayload(std::move(aPayload))
+  , mSteps(std::move(aSteps))
+  , mSchedule(aSchedule)
+  , mSubmittedAt(aSubmittedAt)
+{
+  if (mSteps.empty() || mSteps.size() > kMaxSteps) {
+    throw StateError("job: found " + std::to_string(mSteps.size()) +
+                     " steps; allowed are 1 to " + std::to_string(kMaxSteps));
+  }
+  if (mSchedule.mOccurrences > kMaxOccurrences ||
+      mSchedule.mInterval.count() < 0) {
+    throw StateError("job: a schedule has at most " +
+                     std::to_string(kMaxOccurrences) +
+                     " occurrences and no negative interval");
+  }
+}
+
+std::size_t
+TaskJob::TasksPerOccurrence() const
+{
+  std::size_t n = 0;
+  for (const StepSpec& step : mSteps) {
+    n += step.Tasks();
+  }
+  return n;
+}
+
+std::int64_t
+TaskJob::PeakAccelerators() const
+{
+  std::int64_t peak = 0;
+  for (const StepSpec& step : mSteps) {
+    peak = std::max(peak,
+                    step.Demand().Accelerators() *
+                      static_cast<std::int64_t>(step.Tasks()));
+  }
+  return peak;
+}
+
+std::chrono::milliseconds
+TaskJob::EstimatedChain() const
+{
+  std::vector<std::chrono::milliseconds> ends;
+  std::chrono::milliseconds longest{ 0 };
+  for (const StepSpec& step : mSteps) {
+    std::chrono::milliseconds start{ 0 };
+    for (const std::size_t earlier : step.After()) {
+      start = std::max(start, ends[earlier]);
+    }
+    ends.push_back(start + step.Estimate());
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+} // namespace cornelrudder::state::scheduling
--- a/src/transport/IoThread.cpp
+++ b/src/transport/IoThread.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
+#include <string>
 
 namespace cornelrudder::transport {
 
@@ -34,31 +35,46 @@
 }
 
 void
-IoThread::Impl::WatchSignals(std::function<void()> aFunction)
+IoThread::Impl::WatchStopSignals(std::function<void()> aFunction)
 {
-  boost::system::error_code ec;
-  mSignals.emplace(mContext);
-  mSignals->add(SIGTERM, ec);
-  if (!ec) {
-    mSignals->add(SIGINT, ec);
-  }
-  if (ec) {
-    throw TransportError("cannot watch stop signals: " + ec.message());
-  }
-  mOnSignal = std::move(aFunction);
-  WaitForSignal();
+  Watch(mStopWatch, { SIGTERM, SIGINT }, std::move(aFunction));
 }
 
 void
-IoThread::Impl::WaitForSignal()
+IoThread::Impl::WatchReloadSignal(std::function<void()> aFunction)
 {
-  mSignals->async_wait([this](boost::system::error_code aError, int) {
-    if (aError) {
-      return;
+  Watch(mReloadWatch, { SIGHUP }, std::move(aFunction));
+}
+
+void
+IoThread::Impl::Watch(std::optional<SignalWatch>& aWatch,
+                      const std::vector<int>& aSignals,
+                      std::function<void()> aFunction)
+{
+  aWatch.emplace(mContext);
+  for (const int signal : aSignals) {
+    boost::system::error_code ec;
+    aWatch->mSignals.add(signal, ec);
+    if (ec) {
+      throw TransportError("cannot watch signal " + std::to_string(signal) +
+                           ": " + ec.message());
     }
-    mOnSignal();
-    WaitForSignal();
-  });
+  }
+  aWatch->mOnSignal = std::move(aFunction);
+  WaitForSignal(*aWatch);
+}
+
+void
+IoThread::Impl::WaitForSignal(SignalWatch& aWatch)
+{
+  aWatch.mSignals.async_wait(
+    [this, &aWatch](boost::system::error_code aError, int) {
+      if (aError) {
+        return;
+      }
+      aWatch.mOnSignal();
+      WaitForSignal(aWatch);
+    });
 }
 
 IoThread::IoThread()
@@ -90,7 +106,13 @@
 void
 IoThread::WatchStopSignals(std::function<void()> aFunction)
 {
-  mImpl->WatchSignals(std::move(aFunction));
+  mImpl->WatchStopSignals(std::move(aFunction));
+}
+
+void
+IoThread::WatchReloadSignal(std::function<void()> aFunction)
+{
+  mImpl->WatchReloadSignal(std::move(aFunction));
 }
 
 void
--- a/src/transport/IoThreadImpl.h
+++ b/src/transport/IoThreadImpl.h
@@ -9,6 +9,7 @@
 
 #include <optional>
 #include <thread>
+#include <vector>
 
 namespace cornelrudder::transport {
 
@@ -19,17 +20,33 @@
   ~Impl();
 
   boost::asio::io_context& Context() { return mContext; }
-  void WatchSignals(std::function<void()> aFunction);
+  void WatchStopSignals(std::function<void()> aFunction);
+  void WatchReloadSignal(std::function<void()> aFunction);
   void Stop();
 
 private:
-  void WaitForSignal();
+  /** Signals and what is called for each of them. */
+  struct SignalWatch
+  {
+    explicit SignalWatch(boost::asio::io_context& aContext)
+      : mSignals(aContext)
+    {
+    }
+
+    boost::asio::signal_set mSignals;
+    std::function<void()> mOnSignal;
+  };
+
+  void Watch(std::optional<SignalWatch>& aWatch,
+             const std::vector<int>& aSignals,
+             std::function<void()> aFunction);
+  void WaitForSignal(SignalWatch& aWatch);
 
   boost::asio::io_context mContext;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     mWork;
-  std::optional<boost::asio::signal_set> mSignals;
-  std::function<void()> mOnSignal;
+  std::optional<SignalWatch> mStopWatch;
+  std::optional<SignalWatch> mReloadWatch;
   std::thread mThread;
 };
 
--- /dev/null
+++ b/tests/state/scheduling/PlanningTest.cpp
@@ -0,0 +1,229 @@
+#include "cornelrudder/state/scheduling/Planning.h"
+#include "cornelrudder/state/StateError.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace cornelrudder::state;
+using namespace cornelrudder::state::scheduling;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t kWorkersPerRack = 2;
+
+/** Workers with 8 accelerators each, two to a rack. */
+PlanningView
+Fleet(std::size_t aWorkers)
+{
+  PlanningView view;
+  for (std::size_t i = 0; i < aWorkers; ++i) {
+    WorkerView worker;
+    worker.mId = "w" + std::to_string(i);
+    worker.mService = "s";
+    worker.mRack = "r" + std::to_string(i / kWorkersPerRack);
+    worker.mRoom = Resources(32'000, 64'000, 8);
+    worker.mFree = worker.mRoom;
+    view.mWorkers.push_back(std::move(worker));
+  }
+  return view;
+}
+
+StepSpecValues
+Step(std::size_t aTasks, std::int64_t aAccelerators)
+{
+  StepSpecValues values;
+  values.mTasks = aTasks;
+  values.mDemand = Resources(1'000, 1'000, aAccelerators);
+  values.mEstimate = milliseconds(2'000);
+  return values;
+}
+
+/** Adds a unit with time left to its objective. */
+WaitingUnit&
+AddUnit(PlanningView& aView, const StepSpecValues& aStep, int aPriority)
+{
+  WaitingUnit unit(aView.mWaiting.size(), "s", StepSpec(aStep, 0));
+  unit.mTasks = aStep.mGang ? aStep.mTasks : 1;
+  unit.mPriority = aPriority;
+  unit.mSlack = milliseconds(1'000);
+  unit.mLateSlack = milliseconds(10'000);
+  unit.mExpected = milliseconds(2'000);
+  unit.mGroup = unit.mKey;
+  aView.mWaiting.push_back(std::move(unit));
+  return aView.mWaiting.back();
+}
+
+/** Lets a unit run on a worker with all its accelerators. */
+void
+Occupy(PlanningView& aView, std::size_t aWorker, int aPriority, double aLost)
+{
+  WorkerView& worker = aView.mWorkers[aWorker];
+  RunningUnit unit;
+  unit.mKey = aView.mRunning.size();
+  unit.mPriority = aPriority;
+  unit.mShares.push_back({ aWorker, worker.mFree });
+  unit.mLostWork = aLost;
+  worker.mFree = Resources();
+  aView.mRunning.push_back(std::move(unit));
+}
+
+const PlanDecision&
+DecisionOn(const std::vector<PlanDecision>& aDecisions, std::size_t aUnit)
+{
+  return *std::find_if(aDecisions.begin(),
+                       aDecisions.end(),
+                       [aUnit](const auto& aIt) { return aIt.mUnit == aUnit; });
+}
+
+std::vector<PlanDecision>
+Plan(const PlanningView& aView)
+{
+  return MakePlacementPolicy("urgency")->Plan(aView);
+}
+
+} // namespace
+
+TEST_GROUP(Planning){};
+
+// Guards against more tasks of a step on one worker than the step allows:
+// units that were placed in one pass did not count for each other.
+TEST(Planning, LimitPerWorkerHoldsWithinOnePass)
+{
+  for (const PlacementPolicyInfo& policy : AllPlacementPolicies()) {
+    PlanningView view = Fleet(2);
+    StepSpecValues step = Step(4, 1);
+    step.mMaxPerWorker = 2;
+    for (int i = 0; i < 4; ++i) {
+      AddUnit(view, step, 2).mGroup = 0;
+    }
+    std::vector<int> tasks(2);
+    for (const PlanDecision& decision : policy.mMake()->Plan(view)) {
+      for (const std::size_t worker : decision.mWorkers) {
+        ++tasks[worker];
+      }
+    }
+    CHECK_EQUAL(2, tasks[0]);
+    CHECK_EQUAL(2, tasks[1]);
+  }
+}
+
+// Guards against small tasks spread over all workers, which leaves no worker
+// whole for a task with 8 accelerators.
+TEST(Planning, SmallTasksArePackedTightly)
+{
+  PlanningView view = Fleet(3);
+  view.mWorkers[1].mFree = Resources(16'000, 32'000, 4);
+  for (int i = 0; i < 4; ++i) {
+    AddUnit(view, Step(1, 1), 2);
+  }
+  for (const PlanDecision& decision : Plan(view)) {
+    CHECK(decision.mReason == PlanReason::kFits);
+    CHECK_EQUAL(1, decision.mWorkers.front());
+  }
+}
+
+// Guards against a gang that is placed in part.
+TEST(Planning, GangIsPlacedWholeOrNotAtAll)
+{
+  PlanningView view = Fleet(2);
+  StepSpecValues step = Step(3, 8);
+  step.mGang = true;
+  AddUnit(view, step, 1);
+  const auto decisions = Plan(view);
+  CHECK(decisions.front().mReason == PlanReason::kNoRoom);
+  CHECK(decisions.front().mWorkers.empty());
+}
+
+// Guards against a gang that is slowed down by a second rack while one rack
+// has room for all of it.
+TEST(Planning, SameRackGangGetsOneRack)
+{
+  PlanningView view = Fleet(4);
+  view.mWorkers[0].mFree = Resources(32'000, 64'000, 7);
+  StepSpecValues step = Step(2, 8);
+  step.mGang = true;
+  step.mSameRack = true;
+  AddUnit(view, step, 1);
+  const auto decisions = Plan(view);
+  CHECK(decisions.front().mWorkers == (std::vector<std::size_t>{ 2, 3 }));
+}
+
+// Guards against urgent work that waits behind less urgent work, and against
+// the loss of more work than necessary.
+TEST(Planning, UrgentWorkStopsWhatLosesLeast)
+{
+  PlanningView view = Fleet(2);
+  Occupy(view, 0, 2, 50.0);
+  Occupy(view, 1, 2, 10.0);
+  AddUnit(view, Step(1, 8), 0).mGuaranteed = true;
+  const auto decisions = Plan(view);
+  CHECK(decisions.front().mReason == PlanReason::kPreempts);
+  CHECK(decisions.front().mVictims == (std::vector<std::size_t>{ 1 }));
+}
+
+// Guards against a second stop while the room of the first is being freed.
+TEST(Planning, RoomThatIsBeingFreedIsAwaited)
+{
+  PlanningView view = Fleet(2);
+  Occupy(view, 0, 2, 10.0);
+  view.mWorkers[1].mFree = Resources();
+  view.mWorkers[1].mFreeing = view.mWorkers[1].mRoom;
+  AddUnit(view, Step(1, 8), 0).mGuaranteed = true;
+  const auto decisions = Plan(view);
+  CHECK(decisions.front().mReason == PlanReason::kAwaitsRoom);
+  CHECK(decisions.front().mVictims.empty());
+}
+
+// Guards against the stop of work that another organisation's guarantee
+// covers.
+TEST(Planning, GuaranteedWorkIsNeverStopped)
+{
+  PlanningView view = Fleet(1);
+  Occupy(view, 0, 0, 1.0);
+  view.mRunning.front().mProtected = true;
+  AddUnit(view, Step(1, 8), 0).mGuaranteed = true;
+  CHECK(Plan(view).front().mReason == PlanReason::kNoRoom);
+}
+
+// Guards against a large gang that starves behind a stream of small tasks.
+TEST(Planning, WaitingLargeGangKeepsWorkersFree)
+{
+  PlanningView view = Fleet(2);
+  view.mWorkers[0].mFree = Resources(32'000, 64'000, 6);
+  Occupy(view, 1, 1, 0.0);
+  StepSpecValues gang = Step(2, 8);
+  gang.mGang = true;
+  AddUnit(view, gang, 1);
+  AddUnit(view, Step(1, 1), 2);
+  const auto decisions = Plan(view);
+  CHECK(DecisionOn(decisions, 0).mReason == PlanReason::kNoRoom);
+  CHECK(DecisionOn(decisions, 1).mReason == PlanReason::kNoRoom);
+}
+
+// Guards against a retry on the worker on which the last run failed.
+TEST(Planning, FailedTaskGoesToAnotherWorker)
+{
+  PlanningView view = Fleet(2);
+  AddUnit(view, Step(1, 1), 2).mAvoid = { 0 };
+  CHECK_EQUAL(1, Plan(view).front().mWorkers.front());
+}
+
+// Guards against tasks on workers of another service or without the label.
+TEST(Planning, ServiceAndLabelAreKept)
+{
+  PlanningView view = Fleet(3);
+  view.mWorkers[0].mService = "other";
+  view.mWorkers[2].mLabels = { "a" };
+  StepSpecValues step = Step(1, 1);
+  step.mRequiredLabel = "a";
+  AddUnit(view, step, 2);
+  CHECK_EQUAL(2, Plan(view).front().mWorkers.front());
+}
+
+// Guards against an unknown policy that is replaced silently.
+TEST(Planning, UnknownPolicyThrows)
+{
+  CHECK_THROWS(StateError, MakePlacementPolicy("none"));
+}
