--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -99,6 +99,7 @@
   // Workers.
   WorkerState& GetWorker(const std::string& aId, Millis aNow);
   void LoseWorker(WorkerState& aWorker, const char* aReason, Millis aNow);
+  void NoteRestart(WorkerState& aWorker, Millis aNow);
   void LoseSilentWorkers(Millis aNow);
   void ForgetUnlistedWorkers();
   void NoteClock(WorkerState& aWorker, Millis aClock, Millis aNow);
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -144,6 +144,16 @@
 
   Resources Free() const { return mInfo.mRoom.Minus(mUsed); }
   bool HasUnrecordedEnds() const { return mSeenUpTo > mRecordedUpTo; }
+
+  /** The ends and the clock of another life start anew. */
+  void ForgetLife()
+  {
+    mSeenUpTo = 0;
+    mWritingUpTo = 0;
+    mRecordedUpTo = 0;
+    mClock = Millis(0);
+    mFailedRenewals = 0;
+  }
 };
 
 } // namespace cornelrudder::state::scheduling
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -365,13 +365,17 @@
                           const Task& aTask,
                           Millis aNow) const
 {
-  if (aTask.mRunningSince.count() == 0) {
-    return 0.0;
-  }
-  const Millis since = std::max(aTask.mRunningSince, aTask.mCheckpointAt);
   const auto index = static_cast<std::size_t>(&aTask - aJob.mTasks.data());
-  return aJob.StepOf(index).Demand().WeightedCores() *
-         static_cast<double>((aNow - since).count()) / 1'000.0;
+  const StepSpec& step = aJob.StepOf(index);
+  Millis lost{ 0 };
+  if (step.IsCheckpointing()) {
+    // A stop makes a checkpoint; only the stop and the resumption are lost.
+    lost = kRestartLoss;
+  } else if (aTask.mRunningSince.count() > 0) {
+    lost = aNow - aTask.mRunningSince;
+  }
+  return step.Demand().WeightedCores() * static_cast<double>(lost.count()) /
+         1'000.0;
 }
 
 } // namespace cornelrudder::state::scheduling
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -17,6 +17,8 @@
 constexpr Millis kFormerOwnerTime{ 2'500 };
 /** Pause after a renewal without an answer. */
 constexpr Millis kSilentRetry{ 400 };
+/** The same, for a worker without runs. */
+constexpr Millis kIdleRetry{ 1'000 };
 /** Pause between renewals while ends wait to be recorded. */
 constexpr Millis kUnrecordedRetry{ 800 };
 /**
@@ -61,6 +63,7 @@
     if (id != aInfo.mId && other.mInfo.mAddress == aInfo.mAddress &&
         other.mInfo.mIncarnation <= aInfo.mIncarnation) {
       LoseWorker(other, "replaced", aNow);
+      other.mListed = false;
     }
   }
   WorkerState& worker = GetWorker(aInfo.mId, aNow);
@@ -70,7 +73,7 @@
   const bool isRestarted = worker.mInfo.mIncarnation != 0 &&
                            worker.mInfo.mIncarnation < aInfo.mIncarnation;
   if (isRestarted) {
-    LoseWorker(worker, "restarted", aNow);
+    NoteRestart(worker, aNow);
   }
   const bool isFirst = worker.mClock.count() == 0 || isRestarted;
   worker.mInfo = aInfo;
@@ -120,10 +123,29 @@
   for (const TaskKey& key : assigned) {
     LoseRun(key, aReason, aNow);
   }
-  aWorker.mSeenUpTo = 0;
-  aWorker.mWritingUpTo = 0;
-  aWorker.mRecordedUpTo = 0;
-  aWorker.mClock = Millis(0);
+}
+
+/**
+ * The worker started again under the same identifier. Runs that were known to
+ * run are over. An order that is still under way would reach the new life, so
+ * that a run that has not been seen yet is settled there like any other.
+ */
+void
+Scheduler::Impl::NoteRestart(WorkerState& aWorker, Millis aNow)
+{
+  Note(SchedulerNote::Kind::kWorkerGone,
+       { { "worker", aWorker.mInfo.mId },
+         { "reason", "restarted" },
+         { "runs", std::to_string(aWorker.mAssigned.size()) } });
+  const std::set<TaskKey> assigned = aWorker.mAssigned;
+  for (const TaskKey& key : assigned) {
+    const JobState* job = FindJob(key.first);
+    if (job != nullptr &&
+        job->mTasks[key.second].mPhase == TaskPhase::kRunning) {
+      LoseRun(key, "restarted", aNow);
+    }
+  }
+  aWorker.ForgetLife();
 }
 
 void
@@ -169,7 +191,8 @@
            { "lease_ends_in_ms",
              std::to_string((aWorker.mLeaseEnd - aNow).count()) } });
   }
-  aWorker.mNextRenewal = aNow + kSilentRetry;
+  aWorker.mNextRenewal =
+    aNow + (aWorker.mAssigned.empty() ? kIdleRetry : kSilentRetry);
 }
 
 void
@@ -228,10 +251,14 @@
     NoteSilence(worker, aNow);
     return;
   }
+  if (aReport.mIncarnation < worker.mInfo.mIncarnation) {
+    // An earlier life sent it; the list of workers knows a newer one.
+    return;
+  }
   NoteAnswer(worker, aNow);
   if (worker.mInfo.mIncarnation != 0 &&
       aReport.mIncarnation > worker.mInfo.mIncarnation) {
-    LoseWorker(worker, "restarted", aNow);
+    NoteRestart(worker, aNow);
   }
   worker.mInfo.mIncarnation = aReport.mIncarnation;
   NoteClock(worker, aReport.mClock, aNow);
@@ -325,8 +352,10 @@
 Scheduler::Impl::CollectRenewals(Orders& aOrders, Millis aNow)
 {
   for (auto& [id, worker] : mWorkers) {
-    const bool isNeeded =
-      !worker.mAssigned.empty() || worker.HasUnrecordedEnds();
+    // A silent worker without runs is asked until it can be used again.
+    const bool isNeeded = !worker.mAssigned.empty() ||
+                          worker.HasUnrecordedEnds() ||
+                          (worker.mFailedRenewals > 0 && worker.mListed);
     if (!isNeeded || worker.mRenewing || aNow < worker.mNextRenewal ||
         worker.mInfo.mAddress.empty()) {
       continue;
--- /dev/null
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -0,0 +1,571 @@
+#include "FleetModel.h"
+
+#include <algorithm>
+
+namespace cornelrudder::tests {
+
+using namespace state::scheduling;
+
+namespace {
+
+constexpr milliseconds kStep{ 10 };
+constexpr milliseconds kWay{ 5 };
+constexpr milliseconds kStoreTime{ 15 };
+constexpr milliseconds kAnswerTimeout{ 600 };
+constexpr milliseconds kStopTime{ 500 };
+constexpr milliseconds kGangTime{ 3'000 };
+constexpr std::size_t kJobsPerWrite = 40;
+
+} // namespace
+
+TaskJob
+MakeJob(const std::string& aId,
+        const StepSpecValues& aStep,
+        int aPriority,
+        int aAttempts)
+{
+  QueueTerms terms;
+  terms.mQueue = "q" + std::to_string(aPriority);
+  terms.mService = "s";
+  terms.mPriority = aPriority;
+  terms.mAttempts = aAttempts;
+  terms.mSlackFactor = 3.0;
+  terms.mTargetLatency = milliseconds(1'000);
+  return { aId, "acme", terms, "payload", { StepSpec(aStep, 0) }, {}, {} };
+}
+
+FleetModel::FleetModel(FleetModelOptions aOptions)
+  : mOptions(std::move(aOptions))
+  , mRandom(mOptions.mSeed)
+{
+  for (std::size_t i = 0; i < mOptions.mWorkers; ++i) {
+    ModelWorker worker;
+    worker.mInfo.mId = "w" + std::to_string(i);
+    worker.mInfo.mIncarnation = 1;
+    worker.mInfo.mAddress = "10.0.0." + std::to_string(i) + ":1";
+    worker.mInfo.mService = "s";
+    worker.mInfo.mRack = "r" + std::to_string(i / mOptions.mWorkersPerRack);
+    worker.mInfo.mRoom = mOptions.mRoom;
+    worker.mInfo.mClock = mNow;
+    mWorkers.push_back(std::move(worker));
+  }
+  StartOwner();
+}
+
+bool
+FleetModel::Chance(double aShare)
+{
+  return std::uniform_real_distribution<double>(0.0, 1.0)(mRandom) < aShare;
+}
+
+void
+FleetModel::Violate(const std::string& aText)
+{
+  mViolations.push_back(std::to_string(mNow.count()) + " ms: " + aText);
+}
+
+void
+FleetModel::At(milliseconds aDelay, std::function<void()> aAct)
+{
+  mEvents.push_back({ mNow + aDelay, std::move(aAct) });
+}
+
+void
+FleetModel::StartOwner()
+{
+  SchedulerOptions options;
+  options.mEpoch = ++mEpoch;
+  options.mPolicy = mOptions.mPolicy;
+  mOwner.emplace(std::move(options));
+  mWriting = false;
+  mOwner->UseCatalog(mCatalog);
+  for (ModelWorker& worker : mWorkers) {
+    worker.mInfo.mClock = mNow;
+    mOwner->SeeWorker(worker.mInfo, mNow);
+  }
+  for (const auto& [id, job] : mJobs) {
+    const auto it = mRecords.find(id);
+    mOwner->AddJob(job,
+                   mNow - mOutcomes[id].mSubmittedAt,
+                   it != mRecords.end() ? &it->second : nullptr,
+                   mNow);
+    if (mCancelled.contains(id)) {
+      mOwner->CancelJob(id, mNow);
+    }
+  }
+}
+
+void
+FleetModel::ReplaceOwner()
+{
+  StartOwner();
+}
+
+void
+FleetModel::UseCatalog(const Catalog& aCatalog)
+{
+  mCatalog = aCatalog;
+  mOwner->UseCatalog(aCatalog);
+}
+
+void
+FleetModel::Submit(const TaskJob& aJob, milliseconds aRunTime)
+{
+  mJobs.emplace(aJob.Id(), aJob);
+  mRunTimes[aJob.Id()] = aRunTime;
+  mOutcomes[aJob.Id()].mSubmittedAt = mNow;
+  mOwner->AddJob(aJob, milliseconds(0), nullptr, mNow);
+}
+
+void
+FleetModel::Cancel(const std::string& aJob)
+{
+  mCancelled.insert(aJob);
+  mOwner->CancelJob(aJob, mNow);
+}
+
+void
+FleetModel::FailRuns(const std::string& aJob, int aTimes)
+{
+  mFailures[aJob] = aTimes;
+}
+
+void
+FleetModel::SetReachable(std::size_t aWorker, bool aReachable)
+{
+  mWorkers[aWorker].mReachable = aReachable;
+}
+
+void
+FleetModel::CrashWorker(std::size_t aWorker)
+{
+  ModelWorker& worker = mWorkers[aWorker];
+  worker.mRuns.clear();
+  worker.mEnded.clear();
+  worker.mOver.clear();
+  worker.mEnds = 0;
+  worker.mEpoch = 0;
+  ++worker.mInfo.mIncarnation;
+  worker.mInfo.mClock = mNow;
+  mOwner->SeeWorker(worker.mInfo, mNow);
+}
+
+void
+FleetModel::SetLeaving(std::size_t aWorker)
+{
+  mWorkers[aWorker].mInfo.mLeaving = true;
+  mOwner->SeeWorker(mWorkers[aWorker].mInfo, mNow);
+}
+
+void
+FleetModel::SetFailing(std::size_t aWorker, bool aFailing)
+{
+  mWorkers[aWorker].mFailing = aFailing;
+}
+
+void
+FleetModel::SetStalled(std::size_t aWorker, bool aStalled)
+{
+  mWorkers[aWorker].mStalled = aStalled;
+}
+
+JobOutcome
+FleetModel::OutcomeOf(const std::string& aJob) const
+{
+  return mOutcomes.at(aJob);
+}
+
+std::size_t
+FleetModel::RunningOn(std::size_t aWorker) const
+{
+  return mWorkers[aWorker].mRuns.size();
+}
+
+void
+FleetModel::Run(milliseconds aTime)
+{
+  const milliseconds end = mNow + aTime;
+  while (mNow < end) {
+    mNow += kStep;
+    Step();
+  }
+}
+
+void
+FleetModel::Step()
+{
+  for (std::size_t i = 0; i < mEvents.size(); ++i) {
+    if (mEvents[i].mAt <= mNow && mEvents[i].mAct) {
+      const std::function<void()> act = std::move(mEvents[i].mAct);
+      mEvents[i].mAct = nullptr;
+      act();
+    }
+  }
+  std::erase_if(mEvents, [](const Event& aEvent) { return !aEvent.mAct; });
+  for (ModelWorker& worker : mWorkers) {
+    Advance(worker);
+  }
+  Drive();
+}
+
+/** One round of the owner: plan, write, send. */
+void
+FleetModel::Drive()
+{
+  if (mOwner->IsFenced()) {
+    Violate("the only owner was fenced");
+    StartOwner();
+  }
+  mOwner->Plan(mNow, milliseconds(0));
+  mOwner->TakeNotes();
+  const Orders orders = mOwner->TakeOrders(mNow);
+  for (const StopOrder& order : orders.mStops) {
+    SendStop(order);
+  }
+  for (const StartOrder& order : orders.mStarts) {
+    SendStart(order);
+  }
+  for (const RenewOrder& order : orders.mRenewals) {
+    SendRenewal(order);
+  }
+  if (!mWriting && mOwner->HasChanges()) {
+    Store();
+  }
+}
+
+void
+FleetModel::Store()
+{
+  mWriting = true;
+  const auto records = mOwner->BeginWrite(kJobsPerWrite);
+  At(kStoreTime, [this, records, epoch = mEpoch] {
+    if (epoch != mEpoch) {
+      return;
+    }
+    mWriting = false;
+    if (mStoreUp) {
+      for (const JobProgress& record : records) {
+        mRecords.insert_or_assign(record.Job(), record);
+        JobOutcome& outcome = mOutcomes[record.Job()];
+        if (IsFinal(record.Phase()) && !outcome.mEndedAt) {
+          outcome.mEndedAt = mNow;
+        }
+        outcome.mPhase = record.Phase();
+      }
+    }
+    mOwner->FinishWrite(mStoreUp);
+  });
+}
+
+FleetModel::ModelWorker*
+FleetModel::FindWorker(const std::string& aId)
+{
+  for (ModelWorker& worker : mWorkers) {
+    if (worker.mInfo.mId == aId) {
+      return &worker;
+    }
+  }
+  return nullptr;
+}
+
+void
+FleetModel::SendStart(const StartOrder& aOrder)
+{
+  const auto reply =
+    [this, aOrder, epoch = mEpoch](const OrderAnswer& aAnswer) {
+      if (epoch == mEpoch) {
+        mOwner->TakeStartAnswer(aOrder, aAnswer, mNow);
+      }
+    };
+  const bool isLost = !FindWorker(aOrder.mWorker.mId)->mReachable;
+  if (isLost) {
+    At(kAnswerTimeout, [reply] { reply(OrderAnswer{}); });
+    return;
+  }
+  if (Chance(mOptions.mLateOrders)) {
+    At(kAnswerTimeout, [reply] { reply(OrderAnswer{}); });
+    // The order waits inside the worker and is gone if that crashes.
+    At(milliseconds(3'000),
+       [this,
+        aOrder,
+        life = FindWorker(aOrder.mWorker.mId)->mInfo.mIncarnation] {
+         if (FindWorker(aOrder.mWorker.mId)->mInfo.mIncarnation == life) {
+           DoStart(aOrder);
+         }
+       });
+    return;
+  }
+  const bool isAnswerLost = Chance(mOptions.mLostAnswers);
+  At(kWay, [this, aOrder, reply, isAnswerLost] {
+    const OrderAnswer answer = DoStart(aOrder);
+    if (isAnswerLost) {
+      At(kAnswerTimeout, [reply] { reply(OrderAnswer{}); });
+    } else {
+      At(kWay, [reply, answer] { reply(answer); });
+    }
+  });
+}
+
+void
+FleetModel::SendStop(const StopOrder& aOrder)
+{
+  ++mStops;
+  const auto reply =
+    [this, aOrder, epoch = mEpoch](const OrderAnswer& aAnswer) {
+      if (epoch == mEpoch) {
+        mOwner->TakeStopAnswer(aOrder, aAnswer, mNow);
+      }
+    };
+  const bool isLost = !FindWorker(aOrder.mWorker.mId)->mReachable ||
+                      Chance(mOptions.mLostAnswers);
+  if (isLost) {
+    At(kAnswerTimeout, [reply] { reply(OrderAnswer{}); });
+    return;
+  }
+  At(kWay, [this, aOrder, reply] {
+    const OrderAnswer answer = DoStop(aOrder);
+    At(kWay, [reply, answer] { reply(answer); });
+  });
+}
+
+void
+FleetModel::SendRenewal(const RenewOrder& aOrder)
+{
+  const auto reply =
+    [this, aOrder, epoch = mEpoch, sentAt = mNow](const WorkerReport& aReport) {
+      if (epoch == mEpoch) {
+        mOwner->TakeReport(aOrder, aReport, sentAt, mNow);
+      }
+    };
+  const bool isLost = !FindWorker(aOrder.mWorker.mId)->mReachable ||
+                      Chance(mOptions.mLostAnswers);
+  if (isLost) {
+    At(kAnswerTimeout, [reply] { reply(WorkerReport{}); });
+    return;
+  }
+  // A worker answers at the end of the wait; ends are told a little late,
+  // which is allowed.
+  At(kWay, [this, aOrder] { DoRenew(aOrder); });
+  At(std::min(aOrder.mWait, milliseconds(100)) + kWay, [this, aOrder, reply] {
+    const WorkerReport report = DoRenew(aOrder);
+    At(kWay, [reply, report] { reply(report); });
+  });
+}
+
+void
+FleetModel::CheckStart(const ModelWorker& aWorker, const StartOrder& aOrder)
+{
+  const std::string name = aOrder.mTask.Text();
+  const TaskJob& job = mJobs.at(aOrder.mTask.Job());
+  for (const ModelWorker& other : mWorkers) {
+    for (const ModelRun& run : other.mRuns) {
+      if (run.mTask == aOrder.mTask) {
+        Violate(name + " runs twice at a time");
+      }
+    }
+  }
+  if (mDone.contains(aOrder.mTask)) {
+    Violate(name + " starts after it was done");
+  }
+  if (mFailedRuns[aOrder.mTask] >= job.Terms().mAttempts) {
+    Violate(name + " starts after its last attempt");
+  }
+  const auto record = mRecords.find(aOrder.mTask.Job());
+  if (record == mRecords.end() ||
+      record->second.Tasks()[aOrder.mTask.Index()].mRun < aOrder.mRun) {
+    Violate(name + " starts without a record");
+  }
+  Resources used = job.Steps()[aOrder.mTask.Step()].Demand();
+  for (const ModelRun& run : aWorker.mRuns) {
+    used =
+      used.Plus(mJobs.at(run.mTask.Job()).Steps()[run.mTask.Step()].Demand());
+  }
+  if (!used.FitsIn(aWorker.mInfo.mRoom)) {
+    Violate(name + " overfills " + aWorker.mInfo.mId);
+  }
+}
+
+OrderAnswer
+FleetModel::DoStart(const StartOrder& aOrder)
+{
+  ModelWorker& worker = *FindWorker(aOrder.mWorker.mId);
+  OrderAnswer answer;
+  answer.mClock = mNow;
+  answer.mOutcome = OrderOutcome::kRefused;
+  if (aOrder.mEpoch < worker.mEpoch) {
+    answer.mOutcome = OrderOutcome::kFenced;
+    return answer;
+  }
+  worker.mEpoch = aOrder.mEpoch;
+  const auto over = worker.mOver.find(aOrder.mTask);
+  const bool isOld = over != worker.mOver.end() && aOrder.mRun <= over->second;
+  if (aOrder.mLeaseUntil <= mNow || isOld) {
+    return answer;
+  }
+  CheckStart(worker, aOrder);
+  ++mStarts;
+  mLastStarts[aOrder.mTask] = mNow;
+  worker.mLeaseUntil = std::max(worker.mLeaseUntil, aOrder.mLeaseUntil);
+  worker.mRuns.push_back({ aOrder.mTask,
+                           aOrder.mRun,
+                           mNow,
+                           mRunTimes.at(aOrder.mTask.Job()),
+                           std::nullopt });
+  answer.mOutcome = OrderOutcome::kDone;
+  return answer;
+}
+
+OrderAnswer
+FleetModel::DoStop(const StopOrder& aOrder)
+{
+  ModelWorker& worker = *FindWorker(aOrder.mWorker.mId);
+  OrderAnswer answer;
+  answer.mClock = mNow;
+  if (aOrder.mEpoch < worker.mEpoch) {
+    answer.mOutcome = OrderOutcome::kFenced;
+    return answer;
+  }
+  worker.mEpoch = aOrder.mEpoch;
+  std::uint64_t& over = worker.mOver[aOrder.mTask];
+  over = std::max(over, aOrder.mRun);
+  for (ModelRun& run : worker.mRuns) {
+    if (run.mTask == aOrder.mTask && run.mRun == aOrder.mRun && !run.mStopAt) {
+      run.mStopAt = mNow + kStopTime;
+    }
+  }
+  answer.mOutcome = OrderOutcome::kDone;
+  return answer;
+}
+
+WorkerReport
+FleetModel::DoRenew(const RenewOrder& aOrder)
+{
+  ModelWorker& worker = *FindWorker(aOrder.mWorker.mId);
+  WorkerReport report;
+  if (aOrder.mEpoch < worker.mEpoch) {
+    report.mOutcome = OrderOutcome::kFenced;
+    return report;
+  }
+  worker.mEpoch = aOrder.mEpoch;
+  worker.mLeaseUntil = std::max(worker.mLeaseUntil, aOrder.mLeaseUntil);
+  Forget(worker, aOrder.mRecordedUpTo);
+  report.mOutcome = OrderOutcome::kDone;
+  report.mIncarnation = worker.mInfo.mIncarnation;
+  report.mClock = mNow;
+  for (const ModelEnd& end : worker.mEnded) {
+    report.mEnded.push_back(end.mEnd);
+  }
+  for (const ModelRun& run : worker.mRuns) {
+    const auto total = mRunTimes.at(run.mTask.Job()).count();
+    const auto percent = 100 - 100 * run.mLeft.count() / total;
+    report.mRunning.push_back(
+      { run.mTask, run.mRun, "", static_cast<int>(percent) });
+  }
+  return report;
+}
+
+/** An end that is recorded before the lease ends stands for good. */
+void
+FleetModel::Forget(ModelWorker& aWorker, std::uint64_t aUpTo)
+{
+  for (const ModelEnd& end : aWorker.mEnded) {
+    const bool stands = end.mEnd.mNumber <= aUpTo && !end.mLapsed &&
+                        end.mEnd.mEnd == RunEnd::kDone;
+    if (!stands) {
+      continue;
+    }
+    mDone.insert(end.mEnd.mTask);
+    if (mLastStarts[end.mEnd.mTask] > end.mAt) {
+      Violate(end.mEnd.mTask.Text() + " was started after it was done");
+    }
+  }
+  std::erase_if(aWorker.mEnded, [aUpTo](const ModelEnd& aEnd) {
+    return aEnd.mEnd.mNumber <= aUpTo;
+  });
+}
+
+bool
+FleetModel::IsGangWhole(const ModelRun& aRun) const
+{
+  const StepSpec& step = mJobs.at(aRun.mTask.Job()).Steps()[aRun.mTask.Step()];
+  if (!step.IsGang()) {
+    return true;
+  }
+  std::size_t members = 0;
+  for (const ModelWorker& worker : mWorkers) {
+    members += static_cast<std::size_t>(std::count_if(
+      worker.mRuns.begin(), worker.mRuns.end(), [&](const ModelRun& aOther) {
+        return aOther.mTask.Job() == aRun.mTask.Job() &&
+               aOther.mTask.Step() == aRun.mTask.Step() &&
+               aOther.mRun == aRun.mRun;
+      }));
+  }
+  return members == step.Tasks();
+}
+
+void
+FleetModel::Advance(ModelWorker& aWorker)
+{
+  if (mNow >= aWorker.mLeaseUntil) {
+    for (ModelEnd& end : aWorker.mEnded) {
+      end.mLapsed = true;
+    }
+  }
+  for (std::size_t i = 0; i < aWorker.mRuns.size();) {
+    ModelRun& run = aWorker.mRuns[i];
+    const bool isWhole = IsGangWhole(run);
+    if (isWhole && !aWorker.mStalled) {
+      run.mLeft -= kStep;
+    }
+    std::optional<RunEnd> end;
+    if (mNow >= aWorker.mLeaseUntil) {
+      end = RunEnd::kLeaseExpired;
+    } else if (run.mStopAt && mNow >= *run.mStopAt) {
+      end = RunEnd::kStopped;
+    } else if (!isWhole && mNow - run.mStartedAt > kGangTime) {
+      end = RunEnd::kGangIncomplete;
+    } else if (run.mLeft.count() <= 0) {
+      const bool fails = aWorker.mFailing || mFailures[run.mTask.Job()] > 0;
+      mFailures[run.mTask.Job()] -= fails && !aWorker.mFailing ? 1 : 0;
+      end = fails ? RunEnd::kFailed : RunEnd::kDone;
+    }
+    if (!end) {
+      ++i;
+      continue;
+    }
+    const ModelRun ended = run;
+    aWorker.mRuns.erase(aWorker.mRuns.begin() + static_cast<std::ptrdiff_t>(i));
+    EndRun(aWorker, ended, *end);
+  }
+}
+
+void
+FleetModel::EndRun(ModelWorker& aWorker, const ModelRun& aRun, RunEnd aEnd)
+{
+  std::uint64_t& over = aWorker.mOver[aRun.mTask];
+  over = std::max(over, aRun.mRun);
+  aWorker.mEnded.push_back(
+    { { ++aWorker.mEnds, aRun.mTask, aRun.mRun, aEnd, "" }, mNow });
+  mFailedRuns[aRun.mTask] += aEnd == RunEnd::kFailed ? 1 : 0;
+  const StepSpec& step = mJobs.at(aRun.mTask.Job()).Steps()[aRun.mTask.Step()];
+  if (!step.IsGang()) {
+    return;
+  }
+  // Members end with the first of them.
+  const RunEnd others =
+    aEnd == RunEnd::kDone ? RunEnd::kDone : RunEnd::kGangBroken;
+  for (ModelWorker& worker : mWorkers) {
+    for (std::size_t i = 0; i < worker.mRuns.size(); ++i) {
+      const ModelRun run = worker.mRuns[i];
+      if (run.mTask.Job() == aRun.mTask.Job() &&
+          run.mTask.Step() == aRun.mTask.Step() && run.mRun == aRun.mRun) {
+        worker.mRuns.erase(worker.mRuns.begin() +
+                           static_cast<std::ptrdiff_t>(i));
+        EndRun(worker, run, others);
+        return;
+      }
+    }
+  }
+}
+
+} // namespace cornelrudder::tests
