Refuse truthfully at once while the store is away, and keep asking about an open write

Now the gateway sends no write while the store is known to be away (503, true), asks it first if nothing was heard for 250 ms, and repeats a write with an unknown outcome until the caller's time is nearly up.

Ruled out: owner changes; refused and failed calls came from daemons that were up.

--- a/apps/cornelrudderd/DaemonSettings.h
+++ b/apps/cornelrudderd/DaemonSettings.h
@@ -40,6 +40,7 @@
   std::int64_t mDrainGraceMs = 30'000;
   std::int64_t mLeaseMs = 6'000;
   std::int64_t mHeartbeatMs = 1'000;
+  std::int64_t mStoreReadTimeoutMs = 500;
   std::int64_t mWorkerTimeoutMs = 600;
   std::int64_t mWorkerLeaseMs = 6'000;
   std::int64_t mWorkerWaitMs = 1'500;
@@ -123,6 +124,10 @@
   {
     return mValues.mPlacementPolicy;
   }
+  std::chrono::milliseconds StoreReadTimeout() const
+  {
+    return std::chrono::milliseconds(mValues.mStoreReadTimeoutMs);
+  }
   std::chrono::milliseconds WorkerTimeout() const
   {
     return std::chrono::milliseconds(mValues.mWorkerTimeoutMs);
--- a/apps/cornelrudderd/FleetDaemon.cpp
+++ b/apps/cornelrudderd/FleetDaemon.cpp
@@ -52,6 +52,7 @@
     , mWorkerClient(mThread, HttpClientLimits{ kWorkerConnections })
     , mStore(mStoreClient,
              aSettings.PlatformAddress(),
+             aSettings.StoreReadTimeout(),
              aSettings.StoreTimeout(),
              mLog)
     , mWorkers(mWorkerClient, aSettings.WorkerTimeout())
--- a/include/cornelrudder/coordination/JobGatewayTask.h
+++ b/include/cornelrudder/coordination/JobGatewayTask.h
@@ -28,8 +28,15 @@
    * Callers are better off elsewhere long before calls must be refused.
    */
   std::chrono::milliseconds mReadyMaxAge{ 1'600 };
-  /** Attempts at a write whose outcome is unknown. */
-  int mWriteAttempts = 2;
+  /**
+   * Age of the store's last answer from which on a write is preceded by a
+   * read: a read that fails leaves nothing open, a write does.
+   */
+  std::chrono::milliseconds mProbeAfter{ 250 };
+  /** Pause before a write with an unknown outcome is sent again. */
+  std::chrono::milliseconds mWriteRetry{ 120 };
+  /** Part of a call's time that is kept for the answer. */
+  std::chrono::milliseconds mAnswerTime{ 200 };
 };
 
 /**
--- a/include/cornelrudder/coordination/SchedulingMessages.h
+++ b/include/cornelrudder/coordination/SchedulingMessages.h
@@ -47,6 +47,8 @@
   /** Until when the store has confirmed that there is no newer version. */
   const std::chrono::milliseconds mConfirmedAt;
   const StoreClock mStoreClock;
+  /** Whether the last read of the store was answered. */
+  const bool mIsStoreReachable;
 
   auto operator<=>(const CatalogView&) const = default;
 };
@@ -171,6 +173,14 @@
   auto operator<=>(const Advance&) const = default;
 };
 
+/** Tells the gateway to go on with a call. */
+struct ResumeCall
+{
+  const std::uint64_t mCall;
+
+  auto operator<=>(const ResumeCall&) const = default;
+};
+
 /** Tells the catalog task to read the settings again at once. */
 struct RereadCatalog
 {
@@ -194,6 +204,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::StopAnswered)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::RenewAnswered)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::Advance)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::ResumeCall)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::RereadCatalog)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::ReleaseOwnership)
 
--- a/src/coordination/CatalogTask.cpp
+++ b/src/coordination/CatalogTask.cpp
@@ -93,6 +93,7 @@
     if (aResult.Status() != StoreStatus::kOk) {
       ++mCounters["catalog_failures_total"];
       CheckStale();
+      SetReachable(false);
       delayed_send(this, mOptions.mRetry, Tick{});
       return;
     }
@@ -143,6 +144,20 @@
       mIsStale = false;
       mLog.Write({ LogEvent::kCatalogConfirmed, {} });
     }
+    mIsReachable = true;
+    Publish();
+  }
+
+  void SetReachable(bool aIsReachable)
+  {
+    if (mIsReachable != aIsReachable) {
+      mIsReachable = aIsReachable;
+      Publish();
+    }
+  }
+
+  void Publish()
+  {
     for (const caf::actor& receiver : mSubscribers) {
       send(receiver, View());
     }
@@ -159,7 +174,10 @@
     }
   }
 
-  CatalogView View() const { return { mCatalog, mConfirmedAt, mStoreClock }; }
+  CatalogView View() const
+  {
+    return { mCatalog, mConfirmedAt, mStoreClock, mIsReachable };
+  }
 
   StorePort& mStore;
   FeedPort& mFeed;
@@ -178,6 +196,7 @@
   bool mFollowing = false;
   milliseconds mSentAt{ 0 };
   bool mIsStale = false;
+  bool mIsReachable = false;
   Counters mCounters;
 };
 
--- a/src/coordination/JobGatewayTask.cpp
+++ b/src/coordination/JobGatewayTask.cpp
@@ -55,7 +55,8 @@
   milliseconds mStartedAt{ 0 };
   /** Whether a write may have taken effect, or may yet. */
   bool mMayBeWritten = false;
-  int mWrites = 0;
+  /** Whether the store was asked for a sign of life. */
+  bool mIsProbed = false;
   int mRejudgements = 0;
 };
 
@@ -95,6 +96,12 @@
         aCall.mRespond(!mLeaving && IsConfirmed(mOptions.mReadyMaxAge));
       },
       [this](const BeginLeavingCalls&) { mLeaving = true; },
+      [this](const ResumeCall& aResume) {
+        const auto it = mPending.find(aResume.mCall);
+        if (it != mPending.end()) {
+          Judge(it->first, it->second);
+        }
+      },
       [this](const GetCounters&) { return mCounters; },
     };
   }
@@ -121,6 +128,10 @@
       mCatalog = aView.mCatalog;
     }
     mConfirmedAt = std::max(mConfirmedAt, aView.mConfirmedAt);
+    mIsStoreReachable = aView.mIsStoreReachable;
+    if (mIsStoreReachable) {
+      mStoreSeenAt = mClock.Now();
+    }
     mStoreClock = aView.mStoreClock;
   }
 
@@ -180,6 +191,9 @@
 
   void Submit(std::uint64_t aId, Pending& aPending)
   {
+    if (!IsStoreThere(aId, aPending)) {
+      return;
+    }
     const Queue& queue =
       *mCatalog->FindQueue(aPending.mCall.mHost, aPending.mCall.mPath);
     try {
@@ -192,7 +206,6 @@
                         submission.mSchedule,
                         mStoreClock.At(aPending.mStartedAt));
       Write(aId,
-            aPending,
             { { JobKey(aPending.mJob), 0, mCodec.EncodeTaskJob(job) } },
             &JobGatewayTask::FinishSubmit);
     } catch (const std::exception& error) {
@@ -200,14 +213,64 @@
     }
   }
 
+  /**
+   * Takes a step that ends in a write, unless the store is known to be away:
+   * then nothing is sent, so that the refusal is true. A store that was not
+   * heard of for a while is asked first.
+   * @return Whether the step may be taken now.
+   */
+  bool IsStoreThere(std::uint64_t aId, Pending& aPending)
+  {
+    if (!mIsStoreReachable) {
+      GiveUpOrWait(aId, aPending, "the store does not answer");
+      return false;
+    }
+    if (mClock.Now() - mStoreSeenAt > mOptions.mProbeAfter &&
+        !aPending.mIsProbed) {
+      aPending.mIsProbed = true;
+      mStore.ReadRow(kOwnerKey, Expect(aId, &JobGatewayTask::TakeProbe));
+      return false;
+    }
+    return true;
+  }
+
+  void TakeProbe(std::uint64_t aId,
+                 Pending& aPending,
+                 const StoreResult& aResult)
+  {
+    if (aResult.Status() != StoreStatus::kOk) {
+      GiveUpOrWait(aId, aPending, "the store does not answer");
+      return;
+    }
+    Judge(aId, aPending);
+  }
+
+  /** Refuses a call, or goes on if a write of it may have taken effect. */
+  void GiveUpOrWait(std::uint64_t aId,
+                    Pending& aPending,
+                    const char* aReason)
+  {
+    if (!aPending.mMayBeWritten) {
+      Refuse(aId, JobCallStatus::kUnavailable, aReason);
+      return;
+    }
+    const milliseconds spent = mClock.Now() - aPending.mStartedAt;
+    if (spent + mOptions.mWriteRetry + mOptions.mAnswerTime >=
+        aPending.mCall.mTimeout) {
+      Refuse(aId,
+             JobCallStatus::kUnknown,
+             "the store did not say whether the write took effect");
+      return;
+    }
+    delayed_send(this, mOptions.mWriteRetry, ResumeCall{ aId });
+  }
+
   /** Every write is conditional on the settings that the call was judged by. */
   void Write(std::uint64_t aId,
-             Pending& aPending,
              std::vector<state::RowWrite> aWrites,
              AnswerStep aThen,
              std::vector<state::RowCheck> aChecks = {})
   {
-    ++aPending.mWrites;
     aChecks.emplace_back(kCatalogKey, mCatalog->RowVersion());
     mStore.Transact(
       Transaction(mWriteIds.Next(), std::move(aWrites), std::move(aChecks)),
@@ -233,6 +296,10 @@
     const Exchange exchange = it->second;
     mExchanges.erase(it);
     const auto call = mPending.find(exchange.mCall);
+    const StoreStatus status = aAnswer.mResult.Status();
+    if (status == StoreStatus::kOk || status == StoreStatus::kConflict) {
+      mStoreSeenAt = mClock.Now();
+    }
     if (call != mPending.end()) {
       (this->*exchange.mThen)(exchange.mCall, call->second, aAnswer.mResult);
     }
@@ -266,25 +333,13 @@
         Rejudge(aId, aPending, aResult);
         return;
       case StoreStatus::kUnavailable:
-        if (!aPending.mMayBeWritten) {
-          Refuse(aId, JobCallStatus::kUnavailable, "the store is unavailable");
-          return;
-        }
         break;
       case StoreStatus::kUnknown:
         aPending.mMayBeWritten = true;
         break;
     }
     // The condition lets the write take effect once, however often it is sent.
-    const milliseconds spent = mClock.Now() - aPending.mStartedAt;
-    if (aPending.mWrites < mOptions.mWriteAttempts &&
-        spent < aPending.mCall.mTimeout / 2) {
-      Judge(aId, aPending);
-      return;
-    }
-    Refuse(aId,
-           JobCallStatus::kUnknown,
-           "the store did not say whether the write took effect");
+    GiveUpOrWait(aId, aPending, "the store is unavailable");
   }
 
   /** Judges a call anew after the settings have changed. */
@@ -303,13 +358,9 @@
     }
     send(mCatalogTask, RereadCatalog{});
     if (++aPending.mRejudgements > kMaxRejudgements) {
-      Refuse(aId,
-             aPending.mMayBeWritten ? JobCallStatus::kUnknown
-                                    : JobCallStatus::kUnavailable,
-             "the settings keep changing");
+      Refuse(aId, JobCallStatus::kUnavailable, "the settings keep changing");
       return;
     }
-    --aPending.mWrites;
     Judge(aId, aPending);
   }
 
@@ -385,6 +436,10 @@
 
   void ReadForCancel(std::uint64_t aId, Pending& aPending)
   {
+    if (!mIsStoreReachable) {
+      GiveUpOrWait(aId, aPending, "the store does not answer");
+      return;
+    }
     // The job's row and, right behind it, that of a cancellation.
     mFeed.ReadRange(kJobsTable,
                     aPending.mJob,
@@ -395,10 +450,7 @@
   void Cancel(std::uint64_t aId, Pending& aPending, const StoreResult& aResult)
   {
     if (aResult.Status() != StoreStatus::kOk) {
-      Refuse(aId,
-             aPending.mMayBeWritten ? JobCallStatus::kUnknown
-                                    : JobCallStatus::kUnavailable,
-             "the store is unavailable");
+      GiveUpOrWait(aId, aPending, "the store is unavailable");
       return;
     }
     const StoreRow* job = FindRow(aResult, JobKey(aPending.mJob));
@@ -421,7 +473,6 @@
       return;
     }
     Write(aId,
-          aPending,
           { { CancelKey(aPending.mJob),
               state::RowWrite::kAnyVersion,
               aPending.mOrganisation } },
@@ -470,7 +521,9 @@
   void Refuse(std::uint64_t aId, JobCallStatus aStatus, std::string aDetail)
   {
     JobCallReply reply;
-    reply.mStatus = aStatus;
+    // Nothing may be called refused that may have taken effect.
+    reply.mStatus =
+      mPending.at(aId).mMayBeWritten ? JobCallStatus::kUnknown : aStatus;
     reply.mDetail = std::move(aDetail);
     Reply(aId, reply);
   }
@@ -519,6 +572,8 @@
   std::shared_ptr<const Catalog> mCatalog;
   milliseconds mConfirmedAt{ 0 };
   StoreClock mStoreClock;
+  bool mIsStoreReachable = false;
+  milliseconds mStoreSeenAt{ 0 };
   std::map<std::uint64_t, Pending> mPending;
   std::map<std::uint64_t, Exchange> mExchanges;
   bool mLeaving = false;
