Play the loads of both deployments against a placement policy

FleetLoad draws the jobs of the sheets with a burst, FleetModel runs them, and scheduling_benchmark prints what callers get by class.

--- /dev/null
+++ b/benchmark/scheduling_benchmark.cpp
@@ -0,0 +1,77 @@
+/**
+ * @file
+ * Plays the loads of both deployments against each placement policy and prints
+ * what callers get. Usage: scheduling_benchmark [SEEDS [SCALE [POLICY]]]
+ */
+
+#include "FleetLoad.h"
+
+#include <cstdio>
+#include <cstdlib>
+
+using namespace cornelrudder::tests;
+using namespace cornelrudder::state::scheduling;
+
+namespace {
+
+void
+PrintRow(const char* aSite,
+         LoadOptions aOptions,
+         std::string_view aPolicy,
+         std::uint64_t aSeeds)
+{
+  std::vector<ClassResult> sums(aOptions.mClasses.size());
+  double worth = 0.0;
+  double wasted = 0.0;
+  std::size_t violations = 0;
+  aOptions.mPolicy = aPolicy;
+  for (std::uint64_t seed = 1; seed <= aSeeds; ++seed) {
+    aOptions.mSeed = seed;
+    const LoadResult result = PlayLoad(aOptions);
+    worth += result.Worth();
+    wasted += result.mWasted;
+    violations += result.mViolations;
+    for (std::size_t i = 0; i < sums.size(); ++i) {
+      sums[i].mOwed += result.mClasses[i].mOwed;
+      sums[i].mEarned += result.mClasses[i].mEarned;
+      sums[i].mUnserved += result.mClasses[i].mUnserved;
+    }
+  }
+  const auto n = static_cast<double>(aSeeds);
+  std::printf("%-9s %-9s worth %.3f wasted %7.0f violations %zu |",
+              aSite,
+              std::string(aPolicy).c_str(),
+              worth / n,
+              wasted / n,
+              violations);
+  for (std::size_t i = 0; i < sums.size(); ++i) {
+    std::printf(" %s %.3f (%zu unserved)",
+                aOptions.mClasses[i].mName,
+                sums[i].mEarned / sums[i].mOwed,
+                sums[i].mUnserved);
+  }
+  std::printf("\n");
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  const std::uint64_t seeds =
+    aCount > 1 ? std::strtoull(aArguments[1], nullptr, 10) : 3;
+  const double scale = aCount > 2 ? std::strtod(aArguments[2], nullptr) : 1.0;
+  const std::string_view only = aCount > 3 ? aArguments[3] : "";
+  for (const PlacementPolicyInfo& policy : AllPlacementPolicies()) {
+    if (!only.empty() && only != policy.mName) {
+      continue;
+    }
+    LoadOptions attica = AtticaLoad();
+    attica.mScale = scale;
+    PrintRow("Attica", attica, policy.mName, seeds);
+    LoadOptions brittany = BrittanyLoad();
+    brittany.mScale = scale;
+    PrintRow("Brittany", brittany, policy.mName, seeds);
+  }
+  return 0;
+}
--- /dev/null
+++ b/tests/state/scheduling/FleetLoad.cpp
@@ -0,0 +1,248 @@
+#include "FleetLoad.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cornelrudder::tests {
+
+using namespace state::scheduling;
+
+namespace {
+
+constexpr std::size_t kOrganisations = 4;
+/** Share of the fleet that the guarantees cover together. */
+constexpr double kGuaranteedShare = 0.62;
+constexpr int kLateObjectives = 3;
+/** Time after the last arrival in which queues drain. */
+constexpr milliseconds kDrainTime{ 40'000 };
+/** Estimates are between 1/1.9 and 1.9 times the truth. */
+constexpr double kEstimateError = 0.9;
+
+class LoadPlayer
+{
+public:
+  explicit LoadPlayer(const LoadOptions& aOptions)
+    : mOptions(aOptions)
+    , mRandom(aOptions.mSeed)
+    , mModel({ aOptions.mWorkers,
+               aOptions.mWorkersPerRack,
+               Resources(32'000, 64'000, 8),
+               0.0,
+               0.0,
+               aOptions.mSeed,
+               aOptions.mPolicy })
+  {
+    std::vector<CatalogOrganisation> organisations;
+    for (std::size_t i = 0; i < kOrganisations; ++i) {
+      organisations.push_back(
+        { Organisation(i),
+          {},
+          static_cast<std::int64_t>(
+            kGuaranteedShare * static_cast<double>(mOptions.mWorkers * 8) /
+            kOrganisations) });
+    }
+    mModel.UseCatalog({ 1, 1, {}, organisations, {} });
+  }
+
+  LoadResult Play()
+  {
+    constexpr milliseconds kTick{ 20 };
+    for (milliseconds t{ 0 }; t < mOptions.mLength; t += kTick) {
+      const bool isBurst = t >= mOptions.mBurstStart && t < mOptions.mBurstEnd;
+      for (std::size_t i = 0; i < mOptions.mClasses.size(); ++i) {
+        const LoadClass& kind = mOptions.mClasses[i];
+        const double rate = kind.mPerSecond * mOptions.mScale *
+                            (isBurst ? kind.mBurst : 1.0);
+        if (Uniform() < rate * static_cast<double>(kTick.count()) / 1'000.0) {
+          Submit(i);
+        }
+      }
+      mModel.Run(kTick);
+    }
+    mModel.Run(kDrainTime);
+    return Evaluate();
+  }
+
+private:
+  struct Submitted
+  {
+    std::string mId;
+    std::size_t mClass;
+    milliseconds mObjective;
+    double mWorth;
+    double mLateWorth;
+  };
+
+  static std::string Organisation(std::size_t aIndex)
+  {
+    return "org" + std::to_string(aIndex);
+  }
+
+  double Uniform()
+  {
+    return std::uniform_real_distribution<double>(0.0, 1.0)(mRandom);
+  }
+
+  /** A log-normal number with a mean and a relative spread. */
+  double Spread(double aMean, double aSpread)
+  {
+    const double variance = std::log(1.0 + aSpread * aSpread);
+    std::normal_distribution<double> normal(std::log(aMean) - variance / 2.0,
+                                            std::sqrt(variance));
+    return std::exp(normal(mRandom));
+  }
+
+  void Submit(std::size_t aClass)
+  {
+    const LoadClass& kind = mOptions.mClasses[aClass];
+    const milliseconds work(static_cast<std::int64_t>(
+      Spread(static_cast<double>(kind.mWork.count()), kind.mWorkSpread)));
+    StepSpecValues step;
+    step.mTasks = std::clamp<std::size_t>(
+      static_cast<std::size_t>(std::lround(Spread(kind.mTasks, 0.8))),
+      1,
+      kind.mMaxTasks);
+    step.mDemand =
+      Resources(kind.mDemand.CpuMillis(),
+                kind.mDemand.MemoryMb(),
+                kind.mAccelerators.at(mRandom() % kind.mAccelerators.size()));
+    const double error = 1.0 + kEstimateError * Uniform();
+    step.mEstimate = milliseconds(static_cast<std::int64_t>(
+      static_cast<double>(work.count()) *
+      (mRandom() % 2 == 0 ? error : 1.0 / error)));
+    step.mGang = Uniform() < kind.mGang;
+    step.mSameRack = step.mGang && Uniform() < kind.mSameRack;
+    step.mCheckpointing = Uniform() < kind.mCheckpointing;
+    QueueTerms terms;
+    terms.mQueue = kind.mName;
+    terms.mService = "s";
+    terms.mPriority = kind.mPriority;
+    terms.mAttempts = 2;
+    terms.mSlackFactor = kind.mSlackFactor;
+    terms.mTargetLatency = kind.mTargetLatency;
+    // The first organisation is a large one.
+    const std::size_t organisation =
+      Uniform() < 0.4 ? 0 : 1 + mRandom() % (kOrganisations - 1);
+    const std::string id = "j" + std::to_string(mJobs.size());
+    mModel.Submit(TaskJob(id,
+                          Organisation(organisation),
+                          terms,
+                          "",
+                          { StepSpec(step, 0) },
+                          {},
+                          {}),
+                  work);
+    mJobs.push_back(
+      { id,
+        aClass,
+        milliseconds(static_cast<std::int64_t>(
+          static_cast<double>(work.count()) * kind.mSlackFactor)) +
+          kind.mTargetLatency,
+        Size(kind, step, work) * kind.mWorth,
+        Size(kind, step, work) * kind.mLateWorth });
+  }
+
+  /** Jobs are worth more by their work, within limits. */
+  static double Size(const LoadClass& aKind,
+                     const StepSpecValues& aStep,
+                     milliseconds aWork)
+  {
+    double mean = 0.0;
+    for (const std::int64_t n : aKind.mAccelerators) {
+      mean += Resources(aKind.mDemand.CpuMillis(), 0, n).WeightedCores() /
+              static_cast<double>(aKind.mAccelerators.size());
+    }
+    mean *= aKind.mTasks * static_cast<double>(aKind.mWork.count());
+    const double work = aStep.mDemand.WeightedCores() *
+                        static_cast<double>(aStep.mTasks) *
+                        static_cast<double>(aWork.count());
+    return std::min(4.0, 0.3 + 0.7 * work / mean);
+  }
+
+  LoadResult Evaluate()
+  {
+    LoadResult result;
+    result.mClasses.resize(mOptions.mClasses.size());
+    for (const Submitted& job : mJobs) {
+      ClassResult& kind = result.mClasses[job.mClass];
+      const JobOutcome outcome = mModel.OutcomeOf(job.mId);
+      ++kind.mJobs;
+      kind.mOwed += job.mWorth;
+      if (outcome.mPhase != JobPhase::kDone) {
+        ++kind.mUnserved;
+        continue;
+      }
+      const milliseconds took = *outcome.mEndedAt - outcome.mSubmittedAt;
+      if (took <= job.mObjective) {
+        ++kind.mInTime;
+        kind.mEarned += job.mWorth;
+      } else if (took <= kLateObjectives * job.mObjective) {
+        ++kind.mLate;
+        kind.mEarned += job.mLateWorth;
+      }
+    }
+    result.mWasted = mModel.WastedWork();
+    result.mViolations = mModel.Violations().size();
+    return result;
+  }
+
+  LoadOptions mOptions;
+  std::mt19937_64 mRandom;
+  FleetModel mModel;
+  std::vector<Submitted> mJobs;
+};
+
+} // namespace
+
+double
+LoadResult::Worth() const
+{
+  double owed = 0.0;
+  double earned = 0.0;
+  for (const ClassResult& it : mClasses) {
+    owed += it.mOwed;
+    earned += it.mEarned;
+  }
+  return owed > 0.0 ? earned / owed : 1.0;
+}
+
+LoadOptions
+AtticaLoad()
+{
+  LoadOptions options;
+  options.mClasses = {
+    { "nesting", 1, 0.63, milliseconds(8'500), 0.3, 5.0, 30,
+      Resources(13'000, 19'000, 0), { 1, 2, 4, 8, 8 }, 1.0, 0.6, 0.45,
+      3.0, milliseconds(1'000), 3.0, 0.9, 1.0 },
+    { "proof", 0, 1.91, milliseconds(2'500), 0.5, 3.4, 21,
+      Resources(3'700, 9'800, 0), { 1, 2, 4, 8, 8 }, 1.0, 0.8, 0.0,
+      1.5, milliseconds(300), 4.0, 0.8, 2.2 },
+    { "kerf", 2, 0.59, milliseconds(7'600), 0.3, 16.0, 94,
+      Resources(2'800, 7'400, 0), { 1, 1, 1, 1, 1 }, 0.0, 0.0, 0.45,
+      3.0, milliseconds(3'000), 1.0, 0.3, 2.2 },
+  };
+  return options;
+}
+
+LoadOptions
+BrittanyLoad()
+{
+  LoadOptions options = AtticaLoad();
+  options.mWorkersPerRack = 6;
+  options.mClasses[0].mPerSecond = 0.86;
+  options.mClasses[0].mTasks = 4.0;
+  options.mClasses[1].mPerSecond = 3.0;
+  options.mClasses[1].mTasks = 2.8;
+  options.mClasses[2].mPerSecond = 0.68;
+  options.mClasses[2].mWork = milliseconds(9'500);
+  options.mClasses[2].mTasks = 12.0;
+  return options;
+}
+
+LoadResult
+PlayLoad(const LoadOptions& aOptions)
+{
+  return LoadPlayer(aOptions).Play();
+}
+
+} // namespace cornelrudder::tests
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds kAnswerTimeout{ 600 };
 constexpr milliseconds kStopTime{ 500 };
 constexpr milliseconds kGangTime{ 3'000 };
+constexpr int kCrossRackFactor = 3;
 constexpr std::size_t kJobsPerWrite = 40;
 
 } // namespace
@@ -406,11 +407,14 @@
   ++mStarts;
   mLastStarts[aOrder.mTask] = mNow;
   worker.mLeaseUntil = std::max(worker.mLeaseUntil, aOrder.mLeaseUntil);
+  const milliseconds resumed(
+    aOrder.mCheckpoint.empty() ? 0 : std::stoll(aOrder.mCheckpoint));
   worker.mRuns.push_back({ aOrder.mTask,
                            aOrder.mRun,
                            mNow,
-                           mRunTimes.at(aOrder.mTask.Job()),
-                           std::nullopt });
+                           mRunTimes.at(aOrder.mTask.Job()) - resumed,
+                           std::nullopt,
+                           resumed });
   answer.mOutcome = OrderOutcome::kDone;
   return answer;
 }
@@ -484,6 +488,36 @@
   });
 }
 
+const StepSpec&
+FleetModel::StepOf(const ModelRun& aRun) const
+{
+  return mJobs.at(aRun.mTask.Job()).Steps()[aRun.mTask.Step()];
+}
+
+milliseconds
+FleetModel::DoneBy(const ModelRun& aRun) const
+{
+  return mRunTimes.at(aRun.mTask.Job()) - aRun.mLeft;
+}
+
+int
+FleetModel::Slowdown(const ModelWorker& aWorker, const ModelRun& aRun) const
+{
+  const StepSpec& step = StepOf(aRun);
+  const bool isAway = !step.AffinityRack().empty() &&
+                      step.AffinityRack() != aWorker.mInfo.mRack;
+  bool isSplit = false;
+  if (step.IsGang() && step.IsSameRack()) {
+    for (const ModelWorker& worker : mWorkers) {
+      for (const ModelRun& run : worker.mRuns) {
+        isSplit = isSplit || (run.mTask.Job() == aRun.mTask.Job() &&
+                              worker.mInfo.mRack != aWorker.mInfo.mRack);
+      }
+    }
+  }
+  return isAway || isSplit ? kCrossRackFactor : 1;
+}
+
 bool
 FleetModel::IsGangWhole(const ModelRun& aRun) const
 {
@@ -515,7 +549,7 @@
     ModelRun& run = aWorker.mRuns[i];
     const bool isWhole = IsGangWhole(run);
     if (isWhole && !aWorker.mStalled) {
-      run.mLeft -= kStep;
+      run.mLeft -= kStep / Slowdown(aWorker, run);
     }
     std::optional<RunEnd> end;
     if (mNow >= aWorker.mLeaseUntil) {
@@ -544,8 +578,16 @@
 {
   std::uint64_t& over = aWorker.mOver[aRun.mTask];
   over = std::max(over, aRun.mRun);
+  std::string checkpoint;
+  if (aEnd != RunEnd::kDone && StepOf(aRun).IsCheckpointing()) {
+    checkpoint = std::to_string(DoneBy(aRun).count());
+  } else if (aEnd == RunEnd::kStopped || aEnd == RunEnd::kGangBroken) {
+    mWastedWork += StepOf(aRun).Demand().WeightedCores() *
+                   static_cast<double>((DoneBy(aRun) - aRun.mResumed).count()) /
+                   1'000.0;
+  }
   aWorker.mEnded.push_back(
-    { { ++aWorker.mEnds, aRun.mTask, aRun.mRun, aEnd, "" }, mNow });
+    { { ++aWorker.mEnds, aRun.mTask, aRun.mRun, aEnd, checkpoint }, mNow });
   mFailedRuns[aRun.mTask] += aEnd == RunEnd::kFailed ? 1 : 0;
   const StepSpec& step = mJobs.at(aRun.mTask.Job()).Steps()[aRun.mTask.Step()];
   if (!step.IsGang()) {
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -78,6 +78,8 @@
   std::size_t RunningOn(std::size_t aWorker) const;
   std::size_t Starts() const { return mStarts; }
   std::size_t Stops() const { return mStops; }
+  /** Core seconds of work that was stopped or broken and not saved. */
+  double WastedWork() const { return mWastedWork; }
   milliseconds Now() const { return mNow; }
 
 private:
@@ -89,6 +91,8 @@
     /** Work that is left once all members are there. */
     milliseconds mLeft;
     std::optional<milliseconds> mStopAt;
+    /** Work that was done when the run started. */
+    milliseconds mResumed{ 0 };
   };
 
   struct ModelEnd
@@ -138,6 +142,10 @@
               const ModelRun& aRun,
               scheduling::RunEnd aEnd);
   void Forget(ModelWorker& aWorker, std::uint64_t aUpTo);
+  const scheduling::StepSpec& StepOf(const ModelRun& aRun) const;
+  milliseconds DoneBy(const ModelRun& aRun) const;
+  /** @return How many times longer the run takes where it is. */
+  int Slowdown(const ModelWorker& aWorker, const ModelRun& aRun) const;
   bool IsGangWhole(const ModelRun& aRun) const;
   void CheckStart(const ModelWorker& aWorker,
                   const scheduling::StartOrder& aOrder);
@@ -167,6 +175,7 @@
   bool mStoreUp = true;
   std::size_t mStarts = 0;
   std::size_t mStops = 0;
+  double mWastedWork = 0.0;
   std::vector<std::string> mViolations;
 };
 
