Keep freed room for the unit that it was freed for

A unit now claims the workers on which work was stopped for it (test FreedRoomIsKeptForItsClaim), and before a reclaim is due it destroys at most twice its own work.

--- a/include/cornelrudder/state/scheduling/Planning.h
+++ b/include/cornelrudder/state/scheduling/Planning.h
@@ -95,6 +95,11 @@
   std::size_t mGroup = 0;
   /** Positions of workers that already run tasks of its step. */
   std::vector<std::size_t> mPeers;
+  /**
+   * Positions of the workers on which work was stopped for it, one for each
+   * task; empty if it has no claim.
+   */
+  std::vector<std::size_t> mClaim;
   /** Position of the worker on which its last run failed, if any. */
   std::vector<std::size_t> mAvoid;
 
@@ -134,7 +139,7 @@
   /** Key of the waiting unit. */
   std::size_t mUnit = 0;
   PlanReason mReason = PlanReason::kNoRoom;
-  /** For kFits: positions of the workers, one for each task. */
+  /** For kFits and kPreempts: positions of the workers, one for each task. */
   std::vector<std::size_t> mWorkers;
   /** For kPreempts: keys of the running units to stop. */
   std::vector<std::size_t> mVictims;
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -163,6 +163,8 @@
   RunTimes mRunTimes;
   /** Guaranteed jobs, as of the last planning pass. */
   std::set<std::string> mGuaranteed;
+  /** Workers on which work was stopped for a unit, by its first task. */
+  std::map<TaskKey, std::vector<std::string>> mClaims;
   /** Last reason noted for a waiting unit, by its first task. */
   std::map<TaskKey, PlanReason> mReasons;
   /** Runs that workers list and nobody waits for. */
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -123,6 +123,7 @@
   if (isOver) {
     for (std::size_t i = 0; i < job->mTasks.size(); ++i) {
       mReasons.erase({ aJob, i });
+      mClaims.erase({ aJob, i });
     }
     mJobs.erase(aJob);
     mEnded.insert(aJob);
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -8,6 +8,8 @@
 
 /** A run whose share of work stands still for this long has stalled. */
 constexpr Millis kStallTime{ 3'000 };
+/** Age up to which room is kept for a unit that stopped other work. */
+constexpr Millis kClaimAge{ 5'000 };
 /** Late results are worth something up to this many objectives. */
 constexpr int kLateObjectives = 3;
 
@@ -252,6 +254,20 @@
   unit.mSlack = objective - unit.mAge - expected;
   unit.mLateSlack = objective * kLateObjectives - unit.mAge - expected;
   unit.mExpected = expected;
+  const auto claim = mClaims.find(aTasks.front());
+  if (claim != mClaims.end() && unit.mAge < kClaimAge) {
+    for (const std::string& worker : claim->second) {
+      const auto it =
+        std::find(aKeys.mWorkers.begin(), aKeys.mWorkers.end(), worker);
+      if (it != aKeys.mWorkers.end()) {
+        unit.mClaim.push_back(
+          static_cast<std::size_t>(it - aKeys.mWorkers.begin()));
+      }
+    }
+    if (unit.mClaim.size() != unit.mTasks) {
+      unit.mClaim.clear();
+    }
+  }
   for (std::size_t i = 0; i < aKeys.mWorkers.size(); ++i) {
     if (step.MaxPerWorker() > 0) {
       const auto [begin, end] = aJob.StepRange(first);
@@ -308,11 +324,19 @@
     UpdatePhase(job, aNow);
     MarkChanged(job);
     mReasons.erase(tasks.front());
+    mClaims.erase(tasks.front());
     fields.emplace_back("run", std::to_string(run + 1));
     fields.emplace_back("workers", workers);
     Note(SchedulerNote::Kind::kPlaced, std::move(fields));
     return;
   }
+  if (aDecision.mReason == PlanReason::kPreempts) {
+    std::vector<std::string>& claim = mClaims[tasks.front()];
+    claim.clear();
+    for (const std::size_t worker : aDecision.mWorkers) {
+      claim.push_back(aKeys.mWorkers[worker]);
+    }
+  }
   for (const std::size_t victim : aDecision.mVictims) {
     for (const auto& [jobId, i] : aKeys.mRunning[victim]) {
       JobState& other = mJobs.at(jobId);
--- a/src/state/scheduling/UrgencyPolicy.cpp
+++ b/src/state/scheduling/UrgencyPolicy.cpp
@@ -20,12 +20,19 @@
 constexpr int kMaxReservations = 2;
 /** A task with this many accelerators needs a worker that is nearly empty. */
 constexpr std::int64_t kLargeAccelerators = 4;
-/** Guaranteed work past its objective is still started within this age. */
-constexpr Millis kGuaranteeWait{ 800 };
+/**
+ * Age from which guaranteed work is started whatever it costs others: with
+ * the time of a stop and of an order it begins well within the 3.4 s that the
+ * platform allows for a reclaim.
+ */
+constexpr Millis kGuaranteeWait{ 1'200 };
 /** How long a guaranteed gang waits for one rack. */
 constexpr Millis kRackWait{ 1'200 };
-/** Lost work, in core seconds, up to which an urgent unit may preempt. */
-constexpr double kMaxLostPerTask = 400.0;
+/**
+ * Work that an urgent unit may destroy, as a multiple of its own: beyond it,
+ * the loss outweighs what its caller gains by being in time.
+ */
+constexpr double kMaxLostShare = 2.0;
 /** Score of a worker whose last run failed: used when nothing else fits. */
 constexpr double kRiskPenalty = 100.0;
 
@@ -96,7 +103,10 @@
   {
     const bool isLate = aUnit.mSlack.count() < 0;
     const bool isWorthless = aUnit.mLateSlack.count() < 0;
-    return std::make_tuple(!aUnit.mGuaranteed,
+    // Room that was freed for a unit must not go to another one, or work is
+    // stopped for the first one again.
+    return std::make_tuple(aUnit.mClaim.empty(),
+                           !aUnit.mGuaranteed,
                            isWorthless,
                            aUnit.mPriority,
                            isLate,
@@ -108,16 +118,23 @@
   {
     PlanDecision decision;
     decision.mUnit = aUnit.mKey;
+    if (!aUnit.mClaim.empty() && HoldsClaim(aUnit)) {
+      const bool fits = FitsOn(aUnit, mRoom.mFree);
+      decision.mReason =
+        fits ? PlanReason::kFits : PlanReason::kAwaitsRoom;
+      if (fits) {
+        decision.mWorkers = aUnit.mClaim;
+      }
+      Take(aUnit, aUnit.mClaim);
+      return decision;
+    }
     if (const auto workers = Place(aUnit, mRoom.mFree)) {
       decision.mReason = PlanReason::kFits;
       decision.mWorkers = *workers;
       Take(aUnit, *workers);
       return decision;
     }
-    std::vector<Resources> soon;
-    for (std::size_t i = 0; i < mRoom.mFree.size(); ++i) {
-      soon.push_back(mRoom.mFree[i].Plus(mRoom.mFreeing[i]));
-    }
+    const std::vector<Resources> soon = RoomSoon();
     if (const auto workers = Place(aUnit, soon)) {
       decision.mReason = PlanReason::kAwaitsRoom;
       Take(aUnit, *workers);
@@ -127,6 +144,7 @@
       decision.mReason = PlanReason::kPreempts;
       decision.mVictims.assign(choice->mVictims.begin(),
                                choice->mVictims.end());
+      decision.mWorkers = choice->mWorkers;
       Stop(choice->mVictims);
       Take(aUnit, choice->mWorkers);
       return decision;
@@ -136,6 +154,37 @@
     return decision;
   }
 
+  /** @return Room that is free or being freed. */
+  std::vector<Resources> RoomSoon() const
+  {
+    std::vector<Resources> soon;
+    for (std::size_t i = 0; i < mRoom.mFree.size(); ++i) {
+      soon.push_back(mRoom.mFree[i].Plus(mRoom.mFreeing[i]));
+    }
+    return soon;
+  }
+
+  /** @return Whether the tasks of a unit fit on the workers of its claim. */
+  static bool FitsOn(const WaitingUnit& aUnit, std::vector<Resources> aRoom)
+  {
+    return std::all_of(
+      aUnit.mClaim.begin(), aUnit.mClaim.end(), [&](std::size_t aWorker) {
+        const bool fits = aUnit.mStep.Demand().FitsIn(aRoom[aWorker]);
+        aRoom[aWorker] = aRoom[aWorker].Minus(aUnit.mStep.Demand());
+        return fits;
+      });
+  }
+
+  /** @return Whether the claim's workers can still be used, now or soon. */
+  bool HoldsClaim(const WaitingUnit& aUnit) const
+  {
+    const bool areUsable = std::all_of(
+      aUnit.mClaim.begin(), aUnit.mClaim.end(), [&](std::size_t aWorker) {
+        return CanHost(aUnit, mView.mWorkers[aWorker], 0);
+      });
+    return areUsable && FitsOn(aUnit, RoomSoon());
+  }
+
   bool IsReservedAgainst(std::size_t aWorker, const WaitingUnit& aUnit) const
   {
     const auto it = mReserved.find(aWorker);
@@ -283,13 +332,25 @@
     }
   }
 
+  static bool IsReclaimDue(const WaitingUnit& aUnit)
+  {
+    return aUnit.mGuaranteed && aUnit.mAge > kGuaranteeWait;
+  }
+
+  /** @return Core seconds of the unit's own work. */
+  static double OwnWork(const WaitingUnit& aUnit)
+  {
+    return aUnit.mStep.Demand().WeightedCores() *
+           static_cast<double>(aUnit.mTasks) *
+           static_cast<double>(aUnit.mExpected.count()) / 1'000.0;
+  }
+
   static bool MayPreempt(const WaitingUnit& aUnit)
   {
     if (aUnit.mPriority != 0) {
       return false;
     }
-    return aUnit.mSlack.count() >= 0 ||
-           (aUnit.mGuaranteed && aUnit.mAge > kGuaranteeWait);
+    return aUnit.mSlack.count() >= 0 || IsReclaimDue(aUnit);
   }
 
   bool IsVictim(const RunningUnit& aRunning, const WaitingUnit& aUnit) const
@@ -376,8 +437,8 @@
       ++there[*best];
       choice.mWorkers.push_back(*best);
     }
-    const double limit = kMaxLostPerTask * static_cast<double>(aUnit.mTasks);
-    if (!aUnit.mGuaranteed && choice.mCost > limit) {
+    if (!IsReclaimDue(aUnit) &&
+        choice.mCost > kMaxLostShare * OwnWork(aUnit)) {
       return std::nullopt;
     }
     return choice;
--- a/tests/state/scheduling/PlanningTest.cpp
+++ b/tests/state/scheduling/PlanningTest.cpp
@@ -176,6 +176,23 @@
   CHECK(decisions.front().mVictims.empty());
 }
 
+// Guards against room that is freed for one unit and taken by another, for
+// which the first one then stops work again.
+TEST(Planning, FreedRoomIsKeptForItsClaim)
+{
+  PlanningView view = Fleet(2);
+  Occupy(view, 0, 2, 10.0);
+  view.mWorkers[1].mFree = Resources(16'000, 32'000, 4);
+  view.mWorkers[1].mFreeing = Resources(16'000, 32'000, 4);
+  AddUnit(view, Step(1, 8), 0).mClaim = { 1 };
+  WaitingUnit& other = AddUnit(view, Step(1, 4), 0);
+  other.mGuaranteed = true;
+  other.mSlack = milliseconds(10);
+  const auto decisions = Plan(view);
+  CHECK(DecisionOn(decisions, 0).mReason == PlanReason::kAwaitsRoom);
+  CHECK(DecisionOn(decisions, 1).mReason == PlanReason::kPreempts);
+}
+
 // Guards against the stop of work that another organisation's guarantee
 // covers.
 TEST(Planning, GuaranteedWorkIsNeverStopped)
