Leave headroom for urgent work; stop equally urgent work for due reclaims only

Less urgent work now leaves a tenth of the workers empty while urgent work is about (HeadroomIsLeftForUrgentWork), and equally urgent work is a victim only once a reclaim is due. A test found that a headroom in fractions of a worker idles a small fleet; it is whole workers.

--- a/src/coordination/JobGatewayTask.cpp
+++ b/src/coordination/JobGatewayTask.cpp
@@ -246,9 +246,7 @@
   }
 
   /** Refuses a call, or goes on if a write of it may have taken effect. */
-  void GiveUpOrWait(std::uint64_t aId,
-                    Pending& aPending,
-                    const char* aReason)
+  void GiveUpOrWait(std::uint64_t aId, Pending& aPending, const char* aReason)
   {
     if (!aPending.mMayBeWritten) {
       Refuse(aId, JobCallStatus::kUnavailable, aReason);
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -1,6 +1,7 @@
 #include "SchedulerImpl.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cornelrudder::state::scheduling {
 
@@ -341,7 +342,12 @@
     for (const auto& [jobId, i] : aKeys.mRunning[victim]) {
       JobState& other = mJobs.at(jobId);
       Note(SchedulerNote::Kind::kPreempted,
-           { { "task", other.IdOf(i).Text() }, { "for", id.Text() } });
+           { { "task", other.IdOf(i).Text() },
+             { "for", id.Text() },
+             { "queue", other.mJob.Terms().mQueue },
+             { "lost_core_s",
+               std::to_string(
+                 std::lround(LostWork(other, other.mTasks[i], aNow))) } });
       WantStop(other, i, aNow);
     }
   }
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -1,6 +1,7 @@
 #include "SchedulerImpl.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cornelrudder::state::scheduling {
 
@@ -122,7 +123,11 @@
        { { "task", aJob.IdOf(aTask).Text() },
          { "run", std::to_string(task.mRun) },
          { "worker", task.mWorker },
-         { "end", RunEndName(aEnd) } });
+         { "end", RunEndName(aEnd) },
+         { "lost_core_s",
+           std::to_string(aEnd == RunEnd::kDone
+                            ? 0
+                            : std::lround(LostWork(aJob, task, aNow))) } });
   if (!aCheckpoint.empty()) {
     task.mCheckpoint = aCheckpoint;
   }
--- a/src/state/scheduling/UrgencyPolicy.cpp
+++ b/src/state/scheduling/UrgencyPolicy.cpp
@@ -1,6 +1,7 @@
 #include "UrgencyPolicy.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <map>
 #include <optional>
@@ -33,6 +34,14 @@
  * the loss outweighs what its caller gains by being in time.
  */
 constexpr double kMaxLostShare = 2.0;
+/**
+ * Share of the workers that less urgent work leaves empty while urgent work is
+ * about: it starts at once there, where it would otherwise wait up to a second
+ * for something to be stopped.
+ */
+constexpr double kHeadroomShare = 0.1;
+/** Keeps the empty workers of a rack together, for gangs. */
+constexpr double kRackWeight = 0.01;
 /** Score of a worker whose last run failed: used when nothing else fits. */
 constexpr double kRiskPenalty = 100.0;
 
@@ -77,7 +86,14 @@
       mRoom.mFreeing.push_back(aView.mWorkers[i].mFreeing);
       mRacks[aView.mWorkers[i].mRack].push_back(i);
       mAll.push_back(i);
-    }
+      mUsableWorkers += aView.mWorkers[i].mUsable ? 1 : 0;
+    }
+    const auto isUrgent = [](const auto& aUnit) {
+      return aUnit.mPriority == 0;
+    };
+    mIsUrgentWorkAbout =
+      std::any_of(aView.mWaiting.begin(), aView.mWaiting.end(), isUrgent) ||
+      std::any_of(aView.mRunning.begin(), aView.mRunning.end(), isUrgent);
   }
 
   std::vector<PlanDecision> Run()
@@ -120,8 +136,7 @@
     decision.mUnit = aUnit.mKey;
     if (!aUnit.mClaim.empty() && HoldsClaim(aUnit)) {
       const bool fits = FitsOn(aUnit, mRoom.mFree);
-      decision.mReason =
-        fits ? PlanReason::kFits : PlanReason::kAwaitsRoom;
+      decision.mReason = fits ? PlanReason::kFits : PlanReason::kAwaitsRoom;
       if (fits) {
         decision.mWorkers = aUnit.mClaim;
       }
@@ -198,6 +213,39 @@
     return CountPeers(aUnit, aWorker) + (it != mTaken.end() ? it->second : 0);
   }
 
+  bool IsEmpty(std::size_t aWorker, const std::vector<Resources>& aRoom) const
+  {
+    return aRoom[aWorker] == mView.mWorkers[aWorker].mRoom;
+  }
+
+  /** @return Empty workers that less urgent work may still use. */
+  double EmptyWorkersLeft(const WaitingUnit& aUnit,
+                          const std::vector<Resources>& aRoom) const
+  {
+    if (aUnit.mPriority == 0 || !mIsUrgentWorkAbout) {
+      return std::numeric_limits<double>::max();
+    }
+    const auto empty =
+      std::count_if(mAll.begin(), mAll.end(), [&](std::size_t aWorker) {
+        return mView.mWorkers[aWorker].mUsable && IsEmpty(aWorker, aRoom);
+      });
+    // Whole workers, so that a small fleet is not left idle for it.
+    const double headroom =
+      std::floor(kHeadroomShare * static_cast<double>(mUsableWorkers));
+    return static_cast<double>(empty) - headroom;
+  }
+
+  /** @return Number of empty workers, by rack. */
+  std::map<std::string, int> EmptyByRack(
+    const std::vector<Resources>& aRoom) const
+  {
+    std::map<std::string, int> empty;
+    for (const std::size_t i : mAll) {
+      empty[mView.mWorkers[i].mRack] += IsEmpty(i, aRoom) ? 1 : 0;
+    }
+    return empty;
+  }
+
   /** @return Whether the unit's last run failed on a worker. */
   static bool IsAvoided(std::size_t aWorker, const WaitingUnit& aUnit)
   {
@@ -286,12 +334,21 @@
         there[i] = n;
       }
     }
+    double emptyLeft = EmptyWorkersLeft(aUnit, aRoom);
+    const std::map<std::string, int> emptyByRack = EmptyByRack(aRoom);
     std::vector<std::size_t> workers;
     while (workers.size() < aUnit.mTasks) {
       double bestScore = std::numeric_limits<double>::max();
       std::optional<std::size_t> best;
       for (const auto& [i, room] : left) {
-        const double score = PackingScore(mView.mWorkers[i], room, demand);
+        const WorkerView& worker = mView.mWorkers[i];
+        const bool isEmpty = room == worker.mRoom;
+        if (isEmpty && emptyLeft < 1.0) {
+          continue;
+        }
+        const double score =
+          PackingScore(worker, room, demand) +
+          (isEmpty ? kRackWeight * emptyByRack.at(worker.mRack) : 0.0);
         if (score < bestScore) {
           bestScore = score;
           best = i;
@@ -301,6 +358,7 @@
         return std::nullopt;
       }
       workers.push_back(*best);
+      emptyLeft -= left[*best] == mView.mWorkers[*best].mRoom ? 1.0 : 0.0;
       left[*best] = left[*best].Minus(demand);
       ++there[*best];
       if (!demand.FitsIn(left[*best]) ||
@@ -358,7 +416,8 @@
     if (aRunning.mProtected || mStopped.contains(aRunning.mKey)) {
       return false;
     }
-    return aRunning.mPriority > aUnit.mPriority || aUnit.mGuaranteed;
+    // Equally urgent work would only change places with it.
+    return aRunning.mPriority > aUnit.mPriority || IsReclaimDue(aUnit);
   }
 
   std::optional<Choice> Preempt(const WaitingUnit& aUnit,
@@ -437,8 +496,7 @@
       ++there[*best];
       choice.mWorkers.push_back(*best);
     }
-    if (!IsReclaimDue(aUnit) &&
-        choice.mCost > kMaxLostShare * OwnWork(aUnit)) {
+    if (!IsReclaimDue(aUnit) && choice.mCost > kMaxLostShare * OwnWork(aUnit)) {
       return std::nullopt;
     }
     return choice;
@@ -545,6 +603,8 @@
   Room mRoom;
   std::map<std::string, std::vector<std::size_t>> mRacks;
   std::vector<std::size_t> mAll;
+  std::size_t mUsableWorkers = 0;
+  bool mIsUrgentWorkAbout = false;
   std::set<std::size_t> mStopped;
   /** Tasks placed in this pass, by group of units and worker. */
   std::map<std::pair<std::size_t, std::size_t>, std::size_t> mTaken;
--- a/tests/state/scheduling/FleetLoad.cpp
+++ b/tests/state/scheduling/FleetLoad.cpp
@@ -37,9 +37,9 @@
       organisations.push_back(
         { Organisation(i),
           {},
-          static_cast<std::int64_t>(
-            kGuaranteedShare * static_cast<double>(mOptions.mWorkers * 8) /
-            kOrganisations) });
+          static_cast<std::int64_t>(kGuaranteedShare *
+                                    static_cast<double>(mOptions.mWorkers * 8) /
+                                    kOrganisations) });
     }
     mModel.UseCatalog({ 1, 1, {}, organisations, {} });
   }
@@ -51,8 +51,8 @@
       const bool isBurst = t >= mOptions.mBurstStart && t < mOptions.mBurstEnd;
       for (std::size_t i = 0; i < mOptions.mClasses.size(); ++i) {
         const LoadClass& kind = mOptions.mClasses[i];
-        const double rate = kind.mPerSecond * mOptions.mScale *
-                            (isBurst ? kind.mBurst : 1.0);
+        const double rate =
+          kind.mPerSecond * mOptions.mScale * (isBurst ? kind.mBurst : 1.0);
         if (Uniform() < rate * static_cast<double>(kTick.count()) / 1'000.0) {
           Submit(i);
         }
@@ -107,9 +107,9 @@
                 kind.mDemand.MemoryMb(),
                 kind.mAccelerators.at(mRandom() % kind.mAccelerators.size()));
     const double error = 1.0 + kEstimateError * Uniform();
-    step.mEstimate = milliseconds(static_cast<std::int64_t>(
-      static_cast<double>(work.count()) *
-      (mRandom() % 2 == 0 ? error : 1.0 / error)));
+    step.mEstimate = milliseconds(
+      static_cast<std::int64_t>(static_cast<double>(work.count()) *
+                                (mRandom() % 2 == 0 ? error : 1.0 / error)));
     step.mGang = Uniform() < kind.mGang;
     step.mSameRack = step.mGang && Uniform() < kind.mSameRack;
     step.mCheckpointing = Uniform() < kind.mCheckpointing;
@@ -211,15 +211,57 @@
 {
   LoadOptions options;
   options.mClasses = {
-    { "nesting", 1, 0.63, milliseconds(8'500), 0.3, 5.0, 30,
-      Resources(13'000, 19'000, 0), { 1, 2, 4, 8, 8 }, 1.0, 0.6, 0.45,
-      3.0, milliseconds(1'000), 3.0, 0.9, 1.0 },
-    { "proof", 0, 1.91, milliseconds(2'500), 0.5, 3.4, 21,
-      Resources(3'700, 9'800, 0), { 1, 2, 4, 8, 8 }, 1.0, 0.8, 0.0,
-      1.5, milliseconds(300), 4.0, 0.8, 2.2 },
-    { "kerf", 2, 0.59, milliseconds(7'600), 0.3, 16.0, 94,
-      Resources(2'800, 7'400, 0), { 1, 1, 1, 1, 1 }, 0.0, 0.0, 0.45,
-      3.0, milliseconds(3'000), 1.0, 0.3, 2.2 },
+    { "nesting",
+      1,
+      0.63,
+      milliseconds(8'500),
+      0.3,
+      5.0,
+      30,
+      Resources(13'000, 19'000, 0),
+      { 1, 2, 4, 8, 8 },
+      1.0,
+      0.6,
+      0.45,
+      3.0,
+      milliseconds(1'000),
+      3.0,
+      0.9,
+      1.0 },
+    { "proof",
+      0,
+      1.91,
+      milliseconds(2'500),
+      0.5,
+      3.4,
+      21,
+      Resources(3'700, 9'800, 0),
+      { 1, 2, 4, 8, 8 },
+      1.0,
+      0.8,
+      0.0,
+      1.5,
+      milliseconds(300),
+      4.0,
+      0.8,
+      2.2 },
+    { "kerf",
+      2,
+      0.59,
+      milliseconds(7'600),
+      0.3,
+      16.0,
+      94,
+      Resources(2'800, 7'400, 0),
+      { 1, 1, 1, 1, 1 },
+      0.0,
+      0.0,
+      0.45,
+      3.0,
+      milliseconds(3'000),
+      1.0,
+      0.3,
+      2.2 },
   };
   return options;
 }
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -504,8 +504,8 @@
 FleetModel::Slowdown(const ModelWorker& aWorker, const ModelRun& aRun) const
 {
   const StepSpec& step = StepOf(aRun);
-  const bool isAway = !step.AffinityRack().empty() &&
-                      step.AffinityRack() != aWorker.mInfo.mRack;
+  const bool isAway =
+    !step.AffinityRack().empty() && step.AffinityRack() != aWorker.mInfo.mRack;
   bool isSplit = false;
   if (step.IsGang() && step.IsSameRack()) {
     for (const ModelWorker& worker : mWorkers) {
--- a/tests/state/scheduling/PlanningTest.cpp
+++ b/tests/state/scheduling/PlanningTest.cpp
@@ -176,6 +176,36 @@
   CHECK(decisions.front().mVictims.empty());
 }
 
+// Guards against urgent work that always finds the fleet full and has to wait
+// until something is stopped for it.
+TEST(Planning, HeadroomIsLeftForUrgentWork)
+{
+  constexpr std::size_t kWorkers = 20;
+  PlanningView view = Fleet(kWorkers);
+  Occupy(view, 0, 0, 0.0);
+  for (std::size_t i = 0; i < kWorkers; ++i) {
+    AddUnit(view, Step(1, 8), 2);
+  }
+  std::size_t placed = 0;
+  for (const PlanDecision& decision : Plan(view)) {
+    placed += decision.mReason == PlanReason::kFits ? 1 : 0;
+  }
+  CHECK_EQUAL(kWorkers - 3, placed);
+}
+
+// Guards against two equally urgent units that stop each other in turn.
+TEST(Planning, EquallyUrgentWorkIsStoppedForDueReclaimsOnly)
+{
+  PlanningView view = Fleet(1);
+  Occupy(view, 0, 0, 1.0);
+  WaitingUnit& unit = AddUnit(view, Step(1, 8), 0);
+  unit.mGuaranteed = true;
+  unit.mAge = milliseconds(100);
+  CHECK(Plan(view).front().mReason == PlanReason::kNoRoom);
+  unit.mAge = milliseconds(1'500);
+  CHECK(Plan(view).front().mReason == PlanReason::kPreempts);
+}
+
 // Guards against room that is freed for one unit and taken by another, for
 // which the first one then stops work again.
 TEST(Planning, FreedRoomIsKeptForItsClaim)
