--- a/src/state/scheduling/UrgencyPolicy.cpp
+++ b/src/state/scheduling/UrgencyPolicy.cpp
@@ -39,7 +39,7 @@
  * about: it starts at once there, where it would otherwise wait up to a second
  * for something to be stopped.
  */
-constexpr double kHeadroomShare = 0.1;
+constexpr double kHeadroomShare = 0.16;
 /** Keeps the empty workers of a rack together, for gangs. */
 constexpr double kRackWeight = 0.01;
 /** Score of a worker whose last run failed: used when nothing else fits. */
