--- a/include/cornelrudder/coordination/SchedulingTables.h
+++ b/include/cornelrudder/coordination/SchedulingTables.h
@@ -17,12 +17,12 @@
 /** Progress of jobs, written by the owner. */
 inline constexpr const char* kRunsTable = "runs";
 /** What workers say of themselves; written by them. */
-inline constexpr const char* kWorkersTable = "servers";
+inline constexpr const char* kWorkersTable = "workers";
 /** What operators want; written by them. */
-inline constexpr const char* kOperatorTable = "op";
+inline constexpr const char* kOperatorTable = "operator";
 
 /** The operator's settings. */
-inline constexpr const char* kCatalogKey = "op/config";
+inline constexpr const char* kCatalogKey = "operator/config";
 /** Which daemon owns scheduling, and the lengths of queues. */
 inline constexpr const char* kOwnerKey = "owner/lease";
 
--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -24,4 +24,14 @@
   echo "public headers must not include the above"
   status=1
 fi
+# The platform's words stop at platform/ and deploy/.
+if grep -rnE '#include "platform/' include src tools benchmark examples; then
+  echo "only apps and tests may include the above"
+  status=1
+fi
+if grep -rnE '/v1/(rows|run-|hold|readyz|blob)|acked-upto|mem-mb|until-ms|"(servers|op|gpu|fence)"' \
+  include src apps tools benchmark; then
+  echo "the platform's words above belong into platform/"
+  status=1
+fi
 exit $status
--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -13,7 +13,6 @@
 using state::StoreRow;
 using state::StoreStatus;
 using state::scheduling::JobProgress;
-using state::scheduling::Scheduler;
 using state::scheduling::SchedulerOptions;
 using state::scheduling::TaskJob;
 using std::chrono::milliseconds;
--- /dev/null
+++ b/tests/coordination/FakeFleet.cpp
@@ -0,0 +1,396 @@
+#include "coordination/FakeFleet.h"
+
+#include "cornelrudder/coordination/CoordinationError.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace cornelrudder::tests {
+
+using namespace state::scheduling;
+using state::RowWrite;
+using state::StoreResult;
+using state::StoreRow;
+using state::StoreStatus;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::chrono::milliseconds kServeEvery{ 5 };
+
+std::chrono::milliseconds
+StoreTime()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+    Clock::now().time_since_epoch());
+}
+
+} // namespace
+
+FakeFeedStore::FakeFeedStore()
+  : mThread([this] { Serve(); })
+{
+}
+
+FakeFeedStore::~FakeFeedStore()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mStopping = true;
+  }
+  mWake.notify_all();
+  mThread.join();
+}
+
+StoreResult
+FakeFeedStore::Answer(StoreStatus aStatus, std::vector<StoreRow> aRows) const
+{
+  return { aStatus, std::move(aRows), mVersion, StoreTime() };
+}
+
+std::vector<StoreRow>
+FakeFeedStore::ChangesOf(const std::string& aTable, std::uint64_t aAfter) const
+{
+  std::vector<StoreRow> rows;
+  for (const auto& [key, row] : mRows) {
+    if (key.starts_with(aTable + "/") && row.Version() > aAfter) {
+      rows.push_back(row);
+    }
+  }
+  return rows;
+}
+
+/** Answers feeds that wait: on a change, or when their time is up. */
+void
+FakeFeedStore::Serve()
+{
+  std::unique_lock lock(mMutex);
+  while (!mStopping) {
+    mWake.wait_for(lock, kServeEvery);
+    std::vector<Waiter> waiters;
+    waiters.swap(mWaiters);
+    for (Waiter& waiter : waiters) {
+      auto rows = mFeedSilent ? std::vector<StoreRow>()
+                              : ChangesOf(waiter.mTable, waiter.mAfter);
+      const bool isOver = Clock::now() >= waiter.mUntil;
+      if (rows.empty() && !isOver && !mDown) {
+        mWaiters.push_back(std::move(waiter));
+        continue;
+      }
+      const StoreResult result = mDown
+                                   ? StoreResult(StoreStatus::kUnavailable, {})
+                                   : Answer(StoreStatus::kOk, std::move(rows));
+      lock.unlock();
+      waiter.mCompletion(result);
+      lock.lock();
+    }
+  }
+}
+
+void
+FakeFeedStore::ReadRow(const std::string& aKey,
+                       StorePort::Completion aCompletion)
+{
+  StoreResult result(StoreStatus::kUnavailable, {});
+  {
+    const std::lock_guard lock(mMutex);
+    if (!mDown) {
+      const auto it = mRows.find(aKey);
+      result = Answer(StoreStatus::kOk,
+                      it != mRows.end() ? std::vector{ it->second }
+                                        : std::vector<StoreRow>());
+    }
+  }
+  aCompletion(result);
+}
+
+void
+FakeFeedStore::ListRows(const std::string& aPrefix,
+                        StorePort::Completion aCompletion)
+{
+  ReadRange(aPrefix, "", "", std::move(aCompletion));
+}
+
+void
+FakeFeedStore::ReadRange(const std::string& aTable,
+                         const std::string& aFrom,
+                         const std::string& aTo,
+                         FeedPort::Completion aCompletion)
+{
+  StoreResult result(StoreStatus::kUnavailable, {});
+  {
+    const std::lock_guard lock(mMutex);
+    if (!mDown) {
+      std::vector<StoreRow> rows;
+      for (const StoreRow& row : ChangesOf(aTable, 0)) {
+        const std::string name = row.Key().substr(aTable.size() + 1);
+        if (name >= aFrom && (aTo.empty() || name < aTo)) {
+          rows.push_back(row);
+        }
+      }
+      result = Answer(StoreStatus::kOk, std::move(rows));
+    }
+  }
+  aCompletion(result);
+}
+
+void
+FakeFeedStore::Follow(const std::string& aTable,
+                      std::uint64_t aAfter,
+                      std::chrono::milliseconds aWait,
+                      FeedPort::Completion aCompletion)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    const bool isLost = aAfter < mHistoryFrom;
+    if (!mDown && !isLost) {
+      mWaiters.push_back(
+        { aTable, aAfter, Clock::now() + aWait, std::move(aCompletion) });
+      return;
+    }
+    if (isLost && !mDown) {
+      mHistoryFrom = 0;
+    }
+  }
+  aCompletion(StoreResult(
+    mDown ? StoreStatus::kUnavailable : StoreStatus::kConflict, {}));
+}
+
+StoreResult
+FakeFeedStore::Apply(const state::Transaction& aTransaction)
+{
+  std::vector<StoreRow> conflicts;
+  const auto check = [&](const std::string& aKey, std::uint64_t aExpected) {
+    const auto it = mRows.find(aKey);
+    const std::uint64_t version = it != mRows.end() ? it->second.Version() : 0;
+    if (version != aExpected) {
+      conflicts.push_back(it != mRows.end() ? it->second
+                                            : StoreRow(aKey, 0, "", ""));
+    }
+  };
+  for (const state::RowCheck& it : aTransaction.Checks()) {
+    check(it.Key(), it.ExpectedVersion());
+  }
+  for (const RowWrite& it : aTransaction.Writes()) {
+    if (it.ExpectedVersion() != RowWrite::kAnyVersion) {
+      check(it.Key(), it.ExpectedVersion());
+    }
+  }
+  if (!conflicts.empty()) {
+    return Answer(StoreStatus::kConflict, std::move(conflicts));
+  }
+  ++mVersion;
+  for (const RowWrite& it : aTransaction.Writes()) {
+    mRows.insert_or_assign(
+      it.Key(), StoreRow(it.Key(), mVersion, "", it.Value().value_or("")));
+  }
+  return Answer(StoreStatus::kOk, {});
+}
+
+void
+FakeFeedStore::Transact(const state::Transaction& aTransaction,
+                        StorePort::Completion aCompletion)
+{
+  StoreResult result(StoreStatus::kUnavailable, {});
+  {
+    const std::lock_guard lock(mMutex);
+    if (!mDown) {
+      if (mWriteFault != WriteFault::kRequestLost) {
+        result = Apply(aTransaction);
+      }
+      const bool isLost = mWriteFault == WriteFault::kRequestLost ||
+                          (mWriteFault == WriteFault::kAnswerLost &&
+                           result.Status() == StoreStatus::kOk);
+      if (isLost) {
+        result = StoreResult(StoreStatus::kUnknown, {});
+      }
+    }
+  }
+  mWake.notify_all();
+  aCompletion(result);
+}
+
+void
+FakeFeedStore::Put(const std::string& aKey, const std::string& aValue)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    ++mVersion;
+    mRows.insert_or_assign(aKey, StoreRow(aKey, mVersion, "", aValue));
+  }
+  mWake.notify_all();
+}
+
+bool
+FakeFeedStore::Has(const std::string& aKey)
+{
+  const std::lock_guard lock(mMutex);
+  return mRows.contains(aKey);
+}
+
+std::string
+FakeFeedStore::ValueOf(const std::string& aKey)
+{
+  const std::lock_guard lock(mMutex);
+  const auto it = mRows.find(aKey);
+  return it != mRows.end() ? it->second.Value() : std::string();
+}
+
+void
+FakeFeedStore::SetDown(bool aDown)
+{
+  const std::lock_guard lock(mMutex);
+  mDown = aDown;
+}
+
+void
+FakeFeedStore::SetWriteFault(WriteFault aFault)
+{
+  const std::lock_guard lock(mMutex);
+  mWriteFault = aFault;
+}
+
+void
+FakeFeedStore::SetFeedSilent(bool aSilent)
+{
+  const std::lock_guard lock(mMutex);
+  mFeedSilent = aSilent;
+}
+
+void
+FakeFeedStore::DropHistory()
+{
+  const std::lock_guard lock(mMutex);
+  mHistoryFrom = mVersion + 1;
+}
+
+void
+FakeTaskWorkers::Start(const StartOrder& aOrder, AnswerCompletion aCompletion)
+{
+  OrderAnswer answer;
+  answer.mClock = StoreTime();
+  {
+    const std::lock_guard lock(mMutex);
+    Worker& worker = mWorkers[aOrder.mWorker.mId];
+    if (aOrder.mEpoch < worker.mEpoch) {
+      answer.mOutcome = OrderOutcome::kFenced;
+    } else {
+      worker.mEpoch = aOrder.mEpoch;
+      worker.mRuns[aOrder.mTask] = aOrder.mRun;
+      ++mStarts;
+      answer.mOutcome = OrderOutcome::kDone;
+    }
+  }
+  aCompletion(answer);
+}
+
+void
+FakeTaskWorkers::Stop(const StopOrder& aOrder, AnswerCompletion aCompletion)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    Worker& worker = mWorkers[aOrder.mWorker.mId];
+    if (worker.mRuns.erase(aOrder.mTask) > 0) {
+      worker.mEnded.push_back(
+        { ++worker.mEnds, aOrder.mTask, aOrder.mRun, RunEnd::kStopped, "" });
+    }
+  }
+  aCompletion({ OrderOutcome::kDone, StoreTime(), "" });
+}
+
+void
+FakeTaskWorkers::Renew(const RenewOrder& aOrder, ReportCompletion aCompletion)
+{
+  WorkerReport report;
+  report.mClock = StoreTime();
+  report.mIncarnation = 1;
+  {
+    const std::lock_guard lock(mMutex);
+    Worker& worker = mWorkers[aOrder.mWorker.mId];
+    if (aOrder.mEpoch < worker.mEpoch) {
+      report.mOutcome = OrderOutcome::kFenced;
+    } else {
+      worker.mEpoch = aOrder.mEpoch;
+      report.mOutcome = OrderOutcome::kDone;
+      std::erase_if(worker.mEnded, [&aOrder](const EndedRun& aEnd) {
+        return aEnd.mNumber <= aOrder.mRecordedUpTo;
+      });
+      if (!mHolding) {
+        for (const auto& [task, run] : worker.mRuns) {
+          worker.mEnded.push_back(
+            { ++worker.mEnds, task, run, RunEnd::kDone, "" });
+        }
+        worker.mRuns.clear();
+      }
+      for (const auto& [task, run] : worker.mRuns) {
+        report.mRunning.push_back({ task, run, "", 50 });
+      }
+      report.mEnded = worker.mEnded;
+    }
+  }
+  // A real worker holds its answer; this keeps the owner from asking in a loop.
+  std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  aCompletion(report);
+}
+
+void
+FakeTaskWorkers::SetHolding(bool aHolding)
+{
+  const std::lock_guard lock(mMutex);
+  mHolding = aHolding;
+}
+
+int
+FakeTaskWorkers::Starts()
+{
+  const std::lock_guard lock(mMutex);
+  return mStarts;
+}
+
+std::uint64_t
+FakeTaskWorkers::HighestEpoch()
+{
+  const std::lock_guard lock(mMutex);
+  std::uint64_t epoch = 0;
+  for (const auto& [id, worker] : mWorkers) {
+    epoch = std::max(epoch, worker.mEpoch);
+  }
+  return epoch;
+}
+
+Catalog
+FakeFleetCodec::DecodeCatalog(const std::string& aValue,
+                              std::uint64_t aRowVersion) const
+{
+  std::istringstream text(aValue);
+  std::uint64_t number = 0;
+  if (!(text >> number)) {
+    throw coordination::CoordinationError("catalog without a version");
+  }
+  std::vector<CatalogOrganisation> organisations;
+  std::string key;
+  while (text >> key) {
+    organisations.push_back({ "org-" + key, { key }, 8 });
+  }
+  Queue queue;
+  queue.mHost = "host";
+  queue.mPrefix = "/q/";
+  queue.mTerms = { "q", "s", 1, 2, 3.0, std::chrono::milliseconds(1'000) };
+  return { aRowVersion, number, { queue }, organisations, {} };
+}
+
+WorkerInfo
+FakeFleetCodec::DecodeWorker(const std::string& aId,
+                             const std::string& aValue) const
+{
+  WorkerInfo worker;
+  worker.mId = aId;
+  worker.mIncarnation = 1;
+  worker.mAddress = "10.0.0.1:" + aId;
+  worker.mService = "s";
+  worker.mRoom = Resources(32'000, 64'000, std::stoll(aValue));
+  worker.mClock = StoreTime();
+  return worker;
+}
+
+} // namespace cornelrudder::tests
--- /dev/null
+++ b/tests/coordination/FakeFleet.h
@@ -0,0 +1,146 @@
+#ifndef CORNELRUDDER_TESTS_COORDINATION_FAKE_FLEET_H
+#define CORNELRUDDER_TESTS_COORDINATION_FAKE_FLEET_H
+
+#include "cornelrudder/coordination/FeedPort.h"
+#include "cornelrudder/coordination/SchedulingCodec.h"
+#include "cornelrudder/coordination/StorePort.h"
+#include "cornelrudder/coordination/TaskWorkerPort.h"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace cornelrudder::tests {
+
+/** What becomes of writes. */
+enum class WriteFault
+{
+  kNone,
+  /** Done, but not answered. */
+  kAnswerLost,
+  /** Not done and not answered. */
+  kRequestLost
+};
+
+/**
+ * In-memory store with one version counter and a feed for several daemons.
+ * Completions of a feed that waits run on a thread of the store.
+ */
+class FakeFeedStore final
+  : public coordination::StorePort
+  , public coordination::FeedPort
+{
+public:
+  FakeFeedStore();
+  ~FakeFeedStore() override;
+  FakeFeedStore(const FakeFeedStore&) = delete;
+  FakeFeedStore& operator=(const FakeFeedStore&) = delete;
+
+  void ReadRow(const std::string& aKey,
+               StorePort::Completion aCompletion) override;
+  void ListRows(const std::string& aPrefix,
+                StorePort::Completion aCompletion) override;
+  void Transact(const state::Transaction& aTransaction,
+                StorePort::Completion aCompletion) override;
+  void ReadRange(const std::string& aTable,
+                 const std::string& aFrom,
+                 const std::string& aTo,
+                 FeedPort::Completion aCompletion) override;
+  void Follow(const std::string& aTable,
+              std::uint64_t aAfter,
+              std::chrono::milliseconds aWait,
+              FeedPort::Completion aCompletion) override;
+
+  /** Writes a row from outside. */
+  void Put(const std::string& aKey, const std::string& aValue);
+  bool Has(const std::string& aKey);
+  std::string ValueOf(const std::string& aKey);
+
+  /** All calls fail without an effect, or no longer. */
+  void SetDown(bool aDown);
+  /** Faults of the writes to come, until changed. */
+  void SetWriteFault(WriteFault aFault);
+  /** Feeds tell nothing new, or again. */
+  void SetFeedSilent(bool aSilent);
+  /** The next calls of feeds find that the history is gone. */
+  void DropHistory();
+
+private:
+  struct Waiter
+  {
+    std::string mTable;
+    std::uint64_t mAfter;
+    std::chrono::steady_clock::time_point mUntil;
+    FeedPort::Completion mCompletion;
+  };
+
+  void Serve();
+  std::vector<state::StoreRow> ChangesOf(const std::string& aTable,
+                                         std::uint64_t aAfter) const;
+  state::StoreResult Answer(state::StoreStatus aStatus,
+                            std::vector<state::StoreRow> aRows) const;
+  state::StoreResult Apply(const state::Transaction& aTransaction);
+
+  std::mutex mMutex;
+  std::condition_variable mWake;
+  std::map<std::string, state::StoreRow> mRows;
+  std::uint64_t mVersion = 1;
+  std::uint64_t mHistoryFrom = 0;
+  bool mDown = false;
+  bool mFeedSilent = false;
+  WriteFault mWriteFault = WriteFault::kNone;
+  std::vector<Waiter> mWaiters;
+  bool mStopping = false;
+  std::thread mThread;
+};
+
+/** Workers that finish each run by the next renewal, unless told to hold. */
+class FakeTaskWorkers final : public coordination::TaskWorkerPort
+{
+public:
+  void Start(const state::scheduling::StartOrder& aOrder,
+             AnswerCompletion aCompletion) override;
+  void Stop(const state::scheduling::StopOrder& aOrder,
+            AnswerCompletion aCompletion) override;
+  void Renew(const state::scheduling::RenewOrder& aOrder,
+             ReportCompletion aCompletion) override;
+
+  /** Runs go on until this is taken back. */
+  void SetHolding(bool aHolding);
+  int Starts();
+  std::uint64_t HighestEpoch();
+
+private:
+  struct Worker
+  {
+    std::map<state::scheduling::TaskId, std::uint64_t> mRuns;
+    std::vector<state::scheduling::EndedRun> mEnded;
+    std::uint64_t mEnds = 0;
+    std::uint64_t mEpoch = 0;
+  };
+
+  std::mutex mMutex;
+  std::map<std::string, Worker> mWorkers;
+  bool mHolding = false;
+  int mStarts = 0;
+};
+
+/** A catalog as "version key...", a worker as its number of accelerators. */
+class FakeFleetCodec final : public coordination::FleetRowCodec
+{
+public:
+  state::scheduling::Catalog DecodeCatalog(
+    const std::string& aValue,
+    std::uint64_t aRowVersion) const override;
+  state::scheduling::WorkerInfo DecodeWorker(
+    const std::string& aId,
+    const std::string& aValue) const override;
+};
+
+} // namespace cornelrudder::tests
+
+#endif // CORNELRUDDER_TESTS_COORDINATION_FAKE_FLEET_H
--- /dev/null
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -0,0 +1,352 @@
+#include "coordination/FakeFleet.h"
+#include "coordination/FakeTable.h"
+#include "coordination/SystemConfig.h"
+#include "cornelrudder/coordination/CatalogTask.h"
+#include "cornelrudder/coordination/JobGatewayTask.h"
+#include "cornelrudder/coordination/SchedulerTask.h"
+#include "cornelrudder/coordination/SchedulingMessages.h"
+#include "cornelrudder/coordination/SchedulingTables.h"
+#include "cornelrudder/coordination/TaskMessages.h"
+#include "cornelrudder/protocol/JsonSchedulingCodec.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <caf/actor_system.hpp>
+#include <caf/scoped_actor.hpp>
+#include <caf/send.hpp>
+
+#include <future>
+
+using namespace cornelrudder;
+using namespace cornelrudder::coordination;
+using namespace cornelrudder::state::scheduling;
+using std::chrono::milliseconds;
+using tests::FakeFeedStore;
+using tests::FakeLog;
+using tests::FakeTaskWorkers;
+using tests::WaitUntil;
+using tests::WriteFault;
+
+namespace {
+
+/** The tasks of one daemon. */
+struct DaemonTasks
+{
+  caf::actor mCatalog;
+  caf::actor mGateway;
+  caf::actor mScheduler;
+};
+
+/** Daemons on one store, with workers of 8 accelerators. */
+class Daemons
+{
+public:
+  Daemons()
+    : mSystem(mConfig)
+    , mSelf(mSystem)
+  {
+    mStore.Put(kCatalogKey, "1 key");
+    mStore.Put("workers/w1", "8");
+    mStore.Put("workers/w2", "8");
+  }
+
+  ~Daemons()
+  {
+    for (const DaemonTasks& tasks : mDaemons) {
+      Kill(tasks);
+    }
+  }
+
+  Daemons(const Daemons&) = delete;
+  Daemons& operator=(const Daemons&) = delete;
+
+  const DaemonTasks& Start(const std::string& aName)
+  {
+    DaemonTasks tasks;
+    tasks.mCatalog =
+      SpawnCatalogTask(mSystem, mStore, mStore, mFleetCodec, mClock, mLog, {});
+    JobGatewayOptions gateway;
+    gateway.mIncarnation = aName + "-life";
+    tasks.mGateway = SpawnJobGatewayTask(mSystem,
+                                         tasks.mCatalog,
+                                         mStore,
+                                         mStore,
+                                         mCodec,
+                                         mFleetCodec,
+                                         mClock,
+                                         mLog,
+                                         gateway);
+    SchedulerTaskOptions scheduler;
+    scheduler.mSelf = aName;
+    scheduler.mIncarnation = aName + "-life";
+    scheduler.mRenewEvery = milliseconds(50);
+    scheduler.mOwnerTimeout = milliseconds(600);
+    tasks.mScheduler = SpawnSchedulerTask(
+      mSystem,
+      { mStore, mStore, mWorkers, mCodec, mFleetCodec, mClock, mLog },
+      scheduler);
+    caf::anon_send(tasks.mCatalog, Subscribe{ tasks.mScheduler });
+    mDaemons.push_back(tasks);
+    CHECK(WaitUntil([&] { return IsReady(tasks); }));
+    return mDaemons.back();
+  }
+
+  void Kill(const DaemonTasks& aTasks)
+  {
+    for (const auto& task :
+         { aTasks.mCatalog, aTasks.mGateway, aTasks.mScheduler }) {
+      mSelf->send_exit(task, caf::exit_reason::kill);
+    }
+  }
+
+  bool IsReady(const DaemonTasks& aTasks)
+  {
+    auto promise = std::make_shared<std::promise<bool>>();
+    caf::anon_send(aTasks.mGateway, ReadinessCall{ [promise](bool aReady) {
+                     promise->set_value(aReady);
+                   } });
+    return promise->get_future().get();
+  }
+
+  JobCallReply Call(const DaemonTasks& aTasks,
+                    JobCallKind aKind,
+                    const std::string& aJob,
+                    const std::string& aKey = "key")
+  {
+    auto promise = std::make_shared<std::promise<JobCallReply>>();
+    JobCall call;
+    call.mKind = aKind;
+    call.mHost = "host";
+    call.mPath = "/q/" + aJob;
+    call.mKey = aKey;
+    call.mTimeout = milliseconds(1'500);
+    call.mDecode = [](const CallLimits&) {
+      StepSpecValues step;
+      step.mDemand = Resources(1'000, 1'000, 4);
+      return Submission{ "payload", { StepSpec(step, 0) }, {} };
+    };
+    call.mRespond = [promise](const JobCallReply& aReply) {
+      promise->set_value(aReply);
+    };
+    caf::anon_send(aTasks.mGateway, call);
+    return promise->get_future().get();
+  }
+
+  JobCallStatus Submit(const DaemonTasks& aTasks, const std::string& aJob)
+  {
+    return Call(aTasks, JobCallKind::kSubmit, aJob).mStatus;
+  }
+
+  bool IsPhase(const DaemonTasks& aTasks,
+               const std::string& aJob,
+               JobPhase aPhase)
+  {
+    const JobCallReply reply = Call(aTasks, JobCallKind::kQuery, aJob);
+    return reply.mStatus == JobCallStatus::kOk && reply.mPhase == aPhase;
+  }
+
+  FakeFeedStore mStore;
+  FakeTaskWorkers mWorkers;
+  FakeLog mLog;
+
+private:
+  tests::SystemConfig mConfig;
+  protocol::JsonSchedulingCodec mCodec;
+  tests::FakeFleetCodec mFleetCodec;
+  BootClock mClock;
+  caf::actor_system mSystem;
+  caf::scoped_actor mSelf;
+  std::vector<DaemonTasks> mDaemons;
+};
+
+void
+CheckStatus(JobCallStatus aExpected, JobCallStatus aFound)
+{
+  CHECK_EQUAL(static_cast<int>(aExpected), static_cast<int>(aFound));
+}
+
+} // namespace
+
+TEST_GROUP(SchedulingTasks){};
+
+TEST(SchedulingTasks, AcceptedJobIsStoredRunAndShown)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CHECK(daemons.mStore.Has("jobs/j1"));
+  CHECK(
+    WaitUntil([&] { return daemons.IsPhase(daemon, "j1", JobPhase::kDone); }));
+  CHECK_EQUAL(1, daemons.mWorkers.Starts());
+}
+
+// Guards against a repeat of a submission that becomes a second job.
+TEST(SchedulingTasks, RepeatedSubmissionIsOneJob)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CHECK(
+    WaitUntil([&] { return daemons.IsPhase(daemon, "j1", JobPhase::kDone); }));
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CHECK(daemons.IsPhase(daemon, "j1", JobPhase::kDone));
+  CHECK_EQUAL(1, daemons.mWorkers.Starts());
+}
+
+// Guards against a call that is judged by settings that are no longer in
+// force, because the feed has not told the change yet.
+TEST(SchedulingTasks, WithdrawnKeyIsRefusedBeforeTheFeedTellsIt)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mStore.SetFeedSilent(true);
+  daemons.mStore.Put(kCatalogKey, "2 other");
+  CheckStatus(JobCallStatus::kBadKey, daemons.Submit(daemon, "j1"));
+  CHECK(!daemons.mStore.Has("jobs/j1"));
+}
+
+// Guards against settings that stay old after the store dropped its history.
+TEST(SchedulingTasks, LostHistoryIsReadAnew)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mStore.DropHistory();
+  daemons.mStore.Put(kCatalogKey, "2 key second");
+  CHECK(WaitUntil([&] {
+    return daemons.Call(daemon, JobCallKind::kQuery, "none", "second")
+             .mStatus == JobCallStatus::kNoJob;
+  }));
+}
+
+// Guards against "not run" for a job that was stored: the answer to the write
+// was lost.
+TEST(SchedulingTasks, LostAnswerOfAWriteIsFoundOut)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mStore.SetWriteFault(WriteFault::kAnswerLost);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CHECK(daemons.mStore.Has("jobs/j1"));
+}
+
+// Guards against a refusal as "not run" while a write may yet take effect.
+TEST(SchedulingTasks, OpenWriteIsReportedAsUnknown)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mStore.SetWriteFault(WriteFault::kRequestLost);
+  CheckStatus(JobCallStatus::kUnknown, daemons.Submit(daemon, "j1"));
+}
+
+// Guards against callers that wait while the store is known to be away, and
+// against a write that takes effect after a refusal.
+TEST(SchedulingTasks, StoreAwayIsRefusedAndLeavesNothing)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mStore.SetDown(true);
+  CheckStatus(JobCallStatus::kUnavailable, daemons.Submit(daemon, "j1"));
+  daemons.mStore.SetDown(false);
+  CHECK(!daemons.mStore.Has("jobs/j1"));
+  CHECK(WaitUntil(
+    [&] { return daemons.Submit(daemon, "j2") == JobCallStatus::kOk; }));
+}
+
+// Guards against one organisation that sees or cancels the jobs of another.
+TEST(SchedulingTasks, JobsOfOthersAreHidden)
+{
+  Daemons daemons;
+  daemons.mStore.Put(kCatalogKey, "2 key other");
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mWorkers.SetHolding(true);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CheckStatus(JobCallStatus::kNoJob,
+              daemons.Call(daemon, JobCallKind::kQuery, "j1", "other").mStatus);
+  CheckStatus(
+    JobCallStatus::kNoJob,
+    daemons.Call(daemon, JobCallKind::kCancel, "j1", "other").mStatus);
+  CheckStatus(JobCallStatus::kNoJob,
+              daemons.Call(daemon, JobCallKind::kQuery, "none").mStatus);
+}
+
+TEST(SchedulingTasks, CancelledJobIsShownAsCancelled)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mWorkers.SetHolding(true);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CheckStatus(JobCallStatus::kOk,
+              daemons.Call(daemon, JobCallKind::kCancel, "j1").mStatus);
+  CHECK(WaitUntil(
+    [&] { return daemons.IsPhase(daemon, "j1", JobPhase::kCancelled); }));
+}
+
+// Guards against queue lengths that only the owner knows.
+TEST(SchedulingTasks, EveryDaemonCountsWaitingJobs)
+{
+  Daemons daemons;
+  daemons.Start("a");
+  const DaemonTasks other = daemons.Start("b");
+  daemons.mWorkers.SetHolding(true);
+  for (int i = 0; i < 6; ++i) {
+    CheckStatus(JobCallStatus::kOk,
+                daemons.Submit(other, "j" + std::to_string(i)));
+  }
+  // Four of them fit on the workers.
+  CHECK(WaitUntil([&] {
+    return daemons.Call(other, JobCallKind::kQuery, "").mPending == 2;
+  }));
+}
+
+// Guards against jobs that end with their owner: killed, or stopped as
+// planned.
+TEST(SchedulingTasks, AnotherDaemonTakesOver)
+{
+  Daemons daemons;
+  const DaemonTasks first = daemons.Start("a");
+  daemons.mWorkers.SetHolding(true);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(first, "j1"));
+  CHECK(WaitUntil([&] { return daemons.mWorkers.Starts() == 1; }));
+  const DaemonTasks second = daemons.Start("b");
+  daemons.Kill(first);
+  CHECK(WaitUntil([&] { return daemons.mWorkers.HighestEpoch() == 2; }));
+  const DaemonTasks third = daemons.Start("c");
+  caf::anon_send(second.mScheduler, ReleaseOwnership{});
+  CHECK(WaitUntil([&] { return daemons.mWorkers.HighestEpoch() == 3; }));
+  daemons.mWorkers.SetHolding(false);
+  CHECK(
+    WaitUntil([&] { return daemons.IsPhase(third, "j1", JobPhase::kDone); }));
+  CHECK_EQUAL(1, daemons.mWorkers.Starts());
+}
+
+// Guards against a former owner that goes on writing: the lease row is
+// another one's.
+TEST(SchedulingTasks, OvertakenOwnerStepsDown)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  CHECK(WaitUntil([&] { return daemons.mStore.Has(kOwnerKey); }));
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kJobsRecovered) == 1; }));
+  const protocol::JsonSchedulingCodec codec;
+  daemons.mStore.Put(kOwnerKey,
+                     codec.EncodeOwnerLease({ "b", "b-life", 7, 1, {} }));
+  CHECK(
+    WaitUntil([&] { return daemons.mLog.Count(LogEvent::kLeaseLost) == 1; }));
+  CHECK(codec.DecodeOwnerLease(daemons.mStore.ValueOf(kOwnerKey)).mEpoch >= 7);
+}
+
+// Guards against an owner that gives up after lost answers of its own writes.
+TEST(SchedulingTasks, OwnerRecognisesItsOwnWrites)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kJobsRecovered) == 1; }));
+  daemons.mStore.SetWriteFault(WriteFault::kAnswerLost);
+  daemons.Submit(daemon, "j1");
+  daemons.mStore.SetWriteFault(WriteFault::kNone);
+  CHECK(
+    WaitUntil([&] { return daemons.IsPhase(daemon, "j1", JobPhase::kDone); }));
+  CHECK_EQUAL(0, daemons.mLog.Count(LogEvent::kLeaseLost));
+}
--- /dev/null
+++ b/tests/platform/FleetCodecTest.cpp
@@ -0,0 +1,88 @@
+#include "platform/FleetCodec.h"
+#include "cornelrudder/coordination/CoordinationError.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+using namespace cornelrudder;
+using namespace cornelrudder::state::scheduling;
+using coordination::CoordinationError;
+using platform::FleetCodec;
+
+namespace {
+
+constexpr const char* kManifest =
+  R"({"version":7,"routes":[)"
+  R"({"name":"r1","host":"h","prefix":"/a/","priority":2,"service":"s",)"
+  R"("attempts":2,"slack-factor":3.0,"target-latency-ms":3000},)"
+  R"({"name":"r2","host":"h","prefix":"/a/b/","service":"s","public":true}],)"
+  R"("limits":{"max-body-bytes":100},)"
+  R"("tenants":[{"name":"t","api-keys":["k1","k2"],"guaranteed":{"gpu":120}}]})";
+
+} // namespace
+
+TEST_GROUP(FleetCodec){};
+
+TEST(FleetCodec, ManifestIsDecoded)
+{
+  const Catalog catalog = FleetCodec().DecodeCatalog(kManifest, 33);
+  CHECK_EQUAL(33, catalog.RowVersion());
+  CHECK_EQUAL(7, catalog.Number());
+  CHECK_EQUAL(100, catalog.Limits().mBodyBytes);
+  CHECK_EQUAL(120, catalog.Organisations().front().mGuaranteedAccelerators);
+  STRCMP_EQUAL("t", catalog.FindOrganisation("k2")->c_str());
+  CHECK(catalog.FindOrganisation("k3") == nullptr);
+}
+
+// Guards against a queue with a shorter prefix that takes the calls of one
+// with a longer prefix.
+TEST(FleetCodec, LongestPrefixSelectsTheQueue)
+{
+  const Catalog catalog = FleetCodec().DecodeCatalog(kManifest, 1);
+  STRCMP_EQUAL("r1", catalog.FindQueue("h", "/a/x")->mTerms.mQueue.c_str());
+  STRCMP_EQUAL("r2", catalog.FindQueue("h", "/a/b/x")->mTerms.mQueue.c_str());
+  CHECK(catalog.FindQueue("other", "/a/x") == nullptr);
+  CHECK(catalog.FindQueue("h", "/b/") == nullptr);
+}
+
+TEST(FleetCodec, WorkerIsDecoded)
+{
+  const WorkerInfo worker = FleetCodec().DecodeWorker(
+    "i-1",
+    R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"draining",)"
+    R"("room":{"cpu":16000,"mem-mb":32768,"gpu":8},"labels":["a","r1-3"],)"
+    R"("clock-ms":482,"born":12,"sequence":4})");
+  CHECK(worker.mLeaving);
+  CHECK(worker.mRoom == Resources(16'000, 32'768, 8));
+  STRCMP_EQUAL("r1-3", worker.mRack.c_str());
+  CHECK_EQUAL(12, worker.mIncarnation);
+}
+
+// Guards against entries of another writer that are used as workers.
+TEST(FleetCodec, ForeignEntriesNameNoWorker)
+{
+  for (const char* entry :
+       { "",
+         "\xff\xfe",
+         "7",
+         R"({"service":"s"})",
+         R"({"service":"s","address":"a:1","state":"odd","room":{}})",
+         R"({"service":4,"address":"a:1","state":"ready","room":{}})" }) {
+    CHECK_THROWS(CoordinationError, FleetCodec().DecodeWorker("i", entry));
+  }
+}
+
+// Guards against any other exception of a decoder.
+TEST(FleetCodec, AnyBytesAreHandled)
+{
+  CHECK(rc::check([](const std::string& aText) {
+    try {
+      FleetCodec().DecodeCatalog(aText, 1);
+    } catch (const CoordinationError&) {
+    }
+    try {
+      FleetCodec().DecodeWorker("i", aText);
+    } catch (const CoordinationError&) {
+    }
+  }));
+}
