--- a/src/coordination/JobGatewayTask.cpp
+++ b/src/coordination/JobGatewayTask.cpp
@@ -1,5 +1,6 @@
 #include "cornelrudder/coordination/JobGatewayTask.h"
 
+#include "LatencyCounters.h"
 #include "cornelrudder/coordination/CoordinationError.h"
 #include "cornelrudder/coordination/SchedulingMessages.h"
 #include "cornelrudder/coordination/SchedulingTables.h"
@@ -102,7 +103,7 @@
           Judge(it->first, it->second);
         }
       },
-      [this](const GetCounters&) { return mCounters; },
+      [this](const GetCounters&) { return CountAll(); },
     };
   }
 
@@ -516,6 +517,18 @@
     return it != aResult.Rows().end() ? &*it : nullptr;
   }
 
+  Counters CountAll() const
+  {
+    Counters counters = mCounters;
+    for (std::size_t i = 0; i < mLatencies.size(); ++i) {
+      AddLatency("job_call_ms",
+                 "kind=\"" + std::string(kKindNames.at(i)) + "\"",
+                 mLatencies.at(i),
+                 counters);
+    }
+    return counters;
+  }
+
   void Refuse(std::uint64_t aId, JobCallStatus aStatus, std::string aDetail)
   {
     JobCallReply reply;
@@ -534,6 +547,8 @@
     const auto status = static_cast<std::size_t>(aReply.mStatus);
     ++mCounters["job_calls_total{kind=\"" + std::string(kKindNames.at(kind)) +
                 "\",status=\"" + kStatusNames.at(status) + "\"}"];
+    mLatencies.at(kind) =
+      mLatencies.at(kind).WithSample(mClock.Now() - pending.mStartedAt);
     // Queries that succeed are counted only, for their number.
     const bool isRoutine = aReply.mStatus == JobCallStatus::kOk &&
                            (pending.mCall.mKind == JobCallKind::kQuery ||
@@ -574,6 +589,8 @@
   milliseconds mStoreSeenAt{ 0 };
   std::map<std::uint64_t, Pending> mPending;
   std::map<std::uint64_t, Exchange> mExchanges;
+  /** Times of answered calls, by kind. */
+  std::array<state::LatencyHistogram, kKindNames.size()> mLatencies;
   bool mLeaving = false;
   std::uint64_t mCalls = 0;
   std::uint64_t mTickets = 0;
--- a/src/coordination/RouteCounters.h
+++ b/src/coordination/RouteCounters.h
@@ -1,6 +1,7 @@
 #ifndef CORNELRUDDER_COORDINATION_ROUTE_COUNTERS_H
 #define CORNELRUDDER_COORDINATION_ROUTE_COUNTERS_H
 
+#include "LatencyCounters.h"
 #include "cornelrudder/coordination/Messages.h"
 #include "cornelrudder/state/LatencyHistogram.h"
 
@@ -45,7 +46,7 @@
         counters[std::string(row.mName) + "{" + label + "}"] =
           counts.*row.mMember;
       }
-      RenderLatency(label, counts.mLatency, counters);
+      AddLatency("latency_ms", label, counts.mLatency, counters);
     }
     return counters;
   }
@@ -65,22 +66,6 @@
     Row{ "mismatched_total", &ClassCounts::mMismatched },
   };
 
-  static void RenderLatency(const std::string& aLabel,
-                            const state::LatencyHistogram& aLatency,
-                            Counters& aCounters)
-  {
-    const auto& bounds = state::LatencyHistogram::kBoundsMs;
-    std::uint64_t n = 0;
-    for (std::size_t i = 0; i < aLatency.AllCounts().size(); ++i) {
-      n += aLatency.AllCounts().at(i);
-      const std::string bound =
-        i < bounds.size() ? std::to_string(bounds.at(i)) : "+Inf";
-      aCounters["latency_ms_bucket{" + aLabel + ",le=\"" + bound + "\"}"] = n;
-    }
-    aCounters["latency_ms_count{" + aLabel + "}"] = n;
-    aCounters["latency_ms_sum{" + aLabel + "}"] = aLatency.SumMs();
-  }
-
   std::map<state::ClassName, ClassCounts> mClasses;
   std::uint64_t mUnknown = 0;
 };
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -208,6 +208,7 @@
   Counters counters = mCounters;
   counters["scheduler_is_owner"] = mMode == Mode::kOwning ? 1 : 0;
   counters["scheduler_epoch"] = mLease.mEpoch;
+  AddLatency("owner_write_ms", "", mWriteLatency, counters);
   if (mScheduler) {
     counters.merge(mScheduler->Gauges());
   }
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -1,6 +1,7 @@
 #ifndef CORNELRUDDER_SRC_COORDINATION_SCHEDULER_TASK_IMPL_H
 #define CORNELRUDDER_SRC_COORDINATION_SCHEDULER_TASK_IMPL_H
 
+#include "LatencyCounters.h"
 #include "cornelrudder/coordination/SchedulerTask.h"
 #include "cornelrudder/coordination/SchedulingMessages.h"
 #include "cornelrudder/coordination/TaskMessages.h"
@@ -143,6 +144,7 @@
   std::uint64_t mWorkersVersion = 0;
   std::set<std::string> mListedWorkers;
   Millis mLoadStart{ 0 };
+  state::LatencyHistogram mWriteLatency;
   Counters mCounters;
 };
 
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -203,6 +203,7 @@
 SchedulerTask::FinishWrite(const StoreResult& aResult)
 {
   mWriting = false;
+  mWriteLatency = mWriteLatency.WithSample(Now() - mLastWrite);
   const bool isStored = aResult.Status() == StoreStatus::kOk;
   if (mMode == Mode::kOwning) {
     mScheduler->FinishWrite(isStored);
