--- a/apps/cornelrudderd/DaemonSettings.cpp
+++ b/apps/cornelrudderd/DaemonSettings.cpp
@@ -17,6 +17,7 @@
 using Values = DaemonSettingsValues;
 using TextMember = std::string Values::*;
 using NumberMember = std::int64_t Values::*;
+using RealMember = double Values::*;
 using ListMember = std::vector<std::string> Values::*;
 
 /** One key of the file and the member that it sets. */
@@ -24,7 +25,7 @@
 {
   std::string_view mSection;
   std::string_view mName;
-  std::variant<TextMember, NumberMember, ListMember> mMember;
+  std::variant<TextMember, NumberMember, RealMember, ListMember> mMember;
   bool mRequired;
   std::int64_t mMinimum;
   std::int64_t mMaximum;
@@ -47,6 +48,8 @@
            64,
            "" },
   FileKey{ "daemon", "seeds", &Values::mSeeds, false, 0, 64, "" },
+  FileKey{ "daemon", "cpu_share", &Values::mCpuShare, false, 0, 1'024, "" },
+  FileKey{ "daemon", "link_mbps", &Values::mLinkMbps, false, 0, 1'000'000, "" },
   FileKey{ "daemon",
            "readiness_address",
            &Values::mReadinessAddress,
@@ -256,6 +259,18 @@
     mValues.*aMember = *n;
   }
 
+  void operator()(RealMember aMember)
+  {
+    const auto n = mNode.value<double>();
+    const bool inRange = n && *n >= static_cast<double>(mKey.mMinimum) &&
+                         *n <= static_cast<double>(mKey.mMaximum);
+    if (!inRange) {
+      Fault("a number from " + RangeOf(mKey));
+      return;
+    }
+    mValues.*aMember = *n;
+  }
+
   void operator()(ListMember aMember)
   {
     const toml::array* list = mNode.as_array();
--- a/apps/cornelrudderd/DaemonSettings.h
+++ b/apps/cornelrudderd/DaemonSettings.h
@@ -40,6 +40,8 @@
   std::int64_t mDrainGraceMs = 30'000;
   std::int64_t mLeaseMs = 6'000;
   std::int64_t mHeartbeatMs = 1'000;
+  double mCpuShare = 1.0;
+  double mLinkMbps = 1'000.0;
   std::int64_t mStoreReadTimeoutMs = 500;
   std::int64_t mWorkerTimeoutMs = 600;
   std::int64_t mWorkerLeaseMs = 6'000;
@@ -124,6 +126,9 @@
   {
     return mValues.mPlacementPolicy;
   }
+  /** Share of a core that the VM has. */
+  double CpuShare() const { return mValues.mCpuShare; }
+  double LinkMbps() const { return mValues.mLinkMbps; }
   std::chrono::milliseconds StoreReadTimeout() const
   {
     return std::chrono::milliseconds(mValues.mStoreReadTimeoutMs);
--- a/apps/cornelrudderd/FleetDaemon.cpp
+++ b/apps/cornelrudderd/FleetDaemon.cpp
@@ -35,6 +35,22 @@
 constexpr std::size_t kStoreConnections = 24;
 /** One long renewal and a few orders at a time. */
 constexpr std::size_t kWorkerConnections = 8;
+/**
+ * A VM below one of these leaves ownership to others for a while: at 350
+ * workers, the owner needs some 0.1 of a core and moves tables of 1 MB.
+ */
+constexpr double kStrongCpuShare = 0.2;
+constexpr double kStrongLinkMbps = 40.0;
+/** Two rounds of looks, so that a stronger VM has had its turn. */
+constexpr std::chrono::milliseconds kWeakTakeoverDelay{ 800 };
+
+std::chrono::milliseconds
+TakeoverDelay(const DaemonSettings& aSettings)
+{
+  const bool isStrong = aSettings.CpuShare() >= kStrongCpuShare &&
+                        aSettings.LinkMbps() >= kStrongLinkMbps;
+  return isStrong ? std::chrono::milliseconds(0) : kWeakTakeoverDelay;
+}
 
 } // namespace
 
@@ -133,6 +149,7 @@
     scheduler.mSelf = mSettings.Id().Text();
     scheduler.mIncarnation = mIncarnation;
     scheduler.mOwnerTimeout = mSettings.OwnerTimeout();
+    scheduler.mTakeoverDelay = TakeoverDelay(mSettings);
     scheduler.mWorkerLease = mSettings.WorkerLease();
     scheduler.mRenewWait = mSettings.WorkerWait();
     scheduler.mPolicy = mSettings.PlacementPolicy();
--- a/include/cornelrudder/coordination/SchedulerTask.h
+++ b/include/cornelrudder/coordination/SchedulerTask.h
@@ -40,6 +40,11 @@
    * write of a slow store, which takes 60 times its usual 7 ms.
    */
   std::chrono::milliseconds mOwnerTimeout{ 1'300 };
+  /**
+   * How much longer this daemon waits before it takes over, so that stronger
+   * VMs come first.
+   */
+  std::chrono::milliseconds mTakeoverDelay{ 0 };
   /** How often the owner reads the changes of the list of workers. */
   std::chrono::milliseconds mWorkersEvery{ 400 };
   /** How long the store may hold the answer of the feed of jobs. */
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -49,7 +49,8 @@
   , mPorts(aPorts)
   , mOptions(std::move(aOptions))
   , mWriteIds(mOptions.mIncarnation + "-owner")
-  , mObserver(mOptions.mOwnerTimeout)
+  , mObserver(mOptions.mOwnerTimeout + mOptions.mTakeoverDelay)
+  , mReleaseObserver(mOptions.mTakeoverDelay)
 {
 }
 
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -124,6 +124,8 @@
   bool mStoreLost = false;
 
   state::scheduling::LeaseObserver mObserver;
+  /** Tells for how long the row has been without an owner. */
+  state::scheduling::LeaseObserver mReleaseObserver;
   state::scheduling::OwnerLease mLease;
   std::uint64_t mLeaseVersion = 0;
   bool mReadingLease = false;
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -102,7 +102,10 @@
       mLease = lease;
       BeginOwning(row.Version());
     } else if (lease.mOwner.empty()) {
-      Take(row.Version(), lease, "released");
+      mReleaseObserver.Observe(row.Version(), aResult.StoreTime());
+      if (mReleaseObserver.IsSilent()) {
+        Take(row.Version(), lease, "released");
+      }
     } else if (lease.mOwner == mOptions.mSelf) {
       Take(row.Version(), lease, "own_earlier_life");
     } else if (mObserver.IsSilent()) {
--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -78,6 +78,10 @@
 JobState::Record() const
 {
   std::vector<TaskRecord> records;
+  if (IsFinal(mPhase) && !IsAnyAssigned()) {
+    // Nothing can run any more; a successor has less to read.
+    return { mJob.Id(), mJob.Organisation(), mPhase, mBegun, {} };
+  }
   records.reserve(mTasks.size());
   for (const Task& task : mTasks) {
     TaskRecord record;
