Make planning passes cheap enough for 350 workers

Cause: with thousands of waiting tasks each pass looked at all workers for each of them and compared names; the owner took 0.2 of a core at its peak. A unit like one that found no room in the same pass is skipped, positions are looked up, and a plan is followed by a pause of three times what it took, 100 ms at most.

--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -22,6 +22,13 @@
 
 /** Events that come together are answered by one plan and one write. */
 constexpr milliseconds kGatherTime{ 3 };
+/**
+ * Planning takes at most this part of the time on a slow VM: the pause after a
+ * plan is a multiple of what it took.
+ */
+constexpr int kPausePerPlan = 3;
+/** Also after a plan during which the VM stood still. */
+constexpr milliseconds kMaxPlanPause{ 100 };
 /** How often waiting work and silent workers are looked at without events. */
 constexpr milliseconds kAdvanceEvery{ 100 };
 
@@ -129,7 +136,7 @@
 {
   if (!mAdvanceQueued) {
     mAdvanceQueued = true;
-    delayed_send(this, aDelay, coordination::Advance{});
+    delayed_send(this, std::max(aDelay, mPlanPause), coordination::Advance{});
   }
 }
 
@@ -146,7 +153,9 @@
     return;
   }
   if (!mReleasing) {
-    mScheduler->Plan(Now(), WallClock());
+    const Millis start = Now();
+    mScheduler->Plan(start, WallClock());
+    mPlanPause = std::min((Now() - start) * kPausePerPlan, kMaxPlanPause);
   }
   LogNotes();
   if (!mReleasing) {
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -137,6 +137,8 @@
   std::optional<state::scheduling::Scheduler> mScheduler;
   std::shared_ptr<const state::scheduling::Catalog> mCatalog;
   bool mAdvanceQueued = false;
+  /** Pause that the last plan is followed by. */
+  Millis mPlanPause{ 0 };
 
   /** Rows of a load under way. */
   std::vector<state::StoreRow> mJobRows;
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -58,6 +58,7 @@
   struct ViewKeys
   {
     std::vector<std::string> mWorkers;
+    std::map<std::string, std::size_t> mPositions;
     /** Tasks of each running and of each waiting unit. */
     std::vector<std::vector<TaskKey>> mRunning;
     std::vector<std::vector<TaskKey>> mWaiting;
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -140,6 +140,7 @@
       }
     }
     aView.mWorkers.push_back(std::move(view));
+    aKeys.mPositions.emplace(id, aKeys.mWorkers.size());
     aKeys.mWorkers.push_back(id);
   }
 }
@@ -149,10 +150,6 @@
                             ViewKeys& aKeys,
                             Millis aNow) const
 {
-  std::map<std::string, std::size_t> positions;
-  for (std::size_t i = 0; i < aKeys.mWorkers.size(); ++i) {
-    positions[aKeys.mWorkers[i]] = i;
-  }
   // Tasks of a gang form one unit, any other task one of its own.
   std::map<TaskKey, std::size_t> units;
   for (const auto& [id, job] : mJobs) {
@@ -175,7 +172,7 @@
       }
       RunningUnit& unit = aView.mRunning[it->second];
       unit.mShares.push_back(
-        { positions.at(task.mWorker), job.StepOf(i).Demand() });
+        { aKeys.mPositions.at(task.mWorker), job.StepOf(i).Demand() });
       unit.mLostWork += LostWork(job, task, aNow);
       aKeys.mRunning[unit.mKey].push_back({ id, i });
     }
@@ -255,36 +252,33 @@
   unit.mSlack = objective - unit.mAge - expected;
   unit.mLateSlack = objective * kLateObjectives - unit.mAge - expected;
   unit.mExpected = expected;
+  const auto addPosition = [&aKeys](const std::string& aWorker,
+                                    std::vector<std::size_t>& aPositions) {
+    const auto it = aKeys.mPositions.find(aWorker);
+    if (it != aKeys.mPositions.end()) {
+      aPositions.push_back(it->second);
+    }
+  };
   const auto claim = mClaims.find(aTasks.front());
   if (claim != mClaims.end() && unit.mAge < kClaimAge) {
     for (const std::string& worker : claim->second) {
-      const auto it =
-        std::find(aKeys.mWorkers.begin(), aKeys.mWorkers.end(), worker);
-      if (it != aKeys.mWorkers.end()) {
-        unit.mClaim.push_back(
-          static_cast<std::size_t>(it - aKeys.mWorkers.begin()));
-      }
+      addPosition(worker, unit.mClaim);
     }
     if (unit.mClaim.size() != unit.mTasks) {
       unit.mClaim.clear();
     }
   }
-  for (std::size_t i = 0; i < aKeys.mWorkers.size(); ++i) {
-    if (step.MaxPerWorker() > 0) {
-      const auto [begin, end] = aJob.StepRange(first);
-      for (std::size_t t = begin; t < end; ++t) {
-        if (aJob.mTasks[t].IsAssigned() &&
-            aJob.mTasks[t].mWorker == aKeys.mWorkers[i]) {
-          unit.mPeers.push_back(i);
-        }
-      }
-    }
-    for (const TaskKey& key : aTasks) {
-      if (aJob.mTasks[key.second].mAvoid == aKeys.mWorkers[i]) {
-        unit.mAvoid.push_back(i);
+  if (step.MaxPerWorker() > 0) {
+    const auto [begin, end] = aJob.StepRange(first);
+    for (std::size_t i = begin; i < end; ++i) {
+      if (aJob.mTasks[i].IsAssigned()) {
+        addPosition(aJob.mTasks[i].mWorker, unit.mPeers);
       }
     }
   }
+  for (const TaskKey& key : aTasks) {
+    addPosition(aJob.mTasks[key.second].mAvoid, unit.mAvoid);
+  }
   return unit;
 }
 
--- a/src/state/scheduling/UrgencyPolicy.cpp
+++ b/src/state/scheduling/UrgencyPolicy.cpp
@@ -134,6 +134,10 @@
   {
     PlanDecision decision;
     decision.mUnit = aUnit.mKey;
+    // Room only shrinks within a pass: a unit like one without room has none.
+    if (aUnit.mClaim.empty() && mHopeless.contains(aUnit.mGroup)) {
+      return decision;
+    }
     if (!aUnit.mClaim.empty() && HoldsClaim(aUnit)) {
       const bool fits = FitsOn(aUnit, mRoom.mFree);
       decision.mReason = fits ? PlanReason::kFits : PlanReason::kAwaitsRoom;
@@ -165,6 +169,9 @@
       return decision;
     }
     decision.mReason = PlanReason::kNoRoom;
+    if (aUnit.mAvoid.empty()) {
+      mHopeless.insert(aUnit.mGroup);
+    }
     Reserve(aUnit);
     return decision;
   }
@@ -334,6 +341,9 @@
         there[i] = n;
       }
     }
+    if (left.empty()) {
+      return std::nullopt;
+    }
     double emptyLeft = EmptyWorkersLeft(aUnit, aRoom);
     const std::map<std::string, int> emptyByRack = EmptyByRack(aRoom);
     std::vector<std::size_t> workers;
@@ -603,6 +613,8 @@
   Room mRoom;
   std::map<std::string, std::vector<std::size_t>> mRacks;
   std::vector<std::size_t> mAll;
+  /** Groups of units of which one found no room in this pass. */
+  std::set<std::size_t> mHopeless;
   std::size_t mUsableWorkers = 0;
   bool mIsUrgentWorkAbout = false;
   std::set<std::size_t> mStopped;
