--- a/include/cornelrudder/state/scheduling/WorkerCalls.h
+++ b/include/cornelrudder/state/scheduling/WorkerCalls.h
@@ -140,6 +140,8 @@
   std::chrono::milliseconds mClock{ 0 };
   std::vector<RunningRun> mRunning;
   std::vector<EndedRun> mEnded;
+  /** Why there is no report, for the log. */
+  std::string mDetail;
 
   auto operator<=>(const WorkerReport&) const = default;
 };
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -105,7 +105,9 @@
   void ForgetUnlistedWorkers();
   void NoteClock(WorkerState& aWorker, Millis aClock, Millis aNow);
   void NoteAnswer(WorkerState& aWorker, Millis aNow);
-  void NoteSilence(WorkerState& aWorker, Millis aNow);
+  void NoteSilence(WorkerState& aWorker,
+                   const std::string& aDetail,
+                   Millis aNow);
   void NoteFailure(WorkerState& aWorker, const JobState& aJob, Millis aNow);
   Millis ExtendLease(WorkerState& aWorker, Millis aNow);
   void TakeEnd(WorkerState& aWorker, const EndedRun& aEnd, Millis aNow);
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -182,11 +182,14 @@
 }
 
 void
-Scheduler::Impl::NoteSilence(WorkerState& aWorker, Millis aNow)
+Scheduler::Impl::NoteSilence(WorkerState& aWorker,
+                             const std::string& aDetail,
+                             Millis aNow)
 {
   if (++aWorker.mFailedRenewals == 1) {
     Note(SchedulerNote::Kind::kWorkerSilent,
          { { "worker", aWorker.mInfo.mId },
+           { "detail", aDetail },
            { "runs", std::to_string(aWorker.mAssigned.size()) },
            { "lease_ends_in_ms",
              std::to_string((aWorker.mLeaseEnd - aNow).count()) } });
@@ -248,7 +251,7 @@
     return;
   }
   if (aReport.mOutcome != OrderOutcome::kDone) {
-    NoteSilence(worker, aNow);
+    NoteSilence(worker, aReport.mDetail, aNow);
     return;
   }
   if (aReport.mIncarnation < worker.mInfo.mIncarnation) {
--- a/src/state/scheduling/UrgencyPolicy.cpp
+++ b/src/state/scheduling/UrgencyPolicy.cpp
@@ -74,6 +74,9 @@
          aWorker.mRisk * kRiskPenalty;
 }
 
+/** What comes first among waiting units; see Pass::Rank(). */
+using RankKey = std::tuple<bool, bool, bool, int, bool, Millis, std::size_t>;
+
 /** Decides one pass. */
 class Pass
 {
@@ -115,7 +118,7 @@
 
 private:
   /** Units are taken in this order. */
-  static auto Rank(const WaitingUnit& aUnit)
+  static RankKey Rank(const WaitingUnit& aUnit)
   {
     const bool isLate = aUnit.mSlack.count() < 0;
     const bool isWorthless = aUnit.mLateSlack.count() < 0;
--- a/tests/coordination/FakeFleet.cpp
+++ b/tests/coordination/FakeFleet.cpp
@@ -70,8 +70,8 @@
     std::vector<Waiter> waiters;
     waiters.swap(mWaiters);
     for (Waiter& waiter : waiters) {
-      auto rows = mFeedSilent ? std::vector<StoreRow>()
-                              : ChangesOf(waiter.mTable, waiter.mAfter);
+      const auto rows = mFeedSilent ? std::vector<StoreRow>()
+                                    : ChangesOf(waiter.mTable, waiter.mAfter);
       const bool isOver = Clock::now() >= waiter.mUntil;
       if (rows.empty() && !isOver && !mDown) {
         mWaiters.push_back(std::move(waiter));
@@ -79,7 +79,7 @@
       }
       const StoreResult result = mDown
                                    ? StoreResult(StoreStatus::kUnavailable, {})
-                                   : Answer(StoreStatus::kOk, std::move(rows));
+                                   : Answer(StoreStatus::kOk, rows);
       lock.unlock();
       waiter.mCompletion(result);
       lock.lock();
