--- a/src/coordination/JobGatewayTask.cpp
+++ b/src/coordination/JobGatewayTask.cpp
@@ -363,6 +363,22 @@
     Judge(aId, aPending);
   }
 
+  /** Refuses a call whose read failed. @return Whether it was answered. */
+  bool RequireAnswer(std::uint64_t aId, const StoreResult& aResult)
+  {
+    const bool isAnswered = aResult.Status() == StoreStatus::kOk;
+    if (!isAnswered) {
+      Refuse(aId, JobCallStatus::kUnavailable, "the store is unavailable");
+    }
+    return isAnswered;
+  }
+
+  /** @return Whether the read of one row has found it. */
+  static bool HasRow(const StoreResult& aResult)
+  {
+    return !aResult.Rows().empty() && aResult.Rows().front().Version() != 0;
+  }
+
   void Query(std::uint64_t aId, Pending& aPending)
   {
     mStore.ReadRow(ProgressKey(aPending.mJob),
@@ -373,11 +389,10 @@
                     Pending& aPending,
                     const StoreResult& aResult)
   {
-    if (aResult.Status() != StoreStatus::kOk) {
-      Refuse(aId, JobCallStatus::kUnavailable, "the store is unavailable");
+    if (!RequireAnswer(aId, aResult)) {
       return;
     }
-    if (aResult.Rows().empty() || aResult.Rows().front().Version() == 0) {
+    if (!HasRow(aResult)) {
       mStore.ReadRow(JobKey(aPending.mJob),
                      Expect(aId, &JobGatewayTask::TakeUnbegun));
       return;
@@ -396,11 +411,10 @@
                    Pending& aPending,
                    const StoreResult& aResult)
   {
-    if (aResult.Status() != StoreStatus::kOk) {
-      Refuse(aId, JobCallStatus::kUnavailable, "the store is unavailable");
+    if (!RequireAnswer(aId, aResult)) {
       return;
     }
-    if (aResult.Rows().empty() || aResult.Rows().front().Version() == 0) {
+    if (!HasRow(aResult)) {
       Refuse(aId, JobCallStatus::kNoJob, "no such job");
       return;
     }
@@ -488,14 +502,13 @@
                   Pending& aPending,
                   const StoreResult& aResult)
   {
-    if (aResult.Status() != StoreStatus::kOk) {
-      Refuse(aId, JobCallStatus::kUnavailable, "the store is unavailable");
+    if (!RequireAnswer(aId, aResult)) {
       return;
     }
     JobCallReply reply;
     reply.mStatus = JobCallStatus::kOk;
     try {
-      if (!aResult.Rows().empty() && aResult.Rows().front().Version() != 0) {
+      if (HasRow(aResult)) {
         const auto lease =
           mCodec.DecodeOwnerLease(aResult.Rows().front().Value());
         const auto it = lease.mPending.find(aPending.mQueue);
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -33,6 +33,17 @@
               static_cast<int>(aModel.OutcomeOf(aJob).mPhase));
 }
 
+/** @return The first worker that runs something. */
+std::size_t
+BusyWorker(const FleetModel& aModel)
+{
+  std::size_t i = 0;
+  while (aModel.RunningOn(i) == 0) {
+    ++i;
+  }
+  return i;
+}
+
 /** Guarantees the organisation of MakeJob() a number of accelerators. */
 Catalog
 Guarantee(std::int64_t aAccelerators)
@@ -74,10 +85,7 @@
   FleetModel model({});
   model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(4'000));
   model.Run(milliseconds(500));
-  std::size_t host = 0;
-  while (model.RunningOn(host) == 0) {
-    ++host;
-  }
+  const std::size_t host = BusyWorker(model);
   model.SetReachable(host, false);
   model.Run(milliseconds(4'000));
   CHECK_EQUAL(1, model.Starts());
@@ -94,10 +102,7 @@
   FleetModel model({});
   model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(4'000));
   model.Run(milliseconds(500));
-  std::size_t host = 0;
-  while (model.RunningOn(host) == 0) {
-    ++host;
-  }
+  const std::size_t host = BusyWorker(model);
   model.CrashWorker(host);
   model.Run(milliseconds(4'800));
   CheckPhase(model, "a", JobPhase::kDone);
