Do not stop finished members of a gang that wait for a slower one

Cause: members of a gang end together. A member on a fast worker stands at 100 percent while slower ones go on; after 3 s it counted as stalled, was stopped and broke its gang, and its worker was avoided for 10 s.

Tests: Scheduler.FinishedMembersWaitForTheSlowestOne fails before; GangWithStalledMemberIsMoved keeps the other side. The model of the fleet lets members wait for each other now, and workers differ in speed.

--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -86,6 +86,7 @@
   kWorkerBack = 806,
   kWorkerGone = 807,
   kWorkerSuspected = 808,
+  kRunStalled = 809,
   kCallAnswered = 810,
   kCatalogApplied = 811,
   kCatalogStale = 812,
--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -55,7 +55,8 @@
     kWorkerSilent,
     kWorkerBack,
     kWorkerGone,
-    kWorkerSuspected
+    kWorkerSuspected,
+    kRunStalled
   };
 
   Kind mKind;
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -34,10 +34,10 @@
 
 /** Indexed by SchedulerNote::Kind. */
 constexpr std::array kNoteEvents{
-  LogEvent::kTaskPlaced,     LogEvent::kTaskWaits,  LogEvent::kTaskPreempted,
-  LogEvent::kRunEnded,       LogEvent::kRunLost,    LogEvent::kJobEnded,
-  LogEvent::kWorkerSilent,   LogEvent::kWorkerBack, LogEvent::kWorkerGone,
-  LogEvent::kWorkerSuspected
+  LogEvent::kTaskPlaced,      LogEvent::kTaskWaits,  LogEvent::kTaskPreempted,
+  LogEvent::kRunEnded,        LogEvent::kRunLost,    LogEvent::kJobEnded,
+  LogEvent::kWorkerSilent,    LogEvent::kWorkerBack, LogEvent::kWorkerGone,
+  LogEvent::kWorkerSuspected, LogEvent::kRunStalled
 };
 
 milliseconds
--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -74,6 +74,19 @@
   });
 }
 
+bool
+JobState::IsWaitingForGang(std::size_t aTask) const
+{
+  if (!StepOf(aTask).IsGang() || mTasks[aTask].mPercent < kWholeWork) {
+    return false;
+  }
+  const auto [first, end] = StepRange(aTask);
+  return std::any_of(
+    mTasks.begin() + static_cast<std::ptrdiff_t>(first),
+    mTasks.begin() + static_cast<std::ptrdiff_t>(end),
+    [](const Task& aMember) { return aMember.mPercent < kWholeWork; });
+}
+
 JobProgress
 JobState::Record() const
 {
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -24,6 +24,9 @@
 
 using Millis = std::chrono::milliseconds;
 
+/** Percent of its work at which a run has nothing left to do. */
+constexpr int kWholeWork = 100;
+
 enum class TaskPhase
 {
   kWaiting,
@@ -115,6 +118,12 @@
 
   bool IsAnyAssigned() const;
 
+  /**
+   * @return Whether a run has done its work and waits for other members of its
+   * gang, which end together.
+   */
+  bool IsWaitingForGang(std::size_t aTask) const;
+
   JobProgress Record() const;
 };
 
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -87,7 +87,8 @@
       Task& task = job.mTasks[i];
       const bool isStalled =
         task.mPhase == TaskPhase::kRunning && !task.mStopWanted &&
-        !job.StepOf(i).IsLongRunning() && aNow - task.mProgressAt > kStallTime;
+        !job.StepOf(i).IsLongRunning() &&
+        aNow - task.mProgressAt > kStallTime && !job.IsWaitingForGang(i);
       const auto it = mWorkers.find(task.mWorker);
       // Without reports, nothing is known of the progress.
       if (!isStalled || it == mWorkers.end() ||
@@ -95,6 +96,13 @@
           it->second.mLastAnswer < task.mProgressAt + kStallTime) {
         continue;
       }
+      Note(
+        SchedulerNote::Kind::kRunStalled,
+        { { "task", job.IdOf(i).Text() },
+          { "run", std::to_string(task.mRun) },
+          { "worker", task.mWorker },
+          { "percent", std::to_string(task.mPercent) },
+          { "stood_ms", std::to_string((aNow - task.mProgressAt).count()) } });
       task.mAvoid = task.mWorker;
       NoteFailure(it->second, job, aNow);
       WantStop(job, i, aNow);
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -1,6 +1,7 @@
 #include "FleetModel.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace cornelrudder::tests {
 
@@ -17,6 +18,12 @@
 constexpr int kCrossRackFactor = 3;
 constexpr std::size_t kJobsPerWrite = 40;
 
+milliseconds
+Whole(std::chrono::microseconds aTime)
+{
+  return std::chrono::ceil<milliseconds>(aTime);
+}
+
 } // namespace
 
 TaskJob
@@ -170,6 +177,12 @@
   mWorkers[aWorker].mStalled = aStalled;
 }
 
+void
+FleetModel::SetSlowdown(std::size_t aWorker, double aFactor)
+{
+  mWorkers[aWorker].mSlowdown = aFactor;
+}
+
 JobOutcome
 FleetModel::OutcomeOf(const std::string& aJob) const
 {
@@ -461,9 +474,12 @@
   }
   for (const ModelRun& run : worker.mRuns) {
     const auto total = mRunTimes.at(run.mTask.Job()).count();
-    const auto percent = 100 - 100 * run.mLeft.count() / total;
+    const auto percent = 100 - 100 * Whole(run.mLeft).count() / total;
     report.mRunning.push_back(
-      { run.mTask, run.mRun, "", static_cast<int>(percent) });
+      { run.mTask,
+        run.mRun,
+        "",
+        static_cast<int>(std::min<milliseconds::rep>(percent, 100)) });
   }
   return report;
 }
@@ -497,10 +513,10 @@
 milliseconds
 FleetModel::DoneBy(const ModelRun& aRun) const
 {
-  return mRunTimes.at(aRun.mTask.Job()) - aRun.mLeft;
+  return mRunTimes.at(aRun.mTask.Job()) - Whole(aRun.mLeft);
 }
 
-int
+double
 FleetModel::Slowdown(const ModelWorker& aWorker, const ModelRun& aRun) const
 {
   const StepSpec& step = StepOf(aRun);
@@ -515,26 +531,47 @@
       }
     }
   }
-  return isAway || isSplit ? kCrossRackFactor : 1;
+  return aWorker.mSlowdown * (isAway || isSplit ? kCrossRackFactor : 1);
 }
 
-bool
-FleetModel::IsGangWhole(const ModelRun& aRun) const
+std::vector<FleetModel::ModelRun>
+FleetModel::MembersOf(const ModelRun& aRun) const
 {
-  const StepSpec& step = mJobs.at(aRun.mTask.Job()).Steps()[aRun.mTask.Step()];
-  if (!step.IsGang()) {
-    return true;
+  if (!StepOf(aRun).IsGang()) {
+    return { aRun };
   }
-  std::size_t members = 0;
+  std::vector<ModelRun> members;
   for (const ModelWorker& worker : mWorkers) {
-    members += static_cast<std::size_t>(std::count_if(
-      worker.mRuns.begin(), worker.mRuns.end(), [&](const ModelRun& aOther) {
-        return aOther.mTask.Job() == aRun.mTask.Job() &&
-               aOther.mTask.Step() == aRun.mTask.Step() &&
-               aOther.mRun == aRun.mRun;
-      }));
+    std::copy_if(worker.mRuns.begin(),
+                 worker.mRuns.end(),
+                 std::back_inserter(members),
+                 [&](const ModelRun& aOther) {
+                   return aOther.mTask.Job() == aRun.mTask.Job() &&
+                          aOther.mTask.Step() == aRun.mTask.Step() &&
+                          aOther.mRun == aRun.mRun;
+                 });
+  }
+  return members;
+}
+
+bool
+FleetModel::IsGangWhole(const ModelRun& aRun) const
+{
+  return !StepOf(aRun).IsGang() ||
+         MembersOf(aRun).size() == StepOf(aRun).Tasks();
+}
+
+bool
+FleetModel::IsWorkDone(const ModelRun& aRun) const
+{
+  if (aRun.mLeft.count() > 0) {
+    return false;
   }
-  return members == step.Tasks();
+  const std::vector<ModelRun> members = MembersOf(aRun);
+  return std::all_of(
+    members.begin(), members.end(), [](const ModelRun& aMember) {
+      return aMember.mLeft.count() <= 0;
+    });
 }
 
 void
@@ -548,8 +585,9 @@
   for (std::size_t i = 0; i < aWorker.mRuns.size();) {
     ModelRun& run = aWorker.mRuns[i];
     const bool isWhole = IsGangWhole(run);
-    if (isWhole && !aWorker.mStalled) {
-      run.mLeft -= kStep / Slowdown(aWorker, run);
+    if (isWhole && !aWorker.mStalled && run.mLeft.count() > 0) {
+      run.mLeft -= std::chrono::duration_cast<std::chrono::microseconds>(
+        kStep / Slowdown(aWorker, run));
     }
     std::optional<RunEnd> end;
     if (mNow >= aWorker.mLeaseUntil) {
@@ -558,7 +596,7 @@
       end = RunEnd::kStopped;
     } else if (!isWhole && mNow - run.mStartedAt > kGangTime) {
       end = RunEnd::kGangIncomplete;
-    } else if (run.mLeft.count() <= 0) {
+    } else if (IsWorkDone(run)) {
       const bool fails = aWorker.mFailing || mFailures[run.mTask.Job()] > 0;
       mFailures[run.mTask.Job()] -= fails && !aWorker.mFailing ? 1 : 0;
       end = fails ? RunEnd::kFailed : RunEnd::kDone;
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -70,6 +70,8 @@
   /** Every run on the worker fails, or stands still. */
   void SetFailing(std::size_t aWorker, bool aFailing);
   void SetStalled(std::size_t aWorker, bool aStalled);
+  /** Runs on the worker take this many times as long. */
+  void SetSlowdown(std::size_t aWorker, double aFactor);
   void SetStoreUp(bool aUp) { mStoreUp = aUp; }
   void UseCatalog(const scheduling::Catalog& aCatalog);
 
@@ -88,8 +90,8 @@
     scheduling::TaskId mTask;
     std::uint64_t mRun;
     milliseconds mStartedAt;
-    /** Work that is left once all members are there. */
-    milliseconds mLeft;
+    /** Work that is left; it is done while all members are there. */
+    std::chrono::microseconds mLeft;
     std::optional<milliseconds> mStopAt;
     /** Work that was done when the run started. */
     milliseconds mResumed{ 0 };
@@ -109,6 +111,7 @@
     bool mReachable = true;
     bool mFailing = false;
     bool mStalled = false;
+    double mSlowdown = 1.0;
     std::uint64_t mEpoch = 0;
     milliseconds mLeaseUntil{ 0 };
     std::vector<ModelRun> mRuns;
@@ -145,8 +148,12 @@
   const scheduling::StepSpec& StepOf(const ModelRun& aRun) const;
   milliseconds DoneBy(const ModelRun& aRun) const;
   /** @return How many times longer the run takes where it is. */
-  int Slowdown(const ModelWorker& aWorker, const ModelRun& aRun) const;
+  double Slowdown(const ModelWorker& aWorker, const ModelRun& aRun) const;
+  /** @return Members of the run's gang that are there; the run itself else. */
+  std::vector<ModelRun> MembersOf(const ModelRun& aRun) const;
   bool IsGangWhole(const ModelRun& aRun) const;
+  /** @return Whether all members of the run's gang have done their work. */
+  bool IsWorkDone(const ModelRun& aRun) const;
   void CheckStart(const ModelWorker& aWorker,
                   const scheduling::StartOrder& aOrder);
   void Violate(const std::string& aText);
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -198,6 +198,30 @@
   CheckNoViolation(model);
 }
 
+// Guards against taking members of a gang for stalled that have done their
+// part and wait for a slower one: stopping them broke the gang over and over.
+TEST(Scheduler, FinishedMembersWaitForTheSlowestOne)
+{
+  FleetModel model({ 2, 2 });
+  model.SetSlowdown(1, 3.0);
+  model.Submit(MakeJob("a", Step(2, 8, true), 1), milliseconds(3'000));
+  model.Run(milliseconds(10'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(2, model.Starts());
+  CheckNoViolation(model);
+}
+
+// Guards against a gang that waits for ever for a member that stands still.
+TEST(Scheduler, GangWithStalledMemberIsMoved)
+{
+  FleetModel model({ 3, 3 });
+  model.SetStalled(0, true);
+  model.Submit(MakeJob("a", Step(2, 8, true), 1), milliseconds(1'000));
+  model.Run(milliseconds(12'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
 // Guards against runs of a cancelled job that go on.
 TEST(Scheduler, CancelledJobStops)
 {
