--- a/benchmark/scheduling_benchmark.cpp
+++ b/benchmark/scheduling_benchmark.cpp
@@ -72,6 +72,9 @@
     LoadOptions brittany = BrittanyLoad();
     brittany.mScale = scale;
     PrintRow("Brittany", brittany, policy.mName, seeds);
+    LoadOptions grown = GrownAtticaLoad();
+    grown.mScale = scale;
+    PrintRow("grown", grown, policy.mName, seeds);
   }
   return 0;
 }
--- /dev/null
+++ b/src/state/scheduling/Hosting.cpp
@@ -0,0 +1,50 @@
+#include "Hosting.h"
+
+#include <algorithm>
+
+namespace cornelrudder::state::scheduling {
+
+bool
+CanHost(const WaitingUnit& aUnit,
+        const WorkerView& aWorker,
+        std::size_t aTasksThere)
+{
+  const StepSpec& step = aUnit.mStep;
+  if (!aWorker.mUsable || aWorker.mService != aUnit.mService ||
+      IsAtLimit(aUnit, aTasksThere)) {
+    return false;
+  }
+  return step.RequiredLabel().empty() ||
+         std::find(aWorker.mLabels.begin(),
+                   aWorker.mLabels.end(),
+                   step.RequiredLabel()) != aWorker.mLabels.end();
+}
+
+bool
+IsAtLimit(const WaitingUnit& aUnit, std::size_t aTasksThere)
+{
+  return aUnit.mStep.MaxPerWorker() > 0 &&
+         aTasksThere >= aUnit.mStep.MaxPerWorker();
+}
+
+std::size_t
+CountPeers(const WaitingUnit& aUnit, std::size_t aWorker)
+{
+  return static_cast<std::size_t>(
+    std::count(aUnit.mPeers.begin(), aUnit.mPeers.end(), aWorker));
+}
+
+bool
+IsAvoided(const WaitingUnit& aUnit, std::size_t aWorker)
+{
+  return std::find(aUnit.mAvoid.begin(), aUnit.mAvoid.end(), aWorker) !=
+         aUnit.mAvoid.end();
+}
+
+bool
+WantsOneRack(const WaitingUnit& aUnit)
+{
+  return aUnit.mStep.IsGang() && aUnit.mStep.IsSameRack() && aUnit.mTasks > 1;
+}
+
+} // namespace cornelrudder::state::scheduling
--- a/src/state/scheduling/PlanningPolicies.cpp
+++ b/src/state/scheduling/PlanningPolicies.cpp
@@ -1,3 +1,4 @@
+#include "Hosting.h"
 #include "UrgencyPolicy.h"
 #include "cornelrudder/state/StateError.h"
 #include "cornelrudder/state/scheduling/Planning.h"
--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -14,17 +14,23 @@
   return n;
 }
 
-TaskId
-JobState::IdOf(std::size_t aTask) const
+std::pair<std::size_t, std::size_t>
+JobState::PlaceOf(std::size_t aTask) const
 {
-  const std::size_t perOccurrence = mJob.TasksPerOccurrence();
-  std::size_t index = aTask % perOccurrence;
+  std::size_t index = aTask % mJob.TasksPerOccurrence();
   std::size_t step = 0;
   while (index >= mJob.Steps()[step].Tasks()) {
     index -= mJob.Steps()[step].Tasks();
     ++step;
   }
-  return { mJob.Id(), aTask / perOccurrence, step, index };
+  return { step, index };
+}
+
+TaskId
+JobState::IdOf(std::size_t aTask) const
+{
+  const auto [step, index] = PlaceOf(aTask);
+  return { mJob.Id(), aTask / mJob.TasksPerOccurrence(), step, index };
 }
 
 std::optional<std::size_t>
@@ -41,9 +47,9 @@
 std::pair<std::size_t, std::size_t>
 JobState::StepRange(std::size_t aTask) const
 {
-  const TaskId id = IdOf(aTask);
-  const std::size_t first = aTask - id.Index();
-  return { first, first + mJob.Steps()[id.Step()].Tasks() };
+  const auto [step, index] = PlaceOf(aTask);
+  const std::size_t first = aTask - index;
+  return { first, first + mJob.Steps()[step].Tasks() };
 }
 
 bool
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -96,6 +96,9 @@
   /** @return Number of the first task of a step of an occurrence. */
   std::size_t FirstTask(std::size_t aOccurrence, std::size_t aStep) const;
 
+  /** @return Step of a task and its index there. */
+  std::pair<std::size_t, std::size_t> PlaceOf(std::size_t aTask) const;
+
   /** @return The identifier of a task. */
   TaskId IdOf(std::size_t aTask) const;
 
@@ -104,7 +107,7 @@
 
   const StepSpec& StepOf(std::size_t aTask) const
   {
-    return mJob.Steps()[IdOf(aTask).Step()];
+    return mJob.Steps()[PlaceOf(aTask).first];
   }
 
   /** @return Numbers of the tasks of a step, the end exclusive. */
--- a/src/state/scheduling/UrgencyPolicy.h
+++ b/src/state/scheduling/UrgencyPolicy.h
@@ -5,19 +5,6 @@
 
 namespace cornelrudder::state::scheduling {
 
-/**
- * @param aTasksThere Tasks of the step that the worker has already.
- * @return Whether a worker may run a task of a unit, whatever room it has.
- */
-bool
-CanHost(const WaitingUnit& aUnit,
-        const WorkerView& aWorker,
-        std::size_t aTasksThere);
-
-/** @return Number of tasks of the unit's step that a worker has already. */
-std::size_t
-CountPeers(const WaitingUnit& aUnit, std::size_t aWorker);
-
 /**
  * Places guaranteed work first, then by priority; among equals, what can
  * still meet its objective goes before what is late anyway. Tasks are packed
--- a/tests/state/scheduling/FleetLoad.cpp
+++ b/tests/state/scheduling/FleetLoad.cpp
@@ -281,6 +281,24 @@
   return options;
 }
 
+LoadOptions
+GrownAtticaLoad()
+{
+  LoadOptions options = AtticaLoad();
+  options.mWorkers = 350;
+  options.mWorkersPerRack = 20;
+  options.mClasses[0].mPerSecond = 2.07;
+  options.mClasses[0].mTasks = 13.0;
+  options.mClasses[0].mMaxTasks = 78;
+  options.mClasses[1].mPerSecond = 8.81;
+  options.mClasses[1].mTasks = 5.4;
+  options.mClasses[1].mMaxTasks = 32;
+  options.mClasses[2].mPerSecond = 2.04;
+  options.mClasses[2].mTasks = 51.0;
+  options.mClasses[2].mMaxTasks = 230;
+  return options;
+}
+
 LoadResult
 PlayLoad(const LoadOptions& aOptions)
 {
--- a/tests/state/scheduling/FleetLoad.h
+++ b/tests/state/scheduling/FleetLoad.h
@@ -72,6 +72,10 @@
 LoadOptions
 BrittanyLoad();
 
+/** Attica's jobs on the grown deployment. */
+LoadOptions
+GrownAtticaLoad();
+
 /** Plays a load with one policy. */
 LoadResult
 PlayLoad(const LoadOptions& aOptions);
