Judge stalls by what a move loses; find slow workers by comparison

Cause: a stalled run was moved after 3 s whatever it had done. A run on a worker five to eight times slower was never moved.

A stalled run is moved after as long as its work took (1.5 s to 8 s). A run whose rate is below 0.4 of the median of its step is moved while it is young and a new start ends sooner. Workers with such runs get no new work meanwhile.

Tests: RunOnSlowWorkerIsMovedEarly, ShortStallOfAdvancedRunIsWaitedFor and StandingWorkerGetsNoNewWork fail before.

--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -11,8 +11,9 @@
 
 /**
  * Body of the scheduler, in files by subject: SchedulerJobs (jobs and
- * records), SchedulerWorkers (orders, answers, reports), SchedulerPlan
- * (what a policy sees and what becomes of its decisions).
+ * records), SchedulerWorkers (orders, answers, reports), SchedulerRuns (what
+ * becomes of runs), SchedulerProgress (runs that stall or are slow),
+ * SchedulerPlan (what a policy sees and what becomes of its decisions).
  */
 class Scheduler::Impl
 {
@@ -64,6 +65,15 @@
     std::vector<std::vector<TaskKey>> mWaiting;
   };
 
+  /** How the runs of a step get on. */
+  struct StepProgress
+  {
+    /** When the last member of a gang was there; 0 for other steps. */
+    Millis mBegin{ 0 };
+    /** Median of the runs' percent per second; 0 if too few are known. */
+    double mUsualRate = 0.0;
+  };
+
   void Note(SchedulerNote::Kind aKind, NoteFields aFields)
   {
     mNotes.push_back({ aKind, std::move(aFields) });
@@ -122,8 +132,24 @@
                   WorkerState& aWorker,
                   Orders& aOrders,
                   Millis aNow);
+  bool HasUrgentRun(const WorkerState& aWorker) const;
   void CollectRenewals(Orders& aOrders, Millis aNow);
 
+  // Progress.
+  void WatchProgress(Millis aNow);
+  void WatchStep(JobState& aJob,
+                 std::size_t aFirst,
+                 std::size_t aEnd,
+                 Millis aNow);
+  void WatchRun(JobState& aJob,
+                std::size_t aTask,
+                const StepProgress& aStep,
+                Millis aNow);
+  void MoveRun(JobState& aJob,
+               std::size_t aTask,
+               const char* aReason,
+               Millis aNow);
+
   // Planning.
   PlanningView BuildView(ViewKeys& aKeys, Millis aNow, Millis aWallClock);
   void AddWorkers(PlanningView& aView, ViewKeys& aKeys, Millis aNow) const;
@@ -143,7 +169,6 @@
                        const ViewKeys& aKeys,
                        Millis aNow) const;
   void Apply(const PlanDecision& aDecision, const ViewKeys& aKeys, Millis aNow);
-  void StopStalledRuns(Millis aNow);
   std::int64_t GuaranteeOf(const std::string& aOrganisation) const;
   std::set<std::string> GuaranteedJobs() const;
   bool IsDue(const JobState& aJob,
@@ -170,6 +195,7 @@
   std::map<TaskKey, std::vector<std::string>> mClaims;
   /** Last reason noted for a waiting unit, by its first task. */
   std::map<TaskKey, PlanReason> mReasons;
+  Millis mNextWatch{ 0 };
   /** Runs that workers list and nobody waits for. */
   std::vector<StopOrder> mStrays;
   std::vector<SchedulerNote> mNotes;
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -60,6 +60,10 @@
   Millis mStopRetryAt{ 0 };
   int mPercent = 0;
   Millis mProgressAt{ 0 };
+  /** When the worker last reported the run. */
+  Millis mReportedAt{ 0 };
+  /** The run did not resume from a checkpoint. */
+  bool mStartedAnew = true;
   Millis mRunningSince{ 0 };
   /** When the last checkpoint was seen. */
   Millis mCheckpointAt{ 0 };
@@ -153,6 +157,8 @@
   Millis mLeaseEnd{ 0 };
   int mFailStreak = 0;
   Millis mSuspectedUntil{ 0 };
+  /** Its runs stand still, or get on much slower than others like them. */
+  Millis mSluggishUntil{ 0 };
 
   Resources Free() const { return mInfo.mRoom.Minus(mUsed); }
   bool HasUnrecordedEnds() const { return mSeenUpTo > mRecordedUpTo; }
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-/** A run whose share of work stands still for this long has stalled. */
-constexpr Millis kStallTime{ 3'000 };
 /** Age up to which room is kept for a unit that stopped other work. */
 constexpr Millis kClaimAge{ 5'000 };
 /** Late results are worth something up to this many objectives. */
@@ -67,7 +65,7 @@
 Scheduler::Impl::Plan(Millis aNow, Millis aWallClock)
 {
   LoseSilentWorkers(aNow);
-  StopStalledRuns(aNow);
+  WatchProgress(aNow);
   mGuaranteed = GuaranteedJobs();
   ViewKeys keys;
   const PlanningView view = BuildView(keys, aNow, aWallClock);
@@ -79,37 +77,6 @@
   }
 }
 
-void
-Scheduler::Impl::StopStalledRuns(Millis aNow)
-{
-  for (auto& [id, job] : mJobs) {
-    for (std::size_t i = 0; i < job.mTasks.size(); ++i) {
-      Task& task = job.mTasks[i];
-      const bool isStalled =
-        task.mPhase == TaskPhase::kRunning && !task.mStopWanted &&
-        !job.StepOf(i).IsLongRunning() &&
-        aNow - task.mProgressAt > kStallTime && !job.IsWaitingForGang(i);
-      const auto it = mWorkers.find(task.mWorker);
-      // Without reports, nothing is known of the progress.
-      if (!isStalled || it == mWorkers.end() ||
-          it->second.mFailedRenewals > 0 ||
-          it->second.mLastAnswer < task.mProgressAt + kStallTime) {
-        continue;
-      }
-      Note(
-        SchedulerNote::Kind::kRunStalled,
-        { { "task", job.IdOf(i).Text() },
-          { "run", std::to_string(task.mRun) },
-          { "worker", task.mWorker },
-          { "percent", std::to_string(task.mPercent) },
-          { "stood_ms", std::to_string((aNow - task.mProgressAt).count()) } });
-      task.mAvoid = task.mWorker;
-      NoteFailure(it->second, job, aNow);
-      WantStop(job, i, aNow);
-    }
-  }
-}
-
 PlanningView
 Scheduler::Impl::BuildView(ViewKeys& aKeys, Millis aNow, Millis aWallClock)
 {
--- /dev/null
+++ b/src/state/scheduling/SchedulerProgress.cpp
@@ -0,0 +1,201 @@
+#include "SchedulerImpl.h"
+
+#include <algorithm>
+
+namespace cornelrudder::state::scheduling {
+
+namespace {
+
+/** How often progress is looked at: reports are no more frequent. */
+constexpr Millis kWatchEvery{ 100 };
+/**
+ * Time without progress that may be a stall: a run that is ten times slower
+ * than usual still gains a percent in it.
+ */
+constexpr Millis kMinStall{ 1'500 };
+/** The same for a run whose begin an earlier owner saw. */
+constexpr Millis kRecoveredStall{ 3'000 };
+/** Longest time that a caller is left with a run without progress. */
+constexpr Millis kMaxStall{ 8'000 };
+/** Runs that tell the usual rate of a step. */
+constexpr std::size_t kMinRates = 3;
+/** Time after which the progress of a run tells its rate. */
+constexpr Millis kMinRateTime{ 600 };
+/** Workers differ by a factor of 1.6; a run below this share is slow. */
+constexpr double kSlowShare = 0.4;
+/** How long a worker with slow runs gets no new ones after a look. */
+constexpr Millis kSluggishTime{ 1'500 };
+/** What a stop and a new start take. */
+constexpr Millis kMoveTime{ 1'000 };
+/** Age up to which any slow run may be moved: two reports tell its rate. */
+constexpr Millis kEarlyRun{ 2'000 };
+
+/** @return Percent of its work that a run does in a second. */
+double
+RateOf(const Task& aTask, Millis aBegin)
+{
+  return 1'000.0 * static_cast<double>(aTask.mPercent) /
+         static_cast<double>((aTask.mReportedAt - aBegin).count());
+}
+
+/** @return Time for an amount of percent at a rate. */
+Millis
+TimeFor(double aPercent, double aRate)
+{
+  return Millis(static_cast<Millis::rep>(1'000.0 * aPercent / aRate));
+}
+
+/** @return When a run began to work, or 0 if that is not known. */
+Millis
+BeginOf(const Task& aTask, Millis aStepBegin)
+{
+  return aTask.mRunningSince.count() > 0
+           ? std::max(aTask.mRunningSince, aStepBegin)
+           : Millis(0);
+}
+
+bool
+HasRate(const Task& aTask, Millis aStepBegin)
+{
+  const Millis begin = BeginOf(aTask, aStepBegin);
+  return aTask.mPhase == TaskPhase::kRunning && aTask.mStartedAnew &&
+         begin.count() > 0 && aTask.mReportedAt - begin >= kMinRateTime;
+}
+
+/**
+ * @return Time without progress after which a run is moved: as long as its
+ * work so far took, since that is what a move loses. A run that resumes soon
+ * is then not thrown away, and one that does not costs twice its work at most.
+ */
+Millis
+StallLimit(const Task& aTask, bool aIsCheckpointing, Millis aBegin)
+{
+  if (aBegin.count() == 0) {
+    return kRecoveredStall;
+  }
+  const Millis kept =
+    aIsCheckpointing ? std::max(aBegin, aTask.mCheckpointAt) : aBegin;
+  return std::clamp(aTask.mProgressAt - kept, kMinStall, kMaxStall);
+}
+
+} // namespace
+
+void
+Scheduler::Impl::WatchProgress(Millis aNow)
+{
+  if (aNow < mNextWatch) {
+    return;
+  }
+  mNextWatch = aNow + kWatchEvery;
+  for (auto& [id, job] : mJobs) {
+    for (std::size_t i = 0; i < job.mTasks.size();) {
+      const auto [first, end] = job.StepRange(i);
+      if (!job.StepOf(first).IsLongRunning()) {
+        WatchStep(job, first, end, aNow);
+      }
+      i = end;
+    }
+  }
+}
+
+void
+Scheduler::Impl::WatchStep(JobState& aJob,
+                           std::size_t aFirst,
+                           std::size_t aEnd,
+                           Millis aNow)
+{
+  StepProgress step;
+  if (aJob.StepOf(aFirst).IsGang()) {
+    for (std::size_t i = aFirst; i < aEnd; ++i) {
+      if (aJob.mTasks[i].mPhase != TaskPhase::kRunning) {
+        // The members that are there wait for the others.
+        return;
+      }
+      step.mBegin = std::max(step.mBegin, aJob.mTasks[i].mRunningSince);
+    }
+  }
+  std::vector<double> rates;
+  for (std::size_t i = aFirst; i < aEnd; ++i) {
+    if (HasRate(aJob.mTasks[i], step.mBegin)) {
+      rates.push_back(
+        RateOf(aJob.mTasks[i], BeginOf(aJob.mTasks[i], step.mBegin)));
+    }
+  }
+  if (rates.size() >= kMinRates) {
+    const auto middle =
+      rates.begin() + static_cast<std::ptrdiff_t>(rates.size() / 2);
+    std::nth_element(rates.begin(), middle, rates.end());
+    step.mUsualRate = *middle;
+  }
+  for (std::size_t i = aFirst; i < aEnd; ++i) {
+    const Task& task = aJob.mTasks[i];
+    if (task.mPhase == TaskPhase::kRunning && !task.mStopWanted &&
+        !aJob.IsWaitingForGang(i)) {
+      WatchRun(aJob, i, step, aNow);
+    }
+  }
+}
+
+void
+Scheduler::Impl::WatchRun(JobState& aJob,
+                          std::size_t aTask,
+                          const StepProgress& aStep,
+                          Millis aNow)
+{
+  const Task& task = aJob.mTasks[aTask];
+  const auto it = mWorkers.find(task.mWorker);
+  // Without reports, nothing is known of the progress.
+  if (it == mWorkers.end() || it->second.mFailedRenewals > 0) {
+    return;
+  }
+  const Millis begin = BeginOf(task, aStep.mBegin);
+  const Millis stood = task.mReportedAt - std::max(task.mProgressAt, begin);
+  if (stood > kMinStall) {
+    it->second.mSluggishUntil = aNow + kSluggishTime;
+    const bool isCheckpointing = aJob.StepOf(aTask).IsCheckpointing();
+    if (stood > StallLimit(task, isCheckpointing, begin)) {
+      MoveRun(aJob, aTask, "stalled", aNow);
+    }
+    return;
+  }
+  if (aStep.mUsualRate <= 0.0 || !HasRate(task, aStep.mBegin)) {
+    return;
+  }
+  const double rate = RateOf(task, begin);
+  if (rate >= kSlowShare * aStep.mUsualRate) {
+    return;
+  }
+  it->second.mSluggishUntil = aNow + kSluggishTime;
+  const Millis anew = TimeFor(kWholeWork, aStep.mUsualRate) + kMoveTime;
+  // The slowness may pass: a run is moved only while little of it is lost.
+  const bool isEarly = aNow - begin < std::max(anew / 2, kEarlyRun);
+  const bool isFaster =
+    rate <= 0.0 || TimeFor(kWholeWork - task.mPercent, rate) > anew;
+  if (isEarly && isFaster) {
+    MoveRun(aJob, aTask, "slow", aNow);
+  }
+}
+
+/** Stops a run so that its task starts on another worker. */
+void
+Scheduler::Impl::MoveRun(JobState& aJob,
+                         std::size_t aTask,
+                         const char* aReason,
+                         Millis aNow)
+{
+  Task& task = aJob.mTasks[aTask];
+  Note(
+    SchedulerNote::Kind::kRunStalled,
+    { { "task", aJob.IdOf(aTask).Text() },
+      { "run", std::to_string(task.mRun) },
+      { "worker", task.mWorker },
+      { "reason", aReason },
+      { "percent", std::to_string(task.mPercent) },
+      { "stood_ms", std::to_string((aNow - task.mProgressAt).count()) },
+      { "running_ms", std::to_string((aNow - task.mRunningSince).count()) } });
+  task.mAvoid = task.mWorker;
+  NoteFailure(mWorkers.at(task.mWorker), aJob, aNow);
+  WantStop(aJob, aTask, aNow);
+}
+
+} // namespace cornelrudder::state::scheduling
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -29,6 +29,7 @@
   task.mRun = aRun;
   task.mWorker = aWorker.mInfo.mId;
   task.mFailures = failures;
+  task.mStartedAnew = checkpoint.empty();
   task.mCheckpoint = std::move(checkpoint);
   task.mAvoid = std::move(avoid);
   aWorker.mAssigned.insert({ aJob.mJob.Id(), aTask });
@@ -328,6 +329,7 @@
     task.mUnknown = false;
     task.mRecovered = false;
   }
+  task.mReportedAt = aNow;
   if (aRun.mPercent != task.mPercent) {
     task.mPercent = aRun.mPercent;
     task.mProgressAt = aNow;
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -26,6 +26,11 @@
  * never began has no end that could wake the answer.
  */
 constexpr Millis kPressingWait{ 200 };
+/**
+ * The same for a worker with urgent work: a lost answer or a stalled run is
+ * noticed while its caller can still be served in time.
+ */
+constexpr Millis kUrgentWait{ 500 };
 /** Failed runs in a row after which a worker is avoided for a while. */
 constexpr int kSuspectStreak = 2;
 constexpr Millis kSuspectTime{ 10'000 };
@@ -225,7 +230,7 @@
 {
   return aWorker.mListed && !aWorker.mInfo.mLeaving &&
          aWorker.mFailedRenewals == 0 && aWorker.mClock.count() > 0 &&
-         aNow >= aWorker.mSuspectedUntil;
+         aNow >= aWorker.mSuspectedUntil && aNow >= aWorker.mSluggishUntil;
 }
 
 void
@@ -351,6 +356,16 @@
   }
 }
 
+bool
+Scheduler::Impl::HasUrgentRun(const WorkerState& aWorker) const
+{
+  return std::any_of(aWorker.mAssigned.begin(),
+                     aWorker.mAssigned.end(),
+                     [this](const TaskKey& aKey) {
+                       return mJobs.at(aKey.first).mJob.Terms().mPriority == 0;
+                     });
+}
+
 void
 Scheduler::Impl::CollectRenewals(Orders& aOrders, Millis aNow)
 {
@@ -374,8 +389,9 @@
       worker.mFailedRenewals == 0 && worker.mClock.count() > 0;
     if (isHeard) {
       order.mLeaseUntil = ExtendLease(worker, aNow);
-      order.mWait =
-        worker.HasUnrecordedEnds() ? Millis(0) : mOptions.mRenewWait;
+      order.mWait = worker.HasUnrecordedEnds() ? Millis(0)
+                    : HasUrgentRun(worker)     ? kUrgentWait
+                                               : mOptions.mRenewWait;
     }
     const bool isPressing = std::any_of(
       worker.mAssigned.begin(),
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -222,6 +222,51 @@
   CheckNoViolation(model);
 }
 
+// Guards against a gang that is held up for its whole run by one worker that
+// turned slow; workers like it get on well.
+TEST(Scheduler, RunOnSlowWorkerIsMovedEarly)
+{
+  FleetModel model({ 6, 6 });
+  model.SetSlowdown(0, 6.0);
+  model.Submit(MakeJob("a", Step(5, 8, true), 1), milliseconds(6'000));
+  // On the slow worker it would take 36 s.
+  model.Run(milliseconds(12'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
+// Guards against throwing away work that is nearly done for a short stall.
+TEST(Scheduler, ShortStallOfAdvancedRunIsWaitedFor)
+{
+  FleetModel model({ 2, 2 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(6'000));
+  model.Run(milliseconds(5'500));
+  const std::size_t host = BusyWorker(model);
+  model.SetStalled(host, true);
+  model.Run(milliseconds(4'000));
+  model.SetStalled(host, false);
+  model.Run(milliseconds(1'500));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(1, model.Starts());
+  CheckNoViolation(model);
+}
+
+// Guards against new work for a worker whose runs stand still.
+TEST(Scheduler, StandingWorkerGetsNoNewWork)
+{
+  FleetModel model({ 2, 2 });
+  model.Submit(MakeJob("a", Step(1, 4), 1), milliseconds(6'000));
+  model.Run(milliseconds(5'500));
+  const std::size_t host = BusyWorker(model);
+  model.SetStalled(host, true);
+  model.Run(milliseconds(2'500));
+  // It would fit best beside the first one.
+  model.Submit(MakeJob("b", Step(1, 4), 1), milliseconds(1'000));
+  model.Run(milliseconds(1'500));
+  CheckPhase(model, "b", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
 // Guards against runs of a cancelled job that go on.
 TEST(Scheduler, CancelledJobStops)
 {
