Remove the rows of ended jobs; drop dead code of scheduling

Cause: rows of jobs were never deleted, so that each new owner read all jobs that ever were. The owner removes the three rows of a job 10 minutes (scheduling.job_retention_ms) after it learned of the end, in the writes that renew its lease, so that a former owner can remove nothing.

Test: SchedulingTasks.RowsOfEndedJobAreRemoved. Removed without a user: Resources::Times, SchedulerOptions::mCrossRackFactor, PlanReason::kNeverFits; the names of job phases stood in two tables and stand in one now.

--- a/apps/cornelrudderd/DaemonSettings.cpp
+++ b/apps/cornelrudderd/DaemonSettings.cpp
@@ -33,6 +33,7 @@
 };
 
 constexpr std::int64_t kMinuteMs = 60'000;
+constexpr std::int64_t kDayMs = 24 * 60 * kMinuteMs;
 
 const std::array kFileKeys{
   FileKey{ "daemon", "id", &Values::mId, true, 1, 64, "" },
@@ -138,6 +139,13 @@
            0,
            kMinuteMs,
            "" },
+  FileKey{ "scheduling",
+           "job_retention_ms",
+           &Values::mJobRetentionMs,
+           false,
+           kMinuteMs,
+           kDayMs,
+           "" },
   FileKey{ "scheduling",
            "owner_timeout_ms",
            &Values::mOwnerTimeoutMs,
--- a/apps/cornelrudderd/DaemonSettings.h
+++ b/apps/cornelrudderd/DaemonSettings.h
@@ -47,6 +47,7 @@
   std::int64_t mWorkerLeaseMs = 6'000;
   std::int64_t mWorkerWaitMs = 1'500;
   std::int64_t mOwnerTimeoutMs = 1'300;
+  std::int64_t mJobRetentionMs = 600'000;
   std::int64_t mCatalogMaxAgeMs = 3'000;
   std::string mPlacementPolicy;
 
@@ -145,6 +146,10 @@
   {
     return std::chrono::milliseconds(mValues.mWorkerWaitMs);
   }
+  std::chrono::milliseconds JobRetention() const
+  {
+    return std::chrono::milliseconds(mValues.mJobRetentionMs);
+  }
   std::chrono::milliseconds OwnerTimeout() const
   {
     return std::chrono::milliseconds(mValues.mOwnerTimeoutMs);
--- a/apps/cornelrudderd/FleetDaemon.cpp
+++ b/apps/cornelrudderd/FleetDaemon.cpp
@@ -152,6 +152,7 @@
     scheduler.mTakeoverDelay = TakeoverDelay(mSettings);
     scheduler.mWorkerLease = mSettings.WorkerLease();
     scheduler.mRenewWait = mSettings.WorkerWait();
+    scheduler.mJobRetention = mSettings.JobRetention();
     scheduler.mPolicy = mSettings.PlacementPolicy();
     mScheduler = mTasks.Add(
       SpawnSchedulerTask(
--- a/include/cornelrudder/coordination/SchedulerTask.h
+++ b/include/cornelrudder/coordination/SchedulerTask.h
@@ -51,6 +51,11 @@
   std::chrono::milliseconds mFeedWait{ 1'000 };
   std::chrono::milliseconds mWorkerLease{ 6'000 };
   std::chrono::milliseconds mRenewWait{ 1'500 };
+  /**
+   * How long the rows of an ended job are kept: five times the time for which
+   * the platform's callers may ask for its state.
+   */
+  std::chrono::milliseconds mJobRetention{ 600'000 };
   std::string mPolicy;
 };
 
--- a/include/cornelrudder/state/scheduling/JobProgress.h
+++ b/include/cornelrudder/state/scheduling/JobProgress.h
@@ -3,7 +3,9 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cornelrudder::state::scheduling {
@@ -22,6 +24,14 @@
 bool
 IsFinal(JobPhase aPhase);
 
+/** @return The name of a phase, in records and in the log. */
+const char*
+JobPhaseName(JobPhase aPhase);
+
+/** @return The phase with a name, or nothing. */
+std::optional<JobPhase>
+JobPhaseFromName(std::string_view aName);
+
 /** State of a task as it is recorded. */
 enum class RecordedState
 {
--- a/include/cornelrudder/state/scheduling/Planning.h
+++ b/include/cornelrudder/state/scheduling/Planning.h
@@ -124,9 +124,7 @@
   kAwaitsRoom,
   /** Less urgent work is stopped for it. */
   kPreempts,
-  kNoRoom,
-  /** No worker of the fleet could ever hold one of its tasks. */
-  kNeverFits
+  kNoRoom
 };
 
 /** @return The name of a reason, for the log. */
--- a/include/cornelrudder/state/scheduling/Resources.h
+++ b/include/cornelrudder/state/scheduling/Resources.h
@@ -50,13 +50,6 @@
              mAccelerators - aOther.mAccelerators };
   }
 
-  Resources Times(std::int64_t aFactor) const
-  {
-    return { mCpuMillis * aFactor,
-             mMemoryMb * aFactor,
-             mAccelerators * aFactor };
-  }
-
   /** @return Cores, with an accelerator counted as several of them. */
   double WeightedCores() const
   {
--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -27,8 +27,8 @@
   std::chrono::milliseconds mWorkerLease{ 6'000 };
   /** How long a worker may hold the answer to a renewal. */
   std::chrono::milliseconds mRenewWait{ 1'500 };
-  /** Factor on the run time of a task away from its data or its gang. */
-  double mCrossRackFactor = 3.0;
+  /** How long the rows of an ended job are kept. */
+  std::chrono::milliseconds mJobRetention{ 600'000 };
   std::string mPolicy;
   auto operator<=>(const SchedulerOptions&) const = default;
 };
@@ -140,6 +140,15 @@
   /** @param aStored Whether the write of BeginWrite() certainly took effect. */
   void FinishWrite(bool aStored);
 
+  /**
+   * @return Ended jobs whose rows have been kept long enough, at most so many.
+   *   An owner counts from when it learned of the end.
+   */
+  std::vector<std::string> ExpiredJobs(Millis aNow, std::size_t aMax) const;
+
+  /** Forgets ended jobs whose rows are gone. */
+  void ForgetExpired(const std::vector<std::string>& aJobs);
+
   /** @return Orders that are due and covered by stored records. */
   Orders TakeOrders(Millis aNow);
 
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -130,6 +130,8 @@
   std::uint64_t mLeaseVersion = 0;
   bool mReadingLease = false;
   bool mWriting = false;
+  /** Ended jobs whose rows the write under way removes. */
+  std::vector<std::string> mRemoving;
   Millis mLastWrite{ 0 };
   /** No write is tried before this, after a failure. */
   Millis mWriteAfter{ 0 };
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -25,6 +25,13 @@
  */
 constexpr std::size_t kMaxJobsPerWrite = 40;
 
+/**
+ * Ended jobs that a write removes, with three rows each: together with this
+ * many records it stays below 100 rows.
+ */
+constexpr std::size_t kMaxRemovals = 20;
+constexpr std::size_t kMaxRecordsBesideRemovals = 20;
+
 } // namespace
 
 StorePort::Completion
@@ -197,6 +204,16 @@
                         RowWrite::kAnyVersion,
                         mPorts.mCodec.EncodeProgress(record));
   }
+  mRemoving.clear();
+  if (mMode == Mode::kOwning && records.size() <= kMaxRecordsBesideRemovals) {
+    mRemoving = mScheduler->ExpiredJobs(Now(), kMaxRemovals);
+  }
+  for (const std::string& job : mRemoving) {
+    for (const std::string& key :
+         { JobKey(job), CancelKey(job), ProgressKey(job) }) {
+      writes.emplace_back(key, RowWrite::kAnyVersion, std::nullopt);
+    }
+  }
   ++mCounters["owner_writes_total"];
   mPorts.mStore.Transact(Transaction(mWriteIds.Next(), std::move(writes)),
                          Expect(&SchedulerTask::FinishWrite));
@@ -210,6 +227,10 @@
   const bool isStored = aResult.Status() == StoreStatus::kOk;
   if (mMode == Mode::kOwning) {
     mScheduler->FinishWrite(isStored);
+    if (isStored) {
+      mScheduler->ForgetExpired(mRemoving);
+      mCounters["jobs_removed_total"] += mRemoving.size();
+    }
   }
   if (isStored) {
     mLeaseVersion = aResult.Version();
--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -128,6 +128,7 @@
   options.mEpoch = mLease.mEpoch;
   options.mWorkerLease = mOptions.mWorkerLease;
   options.mRenewWait = mOptions.mRenewWait;
+  options.mJobRetention = mOptions.mJobRetention;
   options.mPolicy = mOptions.mPolicy;
   mScheduler.emplace(std::move(options));
   if (mCatalog) {
--- a/src/protocol/JsonSchedulingCodec.cpp
+++ b/src/protocol/JsonSchedulingCodec.cpp
@@ -4,7 +4,6 @@
 #include "cornelrudder/coordination/CoordinationError.h"
 #include "cornelrudder/state/StateError.h"
 
-#include <array>
 #include <chrono>
 
 #include <nlohmann/json.hpp>
@@ -28,12 +27,6 @@
 
 namespace {
 
-constexpr std::array kPhaseNames{ "queued",
-                                  "running",
-                                  "done",
-                                  "failed",
-                                  "cancelled" };
-
 /** Letters of recorded states, in their order. */
 constexpr std::string_view kStateLetters = "wad";
 
@@ -173,12 +166,11 @@
 JobPhase
 PhaseFromName(const std::string& aName)
 {
-  for (std::size_t i = 0; i < kPhaseNames.size(); ++i) {
-    if (kPhaseNames.at(i) == aName) {
-      return static_cast<JobPhase>(i);
-    }
+  const auto phase = state::scheduling::JobPhaseFromName(aName);
+  if (!phase) {
+    throw CoordinationError("job progress: unknown state \"" + aName + "\"");
   }
-  throw CoordinationError("job progress: unknown state \"" + aName + "\"");
+  return *phase;
 }
 
 } // namespace
@@ -224,12 +216,11 @@
   for (const TaskRecord& record : aProgress.Tasks()) {
     tasks.push_back(RecordToJson(record));
   }
-  return ToText(
-    { { "id", aProgress.Job() },
-      { "organisation", aProgress.Organisation() },
-      { "state", kPhaseNames.at(static_cast<std::size_t>(aProgress.Phase())) },
-      { "begun", aProgress.HasBegun() },
-      { "tasks", std::move(tasks) } });
+  return ToText({ { "id", aProgress.Job() },
+                  { "organisation", aProgress.Organisation() },
+                  { "state", JobPhaseName(aProgress.Phase()) },
+                  { "begun", aProgress.HasBegun() },
+                  { "tasks", std::move(tasks) } });
 }
 
 JobProgress
--- a/src/state/scheduling/Names.cpp
+++ b/src/state/scheduling/Names.cpp
@@ -6,6 +6,34 @@
 
 namespace cornelrudder::state::scheduling {
 
+namespace {
+
+/** Indexed by JobPhase. */
+constexpr std::array kPhaseNames{ "queued",
+                                  "running",
+                                  "done",
+                                  "failed",
+                                  "cancelled" };
+
+} // namespace
+
+const char*
+JobPhaseName(JobPhase aPhase)
+{
+  return kPhaseNames.at(static_cast<std::size_t>(aPhase));
+}
+
+std::optional<JobPhase>
+JobPhaseFromName(std::string_view aName)
+{
+  for (std::size_t i = 0; i < kPhaseNames.size(); ++i) {
+    if (kPhaseNames.at(i) == aName) {
+      return static_cast<JobPhase>(i);
+    }
+  }
+  return std::nullopt;
+}
+
 bool
 IsFinal(JobPhase aPhase)
 {
--- a/src/state/scheduling/PlanningPolicies.cpp
+++ b/src/state/scheduling/PlanningPolicies.cpp
@@ -83,7 +83,7 @@
 PlanReasonName(PlanReason aReason)
 {
   static constexpr std::array kNames{
-    "fits", "awaits_room", "preempts", "no_room", "never_fits"
+    "fits", "awaits_room", "preempts", "no_room"
   };
   return kNames.at(static_cast<std::size_t>(aReason));
 }
--- a/src/state/scheduling/Scheduler.cpp
+++ b/src/state/scheduling/Scheduler.cpp
@@ -96,6 +96,18 @@
   mImpl->FinishWrite(aStored);
 }
 
+std::vector<std::string>
+Scheduler::ExpiredJobs(Millis aNow, std::size_t aMax) const
+{
+  return mImpl->ExpiredJobs(aNow, aMax);
+}
+
+void
+Scheduler::ForgetExpired(const std::vector<std::string>& aJobs)
+{
+  mImpl->ForgetExpired(aJobs);
+}
+
 Orders
 Scheduler::TakeOrders(Millis aNow)
 {
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -29,6 +29,8 @@
   bool HasChanges() const { return !mDirty.empty() || HasUnwrittenEnds(); }
   std::vector<JobProgress> BeginWrite(std::size_t aMaxJobs);
   void FinishWrite(bool aStored);
+  std::vector<std::string> ExpiredJobs(Millis aNow, std::size_t aMax) const;
+  void ForgetExpired(const std::vector<std::string>& aJobs);
   std::map<std::string, std::uint64_t> Pending() const;
   bool IsIdle() const;
   std::map<std::string, std::uint64_t> Gauges() const;
@@ -121,7 +123,10 @@
   void NoteFailure(WorkerState& aWorker, const JobState& aJob, Millis aNow);
   Millis ExtendLease(WorkerState& aWorker, Millis aNow);
   void TakeEnd(WorkerState& aWorker, const EndedRun& aEnd, Millis aNow);
-  void TakeRunning(WorkerState& aWorker, const RunningRun& aRun, Millis aNow);
+  void TakeRunning(WorkerState& aWorker,
+                   const RunningRun& aRun,
+                   std::uint64_t aIncarnation,
+                   Millis aNow);
   void CheckMissing(WorkerState& aWorker,
                     const std::set<TaskKey>& aListed,
                     Millis aSentAt,
@@ -180,8 +185,13 @@
   std::unique_ptr<PlacementPolicy> mPolicy;
   std::map<std::string, std::int64_t> mGuarantees;
   std::map<std::string, JobState> mJobs;
-  /** Jobs that ended under this owner; a late repeat must not revive them. */
-  std::set<std::string> mEnded;
+  /**
+   * Ended jobs and when this owner learned of it; a late repeat must not
+   * revive them.
+   */
+  std::map<std::string, Millis> mEnded;
+  /** Time of the last plan, for what has no time of its own. */
+  Millis mPlannedAt{ 0 };
   std::map<std::string, WorkerState> mWorkers;
   std::set<std::string> mDirty;
   /** Jobs of the write under way. */
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -1,7 +1,6 @@
 #include "SchedulerImpl.h"
 
 #include <algorithm>
-#include <array>
 
 namespace cornelrudder::state::scheduling {
 
@@ -38,6 +37,7 @@
   }
   JobState job(aJob, aNow - std::max(aAge, Millis(0)));
   job.mTasks.resize(aJob.TasksPerOccurrence() * aJob.Occurrences());
+  mPlannedAt = std::max(mPlannedAt, aNow);
   JobState& added = mJobs.emplace(aJob.Id(), std::move(job)).first->second;
   if (aProgress != nullptr) {
     Restore(added, *aProgress, aNow);
@@ -100,15 +100,12 @@
 void
 Scheduler::Impl::EndJob(JobState& aJob, JobPhase aPhase, Millis aNow)
 {
-  static constexpr std::array kNames{
-    "queued", "running", "done", "failed", "cancelled"
-  };
   aJob.mPhase = aPhase;
   MarkChanged(aJob);
   Note(SchedulerNote::Kind::kJobEnded,
        { { "job", aJob.mJob.Id() },
          { "queue", aJob.mJob.Terms().mQueue },
-         { "state", kNames.at(static_cast<std::size_t>(aPhase)) },
+         { "state", JobPhaseName(aPhase) },
          { "age_ms", std::to_string((aNow - aJob.mSubmittedAt).count()) } });
   StopAll(aJob, aNow);
 }
@@ -126,7 +123,7 @@
       mClaims.erase({ aJob, i });
     }
     mJobs.erase(aJob);
-    mEnded.insert(aJob);
+    mEnded.emplace(aJob, mPlannedAt);
   }
 }
 
@@ -198,6 +195,29 @@
   }
 }
 
+std::vector<std::string>
+Scheduler::Impl::ExpiredJobs(Millis aNow, std::size_t aMax) const
+{
+  std::vector<std::string> jobs;
+  for (const auto& [id, endedAt] : mEnded) {
+    if (jobs.size() == aMax) {
+      break;
+    }
+    if (aNow - endedAt >= mOptions.mJobRetention) {
+      jobs.push_back(id);
+    }
+  }
+  return jobs;
+}
+
+void
+Scheduler::Impl::ForgetExpired(const std::vector<std::string>& aJobs)
+{
+  for (const std::string& id : aJobs) {
+    mEnded.erase(id);
+  }
+}
+
 std::map<std::string, std::uint64_t>
 Scheduler::Impl::Pending() const
 {
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -64,6 +64,7 @@
 void
 Scheduler::Impl::Plan(Millis aNow, Millis aWallClock)
 {
+  mPlannedAt = aNow;
   LoseSilentWorkers(aNow);
   WatchProgress(aNow);
   mGuaranteed = GuaranteedJobs();
--- a/tests/coordination/FakeFleet.cpp
+++ b/tests/coordination/FakeFleet.cpp
@@ -181,8 +181,12 @@
   }
   ++mVersion;
   for (const RowWrite& it : aTransaction.Writes()) {
-    mRows.insert_or_assign(
-      it.Key(), StoreRow(it.Key(), mVersion, "", it.Value().value_or("")));
+    if (!it.Value()) {
+      mRows.erase(it.Key());
+      continue;
+    }
+    mRows.insert_or_assign(it.Key(),
+                           StoreRow(it.Key(), mVersion, "", *it.Value()));
   }
   return Answer(StoreStatus::kOk, {});
 }
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -60,7 +60,8 @@
   Daemons(const Daemons&) = delete;
   Daemons& operator=(const Daemons&) = delete;
 
-  const DaemonTasks& Start(const std::string& aName)
+  const DaemonTasks& Start(const std::string& aName,
+                           milliseconds aRetention = milliseconds(600'000))
   {
     DaemonTasks tasks;
     tasks.mCatalog =
@@ -81,6 +82,7 @@
     scheduler.mIncarnation = aName + "-life";
     scheduler.mRenewEvery = milliseconds(50);
     scheduler.mOwnerTimeout = milliseconds(600);
+    scheduler.mJobRetention = aRetention;
     tasks.mScheduler = SpawnSchedulerTask(
       mSystem,
       { mStore, mStore, mWorkers, mCodec, mFleetCodec, mClock, mLog },
@@ -180,6 +182,22 @@
   CHECK_EQUAL(1, daemons.mWorkers.Starts());
 }
 
+// Guards against rows of ended jobs that pile up in the store, so that each
+// new owner takes longer to read them.
+TEST(SchedulingTasks, RowsOfEndedJobAreRemoved)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a", milliseconds(300));
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CHECK(
+    WaitUntil([&] { return daemons.IsPhase(daemon, "j1", JobPhase::kDone); }));
+  CHECK(WaitUntil([&] {
+    return !daemons.mStore.Has("jobs/j1") && !daemons.mStore.Has("runs/j1");
+  }));
+  CheckStatus(JobCallStatus::kNoJob,
+              daemons.Call(daemon, JobCallKind::kQuery, "j1").mStatus);
+}
+
 // Guards against a repeat of a submission that becomes a second job.
 TEST(SchedulingTasks, RepeatedSubmissionIsOneJob)
 {
