Keep a run that a restarted worker accepted before its restart was known

A worker restarts under its identifier and accepts an order in its new life; up to 0.4 s later the list of workers tells the restart, and the owner took all acknowledged runs for lost and started the task a second time beside the first.

Only runs that a report of the earlier life has listed are over now; the next report of the new life tells about the others.

Ruled out: a change of the owner (both starts carry epoch 1), a fault of the stand-in (the second order was sent by the same owner with run 2).

Test: Scheduler.RunOfNewLifeOutlivesTheNewsOfTheRestart fails before.

--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -62,6 +62,8 @@
   Millis mProgressAt{ 0 };
   /** When the worker last reported the run. */
   Millis mReportedAt{ 0 };
+  /** Life of the worker that last reported the run; 0 before any report. */
+  std::uint64_t mReportedBy = 0;
   /** The run did not resume from a checkpoint. */
   bool mStartedAnew = true;
   Millis mRunningSince{ 0 };
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -307,6 +307,7 @@
 void
 Scheduler::Impl::TakeRunning(WorkerState& aWorker,
                              const RunningRun& aRun,
+                             std::uint64_t aIncarnation,
                              Millis aNow)
 {
   JobState* job = FindJob(aRun.mTask.Job());
@@ -330,6 +331,7 @@
     task.mRecovered = false;
   }
   task.mReportedAt = aNow;
+  task.mReportedBy = aIncarnation;
   if (aRun.mPercent != task.mPercent) {
     task.mPercent = aRun.mPercent;
     task.mProgressAt = aNow;
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -131,9 +131,11 @@
 }
 
 /**
- * The worker started again under the same identifier. Runs that were known to
- * run are over. An order that is still under way would reach the new life, so
- * that a run that has not been seen yet is settled there like any other.
+ * The worker started again under the same identifier. Runs that its earlier
+ * life reported are over. A run that was only answered for may belong to the
+ * new life, which takes orders before its restart is known here; the next
+ * report tells. An order that is still under way would reach the new life, so
+ * that it is settled by a stop there.
  */
 void
 Scheduler::Impl::NoteRestart(WorkerState& aWorker, Millis aNow)
@@ -145,8 +147,11 @@
   const std::set<TaskKey> assigned = aWorker.mAssigned;
   for (const TaskKey& key : assigned) {
     const JobState* job = FindJob(key.first);
-    if (job != nullptr &&
-        job->mTasks[key.second].mPhase == TaskPhase::kRunning) {
+    if (job == nullptr) {
+      continue;
+    }
+    const Task& task = job->mTasks[key.second];
+    if (task.mPhase == TaskPhase::kRunning && task.mReportedBy != 0) {
       LoseRun(key, "restarted", aNow);
     }
   }
@@ -272,7 +277,7 @@
   NoteClock(worker, aReport.mClock, aNow);
   std::set<TaskKey> listed;
   for (const RunningRun& run : aReport.mRunning) {
-    TakeRunning(worker, run, aNow);
+    TakeRunning(worker, run, aReport.mIncarnation, aNow);
     const JobState* job = FindJob(run.mTask.Job());
     const auto index = job != nullptr ? job->Find(run.mTask) : std::nullopt;
     const TaskKey key{ run.mTask.Job(), index.value_or(0) };
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -146,6 +146,20 @@
 
 void
 FleetModel::CrashWorker(std::size_t aWorker)
+{
+  RestartUnnoticed(aWorker);
+  Announce(aWorker);
+}
+
+void
+FleetModel::Announce(std::size_t aWorker)
+{
+  mWorkers[aWorker].mInfo.mClock = mNow;
+  mOwner->SeeWorker(mWorkers[aWorker].mInfo, mNow);
+}
+
+void
+FleetModel::RestartUnnoticed(std::size_t aWorker)
 {
   ModelWorker& worker = mWorkers[aWorker];
   worker.mRuns.clear();
@@ -154,8 +168,6 @@
   worker.mEnds = 0;
   worker.mEpoch = 0;
   ++worker.mInfo.mIncarnation;
-  worker.mInfo.mClock = mNow;
-  mOwner->SeeWorker(worker.mInfo, mNow);
 }
 
 void
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -66,6 +66,10 @@
   /** The worker answers nothing, or does again; its runs go on. */
   void SetReachable(std::size_t aWorker, bool aReachable);
   void CrashWorker(std::size_t aWorker);
+  /** Restarts a worker; the list of workers does not tell it yet. */
+  void RestartUnnoticed(std::size_t aWorker);
+  /** The list of workers tells what a worker says of itself now. */
+  void Announce(std::size_t aWorker);
   void SetLeaving(std::size_t aWorker);
   /** Every run on the worker fails, or stands still. */
   void SetFailing(std::size_t aWorker, bool aFailing);
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -109,6 +109,25 @@
   CheckNoViolation(model);
 }
 
+// Guards against a second run of a task that a restarted worker had accepted
+// before the owner learned of the restart (found by fleet_soak.sh, seed 4).
+TEST(Scheduler, RunOfNewLifeOutlivesTheNewsOfTheRestart)
+{
+  FleetModel model({ 2, 1 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(300));
+  model.Run(milliseconds(1'000));
+  model.RestartUnnoticed(0);
+  model.RestartUnnoticed(1);
+  model.Submit(MakeJob("b", Step(1, 8), 1), milliseconds(2'000));
+  model.Run(milliseconds(60));
+  model.Announce(0);
+  model.Announce(1);
+  model.Run(milliseconds(4'000));
+  CheckPhase(model, "b", JobPhase::kDone);
+  CHECK_EQUAL(2, model.Starts());
+  CheckNoViolation(model);
+}
+
 // Guards against new work on a worker that is leaving.
 TEST(Scheduler, LeavingWorkerGetsNoNewWork)
 {
