Run daemons against a stand-in of the users' platform under faults

tests/fleet has the store (transactions, ranges, feed), workers with leases, fencing tokens and gangs, and callers; scripts/fleet_soak.sh kills, freezes, drains and restarts the daemons, silences and restarts workers, and takes the store away, slows it, loses its answers and its history. It checks that no task runs twice at a time or after a recorded end, that no worker is overfilled, that every accepted job is done and that a refused one never starts.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -35,6 +35,7 @@
 for seed in 1 2; do
   step "history, seed $seed" scripts/history.sh "$seed"
 done
+step "fleet soak, seed 4" scripts/fleet_soak.sh 4 1 60
 step "lint" scripts/lint.sh
 if [ -e KNOWN-RED.txt ]; then
   echo "== known red"
--- /dev/null
+++ b/tests/fleet/StoreStandin.h
@@ -0,0 +1,95 @@
+#ifndef CORNELRUDDER_TESTS_FLEET_STORE_STANDIN_H
+#define CORNELRUDDER_TESTS_FLEET_STORE_STANDIN_H
+
+#include "StandinServer.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <string>
+#include <utility>
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace cornelrudder::tests {
+
+/**
+ * Stand-in for the platform's store: rows in tables, atomic transactions,
+ * range reads and a feed of changes. All calls come on the I/O thread.
+ */
+class StoreStandin
+{
+public:
+  using Millis = std::chrono::milliseconds;
+
+  /** @param aServer Its switch for lost answers is honoured here. */
+  explicit StoreStandin(tools::StandinServer& aServer)
+    : mServer(aServer)
+  {
+  }
+
+  /** @return Whether the request was one for the store. */
+  bool Handle(const protocol::HttpRequest& aRequest,
+              const transport::HttpResponder& aRespond);
+
+  /** Writes a row on behalf of the operator or of a worker. */
+  void Put(const std::string& aTable,
+           const std::string& aKey,
+           const std::string& aValue);
+
+  /** Forgets all changes so far: followers have to read anew. */
+  void DropHistory() { mHistory.clear(), mHistoryStart = mVersion; }
+
+  /** Answers waits of the feed that are over. */
+  void Tick();
+
+private:
+  using RowId = std::pair<std::string, std::string>;
+
+  struct Row
+  {
+    std::string mValue;
+    std::uint64_t mVersion = 0;
+  };
+
+  struct Change
+  {
+    std::uint64_t mVersion;
+    RowId mId;
+    Row mRow;
+    bool mIsRemoved;
+  };
+
+  /** A follower without news. */
+  struct Waiter
+  {
+    std::string mTable;
+    std::uint64_t mAfter;
+    std::chrono::steady_clock::time_point mDeadline;
+    transport::HttpResponder mRespond;
+  };
+
+  void Transact(const protocol::HttpRequest& aRequest,
+                const transport::HttpResponder& aRespond);
+  void Read(const protocol::HttpRequest& aRequest,
+            const transport::HttpResponder& aRespond) const;
+  void Follow(const protocol::HttpRequest& aRequest,
+              const transport::HttpResponder& aRespond);
+  void Apply(const RowId& aId, const Row& aRow, bool aIsRemoved);
+  nlohmann::json ChangesOf(const std::string& aTable,
+                           std::uint64_t aAfter) const;
+  nlohmann::json Answer() const;
+
+  tools::StandinServer& mServer;
+  std::map<RowId, Row> mRows;
+  std::deque<Change> mHistory;
+  std::uint64_t mHistoryStart = 0;
+  std::uint64_t mVersion = 0;
+  std::list<Waiter> mWaiters;
+};
+
+} // namespace cornelrudder::tests
+
+#endif // CORNELRUDDER_TESTS_FLEET_STORE_STANDIN_H
--- /dev/null
+++ b/tests/fleet/fleet_caller.cpp
@@ -0,0 +1,251 @@
+/**
+ * @file
+ * Submits seeded jobs to the daemons, follows them to their ends and checks
+ * what callers were promised. Usage:
+ * fleet_caller --daemons A,B,... --standin ADDRESS --seed N --jobs N
+ */
+
+#include "cornelrudder/transport/HttpClient.h"
+#include "cornelrudder/transport/IoThread.h"
+
+#include <array>
+#include <cstdio>
+#include <future>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <getopt.h>
+#include <nlohmann/json.hpp>
+
+using namespace cornelrudder;
+using namespace std::chrono_literals;
+using nlohmann::json;
+using transport::HttpFailure;
+using transport::HttpResult;
+
+namespace {
+
+constexpr std::size_t kCallers = 8;
+constexpr auto kTimeout = 3s;
+/** An accepted job ends within this, faults included. */
+constexpr auto kEndWithin = 120s;
+/** Attempts after which a caller takes a refusal as final. */
+constexpr int kAttempts = 4;
+
+struct Options
+{
+  std::vector<std::string> mDaemons;
+  std::string mStandin;
+  std::uint64_t mSeed = 1;
+  int mJobs = 60;
+};
+
+/** What a caller was told of a job. */
+enum class Outcome
+{
+  kRefused,
+  kUnknown,
+  kDone,
+  kNotDone
+};
+
+/** Sends one request and waits for its answer. */
+class Caller
+{
+public:
+  Caller(transport::HttpClient& aClient, const Options& aOptions)
+    : mClient(aClient)
+    , mOptions(aOptions)
+  {
+  }
+
+  HttpResult Call(const std::string& aAddress,
+                  const char* aMethod,
+                  const std::string& aPath,
+                  std::string aBody)
+  {
+    std::promise<HttpResult> answer;
+    mClient.Send(
+      aAddress,
+      { aMethod,
+        aPath,
+        { { "host", "presses.example" },
+          { "authorization", "Bearer key-acme" },
+          { "x-deadline-ms", "3000" } },
+        std::move(aBody) },
+      { kTimeout, true },
+      [&answer](HttpResult aResult) { answer.set_value(std::move(aResult)); });
+    return answer.get_future().get();
+  }
+
+  Outcome Run(std::uint64_t aSeed, const std::string& aId)
+  {
+    std::mt19937_64 random(aSeed);
+    const auto anyDaemon = [&]() -> const std::string& {
+      return mOptions.mDaemons[random() % mOptions.mDaemons.size()];
+    };
+    const std::string path = "/q" + std::to_string(random() % 3) + "/" + aId;
+    const std::string body = MakeBody(random);
+    bool mayBeStored = false;
+    bool isAccepted = false;
+    for (int i = 0; !isAccepted && (i < kAttempts || mayBeStored); ++i) {
+      const HttpResult result = Call(anyDaemon(), "POST", path, body);
+      const int status = result.Response().Status();
+      isAccepted = result.Failure() == HttpFailure::kNone && status == 200;
+      const bool isRefused = result.Failure() == HttpFailure::kNotSent ||
+                             status == 503 || status == 429;
+      mayBeStored = mayBeStored || (!isAccepted && !isRefused);
+      if (!isAccepted) {
+        std::this_thread::sleep_for(300ms);
+      }
+      if (i > 40) {
+        return Outcome::kUnknown;
+      }
+    }
+    if (!isAccepted) {
+      return Outcome::kRefused;
+    }
+    const auto deadline = std::chrono::steady_clock::now() + kEndWithin;
+    while (std::chrono::steady_clock::now() < deadline) {
+      const HttpResult result = Call(anyDaemon(), "GET", path, "");
+      if (result.Failure() == HttpFailure::kNone &&
+          result.Response().Body().find("\"done\"") != std::string::npos) {
+        return Outcome::kDone;
+      }
+      std::this_thread::sleep_for(200ms);
+    }
+    return Outcome::kNotDone;
+  }
+
+private:
+  static std::string MakeBody(std::mt19937_64& aRandom)
+  {
+    const std::int64_t accelerators = 1LL << (aRandom() % 4);
+    const std::size_t tasks = 1 + aRandom() % 4;
+    const bool isGang = aRandom() % 2 == 0;
+    const std::int64_t work = 100 + static_cast<std::int64_t>(aRandom() % 900);
+    json payload{ { "run_ms", work }, { "accelerators", accelerators } };
+    json step{ { "count", tasks },
+               { "cpu", 1'000 },
+               { "mem-mb", 1'000 },
+               { "gpu", accelerators },
+               { "estimate-ms", work } };
+    if (isGang) {
+      payload["gang"] = tasks;
+      step["gang"] = true;
+    }
+    return json{ { "spec", payload.dump() }, { "steps", { step } } }.dump();
+  }
+
+  transport::HttpClient& mClient;
+  const Options& mOptions;
+};
+
+bool
+ParseOptions(int aCount, char** aArguments, Options& aOptions)
+{
+  static const std::array<option, 5> kOptions{ {
+    { "daemons", required_argument, nullptr, 'd' },
+    { "standin", required_argument, nullptr, 's' },
+    { "seed", required_argument, nullptr, 'r' },
+    { "jobs", required_argument, nullptr, 'j' },
+    { nullptr, 0, nullptr, 0 },
+  } };
+  int flag = 0;
+  while ((flag = getopt_long(
+            aCount, aArguments, "", kOptions.data(), nullptr)) != -1) {
+    if (flag == 'd') {
+      std::string list = optarg;
+      for (std::size_t at = 0; at != std::string::npos;) {
+        const auto comma = list.find(',', at);
+        aOptions.mDaemons.push_back(list.substr(at, comma - at));
+        at = comma == std::string::npos ? comma : comma + 1;
+      }
+    } else if (flag == 's') {
+      aOptions.mStandin = optarg;
+    } else if (flag == 'r') {
+      aOptions.mSeed = std::stoull(optarg);
+    } else if (flag == 'j') {
+      aOptions.mJobs = std::stoi(optarg);
+    } else {
+      return false;
+    }
+  }
+  return !aOptions.mDaemons.empty() && !aOptions.mStandin.empty();
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  Options options;
+  if (!ParseOptions(aCount, aArguments, options)) {
+    std::fprintf(stderr,
+                 "usage: %s --daemons A,B --standin A [--seed N] [--jobs N]\n",
+                 aArguments[0]);
+    return 2;
+  }
+  transport::IoThread thread;
+  transport::HttpClient client(thread, {});
+  std::vector<Outcome> outcomes(static_cast<std::size_t>(options.mJobs));
+  const auto idOf = [&](std::size_t aJob) {
+    std::array<char, 17> id{};
+    std::snprintf(id.data(),
+                  id.size(),
+                  "%08x%08x",
+                  static_cast<unsigned>(options.mSeed),
+                  static_cast<unsigned>(aJob));
+    return std::string(id.data());
+  };
+  std::vector<std::thread> callers;
+  for (std::size_t c = 0; c < kCallers; ++c) {
+    callers.emplace_back([&, c] {
+      Caller caller(client, options);
+      for (std::size_t i = c; i < outcomes.size(); i += kCallers) {
+        outcomes[i] = caller.Run(options.mSeed * 100'003 + i, idOf(i));
+      }
+    });
+  }
+  for (std::thread& it : callers) {
+    it.join();
+  }
+  Caller caller(client, options);
+  const HttpResult answer =
+    caller.Call(options.mStandin, "GET", "/journal", "");
+  thread.Stop();
+  if (answer.Failure() != HttpFailure::kNone) {
+    std::printf("BROKEN: the stand-in does not answer\n");
+    return 1;
+  }
+  const json journal = json::parse(answer.Response().Body());
+  std::set<std::string> started = journal.at("started");
+  int broken = 0;
+  for (const json& it : journal.at("violations")) {
+    std::printf("BROKEN: %s\n", it.get<std::string>().c_str());
+    ++broken;
+  }
+  std::map<Outcome, int> counts;
+  for (std::size_t i = 0; i < outcomes.size(); ++i) {
+    ++counts[outcomes[i]];
+    if (outcomes[i] == Outcome::kRefused && started.contains(idOf(i))) {
+      std::printf("BROKEN: %s was refused and runs\n", idOf(i).c_str());
+      ++broken;
+    }
+    if (outcomes[i] == Outcome::kNotDone) {
+      std::printf("BROKEN: %s was accepted and not done\n", idOf(i).c_str());
+      ++broken;
+    }
+  }
+  std::printf("seed %llu: %d done, %d refused, %d unknown, %d broken\n",
+              static_cast<unsigned long long>(options.mSeed),
+              counts[Outcome::kDone],
+              counts[Outcome::kRefused],
+              counts[Outcome::kUnknown],
+              broken);
+  return broken == 0 ? 0 : 1;
+}
