Move runs that would be lost with a leaving worker within its notice

The told remaining time was not read.

A run on a leaving worker is stopped at once if, by its own rate, it would end 0.5 s or a quarter of its work after the time the worker is sure to stay. Events run_moved (was run_stalled) and worker_leaving tell it.

Tests: RunThatWouldBeLostIsMovedWithinTheNotice (fails without the rule), RunThatEndsWithinTheNoticeGoesOn.

--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -86,13 +86,14 @@
   kWorkerBack = 806,
   kWorkerGone = 807,
   kWorkerSuspected = 808,
-  kRunStalled = 809,
+  kRunMoved = 809,
   kCallAnswered = 810,
   kCatalogApplied = 811,
   kCatalogStale = 812,
   kCatalogConfirmed = 813,
   kStoreLost = 814,
-  kStoreBack = 815
+  kStoreBack = 815,
+  kWorkerLeaving = 816
 };
 
 /** Row of the event table. */
--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -56,7 +56,8 @@
     kWorkerBack,
     kWorkerGone,
     kWorkerSuspected,
-    kRunStalled
+    kRunMoved,
+    kWorkerLeaving
   };
 
   Kind mKind;
--- a/include/cornelrudder/state/scheduling/WorkerInfo.h
+++ b/include/cornelrudder/state/scheduling/WorkerInfo.h
@@ -27,6 +27,8 @@
   Resources mRoom;
   /** The worker is about to leave and takes no new work. */
   bool mLeaving = false;
+  /** Shortest time until a leaving worker is gone; 0 if it was not told. */
+  std::chrono::milliseconds mLeavesAfter{ 0 };
   /** The worker's own steady clock when it said this. */
   std::chrono::milliseconds mClock{ 0 };
 
--- a/src/coordination/LogEvent.cpp
+++ b/src/coordination/LogEvent.cpp
@@ -295,11 +295,11 @@
                 LogLevel::kWarning,
                 "worker_suspected",
                 "a worker failed runs in a row and is avoided for a while" },
-  LogEventInfo{
-    LogEvent::kRunStalled,
-    LogLevel::kWarning,
-    "run_stalled",
-    "a run stands still or is slow and is moved to another worker" },
+  LogEventInfo{ LogEvent::kRunMoved,
+                LogLevel::kWarning,
+                "run_moved",
+                "a run stands still, is slow or would be lost with its worker, "
+                "and is moved" },
   LogEventInfo{ LogEvent::kCallAnswered,
                 LogLevel::kInfo,
                 "call_answered",
@@ -326,6 +326,10 @@
                 LogLevel::kInfo,
                 "store_back",
                 "the store answers this daemon again" },
+  LogEventInfo{ LogEvent::kWorkerLeaving,
+                LogLevel::kInfo,
+                "worker_leaving",
+                "a worker announced that it leaves; it gets nothing new" },
 };
 
 } // namespace
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -37,7 +37,7 @@
   LogEvent::kTaskPlaced,      LogEvent::kTaskWaits,  LogEvent::kTaskPreempted,
   LogEvent::kRunEnded,        LogEvent::kRunLost,    LogEvent::kJobEnded,
   LogEvent::kWorkerSilent,    LogEvent::kWorkerBack, LogEvent::kWorkerGone,
-  LogEvent::kWorkerSuspected, LogEvent::kRunStalled
+  LogEvent::kWorkerSuspected, LogEvent::kRunMoved,   LogEvent::kWorkerLeaving
 };
 
 milliseconds
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -150,6 +150,11 @@
                 std::size_t aTask,
                 const StepProgress& aStep,
                 Millis aNow);
+  bool WouldBeLost(const JobState& aJob,
+                   std::size_t aTask,
+                   const WorkerState& aWorker,
+                   Millis aBegin,
+                   Millis aNow) const;
   void MoveRun(JobState& aJob,
                std::size_t aTask,
                const char* aReason,
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -159,6 +159,8 @@
   Millis mLeaseEnd{ 0 };
   int mFailStreak = 0;
   Millis mSuspectedUntil{ 0 };
+  /** Time at which a leaving worker may be gone; 0 if it was not told. */
+  Millis mLeavesAt{ 0 };
   /** Its runs stand still, or get on much slower than others like them. */
   Millis mSluggishUntil{ 0 };
 
--- a/src/state/scheduling/SchedulerProgress.cpp
+++ b/src/state/scheduling/SchedulerProgress.cpp
@@ -27,6 +27,12 @@
 constexpr Millis kSluggishTime{ 1'500 };
 /** What a stop and a new start take. */
 constexpr Millis kMoveTime{ 1'000 };
+/**
+ * Time by which a run has to miss the leaving of its worker: the told time is
+ * the shortest one, and work that is nearly done is worth a try.
+ */
+constexpr Millis kMinOverrun{ 500 };
+constexpr int kWorkPerOverrun = 4;
 /** Age up to which any slow run may be moved: two reports tell its rate. */
 constexpr Millis kEarlyRun{ 2'000 };
 
@@ -149,11 +155,16 @@
     return;
   }
   const Millis begin = BeginOf(task, aStep.mBegin);
+  if (WouldBeLost(aJob, aTask, it->second, begin, aNow)) {
+    MoveRun(aJob, aTask, "worker_leaves", aNow);
+    return;
+  }
   const Millis stood = task.mReportedAt - std::max(task.mProgressAt, begin);
   if (stood > kMinStall) {
     it->second.mSluggishUntil = aNow + kSluggishTime;
     const bool isCheckpointing = aJob.StepOf(aTask).IsCheckpointing();
     if (stood > StallLimit(task, isCheckpointing, begin)) {
+      NoteFailure(it->second, aJob, aNow);
       MoveRun(aJob, aTask, "stalled", aNow);
     }
     return;
@@ -172,10 +183,36 @@
   const bool isFaster =
     rate <= 0.0 || TimeFor(kWholeWork - task.mPercent, rate) > anew;
   if (isEarly && isFaster) {
+    NoteFailure(it->second, aJob, aNow);
     MoveRun(aJob, aTask, "slow", aNow);
   }
 }
 
+/** @return Whether a run's worker leaves well before the run can end. */
+bool
+Scheduler::Impl::WouldBeLost(const JobState& aJob,
+                             std::size_t aTask,
+                             const WorkerState& aWorker,
+                             Millis aBegin,
+                             Millis aNow) const
+{
+  if (!aWorker.mInfo.mLeaving || aWorker.mLeavesAt.count() == 0) {
+    return false;
+  }
+  const Task& task = aJob.mTasks[aTask];
+  const Millis worked =
+    aBegin.count() > 0 ? task.mReportedAt - aBegin : Millis(0);
+  const bool isRateKnown =
+    task.mStartedAnew && worked >= kMinRateTime && task.mPercent > 0;
+  const Millis expected =
+    mRunTimes.Expect(aJob.mJob.Terms().mQueue, aJob.StepOf(aTask).Estimate());
+  const Millis left =
+    isRateKnown ? TimeFor(kWholeWork - task.mPercent, RateOf(task, aBegin))
+                : expected * (kWholeWork - task.mPercent) / kWholeWork;
+  const Millis overrun = aNow + left - aWorker.mLeavesAt;
+  return overrun > std::max(kMinOverrun, worked / kWorkPerOverrun);
+}
+
 /** Stops a run so that its task starts on another worker. */
 void
 Scheduler::Impl::MoveRun(JobState& aJob,
@@ -185,7 +222,7 @@
 {
   Task& task = aJob.mTasks[aTask];
   Note(
-    SchedulerNote::Kind::kRunStalled,
+    SchedulerNote::Kind::kRunMoved,
     { { "task", aJob.IdOf(aTask).Text() },
       { "run", std::to_string(task.mRun) },
       { "worker", task.mWorker },
@@ -194,7 +231,6 @@
       { "stood_ms", std::to_string((aNow - task.mProgressAt).count()) },
       { "running_ms", std::to_string((aNow - task.mRunningSince).count()) } });
   task.mAvoid = task.mWorker;
-  NoteFailure(mWorkers.at(task.mWorker), aJob, aNow);
   WantStop(aJob, aTask, aNow);
 }
 
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -81,8 +81,16 @@
     NoteRestart(worker, aNow);
   }
   const bool isFirst = worker.mClock.count() == 0 || isRestarted;
+  if (aInfo.mLeaving && !worker.mInfo.mLeaving) {
+    Note(SchedulerNote::Kind::kWorkerLeaving,
+         { { "worker", aInfo.mId },
+           { "leaves_after_ms", std::to_string(aInfo.mLeavesAfter.count()) },
+           { "runs", std::to_string(worker.mAssigned.size()) } });
+  }
   worker.mInfo = aInfo;
   worker.mListed = true;
+  worker.mLeavesAt =
+    aInfo.mLeavesAfter.count() > 0 ? aNow + aInfo.mLeavesAfter : Millis(0);
   if (isFirst || aInfo.mClock > worker.mClock) {
     NoteClock(worker, aInfo.mClock, aNow);
   }
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -171,8 +171,9 @@
 }
 
 void
-FleetModel::SetLeaving(std::size_t aWorker)
+FleetModel::SetLeaving(std::size_t aWorker, milliseconds aLeavesAfter)
 {
+  mWorkers[aWorker].mInfo.mLeavesAfter = aLeavesAfter;
   mWorkers[aWorker].mInfo.mLeaving = true;
   mOwner->SeeWorker(mWorkers[aWorker].mInfo, mNow);
 }
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -70,7 +70,9 @@
   void RestartUnnoticed(std::size_t aWorker);
   /** The list of workers tells what a worker says of itself now. */
   void Announce(std::size_t aWorker);
-  void SetLeaving(std::size_t aWorker);
+  /** @param aLeavesAfter Shortest time until it is gone; 0 is not told. */
+  void SetLeaving(std::size_t aWorker,
+                  milliseconds aLeavesAfter = milliseconds(0));
   /** Every run on the worker fails, or stands still. */
   void SetFailing(std::size_t aWorker, bool aFailing);
   void SetStalled(std::size_t aWorker, bool aStalled);
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -138,6 +138,36 @@
   CHECK_EQUAL(0, model.Starts());
 }
 
+// Guards against work that is lost with a worker that was taken at short
+// notice, and noticed only when its entry is gone.
+TEST(Scheduler, RunThatWouldBeLostIsMovedWithinTheNotice)
+{
+  FleetModel model({ 2, 1 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(5'000));
+  model.Run(milliseconds(1'000));
+  const std::size_t host = BusyWorker(model);
+  model.SetLeaving(host, milliseconds(2'000));
+  model.Run(milliseconds(1'500));
+  CHECK_EQUAL(0, model.RunningOn(host));
+  CHECK_EQUAL(1, model.RunningOn(1 - host));
+  model.Run(milliseconds(5'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
+// Guards against stopping a run that ends before its worker is gone.
+TEST(Scheduler, RunThatEndsWithinTheNoticeGoesOn)
+{
+  FleetModel model({ 2, 1 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(2'500));
+  model.Run(milliseconds(1'000));
+  model.SetLeaving(BusyWorker(model), milliseconds(2'000));
+  model.Run(milliseconds(2'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(1, model.Starts());
+  CheckNoViolation(model);
+}
+
 // Guards against a successor that starts again what still runs.
 TEST(Scheduler, SuccessorTakesOverRuns)
 {
