--- a/src/state/scheduling/SchedulerProgress.cpp
+++ b/src/state/scheduling/SchedulerProgress.cpp
@@ -1,6 +1,7 @@
 #include "SchedulerImpl.h"
 
 #include <algorithm>
+#include <span>
 
 namespace cornelrudder::state::scheduling {
 
@@ -68,6 +69,44 @@
          begin.count() > 0 && aTask.mReportedAt - begin >= kMinRateTime;
 }
 
+bool
+IsRunning(const Task& aTask)
+{
+  return aTask.mPhase == TaskPhase::kRunning;
+}
+
+/** @return Median of the runs' percent per second; 0 if too few are known. */
+double
+UsualRate(std::span<const Task> aTasks, Millis aStepBegin)
+{
+  std::vector<double> rates;
+  for (const Task& task : aTasks) {
+    if (HasRate(task, aStepBegin)) {
+      rates.push_back(RateOf(task, BeginOf(task, aStepBegin)));
+    }
+  }
+  if (rates.size() < kMinRates) {
+    return 0.0;
+  }
+  const auto middle =
+    rates.begin() + static_cast<std::ptrdiff_t>(rates.size() / 2);
+  std::nth_element(rates.begin(), middle, rates.end());
+  return *middle;
+}
+
+/** @return Whether a slow run would end sooner elsewhere, at little loss. */
+bool
+IsWorthMoving(const Task& aTask, Millis aBegin, double aUsualRate, Millis aNow)
+{
+  const Millis anew = TimeFor(kWholeWork, aUsualRate) + kMoveTime;
+  // The slowness may pass: a run is moved only while little of it is lost.
+  if (aNow - aBegin >= std::max(anew / 2, kEarlyRun)) {
+    return false;
+  }
+  const double rate = RateOf(aTask, aBegin);
+  return rate <= 0.0 || TimeFor(kWholeWork - aTask.mPercent, rate) > anew;
+}
+
 /**
  * @return Time without progress after which a run is moved: as long as its
  * work so far took, since that is what a move loses. A run that resumes soon
@@ -110,33 +149,21 @@
                            std::size_t aEnd,
                            Millis aNow)
 {
+  const std::span<const Task> tasks(aJob.mTasks.data() + aFirst, aEnd - aFirst);
   StepProgress step;
   if (aJob.StepOf(aFirst).IsGang()) {
-    for (std::size_t i = aFirst; i < aEnd; ++i) {
-      if (aJob.mTasks[i].mPhase != TaskPhase::kRunning) {
-        // The members that are there wait for the others.
-        return;
-      }
-      step.mBegin = std::max(step.mBegin, aJob.mTasks[i].mRunningSince);
+    if (!std::all_of(tasks.begin(), tasks.end(), IsRunning)) {
+      // The members that are there wait for the others.
+      return;
     }
-  }
-  std::vector<double> rates;
-  for (std::size_t i = aFirst; i < aEnd; ++i) {
-    if (HasRate(aJob.mTasks[i], step.mBegin)) {
-      rates.push_back(
-        RateOf(aJob.mTasks[i], BeginOf(aJob.mTasks[i], step.mBegin)));
+    for (const Task& task : tasks) {
+      step.mBegin = std::max(step.mBegin, task.mRunningSince);
     }
   }
-  if (rates.size() >= kMinRates) {
-    const auto middle =
-      rates.begin() + static_cast<std::ptrdiff_t>(rates.size() / 2);
-    std::nth_element(rates.begin(), middle, rates.end());
-    step.mUsualRate = *middle;
-  }
+  step.mUsualRate = UsualRate(tasks, step.mBegin);
   for (std::size_t i = aFirst; i < aEnd; ++i) {
     const Task& task = aJob.mTasks[i];
-    if (task.mPhase == TaskPhase::kRunning && !task.mStopWanted &&
-        !aJob.IsWaitingForGang(i)) {
+    if (IsRunning(task) && !task.mStopWanted && !aJob.IsWaitingForGang(i)) {
       WatchRun(aJob, i, step, aNow);
     }
   }
@@ -154,36 +181,25 @@
   if (it == mWorkers.end() || it->second.mFailedRenewals > 0) {
     return;
   }
+  WorkerState& worker = it->second;
   const Millis begin = BeginOf(task, aStep.mBegin);
-  if (WouldBeLost(aJob, aTask, it->second, begin, aNow)) {
+  if (WouldBeLost(aJob, aTask, worker, begin, aNow)) {
     MoveRun(aJob, aTask, "worker_leaves", aNow);
     return;
   }
   const Millis stood = task.mReportedAt - std::max(task.mProgressAt, begin);
-  if (stood > kMinStall) {
-    it->second.mSluggishUntil = aNow + kSluggishTime;
-    const bool isCheckpointing = aJob.StepOf(aTask).IsCheckpointing();
-    if (stood > StallLimit(task, isCheckpointing, begin)) {
-      NoteFailure(it->second, aJob, aNow);
-      MoveRun(aJob, aTask, "stalled", aNow);
-    }
-    return;
-  }
-  if (aStep.mUsualRate <= 0.0 || !HasRate(task, aStep.mBegin)) {
-    return;
+  const bool isStanding = stood > kMinStall;
+  const bool isSlow = !isStanding && HasRate(task, aStep.mBegin) &&
+                      RateOf(task, begin) < kSlowShare * aStep.mUsualRate;
+  if (isStanding || isSlow) {
+    worker.mSluggishUntil = aNow + kSluggishTime;
   }
-  const double rate = RateOf(task, begin);
-  if (rate >= kSlowShare * aStep.mUsualRate) {
-    return;
-  }
-  it->second.mSluggishUntil = aNow + kSluggishTime;
-  const Millis anew = TimeFor(kWholeWork, aStep.mUsualRate) + kMoveTime;
-  // The slowness may pass: a run is moved only while little of it is lost.
-  const bool isEarly = aNow - begin < std::max(anew / 2, kEarlyRun);
-  const bool isFaster =
-    rate <= 0.0 || TimeFor(kWholeWork - task.mPercent, rate) > anew;
-  if (isEarly && isFaster) {
-    NoteFailure(it->second, aJob, aNow);
+  const bool isCheckpointing = aJob.StepOf(aTask).IsCheckpointing();
+  if (isStanding && stood > StallLimit(task, isCheckpointing, begin)) {
+    NoteFailure(worker, aJob, aNow);
+    MoveRun(aJob, aTask, "stalled", aNow);
+  } else if (isSlow && IsWorthMoving(task, begin, aStep.mUsualRate, aNow)) {
+    NoteFailure(worker, aJob, aNow);
     MoveRun(aJob, aTask, "slow", aNow);
   }
 }
--- a/tests/fleet/WorkerStandins.cpp
+++ b/tests/fleet/WorkerStandins.cpp
@@ -209,6 +209,23 @@
     std::max(aWorker.mLeaseEnd, std::min(end, Clock::now() + kMaxLease));
 }
 
+/** Notes a start that breaks a promise. */
+void
+WorkerStandins::CheckStart(const Worker& aWorker, const std::string& aTask)
+{
+  for (const Worker& worker : mWorkers) {
+    for (const Run& it : worker.mRuns) {
+      if (it.mTask == aTask) {
+        mViolations.push_back(aTask + " runs on " + worker.mId +
+                              " and is started on " + aWorker.mId);
+      }
+    }
+  }
+  if (mDone.contains(aTask)) {
+    mViolations.push_back(aTask + " was started after its end was recorded");
+  }
+}
+
 void
 WorkerStandins::StartRun(Worker& aWorker,
                          const json& aBody,
@@ -232,17 +249,7 @@
     aRespond(HttpResponse::Json(409, answer.dump()));
     return;
   }
-  for (const Worker& worker : mWorkers) {
-    for (const Run& it : worker.mRuns) {
-      if (it.mTask == task) {
-        mViolations.push_back(task + " runs on " + worker.mId +
-                              " and is started on " + aWorker.mId);
-      }
-    }
-  }
-  if (mDone.contains(task)) {
-    mViolations.push_back(task + " was started after its end was recorded");
-  }
+  CheckStart(aWorker, task);
   const json payload = json::parse(aBody.at("spec").get<std::string>());
   aWorker.mRuns.push_back({ task,
                             run,
--- a/tests/fleet/WorkerStandins.h
+++ b/tests/fleet/WorkerStandins.h
@@ -104,6 +104,7 @@
   void StartRun(Worker& aWorker,
                 const nlohmann::json& aBody,
                 const transport::HttpResponder& aRespond);
+  void CheckStart(const Worker& aWorker, const std::string& aTask);
   void StopRun(Worker& aWorker,
                const nlohmann::json& aBody,
                const transport::HttpResponder& aRespond);
--- a/tests/fleet/fleet_caller.cpp
+++ b/tests/fleet/fleet_caller.cpp
@@ -8,10 +8,10 @@
 #include "cornelrudder/transport/HttpClient.h"
 #include "cornelrudder/transport/IoThread.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <future>
-#include <map>
 #include <random>
 #include <set>
 #include <string>
@@ -30,11 +30,15 @@
 namespace {
 
 constexpr std::size_t kCallers = 8;
+/** Keeps the random numbers of two runs apart. */
+constexpr std::uint64_t kSeedStep = 100'003;
 constexpr auto kTimeout = 3s;
 /** An accepted job ends within this, faults included. */
 constexpr auto kEndWithin = 120s;
 /** Attempts after which a caller takes a refusal as final. */
 constexpr int kAttempts = 4;
+/** Attempts on a job that may be stored. */
+constexpr int kMaxAttempts = 40;
 
 struct Options
 {
@@ -93,6 +97,9 @@
     bool mayBeStored = false;
     bool isAccepted = false;
     for (int i = 0; !isAccepted && (i < kAttempts || mayBeStored); ++i) {
+      if (i == kMaxAttempts) {
+        return Outcome::kUnknown;
+      }
       const HttpResult result = Call(anyDaemon(), "POST", path, body);
       const int status = result.Response().Status();
       isAccepted = result.Failure() == HttpFailure::kNone && status == 200;
@@ -102,9 +109,6 @@
       if (!isAccepted) {
         std::this_thread::sleep_for(300ms);
       }
-      if (i > 40) {
-        return Outcome::kUnknown;
-      }
     }
     if (!isAccepted) {
       return Outcome::kRefused;
@@ -178,6 +182,63 @@
   return !aOptions.mDaemons.empty() && !aOptions.mStandin.empty();
 }
 
+/** Identifiers of jobs are 16 hexadecimal digits. */
+std::string
+IdOf(const Options& aOptions, std::size_t aJob)
+{
+  std::array<char, 17> id{};
+  std::snprintf(id.data(),
+                id.size(),
+                "%08x%08x",
+                static_cast<unsigned>(aOptions.mSeed),
+                static_cast<unsigned>(aJob));
+  return id.data();
+}
+
+/** Runs all jobs, each caller a part of them. */
+std::vector<Outcome>
+RunJobs(transport::HttpClient& aClient, const Options& aOptions)
+{
+  std::vector<Outcome> outcomes(static_cast<std::size_t>(aOptions.mJobs));
+  std::vector<std::thread> callers;
+  for (std::size_t c = 0; c < kCallers; ++c) {
+    callers.emplace_back([&, c] {
+      Caller caller(aClient, aOptions);
+      for (std::size_t i = c; i < outcomes.size(); i += kCallers) {
+        outcomes[i] =
+          caller.Run(aOptions.mSeed * kSeedStep + i, IdOf(aOptions, i));
+      }
+    });
+  }
+  for (std::thread& it : callers) {
+    it.join();
+  }
+  return outcomes;
+}
+
+/** Prints each broken promise. @return How many there are. */
+int
+CheckPromises(const Options& aOptions,
+              const std::vector<Outcome>& aOutcomes,
+              const json& aJournal)
+{
+  std::vector<std::string> broken = aJournal.at("violations");
+  const std::set<std::string> started = aJournal.at("started");
+  for (std::size_t i = 0; i < aOutcomes.size(); ++i) {
+    const std::string id = IdOf(aOptions, i);
+    if (aOutcomes[i] == Outcome::kRefused && started.contains(id)) {
+      broken.push_back(id + " was refused and runs");
+    }
+    if (aOutcomes[i] == Outcome::kNotDone) {
+      broken.push_back(id + " was accepted and not done");
+    }
+  }
+  for (const std::string& it : broken) {
+    std::printf("BROKEN: %s\n", it.c_str());
+  }
+  return static_cast<int>(broken.size());
+}
+
 } // namespace
 
 int
@@ -192,60 +253,25 @@
   }
   transport::IoThread thread;
   transport::HttpClient client(thread, {});
-  std::vector<Outcome> outcomes(static_cast<std::size_t>(options.mJobs));
-  const auto idOf = [&](std::size_t aJob) {
-    std::array<char, 17> id{};
-    std::snprintf(id.data(),
-                  id.size(),
-                  "%08x%08x",
-                  static_cast<unsigned>(options.mSeed),
-                  static_cast<unsigned>(aJob));
-    return std::string(id.data());
-  };
-  std::vector<std::thread> callers;
-  for (std::size_t c = 0; c < kCallers; ++c) {
-    callers.emplace_back([&, c] {
-      Caller caller(client, options);
-      for (std::size_t i = c; i < outcomes.size(); i += kCallers) {
-        outcomes[i] = caller.Run(options.mSeed * 100'003 + i, idOf(i));
-      }
-    });
-  }
-  for (std::thread& it : callers) {
-    it.join();
-  }
-  Caller caller(client, options);
+  const std::vector<Outcome> outcomes = RunJobs(client, options);
   const HttpResult answer =
-    caller.Call(options.mStandin, "GET", "/journal", "");
+    Caller(client, options).Call(options.mStandin, "GET", "/journal", "");
   thread.Stop();
   if (answer.Failure() != HttpFailure::kNone) {
     std::printf("BROKEN: the stand-in does not answer\n");
     return 1;
   }
-  const json journal = json::parse(answer.Response().Body());
-  std::set<std::string> started = journal.at("started");
-  int broken = 0;
-  for (const json& it : journal.at("violations")) {
-    std::printf("BROKEN: %s\n", it.get<std::string>().c_str());
-    ++broken;
-  }
-  std::map<Outcome, int> counts;
-  for (std::size_t i = 0; i < outcomes.size(); ++i) {
-    ++counts[outcomes[i]];
-    if (outcomes[i] == Outcome::kRefused && started.contains(idOf(i))) {
-      std::printf("BROKEN: %s was refused and runs\n", idOf(i).c_str());
-      ++broken;
-    }
-    if (outcomes[i] == Outcome::kNotDone) {
-      std::printf("BROKEN: %s was accepted and not done\n", idOf(i).c_str());
-      ++broken;
-    }
-  }
+  const int broken =
+    CheckPromises(options, outcomes, json::parse(answer.Response().Body()));
+  const auto count = [&outcomes](Outcome aOutcome) {
+    return static_cast<int>(
+      std::count(outcomes.begin(), outcomes.end(), aOutcome));
+  };
   std::printf("seed %llu: %d done, %d refused, %d unknown, %d broken\n",
               static_cast<unsigned long long>(options.mSeed),
-              counts[Outcome::kDone],
-              counts[Outcome::kRefused],
-              counts[Outcome::kUnknown],
+              count(Outcome::kDone),
+              count(Outcome::kRefused),
+              count(Outcome::kUnknown),
               broken);
   return broken == 0 ? 0 : 1;
 }
