Repeat an unanswered start before its gang is given up

A worker carries out a run once, however often it is ordered, and rejects it after its end.

The order is repeated up to twice if the worker does not list the run; then it is stopped as before. A refusal of a repeat does not say that the first order did nothing, so that it leads to the stop too.

--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -51,6 +51,9 @@
   bool mRecovered = false;
   /** The order's outcome is unknown. */
   bool mUnknown = false;
+  /** Times that the order was repeated, and whether it is due again. */
+  int mRepeats = 0;
+  bool mRepeatDue = false;
   /** Reports that were asked for later show the run or its end. */
   std::optional<Millis> mVisibleAt;
   bool mStopWanted = false;
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -9,6 +9,8 @@
 
 /** A stop without an answer is repeated after this time. */
 constexpr Millis kStopRetry{ 300 };
+/** An order to start that has no effect yet is repeated this often. */
+constexpr int kMaxRepeats = 2;
 /** What a stop and a resumption cost a task that makes checkpoints. */
 constexpr Millis kRestartLoss{ 500 };
 
@@ -231,7 +233,13 @@
       if (workerIt != mWorkers.end()) {
         NoteFailure(workerIt->second, *job, aNow);
       }
-      LoseRun(key, aAnswer.mDetail.c_str(), aNow);
+      if (task.mRepeats > 0) {
+        // An earlier order may still be carried out.
+        task.mUnknown = true;
+        WantStop(*job, *index, aNow);
+      } else {
+        LoseRun(key, aAnswer.mDetail.c_str(), aNow);
+      }
       break;
     case OrderOutcome::kOtherLife:
       if (workerIt != mWorkers.end()) {
@@ -363,8 +371,14 @@
     if (cannotRun || (shouldShow && task.mPhase == TaskPhase::kRunning)) {
       LoseRun(key, cannotRun ? "not_started" : "not_listed", aNow);
     } else if (shouldShow && task.mUnknown) {
-      // The order may still be on its way; only a stop settles it.
-      WantStop(*job, key.second, aNow);
+      // The order may still be on its way. A worker carries out a run once,
+      // however often it is ordered; in the end only a stop settles it.
+      if (task.mRepeats < kMaxRepeats && !task.mStopWanted) {
+        ++task.mRepeats;
+        task.mRepeatDue = true;
+      } else {
+        WantStop(*job, key.second, aNow);
+      }
     }
   }
 }
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -345,8 +345,12 @@
   const WorkerTarget target{ aWorker.mInfo.mId, aWorker.mInfo.mAddress };
   const bool isStored =
     task.mPlanWrite != 0 && task.mPlanWrite <= mStoredWrites;
-  if (task.mPhase == TaskPhase::kPlanned && isStored) {
+  const bool isRepeat =
+    task.mPhase == TaskPhase::kStarting && task.mRepeatDue && !task.mStopWanted;
+  if ((task.mPhase == TaskPhase::kPlanned && isStored) || isRepeat) {
     task.mPhase = TaskPhase::kStarting;
+    task.mRepeatDue = false;
+    task.mUnknown = false;
     aOrders.mStarts.push_back({ target,
                                 job.IdOf(aKey.second),
                                 task.mRun,
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -309,7 +309,8 @@
     At(kAnswerTimeout, [reply] { reply(OrderAnswer{}); });
     return;
   }
-  if (Chance(mOptions.mLateOrders)) {
+  if (mDelayedStarts > 0 || Chance(mOptions.mLateOrders)) {
+    mDelayedStarts -= mDelayedStarts > 0 ? 1 : 0;
     At(kAnswerTimeout, [reply] { reply(OrderAnswer{}); });
     // The order waits inside the worker and is gone if that crashes.
     At(milliseconds(3'000),
@@ -424,6 +425,14 @@
     return answer;
   }
   worker.mEpoch = aOrder.mEpoch;
+  const bool isThere = std::any_of(
+    worker.mRuns.begin(), worker.mRuns.end(), [&](const ModelRun& aRun) {
+      return aRun.mTask == aOrder.mTask && aRun.mRun == aOrder.mRun;
+    });
+  if (isThere) {
+    answer.mOutcome = OrderOutcome::kDone;
+    return answer;
+  }
   const auto over = worker.mOver.find(aOrder.mTask);
   const bool isOld = over != worker.mOver.end() && aOrder.mRun <= over->second;
   if (aOrder.mLeaseUntil <= mNow || isOld) {
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -78,6 +78,8 @@
   void SetStalled(std::size_t aWorker, bool aStalled);
   /** Runs on the worker take this many times as long. */
   void SetSlowdown(std::size_t aWorker, double aFactor);
+  /** The next orders to start get no answer and are carried out late. */
+  void DelayStarts(int aCount) { mDelayedStarts = aCount; }
   void SetStoreUp(bool aUp) { mStoreUp = aUp; }
   void UseCatalog(const scheduling::Catalog& aCatalog);
 
@@ -186,6 +188,7 @@
   std::uint64_t mEpoch = 0;
   bool mWriting = false;
   bool mStoreUp = true;
+  int mDelayedStarts = 0;
   std::size_t mStarts = 0;
   std::size_t mStops = 0;
   double mWastedWork = 0.0;
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -168,6 +168,22 @@
   CheckNoViolation(model);
 }
 
+// Guards against a gang that is stopped as a whole because one of its workers
+// did not answer an order.
+TEST(Scheduler, UnansweredStartIsRepeated)
+{
+  FleetModel model({ 2, 2 });
+  model.DelayStarts(1);
+  model.Submit(MakeJob("a", Step(2, 8, true), 1), milliseconds(1'000));
+  model.Run(milliseconds(2'400));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(2, model.Starts());
+  CHECK_EQUAL(0, model.Stops());
+  model.Run(milliseconds(4'000));
+  CHECK_EQUAL(2, model.Starts());
+  CheckNoViolation(model);
+}
+
 // Guards against a successor that starts again what still runs.
 TEST(Scheduler, SuccessorTakesOverRuns)
 {
