--- a/apps/cornelrudderd/DaemonSettings.cpp
+++ b/apps/cornelrudderd/DaemonSettings.cpp
@@ -33,7 +33,7 @@
 };
 
 constexpr std::int64_t kMinuteMs = 60'000;
-constexpr std::int64_t kDayMs = 24 * 60 * kMinuteMs;
+constexpr std::int64_t kDayMs = 1'440 * kMinuteMs;
 
 const std::array kFileKeys{
   FileKey{ "daemon", "id", &Values::mId, true, 1, 64, "" },
