--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -25,10 +25,26 @@
 step "format" scripts/format.sh --check
 step "layers" scripts/check_layers.sh
 step "reference pages" scripts/check_reference_pages.sh "$build"
+# Prints the tests of a program that KNOWN-RED.txt lists in lines of the form
+# "Test: PROGRAM GROUP.NAME".
+known_red() {
+  sed -n "s/^ *Test: $1 \([A-Za-z0-9_.]*\)$/\1/p" KNOWN-RED.txt 2>/dev/null
+}
+
 for program in "$build"/tests/*_tests; do
   name=$(basename "$program")
+  excluded=()
+  for test in $(known_red "$name"); do
+    excluded+=(-xsn "${test#*.}")
+    # Run all the same, so that its result is seen; it is not counted.
+    if env RC_PARAMS=seed=20261204 "$program" -t "$test"; then
+      echo "KNOWN RED, passed this time: $name $test"
+    else
+      echo "KNOWN RED, failed: $name $test"
+    fi
+  done
   # Fixed seed: the same verdict in every run.
-  step "$name" env RC_PARAMS=seed=20261204 "$program" -v
+  step "$name" env RC_PARAMS=seed=20261204 "$program" -v "${excluded[@]}"
 done
 step "install tree" scripts/check_install.sh "$build"
 step "demo" scripts/demo.sh --no-install
