Read tables with one pager; index and scan only what is needed

Rows of a reread of jobs are applied after the last page instead of page by page. - Each write of the owner scanned all jobs that had ended in ten minutes; they are kept in the order of their ends and only the oldest are looked at. - Running units were indexed by worker in every pass; now only in a pass in which something may be stopped. - Stand-ins had three ways to leave a request unanswered, the soak two to bring a daemon back; one each is left.

--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -142,13 +142,13 @@
   void FinishWrite(bool aStored);
 
   /**
-   * @return Ended jobs whose rows have been kept long enough, at most so many.
-   *   An owner counts from when it learned of the end.
+   * @return Ended jobs whose rows have been kept long enough, oldest first, at
+   *   most so many. An owner counts from when it learned of the end.
    */
   std::vector<std::string> ExpiredJobs(Millis aNow, std::size_t aMax) const;
 
-  /** Forgets ended jobs whose rows are gone. */
-  void ForgetExpired(const std::vector<std::string>& aJobs);
+  /** Forgets the first jobs of ExpiredJobs(), whose rows are gone. */
+  void ForgetExpired(std::size_t aCount);
 
   /** @return Orders that are due and covered by stored records. */
   Orders TakeOrders(Millis aNow);
--- a/scripts/fleet_soak.sh
+++ b/scripts/fleet_soak.sh
@@ -46,17 +46,17 @@
   curl -sS -m 5 -X POST "http://${address_of_name[fleet]}$1" >/dev/null || true
 }
 
-# Keeps the log of an earlier life.
-put_log_away() { mv "$work/$1.log" "$work/$1.$((lives += 1)).log"; }
-
-# Ends a daemon with a signal and starts it again on its port.
-restart() {
-  local name=$1 signal=$2
-  kill "-$signal" "${pid_of[$name]}"
+# Starts a daemon that has ended, on its port, and keeps the log of its last life.
+revive() {
+  local name=$1
   wait "${pid_of[$name]}" 2>/dev/null || true
-  put_log_away "$name"
+  mv "$work/$name.log" "$work/$name.$((lives += 1)).log"
   start_daemon "$name"
 }
+restart() {
+  kill "-$2" "${pid_of[$1]}"
+  revive "$1"
+}
 kill_daemon() { restart "$(any_daemon)" KILL; }
 drain_daemon() { restart "$(any_daemon)" TERM; }
 kill_all() {
@@ -65,9 +65,7 @@
     kill -KILL "${pid_of[daemon-$i]}"
   done
   for i in $(seq "$daemons"); do
-    wait "${pid_of[daemon-$i]}" 2>/dev/null || true
-    put_log_away "daemon-$i"
-    start_daemon "daemon-$i"
+    revive "daemon-$i"
   done
 }
 freeze_daemon() {
@@ -139,7 +137,6 @@
   wait "$load" || status=$?
   if [ "$status" -ne 0 ]; then
     echo "FAILED: seed $seed after ${injected[*]}"
-    KEEP_LOGS=1
     cp -r "$work" "/tmp/fleet-soak-$seed"
   fi
   return "$status"
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -4,6 +4,7 @@
 #include "LatencyCounters.h"
 #include "cornelrudder/coordination/SchedulerTask.h"
 #include "cornelrudder/coordination/SchedulingMessages.h"
+#include "cornelrudder/coordination/SchedulingTables.h"
 #include "cornelrudder/coordination/TaskMessages.h"
 #include "cornelrudder/coordination/WriteIds.h"
 #include "cornelrudder/state/scheduling/OwnerLease.h"
@@ -44,8 +45,22 @@
 
 private:
   using Millis = std::chrono::milliseconds;
+  using Step = void (SchedulerTask::*)();
   using AnswerStep = void (SchedulerTask::*)(const state::StoreResult&);
 
+  /** A table that is read page by page. */
+  struct TableRead
+  {
+    const char* mTable;
+    /** Taken after a page that failed; starts anew. */
+    Step mOnFailure = nullptr;
+    /** Taken after the last page. */
+    Step mThen = nullptr;
+    std::vector<state::StoreRow> mRows{};
+    /** Version of the first page: changes are followed from there on. */
+    std::uint64_t mVersion = 0;
+  };
+
   enum class Mode
   {
     /** Another daemon owns scheduling, or none does. */
@@ -85,23 +100,25 @@
   void Release();
 
   // Tables.
-  void RetryLater(Millis aDelay, void (SchedulerTask::*aStep)());
+  void RetryLater(Millis aDelay, Step aStep);
   void BeginLoad();
-  void ReadPage(const std::string& aTable,
-                const std::string& aFrom,
-                AnswerStep aThen);
-  void TakeWorkersPage(const state::StoreResult& aResult);
-  void TakeRunsPage(const state::StoreResult& aResult);
-  void TakeJobsPage(const state::StoreResult& aResult);
+  template<TableRead SchedulerTask::*Read>
+  void ReadTable(Step aOnFailure, Step aThen);
+  template<TableRead SchedulerTask::*Read>
+  void ReadPage(const std::string& aFrom);
+  template<TableRead SchedulerTask::*Read>
+  void TakePage(const state::StoreResult& aResult);
+  void LoadRuns();
+  void LoadJobs();
   void FinishLoad();
   void FollowJobs();
   void TakeJobChanges(const state::StoreResult& aResult);
   void FollowWorkers();
   void TakeWorkerChanges(const state::StoreResult& aResult);
   void RereadJobs();
-  void TakeRereadJobs(const state::StoreResult& aResult);
+  void FinishRereadJobs();
   void RereadWorkers();
-  void TakeRereadWorkers(const state::StoreResult& aResult);
+  void FinishRereadWorkers();
   void ApplyJobRow(const state::StoreRow& aRow,
                    const state::scheduling::JobProgress* aProgress);
   void ApplyWorkerRow(const state::StoreRow& aRow);
@@ -130,8 +147,8 @@
   std::uint64_t mLeaseVersion = 0;
   bool mReadingLease = false;
   bool mWriting = false;
-  /** Ended jobs whose rows the write under way removes. */
-  std::vector<std::string> mRemoving;
+  /** Number of ended jobs whose rows the write under way removes. */
+  std::size_t mRemoving = 0;
   Millis mLastWrite{ 0 };
   /** No write is tried before this, after a failure. */
   Millis mWriteAfter{ 0 };
@@ -142,10 +159,9 @@
   /** Pause that the last plan is followed by. */
   Millis mPlanPause{ 0 };
 
-  /** Rows of a load under way. */
-  std::vector<state::StoreRow> mJobRows;
-  std::map<std::string, state::StoreRow> mRunRows;
-  std::vector<state::StoreRow> mWorkerRows;
+  TableRead mWorkersRead{ kWorkersTable };
+  TableRead mRunsRead{ kRunsTable };
+  TableRead mJobsRead{ kJobsTable };
   std::uint64_t mJobsVersion = 0;
   std::uint64_t mWorkersVersion = 0;
   std::set<std::string> mListedWorkers;
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -204,11 +204,12 @@
                         RowWrite::kAnyVersion,
                         mPorts.mCodec.EncodeProgress(record));
   }
-  mRemoving.clear();
+  std::vector<std::string> expired;
   if (mMode == Mode::kOwning && records.size() <= kMaxRecordsBesideRemovals) {
-    mRemoving = mScheduler->ExpiredJobs(Now(), kMaxRemovals);
+    expired = mScheduler->ExpiredJobs(Now(), kMaxRemovals);
   }
-  for (const std::string& job : mRemoving) {
+  mRemoving = expired.size();
+  for (const std::string& job : expired) {
     for (const std::string& key :
          { JobKey(job), CancelKey(job), ProgressKey(job) }) {
       writes.emplace_back(key, RowWrite::kAnyVersion, std::nullopt);
@@ -229,7 +230,7 @@
     mScheduler->FinishWrite(isStored);
     if (isStored) {
       mScheduler->ForgetExpired(mRemoving);
-      mCounters["jobs_removed_total"] += mRemoving.size();
+      mCounters["jobs_removed_total"] += mRemoving;
     }
   }
   if (isStored) {
--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -44,81 +44,68 @@
 }
 
 void
-SchedulerTask::RetryLater(Millis aDelay, void (SchedulerTask::*aStep)())
+SchedulerTask::RetryLater(Millis aDelay, Step aStep)
 {
   delayed_send(this, aDelay, RetryStep{ mLease.mEpoch, aStep });
 }
 
+template<SchedulerTask::TableRead SchedulerTask::*Read>
 void
-SchedulerTask::BeginLoad()
+SchedulerTask::ReadTable(Step aOnFailure, Step aThen)
 {
-  mMode = Mode::kLoading;
-  mLoadStart = Now();
-  mJobRows.clear();
-  mRunRows.clear();
-  mWorkerRows.clear();
-  mJobsVersion = 0;
-  mWorkersVersion = 0;
-  ReadPage(kWorkersTable, "", &SchedulerTask::TakeWorkersPage);
+  (this->*Read) = { (this->*Read).mTable, aOnFailure, aThen, {}, 0 };
+  ReadPage<Read>("");
 }
 
+template<SchedulerTask::TableRead SchedulerTask::*Read>
 void
-SchedulerTask::ReadPage(const std::string& aTable,
-                        const std::string& aFrom,
-                        AnswerStep aThen)
+SchedulerTask::ReadPage(const std::string& aFrom)
 {
-  mPorts.mFeed.ReadRange(aTable, aFrom, "", Expect(aThen));
+  mPorts.mFeed.ReadRange(
+    (this->*Read).mTable, aFrom, "", Expect(&SchedulerTask::TakePage<Read>));
 }
 
+template<SchedulerTask::TableRead SchedulerTask::*Read>
 void
-SchedulerTask::TakeWorkersPage(const StoreResult& aResult)
+SchedulerTask::TakePage(const StoreResult& aResult)
 {
+  TableRead& read = this->*Read;
   if (aResult.Status() != StoreStatus::kOk) {
-    RetryLater(kReadRetry, &SchedulerTask::BeginLoad);
+    RetryLater(kReadRetry, read.mOnFailure);
     return;
   }
   // Changes are followed from the first page on, so that none is missed.
-  mWorkersVersion = mWorkersVersion == 0 ? aResult.Version() : mWorkersVersion;
-  mWorkerRows.insert(
-    mWorkerRows.end(), aResult.Rows().begin(), aResult.Rows().end());
+  read.mVersion = read.mVersion == 0 ? aResult.Version() : read.mVersion;
+  read.mRows.insert(
+    read.mRows.end(), aResult.Rows().begin(), aResult.Rows().end());
   if (aResult.HasMore() && !aResult.Rows().empty()) {
-    ReadPage(kWorkersTable, NextName(aResult), &SchedulerTask::TakeWorkersPage);
+    ReadPage<Read>(NextName(aResult));
     return;
   }
-  ReadPage(kRunsTable, "", &SchedulerTask::TakeRunsPage);
+  (this->*read.mThen)();
 }
 
 void
-SchedulerTask::TakeRunsPage(const StoreResult& aResult)
+SchedulerTask::BeginLoad()
 {
-  if (aResult.Status() != StoreStatus::kOk) {
-    RetryLater(kReadRetry, &SchedulerTask::BeginLoad);
-    return;
-  }
-  for (const StoreRow& row : aResult.Rows()) {
-    mRunRows.insert_or_assign(NameInTable(row.Key()), row);
-  }
-  if (aResult.HasMore() && !aResult.Rows().empty()) {
-    ReadPage(kRunsTable, NextName(aResult), &SchedulerTask::TakeRunsPage);
-    return;
-  }
-  ReadPage(kJobsTable, "", &SchedulerTask::TakeJobsPage);
+  mMode = Mode::kLoading;
+  mLoadStart = Now();
+  ReadTable<&SchedulerTask::mWorkersRead>(&SchedulerTask::BeginLoad,
+                                          &SchedulerTask::LoadRuns);
 }
 
 void
-SchedulerTask::TakeJobsPage(const StoreResult& aResult)
+SchedulerTask::LoadRuns()
 {
-  if (aResult.Status() != StoreStatus::kOk) {
-    RetryLater(kReadRetry, &SchedulerTask::BeginLoad);
-    return;
-  }
-  mJobsVersion = mJobsVersion == 0 ? aResult.Version() : mJobsVersion;
-  mJobRows.insert(mJobRows.end(), aResult.Rows().begin(), aResult.Rows().end());
-  if (aResult.HasMore() && !aResult.Rows().empty()) {
-    ReadPage(kJobsTable, NextName(aResult), &SchedulerTask::TakeJobsPage);
-    return;
-  }
-  FinishLoad();
+  ReadTable<&SchedulerTask::mRunsRead>(&SchedulerTask::BeginLoad,
+                                       &SchedulerTask::LoadJobs);
+}
+
+void
+SchedulerTask::LoadJobs()
+{
+  ReadTable<&SchedulerTask::mJobsRead>(&SchedulerTask::BeginLoad,
+                                       &SchedulerTask::FinishLoad);
 }
 
 void
@@ -135,33 +122,39 @@
     mScheduler->UseCatalog(*mCatalog);
   }
   mListedWorkers.clear();
-  for (const StoreRow& row : mWorkerRows) {
+  for (const StoreRow& row : mWorkersRead.mRows) {
     ApplyWorkerRow(row);
   }
-  for (const StoreRow& row : mJobRows) {
-    const auto it = mRunRows.find(NameInTable(row.Key()));
-    if (it == mRunRows.end()) {
+  std::map<std::string, const StoreRow*> runs;
+  for (const StoreRow& row : mRunsRead.mRows) {
+    runs.emplace(NameInTable(row.Key()), &row);
+  }
+  for (const StoreRow& row : mJobsRead.mRows) {
+    const auto it = runs.find(NameInTable(row.Key()));
+    if (it == runs.end()) {
       ApplyJobRow(row, nullptr);
       continue;
     }
     try {
       const JobProgress progress =
-        mPorts.mCodec.DecodeProgress(it->second.Value());
+        mPorts.mCodec.DecodeProgress(it->second->Value());
       ApplyJobRow(row, &progress);
     } catch (const CoordinationError& error) {
       // Without its record the job could run twice; it is left alone.
-      LogMalformed(it->second.Key(), error.what());
+      LogMalformed(it->second->Key(), error.what());
     }
   }
   mPorts.mLog.Write(
     { LogEvent::kJobsRecovered,
       { { "epoch", std::to_string(mLease.mEpoch) },
-        { "jobs", std::to_string(mJobRows.size()) },
+        { "jobs", std::to_string(mJobsRead.mRows.size()) },
         { "workers", std::to_string(mListedWorkers.size()) },
         { "took_ms", std::to_string((Now() - mLoadStart).count()) } } });
-  mJobRows.clear();
-  mRunRows.clear();
-  mWorkerRows.clear();
+  mWorkersVersion = mWorkersRead.mVersion;
+  mJobsVersion = mJobsRead.mVersion;
+  mWorkersRead.mRows.clear();
+  mRunsRead.mRows.clear();
+  mJobsRead.mRows.clear();
   mMode = Mode::kOwning;
   FollowJobs();
   FollowWorkers();
@@ -245,27 +238,19 @@
 void
 SchedulerTask::RereadJobs()
 {
-  mJobRows.clear();
-  mJobsVersion = 0;
-  ReadPage(kJobsTable, "", &SchedulerTask::TakeRereadJobs);
+  ReadTable<&SchedulerTask::mJobsRead>(&SchedulerTask::RereadJobs,
+                                       &SchedulerTask::FinishRereadJobs);
 }
 
 void
-SchedulerTask::TakeRereadJobs(const StoreResult& aResult)
+SchedulerTask::FinishRereadJobs()
 {
-  if (aResult.Status() != StoreStatus::kOk) {
-    RetryLater(kReadRetry, &SchedulerTask::RereadJobs);
-    return;
-  }
-  mJobsVersion = mJobsVersion == 0 ? aResult.Version() : mJobsVersion;
-  for (const StoreRow& row : aResult.Rows()) {
+  for (const StoreRow& row : mJobsRead.mRows) {
     // Jobs that are known, or have ended, are left as they are.
     ApplyJobRow(row, nullptr);
   }
-  if (aResult.HasMore() && !aResult.Rows().empty()) {
-    ReadPage(kJobsTable, NextName(aResult), &SchedulerTask::TakeRereadJobs);
-    return;
-  }
+  mJobsRead.mRows.clear();
+  mJobsVersion = mJobsRead.mVersion;
   FollowJobs();
   QueueAdvance(Millis(0));
 }
@@ -298,28 +283,15 @@
 void
 SchedulerTask::RereadWorkers()
 {
-  mWorkerRows.clear();
-  mWorkersVersion = 0;
-  ReadPage(kWorkersTable, "", &SchedulerTask::TakeRereadWorkers);
+  ReadTable<&SchedulerTask::mWorkersRead>(&SchedulerTask::RereadWorkers,
+                                          &SchedulerTask::FinishRereadWorkers);
 }
 
 void
-SchedulerTask::TakeRereadWorkers(const StoreResult& aResult)
+SchedulerTask::FinishRereadWorkers()
 {
-  if (aResult.Status() != StoreStatus::kOk) {
-    RetryLater(kReadRetry, &SchedulerTask::RereadWorkers);
-    return;
-  }
-  mWorkersVersion = mWorkersVersion == 0 ? aResult.Version() : mWorkersVersion;
-  mWorkerRows.insert(
-    mWorkerRows.end(), aResult.Rows().begin(), aResult.Rows().end());
-  if (aResult.HasMore() && !aResult.Rows().empty()) {
-    ReadPage(
-      kWorkersTable, NextName(aResult), &SchedulerTask::TakeRereadWorkers);
-    return;
-  }
   std::set<std::string> gone = mListedWorkers;
-  for (const StoreRow& row : mWorkerRows) {
+  for (const StoreRow& row : mWorkersRead.mRows) {
     gone.erase(NameInTable(row.Key()));
     ApplyWorkerRow(row);
   }
@@ -327,7 +299,8 @@
     mListedWorkers.erase(id);
     mScheduler->DropWorker(id, Now());
   }
-  mWorkerRows.clear();
+  mWorkersRead.mRows.clear();
+  mWorkersVersion = mWorkersRead.mVersion;
   FollowWorkers();
 }
 
--- a/src/state/scheduling/Preemption.cpp
+++ b/src/state/scheduling/Preemption.cpp
@@ -52,10 +52,15 @@
 Preemptor::Preemptor(const FleetRoom& aRoom, const Packer& aPacker)
   : mRoom(aRoom)
   , mPacker(aPacker)
-  , mUsage(aRoom.Workers().size())
   , mStopped(aRoom.View().mRunning.size())
 {
-  const std::vector<RunningUnit>& running = aRoom.View().mRunning;
+}
+
+void
+Preemptor::IndexUsage()
+{
+  mUsage.resize(mRoom.Workers().size());
+  const std::vector<RunningUnit>& running = mRoom.View().mRunning;
   for (std::size_t i = 0; i < running.size(); ++i) {
     for (const RunningShare& share : running[i].mShares) {
       std::vector<Usage>& there = mUsage[share.mWorker];
@@ -80,11 +85,14 @@
 }
 
 std::optional<PreemptionChoice>
-Preemptor::Choose(const WaitingUnit& aUnit, const RoomSnapshot& aSoon) const
+Preemptor::Choose(const WaitingUnit& aUnit, const RoomSnapshot& aSoon)
 {
   if (!MayPreempt(aUnit)) {
     return std::nullopt;
   }
+  if (mUsage.empty()) {
+    IndexUsage();
+  }
   const WorkerList* rack = mRoom.FindRack(aUnit.mStep.AffinityRack());
   if (rack != nullptr && !aUnit.mStep.AffinityRack().empty()) {
     if (auto choice = ChooseOn(aUnit, *rack, aSoon)) {
--- a/src/state/scheduling/Preemption.h
+++ b/src/state/scheduling/Preemption.h
@@ -37,7 +37,7 @@
 
   /** @return The cheapest choice for a unit, or nothing. */
   std::optional<PreemptionChoice> Choose(const WaitingUnit& aUnit,
-                                         const RoomSnapshot& aSoon) const;
+                                         const RoomSnapshot& aSoon);
 
   /** Counts victims as stopped and their room as being freed. */
   void Stop(const PreemptionChoice& aChoice, FleetRoom& aRoom);
@@ -50,6 +50,7 @@
     Resources mUsed;
   };
 
+  void IndexUsage();
   bool IsVictim(std::size_t aRunning, const WaitingUnit& aUnit) const;
   std::optional<PreemptionChoice> ChooseOn(const WaitingUnit& aUnit,
                                            const WorkerList& aWorkers,
@@ -63,7 +64,7 @@
 
   const FleetRoom& mRoom;
   const Packer& mPacker;
-  /** Running units by worker. */
+  /** Running units by worker; empty until something may be stopped. */
   std::vector<std::vector<Usage>> mUsage;
   /** By position in the view. */
   std::vector<bool> mStopped;
--- a/src/state/scheduling/Scheduler.cpp
+++ b/src/state/scheduling/Scheduler.cpp
@@ -103,9 +103,9 @@
 }
 
 void
-Scheduler::ForgetExpired(const std::vector<std::string>& aJobs)
+Scheduler::ForgetExpired(std::size_t aCount)
 {
-  mImpl->ForgetExpired(aJobs);
+  mImpl->ForgetExpired(aCount);
 }
 
 Orders
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -5,6 +5,7 @@
 #include "SchedulerModel.h"
 #include "cornelrudder/state/scheduling/Scheduler.h"
 
+#include <deque>
 #include <set>
 
 namespace cornelrudder::state::scheduling {
@@ -30,7 +31,7 @@
   std::vector<JobProgress> BeginWrite(std::size_t aMaxJobs);
   void FinishWrite(bool aStored);
   std::vector<std::string> ExpiredJobs(Millis aNow, std::size_t aMax) const;
-  void ForgetExpired(const std::vector<std::string>& aJobs);
+  void ForgetExpired(std::size_t aCount);
   std::map<std::string, std::uint64_t> Pending() const;
   bool IsIdle() const;
   std::map<std::string, std::uint64_t> Gauges() const;
@@ -190,11 +191,10 @@
   std::unique_ptr<PlacementPolicy> mPolicy;
   std::map<std::string, std::int64_t> mGuarantees;
   std::map<std::string, JobState> mJobs;
-  /**
-   * Ended jobs and when this owner learned of it; a late repeat must not
-   * revive them.
-   */
-  std::map<std::string, Millis> mEnded;
+  /** Ended jobs; a late repeat must not revive them. */
+  std::set<std::string> mEnded;
+  /** The same with the time when this owner learned of it, oldest first. */
+  std::deque<std::pair<Millis, std::string>> mEndedByTime;
   /** Time of the last plan, for what has no time of its own. */
   Millis mPlannedAt{ 0 };
   std::map<std::string, WorkerState> mWorkers;
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -123,7 +123,8 @@
       mClaims.erase({ aJob, i });
     }
     mJobs.erase(aJob);
-    mEnded.emplace(aJob, mPlannedAt);
+    mEnded.insert(aJob);
+    mEndedByTime.emplace_back(mPlannedAt, aJob);
   }
 }
 
@@ -199,22 +200,21 @@
 Scheduler::Impl::ExpiredJobs(Millis aNow, std::size_t aMax) const
 {
   std::vector<std::string> jobs;
-  for (const auto& [id, endedAt] : mEnded) {
-    if (jobs.size() == aMax) {
+  for (const auto& [endedAt, id] : mEndedByTime) {
+    if (jobs.size() == aMax || aNow - endedAt < mOptions.mJobRetention) {
       break;
     }
-    if (aNow - endedAt >= mOptions.mJobRetention) {
-      jobs.push_back(id);
-    }
+    jobs.push_back(id);
   }
   return jobs;
 }
 
 void
-Scheduler::Impl::ForgetExpired(const std::vector<std::string>& aJobs)
+Scheduler::Impl::ForgetExpired(std::size_t aCount)
 {
-  for (const std::string& id : aJobs) {
-    mEnded.erase(id);
+  for (std::size_t i = 0; i < aCount; ++i) {
+    mEnded.erase(mEndedByTime.front().second);
+    mEndedByTime.pop_front();
   }
 }
 
--- a/tests/fleet/StoreStandin.cpp
+++ b/tests/fleet/StoreStandin.cpp
@@ -134,9 +134,7 @@
   }
   Tick();
   if (tools::TakeFault(mServer.Faults().mLoseAnswers)) {
-    // Dropped only when the caller has long given up.
-    constexpr std::chrono::seconds kNever{ 600 };
-    mServer.Thread().PostAfter(kNever, [aRespond] { aRespond({}); });
+    tools::LeaveUnanswered(mServer.Thread(), aRespond);
     return;
   }
   aRespond(HttpResponse::Json(200, Answer().dump()));
--- a/tests/fleet/WorkerStandins.cpp
+++ b/tests/fleet/WorkerStandins.cpp
@@ -174,8 +174,7 @@
                       const HttpResponder& aRespond)
 {
   if (aWorker.mIsSilent) {
-    constexpr std::chrono::seconds kNever{ 600 };
-    mThread.PostAfter(kNever, [aRespond] { aRespond({}); });
+    tools::LeaveUnanswered(mThread, aRespond);
     return;
   }
   if (aRequest.Header("x-expect-instance") != aWorker.mId) {
--- a/tools/StandinServer.cpp
+++ b/tools/StandinServer.cpp
@@ -45,6 +45,13 @@
 
 } // namespace
 
+void
+LeaveUnanswered(transport::IoThread& aThread, const HttpResponder& aRespond)
+{
+  // Holds the responder, so that the caller runs into its timeout.
+  aThread.PostAfter(kNever, [aRespond] { aRespond({}); });
+}
+
 int
 StandinServer::Run(int aCount, char** aArguments, Handler aHandler)
 {
@@ -87,8 +94,7 @@
     return;
   }
   if (mFaults.mDown != 0) {
-    // Holds the responder, so that the caller runs into its timeout.
-    mThread.PostAfter(kNever, [aRespond] { aRespond({}); });
+    LeaveUnanswered(mThread, aRespond);
     return;
   }
   if (TakeFault(mFaults.mFailNext)) {
--- a/tools/StandinServer.h
+++ b/tools/StandinServer.h
@@ -9,6 +9,11 @@
 
 namespace cornelrudder::tools {
 
+/** Leaves a request without an answer for longer than any client waits. */
+void
+LeaveUnanswered(transport::IoThread& aThread,
+                const transport::HttpResponder& aRespond);
+
 /**
  * Runs a stand-in until SIGTERM: prints "listening on ADDRESS", serves
  * `PUT /faults` itself and applies the switches slow_ms, fail_next and down.
