Report stalled jobs, ignored ends and ignored replies

On-call engineers could not tell from the logs why an accepted job did not run: task_waits is written when its reason changes and does not say why no worker takes the task, and replies and ends that the owner ignores left no line.

job_stalled names the job that has waited longest with a ready task and without an assigned one, once a second, with the number of workers by condition. end_ignored and reply_ignored show what a worker reported and the owner did not use. The same conditions are gauges (scheduler_workers_suspected and so on). No decision changes: the scheduler tests have the same results as before.

--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -93,7 +93,10 @@
   kCatalogConfirmed = 813,
   kStoreLost = 814,
   kStoreBack = 815,
-  kWorkerLeaving = 816
+  kWorkerLeaving = 816,
+  kJobStalled = 817,
+  kEndIgnored = 818,
+  kReplyIgnored = 819
 };
 
 /** Entry of the event catalogue. */
--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -58,7 +58,10 @@
     kWorkerGone,
     kWorkerSuspected,
     kRunMoved,
-    kWorkerLeaving
+    kWorkerLeaving,
+    kJobStalled,
+    kEndIgnored,
+    kReplyIgnored
   };
 
   Kind mKind;
--- a/src/coordination/LogEvent.cpp
+++ b/src/coordination/LogEvent.cpp
@@ -362,6 +362,22 @@
                 LogLevel::kInfo,
                 "worker_leaving",
                 "a worker announced its shutdown and gets no new tasks" },
+  LogEventInfo{
+    LogEvent::kJobStalled,
+    LogLevel::kWarning,
+    "job_stalled",
+    "a task of an active job is ready and none is assigned to a worker; the "
+    "longest such wait is logged once a second with the state of the workers" },
+  LogEventInfo{ LogEvent::kEndIgnored,
+                LogLevel::kInfo,
+                "end_ignored",
+                "a worker reported the termination of a run that is not the "
+                "current one of its task" },
+  LogEventInfo{ LogEvent::kReplyIgnored,
+                LogLevel::kWarning,
+                "reply_ignored",
+                "a renewal reply has an earlier incarnation than the worker is "
+                "known to have; logged once until a reply is accepted" },
 };
 
 } // namespace
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -43,7 +43,8 @@
   LogEvent::kTaskPlaced,      LogEvent::kTaskWaits,  LogEvent::kTaskPreempted,
   LogEvent::kRunEnded,        LogEvent::kRunLost,    LogEvent::kJobEnded,
   LogEvent::kWorkerSilent,    LogEvent::kWorkerBack, LogEvent::kWorkerGone,
-  LogEvent::kWorkerSuspected, LogEvent::kRunMoved,   LogEvent::kWorkerLeaving
+  LogEvent::kWorkerSuspected, LogEvent::kRunMoved,   LogEvent::kWorkerLeaving,
+  LogEvent::kJobStalled,      LogEvent::kEndIgnored, LogEvent::kReplyIgnored
 };
 
 milliseconds
--- /dev/null
+++ b/src/state/scheduling/SchedulerDiagnostics.cpp
@@ -0,0 +1,110 @@
+#include "SchedulerImpl.h"
+
+namespace cornelrudder::state::scheduling {
+
+namespace {
+
+/** Interval of the reports, which bounds the volume of the log. */
+constexpr Millis kStallReportInterval{ 1'000 };
+/** Time without an assigned task from which a job is reported. */
+constexpr Millis kMinStallReported{ 1'000 };
+
+} // namespace
+
+std::array<std::size_t, kWorkerConditions>
+Scheduler::Impl::CountConditions(Millis aNow) const
+{
+  std::array<std::size_t, kWorkerConditions> counts{};
+  for (const auto& [id, worker] : mWorkers) {
+    ++counts.at(static_cast<std::size_t>(worker.ConditionAt(aNow)));
+  }
+  return counts;
+}
+
+std::map<std::string, std::uint64_t>
+Scheduler::Impl::Gauges() const
+{
+  std::map<std::string, std::uint64_t> gauges{
+    { "scheduler_jobs", mJobs.size() }, { "scheduler_workers", mWorkers.size() }
+  };
+  const auto counts = CountConditions(mPlannedAt);
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    const auto condition = static_cast<WorkerCondition>(i);
+    gauges[std::string("scheduler_workers_") + WorkerConditionName(condition)] =
+      counts.at(i);
+  }
+  for (const auto& [id, job] : mJobs) {
+    gauges["scheduler_jobs_stalled"] += job.mStalledSince.count() > 0 ? 1 : 0;
+    for (const Task& task : job.mTasks) {
+      gauges["scheduler_tasks_waiting"] +=
+        task.mPhase == TaskPhase::kWaiting ? 1 : 0;
+      gauges["scheduler_tasks_assigned"] += task.IsAssigned() ? 1 : 0;
+    }
+  }
+  return gauges;
+}
+
+/** @return A waiting task whose step is due and ready, or nothing. */
+std::optional<std::size_t>
+Scheduler::Impl::FirstReadyTask(const JobState& aJob, Millis aWallClock) const
+{
+  for (std::size_t i = 0; i < aJob.mTasks.size(); ++i) {
+    const std::size_t occurrence = i / aJob.mJob.TasksPerOccurrence();
+    if (aJob.mTasks[i].mPhase == TaskPhase::kWaiting &&
+        IsDue(aJob, occurrence, aWallClock) &&
+        aJob.IsStepReady(occurrence, aJob.StepAndIndexOf(i).first)) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+/**
+ * Reports the job that has waited longest with a ready task and without an
+ * assigned one, with the number of such jobs and of the workers by condition.
+ */
+void
+Scheduler::Impl::ReportStalledJobs(Millis aNow, Millis aWallClock)
+{
+  if (aNow < mNextStallReport) {
+    return;
+  }
+  mNextStallReport = aNow + kStallReportInterval;
+  std::size_t stalled = 0;
+  const JobState* longest = nullptr;
+  for (auto& [id, job] : mJobs) {
+    const bool isStalled = !IsFinal(job.mPhase) && !job.IsAnyAssigned() &&
+                           FirstReadyTask(job, aWallClock).has_value();
+    if (!isStalled) {
+      job.mStalledSince = Millis(0);
+      continue;
+    }
+    if (job.mStalledSince.count() == 0) {
+      job.mStalledSince = aNow;
+    }
+    ++stalled;
+    if (longest == nullptr || job.mStalledSince < longest->mStalledSince) {
+      longest = &job;
+    }
+  }
+  if (longest == nullptr || aNow - longest->mStalledSince < kMinStallReported) {
+    return;
+  }
+  const std::size_t task = *FirstReadyTask(*longest, aWallClock);
+  const auto reason = mWaitReasons.find({ longest->mJob.Id(), task });
+  EventFields fields{
+    { "task", longest->IdOf(task).Text() },
+    { "stalled_ms", std::to_string((aNow - longest->mStalledSince).count()) },
+    { "reason",
+      reason != mWaitReasons.end() ? PlanReasonName(reason->second) : "" },
+    { "stalled_jobs", std::to_string(stalled) }
+  };
+  const auto counts = CountConditions(aNow);
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    fields.emplace_back(WorkerConditionName(static_cast<WorkerCondition>(i)),
+                        std::to_string(counts.at(i)));
+  }
+  RecordEvent(SchedulerEvent::Kind::kJobStalled, std::move(fields));
+}
+
+} // namespace cornelrudder::state::scheduling
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -5,7 +5,9 @@
 #include "SchedulerModel.h"
 #include "cornelrudder/state/scheduling/Scheduler.h"
 
+#include <array>
 #include <deque>
+#include <optional>
 #include <set>
 
 namespace cornelrudder::state::scheduling {
@@ -15,6 +17,7 @@
  * - SchedulerJobs: jobs, their records and the removal of terminated jobs.
  * - SchedulerWorkers: worker state, leases, commands and renewal replies.
  * - SchedulerRuns: state changes of runs.
+ * - SchedulerDiagnostics: metrics and the report of stalled jobs.
  * - SchedulerProgress: detection of stalled and slow runs.
  * - SchedulerPlan: the view passed to a policy, and the execution of decisions.
  */
@@ -174,6 +177,12 @@
                const char* aReason,
                Millis aNow);
 
+  // Diagnostics.
+  std::array<std::size_t, kWorkerConditions> CountConditions(Millis aNow) const;
+  std::optional<std::size_t> FirstReadyTask(const JobState& aJob,
+                                            Millis aWallClock) const;
+  void ReportStalledJobs(Millis aNow, Millis aWallClock);
+
   // Planning.
   PlanningView BuildView(ViewKeys& aKeys, Millis aNow, Millis aWallClock);
   void AddWorkers(PlanningView& aView, ViewKeys& aKeys, Millis aNow) const;
@@ -241,6 +250,7 @@
    */
   std::map<TaskKey, PlanReason> mWaitReasons;
   Millis mNextProgressCheck{ 0 };
+  Millis mNextStallReport{ 0 };
   /** Stops for runs that workers report but that are no longer assigned. */
   std::vector<StopCommand> mOrphanStops;
   std::vector<SchedulerEvent> mEvents;
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -237,20 +237,4 @@
   return mJobs.empty() && mDirty.empty() && mWriting.empty();
 }
 
-std::map<std::string, std::uint64_t>
-Scheduler::Impl::Gauges() const
-{
-  std::map<std::string, std::uint64_t> gauges{
-    { "scheduler_jobs", mJobs.size() }, { "scheduler_workers", mWorkers.size() }
-  };
-  for (const auto& [id, job] : mJobs) {
-    for (const Task& task : job.mTasks) {
-      gauges["scheduler_tasks_waiting"] +=
-        task.mPhase == TaskPhase::kWaiting ? 1 : 0;
-      gauges["scheduler_tasks_assigned"] += task.IsAssigned() ? 1 : 0;
-    }
-  }
-  return gauges;
-}
-
 } // namespace cornelrudder::state::scheduling
--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -1,9 +1,47 @@
 #include "SchedulerModel.h"
 
 #include <algorithm>
+#include <array>
 
 namespace cornelrudder::state::scheduling {
 
+const char*
+TaskPhaseName(TaskPhase aPhase)
+{
+  static constexpr std::array kNames{
+    "waiting", "planned", "starting", "running", "done"
+  };
+  return kNames.at(static_cast<std::size_t>(aPhase));
+}
+
+const char*
+WorkerConditionName(WorkerCondition aCondition)
+{
+  static constexpr std::array<const char*, kWorkerConditions> kNames{
+    "usable",        "unlisted",  "draining", "silent",
+    "clock_unknown", "suspected", "slow"
+  };
+  return kNames.at(static_cast<std::size_t>(aCondition));
+}
+
+WorkerCondition
+WorkerState::ConditionAt(Millis aNow) const
+{
+  const std::array<std::pair<bool, WorkerCondition>, kWorkerConditions - 1>
+    conditions{ { { !mListed, WorkerCondition::kUnlisted },
+                  { mInfo.mDraining, WorkerCondition::kDraining },
+                  { mFailedRenewals > 0, WorkerCondition::kSilent },
+                  { mClock.count() <= 0, WorkerCondition::kClockUnknown },
+                  { aNow < mSuspectedUntil, WorkerCondition::kSuspected },
+                  { aNow < mSlowUntil, WorkerCondition::kSlow } } };
+  for (const auto& [applies, condition] : conditions) {
+    if (applies) {
+      return condition;
+    }
+  }
+  return WorkerCondition::kUsable;
+}
+
 std::size_t
 JobState::FirstTask(std::size_t aOccurrence, std::size_t aStep) const
 {
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -42,6 +42,10 @@
   kDone
 };
 
+/** @return Name of a phase, for the log. */
+const char*
+TaskPhaseName(TaskPhase aPhase);
+
 /** State of a task and of its current run. */
 struct Task
 {
@@ -121,6 +125,11 @@
    * task otherwise.
    */
   std::map<std::size_t, std::uint64_t> mFailedRuns;
+  /**
+   * Since when a task is ready and none is assigned, as seen by
+   * Scheduler::Impl::ReportStalledJobs(); 0 otherwise.
+   */
+  Millis mStalledSince{ 0 };
 
   /** @return Number of the first task of a step in an occurrence. */
   std::size_t FirstTask(std::size_t aOccurrence, std::size_t aStep) const;
@@ -158,6 +167,25 @@
   JobProgress ToProgress() const;
 };
 
+/** Whether a worker may get new runs; otherwise the reason why not. */
+enum class WorkerCondition
+{
+  kUsable,
+  kUnlisted,
+  kDraining,
+  kSilent,
+  /** No reading of the worker's clock, which its lease needs. */
+  kClockUnknown,
+  kSuspected,
+  kSlow
+};
+
+constexpr std::size_t kWorkerConditions = 7;
+
+/** @return Name of a condition, for logs and metrics. */
+const char*
+WorkerConditionName(WorkerCondition aCondition);
+
 /** State of a worker, its lease and the tasks assigned to it. */
 struct WorkerState
 {
@@ -199,7 +227,10 @@
    * or is much slower than others of its step.
    */
   Millis mSlowUntil{ 0 };
+  /** The last renewal reply was ignored because of its incarnation. */
+  bool mReplyIgnored = false;
 
+  WorkerCondition ConditionAt(Millis aNow) const;
   Resources Free() const { return mInfo.mCapacity.Minus(mUsed); }
   bool HasUnackedTerminations() const { return mReceivedUpTo > mAckedUpTo; }
 
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -74,6 +74,7 @@
   mPlannedAt = aNow;
   ExpireUnresponsiveWorkers(aNow);
   CheckProgress(aNow);
+  ReportStalledJobs(aNow, aWallClock);
   mGuaranteed = GuaranteedJobs();
   ViewKeys keys;
   const PlanningView view = BuildView(keys, aNow, aWallClock);
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -308,6 +308,13 @@
   const Task& task = job->mTasks[*index];
   if (!task.IsAssigned() || task.mRun != aRun.mRun ||
       task.mWorker != aWorker.mInfo.mId) {
+    RecordEvent(SchedulerEvent::Kind::kEndIgnored,
+                { { "task", aRun.mTask.Text() },
+                  { "run", std::to_string(aRun.mRun) },
+                  { "worker", aWorker.mInfo.mId },
+                  { "end", TerminationReasonName(aRun.mReason) },
+                  { "current_run", std::to_string(task.mRun) },
+                  { "phase", TaskPhaseName(task.mPhase) } });
     return;
   }
   if (aRun.mReason == TerminationReason::kDone) {
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -257,9 +257,7 @@
 bool
 Scheduler::Impl::IsSchedulable(const WorkerState& aWorker, Millis aNow) const
 {
-  return aWorker.mListed && !aWorker.mInfo.mDraining &&
-         aWorker.mFailedRenewals == 0 && aWorker.mClock.count() > 0 &&
-         aNow >= aWorker.mSuspectedUntil && aNow >= aWorker.mSlowUntil;
+  return aWorker.ConditionAt(aNow) == WorkerCondition::kUsable;
 }
 
 void
@@ -291,8 +289,17 @@
   if (aReply.mIncarnation < worker.mInfo.mIncarnation) {
     // The reply is from an earlier incarnation than the one in the list of
     // workers.
+    if (!worker.mReplyIgnored) {
+      worker.mReplyIgnored = true;
+      RecordEvent(SchedulerEvent::Kind::kReplyIgnored,
+                  { { "worker", worker.mInfo.mId },
+                    { "incarnation", std::to_string(aReply.mIncarnation) },
+                    { "known", std::to_string(worker.mInfo.mIncarnation) },
+                    { "runs", std::to_string(worker.mAssigned.size()) } });
+    }
     return;
   }
+  worker.mReplyIgnored = false;
   RecordReply(worker, aNow);
   if (worker.mInfo.mIncarnation != 0 &&
       aReply.mIncarnation > worker.mInfo.mIncarnation) {
