Add failing tests for completions of runs presumed lost

A worker that cannot be reached completes its runs before their lease expires; the owner presumes them lost. When the worker can be reached again, it reports the completions, and the owner ignores them: the tasks run a second time, and the steps that depend on them wait.

--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -98,6 +98,41 @@
   CheckNoViolation(model);
 }
 
+// Guards against discarding the completion of a run that was presumed lost.
+TEST(Scheduler, CompletionOfRunPresumedLostIsKept)
+{
+  FleetModel model({ 1, 1 });
+  model.Submit(MakeJob("a", Step(2, 4), 1), milliseconds(1'500));
+  model.Run(milliseconds(500));
+  model.SetReachable(0, false);
+  // The runs complete, and the lease expires.
+  model.Run(milliseconds(9'000));
+  model.SetReachable(0, true);
+  model.Run(milliseconds(3'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(2, model.Starts());
+  CheckNoViolation(model);
+}
+
+// Guards against continuing a second run after the first one turns out to be
+// complete.
+TEST(Scheduler, LateCompletionStopsSecondRun)
+{
+  FleetModel model({ 2, 1 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(5'000));
+  model.Run(milliseconds(500));
+  const std::size_t host = FirstBusyWorker(model);
+  model.SetReachable(host, false);
+  model.Run(milliseconds(10'000));
+  CHECK_EQUAL(2, model.Starts());
+  model.SetReachable(host, true);
+  model.Run(milliseconds(2'500));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(1, model.Stops());
+  CHECK_EQUAL(0, model.RunningOn(1 - host));
+  CheckNoViolation(model);
+}
+
 // Guards against waiting for the lease to expire although a new incarnation of
 // the worker proves that the run is lost.
 TEST(Scheduler, RunOnRestartedWorkerIsReplacedAtOnce)
