Complete a task when a run that was presumed lost has completed it

What callers saw: on the grown Attica deployment, a job whose first step was done did not go on to the second one (LOST), and tasks ran twice (TWICE).

Cause: a worker out of the owner's reach completes its runs; their lease expires, and the owner presumes them lost. Back in reach, the worker reports the completions, and ApplyTermination ignored the end of every run that was not the current one of its task. The presumption was never revised by the evidence, and the next renewal acknowledged the end, so that it was gone.

The completion of any run up to the task's latest one now completes the task. A newer run is stopped and keeps its capacity until it is gone; the record shows the task as done with the worker of that run, so that a new owner stops it too. The late failure of a run that was presumed lost is still ignored.

--- a/include/cornelrudder/state/scheduling/JobProgress.h
+++ b/include/cornelrudder/state/scheduling/JobProgress.h
@@ -47,7 +47,10 @@
   RecordedState mState = RecordedState::kWaiting;
   /** Highest run number that a start command may have used; 0 for none. */
   std::uint64_t mRun = 0;
-  /** Worker of the run; empty unless the task is assigned. */
+  /**
+   * Worker on which the run exists or may still start; empty if there is none.
+   * A task that is done has one if an earlier run completed it.
+   */
   std::string mWorker;
   /**
    * Number of failed runs; a gang counts them on its first task.
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -113,6 +113,7 @@
   void Unassign(JobState& aJob, std::size_t aTask);
   void Requeue(JobState& aJob, std::size_t aTask, Millis aNow);
   void FinishTask(JobState& aJob, std::size_t aTask, Millis aNow);
+  void CompleteEarlier(JobState& aJob, std::size_t aTask, Millis aNow);
   void HandleTermination(JobState& aJob,
                          std::size_t aTask,
                          TerminationReason aReason,
@@ -140,6 +141,11 @@
   void ApplyTermination(WorkerState& aWorker,
                         const TerminatedRun& aRun,
                         Millis aNow);
+  void ApplyEarlierTermination(const WorkerState& aWorker,
+                               const TerminatedRun& aRun,
+                               JobState& aJob,
+                               std::size_t aTask,
+                               Millis aNow);
   void ApplyRunning(WorkerState& aWorker,
                     const RunningRun& aRun,
                     std::uint64_t aIncarnation,
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -59,13 +59,14 @@
     task.mRun = record.mRun;
     task.mFailures = record.mFailures;
     task.mCheckpoint = record.mCheckpoint;
-    if (record.mState == RecordedState::kDone) {
-      task.mPhase = TaskPhase::kDone;
-    } else if (record.mState == RecordedState::kAssigned) {
+    if (!record.mWorker.empty()) {
       Assign(aJob, i, FindOrAddWorker(record.mWorker, aNow), record.mRun);
       task.mPhase = TaskPhase::kStarting;
       task.mRecovered = true;
-      task.mStopRequested = IsFinal(aJob.mPhase);
+      task.mCompletedEarlier = record.mState == RecordedState::kDone;
+      task.mStopRequested = IsFinal(aJob.mPhase) || task.mCompletedEarlier;
+    } else if (record.mState == RecordedState::kDone) {
+      task.mPhase = TaskPhase::kDone;
     }
   }
 }
@@ -88,7 +89,7 @@
   }
   const bool done =
     std::all_of(aJob.mTasks.begin(), aJob.mTasks.end(), [](const Task& aTask) {
-      return aTask.mPhase == TaskPhase::kDone;
+      return aTask.IsDone();
     });
   if (done) {
     TerminateJob(aJob, JobPhase::kDone, aNow);
--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -96,9 +96,8 @@
   const std::size_t first = FirstTask(aOccurrence, aStep);
   const auto begin = mTasks.begin() + static_cast<std::ptrdiff_t>(first);
   const auto n = static_cast<std::ptrdiff_t>(mJob.Steps()[aStep].Tasks());
-  return std::all_of(begin, begin + n, [](const Task& aTask) {
-    return aTask.mPhase == TaskPhase::kDone;
-  });
+  return std::all_of(
+    begin, begin + n, [](const Task& aTask) { return aTask.IsDone(); });
 }
 
 bool
@@ -148,15 +147,15 @@
     TaskRecord record;
     record.mRun = task.mRun;
     record.mFailures = task.mFailures;
-    if (task.mPhase == TaskPhase::kDone) {
-      record.mState = RecordedState::kDone;
-    } else {
-      record.mCheckpoint = task.mCheckpoint;
-    }
     if (task.IsAssigned()) {
       record.mState = RecordedState::kAssigned;
       record.mWorker = task.mWorker;
     }
+    if (task.IsDone()) {
+      record.mState = RecordedState::kDone;
+    } else {
+      record.mCheckpoint = task.mCheckpoint;
+    }
     records.push_back(std::move(record));
   }
   return {
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -71,6 +71,11 @@
    * run or its termination, if the worker has started the run.
    */
   std::optional<Millis> mReportableSince;
+  /**
+   * An earlier run, which was presumed lost, has completed the task. The
+   * current run is being stopped and uses its capacity until it is gone.
+   */
+  bool mCompletedEarlier = false;
   bool mStopRequested = false;
   bool mStopInFlight = false;
   /**
@@ -95,6 +100,11 @@
   /** Worker on which the last run failed, or from which it was moved. */
   std::string mAvoidedWorker;
 
+  bool IsDone() const
+  {
+    return mPhase == TaskPhase::kDone || mCompletedEarlier;
+  }
+
   bool IsAssigned() const
   {
     return mPhase == TaskPhase::kPlanned || mPhase == TaskPhase::kStarting ||
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -54,8 +54,9 @@
 Scheduler::Impl::Requeue(JobState& aJob, std::size_t aTask, Millis aNow)
 {
   Unassign(aJob, aTask);
-  aJob.mTasks[aTask].mPhase = TaskPhase::kWaiting;
-  aJob.mTasks[aTask].mStopRequested = false;
+  Task& task = aJob.mTasks[aTask];
+  task.mPhase = task.IsDone() ? TaskPhase::kDone : TaskPhase::kWaiting;
+  task.mStopRequested = false;
   if (aJob.StepOf(aTask).IsGang()) {
     StopGang(aJob, aTask, aNow);
   }
@@ -80,7 +81,7 @@
     // The start command has not been sent and will not be, so there is no run
     // to stop.
     Unassign(aJob, aTask);
-    task.mPhase = TaskPhase::kWaiting;
+    task.mPhase = task.IsDone() ? TaskPhase::kDone : TaskPhase::kWaiting;
     if (aJob.StepOf(aTask).IsGang()) {
       StopGang(aJob, aTask, aNow);
     }
@@ -115,6 +116,33 @@
   task.mCheckpoint.clear();
 }
 
+/**
+ * Completes a task through a run that was presumed lost, and stops its current
+ * run. The completion of a gang's member completes all members.
+ */
+void
+Scheduler::Impl::CompleteEarlier(JobState& aJob, std::size_t aTask, Millis aNow)
+{
+  auto [first, end] = aJob.StepRange(aTask);
+  if (!aJob.StepOf(aTask).IsGang()) {
+    first = aTask;
+    end = aTask + 1;
+  }
+  for (std::size_t i = first; i < end; ++i) {
+    Task& task = aJob.mTasks[i];
+    if (task.IsAssigned()) {
+      task.mCompletedEarlier = true;
+      RequestStop(aJob, i, aNow);
+    } else {
+      FinishTask(aJob, i, aNow);
+    }
+  }
+  MarkChanged(aJob);
+  const std::string id = aJob.mJob.Id();
+  UpdatePhase(aJob, aNow);
+  RemoveIfTerminated(id);
+}
+
 void
 Scheduler::Impl::HandleTermination(JobState& aJob,
                                    std::size_t aTask,
@@ -151,7 +179,8 @@
         FinishTask(aJob, i, aNow);
       }
     }
-  } else if (aReason == TerminationReason::kFailed && !isLongRunning) {
+  } else if (aReason == TerminationReason::kFailed && !isLongRunning &&
+             !task.IsDone()) {
     FailRun(aJob, aTask, aNow);
   } else {
     Requeue(aJob, aTask, aNow);
@@ -295,6 +324,36 @@
   }
 }
 
+/**
+ * Applies the termination of a run that is not the current one of its task. A
+ * run that was presumed lost may have completed before its lease expired; the
+ * completion counts, since the worker's report outweighs the presumption.
+ */
+void
+Scheduler::Impl::ApplyEarlierTermination(const WorkerState& aWorker,
+                                         const TerminatedRun& aRun,
+                                         JobState& aJob,
+                                         std::size_t aTask,
+                                         Millis aNow)
+{
+  const Task& task = aJob.mTasks[aTask];
+  const bool completes = aRun.mReason == TerminationReason::kDone &&
+                         aRun.mRun <= task.mRun && !task.IsDone() &&
+                         !IsFinal(aJob.mPhase) &&
+                         !aJob.StepOf(aTask).IsLongRunning();
+  RecordEvent(completes ? SchedulerEvent::Kind::kRunEnded
+                        : SchedulerEvent::Kind::kEndIgnored,
+              { { "task", aRun.mTask.Text() },
+                { "run", std::to_string(aRun.mRun) },
+                { "worker", aWorker.mInfo.mId },
+                { "end", TerminationReasonName(aRun.mReason) },
+                { "current_run", std::to_string(task.mRun) },
+                { "phase", TaskPhaseName(task.mPhase) } });
+  if (completes) {
+    CompleteEarlier(aJob, aTask, aNow);
+  }
+}
+
 void
 Scheduler::Impl::ApplyTermination(WorkerState& aWorker,
                                   const TerminatedRun& aRun,
@@ -306,15 +365,10 @@
     return;
   }
   const Task& task = job->mTasks[*index];
-  if (!task.IsAssigned() || task.mRun != aRun.mRun ||
-      task.mWorker != aWorker.mInfo.mId) {
-    RecordEvent(SchedulerEvent::Kind::kEndIgnored,
-                { { "task", aRun.mTask.Text() },
-                  { "run", std::to_string(aRun.mRun) },
-                  { "worker", aWorker.mInfo.mId },
-                  { "end", TerminationReasonName(aRun.mReason) },
-                  { "current_run", std::to_string(task.mRun) },
-                  { "phase", TaskPhaseName(task.mPhase) } });
+  const bool isCurrent = task.IsAssigned() && task.mRun == aRun.mRun &&
+                         task.mWorker == aWorker.mInfo.mId;
+  if (!isCurrent) {
+    ApplyEarlierTermination(aWorker, aRun, *job, *index, aNow);
     return;
   }
   if (aRun.mReason == TerminationReason::kDone) {
