Do not suspect workers to which starts could not be sent

What callers saw: work waited for 10 s after the owner reached its workers again.

Cause: HttpFailure::kNotSent was mapped to the same outcome as a rejection by the worker. It tells about the path, not about the worker.

kNotSent is now an outcome of its own. The run is queued again at once, as before, and the worker counts as unresponsive until it replies to a renewal, which is tried every second. The codec test that expected kRejected for an unsent command expects kNotSent now; it stays as strict.

Scheduler.WorkerIsUsedAtOnceAfterUnsentStarts failed before (job still running 3 s after the workers accept connections, expected done).

--- a/include/cornelrudder/state/scheduling/WorkerCalls.h
+++ b/include/cornelrudder/state/scheduling/WorkerCalls.h
@@ -76,6 +76,8 @@
   kDone,
   /** The worker did not execute the command and never will. */
   kRejected,
+  /** No connection to the worker: the command was not sent. */
+  kNotSent,
   /** The worker lacks the capacity. */
   kNoCapacity,
   /** The worker knows a higher epoch. */
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -262,10 +262,17 @@
       task.mRunningSince = aNow;
       task.mProgressAt = aNow;
       break;
+    case CommandOutcome::kNotSent:
     case CommandOutcome::kNoCapacity:
     case CommandOutcome::kRejected:
       if (workerIt != mWorkers.end()) {
-        RecordFailure(workerIt->second, *job, aNow);
+        // A missing connection says nothing about how the worker runs tasks:
+        // it is unresponsive until it replies to a renewal.
+        if (aReply.mOutcome == CommandOutcome::kNotSent) {
+          RecordMissedReply(workerIt->second, aReply.mDetail, aNow);
+        } else {
+          RecordFailure(workerIt->second, *job, aNow);
+        }
       }
       if (task.mStartRetries > 0) {
         // An earlier copy of the start command may still be executed.
--- a/tests/platform/CallCodecTest.cpp
+++ b/tests/platform/CallCodecTest.cpp
@@ -96,7 +96,7 @@
                       HttpResult(HttpFailure::kConnectionLost, ""));
   CheckCommandOutcome(CommandOutcome::kUnknown,
                       HttpResult(HttpFailure::kTimedOut, ""));
-  CheckCommandOutcome(CommandOutcome::kRejected,
+  CheckCommandOutcome(CommandOutcome::kNotSent,
                       HttpResult(HttpFailure::kNotSent, ""));
 }
 
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -148,6 +148,12 @@
   mWorkers[aWorker].mReachable = aReachable;
 }
 
+void
+FleetModel::SetConnectable(std::size_t aWorker, bool aConnectable)
+{
+  mWorkers[aWorker].mConnectable = aConnectable;
+}
+
 void
 FleetModel::CrashWorker(std::size_t aWorker)
 {
@@ -308,6 +314,12 @@
         mOwner->ApplyStartReply(aCommand, aReply, mNow);
       }
     };
+  if (!FindWorker(aCommand.mWorker.mId)->mConnectable) {
+    CommandReply reply;
+    reply.mOutcome = CommandOutcome::kNotSent;
+    ScheduleEvent(kNetworkDelay, [deliver, reply] { deliver(reply); });
+    return;
+  }
   const bool isCommandLost = !FindWorker(aCommand.mWorker.mId)->mReachable;
   if (isCommandLost) {
     ScheduleEvent(kReplyTimeout, [deliver] { deliver(CommandReply{}); });
@@ -351,6 +363,7 @@
       }
     };
   const bool isCommandLost = !FindWorker(aCommand.mWorker.mId)->mReachable ||
+                             !FindWorker(aCommand.mWorker.mId)->mConnectable ||
                              Chance(mOptions.mLostReplyShare);
   if (isCommandLost) {
     ScheduleEvent(kReplyTimeout, [deliver] { deliver(CommandReply{}); });
@@ -372,6 +385,7 @@
       }
     };
   const bool isCommandLost = !FindWorker(aCommand.mWorker.mId)->mReachable ||
+                             !FindWorker(aCommand.mWorker.mId)->mConnectable ||
                              Chance(mOptions.mLostReplyShare);
   if (isCommandLost) {
     ScheduleEvent(kReplyTimeout, [deliver] { deliver(RenewReply{}); });
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -74,6 +74,8 @@
    * Makes a worker lose all commands, or receive them again; its runs continue.
    */
   void SetReachable(std::size_t aWorker, bool aReachable);
+  /** Makes connections to a worker fail, or succeed again. */
+  void SetConnectable(std::size_t aWorker, bool aConnectable);
   void CrashWorker(std::size_t aWorker);
   /** Restarts a worker without updating the list of workers. */
   void RestartUnannounced(std::size_t aWorker);
@@ -129,6 +131,7 @@
   {
     scheduling::WorkerInfo mInfo;
     bool mReachable = true;
+    bool mConnectable = true;
     bool mFailing = false;
     bool mStalled = false;
     double mSlowdown = 1.0;
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -133,6 +133,23 @@
   CheckNoViolation(model);
 }
 
+// Guards against treating a worker as faulty because the owner could not send
+// commands to it.
+TEST(Scheduler, WorkerIsUsedAtOnceAfterUnsentStarts)
+{
+  FleetModel model({ 2, 1 });
+  model.SetConnectable(0, false);
+  model.SetConnectable(1, false);
+  model.Submit(MakeJob("a", Step(8, 2), 1), milliseconds(1'000));
+  model.Run(milliseconds(3'000));
+  CHECK_EQUAL(0, model.Starts());
+  model.SetConnectable(0, true);
+  model.SetConnectable(1, true);
+  model.Run(milliseconds(3'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
 // Guards against waiting for the lease to expire although a new incarnation of
 // the worker proves that the run is lost.
 TEST(Scheduler, RunOnRestartedWorkerIsReplacedAtOnce)
