Query a re-listed worker before it gets new runs

Cause: a worker that leaves the list and has no assigned runs is forgotten. When it is listed again it looks like a new, empty one, and gets new runs at once. Its unacknowledged ends, among them completions of runs that were presumed lost, are read only with the first renewal after that, when the tasks have been started elsewhere.

A worker that is listed after the owner's first plan is now queried first; it is not usable until it replies. This is one renewal without a wait for each worker that joins or returns. Workers that are present when an owner loads the tables are not queried, since that would be one call to each of them at each takeover.

--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -18,8 +18,8 @@
 WorkerConditionName(WorkerCondition aCondition)
 {
   static constexpr std::array<const char*, kWorkerConditions> kNames{
-    "usable",        "unlisted",  "draining", "silent",
-    "clock_unknown", "suspected", "slow"
+    "usable",      "unlisted",      "draining",  "silent",
+    "unconfirmed", "clock_unknown", "suspected", "slow"
   };
   return kNames.at(static_cast<std::size_t>(aCondition));
 }
@@ -31,6 +31,7 @@
     conditions{ { { !mListed, WorkerCondition::kUnlisted },
                   { mInfo.mDraining, WorkerCondition::kDraining },
                   { mFailedRenewals > 0, WorkerCondition::kSilent },
+                  { mIsQueryDue, WorkerCondition::kUnconfirmed },
                   { mClock.count() <= 0, WorkerCondition::kClockUnknown },
                   { aNow < mSuspectedUntil, WorkerCondition::kSuspected },
                   { aNow < mSlowUntil, WorkerCondition::kSlow } } };
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -184,13 +184,15 @@
   kUnlisted,
   kDraining,
   kSilent,
+  /** Listed again; WorkerState::mIsQueryDue. */
+  kUnconfirmed,
   /** No reading of the worker's clock, which its lease needs. */
   kClockUnknown,
   kSuspected,
   kSlow
 };
 
-constexpr std::size_t kWorkerConditions = 7;
+constexpr std::size_t kWorkerConditions = 8;
 
 /** @return Name of a condition, for logs and metrics. */
 const char*
@@ -237,6 +239,12 @@
    * or is much slower than others of its step.
    */
   Millis mSlowUntil{ 0 };
+  /**
+   * The worker was listed after this owner's first plan and has not replied
+   * yet. It may be known from before and report completions of tasks that would
+   * otherwise be started again.
+   */
+  bool mIsQueryDue = false;
   /** The last renewal reply was ignored because of its incarnation. */
   bool mReplyIgnored = false;
 
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -100,6 +100,8 @@
         { "runs", std::to_string(worker.mAssigned.size()) } });
   }
   worker.mInfo = aInfo;
+  worker.mIsQueryDue =
+    worker.mIsQueryDue || (!worker.mListed && mPlannedAt.count() > 0);
   worker.mListed = true;
   worker.mShutdownAt =
     aInfo.mShutdownAfter.count() > 0 ? aNow + aInfo.mShutdownAfter : Millis(0);
@@ -210,6 +212,7 @@
                     std::to_string((aNow - aWorker.mLastReplyAt).count()) } });
   }
   aWorker.mFailedRenewals = 0;
+  aWorker.mIsQueryDue = false;
   aWorker.mLastReplyAt = aNow;
 }
 
@@ -412,11 +415,13 @@
 Scheduler::Impl::CollectRenewCommands(WorkerCommands& aCommands, Millis aNow)
 {
   for (auto& [id, worker] : mWorkers) {
-    // An unresponsive worker without runs is also renewed: its reply shows that
-    // it can be used again.
+    // An unresponsive or unconfirmed worker without runs is also renewed: its
+    // reply shows that it can be used again.
+    const bool isReplyAwaited =
+      worker.mFailedRenewals > 0 || worker.mIsQueryDue;
     const bool isNeeded = !worker.mAssigned.empty() ||
                           worker.HasUnackedTerminations() ||
-                          (worker.mFailedRenewals > 0 && worker.mListed);
+                          (isReplyAwaited && worker.mListed);
     if (!isNeeded || worker.mRenewing || aNow < worker.mNextRenewal ||
         worker.mInfo.mAddress.empty()) {
       continue;
@@ -432,9 +437,12 @@
       worker.mFailedRenewals == 0 && worker.mClock.count() > 0;
     if (isResponsive) {
       command.mLeaseExpiry = ExtendLease(worker, aNow);
-      command.mMaxWait = worker.HasUnackedTerminations() ? Millis(0)
-                         : HasUrgentRun(worker)          ? kUrgentWait
-                                                         : mOptions.mRenewWait;
+      const bool isUrgent = HasUrgentRun(worker);
+      const bool isWaitUseful =
+        !worker.HasUnackedTerminations() && !worker.mIsQueryDue;
+      command.mMaxWait = !isWaitUseful ? Millis(0)
+                         : isUrgent    ? kUrgentWait
+                                       : mOptions.mRenewWait;
     }
     const bool hasUncertainRun =
       std::any_of(worker.mAssigned.begin(),
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -168,6 +168,12 @@
   mOwner->UpdateWorker(mWorkers[aWorker].mInfo, mNow);
 }
 
+void
+FleetModel::UnlistWorker(std::size_t aWorker)
+{
+  mOwner->RemoveWorker(mWorkers[aWorker].mInfo.mId, mNow);
+}
+
 void
 FleetModel::RestartUnannounced(std::size_t aWorker)
 {
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -79,6 +79,8 @@
   void CrashWorker(std::size_t aWorker);
   /** Restarts a worker without updating the list of workers. */
   void RestartUnannounced(std::size_t aWorker);
+  /** Removes a worker from the list of workers; its runs continue. */
+  void UnlistWorker(std::size_t aWorker);
   /** Updates the list of workers with the current state of a worker. */
   void PublishWorker(std::size_t aWorker);
   /**
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -114,6 +114,24 @@
   CheckNoViolation(model);
 }
 
+// Guards against starting tasks again on a worker that was removed from the
+// list while it lived and has completed them.
+TEST(Scheduler, RelistedWorkerIsQueriedBeforeItIsUsed)
+{
+  FleetModel model({ 1, 1 });
+  model.Submit(MakeJob("a", Step(2, 4), 1), milliseconds(1'500));
+  model.Run(milliseconds(500));
+  model.SetReachable(0, false);
+  model.UnlistWorker(0);
+  model.Run(milliseconds(9'000));
+  model.SetReachable(0, true);
+  model.PublishWorker(0);
+  model.Run(milliseconds(3'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(2, model.Starts());
+  CheckNoViolation(model);
+}
+
 // Guards against continuing a second run after the first one turns out to be
 // complete.
 TEST(Scheduler, LateCompletionStopsSecondRun)
