Add faults and a work conservation check to the fleet model

The model had no way to show that an accepted job waits although it could run: it checked only what must not start. The check, off by default, records a violation if a job has no run for 3 s although one of its steps could run, capacity for that step is free twice over and less than half of the fleet is in use. It leaves out faults in force and 7 s after them, in which the lease of a lost run expires.

New faults: workers removed from the list and listed again, restarts with a lower incarnation, an outdated clock in the list, rejected starts. The check for a stored record uses the number of the task within its job instead of within its step, which was wrong for jobs with several steps.

--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -21,6 +21,8 @@
 /** Factor on the run time if off the preferred rack or spread over racks. */
 constexpr int kCrossRackFactor = 3;
 constexpr std::size_t kJobsPerWrite = 40;
+/** Leaves lower numbers for restarts after the time of day was set back. */
+constexpr std::uint64_t kFirstIncarnation = 1'000;
 
 milliseconds
 CeilToMillis(std::chrono::microseconds aTime)
@@ -53,7 +55,7 @@
   for (std::size_t i = 0; i < mOptions.mWorkers; ++i) {
     ModelWorker worker;
     worker.mInfo.mId = "w" + std::to_string(i);
-    worker.mInfo.mIncarnation = 1;
+    worker.mInfo.mIncarnation = kFirstIncarnation;
     worker.mInfo.mAddress = "10.0.0." + std::to_string(i) + ":1";
     worker.mInfo.mService = "s";
     worker.mInfo.mRack = "r" + std::to_string(i / mOptions.mWorkersPerRack);
@@ -92,8 +94,10 @@
   mWriting = false;
   mOwner->ApplyCatalog(mCatalog);
   for (ModelWorker& worker : mWorkers) {
-    worker.mInfo.mClock = mNow;
-    mOwner->UpdateWorker(worker.mInfo, mNow);
+    if (worker.mListed) {
+      worker.mInfo.mClock = mNow;
+      mOwner->UpdateWorker(worker.mInfo, mNow);
+    }
   }
   for (const auto& [id, job] : mJobs) {
     const auto it = mRecords.find(id);
@@ -110,6 +114,7 @@
 void
 FleetModel::ReplaceOwner()
 {
+  RecordFault();
   StartOwner();
 }
 
@@ -145,6 +150,7 @@
 void
 FleetModel::SetReachable(std::size_t aWorker, bool aReachable)
 {
+  RecordFault();
   mWorkers[aWorker].mReachable = aReachable;
 }
 
@@ -158,25 +164,57 @@
 void
 FleetModel::PublishWorker(std::size_t aWorker)
 {
-  mWorkers[aWorker].mInfo.mClock = mNow;
-  mOwner->UpdateWorker(mWorkers[aWorker].mInfo, mNow);
+  PublishStaleClock(aWorker, milliseconds(0));
+}
+
+void
+FleetModel::PublishStaleClock(std::size_t aWorker, milliseconds aAge)
+{
+  RecordFault();
+  ModelWorker& worker = mWorkers[aWorker];
+  worker.mListed = true;
+  worker.mInfo.mClock = std::max(mNow - aAge, milliseconds(1));
+  mOwner->UpdateWorker(worker.mInfo, mNow);
+}
+
+void
+FleetModel::UnlistWorker(std::size_t aWorker)
+{
+  RecordFault();
+  mWorkers[aWorker].mListed = false;
+  mOwner->RemoveWorker(mWorkers[aWorker].mInfo.mId, mNow);
+}
+
+void
+FleetModel::RestartWorker(ModelWorker& aWorker, std::uint64_t aIncarnation)
+{
+  RecordFault();
+  aWorker.mRuns.clear();
+  aWorker.mTerminated.clear();
+  aWorker.mHighestEndedRuns.clear();
+  aWorker.mTerminations = 0;
+  aWorker.mEpoch = 0;
+  aWorker.mInfo.mIncarnation = aIncarnation;
 }
 
 void
 FleetModel::RestartUnannounced(std::size_t aWorker)
 {
   ModelWorker& worker = mWorkers[aWorker];
-  worker.mRuns.clear();
-  worker.mTerminated.clear();
-  worker.mHighestEndedRuns.clear();
-  worker.mTerminations = 0;
-  worker.mEpoch = 0;
-  ++worker.mInfo.mIncarnation;
+  RestartWorker(worker, worker.mInfo.mIncarnation + 1);
+}
+
+void
+FleetModel::RestartWithLowerIncarnation(std::size_t aWorker)
+{
+  ModelWorker& worker = mWorkers[aWorker];
+  RestartWorker(worker, worker.mInfo.mIncarnation - 1);
 }
 
 void
 FleetModel::SetDraining(std::size_t aWorker, milliseconds aShutdownAfter)
 {
+  RecordFault();
   mWorkers[aWorker].mInfo.mShutdownAfter = aShutdownAfter;
   mWorkers[aWorker].mInfo.mDraining = true;
   mOwner->UpdateWorker(mWorkers[aWorker].mInfo, mNow);
@@ -185,21 +223,47 @@
 void
 FleetModel::SetFailing(std::size_t aWorker, bool aFailing)
 {
+  RecordFault();
   mWorkers[aWorker].mFailing = aFailing;
 }
 
 void
 FleetModel::SetStalled(std::size_t aWorker, bool aStalled)
 {
+  RecordFault();
   mWorkers[aWorker].mStalled = aStalled;
 }
 
+void
+FleetModel::SetRejecting(std::size_t aWorker, bool aRejecting)
+{
+  RecordFault();
+  mWorkers[aWorker].mRejecting = aRejecting;
+}
+
 void
 FleetModel::SetSlowdown(std::size_t aWorker, double aFactor)
 {
+  RecordFault();
   mWorkers[aWorker].mSlowdown = aFactor;
 }
 
+void
+FleetModel::DelayStarts(int aCount)
+{
+  RecordFault();
+  mStartsToDelay = aCount;
+}
+
+void
+FleetModel::SetStoreUp(bool aUp)
+{
+  if (aUp != mStoreUp) {
+    RecordFault();
+  }
+  mStoreUp = aUp;
+}
+
 JobOutcome
 FleetModel::OutcomeOf(const std::string& aJob) const
 {
@@ -237,6 +301,9 @@
     Advance(worker);
   }
   RunOwner();
+  if (mOptions.mCheckWorkConservation) {
+    CheckWorkConservation();
+  }
 }
 
 /** Runs one cycle of the owner: plan, send commands, write records. */
@@ -315,6 +382,7 @@
   }
   if (mStartsToDelay > 0 || Chance(mOptions.mLateStartShare)) {
     mStartsToDelay -= mStartsToDelay > 0 ? 1 : 0;
+    RecordFault();
     ScheduleEvent(kReplyTimeout, [deliver] { deliver(CommandReply{}); });
     // The delayed command is queued in the worker and lost if that restarts.
     ScheduleEvent(
@@ -322,6 +390,7 @@
       [this,
        aCommand,
        incarnation = FindWorker(aCommand.mWorker.mId)->mInfo.mIncarnation] {
+        RecordFault();
         if (FindWorker(aCommand.mWorker.mId)->mInfo.mIncarnation ==
             incarnation) {
           HandleStart(aCommand);
@@ -406,16 +475,17 @@
   if (mFailedRuns[aCommand.mTask] >= job.Settings().mMaxAttempts) {
     RecordViolation(name + " starts after its last allowed attempt");
   }
+  std::size_t task = aCommand.mTask.Index();
+  for (std::size_t i = 0; i < aCommand.mTask.Step(); ++i) {
+    task += job.Steps()[i].Tasks();
+  }
   const auto record = mRecords.find(aCommand.mTask.Job());
   if (record == mRecords.end() ||
-      record->second.Tasks()[aCommand.mTask.Index()].mRun < aCommand.mRun) {
+      record->second.Tasks()[task].mRun < aCommand.mRun) {
     RecordViolation(name + " starts without a stored record");
   }
-  Resources used = job.Steps()[aCommand.mTask.Step()].Demand();
-  for (const ModelRun& run : aWorker.mRuns) {
-    used =
-      used.Plus(mJobs.at(run.mTask.Job()).Steps()[run.mTask.Step()].Demand());
-  }
+  const Resources used =
+    UsedOn(aWorker).Plus(job.Steps()[aCommand.mTask.Step()].Demand());
   if (!used.FitsIn(aWorker.mInfo.mCapacity)) {
     RecordViolation(name + " exceeds the capacity of " + aWorker.mInfo.mId);
   }
@@ -444,7 +514,8 @@
   const auto highestEnded = worker.mHighestEndedRuns.find(aCommand.mTask);
   const bool isObsolete = highestEnded != worker.mHighestEndedRuns.end() &&
                           aCommand.mRun <= highestEnded->second;
-  if (aCommand.mLeaseExpiry <= mNow || isObsolete) {
+  if (aCommand.mLeaseExpiry <= mNow || isObsolete || worker.mRejecting) {
+    ++mRejectedStarts;
     return reply;
   }
   CheckStart(worker, aCommand);
@@ -671,6 +742,9 @@
     { { ++aWorker.mTerminations, aRun.mTask, aRun.mRun, aReason, checkpoint },
       mNow });
   mFailedRuns[aRun.mTask] += aReason == TerminationReason::kFailed ? 1 : 0;
+  if (aReason == TerminationReason::kDone) {
+    mCompletedTasks.insert(aRun.mTask);
+  }
   const StepSpec& step = mJobs.at(aRun.mTask.Job()).Steps()[aRun.mTask.Step()];
   if (!step.IsGang()) {
     return;
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -32,6 +32,8 @@
   double mLateStartShare = 0.0;
   std::uint64_t mSeed = 1;
   std::string mPolicy = "urgency";
+  /** Records a violation for a job that waits although capacity is free. */
+  bool mCheckWorkConservation = false;
 };
 
 /** Result of a job as reported to its caller. */
@@ -79,6 +81,18 @@
   void RestartUnannounced(std::size_t aWorker);
   /** Updates the list of workers with the current state of a worker. */
   void PublishWorker(std::size_t aWorker);
+  /**
+   * Updates the list of workers with a clock that is outdated.
+   * @param aAge Time since the worker read the clock.
+   */
+  void PublishStaleClock(std::size_t aWorker, milliseconds aAge);
+  /** Removes a worker from the list of workers; its runs continue. */
+  void UnlistWorker(std::size_t aWorker);
+  /**
+   * Restarts a worker whose time of day was set back, without updating the list
+   * of workers: the new incarnation has a lower number.
+   */
+  void RestartWithLowerIncarnation(std::size_t aWorker);
   /**
    * @param aShutdownAfter Announced minimum time until the shutdown; 0 for
    *   none.
@@ -88,11 +102,13 @@
   /** Makes every run on a worker fail, or stop making progress. */
   void SetFailing(std::size_t aWorker, bool aFailing);
   void SetStalled(std::size_t aWorker, bool aStalled);
+  /** Makes a worker reject all start commands. */
+  void SetRejecting(std::size_t aWorker, bool aRejecting);
   /** Multiplies the run time of runs on a worker by a factor. */
   void SetSlowdown(std::size_t aWorker, double aFactor);
   /** Makes the next start commands time out and execute late. */
-  void DelayStarts(int aCount) { mStartsToDelay = aCount; }
-  void SetStoreUp(bool aUp) { mStoreUp = aUp; }
+  void DelayStarts(int aCount);
+  void SetStoreUp(bool aUp);
   void ApplyCatalog(const scheduling::Catalog& aCatalog);
 
   const std::vector<std::string>& Violations() const { return mViolations; }
@@ -100,6 +116,7 @@
   std::size_t RunningOn(std::size_t aWorker) const;
   std::size_t Starts() const { return mStarts; }
   std::size_t Stops() const { return mStops; }
+  std::size_t RejectedStarts() const { return mRejectedStarts; }
   /** Lost work of stopped runs without checkpoints, in core seconds. */
   double WastedWork() const { return mWastedWork; }
   milliseconds Now() const { return mNow; }
@@ -131,6 +148,8 @@
     bool mReachable = true;
     bool mFailing = false;
     bool mStalled = false;
+    bool mRejecting = false;
+    bool mListed = true;
     double mSlowdown = 1.0;
     std::uint64_t mEpoch = 0;
     milliseconds mLeaseExpiry{ 0 };
@@ -182,6 +201,19 @@
   void CheckStart(const ModelWorker& aWorker,
                   const scheduling::StartCommand& aCommand);
   void RecordViolation(const std::string& aText);
+  void RestartWorker(ModelWorker& aWorker, std::uint64_t aIncarnation);
+
+  // Work conservation.
+  /** Excludes the time from now to the end of the grace time from the check. */
+  void RecordFault() { mLastFaultAt = mNow; }
+  bool IsFaultInForce() const;
+  void CheckWorkConservation();
+  bool CouldRun(const scheduling::TaskJob& aJob) const;
+  bool IsStepReady(const scheduling::TaskJob& aJob, std::size_t aStep) const;
+  bool HasCapacityTwice(const scheduling::TaskJob& aJob,
+                        std::size_t aStep) const;
+  bool IsMostCapacityFree() const;
+  scheduling::Resources UsedOn(const ModelWorker& aWorker) const;
   bool Chance(double aShare);
 
   FleetModelOptions mOptions;
@@ -200,6 +232,11 @@
   std::set<scheduling::TaskId> mDoneTasks;
   std::map<scheduling::TaskId, milliseconds> mLastStarts;
   std::map<scheduling::TaskId, int> mFailedRuns;
+  /** Tasks of which a run completed, whether or not the owner knows it. */
+  std::set<scheduling::TaskId> mCompletedTasks;
+  milliseconds mLastFaultAt{ 0 };
+  /** Time since which a job waits although capacity is free. */
+  std::map<std::string, milliseconds> mIdleSince;
   scheduling::Catalog mCatalog;
   std::optional<scheduling::Scheduler> mOwner;
   std::uint64_t mEpoch = 0;
@@ -208,6 +245,7 @@
   int mStartsToDelay = 0;
   std::size_t mStarts = 0;
   std::size_t mStops = 0;
+  std::size_t mRejectedStarts = 0;
   double mWastedWork = 0.0;
   std::vector<std::string> mViolations;
 };
