Accept a restart that lowers the incarnation of a worker

A worker whose time of day is set back before it restarts has a lower incarnation than before. The owner dropped its entry in the list and all its renewal replies, although it renewed its lease: runs of the earlier incarnation stayed assigned, and completions on the new one were acknowledged with sequence numbers of the earlier one, discarded by the worker and run again.

A reply now decides: another incarnation than the known one is a restart, unless the renewal was sent before this owner learned of the known one. An entry with a lower incarnation updates everything but the incarnation, and an entry of the replaced incarnation is ignored.

The tests failed with "expected <2> but was <1>" (the job still runs).

--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -134,6 +134,9 @@
                          Millis aNow);
   void RecordFailure(WorkerState& aWorker, const JobState& aJob, Millis aNow);
   Millis ExtendLease(WorkerState& aWorker, Millis aNow);
+  static bool IsOutdated(const WorkerState& aWorker,
+                         const RenewReply& aReply,
+                         Millis aSentAt);
   void ApplyTermination(WorkerState& aWorker,
                         const TerminatedRun& aRun,
                         Millis aNow);
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -176,6 +176,12 @@
   std::uint64_t mReceivedUpTo = 0;
   std::uint64_t mWritingUpTo = 0;
   std::uint64_t mAckedUpTo = 0;
+  /**
+   * The incarnation before the present one, and the local time at which this
+   * owner learned of the present one.
+   */
+  std::uint64_t mReplacedIncarnation = 0;
+  Millis mIncarnationSince{ 0 };
   bool mRenewing = false;
   Millis mNextRenewal{ 0 };
   int mFailedRenewals = 0;
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -83,11 +83,11 @@
     }
   }
   WorkerState& worker = FindOrAddWorker(aInfo.mId, aNow);
-  if (worker.mInfo.mIncarnation > aInfo.mIncarnation) {
+  const std::uint64_t known = worker.mInfo.mIncarnation;
+  if (known != 0 && aInfo.mIncarnation == worker.mReplacedIncarnation) {
     return;
   }
-  const bool isRestarted = worker.mInfo.mIncarnation != 0 &&
-                           worker.mInfo.mIncarnation < aInfo.mIncarnation;
+  const bool isRestarted = known != 0 && known < aInfo.mIncarnation;
   if (isRestarted) {
     HandleRestart(worker, aNow);
   }
@@ -100,10 +100,18 @@
         { "runs", std::to_string(worker.mAssigned.size()) } });
   }
   worker.mInfo = aInfo;
+  // A lower incarnation in the list is either outdated or that of a worker
+  // whose time of day was set back; the next renewal reply shows which.
+  worker.mInfo.mIncarnation = std::max(known, aInfo.mIncarnation);
   worker.mListed = true;
   worker.mShutdownAt =
     aInfo.mShutdownAfter.count() > 0 ? aNow + aInfo.mShutdownAfter : Millis(0);
-  if (isFirst || aInfo.mClock > worker.mClock) {
+  // A clock that is too low shortens the next lease, which is safe. One that is
+  // too high would make runs outlive the expiry that this owner assumes.
+  const bool isClockUsable = known > aInfo.mIncarnation
+                               ? aInfo.mClock < worker.mClock
+                               : aInfo.mClock > worker.mClock;
+  if (isFirst || isClockUsable) {
     UpdateClock(worker, aInfo.mClock, aNow);
   }
 }
@@ -177,6 +185,8 @@
       HandleLostRun(key, "restarted", aNow);
     }
   }
+  aWorker.mReplacedIncarnation = aWorker.mInfo.mIncarnation;
+  aWorker.mIncarnationSince = aNow;
   aWorker.ResetIncarnation();
 }
 
@@ -262,6 +272,20 @@
          aNow >= aWorker.mSuspectedUntil && aNow >= aWorker.mSlowUntil;
 }
 
+/**
+ * @return Whether a reply is from the incarnation before the present one. Each
+ *   restart changes the incarnation, but a restart after the time of day was
+ *   set back makes it lower, so only the time of the renewal tells.
+ */
+bool
+Scheduler::Impl::IsOutdated(const WorkerState& aWorker,
+                            const RenewReply& aReply,
+                            Millis aSentAt)
+{
+  return aReply.mIncarnation < aWorker.mInfo.mIncarnation &&
+         aSentAt < aWorker.mIncarnationSince;
+}
+
 void
 Scheduler::Impl::ApplyRenewReply(const RenewCommand& aCommand,
                                  const RenewReply& aReply,
@@ -288,14 +312,12 @@
     RecordMissedReply(worker, aReply.mDetail, aNow);
     return;
   }
-  if (aReply.mIncarnation < worker.mInfo.mIncarnation) {
-    // The reply is from an earlier incarnation than the one in the list of
-    // workers.
+  if (IsOutdated(worker, aReply, aSentAt)) {
     return;
   }
   RecordReply(worker, aNow);
   if (worker.mInfo.mIncarnation != 0 &&
-      aReply.mIncarnation > worker.mInfo.mIncarnation) {
+      aReply.mIncarnation != worker.mInfo.mIncarnation) {
     HandleRestart(worker, aNow);
   }
   worker.mInfo.mIncarnation = aReply.mIncarnation;
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -391,6 +391,37 @@
   CheckNoViolation(model);
 }
 
+// Guards against ignoring the replies of a worker that restarted after its time
+// of day was set back: its lost runs stayed assigned forever.
+TEST(Scheduler, RunIsReplacedAfterRestartWithLowerIncarnation)
+{
+  FleetModel model({ 2, 1 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(2'000));
+  model.Run(milliseconds(500));
+  const std::size_t host = FirstBusyWorker(model);
+  model.RestartWithLowerIncarnation(host);
+  model.PublishWorker(host);
+  model.Run(milliseconds(4'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(2, model.Starts());
+  CheckNoViolation(model);
+}
+
+// Guards against a second start of a task whose completion a worker with a
+// lower incarnation reports.
+TEST(Scheduler, CompletionOnLowerIncarnationIsApplied)
+{
+  FleetModel model({ 1, 1 });
+  model.Submit(MakeJob("a", Step(4, 2), 1), milliseconds(300));
+  model.Run(milliseconds(2'000));
+  model.RestartWithLowerIncarnation(0);
+  model.Submit(MakeJob("b", Step(4, 2), 1), milliseconds(300));
+  model.Run(milliseconds(4'000));
+  CheckPhase(model, "b", JobPhase::kDone);
+  CHECK_EQUAL(8, model.Starts());
+  CheckNoViolation(model);
+}
+
 // Guards against parallel runs of a task, lost tasks and overloaded workers
 // when replies are lost or commands late, workers are unreachable or crash, the
 // store fails, and the owner changes.
