Keep terminations of a restarted worker until they are reported

The list shows the restart of an idle worker late. The owner starts a run there and sends, with the first renewal, the acknowledgement of the last terminations of the earlier incarnation.

A renewal now acknowledges terminations only within 1 s of the last reply. The worker reports acknowledged terminations again in the reply to the first renewal after a pause; the owner ignores them by their sequence numbers and acknowledges them with the next renewal.

--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -26,6 +26,13 @@
 constexpr Millis kIdleUnresponsiveRetryDelay{ 1'000 };
 /** Interval of renewals while received terminations are not stored yet. */
 constexpr Millis kUnackedRenewDelay{ 800 };
+/**
+ * Time after the last reply of a worker up to which a renewal acknowledges
+ * terminations. Later, the worker may have restarted unnoticed, and its new
+ * incarnation would discard terminations that it has not reported yet. The
+ * renewals of a worker in use are less than this time apart.
+ */
+constexpr Millis kMaxAckAge{ 1'000 };
 /**
  * Upper limit of a renewal's wait while it is uncertain whether a run exists: a
  * run that never started has no termination that would complete the wait
@@ -440,7 +447,8 @@
     RenewCommand command;
     command.mWorker = { id, worker.mInfo.mAddress };
     command.mEpoch = mOptions.mEpoch;
-    command.mAckedUpTo = worker.mAckedUpTo;
+    command.mAckedUpTo =
+      aNow - worker.mLastReplyAt < kMaxAckAge ? worker.mAckedUpTo : 0;
     // An unresponsive worker may still receive renewals. Extending its lease
     // would delay the time from which its runs are certain to have terminated.
     const bool isResponsive =
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -422,6 +422,21 @@
   CheckNoViolation(model);
 }
 
+// Guards against acknowledging terminations of an earlier incarnation to a
+// restarted worker, which then discards its own before it reports them.
+TEST(Scheduler, RestartedWorkerKeepsItsFirstTerminations)
+{
+  FleetModel model({ 1, 1 });
+  model.Submit(MakeJob("a", Step(4, 2), 1), milliseconds(300));
+  model.Run(milliseconds(2'000));
+  model.RestartUnannounced(0);
+  model.Submit(MakeJob("b", Step(4, 2), 1), milliseconds(10));
+  model.Run(milliseconds(2'000));
+  CheckPhase(model, "b", JobPhase::kDone);
+  CHECK_EQUAL(8, model.Starts());
+  CheckNoViolation(model);
+}
+
 // Guards against parallel runs of a task, lost tasks and overloaded workers
 // when replies are lost or commands late, workers are unreachable or crash, the
 // store fails, and the owner changes.
