Limit the share of workers that are suspected at the same time

Two failed or rejected starts in a row exclude a worker for 10 s.

While more than half of the usable workers are suspected, the workers are not the likely cause, so each of them is tried again 1 s after its last failure instead of 10 s. Ignoring the suspicion altogether was ruled out: the same start would be rejected on every planning pass. A worker with recent failures is still used only if no other one fits.

--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -148,7 +148,13 @@
                           const std::set<TaskKey>& aListed,
                           Millis aSentAt,
                           Millis aNow);
-  bool IsSchedulable(const WorkerState& aWorker, Millis aNow) const;
+  /** @return Whether a worker is known to accept work, suspected or not. */
+  static bool IsUsable(const WorkerState& aWorker);
+  /** @return Time after its last failure that a worker is suspected. */
+  Millis SuspectTime(Millis aNow) const;
+  static bool IsSchedulable(const WorkerState& aWorker,
+                            Millis aSuspectTime,
+                            Millis aNow);
   void CollectRunCommands(WorkerCommands& aCommands, Millis aNow);
   void CollectRunCommand(const TaskKey& aKey,
                          WorkerState& aWorker,
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -106,6 +106,7 @@
                             ViewKeys& aKeys,
                             Millis aNow) const
 {
+  const Millis suspectTime = SuspectTime(aNow);
   for (const auto& [id, worker] : mWorkers) {
     WorkerView view;
     view.mId = id;
@@ -114,7 +115,7 @@
     view.mLabels = worker.mInfo.mLabels;
     view.mCapacity = worker.mInfo.mCapacity;
     view.mFree = worker.Free();
-    view.mSchedulable = IsSchedulable(worker, aNow);
+    view.mSchedulable = IsSchedulable(worker, suspectTime, aNow);
     view.mFailureRate = worker.mConsecutiveFailures > 0 ? 1.0 : 0.0;
     for (const auto& [jobId, index] : worker.mAssigned) {
       const JobState& job = mJobs.at(jobId);
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -50,6 +50,13 @@
  */
 constexpr int kSuspectFailures = 2;
 constexpr Millis kSuspectTime{ 10'000 };
+/**
+ * Share of the usable workers that may be suspected for kSuspectTime at the
+ * same time. Beyond it, the cause is unlikely to be the workers, and each of
+ * them is tried again kSuspectRetryTime after its last failure.
+ */
+constexpr double kMaxSuspectedShare = 0.5;
+constexpr Millis kSuspectRetryTime{ 1'000 };
 
 Millis
 AddClockDrift(Millis aTime)
@@ -272,11 +279,37 @@
 }
 
 bool
-Scheduler::Impl::IsSchedulable(const WorkerState& aWorker, Millis aNow) const
+Scheduler::Impl::IsUsable(const WorkerState& aWorker)
 {
   return aWorker.mListed && !aWorker.mInfo.mDraining &&
-         aWorker.mFailedRenewals == 0 && aWorker.mClock.count() > 0 &&
-         aNow >= aWorker.mSuspectedUntil && aNow >= aWorker.mSlowUntil;
+         aWorker.mFailedRenewals == 0 && aWorker.mClock.count() > 0;
+}
+
+Millis
+Scheduler::Impl::SuspectTime(Millis aNow) const
+{
+  std::size_t usable = 0;
+  std::size_t suspected = 0;
+  for (const auto& [id, worker] : mWorkers) {
+    if (IsUsable(worker)) {
+      ++usable;
+      suspected += aNow < worker.mSuspectedUntil ? 1 : 0;
+    }
+  }
+  const bool isLimited = static_cast<double>(suspected) >
+                         kMaxSuspectedShare * static_cast<double>(usable);
+  return isLimited ? kSuspectRetryTime : kSuspectTime;
+}
+
+bool
+Scheduler::Impl::IsSchedulable(const WorkerState& aWorker,
+                               Millis aSuspectTime,
+                               Millis aNow)
+{
+  const Millis suspectedUntil =
+    aWorker.mSuspectedUntil - kSuspectTime + aSuspectTime;
+  return IsUsable(aWorker) && aNow >= suspectedUntil &&
+         aNow >= aWorker.mSlowUntil;
 }
 
 /**
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -437,6 +437,36 @@
   CheckNoViolation(model);
 }
 
+// Guards against waiting for suspected workers while all workers are suspected.
+TEST(Scheduler, WorkRunsAfterAllWorkersRejectedStarts)
+{
+  FleetModel model({ 4, 2 });
+  for (std::size_t i = 0; i < 4; ++i) {
+    model.SetRejecting(i, true);
+  }
+  model.Submit(MakeJob("a", Step(8, 2), 1), milliseconds(500));
+  model.Run(milliseconds(3'000));
+  for (std::size_t i = 0; i < 4; ++i) {
+    model.SetRejecting(i, false);
+  }
+  model.Run(milliseconds(2'500));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
+// Guards against a stream of rejected starts while all workers are suspected.
+TEST(Scheduler, StartsAreRetriedSlowlyIfAllWorkersAreSuspected)
+{
+  FleetModel model({ 4, 2 });
+  for (std::size_t i = 0; i < 4; ++i) {
+    model.SetRejecting(i, true);
+  }
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(500));
+  model.Run(milliseconds(10'000));
+  CHECK(model.RejectedStarts() >= 20);
+  CHECK(model.RejectedStarts() <= 50);
+}
+
 // Guards against parallel runs of a task, lost tasks and overloaded workers
 // when replies are lost or commands late, workers are unreachable or crash, the
 // store fails, and the owner changes.
