--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -138,6 +138,9 @@
                          Millis aNow);
   void RecordFailure(WorkerState& aWorker, const JobState& aJob, Millis aNow);
   Millis ExtendLease(WorkerState& aWorker, Millis aNow);
+  static bool IsOutdated(const WorkerState& aWorker,
+                         const RenewReply& aReply,
+                         Millis aSentAt);
   void ApplyTermination(WorkerState& aWorker,
                         const TerminatedRun& aRun,
                         Millis aNow);
@@ -154,7 +157,13 @@
                           const std::set<TaskKey>& aListed,
                           Millis aSentAt,
                           Millis aNow);
-  bool IsSchedulable(const WorkerState& aWorker, Millis aNow) const;
+  /** @return Whether a worker is known to accept work, suspected or not. */
+  static bool IsUsable(const WorkerState& aWorker, Millis aNow);
+  /** @return Time after its last failure that a worker is suspected. */
+  Millis SuspectTime(Millis aNow) const;
+  static bool IsSchedulable(const WorkerState& aWorker,
+                            Millis aSuspectTime,
+                            Millis aNow);
   void CollectRunCommands(WorkerCommands& aCommands, Millis aNow);
   void CollectRunCommand(const TaskKey& aKey,
                          WorkerState& aWorker,
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -26,6 +26,13 @@
 constexpr Millis kIdleUnresponsiveRetryDelay{ 1'000 };
 /** Interval of renewals while received terminations are not stored yet. */
 constexpr Millis kUnackedRenewDelay{ 800 };
+/**
+ * Time after the last reply of a worker up to which a renewal acknowledges
+ * terminations. Later, the worker may have restarted unnoticed, and its new
+ * incarnation would discard terminations that it has not reported yet. The
+ * renewals of a worker in use are less than this time apart.
+ */
+constexpr Millis kMaxAckAge{ 1'000 };
 /**
  * Upper limit of a renewal's wait while it is uncertain whether a run exists: a
  * run that never started has no termination that would complete the wait
@@ -43,6 +50,13 @@
  */
 constexpr int kSuspectFailures = 2;
 constexpr Millis kSuspectTime{ 10'000 };
+/**
+ * Share of the usable workers that may be suspected for kSuspectTime at the
+ * same time. Beyond it, the cause is unlikely to be the workers, and each of
+ * them is tried again kSuspectRetryTime after its last failure.
+ */
+constexpr double kMaxSuspectedShare = 0.5;
+constexpr Millis kSuspectRetryTime{ 1'000 };
 
 Millis
 AddClockDrift(Millis aTime)
@@ -83,11 +97,11 @@
     }
   }
   WorkerState& worker = FindOrAddWorker(aInfo.mId, aNow);
-  if (worker.mInfo.mIncarnation > aInfo.mIncarnation) {
+  const std::uint64_t known = worker.mInfo.mIncarnation;
+  if (known != 0 && aInfo.mIncarnation == worker.mReplacedIncarnation) {
     return;
   }
-  const bool isRestarted = worker.mInfo.mIncarnation != 0 &&
-                           worker.mInfo.mIncarnation < aInfo.mIncarnation;
+  const bool isRestarted = known != 0 && known < aInfo.mIncarnation;
   if (isRestarted) {
     HandleRestart(worker, aNow);
   }
@@ -100,12 +114,20 @@
         { "runs", std::to_string(worker.mAssigned.size()) } });
   }
   worker.mInfo = aInfo;
+  // A lower incarnation in the list is either outdated or that of a worker
+  // whose time of day was set back; the next renewal reply shows which.
+  worker.mInfo.mIncarnation = std::max(known, aInfo.mIncarnation);
   worker.mIsQueryDue =
     worker.mIsQueryDue || (!worker.mListed && mPlannedAt.count() > 0);
   worker.mListed = true;
   worker.mShutdownAt =
     aInfo.mShutdownAfter.count() > 0 ? aNow + aInfo.mShutdownAfter : Millis(0);
-  if (isFirst || aInfo.mClock > worker.mClock) {
+  // A clock that is too low shortens the next lease, which is safe. One that is
+  // too high would make runs outlive the expiry that this owner assumes.
+  const bool isClockUsable = known > aInfo.mIncarnation
+                               ? aInfo.mClock < worker.mClock
+                               : aInfo.mClock > worker.mClock;
+  if (isFirst || isClockUsable) {
     UpdateClock(worker, aInfo.mClock, aNow);
   }
 }
@@ -179,6 +201,8 @@
       HandleLostRun(key, "restarted", aNow);
     }
   }
+  aWorker.mReplacedIncarnation = aWorker.mInfo.mIncarnation;
+  aWorker.mIncarnationSince = aNow;
   aWorker.ResetIncarnation();
 }
 
@@ -258,9 +282,53 @@
 }
 
 bool
-Scheduler::Impl::IsSchedulable(const WorkerState& aWorker, Millis aNow) const
+Scheduler::Impl::IsUsable(const WorkerState& aWorker, Millis aNow)
+{
+  const WorkerCondition condition = aWorker.ConditionAt(aNow);
+  return condition == WorkerCondition::kUsable ||
+         condition == WorkerCondition::kSuspected ||
+         condition == WorkerCondition::kSlow;
+}
+
+Millis
+Scheduler::Impl::SuspectTime(Millis aNow) const
+{
+  std::size_t usable = 0;
+  std::size_t suspected = 0;
+  for (const auto& [id, worker] : mWorkers) {
+    if (IsUsable(worker, aNow)) {
+      ++usable;
+      suspected += aNow < worker.mSuspectedUntil ? 1 : 0;
+    }
+  }
+  const bool isLimited = static_cast<double>(suspected) >
+                         kMaxSuspectedShare * static_cast<double>(usable);
+  return isLimited ? kSuspectRetryTime : kSuspectTime;
+}
+
+bool
+Scheduler::Impl::IsSchedulable(const WorkerState& aWorker,
+                               Millis aSuspectTime,
+                               Millis aNow)
+{
+  const Millis suspectedUntil =
+    aWorker.mSuspectedUntil - kSuspectTime + aSuspectTime;
+  return IsUsable(aWorker, aNow) && aNow >= suspectedUntil &&
+         aNow >= aWorker.mSlowUntil;
+}
+
+/**
+ * @return Whether a reply is from the incarnation before the present one. Each
+ *   restart changes the incarnation, but a restart after the time of day was
+ *   set back makes it lower, so only the time of the renewal tells.
+ */
+bool
+Scheduler::Impl::IsOutdated(const WorkerState& aWorker,
+                            const RenewReply& aReply,
+                            Millis aSentAt)
 {
-  return aWorker.ConditionAt(aNow) == WorkerCondition::kUsable;
+  return aReply.mIncarnation < aWorker.mInfo.mIncarnation &&
+         aSentAt < aWorker.mIncarnationSince;
 }
 
 void
@@ -289,9 +357,7 @@
     RecordMissedReply(worker, aReply.mDetail, aNow);
     return;
   }
-  if (aReply.mIncarnation < worker.mInfo.mIncarnation) {
-    // The reply is from an earlier incarnation than the one in the list of
-    // workers.
+  if (IsOutdated(worker, aReply, aSentAt)) {
     if (!worker.mReplyIgnored) {
       worker.mReplyIgnored = true;
       RecordEvent(SchedulerEvent::Kind::kReplyIgnored,
@@ -305,7 +371,7 @@
   worker.mReplyIgnored = false;
   RecordReply(worker, aNow);
   if (worker.mInfo.mIncarnation != 0 &&
-      aReply.mIncarnation > worker.mInfo.mIncarnation) {
+      aReply.mIncarnation != worker.mInfo.mIncarnation) {
     HandleRestart(worker, aNow);
   }
   worker.mInfo.mIncarnation = aReply.mIncarnation;
@@ -430,7 +496,8 @@
     RenewCommand command;
     command.mWorker = { id, worker.mInfo.mAddress };
     command.mEpoch = mOptions.mEpoch;
-    command.mAckedUpTo = worker.mAckedUpTo;
+    command.mAckedUpTo =
+      aNow - worker.mLastReplyAt < kMaxAckAge ? worker.mAckedUpTo : 0;
     // An unresponsive worker may still receive renewals. Extending its lease
     // would delay the time from which its runs are certain to have terminated.
     const bool isResponsive =
