Treat an odd reply of a worker as no reply

What operators would see: a process that ends by itself when one worker answers a start, a stop or a renewal with a field of another type or with deep nesting, and again when it is restarted and asks that worker.

Cause: DecodeCommandReply read its fields outside of any try block, so that the exception left the coroutine of the HTTP client and ended the process. DecodeRenewReply copied the lists before it looked at them; the copy of a nested value recurses, and completions run on stacks of 128 KB. Numbers were converted without a look at their range: "born":-1 became the highest incarnation, and percent became 1.

A malformed reply to a command has an unknown outcome, and its detail says why. A status whose body carries no meaning (400, 421, 429, 503) keeps its outcome. A renewal reply without the worker's clock, such as "{}", counted as a reply without runs, which marks all runs of the worker as lost; it is malformed now. Fractions of a millisecond and of a percent are still accepted.

Seen before the change:

DecodeCommandReply {"clock-ms":5,"reason":7} terminate called after throwing an instance of 'nlohmann::json_abi_v3_11_2::detail::type_error' DecodeRenewReply {"clock-ms":9,"running":[[[...]]]}, 100,000 levels Segmentation fault (exit status 139) MalformedCommandReplyHasUnknownOutcome: CHECK(reply.mOutcome == CommandOutcome::kUnknown) failed RenewReplyWithNumberOutOfRangeIsNotDone: {"clock-ms":9,"born":-1} MalformedRenewReplyIsNotDone: failed at "{}"

Ruled out: parsing and destroying deep values, which do not recurse in the library used; texts that are no UTF-8 and numbers such as 1e999, which the parser already rejected.

--- a/tests/platform/CallCodecTest.cpp
+++ b/tests/platform/CallCodecTest.cpp
@@ -1,4 +1,6 @@
 #include "platform/CallCodec.h"
+#include "CoroutineStack.h"
+#include "HostileJson.h"
 #include "cornelrudder/protocol/ProtocolError.h"
 
 #include <CppUTest/TestHarness.h>
@@ -117,17 +119,99 @@
 // all runs of the worker as lost.
 TEST(CallCodec, MalformedRenewReplyIsNotDone)
 {
-  for (const char* body : { "",
-                            "{",
-                            R"({"running":5})",
-                            R"({"running":[["j.0.0.1"]]})",
-                            R"({"finished":[[1,"j.0.0.1",1,"odd",""]]})" }) {
+  for (const char* body :
+       { "",
+         "{",
+         "{}",
+         R"({"clock-ms":9,"running":5})",
+         R"({"clock-ms":9,"running":[["j.0.0.1"]]})",
+         R"({"clock-ms":9,"finished":[[1,"j.0.0.1",1,"odd",""]]})" }) {
     CHECK(DecodeRenewReply(Response(200, body)).mOutcome !=
           CommandOutcome::kDone);
   }
 }
 
-// Guards against undeclared exceptions of a decoder, which terminate a thread.
+// Guards against a field of another type in the reply to a command, whose
+// exception left the I/O thread and ended the process.
+TEST(CallCodec, MalformedCommandReplyHasUnknownOutcome)
+{
+  std::vector<std::string> bodies{
+    "{", "7", "\"\xff\"", "{\"reason\":\"\xff\"}"
+  };
+  for (const std::string& value : tests::NoStrings()) {
+    bodies.push_back(tests::Fill(R"({"clock-ms":5,"reason":@})", value));
+  }
+  for (const std::string& value : tests::NoTimes()) {
+    bodies.push_back(tests::Fill(R"({"clock-ms":@})", value));
+  }
+  for (const std::string& body : bodies) {
+    for (const int status : { 200, 409 }) {
+      const CommandReply reply = DecodeCommandReply(Response(status, body));
+      CHECK(reply.mOutcome == CommandOutcome::kUnknown);
+      CHECK(reply.mClock.count() == 0);
+      STRCMP_CONTAINS("malformed reply", reply.mDetail.c_str());
+    }
+  }
+}
+
+// Guards against a deeply nested reply, whose copy overflowed the stack of
+// the coroutine that completes the call.
+TEST(CallCodec, DeeplyNestedReplyHasUnknownOutcome)
+{
+  for (const char* body : { "@",
+                            R"({"clock-ms":9,"running":@})",
+                            R"({"clock-ms":9,"finished":@})",
+                            R"({"clock-ms":9,"reason":@})",
+                            R"({"clock-ms":9,"other":@})" }) {
+    const HttpResult result =
+      Response(200, tests::Fill(body, tests::DeepArray()));
+    tests::RunOnCoroutineStack([&] {
+      CHECK(DecodeCommandReply(result).mOutcome == CommandOutcome::kUnknown);
+      CHECK(DecodeRenewReply(result).mOutcome == CommandOutcome::kUnknown);
+    });
+  }
+}
+
+// Guards against a number out of range that is converted to any other number:
+// a run or an end that the worker never had, or a clock that overflows.
+TEST(CallCodec, RenewReplyWithNumberOutOfRangeIsNotDone)
+{
+  std::vector<std::string> bodies;
+  for (const std::string& value : tests::NoCounters()) {
+    for (const char* body :
+         { R"({"clock-ms":9,"born":@})",
+           R"({"clock-ms":9,"running":[["j.0.0.1",@,"",1]]})",
+           R"({"clock-ms":9,"finished":[[@,"j.0.0.1",1,"done",""]]})",
+           R"({"clock-ms":9,"finished":[[1,"j.0.0.1",@,"done",""]]})" }) {
+      bodies.push_back(tests::Fill(body, value));
+    }
+  }
+  for (const char* percent : { "-1", "101", "1e300", "4294967297", "\"x\"" }) {
+    bodies.push_back(
+      tests::Fill(R"({"clock-ms":9,"running":[["j.0.0.1",1,"",@]]})", percent));
+  }
+  for (const std::string& value : tests::NoTimes()) {
+    bodies.push_back(tests::Fill(R"({"clock-ms":@})", value));
+  }
+  for (const std::string& body : bodies) {
+    const RenewReply reply = DecodeRenewReply(Response(200, body));
+    CHECK_TEXT(reply.mOutcome == CommandOutcome::kUnknown, body.c_str());
+    CHECK(reply.mRunning.empty() && reply.mTerminated.empty());
+  }
+}
+
+// Guards against rejecting a worker that sends fractions of a millisecond.
+TEST(CallCodec, RenewReplyWithFractionsIsDecoded)
+{
+  const RenewReply reply = DecodeRenewReply(Response(
+    200, R"({"clock-ms":9.75,"born":3.0,"running":[["j.0.0.1",2,"",41.5]]})"));
+  CHECK(reply.mClock == std::chrono::milliseconds(9));
+  CHECK_EQUAL(3, reply.mIncarnation);
+  CHECK_EQUAL(41, reply.mRunning.front().mProgressPercent);
+}
+
+// Guards against undeclared exceptions of a decoder, which terminate a
+// thread.
 TEST(CallCodec, ArbitraryInputThrowsOnlyDeclaredErrors)
 {
   CHECK(rc::check([](const std::string& aText) {
@@ -140,8 +224,8 @@
   }));
 }
 
-// Guards against a caller that keeps its connection to an unavailable daemon or
-// gets no time after which to retry.
+// Guards against a caller that keeps its connection to an unavailable daemon
+// or gets no time after which to retry.
 TEST(CallCodec, UnavailableReplySetsRetryAfterAndClosesConnection)
 {
   JobCallReply reply;
