--- a/tests/platform/CallCodecTest.cpp
+++ b/tests/platform/CallCodecTest.cpp
@@ -210,6 +210,63 @@
   CHECK_EQUAL(41, reply.mRunning.front().mProgressPercent);
 }
 
+// Guards against a number out of range in a submission: estimates whose sum
+// overflows, demands that become negative, or due times that overflow.
+TEST(CallCodec, SubmissionWithNumberOutOfRangeIsRejected)
+{
+  std::vector<std::string> bodies;
+  for (const std::string& value : tests::NoCounters()) {
+    for (const char* name : { "count", "cpu", "mem-mb", "gpu" }) {
+      bodies.push_back("{\"steps\":[{\"" + std::string(name) + "\":" + value +
+                       "}]}");
+    }
+    bodies.push_back(tests::Fill(R"({"steps":[{},{"after":[@]}]})", value));
+    bodies.push_back(tests::Fill(R"({"steps":[{}],"times":@})", value));
+  }
+  for (const std::string& value : tests::NoTimes()) {
+    for (const char* body : { R"({"steps":[{"estimate-ms":@}]})",
+                              R"({"steps":[{}],"start-at-ms":@})",
+                              R"({"steps":[{}],"interval-ms":@})" }) {
+      bodies.push_back(tests::Fill(body, value));
+    }
+  }
+  for (const std::string& body : bodies) {
+    try {
+      DecodeSubmission(body, {});
+      FAIL(("decoded " + body).c_str());
+    } catch (const ProtocolError&) {
+    }
+  }
+}
+
+// Guards against an error that does not say where a submission is wrong.
+TEST(CallCodec, SubmissionErrorNamesFieldAndWhatIsAllowed)
+{
+  try {
+    DecodeSubmission(R"({"steps":[{},{"cpu":"many"}]})", {});
+    FAIL("decoded");
+  } catch (const ProtocolError& error) {
+    STRCMP_CONTAINS("field steps: element 1: field cpu", error.what());
+    STRCMP_CONTAINS("allowed is a number from 0 to", error.what());
+  }
+}
+
+// Guards against a deeply nested submission that overflows the stack.
+TEST(CallCodec, DeeplyNestedSubmissionIsRejected)
+{
+  for (const char* body : { "@",
+                            R"({"steps":@})",
+                            R"({"steps":[{}],"spec":@})",
+                            R"({"steps":[{"after":@}]})",
+                            R"({"steps":[{}],"other":@})" }) {
+    const std::string text = tests::Fill(body, tests::DeepArray());
+    tests::RunOnCoroutineStack([&] {
+      CHECK_THROWS(ProtocolError,
+                   DecodeSubmission(text, CallLimits{ text.size() }));
+    });
+  }
+}
+
 // Guards against undeclared exceptions of a decoder, which terminate a
 // thread.
 TEST(CallCodec, ArbitraryInputThrowsOnlyDeclaredErrors)
