--- a/tests/platform/FleetCodecTest.cpp
+++ b/tests/platform/FleetCodecTest.cpp
@@ -1,9 +1,13 @@
 #include "platform/FleetCodec.h"
+#include "CoroutineStack.h"
+#include "HostileJson.h"
 #include "cornelrudder/coordination/CoordinationError.h"
 
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
+#include <array>
+
 using namespace cornelrudder;
 using namespace cornelrudder::state::scheduling;
 using coordination::CoordinationError;
@@ -19,6 +23,36 @@
   R"("limits":{"max-body-bytes":100},)"
   R"("tenants":[{"name":"t","api-keys":["k1","k2"],"guaranteed":{"gpu":120}}]})";
 
+/** The fields of a valid entry. */
+constexpr std::array kEntryFields{
+  R"("address":"10.0.0.9:80")", R"("service":"s")", R"("state":"ready")",
+  R"("room":{"cpu":1000})",     R"("zone":"z")",    R"("labels":["a"])",
+  R"("clock-ms":482)",          R"("born":12)",     R"("remaining-ms":5)",
+};
+
+/** @return A valid entry in which the field of that name has another value. */
+std::string
+EntryWith(const std::string& aName, const std::string& aValue)
+{
+  std::string entry = "{\"" + aName + "\":" + aValue;
+  for (const std::string_view field : kEntryFields) {
+    if (!field.starts_with("\"" + aName + "\"")) {
+      entry += "," + std::string(field);
+    }
+  }
+  return entry + "}";
+}
+
+void
+CheckRejected(const std::string& aEntry)
+{
+  try {
+    FleetCodec().DecodeWorker("i", aEntry);
+    FAIL(("decoded " + aEntry.substr(0, 300)).c_str());
+  } catch (const CoordinationError&) {
+  }
+}
+
 } // namespace
 
 TEST_GROUP(FleetCodec){};
@@ -73,6 +107,91 @@
   }
 }
 
+TEST(FleetCodec, EntryOfTheseTestsIsValid)
+{
+  const WorkerInfo worker =
+    FleetCodec().DecodeWorker("i", EntryWith("zone", R"("z")"));
+  STRCMP_EQUAL("10.0.0.9:80", worker.mAddress.c_str());
+  CHECK_EQUAL(12, worker.mIncarnation);
+  CHECK(FleetCodec().DecodeWorker("i", EntryWith("clock-ms", "482.5")).mClock ==
+        std::chrono::milliseconds(482));
+}
+
+// Guards against a worker that no connection can reach: a start there fails,
+// and the task waits for the next worker.
+TEST(FleetCodec, EntryWithUnusableAddressIsRejected)
+{
+  for (const char* address : { "",
+                               "10.0.0.9",
+                               "10.0.0.9:",
+                               ":80",
+                               "10.0.0.9:0",
+                               "10.0.0.9:-1",
+                               "10.0.0.9:65536",
+                               "10.0.0.9:4294967376",
+                               "10.0.0.9:80x",
+                               "10.0.0.999:80",
+                               "host.example:80",
+                               "10.0.0.9:80\\r\\nx-a: b" }) {
+    CheckRejected(EntryWith("address", '"' + std::string(address) + '"'));
+  }
+}
+
+// Guards against a number out of range that becomes another one: a capacity
+// that overflows the sum of the fleet, or an incarnation above all later ones.
+TEST(FleetCodec, EntryWithNumberOutOfRangeIsRejected)
+{
+  for (const std::string& value : tests::NoTimes()) {
+    CheckRejected(EntryWith("clock-ms", value));
+    CheckRejected(EntryWith("remaining-ms", value));
+  }
+  for (const std::string& value : tests::NoCounters()) {
+    CheckRejected(EntryWith("born", value));
+    CheckRejected(EntryWith("room", "{\"cpu\":" + value + "}"));
+    CheckRejected(EntryWith("room", "{\"mem-mb\":" + value + "}"));
+    CheckRejected(EntryWith("room", "{\"gpu\":" + value + "}"));
+  }
+  CheckRejected(EntryWith("born", "9007199254740991"));
+  CheckRejected(EntryWith("room", R"({"gpu":9007199254740991})"));
+}
+
+// Guards against using an entry with fields of another type.
+TEST(FleetCodec, EntryWithFieldOfOtherTypeIsRejected)
+{
+  for (const std::string& value : tests::NoStrings()) {
+    for (const char* name : { "address", "service", "state", "zone" }) {
+      CheckRejected(EntryWith(name, value));
+    }
+  }
+  for (const char* value : { "null", "7", "\"a\"", "{}", "[7]", "[[]]" }) {
+    CheckRejected(EntryWith("labels", value));
+  }
+  for (const char* value : { "null", "7", "\"a\"", "[]" }) {
+    CheckRejected(EntryWith("room", value));
+  }
+}
+
+// Guards against using an entry that is nested too deeply to be copied.
+TEST(FleetCodec, DeeplyNestedEntryIsRejected)
+{
+  const std::string deep = tests::DeepArray();
+  tests::RunOnCoroutineStack([&] {
+    CheckRejected(deep);
+    CheckRejected(EntryWith("labels", deep));
+    CheckRejected(EntryWith("room", deep));
+    CheckRejected(EntryWith("other", deep));
+  });
+}
+
+// Guards against a worker identifier that adds a header to a command.
+TEST(FleetCodec, IdentifierWithControlCharactersIsRejected)
+{
+  const std::string entry = EntryWith("zone", R"("z")");
+  for (const char* id : { "", "a\r\nx-b: c", "a b", "\xff" }) {
+    CHECK_THROWS(CoordinationError, FleetCodec().DecodeWorker(id, entry));
+  }
+}
+
 // Guards against undeclared exceptions of the decoders.
 TEST(FleetCodec, ArbitraryInputThrowsOnlyDeclaredErrors)
 {
