Reject odd numbers and deep nesting in the catalog

What operators would see: all daemons end when the settings row is deeply nested, and end again after each restart, since each reads the row first. A number out of range was taken for another one: attempts became 1.

Cause: DecodeCatalog copied the lists of queues and organisations, which recurses for each level of nesting, and converted numbers without a check.

Seen before the change:

DecodeCatalog {"version":1,"routes":[[[...]]]}, 100,000 levels Segmentation fault (exit status 139) ManifestWithNumberOutOfRangeIsRejected: decoded {"version":1, "routes":[{...,"priority":-1}]}

--- a/tests/platform/FleetCodecTest.cpp
+++ b/tests/platform/FleetCodecTest.cpp
@@ -53,6 +53,16 @@
   }
 }
 
+void
+CheckManifestRejected(const std::string& aManifest)
+{
+  try {
+    FleetCodec().DecodeCatalog(aManifest, 1);
+    FAIL(("decoded " + aManifest.substr(0, 300)).c_str());
+  } catch (const CoordinationError&) {
+  }
+}
+
 } // namespace
 
 TEST_GROUP(FleetCodec){};
@@ -192,6 +202,46 @@
   }
 }
 
+// Guards against a deeply nested manifest, whose copy overflowed the stack.
+TEST(FleetCodec, DeeplyNestedManifestIsRejected)
+{
+  for (const char* manifest : { "@",
+                                R"({"version":1,"other":@})",
+                                R"({"version":1,"routes":@})",
+                                R"({"version":1,"tenants":@})" }) {
+    CheckManifestRejected(tests::Fill(manifest, tests::DeepArray()));
+  }
+}
+
+// Guards against a manifest number out of range that becomes another one, such
+// as 4294967297 attempts that became 1.
+TEST(FleetCodec, ManifestWithNumberOutOfRangeIsRejected)
+{
+  for (const char* value :
+       { "-1", "4294967297", "1e300", "18446744073709551615", "\"1\"" }) {
+    for (const char* name : { "priority", "attempts", "slack-factor" }) {
+      CheckManifestRejected(
+        R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/",)"
+        R"("service":"s",")" +
+        std::string(name) + "\":" + value + "}]}");
+    }
+  }
+  for (const std::string& value : tests::NoTimes()) {
+    CheckManifestRejected(
+      R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/",)"
+      R"("service":"s","target-latency-ms":)" +
+      value + "}]}");
+  }
+  for (const std::string& value : tests::NoCounters()) {
+    CheckManifestRejected("{\"version\":" + value + "}");
+    CheckManifestRejected(R"({"version":1,"limits":{"max-body-bytes":)" +
+                          value + "}}");
+    CheckManifestRejected(
+      R"({"version":1,"tenants":[{"name":"t","guaranteed":{"gpu":)" + value +
+      "}}]}");
+  }
+}
+
 // Guards against undeclared exceptions of the decoders.
 TEST(FleetCodec, ArbitraryInputThrowsOnlyDeclaredErrors)
 {
