Read the other rows of a page with an odd row

What operators would see: a daemon that stops following a table, and a new owner that never finishes loading, because of one row: each read of the page failed and was repeated. A row of another part with the key of a worker, a job or the settings replaced it.

Cause: one row that could not be decoded made the whole response a failed one. The part of a row was not looked at, although the change feed covers all parts of a table. The base64 decoder stops at the first invalid character, so that the beginning of a damaged value was used. Versions and clocks were converted without a check of their range.

A row that cannot be decoded is logged and skipped. A row whose value is no base64 stays, without a value, so that its reader reports it under its key and takes the entry as gone. Rows of other parts are ignored. Bytes that are no UTF-8, which a key may have, are replaced before the response is parsed again. A response whose own fields are odd is still no result: unavailable for a read, and an unknown outcome for a write.

--- a/tests/platform/TableStoreTest.cpp
+++ b/tests/platform/TableStoreTest.cpp
@@ -1,4 +1,5 @@
 #include "platform/TableStore.h"
+#include "HostileJson.h"
 #include "coordination/FakeTable.h"
 #include "cornelrudder/transport/HttpServer.h"
 
@@ -56,6 +57,10 @@
   }
 
   const HttpRequest& LastRequest() const { return mLastRequest; }
+  int CountMalformedRows()
+  {
+    return mLog.Count(coordination::LogEvent::kRowMalformed);
+  }
 
 private:
   HttpRequest mLastRequest{ "", "", {}, "" };
@@ -136,3 +141,103 @@
   CheckStatus(StoreStatus::kOutcomeUnknown, 500, "");
   CheckStatus(StoreStatus::kOutcomeUnknown, 200, "{");
 }
+
+// Guards against one odd row that makes a whole page unreadable: the reader
+// then read the page again and again and never followed later changes.
+TEST(TableStore, OddRowDoesNotHideOtherRows)
+{
+  for (const std::string row :
+       { "7",
+         "null",
+         "[]",
+         "{}",
+         R"({"table":"t","key":7,"ver":1})",
+         R"({"table":"t","key":"b","ver":"1"})",
+         R"({"table":"t","key":"b","ver":1e300})",
+         R"({"table":"t","key":"b","ver":-1})",
+         R"({"table":"t","key":"b","ver":1,"value":7})",
+         R"({"table":"t","key":"b","ver":1,"tombstone":"no"})" }) {
+    StoreFixture fixture(HttpResponse::Json(
+      200,
+      R"({"rows":[)" + row +
+        R"(,{"table":"t","key":"a","value":"dGV4dA==","ver":4}],"ver":9})"));
+    const StoreResult result = fixture.Read("t/a");
+    CHECK_TEXT(result.Status() == StoreStatus::kOk, row.c_str());
+    CHECK_EQUAL(9, result.Version());
+    CHECK_EQUAL(1, result.Rows().size());
+    STRCMP_EQUAL("text", result.Rows().front().Value().c_str());
+    CHECK_EQUAL(1, fixture.CountMalformedRows());
+  }
+}
+
+// Guards against a key with invalid UTF-8 that makes a whole page unreadable.
+TEST(TableStore, KeyWithInvalidUtf8DoesNotHideOtherRows)
+{
+  StoreFixture fixture(HttpResponse::Json(
+    200,
+    "{\"rows\":[{\"table\":\"t\",\"key\":\"\xff\",\"ver\":3,\"value\":\"\"},"
+    "{\"table\":\"t\",\"key\":\"a\",\"value\":\"dGV4dA==\",\"ver\":4}]}"));
+  const StoreResult result = fixture.Read("t/a");
+  CHECK(result.Status() == StoreStatus::kOk);
+  CHECK_EQUAL(2, result.Rows().size());
+  STRCMP_EQUAL("t/a", result.Rows().back().Key().c_str());
+}
+
+// Guards against using the readable beginning of a value that is not base64.
+TEST(TableStore, ValueThatIsNotBase64IsEmpty)
+{
+  for (const std::string value :
+       { "dGV4dA=", "dGV4dA", "dGV4dA==!", "d===", "dG=4", "?" }) {
+    StoreFixture fixture(HttpResponse::Json(
+      200,
+      R"({"rows":[{"table":"t","key":"a","ver":4,"value":")" + value +
+        "\"}]}"));
+    const StoreResult result = fixture.Read("t/a");
+    CHECK_EQUAL(4, result.Rows().front().Version());
+    STRCMP_EQUAL("", result.Rows().front().Value().c_str());
+  }
+}
+
+// Guards against taking a row of another part, with the same key, for a row of
+// the part that this project reads and writes.
+TEST(TableStore, RowsOfOtherPartsAreIgnored)
+{
+  StoreFixture fixture(HttpResponse::Json(
+    200,
+    R"({"rows":[{"table":"t","part":"","key":"a","value":"dGV4dA==","ver":4},)"
+    R"({"table":"t","part":"x","key":"a","value":"","ver":5}],"ver":5})"));
+  const StoreResult result = fixture.Read("t/a");
+  CHECK_EQUAL(1, result.Rows().size());
+  CHECK_EQUAL(4, result.Rows().front().Version());
+  CHECK_EQUAL(0, fixture.CountMalformedRows());
+}
+
+// Guards against a response with odd numbers that is taken for a state of the
+// store: a version that no later one exceeds, or a clock that overflows.
+TEST(TableStore, ResponseWithNumberOutOfRangeIsNoResult)
+{
+  for (const std::string body : { "[]",
+                                  "7",
+                                  R"({"ver":"5"})",
+                                  R"({"ver":1e300})",
+                                  R"({"ver":-1})",
+                                  R"({"ver":18446744073709551615})",
+                                  R"({"ver":5,"now-ms":1e300})",
+                                  R"({"ver":5,"now-ms":9223372036854775807})",
+                                  R"({"ver":5,"rows":7})",
+                                  R"({"ver":5,"has-more":1})" }) {
+    StoreFixture fixture(HttpResponse::Json(200, body));
+    CHECK_TEXT(fixture.Read("t/a").Status() == StoreStatus::kUnavailable,
+               body.c_str());
+    CheckStatus(StoreStatus::kOutcomeUnknown, 200, body);
+  }
+}
+
+// Guards against a deeply nested response, which completes on a coroutine.
+TEST(TableStore, DeeplyNestedResponseIsNoResult)
+{
+  for (const char* body : { "@", R"({"rows":@})", R"({"ver":5,"other":@})" }) {
+    CheckStatus(
+      StoreStatus::kOutcomeUnknown, 200, tests::Fill(body, tests::DeepArray()));
+  }
+}
