Check types and ranges in the rows of jobs and the owner

What operators would see: a progress row with an odd record, such as null, was taken for a task that had never run, and the task would have run again. An epoch of -1 in the owner's row became the highest number there is.

Cause: RecordFromJson treated everything but an array as the default record, which is encoded as 0, and numbers were converted without a check.

The rows are read through JsonReader; only 0 stands for the default record. A time of submission may be below 0: a call that came before the first reading of the store's clock is dated before that clock's 0.

Already safe: deep nesting (these decoders copied nothing) and arbitrary texts.

--- a/src/protocol/JsonSchedulingCodec.cpp
+++ b/src/protocol/JsonSchedulingCodec.cpp
@@ -2,6 +2,7 @@
 
 #include "JsonText.h"
 #include "cornelrudder/coordination/CoordinationError.h"
+#include "cornelrudder/protocol/ProtocolError.h"
 #include "cornelrudder/state/StateError.h"
 
 #include <chrono>
@@ -30,15 +31,24 @@
 /** Encoded letter of each RecordedState, in the order of the enumeration. */
 constexpr std::string_view kStateLetters = "wad";
 
+/** A call that came before the store's first reading is before its clock's 0.
+ */
+constexpr NumberRange kSubmittedRange{ -kMillisecondsRange.mMax,
+                                       kMillisecondsRange.mMax };
+
+/** Priorities and attempts; far above what operators set. */
+constexpr NumberRange kSmallRange{ 0, 1'000'000 };
+
 /** Parses the text, decodes it and converts errors to CoordinationError. */
 template<typename Function>
 auto
 Decode(const char* aWhat, const std::string& aText, Function aDecode)
 {
   try {
-    return aDecode(json::parse(aText));
-  } catch (const json::exception& error) {
-    throw CoordinationError(std::string(aWhat) + ": " + error.what());
+    const json value = ParseJson(aText, aWhat);
+    return aDecode(JsonReader(value, aWhat));
+  } catch (const ProtocolError& error) {
+    throw CoordinationError(error.what());
   } catch (const state::StateError& error) {
     throw CoordinationError(std::string(aWhat) + ": " + error.what());
   }
@@ -70,63 +80,62 @@
 }
 
 StepSpec
-StepFromJson(const json& aStep, std::size_t aPosition)
+StepFromJson(const JsonReader& aStep, std::size_t aPosition)
 {
   StepSpecValues values;
-  values.mTasks = aStep.at("tasks").get<std::size_t>();
-  values.mDemand = Resources(aStep.at("cpu").get<std::int64_t>(),
-                             aStep.at("memory").get<std::int64_t>(),
-                             aStep.at("accelerators").get<std::int64_t>());
-  values.mEstimatedRunTime =
-    milliseconds(aStep.at("estimate_ms").get<std::int64_t>());
-  values.mDependencies = aStep.value("after", std::vector<std::size_t>());
-  values.mRequiredLabel = aStep.value("label", "");
-  values.mAffinityRack = aStep.value("rack", "");
-  values.mMaxPerWorker = aStep.value("max_per_worker", std::size_t{ 0 });
-  values.mGang = aStep.value("gang", false);
-  values.mSameRack = aStep.value("same_rack", false);
-  values.mCheckpointing = aStep.value("checkpointing", false);
-  values.mLongRunning = aStep.value("long_running", false);
-  values.mSpeculative = aStep.value("speculative", false);
+  values.mTasks = aStep.Counter("tasks");
+  values.mDemand = Resources(aStep.Integer("cpu", kResourceRange),
+                             aStep.Integer("memory", kResourceRange),
+                             aStep.Integer("accelerators", kResourceRange));
+  values.mEstimatedRunTime = aStep.Milliseconds("estimate_ms");
+  values.mDependencies = aStep.Counters("after");
+  values.mRequiredLabel = aStep.Text("label", "");
+  values.mAffinityRack = aStep.Text("rack", "");
+  values.mMaxPerWorker = aStep.Counter("max_per_worker", 0);
+  values.mGang = aStep.Flag("gang", false);
+  values.mSameRack = aStep.Flag("same_rack", false);
+  values.mCheckpointing = aStep.Flag("checkpointing", false);
+  values.mLongRunning = aStep.Flag("long_running", false);
+  values.mSpeculative = aStep.Flag("speculative", false);
   return { std::move(values), aPosition };
 }
 
 QueueSettings
-QueueSettingsFromJson(const json& aSettings)
+QueueSettingsFromJson(const JsonReader& aSettings)
 {
   QueueSettings settings;
-  settings.mQueue = aSettings.at("queue").get<std::string>();
-  settings.mService = aSettings.at("service").get<std::string>();
-  settings.mPriority = aSettings.at("priority").get<int>();
-  settings.mMaxAttempts = aSettings.at("attempts").get<int>();
-  settings.mSlackFactor = aSettings.at("slack_factor").get<double>();
-  settings.mTargetLatency =
-    milliseconds(aSettings.at("target_latency_ms").get<std::int64_t>());
+  settings.mQueue = aSettings.Text("queue");
+  settings.mService = aSettings.Text("service");
+  settings.mPriority =
+    static_cast<int>(aSettings.Integer("priority", kSmallRange));
+  settings.mMaxAttempts =
+    static_cast<int>(aSettings.Integer("attempts", kSmallRange));
+  settings.mSlackFactor = aSettings.Real("slack_factor", kSmallRange);
+  settings.mTargetLatency = aSettings.Milliseconds("target_latency_ms");
   return settings;
 }
 
 TaskJob
-TaskJobFromJson(const json& aJob)
+TaskJobFromJson(const JsonReader& aJob)
 {
   std::vector<StepSpec> steps;
-  for (const json& step : aJob.at("steps")) {
+  for (const JsonReader& step : aJob.Elements("steps")) {
     steps.push_back(StepFromJson(step, steps.size()));
   }
   Schedule schedule;
-  if (aJob.contains("schedule")) {
-    const json& timing = aJob.at("schedule");
-    schedule.mOccurrences = timing.at("occurrences").get<std::size_t>();
-    schedule.mStart = milliseconds(timing.at("start_ms").get<std::int64_t>());
-    schedule.mInterval =
-      milliseconds(timing.at("interval_ms").get<std::int64_t>());
+  if (aJob.Has("schedule")) {
+    const JsonReader timing = aJob.At("schedule");
+    schedule.mOccurrences = timing.Counter("occurrences");
+    schedule.mStart = timing.Milliseconds("start_ms");
+    schedule.mInterval = timing.Milliseconds("interval_ms");
   }
-  return { aJob.at("id").get<std::string>(),
-           aJob.at("organisation").get<std::string>(),
-           QueueSettingsFromJson(aJob.at("terms")),
-           aJob.at("payload").get<std::string>(),
+  return { aJob.Text("id"),
+           aJob.Text("organisation"),
+           QueueSettingsFromJson(aJob.At("terms")),
+           aJob.Text("payload"),
            std::move(steps),
            schedule,
-           milliseconds(aJob.at("submitted_ms").get<std::int64_t>()) };
+           milliseconds(aJob.Integer("submitted_ms", kSubmittedRange)) };
 }
 
 /** @return [state, run, worker, failures, checkpoint]; 0 for a default record.
@@ -146,26 +155,40 @@
 }
 
 TaskRecord
-RecordFromJson(const json& aRecord)
+RecordFromJson(const JsonReader& aRecord)
 {
   TaskRecord record;
-  if (!aRecord.is_array()) {
-    return record;
-  }
-  const auto letter = aRecord.at(0).get<std::string>();
+  const std::string letter = aRecord.Text(0);
   const auto state = kStateLetters.find(letter);
   if (letter.size() != 1 || state == std::string_view::npos) {
     throw CoordinationError(
       "job progress: unknown task state; allowed are w, a and d");
   }
   record.mState = static_cast<RecordedState>(state);
-  record.mRun = aRecord.at(1).get<std::uint64_t>();
-  record.mWorker = aRecord.at(2).get<std::string>();
-  record.mFailures = aRecord.at(3).get<int>();
-  record.mCheckpoint = aRecord.at(4).get<std::string>();
+  record.mRun = aRecord.Counter(1);
+  record.mWorker = aRecord.Text(2);
+  record.mFailures = static_cast<int>(aRecord.Integer(3, kSmallRange));
+  record.mCheckpoint = aRecord.Text(4);
   return record;
 }
 
+std::vector<TaskRecord>
+RecordsFromJson(const JsonReader& aTasks)
+{
+  // Any other number than 0 could stand for a task that has run.
+  constexpr NumberRange kDefaultRecord{ 0, 0 };
+  std::vector<TaskRecord> records;
+  for (int i = 0; aTasks.Has(i); ++i) {
+    if (aTasks.HasArray(i)) {
+      records.push_back(RecordFromJson(aTasks.At(i)));
+    } else {
+      aTasks.Integer(i, kDefaultRecord);
+      records.emplace_back();
+    }
+  }
+  return records;
+}
+
 JobPhase
 PhaseFromName(const std::string& aName)
 {
@@ -230,16 +253,12 @@
 JobProgress
 JsonSchedulingCodec::DecodeProgress(const std::string& aValue) const
 {
-  return Decode("job progress", aValue, [](const json& aObject) {
-    std::vector<TaskRecord> records;
-    for (const json& record : aObject.at("tasks")) {
-      records.push_back(RecordFromJson(record));
-    }
-    return JobProgress(aObject.at("id").get<std::string>(),
-                       aObject.at("organisation").get<std::string>(),
-                       PhaseFromName(aObject.at("state").get<std::string>()),
-                       aObject.at("begun").get<bool>(),
-                       std::move(records));
+  return Decode("job progress", aValue, [](const JsonReader& aObject) {
+    return JobProgress(aObject.Text("id"),
+                       aObject.Text("organisation"),
+                       PhaseFromName(aObject.Text("state")),
+                       aObject.Flag("begun"),
+                       RecordsFromJson(aObject.At("tasks")));
   });
 }
 
@@ -256,14 +275,13 @@
 OwnerLease
 JsonSchedulingCodec::DecodeOwnerLease(const std::string& aValue) const
 {
-  return Decode("owner lease", aValue, [](const json& aObject) {
+  return Decode("owner lease", aValue, [](const JsonReader& aObject) {
     OwnerLease lease;
-    lease.mOwner = aObject.at("owner").get<std::string>();
-    lease.mIncarnation = aObject.at("incarnation").get<std::string>();
-    lease.mEpoch = aObject.at("epoch").get<std::uint64_t>();
-    lease.mSequence = aObject.at("sequence").get<std::uint64_t>();
-    lease.mPending =
-      aObject.at("pending").get<std::map<std::string, std::uint64_t>>();
+    lease.mOwner = aObject.Text("owner");
+    lease.mIncarnation = aObject.Text("incarnation");
+    lease.mEpoch = aObject.Counter("epoch");
+    lease.mSequence = aObject.Counter("sequence");
+    lease.mPending = aObject.CountersByName("pending");
     return lease;
   });
 }
