Bound nesting and numbers in the remaining JSON decoders

What operators would see: a submission to POST /v1/jobs with 100,000 levels of nesting, which fits into the body limit, ends the process that decodes it. A lease row with the epoch 1e300 or a setting of 2^64 - 1 was taken for another number.

Cause: the decoder of submissions works on a copy, and the text of an error quoted the value found; both recurse for each level. Numbers of rows, worker commands, worker reports and VM lists were converted without a check.

All texts go through ParseJson, which limits the nesting, and numbers through JsonReader.

Seen before the change:

HostileInput.DeeplyNestedTextIsRejected: Segmentation fault (exit status 139) DecodeJobSpec {"organisation":[[[...]]]}, 100,000 levels, on a stack of 8 MB: Segmentation fault (exit status 139) HostileInput.NumbersOutOfRangeAreRejected: expected to throw ProtocolError but threw nothing

Already safe: frames of peers, whose sizes are checked before memory is taken; the headers of requests and answers; x-deadline-ms of requests that are routed.

--- a/src/protocol/IntentCodec.cpp
+++ b/src/protocol/IntentCodec.cpp
@@ -69,18 +69,17 @@
 DecodeIntent(std::string_view aText)
 {
   try {
-    const json object = json::parse(aText);
+    const json object = ParseJson(aText, "intent");
+    const JsonReader row(object, "intent");
     std::optional<std::string> answer;
-    if (object.contains("answer")) {
-      answer = FromBase64(object.at("answer").get<std::string>());
+    if (row.Has("answer")) {
+      answer = FromBase64(row.Text("answer"));
     }
-    return { object.at("digest").get<std::string>(),
-             object.at("owner").get<std::string>(),
-             object.at("attempt").get<std::string>(),
-             DecodeState(object.at("state").get<std::string>()),
+    return { row.Text("digest"),
+             row.Text("owner"),
+             row.Text("attempt"),
+             DecodeState(row.Text("state")),
              std::move(answer) };
-  } catch (const json::exception& error) {
-    throw ProtocolError(std::string("intent: ") + error.what());
   } catch (const state::StateError& error) {
     throw ProtocolError(std::string("intent: ") + error.what());
   }
--- a/src/protocol/JobCodec.cpp
+++ b/src/protocol/JobCodec.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 #include <nlohmann/json.hpp>
 
@@ -30,6 +31,13 @@
 /** One year; a longer expected run time is considered an input error. */
 constexpr std::int64_t kMaxExpectedSeconds = 366LL * 24 * 3'600;
 
+/** Attempts are encoded for peers as 32 bits. */
+constexpr NumberRange kAttemptRange{
+  0,
+  std::numeric_limits<std::uint32_t>::max()
+};
+constexpr NumberRange kAcceleratorRange{ 0, 1'000'000 };
+
 constexpr std::array kJobFields{
   std::string_view("organisation"),
   std::string_view("team"),
@@ -175,18 +183,17 @@
 }
 
 state::GangPlacement
-DecodePlacement(const json& aMembers)
+DecodePlacement(const JsonReader& aJob)
 {
   std::vector<state::MemberPlacement> members;
-  for (const json& member : aMembers) {
-    auto indexes = member.at("accelerators").get<std::vector<int>>();
-    const bool valid = std::all_of(
-      indexes.begin(), indexes.end(), [](int aIndex) { return aIndex >= 0; });
-    if (!valid) {
-      throw ProtocolError("job: field accelerators: found a negative index; "
-                          "allowed are indexes from 0");
+  for (const JsonReader& member : aJob.Elements("members")) {
+    std::vector<int> indexes;
+    const JsonReader accelerators = member.At("accelerators");
+    for (int i = 0; accelerators.Has(i); ++i) {
+      indexes.push_back(
+        static_cast<int>(accelerators.Integer(i, kAcceleratorRange)));
     }
-    members.emplace_back(state::VmId(RequiredText(member, "worker")),
+    members.emplace_back(state::VmId(member.Text("worker")),
                          std::move(indexes));
   }
   return state::GangPlacement(std::move(members));
@@ -195,14 +202,18 @@
 Job
 JobFromJson(const json& aObject)
 {
+  const JsonReader job(aObject, "job");
+  if (!job.Has("members")) {
+    throw ProtocolError("job: field members is missing");
+  }
   return { SpecFromJson(state::JobId(RequiredText(aObject, "id")), aObject),
            ParseName<JobState>("state",
                                RequiredText(aObject, "state"),
                                kJobStateCount,
                                state::JobStateName),
-           aObject.at("attempt").get<std::uint32_t>(),
-           aObject.at("epoch").get<std::uint64_t>(),
-           DecodePlacement(aObject.at("members")),
+           static_cast<std::uint32_t>(job.Integer("attempt", kAttemptRange)),
+           job.Counter("epoch"),
+           DecodePlacement(job),
            ParseName<FailureReason>("reason",
                                     RequiredText(aObject, "reason"),
                                     kFailureReasonCount,
@@ -220,7 +231,7 @@
 Decode(std::string_view aText, Decoder aDecoder)
 {
   try {
-    const json object = json::parse(aText);
+    const json object = ParseJson(aText, "job");
     if (!object.is_object()) {
       throw ProtocolError("job: found " + std::string(object.type_name()) +
                           "; allowed is an object");
--- a/src/protocol/LeaseCodec.cpp
+++ b/src/protocol/LeaseCodec.cpp
@@ -26,14 +26,13 @@
 DecodeLeaseRow(std::string_view aText)
 {
   try {
-    const json object = json::parse(aText);
+    const json object = ParseJson(aText, "lease row");
+    const JsonReader row(object, "lease row");
     std::optional<state::VmId> owner;
     if (!object.at("owner").is_null()) {
-      owner = state::VmId(object.at("owner").get<std::string>());
+      owner = state::VmId(row.Text("owner"));
     }
-    return { std::move(owner),
-             object.at("epoch").get<std::uint64_t>(),
-             object.at("incarnation").get<std::string>() };
+    return { std::move(owner), row.Counter("epoch"), row.Text("incarnation") };
   } catch (const json::exception& error) {
     throw ProtocolError(std::string("lease row: ") + error.what());
   } catch (const state::StateError& error) {
--- a/src/protocol/SettingsCodec.cpp
+++ b/src/protocol/SettingsCodec.cpp
@@ -4,6 +4,8 @@
 #include "cornelrudder/protocol/ProtocolError.h"
 #include "cornelrudder/state/StateError.h"
 
+#include <utility>
+
 #include <nlohmann/json.hpp>
 
 namespace cornelrudder::protocol {
@@ -30,14 +32,18 @@
   if (aValue.is_boolean()) {
     return aValue.get<bool>();
   }
-  if (aValue.is_number_integer()) {
+  const bool isTooLarge =
+    aValue.is_number_unsigned() &&
+    !std::in_range<std::int64_t>(aValue.get<std::uint64_t>());
+  if (aValue.is_number_integer() && !isTooLarge) {
     return aValue.get<std::int64_t>();
   }
   if (aValue.is_string()) {
     return aValue.get<std::string>();
   }
   throw ProtocolError("key " + aKey + ": found " + aValue.type_name() +
-                      "; allowed are true, false, an integer or a string");
+                      "; allowed are true, false, an integer of 64 bits or a "
+                      "string");
 }
 
 state::SettingValues
@@ -60,9 +66,7 @@
 Decode(std::string_view aWhat, std::string_view aText, Decoder aDecoder)
 {
   try {
-    return aDecoder(json::parse(aText));
-  } catch (const json::exception& error) {
-    throw ProtocolError(std::string(aWhat) + ": " + error.what());
+    return aDecoder(ParseJson(aText, aWhat));
   } catch (const state::StateError& error) {
     throw ProtocolError(std::string(aWhat) + ": " + error.what());
   }
@@ -102,14 +106,19 @@
 DecodeSettingsDocument(std::string_view aText)
 {
   return Decode("settings document", aText, [](const json& aObject) {
+    const JsonReader document(aObject, "settings document");
+    if (!document.Has("values") || !document.Has("history")) {
+      throw ProtocolError(
+        "settings document: field values or history is missing");
+    }
     std::vector<state::SettingsChange> history;
-    for (const json& change : aObject.at("history")) {
-      history.emplace_back(change.at("version").get<std::uint64_t>(),
-                           change.at("write_id").get<std::string>(),
-                           change.at("author").get<std::string>());
+    for (const JsonReader& change : document.Elements("history")) {
+      history.emplace_back(change.Counter("version"),
+                           change.Text("write_id"),
+                           change.Text("author"));
     }
-    return state::SettingsDocument(aObject.at("path").get<std::string>(),
-                                   aObject.at("version").get<std::uint64_t>(),
+    return state::SettingsDocument(document.Text("path"),
+                                   document.Counter("version"),
                                    ToValues(aObject.at("values")),
                                    std::move(history));
   });
@@ -129,9 +138,10 @@
 DecodeSettingsHead(std::string_view aText)
 {
   return Decode("settings head", aText, [](const json& aObject) {
+    const JsonReader reader(aObject, "settings head");
     state::SettingsHead head;
     for (const auto& [path, version] : aObject.items()) {
-      head.emplace(path, version.get<std::uint64_t>());
+      head.emplace(path, reader.Counter(path));
     }
     return head;
   });
--- a/src/protocol/StoreCodec.cpp
+++ b/src/protocol/StoreCodec.cpp
@@ -19,14 +19,16 @@
 constexpr int kHttpNotModified = 304;
 constexpr int kHttpNotFound = 404;
 constexpr int kHttpConflict = 409;
+constexpr NumberRange kAcceleratorRange{ 0, 1'000'000 };
 
 StoreRow
 DecodeRow(const json& aRow)
 {
-  return { aRow.at("key").get<std::string>(),
-           aRow.at("version").get<std::uint64_t>(),
-           aRow.value("write_id", ""),
-           aRow.value("value", "") };
+  const JsonReader row(aRow, "store response: row");
+  return { row.Text("key"),
+           row.Counter("version"),
+           row.Text("write_id", ""),
+           row.Text("value", "") };
 }
 
 std::vector<StoreRow>
@@ -58,16 +60,17 @@
 state::Vm
 DecodeVm(const json& aVm)
 {
+  const JsonReader vm(aVm, "VM list: entry");
   return state::Vm(
-    state::VmId(aVm.at("id").get<std::string>()),
-    DecodeRole(aVm.at("role").get<std::string>()),
-    aVm.at("address").get<std::string>(),
-    state::VmLocation(state::RegionId(aVm.at("region").get<std::string>()),
-                      state::ZoneId(aVm.at("zone").get<std::string>()),
-                      state::RackId(aVm.at("rack").get<std::string>())),
-    aVm.value("accelerators", 0),
-    aVm.value("state", "live") == "live" ? state::VmState::kLive
-                                         : state::VmState::kLeaving);
+    state::VmId(vm.Text("id")),
+    DecodeRole(vm.Text("role")),
+    vm.Text("address"),
+    state::VmLocation(state::RegionId(vm.Text("region")),
+                      state::ZoneId(vm.Text("zone")),
+                      state::RackId(vm.Text("rack"))),
+    static_cast<int>(vm.Integer("accelerators", kAcceleratorRange, 0)),
+    vm.Text("state", "live") == "live" ? state::VmState::kLive
+                                       : state::VmState::kLeaving);
 }
 
 } // namespace
@@ -112,21 +115,21 @@
     if (aResponse.Status() == kHttpNotFound) {
       // The store reports an absent row as a row of version 0. Any other 404
       // comes from a server without this call and says nothing about rows.
-      const json body = json::parse(aResponse.Body());
-      if (body.at("version").get<std::uint64_t>() != 0) {
+      const json body = ParseJson(aResponse.Body(), "store response");
+      if (JsonReader(body, "store response").Counter("version") != 0) {
         throw ProtocolError(
           "store response: 404 for a row whose version is not 0");
       }
       return { StoreStatus::kOk, {} };
     }
     if (aResponse.Status() == kHttpConflict) {
-      const json body = json::parse(aResponse.Body());
+      const json body = ParseJson(aResponse.Body(), "store response");
       return { StoreStatus::kConflict, DecodeRows(body.at("conflicts")) };
     }
     if (aResponse.Status() != kHttpOk) {
       return { StoreStatus::kUnavailable, {} };
     }
-    const json body = json::parse(aResponse.Body());
+    const json body = ParseJson(aResponse.Body(), "store response");
     if (body.contains("rows")) {
       return { StoreStatus::kOk, DecodeRows(body.at("rows")) };
     }
@@ -161,7 +164,7 @@
   }
   try {
     std::vector<state::Vm> vms;
-    const json body = json::parse(aResponse.Body());
+    const json body = ParseJson(aResponse.Body(), "VM list");
     for (const json& vm : body.at("vms")) {
       vms.push_back(DecodeVm(vm));
     }
--- a/src/protocol/WorkerCodec.cpp
+++ b/src/protocol/WorkerCodec.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 #include <nlohmann/json.hpp>
 
@@ -22,7 +23,13 @@
 constexpr std::string_view kPathPrefix = "/gang/";
 
 /** One year; the bound keeps sums of times from overflowing. */
-constexpr std::int64_t kMaxTimeMs = 366LL * 24 * 3'600'000;
+constexpr NumberRange kTimeRange{ 0, 366LL * 24 * 3'600'000 };
+constexpr NumberRange kAttemptRange{
+  0,
+  std::numeric_limits<std::uint32_t>::max()
+};
+/** Indexes of members and accelerators. */
+constexpr NumberRange kIndexRange{ 0, 1'000'000 };
 
 struct StatusCode
 {
@@ -36,30 +43,30 @@
   StatusCode{ WorkerReplyStatus::kFenced, 412 },
 };
 
-std::chrono::milliseconds
-DecodeTime(const json& aObject, const char* aKey)
+std::vector<int>
+DecodeAccelerators(const JsonReader& aList)
 {
-  const auto n = aObject.at(aKey).get<std::int64_t>();
-  if (!aObject.at(aKey).is_number_integer() || n < 0 || n > kMaxTimeMs) {
-    throw ProtocolError("worker command: " + std::string(aKey) +
-                        ": allowed is a whole number from 0 to " +
-                        std::to_string(kMaxTimeMs));
+  std::vector<int> indexes;
+  for (int i = 0; aList.Has(i); ++i) {
+    indexes.push_back(static_cast<int>(aList.Integer(i, kIndexRange)));
   }
-  return std::chrono::milliseconds(n);
+  return indexes;
 }
 
 WorkerCommand
-FromJson(state::WorkerAction aAction, const json& aObject)
+FromJson(state::WorkerAction aAction, const JsonReader& aObject)
 {
-  return { aAction,
-           state::RegionId(aObject.at("domain").get<std::string>()),
-           aObject.at("epoch").get<std::uint64_t>(),
-           state::JobId(aObject.at("gang").get<std::string>()),
-           aObject.at("attempt").get<std::uint32_t>(),
-           aObject.at("member").get<int>(),
-           aObject.at("accelerators").get<std::vector<int>>(),
-           DecodeTime(aObject, "lease_ms"),
-           DecodeTime(aObject, "expected_ms") };
+  return {
+    aAction,
+    state::RegionId(aObject.Text("domain")),
+    aObject.Counter("epoch"),
+    state::JobId(aObject.Text("gang")),
+    static_cast<std::uint32_t>(aObject.Integer("attempt", kAttemptRange)),
+    static_cast<int>(aObject.Integer("member", kIndexRange)),
+    DecodeAccelerators(aObject.At("accelerators")),
+    std::chrono::milliseconds(aObject.Integer("lease_ms", kTimeRange)),
+    std::chrono::milliseconds(aObject.Integer("expected_ms", kTimeRange))
+  };
 }
 
 } // namespace
@@ -94,9 +101,8 @@
     throw ProtocolError("worker command: unknown action in the path");
   }
   try {
-    return FromJson(*action, json::parse(aRequest.Body()));
-  } catch (const json::exception& error) {
-    throw ProtocolError(std::string("worker command: ") + error.what());
+    const json body = ParseJson(aRequest.Body(), "worker command");
+    return FromJson(*action, JsonReader(body, "worker command"));
   } catch (const state::StateError& error) {
     throw ProtocolError(std::string("worker command: ") + error.what());
   }
@@ -130,14 +136,14 @@
     return unreachable;
   }
   try {
-    const json body = json::parse(aResponse.Body());
-    const auto member =
-      state::ParseMemberState(body.at("state").get<std::string>());
+    const json value = ParseJson(aResponse.Body(), "worker report");
+    const JsonReader body(value, "worker report");
+    const auto member = state::ParseMemberState(body.Text("state"));
     if (!member) {
       return unreachable;
     }
-    return { it->mStatus, *member, body.at("leaving").get<bool>() };
-  } catch (const json::exception&) {
+    return { it->mStatus, *member, body.Flag("leaving") };
+  } catch (const ProtocolError&) {
     return unreachable;
   }
 }
