End "job wait" on a response that is no job

What callers would see: `cornelrudder job wait` ended by an uncaught exception on a state that is no string, polled for ever on an object without a state, and took a body that is no object for success.

Cause: WaitForJob read the state with a default, which throws for a value of another type and hides a missing one; a 200 that it could not read ended it with the exit status of a 200.

Seen before the change, Commands.WaitEndsOnMalformedJob:

terminate called after throwing an instance of 'nlohmann::json_abi_v3_11_2::detail::type_error' what(): [json.exception.type_error.302] type must be string, but is number

--- a/apps/cornelrudder/Commands.cpp
+++ b/apps/cornelrudder/Commands.cpp
@@ -177,13 +177,17 @@
   while (true) {
     const auto response = aServer.Send({ "GET", JobTarget(aInput), {}, "" });
     const auto job = nlohmann::json::parse(response.Body(), nullptr, false);
-    const bool readable = response.Status() == 200 && job.is_object();
-    const std::string state = readable ? job.value("state", "") : "";
+    const bool isJob =
+      job.is_object() && job.contains("state") && job.at("state").is_string();
+    const bool readable = response.Status() == 200 && isJob;
+    const std::string state =
+      readable ? job.at("state").get<std::string>() : "";
     if (state == "done") {
       return Print(response);
     }
-    const bool ended =
-      state == "failed" || state == "refused" || state == "cancelled";
+    const bool isMalformed = response.Status() == 200 && !isJob;
+    const bool ended = isMalformed || state == "failed" || state == "refused" ||
+                       state == "cancelled";
     if (ended) {
       std::fprintf(stderr, "%s\n", response.Body().c_str());
       return kExitRefused;
