Keep the other VMs of a list with an odd entry

What operators would see: a daemon that keeps its last list of VMs, without a log line, as long as one entry of the list has an identifier, a role or a number that is not allowed.

Cause: DecodeVmList rejected the whole list for one entry, and FleetAdapter dropped the error.

A malformed entry is skipped and logged as row_malformed, once for each change of the list, since an unchanged list is not sent again. A response that is no list is logged as well.

Seen before the change, with one entry whose identifier is "bad id" beside a valid one:

threw VM list: bad VM "bad id": allowed are 1 to 64 characters of A-Z a-z 0-9 . _ -

--- a/apps/cornelrudderd/Daemon.cpp
+++ b/apps/cornelrudderd/Daemon.cpp
@@ -86,7 +86,8 @@
     , mFleet(mThread,
              mPlatformClient,
              aSettings.PlatformAddress(),
-             aSettings.StoreTimeout())
+             aSettings.StoreTimeout(),
+             mLog)
     , mRunners(mRunnerClient)
     , mWorkerClient(mThread, {})
     , mWorkers(mWorkerClient, kWorkerTimeout)
--- a/apps/cornelrudderd/PlatformAdapters.cpp
+++ b/apps/cornelrudderd/PlatformAdapters.cpp
@@ -80,11 +80,13 @@
 FleetAdapter::FleetAdapter(transport::IoThread& aThread,
                            transport::HttpClient& aClient,
                            std::string aAddress,
-                           std::chrono::milliseconds aTimeout)
+                           std::chrono::milliseconds aTimeout,
+                           coordination::EventLog& aLog)
   : mThread(aThread)
   , mClient(aClient)
   , mAddress(std::move(aAddress))
   , mTimeout(aTimeout)
+  , mLog(aLog)
 {
 }
 
@@ -116,11 +118,16 @@
   if (protocol::IsNotModified(aResult.Response())) {
     return mList;
   }
+  const auto logMalformed = [this](const std::string& aError) {
+    mLog.Write(
+      { coordination::LogEvent::kRowMalformed, { { "error", aError } } });
+  };
   try {
-    mList = protocol::DecodeVmList(aResult.Response());
+    mList = protocol::DecodeVmList(aResult.Response(), logMalformed);
     mEtag = aResult.Response().Header("etag");
     return mList;
-  } catch (const protocol::ProtocolError&) {
+  } catch (const protocol::ProtocolError& error) {
+    logMalformed(error.what());
     return std::nullopt;
   }
 }
--- a/apps/cornelrudderd/PlatformAdapters.h
+++ b/apps/cornelrudderd/PlatformAdapters.h
@@ -1,6 +1,7 @@
 #ifndef CORNELRUDDERD_PLATFORM_ADAPTERS_H
 #define CORNELRUDDERD_PLATFORM_ADAPTERS_H
 
+#include "cornelrudder/coordination/EventLog.h"
 #include "cornelrudder/coordination/FleetPort.h"
 #include "cornelrudder/coordination/StorePort.h"
 #include "cornelrudder/transport/HttpClient.h"
@@ -38,11 +39,12 @@
 class FleetAdapter final : public coordination::FleetPort
 {
 public:
-  /** @param aThread Must outlive the adapter, as must aClient. */
+  /** @param aThread Must outlive the adapter, as must aClient and aLog. */
   FleetAdapter(transport::IoThread& aThread,
                transport::HttpClient& aClient,
                std::string aAddress,
-               std::chrono::milliseconds aTimeout);
+               std::chrono::milliseconds aTimeout,
+               coordination::EventLog& aLog);
 
   void ListVms(Completion aCompletion) override;
 
@@ -56,6 +58,7 @@
   transport::HttpClient& mClient;
   std::string mAddress;
   std::chrono::milliseconds mTimeout;
+  coordination::EventLog& mLog;
   /** The cached list and its entity tag; used on the I/O thread only. */
   state::VmList mList;
   std::string mEtag;
--- a/include/cornelrudder/protocol/StoreCodec.h
+++ b/include/cornelrudder/protocol/StoreCodec.h
@@ -5,6 +5,9 @@
 #include "cornelrudder/state/StoreRow.h"
 #include "cornelrudder/state/Vm.h"
 
+#include <functional>
+#include <string>
+
 namespace cornelrudder::protocol {
 
 /** @return The request that reads one row. */
@@ -39,9 +42,16 @@
 bool
 IsNotModified(const HttpResponse& aResponse);
 
-/** @throws ProtocolError if the list is malformed. */
+/** Called with the reason why an entry of a list was skipped. */
+using SkippedEntryHandler = std::function<void(const std::string&)>;
+
+/**
+ * Skips malformed entries.
+ * @throws ProtocolError if the response is no list.
+ */
 state::VmList
-DecodeVmList(const HttpResponse& aResponse);
+DecodeVmList(const HttpResponse& aResponse,
+             const SkippedEntryHandler& aOnSkipped);
 
 } // namespace cornelrudder::protocol
 
--- a/src/coordination/LogEvent.cpp
+++ b/src/coordination/LogEvent.cpp
@@ -202,8 +202,8 @@
   LogEventInfo{ LogEvent::kRowMalformed,
                 LogLevel::kError,
                 "row_malformed",
-                "a row of the store could not be decoded; it is ignored and "
-                "not overwritten" },
+                "a row of the store, or an entry of the VM list, could not be "
+                "decoded; it is ignored and not overwritten" },
   LogEventInfo{
     LogEvent::kLeaseTaken,
     LogLevel::kInfo,
--- a/src/protocol/StoreCodec.cpp
+++ b/src/protocol/StoreCodec.cpp
@@ -58,19 +58,18 @@
 }
 
 state::Vm
-DecodeVm(const json& aVm)
+DecodeVm(const JsonReader& aVm)
 {
-  const JsonReader vm(aVm, "VM list: entry");
   return state::Vm(
-    state::VmId(vm.Text("id")),
-    DecodeRole(vm.Text("role")),
-    vm.Text("address"),
-    state::VmLocation(state::RegionId(vm.Text("region")),
-                      state::ZoneId(vm.Text("zone")),
-                      state::RackId(vm.Text("rack"))),
-    static_cast<int>(vm.Integer("accelerators", kAcceleratorRange, 0)),
-    vm.Text("state", "live") == "live" ? state::VmState::kLive
-                                       : state::VmState::kLeaving);
+    state::VmId(aVm.Text("id")),
+    DecodeRole(aVm.Text("role")),
+    aVm.Text("address"),
+    state::VmLocation(state::RegionId(aVm.Text("region")),
+                      state::ZoneId(aVm.Text("zone")),
+                      state::RackId(aVm.Text("rack"))),
+    static_cast<int>(aVm.Integer("accelerators", kAcceleratorRange, 0)),
+    aVm.Text("state", "live") == "live" ? state::VmState::kLive
+                                        : state::VmState::kLeaving);
 }
 
 } // namespace
@@ -156,24 +155,29 @@
 }
 
 state::VmList
-DecodeVmList(const HttpResponse& aResponse)
+DecodeVmList(const HttpResponse& aResponse,
+             const SkippedEntryHandler& aOnSkipped)
 {
   if (aResponse.Status() != kHttpOk) {
     throw ProtocolError("VM list: found HTTP status " +
                         std::to_string(aResponse.Status()));
   }
-  try {
-    std::vector<state::Vm> vms;
-    const json body = ParseJson(aResponse.Body(), "VM list");
-    for (const json& vm : body.at("vms")) {
+  const json body = ParseJson(aResponse.Body(), "VM list");
+  const JsonReader list(body, "VM list");
+  if (!list.Has("vms")) {
+    throw ProtocolError("VM list: field vms is missing");
+  }
+  std::vector<state::Vm> vms;
+  for (const JsonReader& vm : list.Elements("vms")) {
+    try {
       vms.push_back(DecodeVm(vm));
+    } catch (const ProtocolError& error) {
+      aOnSkipped(error.what());
+    } catch (const state::StateError& error) {
+      aOnSkipped(std::string("VM list: ") + error.what());
     }
-    return state::VmList(std::move(vms));
-  } catch (const json::exception& error) {
-    throw ProtocolError(std::string("VM list: ") + error.what());
-  } catch (const state::StateError& error) {
-    throw ProtocolError(std::string("VM list: ") + error.what());
   }
+  return state::VmList(std::move(vms));
 }
 
 } // namespace cornelrudder::protocol
--- a/tests/protocol/HostileInputTest.cpp
+++ b/tests/protocol/HostileInputTest.cpp
@@ -61,8 +61,10 @@
     CheckErrorIsEncodable([&] {
       protocol::DecodeStoreResponse(HttpResponse::Json(status, aText));
     });
-    CheckErrorIsEncodable(
-      [&] { protocol::DecodeVmList(HttpResponse::Json(status, aText)); });
+    CheckErrorIsEncodable([&] {
+      protocol::DecodeVmList(HttpResponse::Json(status, aText),
+                             [](const std::string& /*aError*/) {});
+    });
   }
 }
 
@@ -133,6 +135,31 @@
                protocol::DecodeSettingValues(R"({"a":18446744073709551615})"));
 }
 
+// Guards against one odd entry that makes the whole list of VMs unreadable: the
+// daemon then kept the last list and never learned of later changes.
+TEST(HostileInput, OddVmDoesNotHideOtherVms)
+{
+  for (const std::string entry :
+       { "7",
+         "{}",
+         R"({"id":"bad id","role":"runner","address":"a","region":"r",)"
+         R"("zone":"z","rack":"k"})",
+         R"({"id":"v","role":"odd","address":"a","region":"r","zone":"z",)"
+         R"("rack":"k"})",
+         R"({"id":"v","role":"runner","address":"a","region":"r","zone":"z",)"
+         R"("rack":"k","accelerators":1e300})" }) {
+    int errors = 0;
+    const state::VmList list = protocol::DecodeVmList(
+      HttpResponse::Json(200,
+                         R"({"vms":[)" + entry +
+                           R"(,{"id":"w","role":"worker","address":"a",)"
+                           R"("region":"r","zone":"z","rack":"k"}]})"),
+      [&errors](const std::string& /*aError*/) { ++errors; });
+    CHECK_EQUAL(1, errors);
+    CHECK_EQUAL(1, list.All().size());
+  }
+}
+
 // Guards against taking the 404 of a store that lacks the call for a successful
 // write. Each of six daemons then assumed that it owned the lease.
 TEST(HostileInput, NotFoundWithoutRowIsRejected)
