Bound the expected run time in peer messages

What operators would see: a forwarded job whose expected run time overflows when the owner converts it to milliseconds for its workers.

Cause: the JSON decoder of jobs allows up to a year, the decoder of peer messages allowed any number of 64 bits. Both now use one limit.

Seen before the change:

PeerCodec.ExpectedRunTimeOutOfRangeIsRejected: expected to throw ProtocolError but threw nothing

Ruled out: sizes and counts in peer messages, which were bounded already.

--- a/include/cornelrudder/protocol/JobCodec.h
+++ b/include/cornelrudder/protocol/JobCodec.h
@@ -5,11 +5,15 @@
 #include "cornelrudder/state/Job.h"
 #include "cornelrudder/state/JobCommand.h"
 
+#include <chrono>
 #include <string>
 #include <string_view>
 
 namespace cornelrudder::protocol {
 
+/** One year; a longer expected run time is considered an input error. */
+inline constexpr std::chrono::seconds kMaxExpectedRunTime{ 366LL * 24 * 3'600 };
+
 /** @return The job as the value of its row. */
 std::string
 EncodeJob(const state::Job& aJob);
--- a/src/protocol/JobCodec.cpp
+++ b/src/protocol/JobCodec.cpp
@@ -28,9 +28,6 @@
 constexpr std::size_t kFailureReasonCount = 17;
 constexpr std::size_t kWasRunCount = 3;
 
-/** One year; a longer expected run time is considered an input error. */
-constexpr std::int64_t kMaxExpectedSeconds = 366LL * 24 * 3'600;
-
 /** Attempts are encoded for peers as 32 bits. */
 constexpr NumberRange kAttemptRange{
   0,
@@ -144,7 +141,7 @@
            DecodeShape(aObject),
            OptionalKey(aObject),
            std::chrono::seconds(RequiredInteger(
-             aObject, "expected_seconds", kMaxExpectedSeconds)) };
+             aObject, "expected_seconds", kMaxExpectedRunTime.count())) };
 }
 
 json
--- a/src/protocol/PeerCodec.cpp
+++ b/src/protocol/PeerCodec.cpp
@@ -1,6 +1,7 @@
 #include "cornelrudder/protocol/PeerCodec.h"
 
 #include "PeerArchive.h"
+#include "cornelrudder/protocol/JobCodec.h"
 #include "cornelrudder/state/StateError.h"
 
 #include <array>
@@ -163,6 +164,12 @@
   const Shape shape = GetShape(aReader);
   std::string key = aReader.GetText(kMaxPathBytes);
   const std::chrono::seconds expected(aReader.Get<std::int64_t>());
+  if (expected.count() < 0 || expected > kMaxExpectedRunTime) {
+    throw ProtocolError("peer message: found an expected run time of " +
+                        std::to_string(expected.count()) +
+                        " s; allowed are 0 to " +
+                        std::to_string(kMaxExpectedRunTime.count()));
+  }
   return { std::move(job),  std::move(organisation),
            std::move(team), std::move(jobClass),
            shape,           std::move(key),
--- a/tests/protocol/PeerCodecTest.cpp
+++ b/tests/protocol/PeerCodecTest.cpp
@@ -5,7 +5,9 @@
 
 #include <rapidcheck.h>
 
+#include <chrono>
 #include <cstdio>
+#include <limits>
 
 using namespace cornelrudder;
 using namespace cornelrudder::protocol;
@@ -241,3 +243,25 @@
   std::printf("heartbeats %.0f B/s, notices %.1f B/s\n", heartbeats, notices);
   CHECK(heartbeats + notices < kBudget);
 }
+
+// Guards against an expected run time that overflows when it is converted to
+// milliseconds.
+TEST(PeerCodec, ExpectedRunTimeOutOfRangeIsRejected)
+{
+  for (const std::int64_t n : { std::numeric_limits<std::int64_t>::min(),
+                                std::int64_t{ -1 },
+                                std::int64_t{ 366 } * 24 * 3'600 + 1,
+                                std::numeric_limits<std::int64_t>::max() }) {
+    const state::JobSpec valid = Spec();
+    const state::JobSpec spec(valid.Name(),
+                              valid.Organisation(),
+                              valid.Team(),
+                              valid.Class(),
+                              valid.GangShape(),
+                              valid.IdempotencyKey(),
+                              std::chrono::seconds(n));
+    const std::string frame = EncodePeerMessage(
+      Message(state::ForwardRequest(1, state::JobCommand::Submit(spec))));
+    CHECK_THROWS(ProtocolError, DecodePeerMessage(frame));
+  }
+}
