Test that an odd worker entry leaves the others in use

Guards what was safe already: the scheduler uses the other workers, follows later changes of the list, and logs and counts one line for each change of the odd entry.

--- a/tests/coordination/FakeFleet.cpp
+++ b/tests/coordination/FakeFleet.cpp
@@ -400,6 +400,9 @@
 FakePlatformRowCodec::DecodeWorker(const std::string& aId,
                                    const std::string& aValue) const
 {
+  if (aValue.find_first_not_of("0123456789") != std::string::npos) {
+    throw coordination::CoordinationError("worker row is not a number");
+  }
   WorkerInfo worker;
   worker.mId = aId;
   worker.mIncarnation = 1;
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -368,3 +368,23 @@
     WaitUntil([&] { return daemons.HasPhase(daemon, "j1", JobPhase::kDone); }));
   CHECK_EQUAL(0, daemons.mLog.Count(LogEvent::kLeaseLost));
 }
+
+// Guards against an odd entry in the list of workers that hides the others,
+// stops the reading of later changes or is logged again and again.
+TEST(SchedulingTasks, OddWorkerEntryLeavesTheOthersInUse)
+{
+  Daemons daemons;
+  daemons.mStore.Put("workers/odd", "no number");
+  const DaemonTasks daemon = daemons.Start("a");
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CHECK(
+    WaitUntil([&] { return daemons.HasPhase(daemon, "j1", JobPhase::kDone); }));
+  CHECK_EQUAL(1, daemons.mLog.Count(LogEvent::kRowMalformed));
+  daemons.mStore.Put("workers/odd", "odd again");
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kRowMalformed) == 2; }));
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j2"));
+  CHECK(
+    WaitUntil([&] { return daemons.HasPhase(daemon, "j2", JobPhase::kDone); }));
+  CHECK_EQUAL(2, daemons.mLog.Count(LogEvent::kRowMalformed));
+}
