Count a job as started when a worker has started a run

Cause: the scheduler set the flag when it placed a task, before any start was acknowledged. Jobs whose starts all fail then count as started, and the flag is in their record.

The flag is now set by an acknowledged start, a reported run or a reported end; it changes once in the life of a job, so that it adds one record at most. Scheduler.JobWithoutStartedRunIsPending failed before (0 pending jobs instead of 1).

--- a/include/cornelrudder/state/scheduling/JobProgress.h
+++ b/include/cornelrudder/state/scheduling/JobProgress.h
@@ -69,7 +69,7 @@
 class JobProgress
 {
 public:
-  /** @param aStarted Whether any task was ever assigned to a worker. */
+  /** @param aStarted Whether a worker has started any run of the job. */
   JobProgress(std::string aJob,
               std::string aOrganisation,
               JobPhase aPhase,
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -110,6 +110,7 @@
               std::size_t aTask,
               WorkerState& aWorker,
               std::uint64_t aRun);
+  void RecordStart(JobState& aJob, Millis aNow);
   void Unassign(JobState& aJob, std::size_t aTask);
   void Requeue(JobState& aJob, std::size_t aTask, Millis aNow);
   void FinishTask(JobState& aJob, std::size_t aTask, Millis aNow);
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -128,6 +128,7 @@
   /** When the job was submitted. */
   Millis mSubmittedAt;
   JobPhase mPhase = JobPhase::kQueued;
+  /** Whether a worker has acknowledged or reported a run. */
   bool mStarted = false;
   std::vector<Task> mTasks;
   /**
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -305,8 +305,6 @@
       Assign(job, tasks[n].second, mWorkers.at(worker), run + 1);
       workers += (workers.empty() ? "" : ",") + worker;
     }
-    job.mStarted = true;
-    UpdatePhase(job, aNow);
     MarkChanged(job);
     mWaitReasons.erase(tasks.front());
     mNominations.erase(tasks.front());
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -38,6 +38,17 @@
   aWorker.mUsed = aWorker.mUsed.Plus(aJob.StepOf(aTask).Demand());
 }
 
+/** Records that a worker has started a run of a job. */
+void
+Scheduler::Impl::RecordStart(JobState& aJob, Millis aNow)
+{
+  if (!aJob.mStarted) {
+    aJob.mStarted = true;
+    UpdatePhase(aJob, aNow);
+    MarkChanged(aJob);
+  }
+}
+
 void
 Scheduler::Impl::Unassign(JobState& aJob, std::size_t aTask)
 {
@@ -256,6 +267,7 @@
   const TaskKey key{ aCommand.mTask.Job(), *index };
   switch (aReply.mOutcome) {
     case CommandOutcome::kDone:
+      RecordStart(*job, aNow);
       task.mPhase = TaskPhase::kRunning;
       task.mOutcomeUnknown = false;
       task.mReportableSince = aNow;
@@ -374,6 +386,7 @@
   const Task& task = job->mTasks[*index];
   const bool isCurrent = task.IsAssigned() && task.mRun == aRun.mRun &&
                          task.mWorker == aWorker.mInfo.mId;
+  RecordStart(*job, aNow);
   if (!isCurrent) {
     ApplyEarlierTermination(aWorker, aRun, *job, *index, aNow);
     return;
@@ -403,6 +416,7 @@
       task.mWorker != aWorker.mInfo.mId) {
     return;
   }
+  RecordStart(*job, aNow);
   if (task.mPhase == TaskPhase::kStarting) {
     task.mPhase = TaskPhase::kRunning;
     task.mReportableSince = aNow;
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -277,6 +277,16 @@
   return mOutcomes.at(aJob);
 }
 
+std::size_t
+FleetModel::PendingJobs() const
+{
+  std::size_t n = 0;
+  for (const auto& [queue, jobs] : mOwner->PendingJobs()) {
+    n += jobs;
+  }
+  return n;
+}
+
 std::size_t
 FleetModel::RunningOn(std::size_t aWorker) const
 {
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -116,6 +116,8 @@
   const std::vector<std::string>& Violations() const { return mViolations; }
   JobOutcome OutcomeOf(const std::string& aJob) const;
   std::size_t RunningOn(std::size_t aWorker) const;
+  /** @return Number of jobs that the owner reports as pending. */
+  std::size_t PendingJobs() const;
   std::size_t Starts() const { return mStarts; }
   std::size_t Stops() const { return mStops; }
   std::size_t RejectedStarts() const { return mRejectedStarts; }
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -151,6 +151,20 @@
   CheckNoViolation(model);
 }
 
+// Guards against reporting a job as started although no worker has started it.
+TEST(Scheduler, JobWithoutStartedRunIsPending)
+{
+  FleetModel model({ 1, 1 });
+  model.SetReachable(0, false);
+  model.Submit(MakeJob("a", Step(2, 4), 1), milliseconds(1'000));
+  model.Run(milliseconds(500));
+  CHECK_EQUAL(1, model.PendingJobs());
+  model.SetReachable(0, true);
+  model.Run(milliseconds(3'000));
+  CHECK_EQUAL(0, model.PendingJobs());
+  CheckNoViolation(model);
+}
+
 // Guards against treating a worker as faulty because the owner could not send
 // commands to it.
 TEST(Scheduler, WorkerIsUsedAtOnceAfterUnsentStarts)
