Do not end runs because another entry has the worker's address

What callers would see: a second run of tasks that still run (TWICE). Found by reading, while every reader of the list of workers was checked for odd entries of other writers: an entry with another identifier, the address of a live worker and a higher incarnation made all runs of that worker count as lost, and removed it from the usable workers until its next entry.

The address is no proof. The worker that has it rejects commands to another identifier, so both are queried, and the rejected one is dropped. A real replacement is detected one call later than before.

Scheduler.EntryWithAddressOfLiveWorkerEndsNoRuns failed before (2 starts instead of 1).

--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -87,13 +87,14 @@
 void
 Scheduler::Impl::UpdateWorker(const WorkerInfo& aInfo, Millis aNow)
 {
-  // A newer incarnation at the same address proves that the earlier one is
-  // gone.
+  // A newer entry with the same address suggests that the earlier worker is
+  // gone, but may be wrong. A worker rejects a command to another identifier,
+  // so the next renewal shows it.
   for (auto& [id, other] : mWorkers) {
     if (id != aInfo.mId && other.mInfo.mAddress == aInfo.mAddress &&
         other.mInfo.mIncarnation <= aInfo.mIncarnation) {
-      HandleLostWorker(other, "replaced", aNow);
-      other.mListed = false;
+      other.mIsQueryDue = true;
+      other.mNextRenewal = Millis(0);
     }
   }
   WorkerState& worker = FindOrAddWorker(aInfo.mId, aNow);
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -184,6 +184,16 @@
   mOwner->UpdateWorker(worker.mInfo, mNow);
 }
 
+void
+FleetModel::PublishCopyOf(std::size_t aWorker)
+{
+  WorkerInfo copy = mWorkers[aWorker].mInfo;
+  copy.mId += "-copy";
+  ++copy.mIncarnation;
+  copy.mDraining = true;
+  mOwner->UpdateWorker(copy, mNow);
+}
+
 void
 FleetModel::UnlistWorker(std::size_t aWorker)
 {
@@ -464,6 +474,13 @@
         mOwner->ApplyRenewReply(aCommand, aReply, sentAt, mNow);
       }
     };
+  if (FindWorker(aCommand.mWorker.mId) == nullptr) {
+    // Another worker has the address and rejects the command.
+    RenewReply reply;
+    reply.mOutcome = CommandOutcome::kIncarnationMismatch;
+    ScheduleEvent(2 * kNetworkDelay, [deliver, reply] { deliver(reply); });
+    return;
+  }
   const bool isCommandLost = !FindWorker(aCommand.mWorker.mId)->mReachable ||
                              !FindWorker(aCommand.mWorker.mId)->mConnectable ||
                              Chance(mOptions.mLostReplyShare);
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -83,6 +83,11 @@
   void RestartUnannounced(std::size_t aWorker);
   /** Updates the list of workers with the current state of a worker. */
   void PublishWorker(std::size_t aWorker);
+  /**
+   * Adds an entry of another writer to the list of workers: it has the address
+   * of a worker, another identifier and a higher incarnation.
+   */
+  void PublishCopyOf(std::size_t aWorker);
   /**
    * Updates the list of workers with a clock that is outdated.
    * @param aAge Time since the worker read the clock.
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -151,6 +151,20 @@
   CheckNoViolation(model);
 }
 
+// Guards against a second run of a task because another entry of the list has
+// the address of its worker.
+TEST(Scheduler, EntryWithAddressOfLiveWorkerEndsNoRuns)
+{
+  FleetModel model({ 2, 1 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(3'000));
+  model.Run(milliseconds(500));
+  model.PublishCopyOf(FirstBusyWorker(model));
+  model.Run(milliseconds(4'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(1, model.Starts());
+  CheckNoViolation(model);
+}
+
 // Guards against reporting a job as started although no worker has started it.
 TEST(Scheduler, JobWithoutStartedRunIsPending)
 {
