Wait for the planning pass before a test reads its explanation

PlacementTask.TeamQuotasAreEnforced failed once on a busy machine: explain answered "not looked at yet". The answer is right until the first planning pass after the submission, which runs on a later message, so the test raced with it. It now waits for that pass and checks the same text.

--- a/tests/coordination/PlacementTaskTest.cpp
+++ b/tests/coordination/PlacementTaskTest.cpp
@@ -354,8 +354,12 @@
   WaitUntil([&] { return CountEvents("start") == 1; });
   CHECK(submit("job-3", 1) == FailureReason::kNone);
   CHECK(submit("job-4", 1) == FailureReason::kQuotaExceeded);
-  const auto reply = Ask(owner, JobCommand::Explain(JobId("job-3")));
-  STRCMP_CONTAINS("the team holds 8 of its 8", reply.Detail().c_str());
+  const auto explain = [&] {
+    return Ask(owner, JobCommand::Explain(JobId("job-3"))).Detail();
+  };
+  // The job is explained by the first planning pass after its submission.
+  WaitUntil([&] { return explain() != "not looked at yet"; });
+  STRCMP_CONTAINS("the team holds 8 of its 8", explain().c_str());
 }
 
 // Guards against running a job twice when its caller repeats the submission.
