Hand scheduling over when the owner does not reach the workers

An owner kept its lease as long as it reached the store. No lease_lost was logged.

Cause: the lease row is renewed by writes to the store only; missed replies of workers had no effect on ownership.

The owner now counts workers that do not reply although their rows in the store are refreshed at least 0.5 s after the first missed reply. If there are two or more, and more than workers that replied within 2 s, it empties the lease row as for a planned stop and goes on as a follower. It leaves the lease to others for 10 s, unless nobody takes it within 2.5 s. The row counts such releases in a row; after four, an owner keeps the lease for at least 5 s, so that ownership does not move on all the time if no daemon reaches the workers. An emptied row with this daemon's incarnation is no longer taken for its own pending acquisition.

Ruled out: workers that are gone, or cut off from the store as well, do not refresh their rows and do not count. A row that is read again unchanged is no refresh. Long silence does not count, because idle workers are not tried and silent ones are. After a suspension, replies arrive 0.4 s later, before a refresh counts.

--- a/include/cornelrudder/coordination/SchedulerTask.h
+++ b/include/cornelrudder/coordination/SchedulerTask.h
@@ -49,6 +49,16 @@
    * VMs with more capacity take over first.
    */
   std::chrono::milliseconds mTakeoverDelay{ 0 };
+  /**
+   * Time for which a daemon that handed the lease over leaves it to others. It
+   * exceeds the time in which an owner that is cut off as well hands over.
+   */
+  std::chrono::milliseconds mHandoverAbstention{ 10'000 };
+  /**
+   * Time without an owner after which such a daemon acquires the lease again.
+   * It covers the owner timeout, the takeover delay of others and their reads.
+   */
+  std::chrono::milliseconds mUnclaimedTime{ 2'500 };
   /** Interval at which the owner polls the changes of the workers table. */
   std::chrono::milliseconds mWorkerPollInterval{ 400 };
   /** Longest time that a poll of the jobs table waits for a change. */
--- a/include/cornelrudder/state/scheduling/OwnerLease.h
+++ b/include/cornelrudder/state/scheduling/OwnerLease.h
@@ -22,6 +22,22 @@
   std::uint64_t mSequence = 0;
   /** Number of jobs not started yet, by queue; empty queues are left out. */
   std::map<std::string, std::uint64_t> mPending;
+  /**
+   * Number of recent releases in a row by owners that did not reach the
+   * workers.
+   */
+  std::uint64_t mHandovers = 0;
+
+  /**
+   * Limits handovers among daemons of which none reaches the workers.
+   * @param aHeld Time for which the owner has had the lease.
+   * @return Whether an owner that does not reach the workers releases the
+   *   lease.
+   */
+  bool MayHandOver(std::chrono::milliseconds aHeld) const;
+
+  /** @return The lease as such an owner releases it. */
+  OwnerLease HandedOver(std::chrono::milliseconds aHeld) const;
 
   auto operator<=>(const OwnerLease&) const = default;
 };
--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -3,6 +3,7 @@
 
 #include "cornelrudder/state/scheduling/Catalog.h"
 #include "cornelrudder/state/scheduling/JobProgress.h"
+#include "cornelrudder/state/scheduling/OwnerReachability.h"
 #include "cornelrudder/state/scheduling/Planning.h"
 #include "cornelrudder/state/scheduling/TaskJob.h"
 #include "cornelrudder/state/scheduling/WorkerCalls.h"
@@ -176,6 +177,9 @@
    */
   bool IsFenced() const;
 
+  /** @return Which workers this owner reaches. */
+  OwnerReachability Reachability(Millis aNow) const;
+
   /** @return Number of jobs not started yet, by queue. */
   std::map<std::string, std::uint64_t> PendingJobs() const;
 
--- a/src/coordination/LogEvent.cpp
+++ b/src/coordination/LogEvent.cpp
@@ -217,7 +217,8 @@
   LogEventInfo{ LogEvent::kLeaseReleased,
                 LogLevel::kInfo,
                 "lease_released",
-                "this daemon released its ownership for a planned stop" },
+                "this daemon released its ownership for a planned stop, or "
+                "because it does not reach most workers (reason)" },
   LogEventInfo{
     LogEvent::kDomainOwnerChanged,
     LogLevel::kInfo,
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -64,6 +64,7 @@
   , mWriteIds(mOptions.mIncarnation + "-owner")
   , mOwnerObserver(mOptions.mOwnerTimeout + mOptions.mTakeoverDelay)
   , mReleaseObserver(mOptions.mTakeoverDelay)
+  , mUnclaimedObserver(mOptions.mUnclaimedTime + mOptions.mTakeoverDelay)
 {
 }
 
@@ -163,14 +164,16 @@
     StepDown("fenced");
     return;
   }
-  if (!mReleasing) {
+  CheckReachability();
+  const bool isScheduling = !mReleasing && !mIsolation;
+  if (isScheduling) {
     const Millis start = Now();
     mScheduler->Plan(start, WallClockNow());
     mPlanPause =
       std::min((Now() - start) * kPauseToPlanTimeRatio, kMaxPlanPause);
   }
   LogSchedulerEvents();
-  if (!mReleasing) {
+  if (isScheduling) {
     SendCommands();
   }
   if (IsWriteDue()) {
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -99,6 +99,9 @@
   void FinishWrite(const state::StoreResult& aResult);
   void HandleWriteConflict(const state::StoreResult& aResult);
   void StepDown(const char* aReason);
+  void EndOwnership();
+  void CheckReachability();
+  void LogRelease();
   void Release();
 
   // Tables.
@@ -137,6 +140,8 @@
   WriteIdGenerator mWriteIds;
   Mode mMode = Mode::kFollowing;
   bool mReleasing = false;
+  /** Set while the lease is being released for want of reachable workers. */
+  std::optional<state::scheduling::OwnerReachability> mIsolation;
 
   std::map<std::uint64_t, ResultHandler> mStoreCalls;
   std::uint64_t mLastOperationId = 0;
@@ -146,6 +151,11 @@
   state::scheduling::LeaseObserver mOwnerObserver;
   /** Measures how long the lease row has been without an owner. */
   state::scheduling::LeaseObserver mReleaseObserver;
+  /** Measures whether no other daemon acquires a lease without an owner. */
+  state::scheduling::LeaseObserver mUnclaimedObserver;
+  /** Until this time other daemons acquire the lease before this one. */
+  Millis mAbstainUntil{ 0 };
+  Millis mAcquiredAt{ 0 };
   state::scheduling::OwnerLease mLease;
   std::uint64_t mLeaseVersion = 0;
   bool mLeaseReadInFlight = false;
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -15,6 +15,7 @@
 using state::Transaction;
 using state::scheduling::JobProgress;
 using state::scheduling::OwnerLease;
+using state::scheduling::OwnerReachability;
 using std::chrono::milliseconds;
 
 /** Delay before a failed write is retried. */
@@ -95,6 +96,7 @@
   }
   if (aResult.Status() != StoreStatus::kOk) {
     mOwnerObserver.Reset();
+    mUnclaimedObserver.Reset();
     return;
   }
   if (aResult.Rows().empty() || aResult.Rows().front().Version() == 0) {
@@ -105,10 +107,16 @@
   try {
     const OwnerLease lease = mPorts.mCodec.DecodeOwnerLease(row.Value());
     mOwnerObserver.Observe(row.Version(), aResult.StoreTime());
-    if (lease.mIncarnation == mOptions.mIncarnation) {
+    mUnclaimedObserver.Observe(row.Version(), aResult.StoreTime());
+    const bool isOwnRow = lease.mIncarnation == mOptions.mIncarnation;
+    if (isOwnRow && !lease.mOwner.empty()) {
       // The write that acquired the lease succeeded, but its result was lost.
       mLease = lease;
       FinishAcquire(row.Version());
+    } else if (Now() < mAbstainUntil) {
+      if (mUnclaimedObserver.IsExpired()) {
+        AcquireLease(row.Version(), lease, "unclaimed");
+      }
     } else if (lease.mOwner.empty()) {
       mReleaseObserver.Observe(row.Version(), aResult.StoreTime());
       if (mReleaseObserver.IsExpired()) {
@@ -131,6 +139,9 @@
 {
   mMode = Mode::kAcquiring;
   mLease = aObserved;
+  if (!aObserved.mOwner.empty()) {
+    mLease.mHandovers = 0;
+  }
   mLease.mOwner = mOptions.mSelf;
   mLease.mIncarnation = mOptions.mIncarnation;
   mLease.mEpoch = aObserved.mEpoch + 1;
@@ -165,6 +176,7 @@
 {
   mLeaseVersion = aVersion;
   mLastWriteAt = Now();
+  mAcquiredAt = Now();
   mWriteInFlight = false;
   mNextWriteAt = Millis(0);
   mPorts.mLog.Write(
@@ -181,7 +193,7 @@
   }
   const bool hasChanges =
     mMode == Mode::kOwning && mScheduler && mScheduler->HasChanges();
-  return hasChanges || mReleasing ||
+  return hasChanges || mReleasing || mIsolation ||
          Now() - mLastWriteAt >= mOptions.mRenewInterval;
 }
 
@@ -199,6 +211,8 @@
   }
   if (mReleasing) {
     mLease.mOwner.clear();
+  } else if (mIsolation && !mLease.mOwner.empty()) {
+    mLease = mLease.HandedOver(Now() - mAcquiredAt);
   }
   std::vector<RowWrite> writes;
   writes.emplace_back(
@@ -239,12 +253,9 @@
   }
   if (isStored) {
     mLeaseVersion = aResult.Version();
-    if (mReleasing && mLease.mOwner.empty()) {
-      mPorts.mLog.Write({ LogEvent::kLeaseReleased,
-                          { { "epoch", std::to_string(mLease.mEpoch) } } });
-      mScheduler.reset();
-      mStoreCalls.clear();
-      mMode = Mode::kReleased;
+    if (mLease.mOwner.empty()) {
+      LogRelease();
+      EndOwnership();
       return;
     }
   } else if (aResult.Status() == StoreStatus::kConflict) {
@@ -287,14 +298,54 @@
     { LogEvent::kLeaseLost,
       { { "epoch", std::to_string(mLease.mEpoch) }, { "reason", aReason } } });
   ++mCounters["lease_lost_total"];
+  EndOwnership();
+}
+
+/** Continues as a follower, or stops for a planned stop. */
+void
+SchedulerTask::EndOwnership()
+{
+  if (mIsolation) {
+    mAbstainUntil = Now() + mOptions.mHandoverAbstention;
+  }
+  mIsolation.reset();
   mScheduler.reset();
   mStoreCalls.clear();
   mLeaseReadInFlight = false;
   mWriteInFlight = false;
   mOwnerObserver.Reset();
+  mReleaseObserver.Reset();
+  mUnclaimedObserver.Reset();
   mMode = mReleasing ? Mode::kReleased : Mode::kFollowing;
 }
 
+/** Starts to release the lease if other daemons may reach more workers. */
+void
+SchedulerTask::CheckReachability()
+{
+  const OwnerReachability reachability = mScheduler->Reachability(Now());
+  if (!mReleasing && !mIsolation && reachability.IsIsolated() &&
+      mLease.MayHandOver(Now() - mAcquiredAt)) {
+    mIsolation = reachability;
+    ++mCounters["lease_handovers_total"];
+  }
+}
+
+void
+SchedulerTask::LogRelease()
+{
+  LogRecord::Fields fields{ { "epoch", std::to_string(mLease.mEpoch) },
+                            { "reason",
+                              mIsolation ? "unreachable_workers" : "stop" } };
+  if (mIsolation) {
+    fields.emplace_back("unreachable",
+                        std::to_string(mIsolation->Unreachable()));
+    fields.emplace_back("replying", std::to_string(mIsolation->Replying()));
+    fields.emplace_back("handovers", std::to_string(mLease.mHandovers));
+  }
+  mPorts.mLog.Write({ LogEvent::kLeaseReleased, std::move(fields) });
+}
+
 void
 SchedulerTask::Release()
 {
--- a/src/protocol/JsonSchedulingCodec.cpp
+++ b/src/protocol/JsonSchedulingCodec.cpp
@@ -250,7 +250,8 @@
                   { "incarnation", aLease.mIncarnation },
                   { "epoch", aLease.mEpoch },
                   { "sequence", aLease.mSequence },
-                  { "pending", aLease.mPending } });
+                  { "pending", aLease.mPending },
+                  { "handovers", aLease.mHandovers } });
 }
 
 OwnerLease
@@ -264,6 +265,8 @@
     lease.mSequence = aObject.at("sequence").get<std::uint64_t>();
     lease.mPending =
       aObject.at("pending").get<std::map<std::string, std::uint64_t>>();
+    // Rows of earlier releases have no such field.
+    lease.mHandovers = aObject.value("handovers", std::uint64_t{ 0 });
     return lease;
   });
 }
--- a/src/state/scheduling/Scheduler.cpp
+++ b/src/state/scheduling/Scheduler.cpp
@@ -126,6 +126,12 @@
   return mImpl->IsFenced();
 }
 
+OwnerReachability
+Scheduler::Reachability(Millis aNow) const
+{
+  return mImpl->Reachability(aNow);
+}
+
 std::map<std::string, std::uint64_t>
 Scheduler::PendingJobs() const
 {
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -55,6 +55,7 @@
                        Millis aNow);
   WorkerCommands CollectCommands(Millis aNow);
   bool IsFenced() const { return mFenced; }
+  OwnerReachability Reachability(Millis aNow) const;
 
   void Plan(Millis aNow, Millis aWallClock);
 
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -2,6 +2,7 @@
 #define CORNELRUDDER_SRC_STATE_SCHEDULING_SCHEDULER_MODEL_H
 
 #include "cornelrudder/state/scheduling/JobProgress.h"
+#include "cornelrudder/state/scheduling/OwnerReachability.h"
 #include "cornelrudder/state/scheduling/TaskJob.h"
 #include "cornelrudder/state/scheduling/WorkerCalls.h"
 #include "cornelrudder/state/scheduling/WorkerInfo.h"
@@ -180,6 +181,8 @@
   Millis mNextRenewal{ 0 };
   int mFailedRenewals = 0;
   Millis mLastReplyAt{ 0 };
+  /** For Scheduler::Reachability(); mIsSilent follows mFailedRenewals. */
+  WorkerContact mContact;
   /**
    * Local time from which none of the runs that were started so far can exist.
    */
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -99,6 +99,10 @@
         { "leaves_after_ms", std::to_string(aInfo.mShutdownAfter.count()) },
         { "runs", std::to_string(worker.mAssigned.size()) } });
   }
+  // A row that is read again unchanged is no refresh.
+  if (aInfo.mClock > worker.mInfo.mClock) {
+    worker.mContact.mRefreshedAt = aNow;
+  }
   worker.mInfo = aInfo;
   worker.mListed = true;
   worker.mShutdownAt =
@@ -211,6 +215,8 @@
   }
   aWorker.mFailedRenewals = 0;
   aWorker.mLastReplyAt = aNow;
+  aWorker.mContact.mHasReplied = true;
+  aWorker.mContact.mRepliedAt = aNow;
 }
 
 void
@@ -219,6 +225,7 @@
                                    Millis aNow)
 {
   if (++aWorker.mFailedRenewals == 1) {
+    aWorker.mContact.mSilentSince = aNow;
     RecordEvent(SchedulerEvent::Kind::kWorkerSilent,
                 { { "worker", aWorker.mInfo.mId },
                   { "detail", aDetail },
@@ -329,6 +336,20 @@
   RemoveUnlistedWorkers();
 }
 
+OwnerReachability
+Scheduler::Impl::Reachability(Millis aNow) const
+{
+  OwnerReachability reachability;
+  for (const auto& [id, worker] : mWorkers) {
+    if (worker.mListed) {
+      WorkerContact contact = worker.mContact;
+      contact.mIsSilent = worker.mFailedRenewals > 0;
+      reachability = reachability.WithWorker(contact, aNow);
+    }
+  }
+  return reachability;
+}
+
 WorkerCommands
 Scheduler::Impl::CollectCommands(Millis aNow)
 {
--- a/tests/coordination/FakeFleet.cpp
+++ b/tests/coordination/FakeFleet.cpp
@@ -374,6 +374,37 @@
   return epoch;
 }
 
+void
+FakeWorkerPath::Start(const StartCommand& aCommand,
+                      CommandCompletion aCompletion)
+{
+  if (mCut) {
+    aCompletion({});
+    return;
+  }
+  mWorkers.Start(aCommand, std::move(aCompletion));
+}
+
+void
+FakeWorkerPath::Stop(const StopCommand& aCommand, CommandCompletion aCompletion)
+{
+  if (mCut) {
+    aCompletion({});
+    return;
+  }
+  mWorkers.Stop(aCommand, std::move(aCompletion));
+}
+
+void
+FakeWorkerPath::Renew(const RenewCommand& aCommand, RenewCompletion aCompletion)
+{
+  if (mCut) {
+    aCompletion({});
+    return;
+  }
+  mWorkers.Renew(aCommand, std::move(aCompletion));
+}
+
 Catalog
 FakePlatformRowCodec::DecodeCatalog(const std::string& aValue,
                                     std::uint64_t aRowVersion) const
--- a/tests/coordination/FakeFleet.h
+++ b/tests/coordination/FakeFleet.h
@@ -6,6 +6,7 @@
 #include "cornelrudder/coordination/StorePort.h"
 #include "cornelrudder/coordination/TaskWorkerPort.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <mutex>
@@ -130,6 +131,30 @@
   int mStarts = 0;
 };
 
+/** Path from one daemon to the workers, which can be cut. */
+class FakeWorkerPath final : public coordination::TaskWorkerPort
+{
+public:
+  explicit FakeWorkerPath(FakeTaskWorkers& aWorkers)
+    : mWorkers(aWorkers)
+  {
+  }
+
+  void Start(const state::scheduling::StartCommand& aCommand,
+             CommandCompletion aCompletion) override;
+  void Stop(const state::scheduling::StopCommand& aCommand,
+            CommandCompletion aCompletion) override;
+  void Renew(const state::scheduling::RenewCommand& aCommand,
+             RenewCompletion aCompletion) override;
+
+  /** While set, commands have no effect and get no reply. */
+  void SetCut(bool aCut) { mCut = aCut; }
+
+private:
+  FakeTaskWorkers& mWorkers;
+  std::atomic<bool> mCut{ false };
+};
+
 /**
  * Codec of test rows: a catalog is "version key...", a worker its number of
  * accelerators.
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -15,7 +15,9 @@
 #include <caf/scoped_actor.hpp>
 #include <caf/send.hpp>
 
+#include <functional>
 #include <future>
+#include <memory>
 
 using namespace cornelrudder;
 using namespace cornelrudder::coordination;
@@ -35,6 +37,7 @@
   caf::actor mCatalog;
   caf::actor mGateway;
   caf::actor mScheduler;
+  std::shared_ptr<tests::FakeWorkerPath> mPath;
 };
 
 /** Daemons that share a store and two workers of 8 accelerators each. */
@@ -46,8 +49,7 @@
     , mSelf(mSystem)
   {
     mStore.Put(kCatalogKey, "1 key");
-    mStore.Put("workers/w1", "8");
-    mStore.Put("workers/w2", "8");
+    RefreshWorkers();
   }
 
   ~Daemons()
@@ -64,6 +66,8 @@
                            milliseconds aRetention = milliseconds(600'000))
   {
     DaemonTasks tasks;
+    tasks.mPath = std::make_shared<tests::FakeWorkerPath>(mWorkers);
+    mPaths.push_back(tasks.mPath);
     tasks.mCatalog = SpawnCatalogTask(
       mSystem, mStore, mStore, mPlatformCodec, mClock, mLog, {});
     JobGatewayTaskOptions gateway;
@@ -85,7 +89,7 @@
     scheduler.mJobRetention = aRetention;
     tasks.mScheduler = SpawnSchedulerTask(
       mSystem,
-      { mStore, mStore, mWorkers, mCodec, mPlatformCodec, mClock, mLog },
+      { mStore, mStore, *tasks.mPath, mCodec, mPlatformCodec, mClock, mLog },
       scheduler);
     caf::anon_send(tasks.mCatalog, Subscribe{ tasks.mScheduler });
     mDaemons.push_back(tasks);
@@ -110,6 +114,38 @@
     return promise->get_future().get();
   }
 
+  /** Writes the rows of the workers, as running workers do. */
+  void RefreshWorkers()
+  {
+    mStore.Put("workers/w1", "8");
+    mStore.Put("workers/w2", "8");
+  }
+
+  /** Submits jobs that fill both workers. */
+  void SubmitToAllWorkers(const DaemonTasks& aTasks)
+  {
+    for (const char* job : { "j1", "j2", "j3", "j4" }) {
+      CHECK(Submit(aTasks, job) == JobCallStatus::kOk);
+    }
+  }
+
+  OwnerLease Lease()
+  {
+    return mCodec.DecodeOwnerLease(mStore.ValueOf(kOwnerLeaseKey));
+  }
+
+  /** Waits for a condition while the workers refresh their rows. */
+  bool WaitWithLiveWorkers(const std::function<bool()>& aCondition)
+  {
+    int n = 0;
+    return WaitUntil([&] {
+      if (n++ % kRefreshEvery == 0) {
+        RefreshWorkers();
+      }
+      return aCondition();
+    });
+  }
+
   JobCallReply Call(const DaemonTasks& aTasks,
                     JobCallKind aKind,
                     const std::string& aJob,
@@ -152,6 +188,11 @@
   FakeLog mLog;
 
 private:
+  /** Number of attempts of WaitUntil() between two refreshes of the rows. */
+  static constexpr int kRefreshEvery = 50;
+
+  /** The paths are used by actors and outlive the actor system. */
+  std::vector<std::shared_ptr<tests::FakeWorkerPath>> mPaths;
   tests::SystemConfig mConfig;
   protocol::JsonSchedulingCodec mCodec;
   tests::FakePlatformRowCodec mPlatformCodec;
@@ -347,7 +388,8 @@
     [&] { return daemons.mLog.Count(LogEvent::kJobsRecovered) == 1; }));
   const protocol::JsonSchedulingCodec codec;
   daemons.mStore.Put(
-    kOwnerLeaseKey, codec.EncodeOwnerLease({ "b", "b-incarnation", 7, 1, {} }));
+    kOwnerLeaseKey,
+    codec.EncodeOwnerLease({ "b", "b-incarnation", 7, 1, {}, 0 }));
   CHECK(
     WaitUntil([&] { return daemons.mLog.Count(LogEvent::kLeaseLost) == 1; }));
   CHECK(codec.DecodeOwnerLease(daemons.mStore.ValueOf(kOwnerLeaseKey)).mEpoch >=
@@ -368,3 +410,73 @@
     WaitUntil([&] { return daemons.HasPhase(daemon, "j1", JobPhase::kDone); }));
   CHECK_EQUAL(0, daemons.mLog.Count(LogEvent::kLeaseLost));
 }
+
+// Guards against an owner that keeps the lease although it reaches none of the
+// workers that another daemon reaches.
+TEST(SchedulingTasks, OwnerCutFromLiveWorkersHandsOver)
+{
+  Daemons daemons;
+  const DaemonTasks first = daemons.Start("a");
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kJobsRecovered) == 1; }));
+  const DaemonTasks second = daemons.Start("b");
+  first.mPath->SetCut(true);
+  daemons.SubmitToAllWorkers(second);
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.HasPhase(second, "j1", JobPhase::kDone); }));
+  CHECK_EQUAL(std::string("b"), daemons.Lease().mOwner);
+  CHECK_EQUAL(1, daemons.mLog.Count(LogEvent::kLeaseReleased));
+}
+
+// Guards against a handover that leaves the lease without an owner or among
+// daemons that do not reach the workers either.
+TEST(SchedulingTasks, CutSuccessorHandsOverInTurn)
+{
+  Daemons daemons;
+  const DaemonTasks first = daemons.Start("a");
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kJobsRecovered) == 1; }));
+  const DaemonTasks second = daemons.Start("b");
+  first.mPath->SetCut(true);
+  second.mPath->SetCut(true);
+  daemons.SubmitToAllWorkers(second);
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.mLog.Count(LogEvent::kLeaseReleased) >= 2; }));
+  const DaemonTasks third = daemons.Start("c");
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.HasPhase(third, "j1", JobPhase::kDone); }));
+}
+
+// Guards against a handover that cannot help because the workers are gone.
+TEST(SchedulingTasks, OwnerOfLostWorkersKeepsTheLease)
+{
+  Daemons daemons;
+  const DaemonTasks first = daemons.Start("a");
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kJobsRecovered) == 1; }));
+  const DaemonTasks second = daemons.Start("b");
+  first.mPath->SetCut(true);
+  daemons.SubmitToAllWorkers(second);
+  CHECK(
+    WaitUntil([&] { return daemons.mLog.Count(LogEvent::kWorkerGone) == 2; }));
+  CHECK_EQUAL(0, daemons.mLog.Count(LogEvent::kLeaseReleased));
+  CHECK_EQUAL(std::string("a"), daemons.Lease().mOwner);
+}
+
+// Guards against a fleet without an owner, and against a released lease row
+// that its former owner takes for its own pending acquisition.
+TEST(SchedulingTasks, SingleDaemonTakesTheLeaseBack)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kJobsRecovered) == 1; }));
+  daemon.mPath->SetCut(true);
+  daemons.SubmitToAllWorkers(daemon);
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.mLog.Count(LogEvent::kLeaseReleased) == 1; }));
+  daemon.mPath->SetCut(false);
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.HasPhase(daemon, "j1", JobPhase::kDone); }));
+  CHECK_EQUAL(2, daemons.Lease().mEpoch);
+}
--- a/tests/protocol/RowCodecTest.cpp
+++ b/tests/protocol/RowCodecTest.cpp
@@ -1,5 +1,6 @@
 #include "cornelrudder/coordination/CoordinationError.h"
 #include "cornelrudder/protocol/JsonRowCodec.h"
+#include "cornelrudder/protocol/JsonSchedulingCodec.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -57,3 +58,17 @@
     CHECK_THROWS(CoordinationError, kCodec.DecodeIntent(text));
   }
 }
+
+// Guards against a lease row of an earlier release that cannot be read, which
+// would leave the fleet without an owner during an update.
+TEST(RowCodec, OwnerLeaseWithoutHandoversIsRead)
+{
+  const cornelrudder::protocol::JsonSchedulingCodec codec;
+  const cornelrudder::state::scheduling::OwnerLease lease{
+    "a", "a-incarnation", 3, 4, { { "q", 5 } }, 2
+  };
+  CHECK(codec.DecodeOwnerLease(codec.EncodeOwnerLease(lease)) == lease);
+  const auto found = codec.DecodeOwnerLease(
+    R"({"owner":"","incarnation":"i","epoch":1,"sequence":1,"pending":{}})");
+  CHECK_EQUAL(0, found.mHandovers);
+}
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -96,6 +96,11 @@
   void ApplyCatalog(const scheduling::Catalog& aCatalog);
 
   const std::vector<std::string>& Violations() const { return mViolations; }
+  /** @return Which workers the owner reaches. */
+  scheduling::OwnerReachability Reachability() const
+  {
+    return mOwner->Reachability(mNow);
+  }
   JobOutcome OutcomeOf(const std::string& aJob) const;
   std::size_t RunningOn(std::size_t aWorker) const;
   std::size_t Starts() const { return mStarts; }
