--- a/src/protocol/JsonSchedulingCodec.cpp
+++ b/src/protocol/JsonSchedulingCodec.cpp
@@ -269,7 +269,8 @@
                   { "incarnation", aLease.mIncarnation },
                   { "epoch", aLease.mEpoch },
                   { "sequence", aLease.mSequence },
-                  { "pending", aLease.mPending } });
+                  { "pending", aLease.mPending },
+                  { "handovers", aLease.mHandovers } });
 }
 
 OwnerLease
@@ -282,6 +283,8 @@
     lease.mEpoch = aObject.Counter("epoch");
     lease.mSequence = aObject.Counter("sequence");
     lease.mPending = aObject.CountersByName("pending");
+    // Rows of earlier releases have no such field.
+    lease.mHandovers = aObject.Counter("handovers", 0);
     return lease;
   });
 }
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -114,6 +114,10 @@
         { "leaves_after_ms", std::to_string(aInfo.mShutdownAfter.count()) },
         { "runs", std::to_string(worker.mAssigned.size()) } });
   }
+  // A row that is read again unchanged is no refresh.
+  if (aInfo.mClock > worker.mInfo.mClock) {
+    worker.mContact.mRefreshedAt = aNow;
+  }
   worker.mInfo = aInfo;
   // A lower incarnation in the list is either outdated or that of a worker
   // whose time of day was set back; the next renewal reply shows which.
@@ -239,6 +243,8 @@
   aWorker.mFailedRenewals = 0;
   aWorker.mIsQueryDue = false;
   aWorker.mLastReplyAt = aNow;
+  aWorker.mContact.mHasReplied = true;
+  aWorker.mContact.mRepliedAt = aNow;
 }
 
 void
@@ -247,6 +253,7 @@
                                    Millis aNow)
 {
   if (++aWorker.mFailedRenewals == 1) {
+    aWorker.mContact.mSilentSince = aNow;
     RecordEvent(SchedulerEvent::Kind::kWorkerSilent,
                 { { "worker", aWorker.mInfo.mId },
                   { "detail", aDetail },
@@ -406,6 +413,20 @@
   RemoveUnlistedWorkers();
 }
 
+OwnerReachability
+Scheduler::Impl::Reachability(Millis aNow) const
+{
+  OwnerReachability reachability;
+  for (const auto& [id, worker] : mWorkers) {
+    if (worker.mListed) {
+      WorkerContact contact = worker.mContact;
+      contact.mIsSilent = worker.mFailedRenewals > 0;
+      reachability = reachability.WithWorker(contact, aNow);
+    }
+  }
+  return reachability;
+}
+
 WorkerCommands
 Scheduler::Impl::CollectCommands(Millis aNow)
 {
