Wait for the log of a process that was just started

await_address read the log of a process that might not have created it yet; under "set -euo pipefail" the failed sed ended the calling script with status 2 and without a message. start() now creates the log, and await_address treats a missing log as an empty one.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -49,10 +49,11 @@
   esac
 }
 
-# Starts a program; its log is $work/NAME.log.
+# Starts a program; its log is $work/NAME.log, which exists from then on.
 start() {
   local name=$1
   shift
+  touch "$work/$name.log"
   "$@" >>"$work/$name.log" 2>&1 &
   pid_of[$name]=$!
 }
@@ -61,7 +62,9 @@
 await_address() {
   local name=$1 pattern=$2 address
   for _ in $(seq 1200); do
-    address=$(sed -n "s/$pattern/\1/p" "$work/$name.log" 2>/dev/null | tail -n 1)
+    # The log may not exist yet; with pipefail, sed would end the script.
+    address=$(sed -n "s/$pattern/\1/p" "$work/$name.log" 2>/dev/null |
+      tail -n 1) || true
     if [ -n "$address" ]; then
       address_of_name[$name]=$address
       return
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -24,6 +24,7 @@
 step "build" scripts/build.sh "$build"
 step "format" scripts/format.sh --check
 step "layers" scripts/check_layers.sh
+step "cluster functions" scripts/check_cluster.sh
 step "reference pages" scripts/check_reference_pages.sh "$build"
 # Prints the tests of a program that KNOWN-RED.txt lists in lines of the form
 # "Test: PROGRAM GROUP.NAME".
