Separate daemons from workers in the fault soak and check progress

- The stand-in has a store listener for each daemon and an address of each worker for each daemon.
Links fail silently, with refused connections or one way, for 1 to 9 s (the lease is 6 s), while the workers go on.
Rows of living workers are removed and put back; rows of another writer stay.
- Jobs have one to three steps.
The caller reports accepted and ended jobs, from which the stand-in checks progress.
New checks: progress, no start after an end that the owner was told of, no start after an end that is recorded later, no job shown as failed or cancelled.
- Series of faults are followed by a calm that is longer than the longest fault, the recovery time and the time without a run together.
- Faults are drawn in the shell itself: bash seeds RANDOM anew in command substitutions, so that the daemon and worker of a fault did not depend on the seed before.
- A silent worker no longer answers a pending renewal with status 500.

Ruled out: the link relay for the same purpose, since it needs one process for each of 48 links and does not deliver one way; telling the daemons apart by the epoch of a command, since a daemon that takes the lease again has another epoch.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -59,11 +59,12 @@
 }
 
 # Waits for a line in a program's log and stores the address found in it.
+# Usage: await_address NAME PATTERN [LOG]
 await_address() {
-  local name=$1 pattern=$2 address
+  local name=$1 pattern=$2 log=${3:-$1} address
   for _ in $(seq 1200); do
     # The log may not exist yet; with pipefail, sed would end the script.
-    address=$(sed -n "s/$pattern/\1/p" "$work/$name.log" 2>/dev/null |
+    address=$(sed -n "s/$pattern/\1/p" "$work/$log.log" 2>/dev/null |
       tail -n 1) || true
     if [ -n "$address" ]; then
       address_of_name[$name]=$address
--- a/scripts/fleet_soak.sh
+++ b/scripts/fleet_soak.sh
@@ -1,6 +1,9 @@
 #!/usr/bin/env bash
 # Runs daemon processes against the stand-in for the users' platform, injects
 # seeded faults and checks the promises from the records of callers and workers.
+# Faults come in series, each followed by a calm in which every accepted job has
+# to make progress. The logs of a seed that fails stay in
+# ${TMPDIR:-/tmp}/fleet-soak-SEED.
 # Usage: scripts/fleet_soak.sh FIRST_SEED [COUNT [JOBS]]
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -10,6 +13,13 @@
 jobs=${3:-80}
 daemons=4
 restarts=0
+# Longest fault of a link or row, longer than the lease of the workers (6 s).
+max_fault_seconds=9
+# Longer than the longest fault of a link, the recovery time and the time without
+# a run that fleet_standin allows, 9 + 10 + 3 s.
+calm_seconds=23
+# No series begins later than this, so that the jobs end within their limit.
+last_series_seconds=90
 . scripts/cluster.sh
 
 write_daemon() {
@@ -25,7 +35,7 @@
 
 [platform]
 kind = "fleet"
-address = "${address_of_name[fleet]}"
+address = "${address_of_name[gate-${name#daemon-}]}"
 
 [timing]
 drain_notice_ms = 300
@@ -39,11 +49,18 @@
   await_address "$1" '.*name=started http=\([0-9.:]*\).*'
 }
 
-any_daemon() { echo "daemon-$((RANDOM % daemons + 1))"; }
-any_worker() { echo "$((RANDOM % 12))"; }
+# The functions that draw set $drawn, since bash seeds RANDOM anew in subshells.
+draw_daemon() { drawn="daemon-$((RANDOM % daemons + 1))"; }
+draw_worker() { drawn="$((RANDOM % 12))"; }
+# Draws one of the arguments.
+draw_of() {
+  local choices=("$@")
+  drawn=${choices[$((RANDOM % $#))]}
+}
 pause() { sleep "0.$((RANDOM % 6 + 3))"; }
 control() {
-  curl -sS -m 5 -X POST "http://${address_of_name[fleet]}$1" >/dev/null || true
+  curl -sSf -m 5 -X POST "http://${address_of_name[control]}$1" >/dev/null ||
+    fail "control request $1"
 }
 
 # Restarts a terminated daemon on its previous port and keeps its earlier log.
@@ -59,8 +76,14 @@
   kill "-$2" "${pid_of[$1]}"
   restart_terminated "$1"
 }
-kill_daemon() { signal_and_restart "$(any_daemon)" KILL; }
-drain_daemon() { signal_and_restart "$(any_daemon)" TERM; }
+kill_daemon() {
+  draw_daemon
+  signal_and_restart "$drawn" KILL
+}
+drain_daemon() {
+  draw_daemon
+  signal_and_restart "$drawn" TERM
+}
 kill_all() {
   local i
   for i in $(seq "$daemons"); do
@@ -72,7 +95,8 @@
 }
 freeze_daemon() {
   local name
-  name=$(any_daemon)
+  draw_daemon
+  name=$drawn
   kill -STOP "${pid_of[$name]}"
   pause
   sleep $((RANDOM % 3))
@@ -95,20 +119,100 @@
 drop_history() { control /history/drop; }
 silence_worker() {
   local worker
-  worker=$(any_worker)
+  draw_worker
+  worker=$drawn
   control "/workers/$worker/silence"
   pause
   sleep $((RANDOM % 3))
   control "/workers/$worker/answer"
 }
-restart_worker() { control "/workers/$(any_worker)/restart"; }
+restart_worker() {
+  draw_worker
+  control "/workers/$drawn/restart"
+}
+
+# The following faults end by themselves and overlap with the others. Their
+# durations are from under to over the lease of the workers.
+# Usage: separate GATES WORKERS FAULT
+separate() {
+  control "/links/$1/$2/$3/$(((RANDOM % max_fault_seconds + 1) * 1000))"
+}
+separate_owner() {
+  draw_of all half
+  separate owner "$drawn" silent
+}
+reset_owner() {
+  draw_of all half
+  separate owner "$drawn" reset
+}
+lose_owner_replies() {
+  draw_of all half
+  separate owner "$drawn" one-way
+}
+separate_daemon() {
+  draw_of silent reset one-way
+  separate "$((RANDOM % daemons))" all "$drawn"
+}
+separate_worker() {
+  local fault
+  draw_of silent reset one-way
+  fault=$drawn
+  draw_worker
+  separate all "$drawn" "$fault"
+}
+separate_all() {
+  local fault
+  draw_of silent reset
+  fault=$drawn
+  draw_of all half
+  separate all "$drawn" "$fault"
+}
+remove_rows() {
+  draw_worker
+  draw_of all half "$drawn"
+  control "/rows/$drawn/$(((RANDOM % max_fault_seconds + 1) * 1000))"
+}
+# Writes a row of another writer, which stays until the end of the seed.
+write_odd_row() {
+  draw_of nested number port
+  control "/odd/$drawn"
+}
 
 faults=(kill_daemon restart_worker store_slow silence_worker drain_daemon
-  lose_answers freeze_daemon drop_history store_down lose_and_kill kill_all)
+  lose_answers freeze_daemon drop_history store_down lose_and_kill kill_all
+  separate_owner reset_owner lose_owner_replies separate_daemon separate_worker
+  separate_all remove_rows write_odd_row)
+
+# Injects one fault and marks its time for the checks of the stand-in.
+inject() {
+  control /faults/begin
+  "$1"
+  control /faults/end
+}
+
+# Injects faults until the time is over or the load has ended.
+# Usage: run_series LOAD_PID SECONDS
+run_series() {
+  local load=$1 end=$((SECONDS + $2)) fault
+  while [ "$SECONDS" -lt "$end" ] && kill -0 "$load" 2>/dev/null; do
+    pause
+    fault=${faults[$((RANDOM % ${#faults[@]}))]}
+    injected+=("$fault")
+    inject "$fault"
+  done
+}
+
+# Waits without faults until the time is over or the load has ended.
+stay_calm() {
+  local load=$1 end=$((SECONDS + $2))
+  while [ "$SECONDS" -lt "$end" ] && kill -0 "$load" 2>/dev/null; do
+    sleep 0.2
+  done
+}
 
 # Runs one seed: a new platform, load, and faults in a seeded order.
 run_seed() {
-  local seed=$1 i load status=0 injected=()
+  local seed=$1 i load begin status=0 injected=()
   RANDOM=$seed
   for i in $(seq "$daemons"); do
     [ -n "${pid_of[daemon-$i]:-}" ] && kill -KILL "${pid_of[daemon-$i]}" || true
@@ -118,6 +222,10 @@
   rm -f "$work"/*.log
   start fleet "$build/tests/fleet_standin"
   await_address fleet '^listening on \(.*\)$'
+  await_address control '^control on \(.*\)$' fleet
+  for i in $(seq "$daemons"); do
+    await_address "gate-$i" "^gate $((i - 1)) on \\(.*\\)\$" fleet
+  done
   local servers=()
   for i in $(seq "$daemons"); do
     write_daemon "daemon-$i" 127.0.0.1:0
@@ -127,19 +235,21 @@
     servers+=("${address_of_name[daemon-$i]}")
   done
   "$build/tests/fleet_caller" --seed "$seed" --jobs "$jobs" \
-    --standin "${address_of_name[fleet]}" \
+    --standin "${address_of_name[control]}" \
     --daemons "$(IFS=,; echo "${servers[*]}")" &
   load=$!
+  begin=$SECONDS
   while kill -0 "$load" 2>/dev/null; do
-    pause
-    i=${faults[$((RANDOM % ${#faults[@]}))]}
-    injected+=("$i")
-    "$i"
+    if [ "$((SECONDS - begin))" -lt "$last_series_seconds" ]; then
+      run_series "$load" $((RANDOM % 15 + 10))
+    fi
+    stay_calm "$load" "$calm_seconds"
   done
   wait "$load" || status=$?
   if [ "$status" -ne 0 ]; then
     echo "FAILED: seed $seed after ${injected[*]}"
-    cp -r "$work" "/tmp/fleet-soak-$seed"
+    rm -rf "${TMPDIR:-/tmp}/fleet-soak-$seed"
+    cp -r "$work" "${TMPDIR:-/tmp}/fleet-soak-$seed"
   fi
   return "$status"
 }
--- a/tests/fleet/StoreStandin.cpp
+++ b/tests/fleet/StoreStandin.cpp
@@ -50,17 +50,26 @@
   return text.empty() ? 0 : std::stoull(text);
 }
 
+/** @return The name under which the table that a daemon reads is kept. */
+std::string
+StoredTable(const std::string& aTable, std::size_t aGate)
+{
+  return aTable == "servers" ? aTable + "@" + std::to_string(aGate) : aTable;
+}
+
 } // namespace
 
 bool
-StoreStandin::Handle(const HttpRequest& aRequest, const HttpResponder& aRespond)
+StoreStandin::Handle(const HttpRequest& aRequest,
+                     const HttpResponder& aRespond,
+                     std::size_t aGate)
 {
   if (aRequest.Path() == "/v1/rows-tx") {
     Transact(aRequest, aRespond);
   } else if (aRequest.Path() == "/v1/rows-get") {
-    Read(aRequest, aRespond);
+    Read(aRequest, aRespond, aGate);
   } else if (aRequest.Path() == "/v1/rows-feed") {
-    FollowFeed(aRequest, aRespond);
+    FollowFeed(aRequest, aRespond, aGate);
   } else {
     return false;
   }
@@ -82,6 +91,22 @@
   Tick();
 }
 
+void
+StoreStandin::PutWorker(std::size_t aGate,
+                        const std::string& aKey,
+                        const std::string& aValue)
+{
+  Put(StoredTable("servers", aGate), aKey, aValue);
+}
+
+void
+StoreStandin::RemoveWorker(std::size_t aGate, const std::string& aKey)
+{
+  ++mVersion;
+  Apply({ StoredTable("servers", aGate), aKey }, { "", mVersion }, true);
+  Tick();
+}
+
 void
 StoreStandin::Apply(const RowId& aId, const Row& aRow, bool aIsRemoved)
 {
@@ -143,18 +168,20 @@
 
 void
 StoreStandin::Read(const HttpRequest& aRequest,
-                   const HttpResponder& aRespond) const
+                   const HttpResponder& aRespond,
+                   std::size_t aGate) const
 {
   const std::string table = DecodedQuery(aRequest, "table");
+  const std::string stored = StoredTable(table, aGate);
   const std::string to = DecodedQuery(aRequest, "to");
   const std::uint64_t requested = NumericQuery(aRequest, "limit");
   const std::size_t limit =
     requested == 0 ? kMaxPage : std::min(kMaxPage, requested);
   json reply = MakeReply();
   json& rows = reply["rows"] = json::array();
-  auto it = mRows.lower_bound({ table, DecodedQuery(aRequest, "from") });
+  auto it = mRows.lower_bound({ stored, DecodedQuery(aRequest, "from") });
   const auto isInRange = [&] {
-    return it != mRows.end() && it->first.first == table &&
+    return it != mRows.end() && it->first.first == stored &&
            (to.empty() || it->first.second < to);
   };
   for (; isInRange() && rows.size() < limit; ++it) {
@@ -170,11 +197,18 @@
 
 json
 StoreStandin::ChangesAfter(const std::string& aTable,
+                           std::size_t aGate,
                            std::uint64_t aAfter) const
 {
+  const std::string stored = StoredTable(aTable, aGate);
   json rows = json::array();
-  for (const Change& change : mHistory) {
-    if (change.mVersion > aAfter && change.mId.first == aTable) {
+  const auto first = std::partition_point(
+    mHistory.begin(), mHistory.end(), [aAfter](const Change& aChange) {
+      return aChange.mVersion <= aAfter;
+    });
+  for (auto it = first; it != mHistory.end(); ++it) {
+    const Change& change = *it;
+    if (change.mId.first == stored) {
       json row{ { "table", aTable },
                 { "part", "" },
                 { "key", change.mId.second },
@@ -191,7 +225,8 @@
 
 void
 StoreStandin::FollowFeed(const HttpRequest& aRequest,
-                         const HttpResponder& aRespond)
+                         const HttpResponder& aRespond,
+                         std::size_t aGate)
 {
   const std::uint64_t after = NumericQuery(aRequest, "after");
   if (after < mHistoryStart) {
@@ -200,6 +235,7 @@
   }
   mPendingFeeds.push_back(
     { DecodedQuery(aRequest, "table"),
+      aGate,
       after,
       Clock::now() + Millis(NumericQuery(aRequest, "wait-ms")),
       aRespond });
@@ -211,7 +247,7 @@
 {
   for (auto it = mPendingFeeds.begin(); it != mPendingFeeds.end();) {
     json reply = MakeReply();
-    reply["rows"] = ChangesAfter(it->mTable, it->mAfter);
+    reply["rows"] = ChangesAfter(it->mTable, it->mGate, it->mAfter);
     if (reply["rows"].empty() && Clock::now() < it->mDeadline) {
       ++it;
       continue;
--- a/tests/fleet/StoreStandin.h
+++ b/tests/fleet/StoreStandin.h
@@ -31,15 +31,28 @@
   {
   }
 
-  /** @return Whether the path belongs to the store; if so, it is handled. */
+  /**
+   * @param aGate Number of the daemon's listener. Each daemon reads its own
+   *   table of workers, in which the workers have its addresses.
+   * @return Whether the path belongs to the store; if so, it is handled.
+   */
   bool Handle(const protocol::HttpRequest& aRequest,
-              const transport::HttpResponder& aRespond);
+              const transport::HttpResponder& aRespond,
+              std::size_t aGate);
 
-  /** Writes a row on behalf of the operator or of a worker. */
+  /** Writes a row on behalf of the operator. */
   void Put(const std::string& aTable,
            const std::string& aKey,
            const std::string& aValue);
 
+  /** Writes a worker's row as the daemon at a gate reads it. */
+  void PutWorker(std::size_t aGate,
+                 const std::string& aKey,
+                 const std::string& aValue);
+
+  /** Removes a worker's row as the daemon at a gate reads it. */
+  void RemoveWorker(std::size_t aGate, const std::string& aKey);
+
   /** Discards the change history; feed readers have to reread the table. */
   void DropHistory() { mHistory.clear(), mHistoryStart = mVersion; }
 
@@ -67,6 +80,7 @@
   struct PendingFeedRequest
   {
     std::string mTable;
+    std::size_t mGate;
     std::uint64_t mAfter;
     std::chrono::steady_clock::time_point mDeadline;
     transport::HttpResponder mRespond;
@@ -75,11 +89,14 @@
   void Transact(const protocol::HttpRequest& aRequest,
                 const transport::HttpResponder& aRespond);
   void Read(const protocol::HttpRequest& aRequest,
-            const transport::HttpResponder& aRespond) const;
+            const transport::HttpResponder& aRespond,
+            std::size_t aGate) const;
   void FollowFeed(const protocol::HttpRequest& aRequest,
-                  const transport::HttpResponder& aRespond);
+                  const transport::HttpResponder& aRespond,
+                  std::size_t aGate);
   void Apply(const RowId& aId, const Row& aRow, bool aIsRemoved);
   nlohmann::json ChangesAfter(const std::string& aTable,
+                              std::size_t aGate,
                               std::uint64_t aAfter) const;
   nlohmann::json MakeReply() const;
 
--- a/tests/fleet/WorkerStandins.cpp
+++ b/tests/fleet/WorkerStandins.cpp
@@ -1,5 +1,7 @@
 #include "WorkerStandins.h"
 
+#include "cornelrudder/transport/TransportError.h"
+
 #include <algorithm>
 #include <cstdio>
 #include <stdexcept>
@@ -18,8 +20,11 @@
 using Millis = std::chrono::milliseconds;
 
 constexpr Millis kTickInterval{ 10 };
+constexpr Millis kListenRetry{ 100 };
 /** Ticks between two registrations of a worker in the store. */
 constexpr int kTicksPerRegistration = 100;
+/** Ticks between two checks of the progress of the jobs. */
+constexpr int kTicksPerCheck = 10;
 /** Time that a run needs to stop after a stop request. */
 constexpr Millis kStopDuration{ 300 };
 /** Time after which a gang member fails if others have not started. */
@@ -28,17 +33,36 @@
 constexpr std::int64_t kAccelerators = 8;
 constexpr std::size_t kWorkersPerRack = 4;
 
-/** @return The prefix "JOB.OCCURRENCE.STEP" of a task name. */
-std::string
-StepName(const std::string& aTask)
+/** @return The part of a job's payload that belongs to a task's step. */
+json
+StepPayload(const json& aPayload, const std::string& aTask)
 {
-  return aTask.substr(0, aTask.rfind('.'));
+  const std::string step = StepName(aTask);
+  return aPayload.at("steps").at(std::stoull(step.substr(step.rfind('.') + 1)));
 }
 
+/** Nesting that a recursive parser or destructor does not survive. */
+constexpr std::size_t kNestedLevels = 20'000;
+
+/** @return The value of a row that names no worker. */
 std::string
-JobName(const std::string& aTask)
+OddRow(const std::string& aKind)
 {
-  return aTask.substr(0, aTask.find('.'));
+  const std::string common =
+    R"({"service":"presses","zone":"z1","state":"ready",)"
+    R"("room":{"cpu":32000,"mem-mb":64000,"gpu":8},)";
+  if (aKind == "nested") {
+    return common + R"("address":"127.0.0.1:9","born":1,"labels":)" +
+           std::string(kNestedLevels, '[') + std::string(kNestedLevels, ']') +
+           "}";
+  }
+  if (aKind == "number") {
+    return common + R"("address":"127.0.0.1:9","born":1e300})";
+  }
+  if (aKind == "port") {
+    return common + R"("address":"127.0.0.1:99999","born":1})";
+  }
+  throw std::runtime_error("unknown kind \"" + aKind + "\"");
 }
 
 std::uint64_t
@@ -74,10 +98,12 @@
 
 WorkerStandins::WorkerStandins(transport::IoThread& aThread,
                                StoreStandin& aStore,
-                               std::size_t aCount)
+                               std::size_t aCount,
+                               std::size_t aGates)
   : mThread(aThread)
   , mStore(aStore)
   , mWorkers(aCount)
+  , mGates(aGates)
 {
   for (std::size_t i = 0; i < aCount; ++i) {
     Worker& worker = mWorkers[i];
@@ -85,14 +111,169 @@
     worker.mRack = "r" + std::to_string(i / kWorkersPerRack);
     worker.mIncarnation = WallClockMs();
     worker.mClockStart = Clock::now();
-    worker.mServer = std::make_unique<transport::HttpServer>(
-      aThread,
-      "127.0.0.1:0",
+    worker.mLinks.resize(aGates);
+    for (std::size_t gate = 0; gate < aGates; ++gate) {
+      worker.mLinks[gate].mAddress = "127.0.0.1:0";
+      Listen(worker, gate);
+    }
+  }
+}
+
+void
+WorkerStandins::Listen(Worker& aWorker, std::size_t aGate)
+{
+  Link& link = aWorker.mLinks.at(aGate);
+  try {
+    link.mServer = std::make_unique<transport::HttpServer>(
+      mThread,
+      link.mAddress,
       transport::HttpServerLimits{},
-      [this, &worker](const HttpRequest& aRequest,
-                      const HttpResponder& aRespond) {
-        Serve(worker, aRequest, aRespond);
+      [this, &aWorker, aGate](const HttpRequest& aRequest,
+                              const HttpResponder& aRespond) {
+        Receive(aWorker, aGate, aRequest, aRespond);
       });
+    link.mAddress = link.mServer->Address();
+  } catch (const transport::TransportError& error) {
+    // Another socket uses the port for a moment.
+    std::printf("%s: %s\n", aWorker.mId.c_str(), error.what());
+    EndFaultAfter(kListenRetry, [this, &aWorker, aGate] {
+      if (!aWorker.mLinks[aGate].mServer &&
+          aWorker.mLinks[aGate].mFault != LinkFault::kReset) {
+        Listen(aWorker, aGate);
+      }
+    });
+  }
+}
+
+void
+WorkerStandins::SetLinkFault(Worker& aWorker,
+                             std::size_t aGate,
+                             LinkFault aFault)
+{
+  Link& link = aWorker.mLinks.at(aGate);
+  link.mFault = aFault;
+  ++link.mFaultNumber;
+  mEnds.ForgetUnconfirmed(aWorker.mId);
+  if (aFault == LinkFault::kReset) {
+    link.mServer.reset();
+  } else if (!link.mServer) {
+    Listen(aWorker, aGate);
+  }
+}
+
+std::vector<std::size_t>
+WorkerStandins::SelectGates(const std::string& aGates) const
+{
+  if (aGates == "owner") {
+    return { mOwnerGate };
+  }
+  std::vector<std::size_t> gates;
+  for (std::size_t i = 0; i < mGates; ++i) {
+    if (aGates == "all" || aGates == std::to_string(i)) {
+      gates.push_back(i);
+    }
+  }
+  if (gates.empty()) {
+    throw std::runtime_error("unknown gate \"" + aGates + "\"");
+  }
+  return gates;
+}
+
+std::vector<std::size_t>
+WorkerStandins::SelectWorkers(const std::string& aWorkers) const
+{
+  std::vector<std::size_t> workers;
+  for (std::size_t i = 0; i < mWorkers.size(); ++i) {
+    if (aWorkers == "all" || (aWorkers == "half" && i % 2 == 0) ||
+        aWorkers == std::to_string(i)) {
+      workers.push_back(i);
+    }
+  }
+  if (workers.empty()) {
+    throw std::runtime_error("unknown worker \"" + aWorkers + "\"");
+  }
+  return workers;
+}
+
+void
+WorkerStandins::EndFaultAfter(Millis aDuration, std::function<void()> aEnd)
+{
+  mProgress.BeginFault();
+  mThread.PostAfter(aDuration, [this, end = std::move(aEnd)] {
+    end();
+    mProgress.EndFault(Clock::now());
+  });
+}
+
+void
+WorkerStandins::FailLinks(const std::string& aGates,
+                          const std::string& aWorkers,
+                          const std::string& aFault,
+                          Millis aDuration)
+{
+  static const std::map<std::string, LinkFault> kFaults{
+    { "silent", LinkFault::kSilent },
+    { "one-way", LinkFault::kOneWay },
+    { "reset", LinkFault::kReset },
+  };
+  const auto fault = kFaults.find(aFault);
+  if (fault == kFaults.end()) {
+    throw std::runtime_error("unknown fault \"" + aFault + "\"");
+  }
+  std::vector<std::pair<std::size_t, std::size_t>> links;
+  for (const std::size_t gate : SelectGates(aGates)) {
+    for (const std::size_t worker : SelectWorkers(aWorkers)) {
+      links.emplace_back(worker, gate);
+    }
+    Trace("gate-" + std::to_string(gate),
+          (aFault + "-" + aWorkers).c_str(),
+          "-",
+          static_cast<std::uint64_t>(aDuration.count()),
+          mHighestEpoch);
+  }
+  for (const auto& it : links) {
+    Worker& worker = mWorkers[it.first];
+    const std::size_t gate = it.second;
+    SetLinkFault(worker, gate, fault->second);
+    const std::uint64_t number = worker.mLinks[gate].mFaultNumber;
+    EndFaultAfter(aDuration, [this, &worker, gate, number] {
+      if (worker.mLinks[gate].mFaultNumber == number) {
+        SetLinkFault(worker, gate, LinkFault::kNone);
+      }
+    });
+  }
+}
+
+void
+WorkerStandins::RemoveRows(const std::string& aWorkers, Millis aDuration)
+{
+  for (const std::size_t i : SelectWorkers(aWorkers)) {
+    Worker& worker = mWorkers[i];
+    worker.mIsListed = false;
+    const std::uint64_t number = ++worker.mRemovalNumber;
+    Trace(worker.mId,
+          "unlisted",
+          "-",
+          static_cast<std::uint64_t>(aDuration.count()),
+          worker.mEpoch);
+    for (std::size_t gate = 0; gate < mGates; ++gate) {
+      mStore.RemoveWorker(gate, worker.mId);
+    }
+    EndFaultAfter(aDuration, [this, &worker, number] {
+      if (worker.mRemovalNumber == number) {
+        worker.mIsListed = true;
+        Register(worker);
+      }
+    });
+  }
+}
+
+void
+WorkerStandins::WriteOddRow(const std::string& aKind)
+{
+  const std::string value = OddRow(aKind);
+  for (std::size_t gate = 0; gate < mGates; ++gate) {
+    mStore.PutWorker(gate, "odd-" + aKind, value);
   }
 }
 
@@ -152,32 +333,67 @@
 void
 WorkerStandins::Register(const Worker& aWorker)
 {
-  mStore.Put(
-    "servers",
-    aWorker.mId,
-    json{
-      { "service", "presses" },
-      { "address", aWorker.mServer->Address() },
-      { "zone", "z1" },
-      { "state", "ready" },
-      { "born", aWorker.mIncarnation },
-      { "room",
-        { { "cpu", 32'000 }, { "mem-mb", 64'000 }, { "gpu", kAccelerators } } },
-      { "labels", { "a", aWorker.mRack } },
-      { "clock-ms", ClockMs(aWorker) },
-      { "sequence", mTicks } }
-      .dump());
+  if (!aWorker.mIsListed) {
+    return;
+  }
+  for (std::size_t gate = 0; gate < mGates; ++gate) {
+    mStore.PutWorker(gate,
+                     aWorker.mId,
+                     json{ { "service", "presses" },
+                           { "address", aWorker.mLinks[gate].mAddress },
+                           { "zone", "z1" },
+                           { "state", "ready" },
+                           { "born", aWorker.mIncarnation },
+                           { "room",
+                             { { "cpu", 32'000 },
+                               { "mem-mb", 64'000 },
+                               { "gpu", kAccelerators } } },
+                           { "labels", { "a", aWorker.mRack } },
+                           { "clock-ms", ClockMs(aWorker) },
+                           { "sequence", mTicks } }
+                       .dump());
+  }
+}
+
+/** @return Whether replies of a worker reach the daemon at a gate. */
+bool
+WorkerStandins::Reaches(const Worker& aWorker, std::size_t aGate) const
+{
+  return !aWorker.mIsSilent &&
+         aWorker.mLinks.at(aGate).mFault == LinkFault::kNone;
 }
 
+/** Applies the fault of the link in both directions. */
 void
-WorkerStandins::Serve(Worker& aWorker,
-                      const HttpRequest& aRequest,
-                      const HttpResponder& aRespond)
+WorkerStandins::Receive(Worker& aWorker,
+                        std::size_t aGate,
+                        const HttpRequest& aRequest,
+                        const HttpResponder& aRespond)
 {
-  if (aWorker.mIsSilent) {
+  const LinkFault fault = aWorker.mLinks.at(aGate).mFault;
+  if (aWorker.mIsSilent || fault == LinkFault::kSilent ||
+      fault == LinkFault::kReset) {
     tools::LeaveUnanswered(mThread, aRespond);
     return;
   }
+  Serve(aWorker,
+        aGate,
+        aRequest,
+        [this, &aWorker, aGate, aRespond](const HttpResponse& aResponse) {
+          if (Reaches(aWorker, aGate)) {
+            aRespond(aResponse);
+          } else {
+            tools::LeaveUnanswered(mThread, aRespond);
+          }
+        });
+}
+
+void
+WorkerStandins::Serve(Worker& aWorker,
+                      std::size_t aGate,
+                      const HttpRequest& aRequest,
+                      const HttpResponder& aRespond)
+{
   if (aRequest.Header("x-expect-instance") != aWorker.mId) {
     aRespond(HttpResponse::Json(421, "{}"));
     return;
@@ -191,12 +407,16 @@
     return;
   }
   aWorker.mEpoch = epoch;
+  if (epoch > mHighestEpoch) {
+    mHighestEpoch = epoch;
+    mOwnerGate = aGate;
+  }
   if (aRequest.Path() == "/v1/run-start") {
     StartRun(aWorker, body, aRespond);
   } else if (aRequest.Path() == "/v1/run-stop") {
     StopRun(aWorker, body, aRespond);
   } else {
-    RenewLease(aWorker, body, aRespond);
+    RenewLease(aWorker, aGate, body, aRespond);
   }
 }
 
@@ -225,6 +445,10 @@
   if (mDoneTasks.contains(aTask)) {
     mViolations.push_back(aTask + " was started after its end was recorded");
   }
+  if (mEnds.WasTold(aTask, aWorker.mEpoch)) {
+    mViolations.push_back(aTask +
+                          " was started after its owner was told of its end");
+  }
 }
 
 void
@@ -252,7 +476,9 @@
     return;
   }
   RecordStartViolations(aWorker, task);
-  const json payload = json::parse(aBody.at("spec").get<std::string>());
+  mLastStarts[task] = Clock::now();
+  const json payload =
+    StepPayload(json::parse(aBody.at("spec").get<std::string>()), task);
   aWorker.mRuns.push_back({ task,
                             run,
                             Millis(payload.at("run_ms").get<std::int64_t>()),
@@ -293,14 +519,19 @@
 
 void
 WorkerStandins::RenewLease(Worker& aWorker,
+                           std::size_t aGate,
                            const json& aBody,
                            const HttpResponder& aRespond)
 {
   ExtendLease(aWorker, aBody);
+  mEnds.RecordRenewal(aWorker.mId, aWorker.mEpoch, Clock::now());
   AcknowledgeResults(aWorker, aBody.value("acked-upto", std::uint64_t{ 0 }));
   const Millis wait(aBody.value("wait-ms", std::int64_t{ 0 }));
-  mPendingRenewals[&aWorker].push_back(
-    { aWorker.mLastResultNumber, Clock::now() + wait, aRespond });
+  mPendingRenewals[&aWorker].push_back({ aGate,
+                                         aWorker.mEpoch,
+                                         aWorker.mLastResultNumber,
+                                         Clock::now() + wait,
+                                         aRespond });
   RespondToRenewals(aWorker, !aWorker.mResults.empty());
 }
 
@@ -315,6 +546,11 @@
     if (result.mNumber <= aUpTo && result.mOutcome == "done" &&
         !result.mHasLapsed) {
       mDoneTasks.insert(result.mTask);
+      const auto start = mLastStarts.find(result.mTask);
+      if (start != mLastStarts.end() && start->second > result.mEndedAt) {
+        mViolations.push_back(result.mTask +
+                              " was started after an end recorded later");
+      }
     }
   }
   aWorker.mResults.remove_if(
@@ -355,13 +591,46 @@
       ++it;
       continue;
     }
-    if (!aWorker.mIsSilent) {
-      it->mRespond(HttpResponse::Json(200, Report(aWorker).dump()));
+    if (Reaches(aWorker, it->mGate)) {
+      RecordListedEnds(aWorker, it->mEpoch);
     }
+    it->mRespond(HttpResponse::Json(200, Report(aWorker).dump()));
     it = renewals.erase(it);
   }
 }
 
+void
+WorkerStandins::RecordListedEnds(const Worker& aWorker, std::uint64_t aEpoch)
+{
+  for (const RunResult& result : aWorker.mResults) {
+    if (result.mOutcome == "done") {
+      mProgress.RecordDone(result.mTask);
+      mEnds.RecordListed(aWorker.mId, result.mTask, aEpoch, Clock::now());
+    }
+  }
+}
+
+FleetView
+WorkerStandins::View() const
+{
+  FleetView view;
+  for (const Worker& worker : mWorkers) {
+    std::int64_t free = kAccelerators;
+    for (const Run& run : worker.mRuns) {
+      free -= run.mAccelerators;
+      view.mRunningJobs.insert(JobName(run.mTask));
+    }
+    for (const RunResult& result : worker.mResults) {
+      if (result.mOutcome == "done") {
+        view.mListedTasks.insert(result.mTask);
+      }
+    }
+    view.mFreeAccelerators.push_back(free);
+    view.mAccelerators += kAccelerators;
+  }
+  return view;
+}
+
 void
 WorkerStandins::Tick()
 {
@@ -376,6 +645,12 @@
     RespondToRenewals(worker, false);
   }
   mStore.Tick();
+  if (mTicks % kTicksPerCheck == 0) {
+    for (std::string& it : mProgress.Check(Clock::now(), View())) {
+      Trace("check", "stuck", it, 0, mHighestEpoch);
+      mViolations.push_back(std::move(it));
+    }
+  }
   mThread.PostAfter(kTickInterval, [this] { Tick(); });
 }
 
@@ -432,7 +707,8 @@
   aWorker.mResults.push_back({ ++aWorker.mLastResultNumber,
                                aRun->mTask,
                                aRun->mRun,
-                               std::move(aOutcome) });
+                               std::move(aOutcome),
+                               Clock::now() });
   aWorker.mRuns.erase(aRun);
 }
 
--- a/tests/fleet/WorkerStandins.h
+++ b/tests/fleet/WorkerStandins.h
@@ -1,11 +1,13 @@
 #ifndef CORNELRUDDER_TESTS_FLEET_WORKER_STANDINS_H
 #define CORNELRUDDER_TESTS_FLEET_WORKER_STANDINS_H
 
+#include "ProgressChecker.h"
 #include "StoreStandin.h"
 #include "cornelrudder/transport/HttpServer.h"
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -19,11 +21,14 @@
 namespace cornelrudder::tests {
 
 /**
- * Stand-ins for the workers of a fleet, each with its own address. They run
- * tasks under leases and fencing tokens and record each violation: two
- * concurrent runs of a task, a start after completion was acknowledged, or more
- * accelerators in use than a worker has. The payload of a task sets its run
- * time, accelerators and gang size: {"run_ms":700,"accelerators":4,"gang":3}.
+ * Stand-ins for the workers of a fleet. Each worker has one address for each
+ * gate, which is the store listener of one daemon, so that the link between one
+ * daemon and one worker can fail. The workers run tasks under leases and
+ * fencing tokens and record each violation: two concurrent runs of a task, a
+ * start after completion was acknowledged or told to the same owner, more
+ * accelerators in use than a worker has, or a job without progress. The payload
+ * of a job sets run time, accelerators and gang size for each step:
+ * {"steps":[{"run_ms":700,"accelerators":4,"gang":3}]}.
  */
 class WorkerStandins
 {
@@ -33,7 +38,8 @@
 
   WorkerStandins(transport::IoThread& aThread,
                  StoreStandin& aStore,
-                 std::size_t aCount);
+                 std::size_t aCount,
+                 std::size_t aGates);
 
   /** Registers the workers and starts the periodic tick. */
   void Start();
@@ -46,10 +52,58 @@
    */
   void ApplyAction(std::size_t aWorker, const std::string& aAction);
 
+  /**
+   * Makes links fail for some time while the workers go on.
+   * @param aGates Number of a gate, "all", or "owner": the gate of the daemon
+   *   that sent the highest epoch.
+   * @param aWorkers Number of a worker, "all" or "half".
+   * @param aFault "silent" (nothing passes), "one-way" (requests pass, replies
+   *   do not) or "reset" (connections are refused).
+   * @throws std::runtime_error if an argument is not one of these.
+   */
+  void FailLinks(const std::string& aGates,
+                 const std::string& aWorkers,
+                 const std::string& aFault,
+                 Millis aDuration);
+
+  /**
+   * Removes the rows of workers that go on running, for some time.
+   * @param aWorkers As in FailLinks.
+   */
+  void RemoveRows(const std::string& aWorkers, Millis aDuration);
+
+  /**
+   * Writes a row among those of the workers that stays and names no worker.
+   * @param aKind "nested", "number" (too large) or "port" (out of range).
+   * @throws std::runtime_error for any other kind.
+   */
+  void WriteOddRow(const std::string& aKind);
+
+  ProgressChecker& Progress() { return mProgress; }
+
   /** @return {"violations":[...],"started":[jobs]}. */
   nlohmann::json Journal() const;
 
 private:
+  enum class LinkFault
+  {
+    kNone,
+    kSilent,
+    kOneWay,
+    kReset
+  };
+
+  /** The way from the daemon at one gate to one worker. */
+  struct Link
+  {
+    std::string mAddress;
+    /** Null while connections are refused. */
+    std::unique_ptr<transport::HttpServer> mServer;
+    LinkFault mFault = LinkFault::kNone;
+    /** Counts the faults, so that an earlier one does not end a later one. */
+    std::uint64_t mFaultNumber = 0;
+  };
+
   struct Run
   {
     std::string mTask;
@@ -70,12 +124,15 @@
     std::string mTask;
     std::uint64_t mRun;
     std::string mOutcome;
+    Clock::time_point mEndedAt;
     bool mHasLapsed = false;
   };
 
   /** A lease renewal that waits for a run to finish or for its deadline. */
   struct PendingRenewal
   {
+    std::size_t mGate;
+    std::uint64_t mEpoch;
     std::uint64_t mKnownResultNumber;
     Clock::time_point mDeadline;
     transport::HttpResponder mRespond;
@@ -85,8 +142,11 @@
   {
     std::string mId;
     std::string mRack;
-    std::unique_ptr<transport::HttpServer> mServer;
+    /** By gate. */
+    std::vector<Link> mLinks;
     bool mIsSilent = false;
+    bool mIsListed = true;
+    std::uint64_t mRemovalNumber = 0;
     std::uint64_t mIncarnation = 0;
     Clock::time_point mClockStart;
     std::uint64_t mEpoch = 0;
@@ -98,7 +158,18 @@
     std::map<std::string, std::uint64_t> mHighestEndedRuns;
   };
 
+  void Listen(Worker& aWorker, std::size_t aGate);
+  void SetLinkFault(Worker& aWorker, std::size_t aGate, LinkFault aFault);
+  std::vector<std::size_t> SelectGates(const std::string& aGates) const;
+  std::vector<std::size_t> SelectWorkers(const std::string& aWorkers) const;
+  void EndFaultAfter(Millis aDuration, std::function<void()> aEnd);
+  bool Reaches(const Worker& aWorker, std::size_t aGate) const;
+  void Receive(Worker& aWorker,
+               std::size_t aGate,
+               const protocol::HttpRequest& aRequest,
+               const transport::HttpResponder& aRespond);
   void Serve(Worker& aWorker,
+             std::size_t aGate,
              const protocol::HttpRequest& aRequest,
              const transport::HttpResponder& aRespond);
   void StartRun(Worker& aWorker,
@@ -109,11 +180,14 @@
                const nlohmann::json& aBody,
                const transport::HttpResponder& aRespond);
   void RenewLease(Worker& aWorker,
+                  std::size_t aGate,
                   const nlohmann::json& aBody,
                   const transport::HttpResponder& aRespond);
   void AcknowledgeResults(Worker& aWorker, std::uint64_t aUpTo);
   void ExtendLease(Worker& aWorker, const nlohmann::json& aBody);
   nlohmann::json Report(const Worker& aWorker) const;
+  void RecordListedEnds(const Worker& aWorker, std::uint64_t aEpoch);
+  FleetView View() const;
   nlohmann::json ClockMs(const Worker& aWorker) const;
   void Register(const Worker& aWorker);
   void Tick();
@@ -134,6 +208,13 @@
   std::set<std::string> mStartedJobs;
   /** Tasks whose completion was acknowledged before the lease expired. */
   std::set<std::string> mDoneTasks;
+  std::map<std::string, Clock::time_point> mLastStarts;
+  ProgressChecker mProgress;
+  EndChecker mEnds;
+  std::size_t mGates;
+  /** Gate of the highest epoch and that epoch. */
+  std::size_t mOwnerGate = 0;
+  std::uint64_t mHighestEpoch = 0;
   std::vector<std::string> mViolations;
   int mTicks = 0;
 };
--- a/tests/fleet/fleet_caller.cpp
+++ b/tests/fleet/fleet_caller.cpp
@@ -2,7 +2,7 @@
  * @file
  * Submits seeded jobs to the daemons, polls them until they finish and checks
  * the promises made to callers. Usage:
- * fleet_caller --daemons A,B,... --standin ADDRESS --seed N --jobs N
+ * fleet_caller --daemons A,B,... --standin CONTROL_ADDRESS --seed N --jobs N
  */
 
 #include "cornelrudder/transport/HttpClient.h"
@@ -16,6 +16,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <getopt.h>
@@ -54,7 +55,8 @@
   kRefused,
   kUnknown,
   kDone,
-  kNotDone
+  kNotDone,
+  kShownAsEnded
 };
 
 /** Sends requests and waits for each response. */
@@ -94,14 +96,15 @@
       return mOptions.mDaemons[random() % mOptions.mDaemons.size()];
     };
     const std::string path = "/q" + std::to_string(random() % 3) + "/" + aId;
-    const std::string body = MakeBody(random);
+    const json body = MakeBody(random);
+    const std::string text = body.dump();
     bool mayBeStored = false;
     bool isAccepted = false;
     for (int i = 0; !isAccepted && (i < kSubmitAttempts || mayBeStored); ++i) {
       if (i == kMaxUncertainAttempts) {
         return Outcome::kUnknown;
       }
-      const HttpResult result = Send(anyDaemon(), "POST", path, body);
+      const HttpResult result = Send(anyDaemon(), "POST", path, text);
       const int status = result.Response().Status();
       isAccepted = result.Failure() == HttpFailure::kNone && status == 200;
       const bool isRefused = result.Failure() == HttpFailure::kNotSent ||
@@ -114,12 +117,14 @@
     if (!isAccepted) {
       return Outcome::kRefused;
     }
+    Report("/jobs/accepted", { { "id", aId }, { "steps", body.at("steps") } });
     const auto deadline = std::chrono::steady_clock::now() + kCompletionTimeout;
     while (std::chrono::steady_clock::now() < deadline) {
       const HttpResult result = Send(anyDaemon(), "GET", path, "");
-      if (result.Failure() == HttpFailure::kNone &&
-          result.Response().Body().find("\"done\"") != std::string::npos) {
-        return Outcome::kDone;
+      const Outcome outcome = OutcomeOf(result);
+      if (outcome != Outcome::kNotDone) {
+        Report("/jobs/ended", { { "id", aId } });
+        return outcome;
       }
       std::this_thread::sleep_for(200ms);
     }
@@ -127,7 +132,56 @@
   }
 
 private:
-  static std::string MakeBody(std::mt19937_64& aRandom)
+  /** @return kNotDone unless the response shows an end. */
+  static Outcome OutcomeOf(const HttpResult& aResult)
+  {
+    if (aResult.Failure() != HttpFailure::kNone ||
+        aResult.Response().Status() != 200) {
+      return Outcome::kNotDone;
+    }
+    const std::string& text = aResult.Response().Body();
+    const auto shows = [&text](const char* aState) {
+      return text.find(aState) != std::string::npos;
+    };
+    if (shows("\"failed\"") || shows("\"cancelled\"")) {
+      return Outcome::kShownAsEnded;
+    }
+    return shows("\"done\"") ? Outcome::kDone : Outcome::kNotDone;
+  }
+
+  /** Tells the stand-in what a caller has seen of a job. */
+  void Report(const std::string& aPath, const json& aBody)
+  {
+    const HttpResult result =
+      Send(mOptions.mStandin, "POST", aPath, aBody.dump());
+    if (result.Failure() != HttpFailure::kNone ||
+        result.Response().Status() != 200) {
+      std::printf("the stand-in did not take %s %s\n",
+                  aPath.c_str(),
+                  aBody.at("id").dump().c_str());
+    }
+  }
+
+  /** @return A job of one to three steps, one after the other. */
+  static json MakeBody(std::mt19937_64& aRandom)
+  {
+    json payloads = json::array();
+    json steps = json::array();
+    const std::size_t count = 1 + aRandom() % 3;
+    for (std::size_t i = 0; i < count; ++i) {
+      auto [payload, step] = MakeStep(aRandom);
+      if (i > 0) {
+        step["after"] = { i - 1 };
+      }
+      payloads.push_back(std::move(payload));
+      steps.push_back(std::move(step));
+    }
+    return { { "spec", json{ { "steps", std::move(payloads) } }.dump() },
+             { "steps", std::move(steps) } };
+  }
+
+  /** @return The payload and the request of a step. */
+  static std::pair<json, json> MakeStep(std::mt19937_64& aRandom)
   {
     const std::int64_t accelerators = 1LL << (aRandom() % 4);
     const std::size_t tasks = 1 + aRandom() % 4;
@@ -143,7 +197,7 @@
       payload["gang"] = tasks;
       step["gang"] = true;
     }
-    return json{ { "spec", payload.dump() }, { "steps", { step } } }.dump();
+    return { std::move(payload), std::move(step) };
   }
 
   transport::HttpClient& mClient;
@@ -233,6 +287,10 @@
     if (aOutcomes[i] == Outcome::kNotDone) {
       violations.push_back(id + " was accepted but did not finish in time");
     }
+    // No task fails by itself and no caller cancels a job.
+    if (aOutcomes[i] == Outcome::kShownAsEnded) {
+      violations.push_back(id + " was shown as failed or cancelled");
+    }
   }
   for (const std::string& it : violations) {
     std::printf("BROKEN: %s\n", it.c_str());
--- a/tests/fleet/fleet_standin.cpp
+++ b/tests/fleet/fleet_standin.cpp
@@ -1,15 +1,32 @@
 /**
  * @file
  * Stand-in for the users' platform: the store, a fleet of workers and the
- * operator's settings. On start it prints "listening on ADDRESS". That
- * address serves the store and the control requests: `PUT /faults` (see
- * FaultSwitches), `POST /history/drop`, `POST /workers/N/ACTION` (silence,
- * answer, restart) and `GET /journal`.
+ * operator's settings. On start it prints "control on ADDRESS", for each daemon
+ * "gate N on ADDRESS", and "listening on ADDRESS". The gates serve the store,
+ * each with its own addresses of the workers; faults of the store
+ * (`PUT /faults`, see FaultSwitches, on any address) do not affect the control
+ * requests:
+ * - `POST /history/drop`
+ * - `POST /workers/N/ACTION`: silence, answer, restart
+ * - `POST /links/GATES/WORKERS/FAULT/MS` (see WorkerStandins::FailLinks)
+ * - `POST /rows/WORKERS/MS` (see WorkerStandins::RemoveRows)
+ * - `POST /odd/KIND` (see WorkerStandins::WriteOddRow)
+ * - `POST /faults/begin`, `POST /faults/end`: a fault from outside
+ * - `POST /jobs/accepted` with id and steps, `POST /jobs/ended` with id
+ * - `GET /journal`
  */
 
 #include "WorkerStandins.h"
 
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
 #include <memory>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -23,6 +40,7 @@
 namespace {
 
 constexpr std::size_t kWorkers = 12;
+constexpr std::size_t kGates = 4;
 
 json
 MakeQueue(int aPriority, double aSlack)
@@ -56,37 +74,156 @@
   }.dump();
 }
 
-/** Handles the control requests of the test script. */
+std::vector<std::string>
+SplitPath(std::string_view aPath)
+{
+  std::vector<std::string> parts;
+  std::istringstream text{ std::string(aPath.substr(1)) };
+  for (std::string part; std::getline(text, part, '/');) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
 void
-HandleControl(const HttpRequest& aRequest,
-              const HttpResponder& aRespond,
-              StoreStandin& aStore,
-              WorkerStandins& aWorkers)
+AddJob(ProgressChecker& aProgress, const json& aJob)
 {
-  const std::string path(aRequest.Path());
-  if (path == "/journal") {
-    aRespond(HttpResponse::Json(200, aWorkers.Journal().dump()));
-    return;
+  std::vector<ProgressChecker::Step> steps;
+  for (const json& it : aJob.at("steps")) {
+    steps.push_back({ it.at("count").get<std::size_t>(),
+                      it.at("gpu").get<std::int64_t>(),
+                      it.value("gang", false),
+                      it.value("after", std::vector<std::size_t>()) });
+  }
+  aProgress.AddJob(aJob.at("id").get<std::string>(), std::move(steps));
+}
+
+/** Serves the control requests of the test script and of the caller. */
+class Control
+{
+public:
+  Control(StoreStandin& aStore, WorkerStandins& aWorkers)
+    : mStore(aStore)
+    , mWorkers(aWorkers)
+  {
+  }
+
+  void Serve(const HttpRequest& aRequest, const HttpResponder& aRespond)
+  {
+    const std::vector<std::string> parts = SplitPath(aRequest.Path());
+    const auto it = std::find_if(
+      kRoutes.begin(), kRoutes.end(), [&parts](const Route& aRoute) {
+        return !parts.empty() && aRoute.mName == parts[0] &&
+               aRoute.mParts == parts.size();
+      });
+    if (it == kRoutes.end()) {
+      aRespond(HttpResponse::Json(404, "{}"));
+      return;
+    }
+    try {
+      aRespond(HttpResponse::Json(
+        200, (this->*it->mHandle)(parts, aRequest.Body()).dump()));
+    } catch (const std::exception& error) {
+      aRespond(HttpResponse::Json(400, error.what()));
+    }
+  }
+
+private:
+  using Parts = std::vector<std::string>;
+
+  struct Route
+  {
+    std::string_view mName;
+    std::size_t mParts;
+    json (Control::*mHandle)(const Parts&, const std::string&);
+  };
+
+  json GetJournal(const Parts&, const std::string&)
+  {
+    return mWorkers.Journal();
+  }
+
+  json DropHistory(const Parts&, const std::string&)
+  {
+    mStore.DropHistory();
+    return json::object();
   }
-  if (path == "/history/drop") {
-    aStore.DropHistory();
-    aRespond(HttpResponse::Json(200, "{}"));
-    return;
+
+  json ApplyAction(const Parts& aParts, const std::string&)
+  {
+    mWorkers.ApplyAction(std::stoull(aParts[1]), aParts[2]);
+    return json::object();
   }
-  constexpr std::string_view kPrefix = "/workers/";
-  if (!path.starts_with(kPrefix)) {
-    aRespond(HttpResponse::Json(404, "{}"));
-    return;
+
+  json FailLinks(const Parts& aParts, const std::string&)
+  {
+    mWorkers.FailLinks(aParts[1],
+                       aParts[2],
+                       aParts[3],
+                       std::chrono::milliseconds(std::stoll(aParts[4])));
+    return json::object();
   }
-  const std::string rest = path.substr(kPrefix.size());
-  const auto slash = rest.find('/');
-  try {
-    aWorkers.ApplyAction(std::stoull(rest.substr(0, slash)),
-                         rest.substr(slash + 1));
-    aRespond(HttpResponse::Json(200, "{}"));
-  } catch (const std::exception& error) {
-    aRespond(HttpResponse::Json(400, error.what()));
+
+  json RemoveRows(const Parts& aParts, const std::string&)
+  {
+    mWorkers.RemoveRows(aParts[1],
+                        std::chrono::milliseconds(std::stoll(aParts[2])));
+    return json::object();
+  }
+
+  json WriteOddRow(const Parts& aParts, const std::string&)
+  {
+    mWorkers.WriteOddRow(aParts[1]);
+    return json::object();
+  }
+
+  json MarkFault(const Parts& aParts, const std::string&)
+  {
+    if (aParts[1] == "begin") {
+      mWorkers.Progress().BeginFault();
+    } else {
+      mWorkers.Progress().EndFault(std::chrono::steady_clock::now());
+    }
+    return json::object();
+  }
+
+  json RecordJob(const Parts& aParts, const std::string& aBody)
+  {
+    const json job = json::parse(aBody);
+    if (aParts[1] == "accepted") {
+      AddJob(mWorkers.Progress(), job);
+    } else {
+      mWorkers.Progress().RemoveJob(job.at("id").get<std::string>());
+    }
+    return json::object();
   }
+
+  static const std::array<Route, 8> kRoutes;
+
+  StoreStandin& mStore;
+  WorkerStandins& mWorkers;
+};
+
+const std::array<Control::Route, 8> Control::kRoutes{ {
+  { "journal", 1, &Control::GetJournal },
+  { "history", 2, &Control::DropHistory },
+  { "workers", 3, &Control::ApplyAction },
+  { "links", 5, &Control::FailLinks },
+  { "rows", 3, &Control::RemoveRows },
+  { "odd", 2, &Control::WriteOddRow },
+  { "faults", 2, &Control::MarkFault },
+  { "jobs", 2, &Control::RecordJob },
+} };
+
+/** @return A copy of the request that names the gate at which it arrived. */
+HttpRequest
+AtGate(const HttpRequest& aRequest, std::size_t aGate)
+{
+  auto headers = aRequest.Headers();
+  headers["x-gate"] = std::to_string(aGate);
+  return {
+    aRequest.Method(), aRequest.Target(), std::move(headers), aRequest.Body()
+  };
 }
 
 } // namespace
@@ -96,16 +233,39 @@
 {
   tools::StandinServer server;
   StoreStandin store(server);
-  WorkerStandins workers(server.Thread(), store, kWorkers);
+  WorkerStandins workers(server.Thread(), store, kWorkers, kGates);
+  Control control(store, workers);
   store.Put("op", "config", MakeSettings());
   workers.Start();
+  const transport::HttpServer controlServer(
+    server.Thread(),
+    "127.0.0.1:0",
+    {},
+    [&control](const HttpRequest& aRequest, const HttpResponder& aRespond) {
+      control.Serve(aRequest, aRespond);
+    });
+  std::printf("control on %s\n", controlServer.Address().c_str());
+  std::vector<std::unique_ptr<transport::HttpServer>> gates;
+  for (std::size_t gate = 0; gate < kGates; ++gate) {
+    gates.push_back(std::make_unique<transport::HttpServer>(
+      server.Thread(),
+      "127.0.0.1:0",
+      transport::HttpServerLimits{},
+      [&server, gate](const HttpRequest& aRequest,
+                      const HttpResponder& aRespond) {
+        server.Serve(AtGate(aRequest, gate), aRespond);
+      }));
+    std::printf("gate %zu on %s\n", gate, gates.back()->Address().c_str());
+  }
   return server.Run(
     aCount,
     aArguments,
     [&](const HttpRequest& aRequest, const HttpResponder& aRespond) {
       try {
-        if (!store.Handle(aRequest, aRespond)) {
-          HandleControl(aRequest, aRespond, store, workers);
+        const std::string_view gate = aRequest.Header("x-gate");
+        if (gate.empty() ||
+            !store.Handle(aRequest, aRespond, std::stoull(std::string(gate)))) {
+          aRespond(HttpResponse::Json(404, "{}"));
         }
       } catch (const std::exception& error) {
         aRespond(HttpResponse::Json(400, error.what()));
--- a/tools/StandinServer.h
+++ b/tools/StandinServer.h
@@ -32,14 +32,19 @@
    */
   int Run(int aCount, char** aArguments, Handler aHandler);
 
+  /**
+   * Handles a request that arrived at another listener of the stand-in; for
+   * use on the I/O thread only.
+   */
+  void Serve(const protocol::HttpRequest& aRequest,
+             const transport::HttpResponder& aRespond);
+
   /** @return The current switches; for use on the I/O thread only. */
   FaultSwitches& Faults() { return mFaults; }
 
   transport::IoThread& Thread() { return mThread; }
 
 private:
-  void Serve(const protocol::HttpRequest& aRequest,
-             const transport::HttpResponder& aRespond);
   void SetFaults(const protocol::HttpRequest& aRequest,
                  const transport::HttpResponder& aRespond);
 
