--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -49,19 +49,23 @@
   esac
 }
 
-# Starts a program; its log is $work/NAME.log.
+# Starts a program; its log is $work/NAME.log, which exists from then on.
 start() {
   local name=$1
   shift
+  touch "$work/$name.log"
   "$@" >>"$work/$name.log" 2>&1 &
   pid_of[$name]=$!
 }
 
 # Waits for a line in a program's log and stores the address found in it.
+# Usage: await_address NAME PATTERN [LOG]
 await_address() {
-  local name=$1 pattern=$2 address
+  local name=$1 pattern=$2 log=${3:-$1} address
   for _ in $(seq 1200); do
-    address=$(sed -n "s/$pattern/\1/p" "$work/$name.log" 2>/dev/null | tail -n 1)
+    # The log may not exist yet; with pipefail, sed would end the script.
+    address=$(sed -n "s/$pattern/\1/p" "$work/$log.log" 2>/dev/null |
+      tail -n 1) || true
     if [ -n "$address" ]; then
       address_of_name[$name]=$address
       return
