Reserve no workers for a unit that they can never hold

A gang that needs more places than the fleet has reserved every worker that could host a member, until its result had lost its value. Less urgent work waited meanwhile, in an idle fleet: the test failed with "expected <2> but was <0>" (the job is still queued). A reservation now requires that the unit would fit if the workers were empty.

--- a/src/state/scheduling/Packing.cpp
+++ b/src/state/scheduling/Packing.cpp
@@ -42,6 +42,20 @@
  */
 constexpr double kFailurePenalty = 100.0;
 
+/** @return Number of tasks of a unit that an empty worker could run. */
+std::size_t
+CountPlaces(const WaitingUnit& aUnit, const WorkerView& aWorker)
+{
+  Resources capacity = aWorker.mCapacity;
+  std::size_t n = 0;
+  while (n < aUnit.mTasks && !IsAtLimit(aUnit, n) &&
+         aUnit.mStep.Demand().FitsIn(capacity)) {
+    capacity = capacity.Minus(aUnit.mStep.Demand());
+    ++n;
+  }
+  return n;
+}
+
 } // namespace
 
 double
@@ -69,13 +83,18 @@
   const CapacitySnapshot free = aCapacity.Free();
   const std::string& rack = aUnit.mStep.AffinityRack();
   WorkerList hosts;
+  std::size_t places = 0;
   for (const std::size_t i : aCapacity.Workers()) {
     const WorkerView& worker = aCapacity.View().mWorkers[i];
     const bool isOnRack = rack.empty() || rack == worker.mRack;
     if (isOnRack && CanHost(aUnit, worker, 0) && mPriorities[i] == kNone) {
       hosts.push_back(i);
+      places += CountPlaces(aUnit, worker);
     }
   }
+  if (places < aUnit.mTasks) {
+    return;
+  }
   std::sort(hosts.begin(), hosts.end(), [&free](auto aOne, auto aTwo) {
     return std::make_pair(-free.Of(aOne).Accelerators(), aOne) <
            std::make_pair(-free.Of(aTwo).Accelerators(), aTwo);
--- a/src/state/scheduling/Packing.h
+++ b/src/state/scheduling/Packing.h
@@ -43,8 +43,9 @@
 
   /**
    * Reserves the workers with the most free accelerators for a unit. Does
-   * nothing if the unit is small or its result has lost its value, or if the
-   * limit of reservations is reached.
+   * nothing if the unit is small or its result has lost its value, if it would
+   * not fit even into empty workers, or if the limit of reservations is
+   * reached.
    */
   void Add(const WaitingUnit& aUnit, const CapacityTracker& aCapacity);
 
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -467,6 +467,20 @@
   CHECK(model.RejectedStarts() <= 50);
 }
 
+// Guards against reserving the whole fleet for a gang that it can never hold.
+TEST(Scheduler, OversizedGangReservesNoWorkers)
+{
+  FleetModelOptions options{ 4, 2 };
+  options.mCheckWorkConservation = true;
+  FleetModel model(options);
+  model.Submit(MakeJob("oversized", Step(5, 8, true), 0), milliseconds(1'000));
+  model.Run(milliseconds(7'000));
+  model.Submit(MakeJob("b", Step(1, 2), 2), milliseconds(500));
+  model.Run(milliseconds(2'000));
+  CheckPhase(model, "b", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
 // Guards against parallel runs of a task, lost tasks and overloaded workers
 // when replies are lost or commands late, workers are unreachable or crash, the
 // store fails, and the owner changes.
