Limit the time that a task avoids the worker of its last failure

A task avoided the worker on which its last run failed, or from which it was moved, for as long as it waited. If no other worker can run it, it waited for ever: the test failed with "expected <2> but was <1>" (the job still runs). After 1.5 s without a place on another worker, the task may return.

The fleet model gives each incarnation its own number; two restarts could produce the same one twice, which the owner cannot detect.

--- a/include/cornelrudder/state/scheduling/Planning.h
+++ b/include/cornelrudder/state/scheduling/Planning.h
@@ -90,6 +90,8 @@
   bool mGuaranteed = false;
   /** Time since the job was submitted. */
   std::chrono::milliseconds mAge{ 0 };
+  /** Time since a planning pass first found no place for the unit. */
+  std::chrono::milliseconds mWaitingTime{ 0 };
   /**
    * Time left until the unit must start to meet its objective; may be negative.
    */
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -76,6 +76,14 @@
     std::vector<std::vector<TaskKey>> mWaiting;
   };
 
+  /** Why and since when a unit waits. */
+  struct WaitState
+  {
+    /** Last reason; kept to log only changes. */
+    PlanReason mReason;
+    Millis mSince;
+  };
+
   /** Progress of the runs of one step. */
   struct StepProgress
   {
@@ -245,10 +253,8 @@
    * Workers on which runs were preempted for a waiting unit, by its first task.
    */
   std::map<TaskKey, std::vector<std::string>> mNominations;
-  /**
-   * Last reason why a unit waits, by its first task; kept to log only changes.
-   */
-  std::map<TaskKey, PlanReason> mWaitReasons;
+  /** Units that wait, by their first task. */
+  std::map<TaskKey, WaitState> mWaits;
   Millis mNextProgressCheck{ 0 };
   /** Stops for runs that workers report but that are no longer assigned. */
   std::vector<StopCommand> mOrphanStops;
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -120,7 +120,7 @@
                             !mWriting.contains(aJob);
   if (isTerminated) {
     for (std::size_t i = 0; i < job->mTasks.size(); ++i) {
-      mWaitReasons.erase({ aJob, i });
+      mWaits.erase({ aJob, i });
       mNominations.erase({ aJob, i });
     }
     mJobs.erase(aJob);
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -12,6 +12,11 @@
  * preemption stays reserved for that unit.
  */
 constexpr Millis kMaxNominationAge{ 5'000 };
+/**
+ * Time that a unit waits for capacity on other workers than those on which its
+ * last runs failed; there may be no other worker that can run it.
+ */
+constexpr Millis kMaxAvoidanceTime{ 1'500 };
 /** A late result still has value up to this multiple of the objective. */
 constexpr int kExpiryObjectives = 3;
 
@@ -236,6 +241,9 @@
   unit.mPriority = settings.mPriority;
   unit.mGuaranteed = mGuaranteed.contains(aJob.mJob.Id());
   unit.mAge = aNow - aJob.mSubmittedAt;
+  if (const auto it = mWaits.find(aTasks.front()); it != mWaits.end()) {
+    unit.mWaitingTime = aNow - it->second.mSince;
+  }
   unit.mSlack = objective - unit.mAge - expected;
   unit.mExpirySlack = objective * kExpiryObjectives - unit.mAge - expected;
   unit.mExpectedRunTime = expected;
@@ -263,8 +271,10 @@
       }
     }
   }
-  for (const TaskKey& key : aTasks) {
-    addPosition(aJob.mTasks[key.second].mAvoidedWorker, unit.mAvoidedWorkers);
+  if (unit.mWaitingTime < kMaxAvoidanceTime) {
+    for (const TaskKey& key : aTasks) {
+      addPosition(aJob.mTasks[key.second].mAvoidedWorker, unit.mAvoidedWorkers);
+    }
   }
   return unit;
 }
@@ -307,7 +317,7 @@
     job.mStarted = true;
     UpdatePhase(job, aNow);
     MarkChanged(job);
-    mWaitReasons.erase(tasks.front());
+    mWaits.erase(tasks.front());
     mNominations.erase(tasks.front());
     fields.emplace_back("run", std::to_string(run + 1));
     fields.emplace_back("workers", workers);
@@ -335,10 +345,10 @@
     }
   }
   const auto [it, isNew] =
-    mWaitReasons.emplace(tasks.front(), aDecision.mReason);
+    mWaits.emplace(tasks.front(), WaitState{ aDecision.mReason, aNow });
   // Logs the first task of a step, and any task whose reason changes.
-  if ((isNew && id.Index() == 0) || it->second != aDecision.mReason) {
-    it->second = aDecision.mReason;
+  if ((isNew && id.Index() == 0) || it->second.mReason != aDecision.mReason) {
+    it->second.mReason = aDecision.mReason;
     RecordEvent(SchedulerEvent::Kind::kWaits, std::move(fields));
   }
 }
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -51,6 +51,8 @@
 FleetModel::FleetModel(FleetModelOptions aOptions)
   : mOptions(std::move(aOptions))
   , mRandom(mOptions.mSeed)
+  , mHighestIncarnation(kFirstIncarnation)
+  , mLowestIncarnation(kFirstIncarnation)
 {
   for (std::size_t i = 0; i < mOptions.mWorkers; ++i) {
     ModelWorker worker;
@@ -200,15 +202,13 @@
 void
 FleetModel::RestartUnannounced(std::size_t aWorker)
 {
-  ModelWorker& worker = mWorkers[aWorker];
-  RestartWorker(worker, worker.mInfo.mIncarnation + 1);
+  RestartWorker(mWorkers[aWorker], ++mHighestIncarnation);
 }
 
 void
 FleetModel::RestartWithLowerIncarnation(std::size_t aWorker)
 {
-  ModelWorker& worker = mWorkers[aWorker];
-  RestartWorker(worker, worker.mInfo.mIncarnation - 1);
+  RestartWorker(mWorkers[aWorker], --mLowestIncarnation);
 }
 
 void
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -240,6 +240,9 @@
   scheduling::Catalog mCatalog;
   std::optional<scheduling::Scheduler> mOwner;
   std::uint64_t mEpoch = 0;
+  /** No two incarnations have the same number. */
+  std::uint64_t mHighestIncarnation;
+  std::uint64_t mLowestIncarnation;
   bool mWriting = false;
   bool mStoreUp = true;
   int mStartsToDelay = 0;
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -481,6 +481,20 @@
   CheckNoViolation(model);
 }
 
+// Guards against a task that waits forever because its last run failed on the
+// only worker that can run it.
+TEST(Scheduler, FailedTaskReturnsToTheOnlyWorker)
+{
+  FleetModelOptions options{ 1, 1 };
+  options.mCheckWorkConservation = true;
+  FleetModel model(options);
+  model.FailRuns("a", 1);
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(500));
+  model.Run(milliseconds(20'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
 // Guards against parallel runs of a task, lost tasks and overloaded workers
 // when replies are lost or commands late, workers are unreachable or crash, the
 // store fails, and the owner changes.
