--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <array>
+
 using namespace cornelrudder::tests;
 using namespace cornelrudder::state::scheduling;
 
@@ -54,6 +56,117 @@
   return { 1, 1, {}, { { "acme", {}, aAccelerators } }, {} };
 }
 
+/** @return A job of up to three steps that needs a small part of a fleet. */
+TaskJob
+RandomJob(const std::string& aId,
+          std::mt19937_64& aRandom,
+          std::size_t aWorkers)
+{
+  std::vector<StepSpec> steps;
+  const std::size_t n = 1 + aRandom() % 3;
+  for (std::size_t i = 0; i < n; ++i) {
+    StepSpecValues values =
+      Step(1 + aRandom() % 3, 1 << (aRandom() % 4), aRandom() % 2 == 0);
+    values.mSameRack = values.mGang && aRandom() % 2 == 0;
+    values.mCheckpointing = aRandom() % 3 == 0;
+    values.mEstimatedRunTime = milliseconds(500 + aRandom() % 8'000);
+    if (aRandom() % 3 == 0) {
+      values.mMaxPerWorker = 1;
+    }
+    if (aRandom() % 4 == 0) {
+      values.mAffinityRack = "r" + std::to_string(aRandom() % (aWorkers / 2));
+    }
+    if (i > 0 && aRandom() % 2 == 0) {
+      values.mDependencies = { i - 1 };
+    }
+    steps.emplace_back(values, i);
+  }
+  const TaskJob job =
+    MakeJob(aId, StepSpecValues(), static_cast<int>(aRandom() % 3), 4);
+  return { job.Id(),
+           job.Organisation(),
+           job.Settings(),
+           job.Payload(),
+           std::move(steps),
+           {},
+           {} };
+}
+
+/** Makes half of a fleet reachable or unreachable. */
+void
+SetHalfReachable(FleetModel& aModel, std::size_t aWorkers, bool aReachable)
+{
+  for (std::size_t i = 0; i < aWorkers / 2; ++i) {
+    aModel.SetReachable(i, aReachable);
+  }
+}
+
+void
+EndFaults(FleetModel& aModel, std::size_t aWorkers)
+{
+  aModel.SetStoreUp(true);
+  for (std::size_t i = 0; i < aWorkers; ++i) {
+    aModel.SetReachable(i, true);
+    aModel.SetRejecting(i, false);
+    aModel.SetFailing(i, false);
+    aModel.SetStalled(i, false);
+    aModel.SetSlowdown(i, 1.0);
+    aModel.PublishWorker(i);
+  }
+}
+
+void
+InjectFault(FleetModel& aModel, std::mt19937_64& aRandom, std::size_t aWorkers)
+{
+  using Fault =
+    std::function<void(FleetModel&, std::size_t aWorker, std::size_t aWorkers)>;
+  static const std::array<Fault, 17> kFaults{
+    [](auto& aFleet, auto aWorker, auto) { aFleet.CrashWorker(aWorker); },
+    [](auto& aFleet, auto aWorker, auto) {
+      aFleet.RestartUnannounced(aWorker);
+    },
+    [](auto& aFleet, auto aWorker, auto) {
+      aFleet.RestartWithLowerIncarnation(aWorker);
+    },
+    [](auto& aFleet, auto aWorker, auto) {
+      aFleet.RestartWithLowerIncarnation(aWorker);
+      aFleet.PublishWorker(aWorker);
+    },
+    [](auto& aFleet, auto aWorker, auto) { aFleet.UnlistWorker(aWorker); },
+    [](auto& aFleet, auto aWorker, auto) { aFleet.PublishWorker(aWorker); },
+    [](auto& aFleet, auto aWorker, auto) {
+      aFleet.PublishStaleClock(aWorker, milliseconds(8'000));
+    },
+    [](auto& aFleet, auto aWorker, auto) {
+      aFleet.SetReachable(aWorker, false);
+    },
+    [](auto& aFleet, auto aWorker, auto) {
+      aFleet.SetReachable(aWorker, false);
+      aFleet.RestartUnannounced(aWorker);
+    },
+    [](auto& aFleet, auto aWorker, auto) {
+      aFleet.SetReachable(aWorker, true);
+    },
+    [](auto& aFleet, auto aWorker, auto) { aFleet.SetFailing(aWorker, true); },
+    [](auto& aFleet, auto aWorker, auto) { aFleet.SetStalled(aWorker, true); },
+    [](auto& aFleet, auto, auto aCount) {
+      for (std::size_t i = 0; i < aCount; ++i) {
+        aFleet.SetRejecting(i, true);
+      }
+    },
+    [](auto& aFleet, auto, auto aCount) {
+      SetHalfReachable(aFleet, aCount, false);
+      aFleet.Run(milliseconds(17'000));
+      SetHalfReachable(aFleet, aCount, true);
+    },
+    [](auto& aFleet, auto, auto) { aFleet.SetStoreUp(false); },
+    [](auto& aFleet, auto, auto) { aFleet.ReplaceOwner(); },
+    [](auto& aFleet, auto, auto) { aFleet.DelayStarts(2); },
+  };
+  kFaults.at(aRandom() %
+             kFaults.size())(aModel, aRandom() % aWorkers, aWorkers);
+}
+
 } // namespace
 
 TEST_GROUP(Scheduler){};
@@ -391,6 +504,36 @@
   CheckNoViolation(model);
 }
 
+// Guards against waiting for suspected workers while all workers are suspected.
+TEST(Scheduler, WorkRunsAfterAllWorkersRejectedStarts)
+{
+  FleetModel model({ 4, 2 });
+  for (std::size_t i = 0; i < 4; ++i) {
+    model.SetRejecting(i, true);
+  }
+  model.Submit(MakeJob("a", Step(8, 2), 1), milliseconds(500));
+  model.Run(milliseconds(3'000));
+  for (std::size_t i = 0; i < 4; ++i) {
+    model.SetRejecting(i, false);
+  }
+  model.Run(milliseconds(2'500));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
+// Guards against a stream of rejected starts while all workers are suspected.
+TEST(Scheduler, StartsAreRetriedSlowlyIfAllWorkersAreSuspected)
+{
+  FleetModel model({ 4, 2 });
+  for (std::size_t i = 0; i < 4; ++i) {
+    model.SetRejecting(i, true);
+  }
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(500));
+  model.Run(milliseconds(10'000));
+  CHECK(model.RejectedStarts() >= 20);
+  CHECK(model.RejectedStarts() <= 50);
+}
+
 // Guards against ignoring the replies of a worker that restarted after its time
 // of day was set back: its lost runs stayed assigned forever.
 TEST(Scheduler, RunIsReplacedAfterRestartWithLowerIncarnation)
@@ -437,36 +580,20 @@
   CheckNoViolation(model);
 }
 
-// Guards against waiting for suspected workers while all workers are suspected.
-TEST(Scheduler, WorkRunsAfterAllWorkersRejectedStarts)
+// Guards against a task that waits forever because its last run failed on the
+// only worker that can run it.
+TEST(Scheduler, FailedTaskReturnsToTheOnlyWorker)
 {
-  FleetModel model({ 4, 2 });
-  for (std::size_t i = 0; i < 4; ++i) {
-    model.SetRejecting(i, true);
-  }
-  model.Submit(MakeJob("a", Step(8, 2), 1), milliseconds(500));
-  model.Run(milliseconds(3'000));
-  for (std::size_t i = 0; i < 4; ++i) {
-    model.SetRejecting(i, false);
-  }
-  model.Run(milliseconds(2'500));
+  FleetModelOptions options{ 1, 1 };
+  options.mCheckWorkConservation = true;
+  FleetModel model(options);
+  model.FailRuns("a", 1);
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(500));
+  model.Run(milliseconds(20'000));
   CheckPhase(model, "a", JobPhase::kDone);
   CheckNoViolation(model);
 }
 
-// Guards against a stream of rejected starts while all workers are suspected.
-TEST(Scheduler, StartsAreRetriedSlowlyIfAllWorkersAreSuspected)
-{
-  FleetModel model({ 4, 2 });
-  for (std::size_t i = 0; i < 4; ++i) {
-    model.SetRejecting(i, true);
-  }
-  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(500));
-  model.Run(milliseconds(10'000));
-  CHECK(model.RejectedStarts() >= 20);
-  CHECK(model.RejectedStarts() <= 50);
-}
-
 // Guards against reserving the whole fleet for a gang that it can never hold.
 TEST(Scheduler, OversizedGangReservesNoWorkers)
 {
@@ -481,20 +608,6 @@
   CheckNoViolation(model);
 }
 
-// Guards against a task that waits forever because its last run failed on the
-// only worker that can run it.
-TEST(Scheduler, FailedTaskReturnsToTheOnlyWorker)
-{
-  FleetModelOptions options{ 1, 1 };
-  options.mCheckWorkConservation = true;
-  FleetModel model(options);
-  model.FailRuns("a", 1);
-  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(500));
-  model.Run(milliseconds(20'000));
-  CheckPhase(model, "a", JobPhase::kDone);
-  CheckNoViolation(model);
-}
-
 // Guards against parallel runs of a task, lost tasks and overloaded workers
 // when replies are lost or commands late, workers are unreachable or crash, the
 // store fails, and the owner changes.
@@ -551,3 +664,44 @@
     }
   }
 }
+
+// Guards against jobs that wait although most of the fleet is free, after
+// faults of workers, of their list, of the store and of the owner.
+TEST(Scheduler, WorkIsConservedAfterRandomFaults)
+{
+  constexpr std::uint64_t kSeeds = 40;
+  constexpr int kRounds = 24;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    std::mt19937_64 random(seed * 104'729);
+    FleetModelOptions options;
+    options.mSeed = seed;
+    options.mWorkers = 4 + random() % 21;
+    options.mWorkersPerRack = 2 + random() % 4;
+    options.mCheckWorkConservation = true;
+    FleetModel model(options);
+    int jobs = 0;
+    const auto submit = [&] {
+      model.Submit(
+        RandomJob("j" + std::to_string(jobs++), random, options.mWorkers),
+        milliseconds(200 + random() % 2'000));
+    };
+    for (int round = 0; round < kRounds; ++round) {
+      submit();
+      if (random() % 6 == 0) {
+        model.Cancel("j" + std::to_string(random() % jobs));
+      }
+      InjectFault(model, random, options.mWorkers);
+      model.Run(milliseconds(200 + random() % 1'500));
+      if (round % 6 == 5) {
+        EndFaults(model, options.mWorkers);
+        submit();
+        model.Run(milliseconds(14'000));
+      }
+    }
+    EndFaults(model, options.mWorkers);
+    model.Run(milliseconds(30'000));
+    for (const std::string& violation : model.Violations()) {
+      FAIL(("seed " + std::to_string(seed) + ": " + violation).c_str());
+    }
+  }
+}
