--- a/src/state/scheduling/SchedulerDiagnostics.cpp
+++ b/src/state/scheduling/SchedulerDiagnostics.cpp
@@ -91,12 +91,12 @@
     return;
   }
   const std::size_t task = *FirstReadyTask(*longest, aWallClock);
-  const auto reason = mWaitReasons.find({ longest->mJob.Id(), task });
+  const auto wait = mWaits.find({ longest->mJob.Id(), task });
   EventFields fields{
     { "task", longest->IdOf(task).Text() },
     { "stalled_ms", std::to_string((aNow - longest->mStalledSince).count()) },
     { "reason",
-      reason != mWaitReasons.end() ? PlanReasonName(reason->second) : "" },
+      wait != mWaits.end() ? PlanReasonName(wait->second.mReason) : "" },
     { "stalled_jobs", std::to_string(stalled) }
   };
   const auto counts = CountConditions(aNow);
