Back off after failed lease acquisitions and failed writes of the owner

Evidence: the store refused writes with 429 for that time; all 41 VMs tried to take the lease each time its row had been unchanged for the owner timeout, 10 to 19 attempts a second, and the owner repeated a refused write every 100 ms. A row that nobody can write looks like one whose owner is silent.

A failed attempt to acquire the lease is now followed by an exponential backoff with full jitter (up to 3.2 s), a failed write of the owner by one of up to 0.8 s, which is below the owner timeout. A conflict is no failure.

SchedulingTasks.AcquisitionBacksOffWhileWritesFail failed before (more than 20 attempts in 40 looks at the row).

--- a/apps/cornelrudderd/FleetDaemon.cpp
+++ b/apps/cornelrudderd/FleetDaemon.cpp
@@ -22,6 +22,8 @@
 
 #include <caf/send.hpp>
 
+#include <functional>
+
 namespace cornelrudder::daemon {
 
 namespace {
@@ -150,6 +152,7 @@
     coordination::SchedulerTaskOptions scheduler;
     scheduler.mSelf = mSettings.Id().Text();
     scheduler.mIncarnation = mIncarnation;
+    scheduler.mJitterSeed = std::hash<std::string>{}(mIncarnation);
     scheduler.mOwnerTimeout = mSettings.OwnerTimeout();
     scheduler.mTakeoverDelay = TakeoverDelay(mSettings);
     scheduler.mWorkerLease = mSettings.WorkerLease();
--- a/include/cornelrudder/coordination/SchedulerTask.h
+++ b/include/cornelrudder/coordination/SchedulerTask.h
@@ -59,6 +59,19 @@
    * It covers the owner timeout, the takeover delay of others and their reads.
    */
   std::chrono::milliseconds mUnclaimedTime{ 2'500 };
+  /**
+   * Backoff after a failed attempt to acquire the lease, and after a failed
+   * write of the owner. A store that refuses writes for overload must not get
+   * one from each daemon whenever the lease row has been unchanged for
+   * mOwnerTimeout.
+   */
+  std::chrono::milliseconds mAcquireBackoffBase{ 400 };
+  std::chrono::milliseconds mAcquireBackoffCap{ 3'200 };
+  std::chrono::milliseconds mWriteBackoffBase{ 100 };
+  /** Below mOwnerTimeout, so that the owner writes in time after an outage. */
+  std::chrono::milliseconds mWriteBackoffCap{ 800 };
+  /** Seed of the jitter; daemons use different ones. */
+  std::uint64_t mJitterSeed = 1;
   /** Interval at which the owner polls the changes of the workers table. */
   std::chrono::milliseconds mWorkerPollInterval{ 400 };
   /** Longest time that a poll of the jobs table waits for a change. */
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -66,6 +66,9 @@
   , mOwnerObserver(mOptions.mOwnerTimeout + mOptions.mTakeoverDelay)
   , mReleaseObserver(mOptions.mTakeoverDelay)
   , mUnclaimedObserver(mOptions.mUnclaimedTime + mOptions.mTakeoverDelay)
+  , mWriteBackoff(mOptions.mWriteBackoffBase, mOptions.mWriteBackoffCap)
+  , mAcquireBackoff(mOptions.mAcquireBackoffBase, mOptions.mAcquireBackoffCap)
+  , mRandom(mOptions.mJitterSeed)
 {
 }
 
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -7,6 +7,7 @@
 #include "cornelrudder/coordination/SchedulingMessages.h"
 #include "cornelrudder/coordination/SchedulingTables.h"
 #include "cornelrudder/coordination/WriteIdGenerator.h"
+#include "cornelrudder/state/Backoff.h"
 #include "cornelrudder/state/scheduling/OwnerLease.h"
 #include "cornelrudder/state/scheduling/Scheduler.h"
 
@@ -14,6 +15,7 @@
 
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -100,6 +102,7 @@
   void HandleWriteConflict(const state::StoreResult& aResult);
   void StepDown(const char* aReason);
   void EndOwnership();
+  Millis Delay(const state::Backoff& aBackoff, int aFailedAttempts);
   void CheckReachability();
   void LogRelease();
   void Release();
@@ -165,6 +168,13 @@
   Millis mLastWriteAt{ 0 };
   /** Earliest time of the next write after a failed one. */
   Millis mNextWriteAt{ 0 };
+  int mFailedWrites = 0;
+  state::Backoff mWriteBackoff;
+  /** Earliest time of the next attempt to acquire the lease. */
+  Millis mNextAcquireAt{ 0 };
+  int mFailedAcquisitions = 0;
+  state::Backoff mAcquireBackoff;
+  std::mt19937_64 mRandom;
 
   std::optional<state::scheduling::Scheduler> mScheduler;
   std::shared_ptr<const state::scheduling::Catalog> mCatalog;
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -18,8 +18,6 @@
 using state::scheduling::OwnerReachability;
 using std::chrono::milliseconds;
 
-/** Delay before a failed write is retried. */
-constexpr milliseconds kWriteRetryDelay{ 100 };
 /**
  * Limit on job records in one write: the store accepts 100 rows and 1 MB in a
  * transaction, and the records of the widest jobs have about 20 KB.
@@ -137,6 +135,9 @@
                             const OwnerLease& aObserved,
                             const char* aReason)
 {
+  if (Now() < mNextAcquireAt) {
+    return;
+  }
   mMode = Mode::kAcquiring;
   mLease = aObserved;
   if (!aObserved.mOwner.empty()) {
@@ -164,6 +165,9 @@
     FinishAcquire(aResult.Version());
     return;
   }
+  if (aResult.Status() != StoreStatus::kConflict) {
+    mNextAcquireAt = Now() + Delay(mAcquireBackoff, ++mFailedAcquisitions);
+  }
   // Another daemon acquired the lease, or the outcome is unknown and the next
   // read of the lease row shows it.
   mMode = Mode::kFollowing;
@@ -179,6 +183,8 @@
   mAcquiredAt = Now();
   mWriteInFlight = false;
   mNextWriteAt = Millis(0);
+  mFailedWrites = 0;
+  mFailedAcquisitions = 0;
   mPorts.mLog.Write(
     { LogEvent::kLeaseTaken, { { "epoch", std::to_string(mLease.mEpoch) } } });
   ++mCounters["lease_taken_total"];
@@ -252,6 +258,7 @@
     }
   }
   if (isStored) {
+    mFailedWrites = 0;
     mLeaseVersion = aResult.Version();
     if (mLease.mOwner.empty()) {
       LogRelease();
@@ -261,7 +268,7 @@
   } else if (aResult.Status() == StoreStatus::kConflict) {
     HandleWriteConflict(aResult);
   } else {
-    mNextWriteAt = Now() + kWriteRetryDelay;
+    mNextWriteAt = Now() + Delay(mWriteBackoff, ++mFailedWrites);
   }
   if (mMode == Mode::kOwning) {
     ScheduleCycle(Millis(0));
@@ -301,6 +308,13 @@
   EndOwnership();
 }
 
+milliseconds
+SchedulerTask::Delay(const state::Backoff& aBackoff, int aFailedAttempts)
+{
+  return aBackoff.Delay(aFailedAttempts,
+                        std::uniform_real_distribution<double>()(mRandom));
+}
+
 /** Continues as a follower, or stops for a planned stop. */
 void
 SchedulerTask::EndOwnership()
--- a/tests/coordination/FakeFleet.cpp
+++ b/tests/coordination/FakeFleet.cpp
@@ -95,6 +95,7 @@
   StoreResult result(StoreStatus::kUnavailable, {});
   {
     const std::lock_guard lock(mMutex);
+    ++mRowReads;
     if (!mDown) {
       const auto it = mRows.find(aKey);
       result = MakeResult(StoreStatus::kOk,
@@ -226,6 +227,13 @@
   mWake.notify_all();
 }
 
+int
+FakeFeedStore::RowReads()
+{
+  const std::lock_guard lock(mMutex);
+  return mRowReads;
+}
+
 bool
 FakeFeedStore::Has(const std::string& aKey)
 {
--- a/tests/coordination/FakeFleet.h
+++ b/tests/coordination/FakeFleet.h
@@ -60,6 +60,8 @@
   /** Writes a row unconditionally, as an outside client. */
   void Put(const std::string& aKey, const std::string& aValue);
   bool Has(const std::string& aKey);
+  /** @return Number of reads of single rows so far. */
+  int RowReads();
   std::string ValueOf(const std::string& aKey);
 
   /** While set, all calls fail without effect. */
@@ -92,6 +94,7 @@
   std::map<std::string, state::StoreRow> mRows;
   std::uint64_t mVersion = 1;
   std::uint64_t mHistoryFrom = 0;
+  int mRowReads = 0;
   bool mDown = false;
   bool mFeedSuppressed = false;
   WriteFault mWriteFault = WriteFault::kNone;
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -357,6 +357,21 @@
   }));
 }
 
+// Guards against an attempt to acquire the lease after each look at its row
+// while the store refuses writes, which keeps an overloaded store overloaded.
+TEST(SchedulingTasks, AcquisitionBacksOffWhileWritesFail)
+{
+  Daemons daemons;
+  daemons.mStore.SetWriteFault(WriteFault::kRequestLost);
+  const DaemonTasks daemon = daemons.Start("a");
+  constexpr int kReads = 40;
+  CHECK(WaitUntil([&] { return daemons.mStore.RowReads() >= kReads; }));
+  CHECK(daemons.mLog.Count(LogEvent::kDomainOwnerChanged) <= kReads / 2);
+  daemons.mStore.SetWriteFault(WriteFault::kNone);
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kJobsRecovered) == 1; }));
+}
+
 // Guards against losing jobs when their owner is killed or releases ownership.
 TEST(SchedulingTasks, AnotherDaemonTakesOver)
 {
