--- a/src/state/scheduling/OwnerReachability.cpp
+++ b/src/state/scheduling/OwnerReachability.cpp
@@ -21,6 +21,11 @@
 constexpr Millis kRefreshDelay{ 500 };
 /** One silent worker does not tell whether the worker or the owner is cut. */
 constexpr std::size_t kMinUnreachable = 2;
+/**
+ * Minimum ratio of unreachable to replying workers. Workers that drop half of
+ * their requests, or lossy paths to all VMs, reach a ratio of one.
+ */
+constexpr std::size_t kMinUnreachableRatio = 2;
 
 } // namespace
 
@@ -41,7 +46,8 @@
 bool
 OwnerReachability::IsIsolated() const
 {
-  return mUnreachable >= kMinUnreachable && mUnreachable > mReplying;
+  return mUnreachable >= kMinUnreachable &&
+         mUnreachable > kMinUnreachableRatio * mReplying;
 }
 
 } // namespace cornelrudder::state::scheduling
