Limit waits for racks, headroom and reservations in an idle fleet

A task waited for the rack of its data up to twice its expected run time, a same-rack gang for a single rack without limit, and less urgent work for the headroom, while most of the fleet was free. The three tests failed with "expected <2> but was <0>" (the job is still queued).

A unit of which nothing else of the job runs is placed without regard to racks, headroom and reservations once it has waited 1.5 s, if at most half of the capacity of its service is in use and two such units would fit.

--- a/include/cornelrudder/state/scheduling/Planning.h
+++ b/include/cornelrudder/state/scheduling/Planning.h
@@ -92,6 +92,8 @@
   std::chrono::milliseconds mAge{ 0 };
   /** Time since a planning pass first found no place for the unit. */
   std::chrono::milliseconds mWaitingTime{ 0 };
+  /** Whether other tasks of the job run; false for long-running tasks. */
+  bool mHasRunningPeers = false;
   /**
    * Time left until the unit must start to meet its objective; may be negative.
    */
--- a/src/state/scheduling/CapacityTracker.cpp
+++ b/src/state/scheduling/CapacityTracker.cpp
@@ -24,7 +24,23 @@
     mFree.push_back(worker.mFree);
     mReleasing.push_back(worker.mReleasing);
     mSchedulableWorkers += worker.mSchedulable ? 1 : 0;
+    if (worker.mSchedulable) {
+      auto& [free, total] = mServices[worker.mService];
+      free = free.Plus(worker.mFree);
+      total = total.Plus(worker.mCapacity);
+    }
+  }
+}
+
+bool
+CapacityTracker::IsMostlyFree(const std::string& aService) const
+{
+  const auto it = mServices.find(aService);
+  if (it == mServices.end()) {
+    return false;
   }
+  const auto& [free, total] = it->second;
+  return total.FitsIn(free.Plus(free));
 }
 
 const WorkerList*
--- a/src/state/scheduling/CapacityTracker.h
+++ b/src/state/scheduling/CapacityTracker.h
@@ -62,6 +62,11 @@
   /** @return The workers of a rack, or null if there is no such rack. */
   const WorkerList* FindRack(const std::string& aName) const;
   std::size_t SchedulableWorkers() const { return mSchedulableWorkers; }
+  /**
+   * @return Whether at most half of the capacity of a service's schedulable
+   *   workers was in use at the start of the planning pass, in every dimension.
+   */
+  bool IsMostlyFree(const std::string& aService) const;
 
   CapacitySnapshot Free() const { return Summarise(mFree); }
   /** @return Capacity that is free or is being released by stopped tasks. */
@@ -98,6 +103,8 @@
   std::vector<WorkerList> mRacks;
   std::vector<std::size_t> mRackOf;
   std::size_t mSchedulableWorkers = 0;
+  /** Free and total capacity of the schedulable workers, by service. */
+  std::map<std::string, std::pair<Resources, Resources>> mServices;
   std::vector<Resources> mFree;
   std::vector<Resources> mReleasing;
   /** Number of tasks placed in this pass, by step group and worker. */
--- a/src/state/scheduling/Packing.cpp
+++ b/src/state/scheduling/Packing.cpp
@@ -25,6 +25,13 @@
  * rack.
  */
 constexpr Millis kSameRackWait{ 1'200 };
+/**
+ * Time that a unit waits, while most of the fleet is free and nothing of its
+ * job runs, for a place that respects racks, reservations and headroom.
+ * Together with the start of the run it stays well within the 3 s after which
+ * the platform counts the job as lost.
+ */
+constexpr Millis kMaxPreferenceWait{ 1'500 };
 /**
  * Share of the workers that less urgent work leaves empty while urgent work is
  * waiting or running. Urgent work starts there at once; otherwise it would wait
@@ -123,6 +130,28 @@
 
 std::optional<WorkerList>
 Packer::Place(const WaitingUnit& aUnit, const CapacitySnapshot& aCapacity) const
+{
+  if (auto workers = PlaceByPreference(aUnit, aCapacity)) {
+    return workers;
+  }
+  if (aUnit.mHasRunningPeers || aUnit.mWaitingTime < kMaxPreferenceWait ||
+      !mCapacity.IsMostlyFree(aUnit.mService)) {
+    return std::nullopt;
+  }
+  // With places for only one such unit, capacity is scarce for it.
+  WaitingUnit twoUnits = aUnit;
+  twoUnits.mTasks = 2 * aUnit.mTasks;
+  auto workers =
+    PlaceOn(twoUnits, mCapacity.Workers(), aCapacity, Preferences::kIgnored);
+  if (workers) {
+    workers->resize(aUnit.mTasks);
+  }
+  return workers;
+}
+
+std::optional<WorkerList>
+Packer::PlaceByPreference(const WaitingUnit& aUnit,
+                          const CapacitySnapshot& aCapacity) const
 {
   const WorkerList* rack = mCapacity.FindRack(aUnit.mStep.AffinityRack());
   if (rack != nullptr && !aUnit.mStep.AffinityRack().empty()) {
@@ -199,14 +228,16 @@
 std::vector<Packer::Candidate>
 Packer::CandidatesFor(const WaitingUnit& aUnit,
                       const WorkerList& aWorkers,
-                      const CapacitySnapshot& aCapacity) const
+                      const CapacitySnapshot& aCapacity,
+                      Preferences aPreferences) const
 {
   const Resources& demand = aUnit.mStep.Demand();
   std::vector<Candidate> candidates;
   candidates.reserve(aWorkers.size());
   for (const std::size_t i : aWorkers) {
-    if (!demand.FitsIn(aCapacity.Of(i)) || mReservations.Blocks(i, aUnit) ||
-        IsAvoided(aUnit, i)) {
+    const bool isReserved =
+      aPreferences == Preferences::kRespected && mReservations.Blocks(i, aUnit);
+    if (!demand.FitsIn(aCapacity.Of(i)) || isReserved || IsAvoided(aUnit, i)) {
       continue;
     }
     const std::size_t n = mCapacity.TasksOn(aUnit, i);
@@ -221,11 +252,15 @@
 std::optional<WorkerList>
 Packer::PlaceOn(const WaitingUnit& aUnit,
                 const WorkerList& aWorkers,
-                const CapacitySnapshot& aCapacity) const
+                const CapacitySnapshot& aCapacity,
+                Preferences aPreferences) const
 {
   const Resources& demand = aUnit.mStep.Demand();
-  std::vector<Candidate> candidates = CandidatesFor(aUnit, aWorkers, aCapacity);
-  double emptyLeft = UsableEmptyWorkers(aUnit, aCapacity);
+  std::vector<Candidate> candidates =
+    CandidatesFor(aUnit, aWorkers, aCapacity, aPreferences);
+  double emptyLeft = aPreferences == Preferences::kRespected
+                       ? UsableEmptyWorkers(aUnit, aCapacity)
+                       : std::numeric_limits<double>::max();
   WorkerList workers;
   while (workers.size() < aUnit.mTasks) {
     double bestScore = std::numeric_limits<double>::max();
--- a/src/state/scheduling/Packing.h
+++ b/src/state/scheduling/Packing.h
@@ -75,6 +75,13 @@
   bool FitsAnyRack(const WaitingUnit& aUnit) const;
 
 private:
+  /** Whether a placement respects reservations and headroom. */
+  enum class Preferences
+  {
+    kRespected,
+    kIgnored
+  };
+
   /** A worker with capacity for a task. */
   struct Candidate
   {
@@ -84,15 +91,21 @@
     std::size_t mTasks;
   };
 
+  std::optional<WorkerList> PlaceByPreference(
+    const WaitingUnit& aUnit,
+    const CapacitySnapshot& aCapacity) const;
   std::optional<WorkerList> PlaceOnOneRack(
     const WaitingUnit& aUnit,
     const CapacitySnapshot& aCapacity) const;
-  std::optional<WorkerList> PlaceOn(const WaitingUnit& aUnit,
-                                    const WorkerList& aWorkers,
-                                    const CapacitySnapshot& aCapacity) const;
+  std::optional<WorkerList> PlaceOn(
+    const WaitingUnit& aUnit,
+    const WorkerList& aWorkers,
+    const CapacitySnapshot& aCapacity,
+    Preferences aPreferences = Preferences::kRespected) const;
   std::vector<Candidate> CandidatesFor(const WaitingUnit& aUnit,
                                        const WorkerList& aWorkers,
-                                       const CapacitySnapshot& aCapacity) const;
+                                       const CapacitySnapshot& aCapacity,
+                                       Preferences aPreferences) const;
   double UsableEmptyWorkers(const WaitingUnit& aUnit,
                             const CapacitySnapshot& aCapacity) const;
   bool MayCrossRacks(const WaitingUnit& aUnit) const;
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -96,8 +96,15 @@
   PlanningView view;
   AddWorkers(view, aKeys, aNow);
   for (const auto& [id, job] : mJobs) {
-    if (!IsFinal(job.mPhase)) {
-      AddWaiting(view, aKeys, job, aNow, aWallClock);
+    if (IsFinal(job.mPhase)) {
+      continue;
+    }
+    const std::size_t first = view.mWaiting.size();
+    AddWaiting(view, aKeys, job, aNow, aWallClock);
+    const bool isRunning = first < view.mWaiting.size() && job.IsAnyAssigned();
+    for (std::size_t i = first; i < view.mWaiting.size(); ++i) {
+      WaitingUnit& unit = view.mWaiting[i];
+      unit.mHasRunningPeers = isRunning && !unit.mStep.IsLongRunning();
     }
   }
   if (!view.mWaiting.empty()) {
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -594,6 +594,48 @@
   CheckNoViolation(model);
 }
 
+// Guards against a task that waits for the rack of its data while most of the
+// fleet is free.
+TEST(Scheduler, TaskLeavesFullRackWhileFleetIsIdle)
+{
+  FleetModelOptions options{ 8, 2 };
+  options.mCheckWorkConservation = true;
+  FleetModel model(options);
+  StepSpecValues step = Step(2, 8);
+  step.mAffinityRack = "r1";
+  step.mEstimatedRunTime = milliseconds(20'000);
+  model.Submit(MakeJob("a", step, 1), milliseconds(20'000));
+  model.Run(milliseconds(7'000));
+  model.Submit(MakeJob("b", step, 1), milliseconds(1'000));
+  model.Run(milliseconds(6'000));
+  CheckPhase(model, "b", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
+// Guards against a gang that waits for a single rack while most of the fleet is
+// free.
+TEST(Scheduler, GangCrossesRacksWhileFleetIsIdle)
+{
+  FleetModelOptions options{ 8, 2 };
+  options.mCheckWorkConservation = true;
+  FleetModel model(options);
+  for (int i = 0; i < 4; ++i) {
+    StepSpecValues pin = Step(1, 8);
+    pin.mAffinityRack = "r" + std::to_string(i);
+    pin.mEstimatedRunTime = milliseconds(30'000);
+    pin.mDemand = Resources(1'000, 1'000, 3);
+    model.Submit(MakeJob("p" + std::to_string(i), pin, 1),
+                 milliseconds(30'000));
+  }
+  model.Run(milliseconds(7'000));
+  StepSpecValues gang = Step(2, 8, true);
+  gang.mSameRack = true;
+  model.Submit(MakeJob("g", gang, 1), milliseconds(1'000));
+  model.Run(milliseconds(7'000));
+  CheckPhase(model, "g", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
 // Guards against reserving the whole fleet for a gang that it can never hold.
 TEST(Scheduler, OversizedGangReservesNoWorkers)
 {
@@ -608,6 +650,23 @@
   CheckNoViolation(model);
 }
 
+// Guards against headroom for urgent work that keeps other work waiting while
+// most of the fleet is free.
+TEST(Scheduler, HeadroomEndsWhileFleetIsIdle)
+{
+  FleetModelOptions options{ 16, 2 };
+  options.mCheckWorkConservation = true;
+  FleetModel model(options);
+  StepSpecValues spread = Step(14, 3);
+  spread.mMaxPerWorker = 1;
+  model.Submit(MakeJob("urgent", spread, 0), milliseconds(30'000));
+  model.Run(milliseconds(7'000));
+  model.Submit(MakeJob("a", Step(1, 8), 2), milliseconds(1'000));
+  model.Run(milliseconds(5'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
 // Guards against parallel runs of a task, lost tasks and overloaded workers
 // when replies are lost or commands late, workers are unreachable or crash, the
 // store fails, and the owner changes.
