Query idle workers while a worker is out of reach but alive

What callers would see: an owner that is cut off from the workers and has few runs keeps the lease, and waiting jobs do not run (LOST). Found in the review of the handover.

Cause: only workers with runs are tried. A run stays assigned to a silent worker for 6.5 s, and a silent worker counts as evidence for 6 s, so an owner with one run at a time never had two silent workers at once.

OwnerReachability.IsolationIsDetectedWithOneTask failed before (not isolated after 6 s).

--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -142,6 +142,7 @@
   void ExpireUnresponsiveWorkers(Millis aNow);
   void RemoveUnlistedWorkers();
   void UpdateClock(WorkerState& aWorker, Millis aClock, Millis aNow);
+  void QueryIdleWorkers(Millis aNow);
   void RecordReply(WorkerState& aWorker, Millis aNow);
   void RecordMissedReply(WorkerState& aWorker,
                          const std::string& aDetail,
@@ -275,6 +276,7 @@
   Millis mNextProgressCheck{ 0 };
   Millis mNextStallReport{ 0 };
   /** Stops for runs that workers report but that are no longer assigned. */
+  Millis mNextIdleQuery{ 0 };
   std::vector<StopCommand> mOrphanStops;
   std::vector<SchedulerEvent> mEvents;
   bool mFenced = false;
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -80,6 +80,7 @@
   ExpireUnresponsiveWorkers(aNow);
   CheckProgress(aNow);
   ReportStalledJobs(aNow, aWallClock);
+  QueryIdleWorkers(aNow);
   mGuaranteed = GuaranteedJobs();
   ViewKeys keys;
   const PlanningView view = BuildView(keys, aNow, aWallClock);
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -58,6 +58,10 @@
 constexpr double kMaxSuspectedShare = 0.5;
 constexpr Millis kSuspectRetryTime{ 1'000 };
 
+/** Interval and number of queries to idle workers; see QueryIdleWorkers(). */
+constexpr Millis kIdleQueryInterval{ 1'000 };
+constexpr std::size_t kIdleQueries = 4;
+
 Millis
 AddClockDrift(Millis aTime)
 {
@@ -456,6 +460,36 @@
                                    Millis aNow)
 {
   JobState& job = mJobs.at(aKey.first);
+/**
+ * Queries some idle workers while a worker is out of reach but alive. An owner
+ * with few runs would otherwise try too few workers to find that it is
+ * isolated.
+ */
+void
+Scheduler::Impl::QueryIdleWorkers(Millis aNow)
+{
+  if (aNow < mNextIdleQuery || Reachability(aNow).Unreachable() == 0) {
+    return;
+  }
+  mNextIdleQuery = aNow + kIdleQueryInterval;
+  std::vector<WorkerState*> idle;
+  for (auto& [id, worker] : mWorkers) {
+    if (worker.mAssigned.empty() && IsUsable(worker, aNow)) {
+      idle.push_back(&worker);
+    }
+  }
+  const auto n = std::min(idle.size(), kIdleQueries);
+  std::partial_sort(idle.begin(),
+                    idle.begin() + static_cast<std::ptrdiff_t>(n),
+                    idle.end(),
+                    [](const WorkerState* aOne, const WorkerState* aTwo) {
+                      return aOne->mLastReplyAt < aTwo->mLastReplyAt;
+                    });
+  for (std::size_t i = 0; i < n; ++i) {
+    idle[i]->mIsQueryDue = true;
+  }
+}
+
   Task& task = job.mTasks[aKey.second];
   const WorkerTarget target{ aWorker.mInfo.mId, aWorker.mInfo.mAddress };
   const bool isStored =
--- a/tests/state/scheduling/OwnerReachabilityTest.cpp
+++ b/tests/state/scheduling/OwnerReachabilityTest.cpp
@@ -173,3 +173,106 @@
   CHECK(!lease.HandedOver(milliseconds(6'000)).MayHandOver(milliseconds(0)));
   CHECK_EQUAL(1, lease.HandedOver(milliseconds(60'000)).mHandovers);
 }
+
+// Guards against an owner that keeps the lease because it has too few runs to
+// try more than one worker.
+TEST(OwnerReachability, IsolationIsDetectedWithOneTask)
+{
+  FleetModel model({ 8, 2 });
+  model.Run(milliseconds(1'000));
+  for (std::size_t i = 0; i < 8; ++i) {
+    model.SetReachable(i, false);
+  }
+  StepSpecValues step;
+  step.mDemand = Resources(1'000, 1'000, 8);
+  model.Submit(MakeJob("a", step, 1), milliseconds(1'000));
+  bool isIsolated = false;
+  for (int n = 0; n < 12 && !isIsolated; ++n) {
+    model.Run(milliseconds(500));
+    for (std::size_t i = 0; i < 8; ++i) {
+      model.PublishWorker(i);
+    }
+    isIsolated = model.Reachability().IsIsolated();
+  }
+  CHECK(isIsolated);
+}
+
+namespace {
+
+/** @return A scheduler that has sent its first renewal to each of its workers.
+ */
+Scheduler
+SchedulerOfBusyWorkers(std::vector<RenewCommand>& aRenewals)
+{
+  Scheduler scheduler{ SchedulerOptions() };
+  for (int i = 0; i < 4; ++i) {
+    WorkerInfo info;
+    info.mId = "w" + std::to_string(i);
+    info.mIncarnation = 7;
+    info.mAddress = "10.0.0.1:" + std::to_string(i + 1);
+    info.mService = "s";
+    info.mCapacity = Resources(1'000, 1'000, 8);
+    info.mClock = milliseconds(1);
+    scheduler.UpdateWorker(info, milliseconds(1'000));
+  }
+  StepSpecValues step;
+  step.mTasks = 4;
+  step.mDemand = Resources(1'000, 1'000, 8);
+  scheduler.AddJob(
+    MakeJob("a", step, 1), milliseconds(0), nullptr, milliseconds(1'000));
+  scheduler.Plan(milliseconds(1'000), milliseconds(0));
+  scheduler.BeginWrite(1);
+  scheduler.FinishWrite(true);
+  const WorkerCommands commands =
+    scheduler.CollectCommands(milliseconds(1'000));
+  for (const StartCommand& start : commands.mStarts) {
+    scheduler.ApplyStartReply(start,
+                              { CommandOutcome::kDone, milliseconds(1), "" },
+                              milliseconds(1'000));
+  }
+  aRenewals = commands.mRenewals;
+  return scheduler;
+}
+
+} // namespace
+
+// Guards against handing over because of workers that answer with an error.
+TEST(OwnerReachability, WorkersThatRejectRenewalsAreReached)
+{
+  std::vector<RenewCommand> renewals;
+  Scheduler scheduler = SchedulerOfBusyWorkers(renewals);
+  CHECK_EQUAL(4, renewals.size());
+  for (const RenewCommand& command : renewals) {
+    RenewReply reply;
+    reply.mOutcome = CommandOutcome::kRejected;
+    scheduler.ApplyRenewReply(
+      command, reply, milliseconds(2'000), milliseconds(2'010));
+  }
+  for (int i = 0; i < 4; ++i) {
+    WorkerInfo info;
+    info.mId = "w" + std::to_string(i);
+    info.mIncarnation = 7;
+    info.mAddress = "10.0.0.1:" + std::to_string(i + 1);
+    info.mService = "s";
+    info.mClock = milliseconds(2'000);
+    scheduler.UpdateWorker(info, milliseconds(3'500));
+  }
+  CHECK(!scheduler.Reachability(milliseconds(3'600)).IsIsolated());
+}
+
+// Guards against taking a reply without an incarnation for a restart, which
+// ends the runs of the worker.
+TEST(OwnerReachability, ReplyWithoutIncarnationEndsNoRuns)
+{
+  std::vector<RenewCommand> renewals;
+  Scheduler scheduler = SchedulerOfBusyWorkers(renewals);
+  scheduler.TakeEvents();
+  RenewReply reply;
+  reply.mOutcome = CommandOutcome::kDone;
+  reply.mClock = milliseconds(10);
+  scheduler.ApplyRenewReply(
+    renewals.front(), reply, milliseconds(2'000), milliseconds(2'010));
+  for (const SchedulerEvent& event : scheduler.TakeEvents()) {
+    CHECK(event.mKind != SchedulerEvent::Kind::kRunLost);
+  }
+}
