Renew leases while an isolated owner waits for its release to be stored

An owner that had decided to hand over sent no commands until the write of the release was stored. If the store goes away at that moment, the leases of the workers that it does reach lapse. Found in the review by reading; it has no test of its own. The owner plans nothing new in that time, as before.

--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -177,7 +177,9 @@
       std::min((Now() - start) * kPauseToPlanTimeRatio, kMaxPlanPause);
   }
   LogSchedulerEvents();
-  if (isScheduling) {
+  if (!mReleasing) {
+    // An isolated owner renews the leases that it can until the store has taken
+    // the release, which may be long.
     SendCommands();
   }
   if (IsWriteDue()) {
