Conclude from a renewal only what its outcome proves

- The runs of a draining worker counted as lost when its entry was missing, although the worker may only have lost the store, or its entry be odd: a second run started beside the first.
It counts as left now when it does not reply either.
DrainingWorkerWithoutEntryKeepsItsRuns failed before (2 starts instead of 1); RunOfWorkerThatLeftIsReplacedWithinItsLease covers the quick replacement, which had no test.
- A reply without an incarnation counted as a restart since restarts may lower the incarnation, and ended all runs of the worker.
It counts as no reply.
- A worker that answers a renewal with an error counted as out of reach, and most of them made the owner hand over in vain.

--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -140,9 +140,10 @@
   void HandleLostWorker(WorkerState& aWorker, const char* aReason, Millis aNow);
   void HandleRestart(WorkerState& aWorker, Millis aNow);
   void ExpireUnresponsiveWorkers(Millis aNow);
+  void HandleIfLeft(WorkerState& aWorker, Millis aNow);
   void RemoveUnlistedWorkers();
-  void UpdateClock(WorkerState& aWorker, Millis aClock, Millis aNow);
   void QueryIdleWorkers(Millis aNow);
+  void UpdateClock(WorkerState& aWorker, Millis aClock, Millis aNow);
   void RecordReply(WorkerState& aWorker, Millis aNow);
   void RecordMissedReply(WorkerState& aWorker,
                          const std::string& aDetail,
@@ -275,8 +276,8 @@
   std::map<TaskKey, WaitState> mWaits;
   Millis mNextProgressCheck{ 0 };
   Millis mNextStallReport{ 0 };
-  /** Stops for runs that workers report but that are no longer assigned. */
   Millis mNextIdleQuery{ 0 };
+  /** Stops for runs that workers report but that are no longer assigned. */
   std::vector<StopCommand> mOrphanStops;
   std::vector<SchedulerEvent> mEvents;
   bool mFenced = false;
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -259,6 +259,11 @@
   bool mReplyIgnored = false;
 
   WorkerCondition ConditionAt(Millis aNow) const;
+  /** @return Whether the last renewal got no reply at all. */
+  bool IsSilent() const
+  {
+    return mFailedRenewals > 0 && mContact.mRepliedAt < mContact.mSilentSince;
+  }
   Resources Free() const { return mInfo.mCapacity.Minus(mUsed); }
   bool HasUnackedTerminations() const { return mReceivedUpTo > mAckedUpTo; }
 
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -148,15 +148,29 @@
   if (it == mWorkers.end()) {
     return;
   }
-  it->second.mListed = false;
-  // The runs of a draining worker are gone with it. Any other worker may only
-  // be unreachable and keep its runs until its lease expires.
-  if (it->second.mInfo.mDraining) {
-    HandleLostWorker(it->second, "left", aNow);
-  }
+  WorkerState& worker = it->second;
+  worker.mListed = false;
+  // The worker may only have lost the store, so the next renewal shows whether
+  // a draining worker has left.
+  worker.mNextRenewal = Millis(0);
+  HandleIfLeft(worker, aNow);
   RemoveUnlistedWorkers();
 }
 
+/**
+ * Handles a draining worker that has neither an entry in the list nor replies:
+ * it has left, and its runs with it. Any other worker may only be unreachable
+ * and keep its runs until its lease expires.
+ */
+void
+Scheduler::Impl::HandleIfLeft(WorkerState& aWorker, Millis aNow)
+{
+  if (aWorker.mInfo.mDraining && !aWorker.mListed &&
+      aWorker.mFailedRenewals > 0) {
+    HandleLostWorker(aWorker, "left", aNow);
+  }
+}
+
 void
 Scheduler::Impl::RemoveUnlistedWorkers()
 {
@@ -256,8 +270,11 @@
                                    const std::string& aDetail,
                                    Millis aNow)
 {
-  if (++aWorker.mFailedRenewals == 1) {
+  ++aWorker.mFailedRenewals;
+  if (!aWorker.IsSilent()) {
     aWorker.mContact.mSilentSince = aNow;
+  }
+  if (aWorker.mFailedRenewals == 1) {
     RecordEvent(SchedulerEvent::Kind::kWorkerSilent,
                 { { "worker", aWorker.mInfo.mId },
                   { "detail", aDetail },
@@ -367,6 +384,18 @@
   }
   if (aReply.mOutcome != CommandOutcome::kDone) {
     RecordMissedReply(worker, aReply.mDetail, aNow);
+    if (aReply.mOutcome == CommandOutcome::kRejected ||
+        aReply.mOutcome == CommandOutcome::kNoCapacity) {
+      // The worker is reached, even if it does not renew.
+      worker.mContact.mHasReplied = true;
+      worker.mContact.mRepliedAt = aNow;
+    }
+    HandleIfLeft(worker, aNow);
+    RemoveUnlistedWorkers();
+    return;
+  }
+  if (aReply.mIncarnation == 0 && worker.mInfo.mIncarnation != 0) {
+    RecordMissedReply(worker, "reply without an incarnation", aNow);
     return;
   }
   if (IsOutdated(worker, aReply, aSentAt)) {
@@ -424,42 +453,13 @@
   for (const auto& [id, worker] : mWorkers) {
     if (worker.mListed) {
       WorkerContact contact = worker.mContact;
-      contact.mIsSilent = worker.mFailedRenewals > 0;
+      contact.mIsSilent = worker.IsSilent();
       reachability = reachability.WithWorker(contact, aNow);
     }
   }
   return reachability;
 }
 
-WorkerCommands
-Scheduler::Impl::CollectCommands(Millis aNow)
-{
-  WorkerCommands commands;
-  if (!mFenced) {
-    commands.mStops.swap(mOrphanStops);
-    CollectRunCommands(commands, aNow);
-    CollectRenewCommands(commands, aNow);
-  }
-  return commands;
-}
-
-void
-Scheduler::Impl::CollectRunCommands(WorkerCommands& aCommands, Millis aNow)
-{
-  for (auto& [id, worker] : mWorkers) {
-    for (const TaskKey& key : worker.mAssigned) {
-      CollectRunCommand(key, worker, aCommands, aNow);
-    }
-  }
-}
-
-void
-Scheduler::Impl::CollectRunCommand(const TaskKey& aKey,
-                                   WorkerState& aWorker,
-                                   WorkerCommands& aCommands,
-                                   Millis aNow)
-{
-  JobState& job = mJobs.at(aKey.first);
 /**
  * Queries some idle workers while a worker is out of reach but alive. An owner
  * with few runs would otherwise try too few workers to find that it is
@@ -490,6 +490,35 @@
   }
 }
 
+WorkerCommands
+Scheduler::Impl::CollectCommands(Millis aNow)
+{
+  WorkerCommands commands;
+  if (!mFenced) {
+    commands.mStops.swap(mOrphanStops);
+    CollectRunCommands(commands, aNow);
+    CollectRenewCommands(commands, aNow);
+  }
+  return commands;
+}
+
+void
+Scheduler::Impl::CollectRunCommands(WorkerCommands& aCommands, Millis aNow)
+{
+  for (auto& [id, worker] : mWorkers) {
+    for (const TaskKey& key : worker.mAssigned) {
+      CollectRunCommand(key, worker, aCommands, aNow);
+    }
+  }
+}
+
+void
+Scheduler::Impl::CollectRunCommand(const TaskKey& aKey,
+                                   WorkerState& aWorker,
+                                   WorkerCommands& aCommands,
+                                   Millis aNow)
+{
+  JobState& job = mJobs.at(aKey.first);
   Task& task = job.mTasks[aKey.second];
   const WorkerTarget target{ aWorker.mInfo.mId, aWorker.mInfo.mAddress };
   const bool isStored =
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -352,6 +352,38 @@
   CHECK_EQUAL(0, model.Starts());
 }
 
+// Guards against a second run while a draining worker lives without an entry.
+TEST(Scheduler, DrainingWorkerWithoutEntryKeepsItsRuns)
+{
+  FleetModel model({ 2, 1 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(4'000));
+  model.Run(milliseconds(500));
+  const std::size_t host = FirstBusyWorker(model);
+  model.SetDraining(host, milliseconds(30'000));
+  model.Run(milliseconds(500));
+  model.UnlistWorker(host);
+  model.Run(milliseconds(6'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(1, model.Starts());
+  CheckNoViolation(model);
+}
+
+// Guards against waiting for the lease of a drained worker that has left.
+TEST(Scheduler, RunOfWorkerThatLeftIsReplacedWithinItsLease)
+{
+  FleetModel model({ 2, 1 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(4'000));
+  model.Run(milliseconds(500));
+  const std::size_t host = FirstBusyWorker(model);
+  model.SetDraining(host, milliseconds(30'000));
+  model.Run(milliseconds(500));
+  model.RestartUnannounced(host);
+  model.SetReachable(host, false);
+  model.UnlistWorker(host);
+  model.Run(milliseconds(2'500));
+  CHECK_EQUAL(2, model.Starts());
+}
+
 // Guards against losing a run with a worker that shuts down at short notice:
 // without a move, the loss is detected only when the worker is removed from the
 // list.
