Do not wait for a preferred rack whose workers all reject work

What callers would see: a task with a preferred rack waits up to twice its expected run time while other racks have capacity, although no worker of that rack accepts work (all silent, draining or suspected).

The wait for the rack now needs a worker of it that accepts the task. Planning.UnusablePreferredRackIsNotAwaited failed before (no_room).

--- a/src/state/scheduling/Packing.cpp
+++ b/src/state/scheduling/Packing.cpp
@@ -158,7 +158,8 @@
     auto workers = PlaceOn(aUnit, *rack, aCapacity);
     // On another rack the task runs several times longer, so waiting is better
     // up to twice the expected run time.
-    if (workers || aUnit.mAge < 2 * aUnit.mExpectedRunTime) {
+    if (workers ||
+        (aUnit.mAge < 2 * aUnit.mExpectedRunTime && HasHost(aUnit, *rack))) {
       return workers;
     }
   }
@@ -230,6 +231,17 @@
                       const WorkerList& aWorkers,
                       const CapacitySnapshot& aCapacity,
                       Preferences aPreferences) const
+bool
+Packer::HasHost(const WaitingUnit& aUnit, const WorkerList& aWorkers) const
+{
+  return std::any_of(
+    aWorkers.begin(), aWorkers.end(), [&](std::size_t aWorker) {
+      const WorkerView& worker = mCapacity.View().mWorkers[aWorker];
+      return aUnit.mStep.Demand().FitsIn(worker.mCapacity) &&
+             CanHost(aUnit, worker, 0);
+    });
+}
+
 {
   const Resources& demand = aUnit.mStep.Demand();
   std::vector<Candidate> candidates;
--- a/src/state/scheduling/Packing.h
+++ b/src/state/scheduling/Packing.h
@@ -106,6 +106,8 @@
                                        const WorkerList& aWorkers,
                                        const CapacitySnapshot& aCapacity,
                                        Preferences aPreferences) const;
+  /** @return Whether a task of the unit could run on one of the workers. */
+  bool HasHost(const WaitingUnit& aUnit, const WorkerList& aWorkers) const;
   double UsableEmptyWorkers(const WaitingUnit& aUnit,
                             const CapacitySnapshot& aCapacity) const;
   bool MayCrossRacks(const WaitingUnit& aUnit) const;
--- a/tests/state/scheduling/PlanningTest.cpp
+++ b/tests/state/scheduling/PlanningTest.cpp
@@ -274,6 +274,22 @@
   CHECK_EQUAL(2, Plan(view).front().mWorkers.front());
 }
 
+// Guards against waiting for the preferred rack although none of its workers
+// accepts work.
+TEST(Planning, UnusablePreferredRackIsNotAwaited)
+{
+  PlanningView view = Fleet(4);
+  view.mWorkers[0].mSchedulable = false;
+  view.mWorkers[1].mSchedulable = false;
+  Occupy(view, 2, 2, 0.0);
+  StepSpecValues step = Step(1, 8);
+  step.mAffinityRack = "r0";
+  AddUnit(view, step, 2);
+  const auto decisions = Plan(view);
+  CHECK(decisions.front().mReason == PlanReason::kFits);
+  CHECK_EQUAL(3, decisions.front().mWorkers.front());
+}
+
 // Guards against silently replacing an unknown policy by the default.
 TEST(Planning, UnknownPolicyThrows)
 {
