Retry suspected workers for tasks that no other worker can run

What callers would see: a job with a label, or of a small service, waits 10 s after the few workers that can run it have recovered from failures. Found in the review: the limit on suspected workers counts the whole fleet.

A unit that has waited 1.5 s may use suspected and slow workers, each 1 s after its last failure, if no schedulable worker can run it at all. Work that healthy workers can run is not affected, so that a backlog is not sent to faulty workers. Scheduler.OnlySuitableWorkersAreRetriedWhileSuspected failed before (queued instead of done after 3 s).

--- a/include/cornelrudder/state/scheduling/Planning.h
+++ b/include/cornelrudder/state/scheduling/Planning.h
@@ -34,6 +34,11 @@
   Resources mReleasing;
   /** Whether new work may be placed on the worker. */
   bool mSchedulable = true;
+  /**
+   * The worker is not schedulable only because of recent failures or slow runs,
+   * and may be tried for a task that no schedulable worker can run.
+   */
+  bool mRetryable = false;
   /**
    * Weight of the penalty for recent failures, 0 to 1. The scheduler sets it to
    * 1 after a run that failed, was rejected, or was moved because it stalled or
--- a/src/state/scheduling/Hosting.cpp
+++ b/src/state/scheduling/Hosting.cpp
@@ -8,10 +8,17 @@
 CanHost(const WaitingUnit& aUnit,
         const WorkerView& aWorker,
         std::size_t aTasksOnWorker)
+{
+  return aWorker.mSchedulable && IsSuitable(aUnit, aWorker, aTasksOnWorker);
+}
+
+bool
+IsSuitable(const WaitingUnit& aUnit,
+           const WorkerView& aWorker,
+           std::size_t aTasksOnWorker)
 {
   const StepSpec& step = aUnit.mStep;
-  if (!aWorker.mSchedulable || aWorker.mService != aUnit.mService ||
-      IsAtLimit(aUnit, aTasksOnWorker)) {
+  if (aWorker.mService != aUnit.mService || IsAtLimit(aUnit, aTasksOnWorker)) {
     return false;
   }
   return step.RequiredLabel().empty() ||
--- a/src/state/scheduling/Hosting.h
+++ b/src/state/scheduling/Hosting.h
@@ -19,6 +19,15 @@
         const WorkerView& aWorker,
         std::size_t aTasksOnWorker);
 
+/**
+ * @return Whether a task of a unit would run on a worker if that accepted new
+ *   work; capacity is not checked.
+ */
+bool
+IsSuitable(const WaitingUnit& aUnit,
+           const WorkerView& aWorker,
+           std::size_t aTasksOnWorker);
+
 /**
  * @return Whether a worker has reached the limit of tasks of a unit's step per
  *   worker.
--- a/src/state/scheduling/Packing.cpp
+++ b/src/state/scheduling/Packing.cpp
@@ -32,6 +32,11 @@
  * the platform counts the job as lost.
  */
 constexpr Millis kMaxPreferenceWait{ 1'500 };
+/**
+ * Time that a unit waits for schedulable workers before it also tries retryable
+ * ones, if no schedulable worker can run it.
+ */
+constexpr Millis kRetryableWait{ 1'500 };
 /**
  * Share of the workers that less urgent work leaves empty while urgent work is
  * waiting or running. Urgent work starts there at once; otherwise it would wait
@@ -226,11 +231,6 @@
   return static_cast<double>(aCapacity.EmptySchedulable()) - headroom;
 }
 
-std::vector<Packer::Candidate>
-Packer::CandidatesFor(const WaitingUnit& aUnit,
-                      const WorkerList& aWorkers,
-                      const CapacitySnapshot& aCapacity,
-                      Preferences aPreferences) const
 bool
 Packer::HasHost(const WaitingUnit& aUnit, const WorkerList& aWorkers) const
 {
@@ -242,8 +242,15 @@
     });
 }
 
+std::vector<Packer::Candidate>
+Packer::CandidatesFor(const WaitingUnit& aUnit,
+                      const WorkerList& aWorkers,
+                      const CapacitySnapshot& aCapacity,
+                      Preferences aPreferences) const
 {
   const Resources& demand = aUnit.mStep.Demand();
+  const bool usesRetryable = aUnit.mWaitingTime >= kRetryableWait &&
+                             !HasHost(aUnit, mCapacity.Workers());
   std::vector<Candidate> candidates;
   candidates.reserve(aWorkers.size());
   for (const std::size_t i : aWorkers) {
@@ -252,8 +259,11 @@
     if (!demand.FitsIn(aCapacity.Of(i)) || isReserved || IsAvoided(aUnit, i)) {
       continue;
     }
+    const WorkerView& worker = mCapacity.View().mWorkers[i];
     const std::size_t n = mCapacity.TasksOn(aUnit, i);
-    if (CanHost(aUnit, mCapacity.View().mWorkers[i], n)) {
+    const bool isAccepting =
+      worker.mSchedulable || (usesRetryable && worker.mRetryable);
+    if (isAccepting && IsSuitable(aUnit, worker, n)) {
       candidates.push_back({ i, aCapacity.Of(i), n });
     }
   }
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -176,6 +176,8 @@
   static bool IsSchedulable(const WorkerState& aWorker,
                             Millis aSuspectTime,
                             Millis aNow);
+  /** @return Whether a suspected or slow worker may be tried again. */
+  static bool IsRetryable(const WorkerState& aWorker, Millis aNow);
   void CollectRunCommands(WorkerCommands& aCommands, Millis aNow);
   void CollectRunCommand(const TaskKey& aKey,
                          WorkerState& aWorker,
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -130,6 +130,7 @@
     view.mCapacity = worker.mInfo.mCapacity;
     view.mFree = worker.Free();
     view.mSchedulable = IsSchedulable(worker, suspectTime, aNow);
+    view.mRetryable = !view.mSchedulable && IsRetryable(worker, aNow);
     view.mFailureRate = worker.mConsecutiveFailures > 0 ? 1.0 : 0.0;
     for (const auto& [jobId, index] : worker.mAssigned) {
       const JobState& job = mJobs.at(jobId);
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -346,6 +346,13 @@
          aNow >= aWorker.mSlowUntil;
 }
 
+bool
+Scheduler::Impl::IsRetryable(const WorkerState& aWorker, Millis aNow)
+{
+  return IsUsable(aWorker, aNow) &&
+         aNow >= aWorker.mSuspectedUntil - kSuspectTime + kSuspectRetryTime;
+}
+
 /**
  * @return Whether a reply is from the incarnation before the present one. Each
  *   restart changes the incarnation, but a restart after the time of day was
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -196,6 +196,13 @@
   mOwner->UpdateWorker(copy, mNow);
 }
 
+void
+FleetModel::AddLabel(std::size_t aWorker, const std::string& aLabel)
+{
+  mWorkers[aWorker].mInfo.mLabels.push_back(aLabel);
+  mOwner->UpdateWorker(mWorkers[aWorker].mInfo, mNow);
+}
+
 void
 FleetModel::UnlistWorker(std::size_t aWorker)
 {
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -88,6 +88,7 @@
    * of a worker, another identifier and a higher incarnation.
    */
   void PublishCopyOf(std::size_t aWorker);
+  void AddLabel(std::size_t aWorker, const std::string& aLabel);
   /**
    * Updates the list of workers with a clock that is outdated.
    * @param aAge Time since the worker read the clock.
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -651,6 +651,27 @@
   CheckNoViolation(model);
 }
 
+// Guards against a job that waits for the suspected workers that alone can run
+// it.
+TEST(Scheduler, OnlySuitableWorkersAreRetriedWhileSuspected)
+{
+  FleetModel model({ 8, 2 });
+  StepSpecValues step = Step(2, 4);
+  step.mRequiredLabel = "only";
+  for (std::size_t i = 0; i < 2; ++i) {
+    model.SetRejecting(i, true);
+    model.AddLabel(i, "only");
+  }
+  model.Submit(MakeJob("a", step, 1), milliseconds(500));
+  model.Run(milliseconds(2'000));
+  for (std::size_t i = 0; i < 2; ++i) {
+    model.SetRejecting(i, false);
+  }
+  model.Run(milliseconds(3'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
 // Guards against a stream of rejected starts while all workers are suspected.
 TEST(Scheduler, StartsAreRetriedSlowlyIfAllWorkersAreSuspected)
 {
