--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -17,6 +17,7 @@
  * - SchedulerJobs: jobs, their records and the removal of terminated jobs.
  * - SchedulerWorkers: worker state, leases, commands and renewal replies.
  * - SchedulerRuns: state changes of runs.
+ * - SchedulerHealth: suspected workers, and whether this owner reaches them.
  * - SchedulerDiagnostics: metrics and the report of stalled jobs.
  * - SchedulerProgress: detection of stalled and slow runs.
  * - SchedulerPlan: the view passed to a policy, and the execution of decisions.
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -226,6 +226,7 @@
   Millis mIncarnationSince{ 0 };
   bool mRenewing = false;
   Millis mNextRenewal{ 0 };
+  /** Renewals and unsent starts in a row without a valid reply. */
   int mFailedRenewals = 0;
   Millis mLastReplyAt{ 0 };
   /** For Scheduler::Reachability(); mIsSilent follows mFailedRenewals. */
@@ -250,9 +251,10 @@
    */
   Millis mSlowUntil{ 0 };
   /**
-   * The worker was listed after this owner's first plan and has not replied
-   * yet. It may be known from before and report completions of tasks that would
-   * otherwise be started again.
+   * The worker gets no new runs until it replies. It was listed after this
+   * owner had loaded the tables, and may report completions of tasks that would
+   * otherwise be started again; or another entry has its address; or the owner
+   * checks whether it reaches idle workers.
    */
   bool mIsQueryDue = false;
   /** The last renewal reply was ignored because of its incarnation. */
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -44,24 +44,6 @@
  * or a stalled run is detected while the job can still meet its objective.
  */
 constexpr Millis kUrgentWait{ 500 };
-/**
- * Limit of WorkerState::mConsecutiveFailures from which a worker gets no new
- * runs for kSuspectTime.
- */
-constexpr int kSuspectFailures = 2;
-constexpr Millis kSuspectTime{ 10'000 };
-/**
- * Share of the usable workers that may be suspected for kSuspectTime at the
- * same time. Beyond it, the cause is unlikely to be the workers, and each of
- * them is tried again kSuspectRetryTime after its last failure.
- */
-constexpr double kMaxSuspectedShare = 0.5;
-constexpr Millis kSuspectRetryTime{ 1'000 };
-
-/** Interval and number of queries to idle workers; see QueryIdleWorkers(). */
-constexpr Millis kIdleQueryInterval{ 1'000 };
-constexpr std::size_t kIdleQueries = 4;
-
 Millis
 AddClockDrift(Millis aTime)
 {
@@ -287,20 +269,6 @@
                                       : kUnresponsiveRetryDelay);
 }
 
-void
-Scheduler::Impl::RecordFailure(WorkerState& aWorker,
-                               const JobState& aJob,
-                               Millis aNow)
-{
-  if (++aWorker.mConsecutiveFailures >= kSuspectFailures) {
-    aWorker.mSuspectedUntil = aNow + kSuspectTime;
-    RecordEvent(SchedulerEvent::Kind::kWorkerSuspected,
-                { { "worker", aWorker.mInfo.mId },
-                  { "failures", std::to_string(aWorker.mConsecutiveFailures) },
-                  { "job", aJob.mJob.Id() } });
-  }
-}
-
 Millis
 Scheduler::Impl::ExtendLease(WorkerState& aWorker, Millis aNow)
 {
@@ -310,49 +278,6 @@
   return aWorker.mClock + (aNow - aWorker.mClockAt) + mOptions.mWorkerLease;
 }
 
-bool
-Scheduler::Impl::IsUsable(const WorkerState& aWorker, Millis aNow)
-{
-  const WorkerCondition condition = aWorker.ConditionAt(aNow);
-  return condition == WorkerCondition::kUsable ||
-         condition == WorkerCondition::kSuspected ||
-         condition == WorkerCondition::kSlow;
-}
-
-Millis
-Scheduler::Impl::SuspectTime(Millis aNow) const
-{
-  std::size_t usable = 0;
-  std::size_t suspected = 0;
-  for (const auto& [id, worker] : mWorkers) {
-    if (IsUsable(worker, aNow)) {
-      ++usable;
-      suspected += aNow < worker.mSuspectedUntil ? 1 : 0;
-    }
-  }
-  const bool isLimited = static_cast<double>(suspected) >
-                         kMaxSuspectedShare * static_cast<double>(usable);
-  return isLimited ? kSuspectRetryTime : kSuspectTime;
-}
-
-bool
-Scheduler::Impl::IsSchedulable(const WorkerState& aWorker,
-                               Millis aSuspectTime,
-                               Millis aNow)
-{
-  const Millis suspectedUntil =
-    aWorker.mSuspectedUntil - kSuspectTime + aSuspectTime;
-  return IsUsable(aWorker, aNow) && aNow >= suspectedUntil &&
-         aNow >= aWorker.mSlowUntil;
-}
-
-bool
-Scheduler::Impl::IsRetryable(const WorkerState& aWorker, Millis aNow)
-{
-  return IsUsable(aWorker, aNow) &&
-         aNow >= aWorker.mSuspectedUntil - kSuspectTime + kSuspectRetryTime;
-}
-
 /**
  * @return Whether a reply is from the incarnation before the present one. Each
  *   restart changes the incarnation, but a restart after the time of day was
@@ -453,50 +378,6 @@
   RemoveUnlistedWorkers();
 }
 
-OwnerReachability
-Scheduler::Impl::Reachability(Millis aNow) const
-{
-  OwnerReachability reachability;
-  for (const auto& [id, worker] : mWorkers) {
-    if (worker.mListed) {
-      WorkerContact contact = worker.mContact;
-      contact.mIsSilent = worker.IsSilent();
-      reachability = reachability.WithWorker(contact, aNow);
-    }
-  }
-  return reachability;
-}
-
-/**
- * Queries some idle workers while a worker is out of reach but alive. An owner
- * with few runs would otherwise try too few workers to find that it is
- * isolated.
- */
-void
-Scheduler::Impl::QueryIdleWorkers(Millis aNow)
-{
-  if (aNow < mNextIdleQuery || Reachability(aNow).Unreachable() == 0) {
-    return;
-  }
-  mNextIdleQuery = aNow + kIdleQueryInterval;
-  std::vector<WorkerState*> idle;
-  for (auto& [id, worker] : mWorkers) {
-    if (worker.mAssigned.empty() && IsUsable(worker, aNow)) {
-      idle.push_back(&worker);
-    }
-  }
-  const auto n = std::min(idle.size(), kIdleQueries);
-  std::partial_sort(idle.begin(),
-                    idle.begin() + static_cast<std::ptrdiff_t>(n),
-                    idle.end(),
-                    [](const WorkerState* aOne, const WorkerState* aTwo) {
-                      return aOne->mLastReplyAt < aTwo->mLastReplyAt;
-                    });
-  for (std::size_t i = 0; i < n; ++i) {
-    idle[i]->mIsQueryDue = true;
-  }
-}
-
 WorkerCommands
 Scheduler::Impl::CollectCommands(Millis aNow)
 {
