--- a/src/state/scheduling/Names.cpp
+++ b/src/state/scheduling/Names.cpp
@@ -1,5 +1,4 @@
 #include "cornelrudder/state/scheduling/JobProgress.h"
-#include "cornelrudder/state/scheduling/OwnerLease.h"
 #include "cornelrudder/state/scheduling/WorkerCalls.h"
 
 #include <array>
