--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -96,7 +96,8 @@
   kWorkerLeaving = 816,
   kJobStalled = 817,
   kEndIgnored = 818,
-  kReplyIgnored = 819
+  kReplyIgnored = 819,
+  kStoreRefusals = 820
 };
 
 /** Entry of the event catalogue. */
--- a/src/coordination/LogEvent.cpp
+++ b/src/coordination/LogEvent.cpp
@@ -379,6 +379,11 @@
                 "reply_ignored",
                 "a renewal reply has an earlier incarnation than the worker is "
                 "known to have; logged once until a reply is accepted" },
+  LogEventInfo{ LogEvent::kStoreRefusals,
+                LogLevel::kWarning,
+                "store_refusals",
+                "the store refused calls of one kind with one status; logged "
+                "at most once a second with the numbers since the last line" },
 };
 
 } // namespace
--- a/tests/platform/TableStoreTest.cpp
+++ b/tests/platform/TableStoreTest.cpp
@@ -61,6 +61,10 @@
   {
     return mLog.Count(coordination::LogEvent::kRowMalformed);
   }
+  int CountRefusalLines()
+  {
+    return mLog.Count(coordination::LogEvent::kStoreRefusals);
+  }
 
 private:
   HttpRequest mLastRequest{ "", "", {}, "" };
@@ -142,6 +146,19 @@
   CheckStatus(StoreStatus::kOutcomeUnknown, 200, "{");
 }
 
+// Guards against an overloaded store that the log does not show, and against a
+// log line for each refusal.
+TEST(TableStore, RefusalsAreLoggedInFewLines)
+{
+  constexpr int kWrites = 20;
+  StoreFixture fixture(HttpResponse::Json(429, ""));
+  for (int i = 0; i < kWrites; ++i) {
+    fixture.Write(SampleTransaction());
+  }
+  CHECK(fixture.CountRefusalLines() >= 1);
+  CHECK(fixture.CountRefusalLines() < kWrites);
+}
+
 // Guards against one odd row that makes a whole page unreadable: the reader
 // then read the page again and again and never followed later changes.
 TEST(TableStore, OddRowDoesNotHideOtherRows)
