Show that owner writes are refused with the workers' part of the store

Callers saw accepted jobs that do not run (LOST). The new test fails on this code: the lease and the records of the owner are rows of the empty part, as the rows of the workers are, and get 429 while that part is overloaded.

--- a/tests/platform/TableStoreTest.cpp
+++ b/tests/platform/TableStoreTest.cpp
@@ -5,6 +5,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <functional>
 #include <future>
 
 using namespace cornelrudder;
@@ -21,18 +22,26 @@
 
 constexpr milliseconds kTimeout{ 2'000 };
 
-/** A TableStore whose server replies to each request with one response. */
+/** A TableStore whose server replies as a function of the request. */
 class StoreFixture
 {
 public:
+  using Reply = std::function<HttpResponse(const HttpRequest&)>;
+
   explicit StoreFixture(HttpResponse aResponse)
+    : StoreFixture([aResponse](const HttpRequest&) { return aResponse; })
+  {
+  }
+
+  explicit StoreFixture(Reply aReply)
     : mServer(mThread,
               "127.0.0.1:0",
               {},
-              [this, aResponse](HttpRequest aRequest,
-                                const transport::HttpResponder& aRespond) {
+              [this, reply = std::move(aReply)](
+                HttpRequest aRequest,
+                const transport::HttpResponder& aRespond) {
                 mLastRequest = std::move(aRequest);
-                aRespond(aResponse);
+                aRespond(reply(mLastRequest));
               })
     , mClient(mThread, {})
     , mStore(mClient, mServer.Address(), kTimeout, kTimeout, mLog)
@@ -84,6 +93,16 @@
                      { RowCondition("operator/config", 5) });
 }
 
+/** @return The reply of a store whose part of the workers is overloaded. */
+HttpResponse
+RefuseInPartOfWorkers(const HttpRequest& aRequest)
+{
+  const bool isRefused =
+    aRequest.Body().find(R"("part":"")") != std::string::npos;
+  return isRefused ? HttpResponse::Json(429, R"({"error":"too many calls"})")
+                   : HttpResponse::Json(200, R"({"ver":5})");
+}
+
 void
 CheckStatus(StoreStatus aExpected, int aStatus, const std::string& aBody)
 {
@@ -146,6 +165,18 @@
   CheckStatus(StoreStatus::kOutcomeUnknown, 200, "{");
 }
 
+// Guards against an owner that cannot write while the workers write too much.
+TEST(TableStore, OwnerWritesWhileThePartOfTheWorkersIsOverloaded)
+{
+  StoreFixture fixture(RefuseInPartOfWorkers);
+  const StoreResult result =
+    fixture.Write(Transaction("id",
+                              { { "owner/lease", 4, "text" },
+                                { "runs/j", RowWrite::kAnyVersion, "text" },
+                                { "runs/k", RowWrite::kAnyVersion, {} } }));
+  CHECK(result.Status() == StoreStatus::kOk);
+}
+
 // Guards against an overloaded store that the log does not show, and against a
 // log line for each refusal.
 TEST(TableStore, RefusalsAreLoggedInFewLines)
