Keep the rows of the daemons apart from those of the workers

Cause: all rows were in the empty part of the store. A part executes its transactions one after another and refuses them while more than a second of them waits. 350 workers write 233 of the 300 transactions a second that it executes, so the backlog of a slow store takes more than a minute to drain. Until then the owner can record no start, and no other daemon can take over.

The rows of jobs and those of the owner are in two parts of their own now. The condition of a submission on the settings makes it a transaction over two parts.

Ruled out: retries of the daemons and the limit of the whole store.

ConditionsAreSent expects the parts and the flag for a transaction over several parts; it compares the whole body as before.

Rows that an earlier version stored in the empty part are not read. On the platform every deployment starts with an empty table.

--- a/scripts/fleet_soak.sh
+++ b/scripts/fleet_soak.sh
@@ -172,6 +172,10 @@
   draw_of all half "$drawn"
   control "/rows/$drawn/$(((RANDOM % max_fault_seconds + 1) * 1000))"
 }
+# The workers' part of the store refuses transactions.
+overload_store() {
+  control "/overload/$(((RANDOM % max_fault_seconds + 1) * 1000))"
+}
 # Writes a row of another writer, which stays until the end of the seed.
 write_odd_row() {
   draw_of nested number port
@@ -181,7 +185,7 @@
 faults=(kill_daemon restart_worker store_slow silence_worker drain_daemon
   lose_answers freeze_daemon drop_history store_down lose_and_kill kill_all
   separate_owner reset_owner lose_owner_replies separate_daemon separate_worker
-  separate_all remove_rows write_odd_row)
+  separate_all remove_rows write_odd_row overload_store)
 
 # Injects one fault and marks its time for the checks of the stand-in.
 inject() {
--- a/tests/fleet/StoreStandin.cpp
+++ b/tests/fleet/StoreStandin.cpp
@@ -1,6 +1,7 @@
 #include "StoreStandin.h"
 
 #include <algorithm>
+#include <set>
 
 #include <cereal/external/base64.hpp>
 #include <nlohmann/json.hpp>
@@ -83,7 +84,7 @@
 {
   ++mVersion;
   Apply(
-    { aTable, aKey },
+    { aTable, "", aKey },
     { cereal::base64::encode(
         reinterpret_cast<const unsigned char*>(aValue.data()), aValue.size()),
       mVersion },
@@ -103,7 +104,7 @@
 StoreStandin::RemoveWorker(std::size_t aGate, const std::string& aKey)
 {
   ++mVersion;
-  Apply({ StoredTable("servers", aGate), aKey }, { "", mVersion }, true);
+  Apply({ StoredTable("servers", aGate), "", aKey }, { "", mVersion }, true);
   Tick();
 }
 
@@ -124,22 +125,44 @@
   return { { "ver", mVersion }, { "now-ms", NowMs() } };
 }
 
+std::optional<HttpResponse>
+StoreStandin::Refuse(const json& aTransaction) const
+{
+  std::set<std::string> parts;
+  for (const char* entries : { "expected-rev", "puts", "remove" }) {
+    for (const json& it : aTransaction.value(entries, json::array())) {
+      parts.insert(it.at("part"));
+    }
+  }
+  if (parts.size() > 1 && !aTransaction.value("cross", false)) {
+    return HttpResponse::Json(400, R"({"error":"rows of several parts"})");
+  }
+  if (parts.contains("") && Clock::now() < mOverloadedUntil) {
+    return HttpResponse::Json(429, R"({"error":"too many calls"})");
+  }
+  return std::nullopt;
+}
+
 void
 StoreStandin::Transact(const HttpRequest& aRequest,
                        const HttpResponder& aRespond)
 {
   const json body = json::parse(aRequest.Body());
+  if (const auto refusal = Refuse(body)) {
+    aRespond(*refusal);
+    return;
+  }
   json current = json::array();
   bool versionsMatch = true;
   for (const json& it : body.value("expected-rev", json::array())) {
-    const RowId id{ it.at("table"), it.at("key") };
+    const RowId id{ it.at("table"), it.at("part"), it.at("key") };
     const auto row = mRows.find(id);
     const Row found = row != mRows.end() ? row->second : Row();
     versionsMatch =
       versionsMatch && found.mVersion == it.at("ver").get<std::uint64_t>();
-    current.push_back({ { "table", id.first },
-                        { "part", "" },
-                        { "key", id.second },
+    current.push_back({ { "table", id.mTable },
+                        { "part", id.mPart },
+                        { "key", id.mKey },
                         { "value", found.mValue },
                         { "ver", found.mVersion } });
   }
@@ -151,12 +174,13 @@
   }
   ++mVersion;
   for (const json& it : body.value("puts", json::array())) {
-    Apply({ it.at("table"), it.at("key") },
+    Apply({ it.at("table"), it.at("part"), it.at("key") },
           { it.at("value").get<std::string>(), mVersion },
           false);
   }
   for (const json& it : body.value("remove", json::array())) {
-    Apply({ it.at("table"), it.at("key") }, { "", mVersion }, true);
+    Apply(
+      { it.at("table"), it.at("part"), it.at("key") }, { "", mVersion }, true);
   }
   Tick();
   if (tools::TakeFault(mServer.Faults().mLoseAnswers)) {
@@ -173,21 +197,22 @@
 {
   const std::string table = DecodedQuery(aRequest, "table");
   const std::string stored = StoredTable(table, aGate);
+  const std::string part = DecodedQuery(aRequest, "part");
   const std::string to = DecodedQuery(aRequest, "to");
   const std::uint64_t requested = NumericQuery(aRequest, "limit");
   const std::size_t limit =
     requested == 0 ? kMaxPage : std::min(kMaxPage, requested);
   json reply = MakeReply();
   json& rows = reply["rows"] = json::array();
-  auto it = mRows.lower_bound({ stored, DecodedQuery(aRequest, "from") });
+  auto it = mRows.lower_bound({ stored, part, DecodedQuery(aRequest, "from") });
   const auto isInRange = [&] {
-    return it != mRows.end() && it->first.first == stored &&
-           (to.empty() || it->first.second < to);
+    return it != mRows.end() && it->first.mTable == stored &&
+           it->first.mPart == part && (to.empty() || it->first.mKey < to);
   };
   for (; isInRange() && rows.size() < limit; ++it) {
     rows.push_back({ { "table", table },
-                     { "part", "" },
-                     { "key", it->first.second },
+                     { "part", part },
+                     { "key", it->first.mKey },
                      { "value", it->second.mValue },
                      { "ver", it->second.mVersion } });
   }
@@ -208,10 +233,10 @@
     });
   for (auto it = first; it != mHistory.end(); ++it) {
     const Change& change = *it;
-    if (change.mId.first == stored) {
+    if (change.mId.mTable == stored) {
       json row{ { "table", aTable },
-                { "part", "" },
-                { "key", change.mId.second },
+                { "part", change.mId.mPart },
+                { "key", change.mId.mKey },
                 { "value", change.mRow.mValue },
                 { "ver", change.mVersion } };
       if (change.mIsRemoved) {
--- a/tests/fleet/StoreStandin.h
+++ b/tests/fleet/StoreStandin.h
@@ -4,12 +4,13 @@
 #include "StandinServer.h"
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
-#include <utility>
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -56,11 +57,24 @@
   /** Discards the change history; feed readers have to reread the table. */
   void DropHistory() { mHistory.clear(), mHistoryStart = mVersion; }
 
+  /** Refuses transactions on the part of the workers for some time. */
+  void Overload(Millis aTime)
+  {
+    mOverloadedUntil = std::chrono::steady_clock::now() + aTime;
+  }
+
   /** Responds to feed requests that have new changes or timed out. */
   void Tick();
 
 private:
-  using RowId = std::pair<std::string, std::string>;
+  struct RowId
+  {
+    std::string mTable;
+    std::string mPart;
+    std::string mKey;
+
+    auto operator<=>(const RowId&) const = default;
+  };
 
   struct Row
   {
@@ -94,6 +108,9 @@
   void FollowFeed(const protocol::HttpRequest& aRequest,
                   const transport::HttpResponder& aRespond,
                   std::size_t aGate);
+  /** @return The error of a transaction that is not executed, or nothing. */
+  std::optional<protocol::HttpResponse> Refuse(
+    const nlohmann::json& aTransaction) const;
   void Apply(const RowId& aId, const Row& aRow, bool aIsRemoved);
   nlohmann::json ChangesAfter(const std::string& aTable,
                               std::size_t aGate,
@@ -105,6 +122,7 @@
   std::deque<Change> mHistory;
   std::uint64_t mHistoryStart = 0;
   std::uint64_t mVersion = 0;
+  std::chrono::steady_clock::time_point mOverloadedUntil;
   std::list<PendingFeedRequest> mPendingFeeds;
 };
 
--- a/tests/fleet/fleet_standin.cpp
+++ b/tests/fleet/fleet_standin.cpp
@@ -10,6 +10,7 @@
  * - `POST /workers/N/ACTION`: silence, answer, restart
  * - `POST /links/GATES/WORKERS/FAULT/MS` (see WorkerStandins::FailLinks)
  * - `POST /rows/WORKERS/MS` (see WorkerStandins::RemoveRows)
+ * - `POST /overload/MS` (see StoreStandin::Overload)
  * - `POST /odd/KIND` (see WorkerStandins::WriteOddRow)
  * - `POST /faults/begin`, `POST /faults/end`: a fault from outside
  * - `POST /jobs/accepted` with id and steps, `POST /jobs/ended` with id
@@ -171,6 +172,12 @@
     return json::object();
   }
 
+  json OverloadStore(const Parts& aParts, const std::string&)
+  {
+    mStore.Overload(std::chrono::milliseconds(std::stoll(aParts[1])));
+    return json::object();
+  }
+
   json WriteOddRow(const Parts& aParts, const std::string&)
   {
     mWorkers.WriteOddRow(aParts[1]);
@@ -198,18 +205,19 @@
     return json::object();
   }
 
-  static const std::array<Route, 8> kRoutes;
+  static const std::array<Route, 9> kRoutes;
 
   StoreStandin& mStore;
   WorkerStandins& mWorkers;
 };
 
-const std::array<Control::Route, 8> Control::kRoutes{ {
+const std::array<Control::Route, 9> Control::kRoutes{ {
   { "journal", 1, &Control::GetJournal },
   { "history", 2, &Control::DropHistory },
   { "workers", 3, &Control::ApplyAction },
   { "links", 5, &Control::FailLinks },
   { "rows", 3, &Control::RemoveRows },
+  { "overload", 2, &Control::OverloadStore },
   { "odd", 2, &Control::WriteOddRow },
   { "faults", 2, &Control::MarkFault },
   { "jobs", 2, &Control::RecordJob },
--- a/tests/platform/TableStoreTest.cpp
+++ b/tests/platform/TableStoreTest.cpp
@@ -145,10 +145,11 @@
   StoreFixture fixture(HttpResponse::Json(200, R"({"ver":5})"));
   CHECK_EQUAL(5, fixture.Write(SampleTransaction()).Version());
   STRCMP_EQUAL(
-    R"({"expected-rev":[{"key":"config","part":"","table":"op","ver":5},)"
-    R"({"key":"j","part":"","table":"jobs","ver":0}],)"
-    R"("puts":[{"key":"j","part":"","table":"jobs","value":"dGV4dA=="}],)"
-    R"("remove":[{"key":"j","part":"","table":"runs"}]})",
+    R"({"cross":true,)"
+    R"("expected-rev":[{"key":"config","part":"","table":"op","ver":5},)"
+    R"({"key":"j","part":"jobs","table":"jobs","ver":0}],)"
+    R"("puts":[{"key":"j","part":"jobs","table":"jobs","value":"dGV4dA=="}],)"
+    R"("remove":[{"key":"j","part":"owner","table":"runs"}]})",
     fixture.LastRequest().Body().c_str());
 }
 
