--- a/tests/platform/TableStoreTest.cpp
+++ b/tests/platform/TableStoreTest.cpp
@@ -5,6 +5,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <functional>
 #include <future>
 
 using namespace cornelrudder;
@@ -21,18 +22,26 @@
 
 constexpr milliseconds kTimeout{ 2'000 };
 
-/** A TableStore whose server replies to each request with one response. */
+/** A TableStore whose server replies as a function of the request. */
 class StoreFixture
 {
 public:
+  using Reply = std::function<HttpResponse(const HttpRequest&)>;
+
   explicit StoreFixture(HttpResponse aResponse)
+    : StoreFixture([aResponse](const HttpRequest&) { return aResponse; })
+  {
+  }
+
+  explicit StoreFixture(Reply aReply)
     : mServer(mThread,
               "127.0.0.1:0",
               {},
-              [this, aResponse](HttpRequest aRequest,
-                                const transport::HttpResponder& aRespond) {
+              [this, reply = std::move(aReply)](
+                HttpRequest aRequest,
+                const transport::HttpResponder& aRespond) {
                 mLastRequest = std::move(aRequest);
-                aRespond(aResponse);
+                aRespond(reply(mLastRequest));
               })
     , mClient(mThread, {})
     , mStore(mClient, mServer.Address(), kTimeout, kTimeout, mLog)
@@ -61,6 +70,10 @@
   {
     return mLog.Count(coordination::LogEvent::kRowMalformed);
   }
+  int CountRefusalLines()
+  {
+    return mLog.Count(coordination::LogEvent::kStoreRefusals);
+  }
 
 private:
   HttpRequest mLastRequest{ "", "", {}, "" };
@@ -80,6 +93,16 @@
                      { RowCondition("operator/config", 5) });
 }
 
+/** @return The reply of a store whose part of the workers is overloaded. */
+HttpResponse
+RefuseInPartOfWorkers(const HttpRequest& aRequest)
+{
+  const bool isRefused =
+    aRequest.Body().find(R"("part":"")") != std::string::npos;
+  return isRefused ? HttpResponse::Json(429, R"({"error":"too many calls"})")
+                   : HttpResponse::Json(200, R"({"ver":5})");
+}
+
 void
 CheckStatus(StoreStatus aExpected, int aStatus, const std::string& aBody)
 {
@@ -122,10 +145,11 @@
   StoreFixture fixture(HttpResponse::Json(200, R"({"ver":5})"));
   CHECK_EQUAL(5, fixture.Write(SampleTransaction()).Version());
   STRCMP_EQUAL(
-    R"({"expected-rev":[{"key":"config","part":"","table":"op","ver":5},)"
-    R"({"key":"j","part":"","table":"jobs","ver":0}],)"
-    R"("puts":[{"key":"j","part":"","table":"jobs","value":"dGV4dA=="}],)"
-    R"("remove":[{"key":"j","part":"","table":"runs"}]})",
+    R"({"cross":true,)"
+    R"("expected-rev":[{"key":"config","part":"","table":"op","ver":5},)"
+    R"({"key":"j","part":"jobs","table":"jobs","ver":0}],)"
+    R"("puts":[{"key":"j","part":"jobs","table":"jobs","value":"dGV4dA=="}],)"
+    R"("remove":[{"key":"j","part":"owner","table":"runs"}]})",
     fixture.LastRequest().Body().c_str());
 }
 
@@ -142,6 +166,31 @@
   CheckStatus(StoreStatus::kOutcomeUnknown, 200, "{");
 }
 
+// Guards against an owner that cannot write while the workers write too much.
+TEST(TableStore, OwnerWritesWhileThePartOfTheWorkersIsOverloaded)
+{
+  StoreFixture fixture(RefuseInPartOfWorkers);
+  const StoreResult result =
+    fixture.Write(Transaction("id",
+                              { { "owner/lease", 4, "text" },
+                                { "runs/j", RowWrite::kAnyVersion, "text" },
+                                { "runs/k", RowWrite::kAnyVersion, {} } }));
+  CHECK(result.Status() == StoreStatus::kOk);
+}
+
+// Guards against an overloaded store that the log does not show, and against a
+// log line for each refusal.
+TEST(TableStore, RefusalsAreLoggedInFewLines)
+{
+  constexpr int kWrites = 20;
+  StoreFixture fixture(HttpResponse::Json(429, ""));
+  for (int i = 0; i < kWrites; ++i) {
+    fixture.Write(SampleTransaction());
+  }
+  CHECK(fixture.CountRefusalLines() >= 1);
+  CHECK(fixture.CountRefusalLines() < kWrites);
+}
+
 // Guards against one odd row that makes a whole page unreadable: the reader
 // then read the page again and again and never followed later changes.
 TEST(TableStore, OddRowDoesNotHideOtherRows)
