Show that calls fail while the part of the settings is overloaded

Callers see 503 for submissions and cancellations while the workers' writes fill the part of the settings, since the settings row is a condition of each write.

--- a/tests/coordination/FakeFleet.cpp
+++ b/tests/coordination/FakeFleet.cpp
@@ -193,6 +193,28 @@
   return MakeResult(StoreStatus::kOk, {});
 }
 
+bool
+FakeFeedStore::IsRefused(const state::Transaction& aTransaction) const
+{
+  const auto isRefused = [this](const auto& aEntry) {
+    return aEntry.Key().starts_with(mRefusedTable + "/");
+  };
+  return !mRefusedTable.empty() &&
+         (std::any_of(aTransaction.Conditions().begin(),
+                      aTransaction.Conditions().end(),
+                      isRefused) ||
+          std::any_of(aTransaction.Writes().begin(),
+                      aTransaction.Writes().end(),
+                      isRefused));
+}
+
+void
+FakeFeedStore::SetRefusedTable(const std::string& aTable)
+{
+  const std::lock_guard lock(mMutex);
+  mRefusedTable = aTable;
+}
+
 void
 FakeFeedStore::Transact(const state::Transaction& aTransaction,
                         StorePort::Completion aCompletion)
@@ -200,7 +222,7 @@
   StoreResult result(StoreStatus::kUnavailable, {});
   {
     const std::lock_guard lock(mMutex);
-    if (!mDown) {
+    if (!mDown && !IsRefused(aTransaction)) {
       if (mWriteFault != WriteFault::kRequestLost) {
         result = Apply(aTransaction);
       }
--- a/tests/coordination/FakeFleet.h
+++ b/tests/coordination/FakeFleet.h
@@ -68,6 +68,11 @@
   void SetDown(bool aDown);
   /** Sets the fault of all further writes. */
   void SetWriteFault(WriteFault aFault);
+  /**
+   * Refuses all further writes that cover a row of a table, without effect.
+   * @param aTable Name of the table; empty for none.
+   */
+  void SetRefusedTable(const std::string& aTable);
   /** While set, polls report no changes. */
   void SetFeedSuppressed(bool aSuppressed);
   /** Makes the next poll fail because its history is no longer kept. */
@@ -88,6 +93,7 @@
   state::StoreResult MakeResult(state::StoreStatus aStatus,
                                 std::vector<state::StoreRow> aRows) const;
   state::StoreResult Apply(const state::Transaction& aTransaction);
+  bool IsRefused(const state::Transaction& aTransaction) const;
 
   std::mutex mMutex;
   std::condition_variable mWake;
@@ -98,6 +104,7 @@
   bool mDown = false;
   bool mFeedSuppressed = false;
   WriteFault mWriteFault = WriteFault::kNone;
+  std::string mRefusedTable;
   std::vector<PendingPoll> mPendingPolls;
   bool mStopping = false;
   std::thread mThread;
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -297,6 +297,31 @@
   CheckStatus(JobCallStatus::kUnknown, daemons.Submit(daemon, "j1"));
 }
 
+// Guards against calls that are refused while only the operator's part of the
+// store refuses writes.
+TEST(SchedulingTasks, CallsAreServedWhileThePartOfTheSettingsIsOverloaded)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mWorkers.SetRunsBlocked(true);
+  daemons.mStore.SetRefusedTable(kOperatorTable);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CheckStatus(JobCallStatus::kOk,
+              daemons.Call(daemon, JobCallKind::kCancel, "j1").mStatus);
+}
+
+// Guards against a call that is accepted under outdated settings while their
+// row cannot be a condition of the write.
+TEST(SchedulingTasks, WithdrawnKeyIsRejectedWhileThePartIsOverloaded)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mStore.SetRefusedTable(kOperatorTable);
+  daemons.mStore.Put(kCatalogKey, "2 other");
+  CheckStatus(JobCallStatus::kUnknownApiKey, daemons.Submit(daemon, "j1"));
+  CHECK(!daemons.mStore.Has("jobs/j1"));
+}
+
 // Guards against delaying callers while the store is known to be unreachable,
 // and against a write that takes effect after a rejection.
 TEST(SchedulingTasks, UnreachableStoreRejectsWithoutEffect)
