Check the settings by a read while their part refuses writes

Callers saw 503 for submissions and cancellations while only the part of the store with the rows of workers and operators was overloaded. Each of these writes has the settings row as its condition, so it covers that part.

If such a write is refused, the daemon polls the changes of the settings since the version that it has read, which is a read, and writes without the condition if there are none. The request arrived before that poll, so that the settings are those in force when it was sent; a newer version is applied first. The condition stays the first choice, since it also holds if the feed is silent.

--- a/include/cornelrudder/coordination/SchedulingMessages.h
+++ b/include/cornelrudder/coordination/SchedulingMessages.h
@@ -50,6 +50,8 @@
   const StoreClockReading mStoreClock;
   /** Whether the last read of the store succeeded. */
   const bool mIsStoreReachable;
+  /** Store version up to which the settings table was read; 0 if unknown. */
+  const std::uint64_t mReadVersion;
 
   auto operator<=>(const CatalogView&) const = default;
 };
--- a/src/coordination/CatalogTask.cpp
+++ b/src/coordination/CatalogTask.cpp
@@ -185,7 +185,7 @@
 
   CatalogView View() const
   {
-    return { mCatalog, mConfirmedAt, mStoreClock, mIsReachable };
+    return { mCatalog, mConfirmedAt, mStoreClock, mIsReachable, mVersion };
   }
 
   StorePort& mStore;
--- a/src/coordination/JobGatewayTask.cpp
+++ b/src/coordination/JobGatewayTask.cpp
@@ -63,6 +63,11 @@
   bool mMayBeWritten = false;
   /** Whether a probe read was sent to the store for this call. */
   bool mIsProbed = false;
+  /**
+   * Whether a poll during this call found the settings unchanged, so that its
+   * writes need no condition on their row.
+   */
+  bool mIsCatalogChecked = false;
   int mReevaluations = 0;
 };
 
@@ -142,6 +147,7 @@
       mStoreRespondedAt = mClock.Now();
     }
     mStoreClock = aView.mStoreClock;
+    mReadVersion = aView.mReadVersion;
   }
 
   bool IsConfirmed(milliseconds aMaxAge) const
@@ -279,13 +285,19 @@
     delayed_send(this, mOptions.mWriteRetryDelay, ResumeCall{ aId });
   }
 
-  /** Writes on condition that the settings used for the call are unchanged. */
+  /**
+   * Writes on condition that the settings used for the call are unchanged,
+   * unless that has been checked since the call arrived.
+   */
   void Write(std::uint64_t aId,
              std::vector<state::RowWrite> aWrites,
              ResultHandler aHandler,
              std::vector<state::RowCondition> aConditions = {})
   {
-    aConditions.emplace_back(kCatalogKey, mCatalog->RowVersion());
+    const auto call = mPending.find(aId);
+    if (call == mPending.end() || !call->second.mIsCatalogChecked) {
+      aConditions.emplace_back(kCatalogKey, mCatalog->RowVersion());
+    }
     mStore.Transact(
       Transaction(mWriteIds.Next(), std::move(aWrites), std::move(aConditions)),
       ExpectResult(aId, aHandler));
@@ -350,6 +362,10 @@
         Reevaluate(aId, aPending, aResult);
         return;
       case StoreStatus::kUnavailable:
+        if (!aPending.mIsCatalogChecked && mReadVersion != 0) {
+          CheckCatalog(aId, aPending);
+          return;
+        }
         break;
       case StoreStatus::kOutcomeUnknown:
         aPending.mMayBeWritten = true;
@@ -360,6 +376,55 @@
     RejectOrRetry(aId, aPending, "the store is unavailable");
   }
 
+  /**
+   * Checks the settings with a read after a refused write. The store may refuse
+   * writes that cover the operator's rows while it accepts others.
+   */
+  void CheckCatalog(std::uint64_t aId, Pending& aPending)
+  {
+    aPending.mIsCatalogChecked = true;
+    mFeed.PollChanges(kOperatorTable,
+                      mReadVersion,
+                      milliseconds(0),
+                      ExpectResult(aId, &JobGatewayTask::HandleCatalogCheck));
+  }
+
+  void HandleCatalogCheck(std::uint64_t aId,
+                          Pending& aPending,
+                          const StoreResult& aResult)
+  {
+    if (aResult.Status() != StoreStatus::kOk) {
+      aPending.mIsCatalogChecked = false;
+      RejectOrRetry(aId, aPending, "the store is unavailable");
+      return;
+    }
+    ApplyNewerCatalog(aResult);
+    const StoreRow* row = FindRow(aResult, kCatalogKey);
+    if (row != nullptr && row->Version() > mCatalog->RowVersion()) {
+      aPending.mIsCatalogChecked = false;
+      RejectOrRetry(aId, aPending, "the newest settings cannot be decoded");
+      return;
+    }
+    Evaluate(aId, aPending);
+  }
+
+  /** Applies the settings of a store result if they are newer. */
+  void ApplyNewerCatalog(const StoreResult& aResult)
+  {
+    const StoreRow* row = FindRow(aResult, kCatalogKey);
+    if (row == nullptr || row->Version() <= mCatalog->RowVersion()) {
+      return;
+    }
+    try {
+      mCatalog = std::make_shared<const Catalog>(
+        mPlatformCodec.DecodeCatalog(row->Value(), row->Version()));
+      mConfirmedAt = mClock.Now();
+    } catch (const CoordinationError& error) {
+      mLog.Write({ LogEvent::kRowMalformed,
+                   { { "key", row->Key() }, { "error", error.what() } } });
+    }
+  }
+
   /**
    * Evaluates a call again after a write conflict, under the settings that the
    * conflict returned if they are newer.
@@ -368,17 +433,7 @@
                   Pending& aPending,
                   const StoreResult& aResult)
   {
-    const StoreRow* row = FindRow(aResult, kCatalogKey);
-    if (row != nullptr && row->Version() > mCatalog->RowVersion()) {
-      try {
-        mCatalog = std::make_shared<const Catalog>(
-          mPlatformCodec.DecodeCatalog(row->Value(), row->Version()));
-        mConfirmedAt = mClock.Now();
-      } catch (const CoordinationError& error) {
-        mLog.Write({ LogEvent::kRowMalformed,
-                     { { "key", row->Key() }, { "error", error.what() } } });
-      }
-    }
+    ApplyNewerCatalog(aResult);
     send(mCatalogTask, RefreshCatalog{});
     if (++aPending.mReevaluations > kMaxReevaluations) {
       Reject(aId, JobCallStatus::kUnavailable, "the settings keep changing");
@@ -631,6 +686,8 @@
   milliseconds mConfirmedAt{ 0 };
   StoreClockReading mStoreClock;
   bool mIsStoreReachable = false;
+  /** Store version up to which the catalog task has read the settings table. */
+  std::uint64_t mReadVersion = 0;
   milliseconds mStoreRespondedAt{ 0 };
   std::map<std::uint64_t, Pending> mPending;
   std::map<std::uint64_t, StoreCall> mStoreCalls;
