--- a/tests/coordination/FakeFleet.cpp
+++ b/tests/coordination/FakeFleet.cpp
@@ -3,6 +3,7 @@
 #include "cornelrudder/coordination/CoordinationError.h"
 
 #include <algorithm>
+#include <iterator>
 #include <sstream>
 
 namespace cornelrudder::tests {
@@ -28,7 +29,7 @@
 } // namespace
 
 FakeFeedStore::FakeFeedStore()
-  : mThread([this] { CompletePolls(); })
+  : mThread([this] { RunThread(); })
 {
 }
 
@@ -61,36 +62,94 @@
   return rows;
 }
 
-/** Completes pending polls on a change or when their wait expires. */
 void
-FakeFeedStore::CompletePolls()
+FakeFeedStore::RunThread()
 {
   std::unique_lock lock(mMutex);
   while (!mStopping) {
     mWake.wait_for(lock, kPollCheckInterval);
-    std::vector<PendingPoll> polls;
-    polls.swap(mPendingPolls);
-    for (PendingPoll& poll : polls) {
-      const auto rows = mFeedSuppressed ? std::vector<StoreRow>()
-                                        : ChangesOf(poll.mTable, poll.mAfter);
-      const bool isExpired = Clock::now() >= poll.mUntil;
-      if (rows.empty() && !isExpired && !mDown) {
-        mPendingPolls.push_back(std::move(poll));
-        continue;
-      }
-      const StoreResult result = mDown
-                                   ? StoreResult(StoreStatus::kUnavailable, {})
-                                   : MakeResult(StoreStatus::kOk, rows);
-      lock.unlock();
-      poll.mCompletion(result);
-      lock.lock();
+    ExecuteDelayed(lock);
+    CompletePolls(lock);
+  }
+}
+
+void
+FakeFeedStore::ExecuteDelayed(std::unique_lock<std::mutex>& aLock)
+{
+  const auto isDue = [now = Clock::now()](const DelayedCall& aCall) {
+    return aCall.mAt <= now;
+  };
+  std::vector<DelayedCall> due;
+  std::copy_if(
+    mDelayedCalls.begin(), mDelayedCalls.end(), std::back_inserter(due), isDue);
+  std::erase_if(mDelayedCalls, isDue);
+  aLock.unlock();
+  for (const DelayedCall& call : due) {
+    call.mExecute();
+  }
+  aLock.lock();
+}
+
+void
+FakeFeedStore::Execute(std::chrono::milliseconds FakeFeedStore::*aDelay,
+                       std::function<void()> aExecute)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    const std::chrono::milliseconds delay = this->*aDelay;
+    if (delay.count() > 0) {
+      mDelayedCalls.push_back({ Clock::now() + delay, std::move(aExecute) });
+      return;
+    }
+  }
+  aExecute();
+}
+
+void
+FakeFeedStore::SetDelays(std::chrono::milliseconds aRead,
+                         std::chrono::milliseconds aWrite)
+{
+  const std::lock_guard lock(mMutex);
+  mReadDelay = aRead;
+  mWriteDelay = aWrite;
+}
+
+/** Completes pending polls on a change or when their wait expires. */
+void
+FakeFeedStore::CompletePolls(std::unique_lock<std::mutex>& aLock)
+{
+  std::vector<PendingPoll> polls;
+  polls.swap(mPendingPolls);
+  for (PendingPoll& poll : polls) {
+    const auto rows = mFeedSuppressed ? std::vector<StoreRow>()
+                                      : ChangesOf(poll.mTable, poll.mAfter);
+    const bool isExpired = Clock::now() >= poll.mUntil;
+    if (rows.empty() && !isExpired && !mDown) {
+      mPendingPolls.push_back(std::move(poll));
+      continue;
     }
+    const StoreResult result = mDown
+                                 ? StoreResult(StoreStatus::kUnavailable, {})
+                                 : MakeResult(StoreStatus::kOk, rows);
+    aLock.unlock();
+    poll.mCompletion(result);
+    aLock.lock();
   }
 }
 
 void
 FakeFeedStore::ReadRow(const std::string& aKey,
                        StorePort::Completion aCompletion)
+{
+  Execute(&FakeFeedStore::mReadDelay,
+          [this, aKey, completion = std::move(aCompletion)] {
+            ExecuteReadRow(aKey, completion);
+          });
+}
+
+void
+FakeFeedStore::ExecuteReadRow(const std::string& aKey,
+                              const StorePort::Completion& aCompletion)
 {
   StoreResult result(StoreStatus::kUnavailable, {});
   {
@@ -218,6 +277,16 @@
 void
 FakeFeedStore::Transact(const state::Transaction& aTransaction,
                         StorePort::Completion aCompletion)
+{
+  Execute(&FakeFeedStore::mWriteDelay,
+          [this, aTransaction, completion = std::move(aCompletion)] {
+            ExecuteTransact(aTransaction, completion);
+          });
+}
+
+void
+FakeFeedStore::ExecuteTransact(const state::Transaction& aTransaction,
+                               const StorePort::Completion& aCompletion)
 {
   StoreResult result(StoreStatus::kUnavailable, {});
   {
--- a/tests/coordination/FakeFleet.h
+++ b/tests/coordination/FakeFleet.h
@@ -7,7 +7,9 @@
 #include "cornelrudder/coordination/TaskWorkerPort.h"
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <set>
@@ -73,6 +75,9 @@
    * @param aTable Name of the table; empty for none.
    */
   void SetRefusedTable(const std::string& aTable);
+  /** Delays the effect and the reply of all further calls but polls. */
+  void SetDelays(std::chrono::milliseconds aRead,
+                 std::chrono::milliseconds aWrite);
   /** While set, polls report no changes. */
   void SetFeedSuppressed(bool aSuppressed);
   /** Makes the next poll fail because its history is no longer kept. */
@@ -87,7 +92,23 @@
     ChangeFeedPort::Completion mCompletion;
   };
 
-  void CompletePolls();
+  struct DelayedCall
+  {
+    std::chrono::steady_clock::time_point mAt;
+    std::function<void()> mExecute;
+  };
+
+  /** Completes pending polls and delayed calls on the store's thread. */
+  void RunThread();
+  void CompletePolls(std::unique_lock<std::mutex>& aLock);
+  void ExecuteDelayed(std::unique_lock<std::mutex>& aLock);
+  /** Executes a call now, or on the store's thread after a delay. */
+  void Execute(std::chrono::milliseconds FakeFeedStore::*aDelay,
+               std::function<void()> aExecute);
+  void ExecuteReadRow(const std::string& aKey,
+                      const StorePort::Completion& aCompletion);
+  void ExecuteTransact(const state::Transaction& aTransaction,
+                       const StorePort::Completion& aCompletion);
   std::vector<state::StoreRow> ChangesOf(const std::string& aTable,
                                          std::uint64_t aAfter) const;
   state::StoreResult MakeResult(state::StoreStatus aStatus,
@@ -105,6 +126,9 @@
   bool mFeedSuppressed = false;
   WriteFault mWriteFault = WriteFault::kNone;
   std::string mRefusedTable;
+  std::chrono::milliseconds mReadDelay{ 0 };
+  std::chrono::milliseconds mWriteDelay{ 0 };
+  std::vector<DelayedCall> mDelayedCalls;
   std::vector<PendingPoll> mPendingPolls;
   bool mStopping = false;
   std::thread mThread;
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -397,6 +397,27 @@
     [&] { return daemons.mLog.Count(LogEvent::kJobsRecovered) == 1; }));
 }
 
+// Guards against takeovers from a live owner whose renewals a slow store
+// delays.
+TEST(SchedulingTasks, SlowStoreDoesNotChangeTheOwner)
+{
+  Daemons daemons;
+  daemons.Start("a");
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kJobsRecovered) == 1; }));
+  daemons.Start("b");
+  // Longer than the owner timeout of 600 ms.
+  daemons.mStore.SetDelays(milliseconds(300), milliseconds(700));
+  const std::uint64_t begin = daemons.Lease().mSequence;
+  constexpr std::uint64_t kRenewals = 5;
+  CHECK(WaitUntil([&] {
+    const OwnerLease lease = daemons.Lease();
+    return lease.mEpoch > 1 || lease.mSequence >= begin + kRenewals;
+  }));
+  CHECK_EQUAL(std::string("a"), daemons.Lease().mOwner);
+  CHECK_EQUAL(1, daemons.mLog.Count(LogEvent::kDomainOwnerChanged));
+}
+
 // Guards against losing jobs when their owner is killed or releases ownership.
 TEST(SchedulingTasks, AnotherDaemonTakesOver)
 {
