Let the limit of the owner's silence follow the speed of the store

Callers saw no starts for seconds while the store was slow: four to eight owners followed each other, each with a load of about 1.6 s and with tasks planned anew.

Cause: followers count an owner as silent after 1.3 s by reads that are late themselves, while its renewals take longer or get no reply and are repeated after a timeout of 1 s. The attempts of up to 41 daemons then fill the owner's part and delay its next renewal: an overload that the takeovers sustain.

The owner writes the longest time between renewals that it expects into the lease row, from its recent writes. A follower waits for that time, at most 6 s, and for three times the delay of its reads, and spreads its attempt by that delay. While the store is as fast as usual, nothing changes.

--- a/include/cornelrudder/state/PeakWindow.h
+++ b/include/cornelrudder/state/PeakWindow.h
@@ -11,14 +11,18 @@
 {
 public:
   /**
-   * Long enough to contain the peaks of a steady load; short enough to let
-   * other classes soon use the slots of a class without demand.
+   * Default length: long enough to contain the peaks of a steady load; short
+   * enough to let other classes soon use the slots of a class without demand.
    */
   static constexpr std::chrono::milliseconds kLength{ 30'000 };
 
-  /** @param aInitial Peak assumed until it leaves the window. */
-  explicit PeakWindow(int aInitial)
-    : mPrevious(aInitial)
+  /**
+   * @param aInitial Peak assumed until it leaves the window.
+   * @param aLength Length of one window.
+   */
+  explicit PeakWindow(int aInitial, std::chrono::milliseconds aLength = kLength)
+    : mLength(aLength)
+    , mPrevious(aInitial)
     , mCurrent(aInitial)
   {
   }
@@ -26,12 +30,15 @@
   /** @return The window after a sample. */
   PeakWindow WithSample(std::chrono::milliseconds aNow, int aSample) const
   {
-    const std::chrono::milliseconds start = aNow - aNow % kLength;
-    if (start == mStart || mStart < std::chrono::milliseconds(0)) {
-      return { start, mPrevious, std::max(mCurrent, aSample) };
+    PeakWindow window = *this;
+    window.mStart = aNow - aNow % mLength;
+    if (window.mStart == mStart || mStart < std::chrono::milliseconds(0)) {
+      window.mCurrent = std::max(mCurrent, aSample);
+      return window;
     }
-    const int previous = mStart < start - kLength ? 0 : mCurrent;
-    return { start, previous, aSample };
+    window.mPrevious = mStart < window.mStart - mLength ? 0 : mCurrent;
+    window.mCurrent = aSample;
+    return window;
   }
 
   int Peak(std::chrono::milliseconds aNow) const
@@ -40,22 +47,16 @@
     if (mStart < std::chrono::milliseconds(0)) {
       return mCurrent;
     }
-    if (age >= 2 * kLength) {
+    if (age >= 2 * mLength) {
       return 0;
     }
-    return age >= kLength ? mCurrent : std::max(mPrevious, mCurrent);
+    return age >= mLength ? mCurrent : std::max(mPrevious, mCurrent);
   }
 
   auto operator<=>(const PeakWindow&) const = default;
 
 private:
-  PeakWindow(std::chrono::milliseconds aStart, int aPrevious, int aCurrent)
-    : mStart(aStart)
-    , mPrevious(aPrevious)
-    , mCurrent(aCurrent)
-  {
-  }
-
+  std::chrono::milliseconds mLength;
   /** Negative until the first sample. */
   std::chrono::milliseconds mStart{ -1 };
   int mPrevious;
--- a/include/cornelrudder/state/scheduling/OwnerLease.h
+++ b/include/cornelrudder/state/scheduling/OwnerLease.h
@@ -1,6 +1,9 @@
 #ifndef CORNELRUDDER_STATE_SCHEDULING_OWNER_LEASE_H
 #define CORNELRUDDER_STATE_SCHEDULING_OWNER_LEASE_H
 
+#include "cornelrudder/state/PeakWindow.h"
+
+#include <algorithm>
 #include <chrono>
 #include <compare>
 #include <cstdint>
@@ -27,6 +30,11 @@
    * workers.
    */
   std::uint64_t mHandovers = 0;
+  /**
+   * Longest time between two renewals that the owner expects, from the times
+   * that its recent writes took; 0 if unknown.
+   */
+  std::chrono::milliseconds mRenewalBound{ 0 };
 
   /**
    * Limits handovers among daemons of which none reaches the workers.
@@ -73,10 +81,15 @@
    */
   void Reset() { mHasObservation = false; }
 
-  /** @return Whether the row was unchanged for the timeout. */
-  bool IsExpired() const
+  /**
+   * @param aMinimum Shortest time without a change for this row, if it is
+   *   longer than the timeout.
+   * @return Whether the row was unchanged for that time.
+   */
+  bool IsExpired(std::chrono::milliseconds aMinimum = {}) const
   {
-    return mHasObservation && mLastReadAt - mFirstReadAt >= mTimeout;
+    return mHasObservation &&
+           mLastReadAt - mFirstReadAt >= std::max(mTimeout, aMinimum);
   }
 
 private:
@@ -87,6 +100,62 @@
   std::chrono::milliseconds mLastReadAt{ 0 };
 };
 
+/**
+ * Recent times that calls to the store took, by which daemons tell a slow store
+ * from a failed owner. A value type.
+ */
+class StoreTiming
+{
+public:
+  /** @return The timing after a read of the lease row. */
+  StoreTiming WithRead(std::chrono::milliseconds aNow,
+                       std::chrono::milliseconds aTook) const;
+
+  /**
+   * @param aTook Time from the first attempt of the write to its reply.
+   * @return The timing after a stored write of the owner.
+   */
+  StoreTiming WithRenewal(std::chrono::milliseconds aNow,
+                          std::chrono::milliseconds aTook) const;
+
+  /**
+   * @param aInterval Interval of the renewals.
+   * @return OwnerLease::mRenewalBound for the next write of the owner.
+   */
+  std::chrono::milliseconds RenewalBound(
+    std::chrono::milliseconds aNow,
+    std::chrono::milliseconds aInterval) const;
+
+  /**
+   * @param aBound Bound in the lease row.
+   * @param aTimeout Silence after which an owner counts as failed while the
+   *   store is fast.
+   * @return Silence of the owner after which it counts as failed.
+   */
+  std::chrono::milliseconds SilenceLimit(
+    std::chrono::milliseconds aNow,
+    std::chrono::milliseconds aBound,
+    std::chrono::milliseconds aTimeout) const;
+
+  /**
+   * @return Range of the random delay of an acquisition. While the store is
+   *   slow, simultaneous attempts of all daemons would delay the first one.
+   */
+  std::chrono::milliseconds AcquireSpread(std::chrono::milliseconds aNow) const;
+
+  auto operator<=>(const StoreTiming&) const = default;
+
+private:
+  /** @return By how much the slowest recent read exceeded the usual time. */
+  std::chrono::milliseconds ReadDelay(std::chrono::milliseconds aNow) const;
+
+  /** Two windows cover the calls of a slow store between two renewals. */
+  static constexpr std::chrono::milliseconds kWindow{ 5'000 };
+
+  PeakWindow mReads{ 0, kWindow };
+  PeakWindow mRenewals{ 0, kWindow };
+};
+
 } // namespace cornelrudder::state::scheduling
 
 #endif // CORNELRUDDER_STATE_SCHEDULING_OWNER_LEASE_H
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -102,6 +102,7 @@
   void HandleWriteConflict(const state::StoreResult& aResult);
   void StepDown(const char* aReason);
   void EndOwnership();
+  bool IsOwnerSilent(const state::scheduling::OwnerLease& aLease);
   Millis Delay(const state::Backoff& aBackoff, int aFailedAttempts);
   void CheckReachability();
   void LogRelease();
@@ -162,16 +163,23 @@
   state::scheduling::OwnerLease mLease;
   std::uint64_t mLeaseVersion = 0;
   bool mLeaseReadInFlight = false;
+  Millis mLeaseReadSentAt{ 0 };
+  state::scheduling::StoreTiming mStoreTiming;
   bool mWriteInFlight = false;
   /** Number of terminated jobs whose rows the write in flight removes. */
   std::size_t mRemovalsInFlight = 0;
   Millis mLastWriteAt{ 0 };
+  /** Begin of the first write since the last stored one. */
+  Millis mWriteBegunAt{ 0 };
+  bool mIsWriteRetry = false;
   /** Earliest time of the next write after a failed one. */
   Millis mNextWriteAt{ 0 };
   int mFailedWrites = 0;
   state::Backoff mWriteBackoff;
   /** Earliest time of the next attempt to acquire the lease. */
   Millis mNextAcquireAt{ 0 };
+  /** When this daemon takes over from a silent owner; see IsOwnerSilent(). */
+  std::optional<Millis> mTakeoverAt;
   int mFailedAcquisitions = 0;
   state::Backoff mAcquireBackoff;
   std::mt19937_64 mRandom;
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -80,6 +80,7 @@
 {
   if (!mLeaseReadInFlight) {
     mLeaseReadInFlight = true;
+    mLeaseReadSentAt = Now();
     mPorts.mStore.ReadRow(kOwnerLeaseKey,
                           ExpectResult(&SchedulerTask::HandleLeaseRow));
   }
@@ -101,6 +102,7 @@
     AcquireLease(0, OwnerLease{}, "no_owner_yet");
     return;
   }
+  mStoreTiming = mStoreTiming.WithRead(Now(), Now() - mLeaseReadSentAt);
   const StoreRow& row = aResult.Rows().front();
   try {
     const OwnerLease lease = mPorts.mCodec.DecodeOwnerLease(row.Value());
@@ -122,7 +124,7 @@
       }
     } else if (lease.mOwner == mOptions.mSelf) {
       AcquireLease(row.Version(), lease, "own_earlier_life");
-    } else if (mOwnerObserver.IsExpired()) {
+    } else if (IsOwnerSilent(lease)) {
       AcquireLease(row.Version(), lease, "owner_silent");
     }
   } catch (const CoordinationError& error) {
@@ -130,6 +132,30 @@
   }
 }
 
+/**
+ * @return Whether the owner counts as failed and this daemon's turn has come.
+ *   The limit follows the speed of the store, which delays renewals and reads.
+ */
+bool
+SchedulerTask::IsOwnerSilent(const OwnerLease& aLease)
+{
+  const Millis limit = mStoreTiming.SilenceLimit(
+                         Now(), aLease.mRenewalBound, mOptions.mOwnerTimeout) +
+                       mOptions.mTakeoverDelay;
+  if (!mOwnerObserver.IsExpired(limit)) {
+    mTakeoverAt.reset();
+    return false;
+  }
+  if (!mTakeoverAt) {
+    const auto spread =
+      static_cast<double>(mStoreTiming.AcquireSpread(Now()).count());
+    mTakeoverAt =
+      Now() + Millis(static_cast<Millis::rep>(
+                spread * std::uniform_real_distribution<double>()(mRandom)));
+  }
+  return Now() >= *mTakeoverAt;
+}
+
 void
 SchedulerTask::AcquireLease(std::uint64_t aVersion,
                             const OwnerLease& aObserved,
@@ -147,6 +173,7 @@
   mLease.mIncarnation = mOptions.mIncarnation;
   mLease.mEpoch = aObserved.mEpoch + 1;
   mLease.mSequence = 1;
+  mTakeoverAt.reset();
   mPorts.mLog.Write({ LogEvent::kDomainOwnerChanged,
                       { { "owner", aObserved.mOwner },
                         { "epoch", std::to_string(aObserved.mEpoch) },
@@ -180,6 +207,7 @@
 {
   mLeaseVersion = aVersion;
   mLastWriteAt = Now();
+  mIsWriteRetry = false;
   mAcquiredAt = Now();
   mWriteInFlight = false;
   mNextWriteAt = Millis(0);
@@ -209,7 +237,13 @@
 {
   mWriteInFlight = true;
   mLastWriteAt = Now();
+  if (!mIsWriteRetry) {
+    mWriteBegunAt = mLastWriteAt;
+  }
+  mIsWriteRetry = true;
   ++mLease.mSequence;
+  mLease.mRenewalBound =
+    mStoreTiming.RenewalBound(Now(), mOptions.mRenewInterval);
   std::vector<JobProgress> records;
   if (mMode == Mode::kOwning) {
     records = mScheduler->BeginWrite(kMaxJobsPerWrite);
@@ -258,6 +292,8 @@
     }
   }
   if (isStored) {
+    mStoreTiming = mStoreTiming.WithRenewal(Now(), Now() - mWriteBegunAt);
+    mIsWriteRetry = false;
     mFailedWrites = 0;
     mLeaseVersion = aResult.Version();
     if (mLease.mOwner.empty()) {
--- a/src/protocol/JsonSchedulingCodec.cpp
+++ b/src/protocol/JsonSchedulingCodec.cpp
@@ -270,7 +270,8 @@
                   { "epoch", aLease.mEpoch },
                   { "sequence", aLease.mSequence },
                   { "pending", aLease.mPending },
-                  { "handovers", aLease.mHandovers } });
+                  { "handovers", aLease.mHandovers },
+                  { "renewal_bound_ms", aLease.mRenewalBound.count() } });
 }
 
 OwnerLease
@@ -285,6 +286,8 @@
     lease.mPending = aObject.CountersByName("pending");
     // Rows of earlier releases have no such field.
     lease.mHandovers = aObject.Counter("handovers", 0);
+    lease.mRenewalBound =
+      aObject.Milliseconds("renewal_bound_ms", std::chrono::milliseconds(0));
     return lease;
   });
 }
--- a/src/state/scheduling/OwnerLease.cpp
+++ b/src/state/scheduling/OwnerLease.cpp
@@ -15,6 +15,16 @@
  * pause, tasks on workers that no daemon reaches would never be replaced.
  */
 constexpr std::chrono::milliseconds kHandoverPause{ 12'000 };
+/** A lost reply or a late write doubles the time between two renewals. */
+constexpr int kRenewalBoundFactor = 2;
+/** Limit of the time that a failed owner is not replaced on a slow store. */
+constexpr std::chrono::milliseconds kMaxRenewalBound{ 6'000 };
+/** A renewal, its conflict with a write of unknown outcome, and another one. */
+constexpr int kCallsPerRenewal = 3;
+/** Simultaneous attempts that a slow store executes one after another. */
+constexpr int kSpreadCalls = 20;
+/** Reads below this time are usual on small VMs under load. */
+constexpr std::chrono::milliseconds kUsualRead{ 100 };
 /** Time of ownership after which earlier handovers do not count any more. */
 constexpr std::chrono::milliseconds kHandoverMemory{ 30'000 };
 
@@ -48,4 +58,53 @@
   mLastReadAt = aStoreTime;
 }
 
+StoreTiming
+StoreTiming::WithRead(std::chrono::milliseconds aNow,
+                      std::chrono::milliseconds aTook) const
+{
+  StoreTiming timing = *this;
+  timing.mReads = mReads.WithSample(aNow, static_cast<int>(aTook.count()));
+  return timing;
+}
+
+StoreTiming
+StoreTiming::WithRenewal(std::chrono::milliseconds aNow,
+                         std::chrono::milliseconds aTook) const
+{
+  StoreTiming timing = *this;
+  timing.mRenewals =
+    mRenewals.WithSample(aNow, static_cast<int>(aTook.count()));
+  return timing;
+}
+
+std::chrono::milliseconds
+StoreTiming::RenewalBound(std::chrono::milliseconds aNow,
+                          std::chrono::milliseconds aInterval) const
+{
+  const std::chrono::milliseconds took(mRenewals.Peak(aNow));
+  return std::min(aInterval + took * kRenewalBoundFactor, kMaxRenewalBound);
+}
+
+std::chrono::milliseconds
+StoreTiming::SilenceLimit(std::chrono::milliseconds aNow,
+                          std::chrono::milliseconds aBound,
+                          std::chrono::milliseconds aTimeout) const
+{
+  return std::max(aTimeout, std::min(aBound, kMaxRenewalBound)) +
+         ReadDelay(aNow) * kCallsPerRenewal;
+}
+
+std::chrono::milliseconds
+StoreTiming::AcquireSpread(std::chrono::milliseconds aNow) const
+{
+  return ReadDelay(aNow) * kSpreadCalls;
+}
+
+std::chrono::milliseconds
+StoreTiming::ReadDelay(std::chrono::milliseconds aNow) const
+{
+  const std::chrono::milliseconds read(mReads.Peak(aNow));
+  return std::max(read - kUsualRead, std::chrono::milliseconds(0));
+}
+
 } // namespace cornelrudder::state::scheduling
