Report jobs whose only runs are on silent workers as stalled

They are reported now, with the number of these runs and the time to the end of the lease, and count in scheduler_jobs_stalled. Only the report changes.

--- a/src/coordination/LogEvent.cpp
+++ b/src/coordination/LogEvent.cpp
@@ -367,8 +367,9 @@
     LogEvent::kJobStalled,
     LogLevel::kWarning,
     "job_stalled",
-    "a task of an active job is ready and none is assigned to a worker; the "
-    "longest such wait is logged once a second with the state of the workers" },
+    "an active job has a ready task or a run on a silent worker, and no run on "
+    "a worker that replies; the longest such wait is logged once a second with "
+    "the state of the workers" },
   LogEventInfo{ LogEvent::kEndIgnored,
                 LogLevel::kInfo,
                 "end_ignored",
--- a/src/state/scheduling/SchedulerDiagnostics.cpp
+++ b/src/state/scheduling/SchedulerDiagnostics.cpp
@@ -1,12 +1,14 @@
 #include "SchedulerImpl.h"
 
+#include <algorithm>
+
 namespace cornelrudder::state::scheduling {
 
 namespace {
 
 /** Interval of the reports, which bounds the volume of the log. */
 constexpr Millis kStallReportInterval{ 1'000 };
-/** Time without an assigned task from which a job is reported. */
+/** Time without a run on a responsive worker from which a job is reported. */
 constexpr Millis kMinStallReported{ 1'000 };
 
 } // namespace
@@ -59,9 +61,46 @@
   return std::nullopt;
 }
 
+/** @return Tasks of a job that are assigned to workers that do not reply. */
+std::vector<std::size_t>
+Scheduler::Impl::UnresponsiveTasks(const JobState& aJob) const
+{
+  std::vector<std::size_t> tasks;
+  for (std::size_t i = 0; i < aJob.mTasks.size(); ++i) {
+    const Task& task = aJob.mTasks[i];
+    if (task.IsAssigned() && mWorkers.at(task.mWorker).mFailedRenewals > 0) {
+      tasks.push_back(i);
+    }
+  }
+  return tasks;
+}
+
+/**
+ * @return A task that keeps a job from progress, if the job has no run on a
+ *   responsive worker: a ready task that waits, or one whose worker does not
+ *   reply.
+ */
+std::optional<std::size_t>
+Scheduler::Impl::FirstStalledTask(const JobState& aJob, Millis aWallClock) const
+{
+  const std::vector<std::size_t> unresponsive = UnresponsiveTasks(aJob);
+  const auto assigned = static_cast<std::size_t>(
+    std::count_if(aJob.mTasks.begin(), aJob.mTasks.end(), [](const Task& aIt) {
+      return aIt.IsAssigned();
+    }));
+  if (IsFinal(aJob.mPhase) || assigned > unresponsive.size()) {
+    return std::nullopt;
+  }
+  if (const auto ready = FirstReadyTask(aJob, aWallClock)) {
+    return ready;
+  }
+  return unresponsive.empty() ? std::nullopt
+                              : std::make_optional(unresponsive.front());
+}
+
 /**
- * Reports the job that has waited longest with a ready task and without an
- * assigned one, with the number of such jobs and of the workers by condition.
+ * Reports the job that has waited longest without a run on a responsive worker,
+ * with the number of such jobs and of the workers by condition.
  */
 void
 Scheduler::Impl::ReportStalledJobs(Millis aNow, Millis aWallClock)
@@ -73,9 +112,7 @@
   std::size_t stalled = 0;
   const JobState* longest = nullptr;
   for (auto& [id, job] : mJobs) {
-    const bool isStalled = !IsFinal(job.mPhase) && !job.IsAnyAssigned() &&
-                           FirstReadyTask(job, aWallClock).has_value();
-    if (!isStalled) {
+    if (!FirstStalledTask(job, aWallClock)) {
       job.mStalledSince = Millis(0);
       continue;
     }
@@ -90,14 +127,23 @@
   if (longest == nullptr || aNow - longest->mStalledSince < kMinStallReported) {
     return;
   }
-  const std::size_t task = *FirstReadyTask(*longest, aWallClock);
+  const std::size_t task = *FirstStalledTask(*longest, aWallClock);
+  const std::vector<std::size_t> unresponsive = UnresponsiveTasks(*longest);
+  Millis leaseEnd{ 0 };
+  for (const std::size_t i : unresponsive) {
+    leaseEnd =
+      std::max(leaseEnd, mWorkers.at(longest->mTasks[i].mWorker).mLeaseExpiry);
+  }
   const auto wait = mWaits.find({ longest->mJob.Id(), task });
   EventFields fields{
     { "task", longest->IdOf(task).Text() },
     { "stalled_ms", std::to_string((aNow - longest->mStalledSince).count()) },
     { "reason",
       wait != mWaits.end() ? PlanReasonName(wait->second.mReason) : "" },
-    { "stalled_jobs", std::to_string(stalled) }
+    { "stalled_jobs", std::to_string(stalled) },
+    { "unresponsive_runs", std::to_string(unresponsive.size()) },
+    { "lease_ends_in_ms",
+      std::to_string(unresponsive.empty() ? 0 : (leaseEnd - aNow).count()) }
   };
   const auto counts = CountConditions(aNow);
   for (std::size_t i = 0; i < counts.size(); ++i) {
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -211,6 +211,9 @@
   std::array<std::size_t, kWorkerConditions> CountConditions(Millis aNow) const;
   std::optional<std::size_t> FirstReadyTask(const JobState& aJob,
                                             Millis aWallClock) const;
+  std::vector<std::size_t> UnresponsiveTasks(const JobState& aJob) const;
+  std::optional<std::size_t> FirstStalledTask(const JobState& aJob,
+                                              Millis aWallClock) const;
   void ReportStalledJobs(Millis aNow, Millis aWallClock);
 
   // Planning.
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -138,7 +138,7 @@
    */
   std::map<std::size_t, std::uint64_t> mFailedRuns;
   /**
-   * Since when a task is ready and none is assigned, as seen by
+   * Since when the job makes no progress, as seen by
    * Scheduler::Impl::ReportStalledJobs(); 0 otherwise.
    */
   Millis mStalledSince{ 0 };
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -129,6 +129,13 @@
   std::size_t RunningOn(std::size_t aWorker) const;
   /** @return Number of jobs that the owner reports as pending. */
   std::size_t PendingJobs() const;
+  /** @return A gauge of the owner, or 0. */
+  std::uint64_t Gauge(const std::string& aName) const
+  {
+    const auto gauges = mOwner->Gauges();
+    const auto it = gauges.find(aName);
+    return it != gauges.end() ? it->second : 0;
+  }
   std::size_t Starts() const { return mStarts; }
   std::size_t Stops() const { return mStops; }
   std::size_t RejectedStarts() const { return mRejectedStarts; }
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -211,6 +211,19 @@
   CheckNoViolation(model);
 }
 
+// Guards against a job that waits for the end of a silent worker's lease and is
+// missing from the reports of stalled jobs.
+TEST(Scheduler, JobOnSilentWorkerCountsAsStalled)
+{
+  FleetModel model({});
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(4'000));
+  model.Run(milliseconds(1'500));
+  CHECK_EQUAL(0, model.Gauge("scheduler_jobs_stalled"));
+  model.SetReachable(FirstBusyWorker(model), false);
+  model.Run(milliseconds(3'500));
+  CHECK_EQUAL(1, model.Gauge("scheduler_jobs_stalled"));
+}
+
 // Guards against discarding the completion of a run that was presumed lost.
 TEST(Scheduler, CompletionOfRunPresumedLostIsKept)
 {
