Show that handovers delay the replacement of runs of silent workers

Each new owner waits 9 s for the leases of workers that do not reply, however long they have been silent. The test fails: after three handovers the run is not replaced 8 s after its worker was cut off, when its lease has expired.

--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -120,6 +120,17 @@
   StartOwner();
 }
 
+void
+FleetModel::HandOver()
+{
+  RecordFault();
+  ScheduleEvent(kStoreLatency, [this, epoch = mEpoch] {
+    if (epoch == mEpoch) {
+      StartOwner();
+    }
+  });
+}
+
 void
 FleetModel::ApplyCatalog(const Catalog& aCatalog)
 {
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -72,6 +72,12 @@
   /** Replaces the owner by one that knows only the stored records. */
   void ReplaceOwner();
 
+  /**
+   * Makes the owner release the lease; a successor takes over when the release
+   * is stored.
+   */
+  void HandOver();
+
   /**
    * Makes a worker lose all commands, or receive them again; its runs continue.
    */
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -211,6 +211,26 @@
   CheckNoViolation(model);
 }
 
+// Guards against a wait for the leases of silent workers that starts anew with
+// each owner, so that handovers postpone the replacement of their runs.
+TEST(Scheduler, HandoversDoNotDelayReplacementOfUnreachableRuns)
+{
+  FleetModel model({});
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(4'000));
+  model.Run(milliseconds(500));
+  model.SetReachable(FirstBusyWorker(model), false);
+  for (int i = 0; i < 3; ++i) {
+    model.Run(milliseconds(2'000));
+    model.HandOver();
+  }
+  CHECK_EQUAL(1, model.Starts());
+  model.Run(milliseconds(2'000));
+  CHECK_EQUAL(2, model.Starts());
+  model.Run(milliseconds(8'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
 // Guards against a job that waits for the end of a silent worker's lease and is
 // missing from the reports of stalled jobs.
 TEST(Scheduler, JobOnSilentWorkerCountsAsStalled)
