Hand the leases of silent workers on with a released lease

Callers saw accepted jobs stand still for 15 s while 51 of 350 workers were free and in reach. Their runs were on workers cut off for good, and no owner replaced them: an owner that reaches few workers releases the lease after 2 s, and each successor assumed that the leases of silent workers had been extended until 2.5 s after its own start. Three handovers moved the replacement from 43 s to 52.9 s.

A released lease now tells the remaining time of the leases of silent workers with runs. Once told, such a lease is not extended and nothing is started there while the release is being stored, even if the worker replies again: the write may take effect late. The successor counts the time from its read of the row, which is later than the write, and extends these leases only after a reply. After a crash nothing is told, and the successor waits as before.

The class is a bound that each owner computes from its own start although an earlier one knows a better bound.

The new test of the codec, the two of SchedulingTasks and the two of Scheduler fail without their part of the change; random faults include handovers.

--- a/include/cornelrudder/state/scheduling/OwnerLease.h
+++ b/include/cornelrudder/state/scheduling/OwnerLease.h
@@ -27,6 +27,12 @@
    * workers.
    */
   std::uint64_t mHandovers = 0;
+  /**
+   * In a released lease: the time in milliseconds from the write of this row
+   * after which none of the runs on a worker can exist, by worker. Contains the
+   * unresponsive workers with runs, whose leases the owner no longer extends.
+   */
+  std::map<std::string, std::uint64_t> mWorkerLeases{};
 
   /**
    * Limits handovers among daemons of which none reaches the workers.
--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -32,6 +32,13 @@
   std::chrono::milliseconds mJobRetention{ 600'000 };
   /** Name of the placement policy; empty for the default. */
   std::string mPolicy;
+  /**
+   * Local times from which none of the runs that earlier owners started can
+   * exist, by worker, as far as the earlier owner told. The lease of any other
+   * worker may have been extended until this owner took over, and shortly
+   * after.
+   */
+  std::map<std::string, std::chrono::milliseconds> mInheritedLeases{};
   auto operator<=>(const SchedulerOptions&) const = default;
 };
 
@@ -166,6 +173,16 @@
    */
   void RemoveExpiredJobs(std::size_t aCount);
 
+  /**
+   * Stops to extend the leases of unresponsive workers with runs, and to start
+   * runs there, for as long as this owner has the lease. A successor that is
+   * told the result does not have to assume a later extension.
+   * @return Time after which none of the runs on such a worker can exist, by
+   *   worker; repeated calls contain the workers of earlier ones.
+   */
+  std::map<std::string, std::chrono::milliseconds> WithholdLeases(
+    std::chrono::milliseconds aNow);
+
   /**
    * @return Commands that are due; start commands only for stored assignments.
    */
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -161,6 +161,9 @@
   Millis mAcquiredAt{ 0 };
   state::scheduling::OwnerLease mLease;
   std::uint64_t mLeaseVersion = 0;
+  /** See SchedulerOptions; from the released lease until the tables are read.
+   */
+  std::map<std::string, Millis> mInheritedLeases;
   bool mLeaseReadInFlight = false;
   bool mWriteInFlight = false;
   /** Number of terminated jobs whose rows the write in flight removes. */
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -109,6 +109,9 @@
     const bool isOwnRow = lease.mIncarnation == mOptions.mIncarnation;
     if (isOwnRow && !lease.mOwner.empty()) {
       // The write that acquired the lease succeeded, but its result was lost.
+      if (lease.mEpoch != mLease.mEpoch) {
+        mInheritedLeases.clear();
+      }
       mLease = lease;
       FinishAcquire(row.Version());
     } else if (Now() < mAbstainUntil) {
@@ -140,8 +143,16 @@
   }
   mMode = Mode::kAcquiring;
   mLease = aObserved;
+  mLease.mWorkerLeases.clear();
+  mInheritedLeases.clear();
   if (!aObserved.mOwner.empty()) {
     mLease.mHandovers = 0;
+  } else {
+    // The row was written before it was read, so counting from now is safe.
+    for (const auto& [worker, remaining] : aObserved.mWorkerLeases) {
+      mInheritedLeases.emplace(
+        worker, Now() + Millis(static_cast<Millis::rep>(remaining)));
+    }
   }
   mLease.mOwner = mOptions.mSelf;
   mLease.mIncarnation = mOptions.mIncarnation;
@@ -220,6 +231,13 @@
   } else if (mIsolation && !mLease.mOwner.empty()) {
     mLease = mLease.HandedOver(Now() - mAcquiredAt);
   }
+  if (mLease.mOwner.empty() && mMode == Mode::kOwning) {
+    mLease.mWorkerLeases.clear();
+    for (const auto& [worker, remaining] : mScheduler->WithholdLeases(Now())) {
+      mLease.mWorkerLeases.emplace(
+        worker, static_cast<std::uint64_t>(remaining.count()));
+    }
+  }
   std::vector<RowWrite> writes;
   writes.emplace_back(
     kOwnerLeaseKey, mLeaseVersion, mPorts.mCodec.EncodeOwnerLease(mLease));
@@ -323,6 +341,7 @@
     mAbstainUntil = Now() + mOptions.mHandoverAbstention;
   }
   mIsolation.reset();
+  mInheritedLeases.clear();
   mScheduler.reset();
   mStoreCalls.clear();
   mLeaseReadInFlight = false;
--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -124,6 +124,8 @@
   options.mRenewWait = mOptions.mRenewWait;
   options.mJobRetention = mOptions.mJobRetention;
   options.mPolicy = mOptions.mPolicy;
+  options.mInheritedLeases = std::move(mInheritedLeases);
+  mInheritedLeases.clear();
   mScheduler.emplace(std::move(options));
   if (mCatalog) {
     mScheduler->ApplyCatalog(*mCatalog);
--- a/src/protocol/JsonSchedulingCodec.cpp
+++ b/src/protocol/JsonSchedulingCodec.cpp
@@ -265,12 +265,15 @@
 std::string
 JsonSchedulingCodec::EncodeOwnerLease(const OwnerLease& aLease) const
 {
-  return ToText({ { "owner", aLease.mOwner },
-                  { "incarnation", aLease.mIncarnation },
-                  { "epoch", aLease.mEpoch },
-                  { "sequence", aLease.mSequence },
-                  { "pending", aLease.mPending },
-                  { "handovers", aLease.mHandovers } });
+  json lease{
+    { "owner", aLease.mOwner },     { "incarnation", aLease.mIncarnation },
+    { "epoch", aLease.mEpoch },     { "sequence", aLease.mSequence },
+    { "pending", aLease.mPending }, { "handovers", aLease.mHandovers }
+  };
+  if (!aLease.mWorkerLeases.empty()) {
+    lease["worker_leases_ms"] = aLease.mWorkerLeases;
+  }
+  return ToText(lease);
 }
 
 OwnerLease
@@ -285,6 +288,9 @@
     lease.mPending = aObject.CountersByName("pending");
     // Rows of earlier releases have no such field.
     lease.mHandovers = aObject.Counter("handovers", 0);
+    if (aObject.Has("worker_leases_ms")) {
+      lease.mWorkerLeases = aObject.CountersByName("worker_leases_ms");
+    }
     return lease;
   });
 }
--- a/src/state/scheduling/Scheduler.cpp
+++ b/src/state/scheduling/Scheduler.cpp
@@ -108,6 +108,12 @@
   mImpl->RemoveExpiredJobs(aCount);
 }
 
+std::map<std::string, Millis>
+Scheduler::WithholdLeases(Millis aNow)
+{
+  return mImpl->WithholdLeases(aNow);
+}
+
 WorkerCommands
 Scheduler::CollectCommands(Millis aNow)
 {
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -57,6 +57,7 @@
                        const RenewReply& aReply,
                        Millis aSentAt,
                        Millis aNow);
+  std::map<std::string, Millis> WithholdLeases(Millis aNow);
   WorkerCommands CollectCommands(Millis aNow);
   bool IsFenced() const { return mFenced; }
   OwnerReachability Reachability(Millis aNow) const;
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -235,6 +235,8 @@
    * Local time from which none of the runs that were started so far can exist.
    */
   Millis mLeaseExpiry{ 0 };
+  /** See Scheduler::WithholdLeases(). */
+  bool mIsLeaseWithheld = false;
   /**
    * Number of runs since the last completed one that failed, were rejected, or
    * were moved because they stalled or were slow.
@@ -251,10 +253,11 @@
    */
   Millis mSlowUntil{ 0 };
   /**
-   * The worker gets no new runs until it replies. It was listed after this
-   * owner had loaded the tables, and may report completions of tasks that would
-   * otherwise be started again; or another entry has its address; or the owner
-   * checks whether it reaches idle workers.
+   * The worker gets no new runs and no extension of its lease until it replies.
+   * It was listed after this owner had loaded the tables, and may report
+   * completions of tasks that would otherwise be started again; or another
+   * entry has its address; or the owner checks whether it reaches idle workers;
+   * or it did not reply to the former owner.
    */
   bool mIsQueryDue = false;
   /** The last renewal reply was ignored because of its incarnation. */
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -64,8 +64,15 @@
     worker.mLastReplyAt = aNow;
     // This owner has started no runs on the worker, but an earlier owner may
     // have.
-    worker.mLeaseExpiry = aNow + kFormerOwnerRenewTime +
-                          AddClockDrift(mOptions.mWorkerLease) + kCommandDelay;
+    const auto inherited = mOptions.mInheritedLeases.find(aId);
+    if (inherited != mOptions.mInheritedLeases.end()) {
+      worker.mLeaseExpiry = inherited->second;
+      worker.mIsQueryDue = true;
+    } else {
+      worker.mLeaseExpiry = aNow + kFormerOwnerRenewTime +
+                            AddClockDrift(mOptions.mWorkerLease) +
+                            kCommandDelay;
+    }
   }
   return it->second;
 }
@@ -378,6 +385,22 @@
   RemoveUnlistedWorkers();
 }
 
+std::map<std::string, Millis>
+Scheduler::Impl::WithholdLeases(Millis aNow)
+{
+  std::map<std::string, Millis> leases;
+  for (auto& [id, worker] : mWorkers) {
+    const bool isUnresponsive =
+      worker.mFailedRenewals > 0 || worker.mIsQueryDue;
+    if (worker.mIsLeaseWithheld ||
+        (isUnresponsive && !worker.mAssigned.empty())) {
+      worker.mIsLeaseWithheld = true;
+      leases.emplace(id, std::max(worker.mLeaseExpiry - aNow, Millis(0)));
+    }
+  }
+  return leases;
+}
+
 WorkerCommands
 Scheduler::Impl::CollectCommands(Millis aNow)
 {
@@ -413,7 +436,9 @@
     task.mPlanWrite != 0 && task.mPlanWrite <= mStoredWrites;
   const bool isRetry = task.mPhase == TaskPhase::kStarting &&
                        task.mStartRetryDue && !task.mStopRequested;
-  if ((task.mPhase == TaskPhase::kPlanned && isStored) || isRetry) {
+  const bool isStartDue =
+    (task.mPhase == TaskPhase::kPlanned && isStored) || isRetry;
+  if (isStartDue && !aWorker.mIsLeaseWithheld) {
     task.mPhase = TaskPhase::kStarting;
     task.mStartRetryDue = false;
     task.mOutcomeUnknown = false;
@@ -473,16 +498,16 @@
       aNow - worker.mLastReplyAt < kMaxAckAge ? worker.mAckedUpTo : 0;
     // An unresponsive worker may still receive renewals. Extending its lease
     // would delay the time from which its runs are certain to have terminated.
-    const bool isResponsive =
-      worker.mFailedRenewals == 0 && worker.mClock.count() > 0;
+    const bool isResponsive = worker.mFailedRenewals == 0 &&
+                              !worker.mIsQueryDue && worker.mClock.count() > 0;
     if (isResponsive) {
-      command.mLeaseExpiry = ExtendLease(worker, aNow);
+      if (!worker.mIsLeaseWithheld) {
+        command.mLeaseExpiry = ExtendLease(worker, aNow);
+      }
       const bool isUrgent = HasUrgentRun(worker);
-      const bool isWaitUseful =
-        !worker.HasUnackedTerminations() && !worker.mIsQueryDue;
-      command.mMaxWait = !isWaitUseful ? Millis(0)
-                         : isUrgent    ? kUrgentWait
-                                       : mOptions.mRenewWait;
+      command.mMaxWait = worker.HasUnackedTerminations() ? Millis(0)
+                         : isUrgent                      ? kUrgentWait
+                                                         : mOptions.mRenewWait;
     }
     const bool hasUncertainRun =
       std::any_of(worker.mAssigned.begin(),
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -202,6 +202,12 @@
   std::vector<DaemonTasks> mDaemons;
 };
 
+/**
+ * Milliseconds that a new owner waits for leases of which it is not told: 2.5
+ * s, and 6 s with an allowance of 3%.
+ */
+constexpr std::uint64_t kWaitForUntoldLease = 8'680;
+
 void
 CheckStatus(JobCallStatus aExpected, JobCallStatus aFound)
 {
@@ -482,6 +488,50 @@
     [&] { return daemons.HasPhase(third, "j1", JobPhase::kDone); }));
 }
 
+// Guards against a release that does not tell when the leases of silent workers
+// end, so that the successor waits longer than they last.
+TEST(SchedulingTasks, ReleaseTellsLeasesOfSilentWorkers)
+{
+  Daemons daemons;
+  daemons.mWorkers.SetRunsBlocked(true);
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.SubmitToAllWorkers(daemon);
+  CHECK(WaitUntil([&] { return daemons.mWorkers.Starts() == 4; }));
+  CHECK(daemons.Lease().mWorkerLeases.empty());
+  daemon.mPath->SetCut(true);
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.mLog.Count(LogEvent::kLeaseReleased) == 1; }));
+  const OwnerLease lease = daemons.Lease();
+  CHECK_EQUAL(2, lease.mWorkerLeases.size());
+  for (const auto& [worker, remaining] : lease.mWorkerLeases) {
+    CHECK(remaining < kWaitForUntoldLease);
+  }
+}
+
+// Guards against a successor that does not use these leases.
+TEST(SchedulingTasks, SuccessorReplacesRunsWhenToldLeasesEnd)
+{
+  Daemons daemons;
+  daemons.mWorkers.SetRunsBlocked(true);
+  const DaemonTasks first = daemons.Start("a");
+  daemons.SubmitToAllWorkers(first);
+  CHECK(WaitUntil([&] { return daemons.mWorkers.Starts() == 4; }));
+  const DaemonTasks second = daemons.Start("b");
+  second.mPath->SetCut(true);
+  daemons.Kill(first);
+  OwnerLease lease = daemons.Lease();
+  lease.mOwner.clear();
+  lease.mWorkerLeases = { { "w1", 0 }, { "w2", 0 } };
+  const protocol::JsonSchedulingCodec codec;
+  daemons.mStore.Put(kOwnerLeaseKey, codec.EncodeOwnerLease(lease));
+  const auto start = std::chrono::steady_clock::now();
+  CHECK(
+    WaitUntil([&] { return daemons.mLog.Count(LogEvent::kWorkerGone) == 2; }));
+  CHECK(std::chrono::steady_clock::now() - start <
+        milliseconds(kWaitForUntoldLease));
+  CHECK(daemons.Lease().mWorkerLeases.empty());
+}
+
 // Guards against a handover that cannot help because the workers are gone.
 TEST(SchedulingTasks, OwnerOfLostWorkersKeepsTheLease)
 {
--- a/tests/protocol/RowCodecTest.cpp
+++ b/tests/protocol/RowCodecTest.cpp
@@ -65,10 +65,11 @@
 {
   const cornelrudder::protocol::JsonSchedulingCodec codec;
   const cornelrudder::state::scheduling::OwnerLease lease{
-    "a", "a-incarnation", 3, 4, { { "q", 5 } }, 2
+    "a", "a-incarnation", 3, 4, { { "q", 5 } }, 2, { { "w1", 4'300 } }
   };
   CHECK(codec.DecodeOwnerLease(codec.EncodeOwnerLease(lease)) == lease);
   const auto found = codec.DecodeOwnerLease(
     R"({"owner":"","incarnation":"i","epoch":1,"sequence":1,"pending":{}})");
   CHECK_EQUAL(0, found.mHandovers);
+  CHECK(found.mWorkerLeases.empty());
 }
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -87,9 +87,10 @@
 }
 
 void
-FleetModel::StartOwner()
+FleetModel::StartOwner(std::map<std::string, milliseconds> aLeases)
 {
   SchedulerOptions options;
+  options.mInheritedLeases = std::move(aLeases);
   options.mEpoch = ++mEpoch;
   options.mPolicy = mOptions.mPolicy;
   mOwner.emplace(std::move(options));
@@ -121,14 +122,19 @@
 }
 
 void
-FleetModel::HandOver()
+FleetModel::HandOver(milliseconds aWriteTime)
 {
   RecordFault();
-  ScheduleEvent(kStoreLatency, [this, epoch = mEpoch] {
-    if (epoch == mEpoch) {
-      StartOwner();
-    }
-  });
+  ScheduleEvent(
+    aWriteTime,
+    [this, epoch = mEpoch, leases = mOwner->WithholdLeases(mNow)]() mutable {
+      if (epoch == mEpoch) {
+        for (auto& [worker, lease] : leases) {
+          lease += mNow;
+        }
+        StartOwner(std::move(leases));
+      }
+    });
 }
 
 void
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -74,9 +74,9 @@
 
   /**
    * Makes the owner release the lease; a successor takes over when the release
-   * is stored.
+   * is stored. Until then the owner continues.
    */
-  void HandOver();
+  void HandOver(milliseconds aWriteTime = milliseconds(15));
 
   /**
    * Makes a worker lose all commands, or receive them again; its runs continue.
@@ -198,7 +198,8 @@
 
   void ScheduleEvent(milliseconds aDelay, std::function<void()> aAction);
   void Step();
-  void StartOwner();
+  /** @param aLeases Leases that the former owner told, by worker. */
+  void StartOwner(std::map<std::string, milliseconds> aLeases = {});
   void RunOwner();
   void WriteRecords();
   void SendStart(const scheduling::StartCommand& aCommand);
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -120,7 +120,7 @@
 {
   using Fault =
     std::function<void(FleetModel&, std::size_t aWorker, std::size_t aWorkers)>;
-  static const std::array<Fault, 17> kFaults{
+  static const std::array<Fault, 18> kFaults{
     [](auto& aFleet, auto aWorker, auto) { aFleet.CrashWorker(aWorker); },
     [](auto& aFleet, auto aWorker, auto) {
       aFleet.RestartUnannounced(aWorker);
@@ -162,6 +162,7 @@
     [](auto& aFleet, auto, auto) { aFleet.SetStoreUp(false); },
     [](auto& aFleet, auto, auto) { aFleet.ReplaceOwner(); },
     [](auto& aFleet, auto, auto) { aFleet.DelayStarts(2); },
+    [](auto& aFleet, auto, auto) { aFleet.HandOver(milliseconds(700)); },
   };
   kFaults.at(aRandom() %
              kFaults.size())(aModel, aRandom() % aWorkers, aWorkers);
@@ -216,6 +217,8 @@
 TEST(Scheduler, HandoversDoNotDelayReplacementOfUnreachableRuns)
 {
   FleetModel model({});
+  // The first owner assumes leases of earlier ones as well.
+  model.Run(milliseconds(3'000));
   model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(4'000));
   model.Run(milliseconds(500));
   model.SetReachable(FirstBusyWorker(model), false);
@@ -231,6 +234,29 @@
   CheckNoViolation(model);
 }
 
+// Guards against a second run of a task whose worker replies again while the
+// release of the lease is being stored.
+TEST(Scheduler, ReleasingOwnerExtendsNoLeaseThatItHasTold)
+{
+  FleetModel model({});
+  model.Run(milliseconds(3'000));
+  model.Submit(MakeJob("a", Step(1, 4), 1), milliseconds(20'000));
+  model.Run(milliseconds(500));
+  const std::size_t host = FirstBusyWorker(model);
+  model.SetReachable(host, false);
+  model.Run(milliseconds(2'000));
+  model.HandOver(milliseconds(3'000));
+  model.SetReachable(host, true);
+  model.Run(milliseconds(2'500));
+  model.Submit(MakeJob("b", Step(1, 4), 1), milliseconds(20'000));
+  model.Run(milliseconds(400));
+  model.SetReachable(host, false);
+  model.Run(milliseconds(12'000));
+  CheckNoViolation(model);
+  CHECK_EQUAL(0, model.RunningOn(host));
+  CHECK_EQUAL(3, model.Starts());
+}
+
 // Guards against a job that waits for the end of a silent worker's lease and is
 // missing from the reports of stalled jobs.
 TEST(Scheduler, JobOnSilentWorkerCountsAsStalled)
@@ -878,6 +904,9 @@
       if (random() % 8 == 0) {
         model.ReplaceOwner();
       }
+      if (random() % 6 == 0) {
+        model.HandOver(milliseconds(15 + random() % 2'000));
+      }
       if (random() % 10 == 0) {
         model.SetReachable(random() % 4, false);
       }
