--- a/include/cornelrudder/state/scheduling/OwnerLease.h
+++ b/include/cornelrudder/state/scheduling/OwnerLease.h
@@ -35,6 +35,12 @@
    * that its recent writes took; 0 if unknown.
    */
   std::chrono::milliseconds mRenewalBound{ 0 };
+  /**
+   * In a released lease: the time in milliseconds from the write of this row
+   * after which none of the runs on a worker can exist, by worker. Contains the
+   * unresponsive workers with runs, whose leases the owner no longer extends.
+   */
+  std::map<std::string, std::uint64_t> mWorkerLeases{};
 
   /**
    * Limits handovers among daemons of which none reaches the workers.
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -162,6 +162,9 @@
   Millis mAcquiredAt{ 0 };
   state::scheduling::OwnerLease mLease;
   std::uint64_t mLeaseVersion = 0;
+  /** See SchedulerOptions; from the released lease until the tables are read.
+   */
+  std::map<std::string, Millis> mInheritedLeases;
   bool mLeaseReadInFlight = false;
   Millis mLeaseReadSentAt{ 0 };
   state::scheduling::StoreTiming mStoreTiming;
--- a/src/protocol/JsonSchedulingCodec.cpp
+++ b/src/protocol/JsonSchedulingCodec.cpp
@@ -265,13 +265,17 @@
 std::string
 JsonSchedulingCodec::EncodeOwnerLease(const OwnerLease& aLease) const
 {
-  return ToText({ { "owner", aLease.mOwner },
-                  { "incarnation", aLease.mIncarnation },
-                  { "epoch", aLease.mEpoch },
-                  { "sequence", aLease.mSequence },
-                  { "pending", aLease.mPending },
-                  { "handovers", aLease.mHandovers },
-                  { "renewal_bound_ms", aLease.mRenewalBound.count() } });
+  json lease{ { "owner", aLease.mOwner },
+              { "incarnation", aLease.mIncarnation },
+              { "epoch", aLease.mEpoch },
+              { "sequence", aLease.mSequence },
+              { "pending", aLease.mPending },
+              { "handovers", aLease.mHandovers },
+              { "renewal_bound_ms", aLease.mRenewalBound.count() } };
+  if (!aLease.mWorkerLeases.empty()) {
+    lease["worker_leases_ms"] = aLease.mWorkerLeases;
+  }
+  return ToText(lease);
 }
 
 OwnerLease
@@ -288,6 +292,9 @@
     lease.mHandovers = aObject.Counter("handovers", 0);
     lease.mRenewalBound =
       aObject.Milliseconds("renewal_bound_ms", std::chrono::milliseconds(0));
+    if (aObject.Has("worker_leases_ms")) {
+      lease.mWorkerLeases = aObject.CountersByName("worker_leases_ms");
+    }
     return lease;
   });
 }
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -72,6 +72,12 @@
   /** Replaces the owner by one that knows only the stored records. */
   void ReplaceOwner();
 
+  /**
+   * Makes the owner release the lease; a successor takes over when the release
+   * is stored. Until then the owner continues.
+   */
+  void HandOver(milliseconds aWriteTime = milliseconds(15));
+
   /**
    * Makes a worker lose all commands, or receive them again; its runs continue.
    */
@@ -129,6 +135,13 @@
   std::size_t RunningOn(std::size_t aWorker) const;
   /** @return Number of jobs that the owner reports as pending. */
   std::size_t PendingJobs() const;
+  /** @return A gauge of the owner, or 0. */
+  std::uint64_t Gauge(const std::string& aName) const
+  {
+    const auto gauges = mOwner->Gauges();
+    const auto it = gauges.find(aName);
+    return it != gauges.end() ? it->second : 0;
+  }
   std::size_t Starts() const { return mStarts; }
   std::size_t Stops() const { return mStops; }
   std::size_t RejectedStarts() const { return mRejectedStarts; }
@@ -185,7 +198,8 @@
 
   void ScheduleEvent(milliseconds aDelay, std::function<void()> aAction);
   void Step();
-  void StartOwner();
+  /** @param aLeases Leases that the former owner told, by worker. */
+  void StartOwner(std::map<std::string, milliseconds> aLeases = {});
   void RunOwner();
   void WriteRecords();
   void SendStart(const scheduling::StartCommand& aCommand);
