Acquire the lease when its row cannot be decoded

What callers would see: accepted jobs that do not run. After another writer has overwritten owner/lease with a value that cannot be decoded, the owner steps down and every daemon logs the row at each look, but none acquires the lease, since only a decoded row was observed for silence.

A row that names no owner is now acquired once it is unchanged for the owner timeout, on its version. A row that keeps changing may be that of an owner of another version and is left alone. The epochs that workers have seen are unknown then; each of them was written with the lease row, so the version of the row, taken from the store's counter, is at least as high as any of them and is the base of the new epoch. Each version of the row is logged once.

--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -91,6 +91,9 @@
   // Ownership.
   void ReadLease();
   void HandleLeaseRow(const state::StoreResult& aResult);
+  void HandleMalformedLease(const state::StoreRow& aRow,
+                            Millis aStoreTime,
+                            const std::string& aError);
   void AcquireLease(std::uint64_t aVersion,
                     const state::scheduling::OwnerLease& aObserved,
                     const char* aReason);
@@ -161,6 +164,8 @@
   Millis mAcquiredAt{ 0 };
   state::scheduling::OwnerLease mLease;
   std::uint64_t mLeaseVersion = 0;
+  /** Last logged version of a lease row that could not be decoded. */
+  std::uint64_t mMalformedLeaseVersion = 0;
   bool mLeaseReadInFlight = false;
   bool mWriteInFlight = false;
   /** Number of terminated jobs whose rows the write in flight removes. */
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -14,6 +14,7 @@
 using state::StoreStatus;
 using state::Transaction;
 using state::scheduling::JobProgress;
+using state::scheduling::LeaseObserver;
 using state::scheduling::OwnerLease;
 using state::scheduling::OwnerReachability;
 using std::chrono::milliseconds;
@@ -126,7 +127,33 @@
       AcquireLease(row.Version(), lease, "owner_silent");
     }
   } catch (const CoordinationError& error) {
-    LogMalformed(kOwnerLeaseKey, error.what());
+    HandleMalformedLease(row, aResult.StoreTime(), error.what());
+  }
+}
+
+/**
+ * Acquires the lease if its row names no owner and is unchanged for the owner
+ * timeout: a row that changes may be that of an owner of another version. Each
+ * change of owner raises the epoch by one and writes the row, so the version of
+ * the row is at least as high as any epoch that workers may have seen.
+ */
+void
+SchedulerTask::HandleMalformedLease(const StoreRow& aRow,
+                                    milliseconds aStoreTime,
+                                    const std::string& aError)
+{
+  if (aRow.Version() != mMalformedLeaseVersion) {
+    mMalformedLeaseVersion = aRow.Version();
+    LogMalformed(aRow.Key(), aError);
+  }
+  mOwnerObserver.Observe(aRow.Version(), aStoreTime);
+  mUnclaimedObserver.Observe(aRow.Version(), aStoreTime);
+  const LeaseObserver& observer =
+    Now() < mAbstainUntil ? mUnclaimedObserver : mOwnerObserver;
+  if (observer.IsExpired()) {
+    OwnerLease base;
+    base.mEpoch = aRow.Version();
+    AcquireLease(aRow.Version(), base, "malformed");
   }
 }
 
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -411,6 +411,31 @@
         7);
 }
 
+// Guards against a fleet without an owner after another writer has overwritten
+// the lease row, and against a new owner with an epoch that workers reject.
+TEST(SchedulingTasks, MalformedLeaseRowIsReplaced)
+{
+  Daemons daemons;
+  const DaemonTasks first = daemons.Start("a");
+  daemons.mWorkers.SetRunsBlocked(true);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(first, "j1"));
+  CHECK(WaitUntil([&] { return daemons.mWorkers.Starts() == 1; }));
+  const DaemonTasks second = daemons.Start("b");
+  daemons.Kill(first);
+  CHECK(WaitUntil([&] { return daemons.mWorkers.HighestEpoch() == 2; }));
+  daemons.mStore.Put(kOwnerLeaseKey, "no lease");
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kJobsRecovered) == 3; }));
+  CHECK(daemons.Lease().mEpoch > 2);
+  daemons.mWorkers.SetRunsBlocked(false);
+  CHECK(
+    WaitUntil([&] { return daemons.HasPhase(second, "j1", JobPhase::kDone); }));
+  CHECK_EQUAL(1, daemons.mWorkers.Starts());
+  CHECK_EQUAL(0, daemons.mLog.Count(LogEvent::kOwnerFenced));
+  // One line of the former owner's refused write, and one of the reads.
+  CHECK_EQUAL(2, daemons.mLog.Count(LogEvent::kRowMalformed));
+}
+
 // Guards against an owner that steps down after lost replies to its own writes.
 TEST(SchedulingTasks, OwnerRecognisesItsOwnWrites)
 {
