--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -156,6 +156,13 @@
   mWorkers[aWorker].mReachable = aReachable;
 }
 
+void
+FleetModel::SetRepliesLost(std::size_t aWorker, bool aLost)
+{
+  RecordFault();
+  mWorkers[aWorker].mRepliesLost = aLost;
+}
+
 void
 FleetModel::SetConnectable(std::size_t aWorker, bool aConnectable)
 {
@@ -186,6 +193,13 @@
   mOwner->UpdateWorker(worker.mInfo, mNow);
 }
 
+void
+FleetModel::RefreshRow(std::size_t aWorker)
+{
+  mWorkers[aWorker].mInfo.mClock = mNow;
+  mOwner->UpdateWorker(mWorkers[aWorker].mInfo, mNow);
+}
+
 void
 FleetModel::PublishCopyOf(std::size_t aWorker)
 {
@@ -438,7 +452,8 @@
       });
     return;
   }
-  const bool isReplyLost = Chance(mOptions.mLostReplyShare);
+  const bool isReplyLost = FindWorker(aCommand.mWorker.mId)->mRepliesLost ||
+                           Chance(mOptions.mLostReplyShare);
   ScheduleEvent(kNetworkDelay, [this, aCommand, deliver, isReplyLost] {
     const CommandReply reply = HandleStart(aCommand);
     if (isReplyLost) {
@@ -498,12 +513,16 @@
   // The worker replies at the end of the wait. Terminations are therefore
   // reported slightly late, which the protocol allows.
   ScheduleEvent(kNetworkDelay, [this, aCommand] { HandleRenewal(aCommand); });
-  ScheduleEvent(std::min(aCommand.mMaxWait, milliseconds(100)) + kNetworkDelay,
-                [this, aCommand, deliver] {
-                  const RenewReply report = HandleRenewal(aCommand);
-                  ScheduleEvent(kNetworkDelay,
-                                [deliver, report] { deliver(report); });
-                });
+  ScheduleEvent(
+    std::min(aCommand.mMaxWait, milliseconds(100)) + kNetworkDelay,
+    [this, aCommand, deliver] {
+      const RenewReply report = HandleRenewal(aCommand);
+      if (FindWorker(aCommand.mWorker.mId)->mRepliesLost) {
+        ScheduleEvent(kReplyTimeout, [deliver] { deliver(RenewReply{}); });
+        return;
+      }
+      ScheduleEvent(kNetworkDelay, [deliver, report] { deliver(report); });
+    });
 }
 
 void
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -76,6 +76,8 @@
    * Makes a worker lose all commands, or receive them again; its runs continue.
    */
   void SetReachable(std::size_t aWorker, bool aReachable);
+  /** Makes the replies of a worker get lost; it executes the commands. */
+  void SetRepliesLost(std::size_t aWorker, bool aLost);
   /** Makes connections to a worker fail, or succeed again. */
   void SetConnectable(std::size_t aWorker, bool aConnectable);
   void CrashWorker(std::size_t aWorker);
@@ -88,6 +90,8 @@
    * of a worker, another identifier and a higher incarnation.
    */
   void PublishCopyOf(std::size_t aWorker);
+  /** Updates the clock in the list of workers, as a live worker does. */
+  void RefreshRow(std::size_t aWorker);
   void AddLabel(std::size_t aWorker, const std::string& aLabel);
   /**
    * Updates the list of workers with a clock that is outdated.
@@ -161,6 +165,7 @@
   {
     scheduling::WorkerInfo mInfo;
     bool mReachable = true;
+    bool mRepliesLost = false;
     bool mConnectable = true;
     bool mFailing = false;
     bool mStalled = false;
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -92,6 +92,18 @@
            {} };
 }
 
+/** Advances the clock while a worker refreshes its row in the store. */
+void
+RunWithRefreshes(FleetModel& aModel, std::size_t aWorker, milliseconds aTime)
+{
+  constexpr milliseconds kInterval{ 500 };
+  const milliseconds end = aModel.Now() + aTime;
+  while (aModel.Now() < end) {
+    aModel.Run(kInterval);
+    aModel.RefreshRow(aWorker);
+  }
+}
+
 /** Makes half of a fleet reachable or unreachable. */
 void
 SetHalfReachable(FleetModel& aModel, std::size_t aWorkers, bool aReachable)
@@ -227,6 +239,37 @@
   CheckNoViolation(model);
 }
 
+// Guards against runs that lapse on a living worker because several replies in
+// a row were lost.
+TEST(Scheduler, RunsSurviveLostReplies)
+{
+  FleetModel model({ 1, 1 });
+  model.Submit(MakeJob("a", Step(2, 4), 1), milliseconds(12'000));
+  model.Run(milliseconds(500));
+  model.SetRepliesLost(0, true);
+  RunWithRefreshes(model, 0, milliseconds(8'000));
+  model.SetRepliesLost(0, false);
+  RunWithRefreshes(model, 0, milliseconds(6'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(2, model.Starts());
+  CheckNoViolation(model);
+}
+
+// Guards against runs on a worker out of reach that are never replaced because
+// its row in the store shows that it is alive.
+TEST(Scheduler, RunOnUnreachableLiveWorkerIsReplaced)
+{
+  FleetModel model({ 2, 1 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(2'000));
+  model.Run(milliseconds(500));
+  const std::size_t host = FirstBusyWorker(model);
+  model.SetReachable(host, false);
+  RunWithRefreshes(model, host, milliseconds(13'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(2, model.Starts());
+  CheckNoViolation(model);
+}
+
 // Guards against starting tasks again on a worker that was removed from the
 // list while it lived and has completed them.
 TEST(Scheduler, RelistedWorkerIsQueriedBeforeItIsUsed)
