Count the late failure of a run that was presumed lost

What callers would see: a task that fails each time runs more often than the attempts of its queue allow. The end `failed` of a run that the owner had presumed lost was ignored when its worker was back in reach, although the end `done` of such a run counts.

The failure now counts as an attempt, if this owner has presumed the run lost. Failures of other earlier runs, which a worker reports again to a new owner, may be counted in the record already and are still ignored; a new owner therefore does not count the late failure of a run that its predecessor presumed lost. Each run of a gang counts once, in whatever order its failures arrive.

Scheduler.LateFailureCountsAsAttempt failed before: the task started a third time with two attempts allowed.

--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -131,6 +131,10 @@
                          const std::string& aCheckpoint,
                          Millis aNow);
   void FailRun(JobState& aJob, std::size_t aTask, Millis aNow);
+  void CountFailure(JobState& aJob,
+                    std::size_t aTask,
+                    std::uint64_t aRun,
+                    Millis aNow);
   void HandleLostRun(const TaskKey& aKey, const char* aReason, Millis aNow);
   void RequestStop(JobState& aJob, std::size_t aTask, Millis aNow);
   void StopAll(JobState& aJob, Millis aNow);
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -132,11 +132,13 @@
   /** Whether a worker has acknowledged or reported a run. */
   bool mStarted = false;
   std::vector<Task> mTasks;
+  /** Runs counted as failed, by first task for a gang and by task otherwise. */
+  std::map<std::size_t, std::set<std::uint64_t>> mFailedRuns;
   /**
-   * Number of the last run counted as failed, by first task for a gang and by
-   * task otherwise.
+   * Tasks and runs that this owner presumed lost and whose failure would still
+   * count. Failures of any other earlier run may be counted in the record.
    */
-  std::map<std::size_t, std::uint64_t> mFailedRuns;
+  std::set<std::pair<std::size_t, std::uint64_t>> mLostRuns;
   /**
    * Since when a task is ready and none is assigned, as seen by
    * Scheduler::Impl::ReportStalledJobs(); 0 otherwise.
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -204,18 +204,28 @@
 Scheduler::Impl::FailRun(JobState& aJob, std::size_t aTask, Millis aNow)
 {
   Task& task = aJob.mTasks[aTask];
-  const bool isGang = aJob.StepOf(aTask).IsGang();
-  const std::size_t countedTask = isGang ? aJob.StepRange(aTask).first : aTask;
   const std::uint64_t run = task.mRun;
   task.mAvoidedWorker = task.mWorker;
   if (const auto it = mWorkers.find(task.mWorker); it != mWorkers.end()) {
     RecordFailure(it->second, aJob, aNow);
   }
   Requeue(aJob, aTask, aNow);
+  CountFailure(aJob, aTask, run, aNow);
+}
+
+/** Counts an attempt, and ends the job after the last one that is allowed. */
+void
+Scheduler::Impl::CountFailure(JobState& aJob,
+                              std::size_t aTask,
+                              std::uint64_t aRun,
+                              Millis aNow)
+{
+  const bool isGang = aJob.StepOf(aTask).IsGang();
+  const std::size_t countedTask = isGang ? aJob.StepRange(aTask).first : aTask;
   // A failed run of a gang counts once, however many members report it.
-  if (aJob.mFailedRuns[countedTask] < run) {
-    aJob.mFailedRuns[countedTask] = run;
+  if (aJob.mFailedRuns[countedTask].insert(aRun).second) {
     ++aJob.mTasks[countedTask].mFailures;
+    MarkChanged(aJob);
   }
   if (!IsFinal(aJob.mPhase) &&
       aJob.mTasks[countedTask].mFailures >= aJob.mJob.Settings().mMaxAttempts) {
@@ -238,6 +248,7 @@
                 { "run", std::to_string(task.mRun) },
                 { "worker", task.mWorker },
                 { "reason", aReason } });
+  job->mLostRuns.emplace(aKey.second, task.mRun);
   Requeue(*job, aKey.second, aNow);
   RemoveIfTerminated(aKey.first);
 }
@@ -345,8 +356,8 @@
 
 /**
  * Applies the termination of a run that is not the current one of its task. A
- * run that was presumed lost may have completed before its lease expired; the
- * completion counts, since the worker's report outweighs the presumption.
+ * run that was presumed lost may have completed or failed before its lease
+ * expired; that counts, since the worker's report outweighs the presumption.
  */
 void
 Scheduler::Impl::ApplyEarlierTermination(const WorkerState& aWorker,
@@ -356,12 +367,14 @@
                                          Millis aNow)
 {
   const Task& task = aJob.mTasks[aTask];
-  const bool completes = aRun.mReason == TerminationReason::kDone &&
-                         aRun.mRun <= task.mRun && !task.IsDone() &&
-                         !IsFinal(aJob.mPhase) &&
-                         !aJob.StepOf(aTask).IsLongRunning();
-  RecordEvent(completes ? SchedulerEvent::Kind::kRunEnded
-                        : SchedulerEvent::Kind::kEndIgnored,
+  const bool isOpen = !task.IsDone() && !IsFinal(aJob.mPhase) &&
+                      !aJob.StepOf(aTask).IsLongRunning();
+  const bool completes = isOpen && aRun.mReason == TerminationReason::kDone &&
+                         aRun.mRun <= task.mRun;
+  const bool fails = isOpen && aRun.mReason == TerminationReason::kFailed &&
+                     aJob.mLostRuns.contains({ aTask, aRun.mRun });
+  RecordEvent(completes || fails ? SchedulerEvent::Kind::kRunEnded
+                                 : SchedulerEvent::Kind::kEndIgnored,
               { { "task", aRun.mTask.Text() },
                 { "run", std::to_string(aRun.mRun) },
                 { "worker", aWorker.mInfo.mId },
@@ -370,6 +383,8 @@
                 { "phase", TaskPhaseName(task.mPhase) } });
   if (completes) {
     CompleteEarlier(aJob, aTask, aNow);
+  } else if (fails) {
+    CountFailure(aJob, aTask, aRun.mRun, aNow);
   }
 }
 
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -270,6 +270,25 @@
   CheckNoViolation(model);
 }
 
+// Guards against an attempt beyond the limit after a run that was presumed lost
+// turns out to have failed.
+TEST(Scheduler, LateFailureCountsAsAttempt)
+{
+  FleetModel model({ 2, 1 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(5'000));
+  model.FailRuns("a", 2);
+  model.Run(milliseconds(500));
+  const std::size_t host = FirstBusyWorker(model);
+  model.SetReachable(host, false);
+  model.Run(milliseconds(9'500));
+  CHECK_EQUAL(2, model.Starts());
+  model.SetReachable(host, true);
+  model.Run(milliseconds(8'000));
+  CheckPhase(model, "a", JobPhase::kFailed);
+  CHECK_EQUAL(2, model.Starts());
+  CheckNoViolation(model);
+}
+
 // Guards against starting tasks again on a worker that was removed from the
 // list while it lived and has completed them.
 TEST(Scheduler, RelistedWorkerIsQueriedBeforeItIsUsed)
