Write changed jobs in rounds so that partial writes delay none for ever

What callers would see: accepted jobs that do not start, and work done again after a change of owner, while more jobs change than fit into one write (40), as with a slow store under load. Each write took the changed jobs with the lowest identifiers, so a job with a high one was never recorded and therefore never started. Ends counted as written only if a write contained every changed job, so none was acknowledged to the workers.

Writes now take the jobs of a round; jobs that change meanwhile make up the next round. The ends received before a round began count as written when it has been written.

--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -35,7 +35,7 @@
   void CancelJob(const std::string& aJob, Millis aNow);
   bool HasChanges() const
   {
-    return !mDirty.empty() || HasUnwrittenTerminations();
+    return HasUnwrittenJobs() || HasUnwrittenTerminations();
   }
   std::vector<JobProgress> BeginWrite(std::size_t aMaxJobs);
   void FinishWrite(bool aStored);
@@ -109,7 +109,9 @@
   // Jobs and records.
   JobState* FindJob(const std::string& aJob);
   void Restore(JobState& aJob, const JobProgress& aProgress, Millis aNow);
-  void MarkChanged(const JobState& aJob) { mDirty.insert(aJob.mJob.Id()); }
+  void MarkChanged(const JobState& aJob);
+  void BeginRoundIfDue();
+  bool HasUnwrittenJobs() const { return !mDirty.empty() || !mRound.empty(); }
   void UpdatePhase(JobState& aJob, Millis aNow);
   void TerminateJob(JobState& aJob, JobPhase aPhase, Millis aNow);
   void RemoveIfTerminated(const std::string& aJob);
@@ -266,8 +268,13 @@
    */
   Millis mPlannedAt{ 0 };
   std::map<std::string, WorkerState> mWorkers;
-  /** Jobs with changes that no write contains yet. */
+  /**
+   * Jobs with changes that no write contains yet. The writes take them from
+   * mRound; when it is empty, mDirty becomes the next round. Writes that cannot
+   * contain all changed jobs therefore delay no job for ever.
+   */
   std::set<std::string> mDirty;
+  std::set<std::string> mRound;
   /** Jobs whose records are in the pending write. */
   std::set<std::string> mWriting;
   /** Numbers of the last started write and of the last stored one. */
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -81,6 +81,14 @@
   }
 }
 
+void
+Scheduler::Impl::MarkChanged(const JobState& aJob)
+{
+  if (!mRound.contains(aJob.mJob.Id())) {
+    mDirty.insert(aJob.mJob.Id());
+  }
+}
+
 void
 Scheduler::Impl::UpdatePhase(JobState& aJob, Millis aNow)
 {
@@ -118,7 +126,7 @@
   const JobState* job = FindJob(aJob);
   const bool isTerminated = job != nullptr && IsFinal(job->mPhase) &&
                             !job->IsAnyAssigned() && !mDirty.contains(aJob) &&
-                            !mWriting.contains(aJob);
+                            !mRound.contains(aJob) && !mWriting.contains(aJob);
   if (isTerminated) {
     for (std::size_t i = 0; i < job->mTasks.size(); ++i) {
       mWaits.erase({ aJob, i });
@@ -138,14 +146,36 @@
   });
 }
 
+/**
+ * Begins the next round of writes after the last job of the present one was
+ * added to a write. Terminations count as written once the round has ended that
+ * contains all jobs that they changed.
+ */
+void
+Scheduler::Impl::BeginRoundIfDue()
+{
+  if (!mRound.empty()) {
+    return;
+  }
+  mRound.swap(mDirty);
+  for (auto& [id, worker] : mWorkers) {
+    worker.mWritingUpTo = worker.mRoundUpTo;
+    worker.mRoundUpTo = worker.mReceivedUpTo;
+    if (mRound.empty()) {
+      worker.mWritingUpTo = worker.mRoundUpTo;
+    }
+  }
+}
+
 std::vector<JobProgress>
 Scheduler::Impl::BeginWrite(std::size_t aMaxJobs)
 {
   ++mWrites;
   std::vector<JobProgress> records;
-  while (!mDirty.empty() && records.size() < aMaxJobs) {
-    const std::string id = *mDirty.begin();
-    mDirty.erase(mDirty.begin());
+  BeginRoundIfDue();
+  while (!mRound.empty() && records.size() < aMaxJobs) {
+    const std::string id = *mRound.begin();
+    mRound.erase(mRound.begin());
     JobState* job = FindJob(id);
     if (job == nullptr) {
       continue;
@@ -157,12 +187,7 @@
         task.mPlanWrite = mWrites;
       }
     }
-  }
-  // Terminations count as written only if the write contains every changed job.
-  if (mDirty.empty()) {
-    for (auto& [id, worker] : mWorkers) {
-      worker.mWritingUpTo = worker.mReceivedUpTo;
-    }
+    BeginRoundIfDue();
   }
   return records;
 }
@@ -175,7 +200,8 @@
   if (!aStored) {
     // The next write of these jobs contains at least the same changes.
     for (const std::string& id : written) {
-      mDirty.insert(id);
+      mDirty.erase(id);
+      mRound.insert(id);
       for (Task& task : mJobs.at(id).mTasks) {
         task.mPlanWrite = 0;
       }
@@ -235,7 +261,7 @@
 bool
 Scheduler::Impl::IsIdle() const
 {
-  return mJobs.empty() && mDirty.empty() && mWriting.empty();
+  return mJobs.empty() && !HasUnwrittenJobs() && mWriting.empty();
 }
 
 } // namespace cornelrudder::state::scheduling
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -214,10 +214,12 @@
   Millis mClock{ 0 };
   Millis mClockAt{ 0 };
   /**
-   * Highest sequence numbers of terminations: received from the worker,
-   * contained in the pending write, and stored (to be acknowledged).
+   * Highest sequence numbers of terminations: received from the worker, of jobs
+   * in the present round of writes (see Scheduler::Impl::mRound) or earlier
+   * ones, contained in the pending write, and stored (to be acknowledged).
    */
   std::uint64_t mReceivedUpTo = 0;
+  std::uint64_t mRoundUpTo = 0;
   std::uint64_t mWritingUpTo = 0;
   std::uint64_t mAckedUpTo = 0;
   /**
@@ -275,6 +277,7 @@
   void ResetIncarnation()
   {
     mReceivedUpTo = 0;
+    mRoundUpTo = 0;
     mWritingUpTo = 0;
     mAckedUpTo = 0;
     mClock = Millis(0);
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -20,7 +20,6 @@
 constexpr milliseconds kGangTimeout{ 3'000 };
 /** Factor on the run time if off the preferred rack or spread over racks. */
 constexpr int kCrossRackFactor = 3;
-constexpr std::size_t kJobsPerWrite = 40;
 /** Leaves lower numbers for restarts after the time of day was set back. */
 constexpr std::uint64_t kFirstIncarnation = 1'000;
 
@@ -324,6 +323,12 @@
   return mWorkers[aWorker].mRuns.size();
 }
 
+std::size_t
+FleetModel::UnackedOn(std::size_t aWorker) const
+{
+  return mWorkers[aWorker].mTerminated.size();
+}
+
 void
 FleetModel::Run(milliseconds aTime)
 {
@@ -383,7 +388,7 @@
 FleetModel::WriteRecords()
 {
   mWriting = true;
-  const auto records = mOwner->BeginWrite(kJobsPerWrite);
+  const auto records = mOwner->BeginWrite(mOptions.mJobsPerWrite);
   ScheduleEvent(kStoreLatency, [this, records, epoch = mEpoch] {
     if (epoch != mEpoch) {
       return;
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -34,6 +34,8 @@
   std::string mPolicy = "urgency";
   /** Records a violation for a job that waits although capacity is free. */
   bool mCheckWorkConservation = false;
+  /** Maximum number of records in one write of the owner. */
+  std::size_t mJobsPerWrite = 40;
 };
 
 /** Result of a job as reported to its caller. */
@@ -131,6 +133,8 @@
   }
   JobOutcome OutcomeOf(const std::string& aJob) const;
   std::size_t RunningOn(std::size_t aWorker) const;
+  /** @return Number of terminations that a worker still reports. */
+  std::size_t UnackedOn(std::size_t aWorker) const;
   /** @return Number of jobs that the owner reports as pending. */
   std::size_t PendingJobs() const;
   std::size_t Starts() const { return mStarts; }
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -289,6 +289,36 @@
   CheckNoViolation(model);
 }
 
+// Guards against terminations that are never acknowledged, and jobs that never
+// start, while more jobs change than fit into one write.
+TEST(Scheduler, PartialWritesDelayNoJobForever)
+{
+  FleetModelOptions options;
+  options.mWorkers = 8;
+  options.mJobsPerWrite = 2;
+  FleetModel model(options);
+  constexpr int kFirst = 999;
+  constexpr int kLast = 100;
+  constexpr int kUrgent = 900;
+  // The last identifiers come first in a write.
+  for (int i = kFirst; i >= kLast; --i) {
+    model.Submit(MakeJob("a" + std::to_string(i), Step(1, 1), 1),
+                 milliseconds(100));
+    if (i == kUrgent) {
+      model.Submit(MakeJob("z", Step(1, 1), 0), milliseconds(100));
+    }
+    model.Run(milliseconds(10));
+  }
+  CheckPhase(model, "z", JobPhase::kDone);
+  std::size_t unacked = 0;
+  for (std::size_t i = 0; i < options.mWorkers; ++i) {
+    unacked += model.UnackedOn(i);
+  }
+  constexpr std::size_t kMaxUnacked = 200;
+  CHECK_COMPARE(unacked, <, kMaxUnacked);
+  CheckNoViolation(model);
+}
+
 // Guards against starting tasks again on a worker that was removed from the
 // list while it lived and has completed them.
 TEST(Scheduler, RelistedWorkerIsQueriedBeforeItIsUsed)
