Presume no runs lost whose ends are beyond a worker's reply

What callers would see: tasks that run twice after many short runs on a worker. A worker lists at most 500 ends in a reply, the oldest first. A run whose end did not fit was neither listed as running nor as ended, and counted as lost.

A reply with as many ends is now known to be incomplete and says nothing about runs that it does not list. The others are listed once the first ones are acknowledged.

CallCodec.RenewReplyWithFullPageHasMore is new.

--- a/include/cornelrudder/state/scheduling/WorkerCalls.h
+++ b/include/cornelrudder/state/scheduling/WorkerCalls.h
@@ -156,6 +156,8 @@
   std::chrono::milliseconds mClock{ 0 };
   std::vector<RunningRun> mRunning;
   std::vector<TerminatedRun> mTerminated;
+  /** The worker may have terminations that did not fit into the reply. */
+  bool mHasMoreTerminations = false;
   /** Reason why there is no valid reply, for the log. */
   std::string mDetail;
 
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -380,7 +380,12 @@
   for (const TerminatedRun& terminated : aReply.mTerminated) {
     worker.mReceivedUpTo = std::max(worker.mReceivedUpTo, terminated.mSequence);
   }
-  HandleUnlistedRuns(worker, listed, aSentAt, aNow);
+  // Runs that are not listed may be among the terminations that did not fit
+  // into the reply. The worker reports those after earlier ones are
+  // acknowledged.
+  if (!aReply.mHasMoreTerminations) {
+    HandleUnlistedRuns(worker, listed, aSentAt, aNow);
+  }
   worker.mNextRenewal =
     worker.HasUnackedTerminations() ? aNow + kUnackedRenewDelay : aNow;
   RemoveUnlistedWorkers();
--- a/tests/platform/CallCodecTest.cpp
+++ b/tests/platform/CallCodecTest.cpp
@@ -210,6 +210,25 @@
   CHECK_EQUAL(41, reply.mRunning.front().mProgressPercent);
 }
 
+// Guards against taking a reply with the maximum number of terminations for a
+// complete list.
+TEST(CallCodec, RenewReplyWithFullPageHasMore)
+{
+  constexpr std::size_t kMaxRows = 500;
+  std::string rows;
+  for (std::size_t i = 1; i <= kMaxRows; ++i) {
+    rows +=
+      (i > 1 ? ",[" : "[") + std::to_string(i) + R"(,"j.0.0.1",2,"done",""])";
+    if (i + 1 >= kMaxRows) {
+      const RenewReply reply = DecodeRenewReply(Response(
+        200,
+        R"({"clock-ms":9,"born":3,"running":[],"finished":[)" + rows + "]}"));
+      CHECK_EQUAL(i, reply.mTerminated.size());
+      CHECK_EQUAL(i == kMaxRows, reply.mHasMoreTerminations);
+    }
+  }
+}
+
 // Guards against a number out of range in a submission: estimates whose sum
 // overflows, demands that become negative, or due times that overflow.
 TEST(CallCodec, SubmissionWithNumberOutOfRangeIsRejected)
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds kGangTimeout{ 3'000 };
 /** Factor on the run time if off the preferred rack or spread over racks. */
 constexpr int kCrossRackFactor = 3;
+/** Maximum number of terminations in the reply to a renewal. */
+constexpr std::size_t kMaxTerminations = 500;
 /** Leaves lower numbers for restarts after the time of day was set back. */
 constexpr std::uint64_t kFirstIncarnation = 1'000;
 
@@ -646,6 +648,10 @@
   report.mIncarnation = worker.mInfo.mIncarnation;
   report.mClock = mNow;
   for (const ModelTermination& termination : worker.mTerminated) {
+    if (report.mTerminated.size() == kMaxTerminations) {
+      report.mHasMoreTerminations = true;
+      break;
+    }
     report.mTerminated.push_back(termination.mRun);
   }
   for (const ModelRun& run : worker.mRuns) {
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -289,6 +289,22 @@
   CheckNoViolation(model);
 }
 
+// Guards against presuming runs lost whose terminations did not fit into the
+// reply of their worker.
+TEST(Scheduler, TerminationsBeyondOneReplyAreFetched)
+{
+  constexpr std::size_t kTasks = 1'200;
+  FleetModelOptions options;
+  options.mWorkers = 1;
+  options.mCapacity = Resources(2'000'000, 2'000'000, kTasks);
+  FleetModel model(options);
+  model.Submit(MakeJob("a", Step(kTasks, 1), 1), milliseconds(1'000));
+  model.Run(milliseconds(4'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(kTasks, model.Starts());
+  CheckNoViolation(model);
+}
+
 // Guards against terminations that are never acknowledged, and jobs that never
 // start, while more jobs change than fit into one write.
 TEST(Scheduler, PartialWritesDelayNoJobForever)
