Acknowledge the last ends of a worker that becomes idle

The last ends on a worker were acknowledged with its next renewal, which an idle worker gets only once it has new runs. Until then it lists them again to each owner, and more than 500 ends on a worker were never listed in full.

A worker is now renewed until it has replied to a renewal that acknowledges its stored ends: one more call, without a wait, for each worker that becomes idle.

Scheduler.LastTerminationOfIdleWorkerIsAcknowledged failed before (one end left). TerminationsBeyondOneReplyAreFetched now also expects that no end is left.

--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -222,6 +222,8 @@
   std::uint64_t mRoundUpTo = 0;
   std::uint64_t mWritingUpTo = 0;
   std::uint64_t mAckedUpTo = 0;
+  /** Highest acknowledged one of which the worker is known to know. */
+  std::uint64_t mConfirmedUpTo = 0;
   /**
    * The incarnation before the present one, and the local time at which this
    * owner learned of the present one.
@@ -272,6 +274,7 @@
   }
   Resources Free() const { return mInfo.mCapacity.Minus(mUsed); }
   bool HasUnackedTerminations() const { return mReceivedUpTo > mAckedUpTo; }
+  bool HasUnconfirmedAck() const { return mAckedUpTo > mConfirmedUpTo; }
 
   /** Resets the state that belongs to one incarnation of the worker. */
   void ResetIncarnation()
@@ -280,6 +283,7 @@
     mRoundUpTo = 0;
     mWritingUpTo = 0;
     mAckedUpTo = 0;
+    mConfirmedUpTo = 0;
     mClock = Millis(0);
     mFailedRenewals = 0;
   }
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -355,6 +355,9 @@
       aReply.mIncarnation != worker.mInfo.mIncarnation) {
     HandleRestart(worker, aNow);
   }
+  // An acknowledgement that was sent to an earlier incarnation is higher.
+  worker.mConfirmedUpTo = std::max(
+    worker.mConfirmedUpTo, std::min(aCommand.mAckedUpTo, worker.mAckedUpTo));
   worker.mInfo.mIncarnation = aReply.mIncarnation;
   UpdateClock(worker, aReply.mClock, aNow);
   std::set<TaskKey> listed;
@@ -485,9 +488,9 @@
     // reply shows that it can be used again.
     const bool isReplyAwaited =
       worker.mFailedRenewals > 0 || worker.mIsQueryDue;
-    const bool isNeeded = !worker.mAssigned.empty() ||
-                          worker.HasUnackedTerminations() ||
-                          (isReplyAwaited && worker.mListed);
+    const bool isNeeded =
+      !worker.mAssigned.empty() || worker.HasUnackedTerminations() ||
+      ((isReplyAwaited || worker.HasUnconfirmedAck()) && worker.mListed);
     if (!isNeeded || worker.mRenewing || aNow < worker.mNextRenewal ||
         worker.mInfo.mAddress.empty()) {
       continue;
@@ -505,8 +508,9 @@
     }
     if (isResponsive) {
       const bool isUrgent = HasUrgentRun(worker);
-      const bool isWaitUseful =
-        !worker.HasUnackedTerminations() && !worker.mIsQueryDue;
+      const bool isWaitUseful = !worker.mAssigned.empty() &&
+                                !worker.HasUnackedTerminations() &&
+                                !worker.mIsQueryDue;
       command.mMaxWait = !isWaitUseful ? Millis(0)
                          : isUrgent    ? kUrgentWait
                                        : mOptions.mRenewWait;
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -302,6 +302,7 @@
   model.Run(milliseconds(4'000));
   CheckPhase(model, "a", JobPhase::kDone);
   CHECK_EQUAL(kTasks, model.Starts());
+  CHECK_EQUAL(0, model.UnackedOn(0));
   CheckNoViolation(model);
 }
 
@@ -335,6 +336,17 @@
   CheckNoViolation(model);
 }
 
+// Guards against terminations that an idle worker keeps until its next run.
+TEST(Scheduler, LastTerminationOfIdleWorkerIsAcknowledged)
+{
+  FleetModel model({ 1, 1 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(500));
+  model.Run(milliseconds(2'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(0, model.UnackedOn(0));
+  CheckNoViolation(model);
+}
+
 // Guards against starting tasks again on a worker that was removed from the
 // list while it lived and has completed them.
 TEST(Scheduler, RelistedWorkerIsQueriedBeforeItIsUsed)
