--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -91,6 +91,9 @@
   // Ownership.
   void ReadLease();
   void HandleLeaseRow(const state::StoreResult& aResult);
+  void HandleMalformedLease(const state::StoreRow& aRow,
+                            Millis aStoreTime,
+                            const std::string& aError);
   void AcquireLease(std::uint64_t aVersion,
                     const state::scheduling::OwnerLease& aObserved,
                     const char* aReason);
@@ -165,6 +168,8 @@
   /** See SchedulerOptions; from the released lease until the tables are read.
    */
   std::map<std::string, Millis> mInheritedLeases;
+  /** Last logged version of a lease row that could not be decoded. */
+  std::uint64_t mMalformedLeaseVersion = 0;
   bool mLeaseReadInFlight = false;
   Millis mLeaseReadSentAt{ 0 };
   state::scheduling::StoreTiming mStoreTiming;
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -132,11 +132,13 @@
   /** Whether a worker has acknowledged or reported a run. */
   bool mStarted = false;
   std::vector<Task> mTasks;
+  /** Runs counted as failed, by first task for a gang and by task otherwise. */
+  std::map<std::size_t, std::set<std::uint64_t>> mFailedRuns;
   /**
-   * Number of the last run counted as failed, by first task for a gang and by
-   * task otherwise.
+   * Tasks and runs that this owner presumed lost and whose failure would still
+   * count. Failures of any other earlier run may be counted in the record.
    */
-  std::map<std::size_t, std::uint64_t> mFailedRuns;
+  std::set<std::pair<std::size_t, std::uint64_t>> mLostRuns;
   /**
    * Since when the job makes no progress, as seen by
    * Scheduler::Impl::ReportStalledJobs(); 0 otherwise.
@@ -212,12 +214,16 @@
   Millis mClock{ 0 };
   Millis mClockAt{ 0 };
   /**
-   * Highest sequence numbers of terminations: received from the worker,
-   * contained in the pending write, and stored (to be acknowledged).
+   * Highest sequence numbers of terminations: received from the worker, of jobs
+   * in the present round of writes (see Scheduler::Impl::mRound) or earlier
+   * ones, contained in the pending write, and stored (to be acknowledged).
    */
   std::uint64_t mReceivedUpTo = 0;
+  std::uint64_t mRoundUpTo = 0;
   std::uint64_t mWritingUpTo = 0;
   std::uint64_t mAckedUpTo = 0;
+  /** Highest acknowledged one of which the worker is known to know. */
+  std::uint64_t mConfirmedUpTo = 0;
   /**
    * The incarnation before the present one, and the local time at which this
    * owner learned of the present one.
@@ -271,13 +277,16 @@
   }
   Resources Free() const { return mInfo.mCapacity.Minus(mUsed); }
   bool HasUnackedTerminations() const { return mReceivedUpTo > mAckedUpTo; }
+  bool HasUnconfirmedAck() const { return mAckedUpTo > mConfirmedUpTo; }
 
   /** Resets the state that belongs to one incarnation of the worker. */
   void ResetIncarnation()
   {
     mReceivedUpTo = 0;
+    mRoundUpTo = 0;
     mWritingUpTo = 0;
     mAckedUpTo = 0;
+    mConfirmedUpTo = 0;
     mClock = Millis(0);
     mFailedRenewals = 0;
   }
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -44,6 +44,14 @@
  * or a stalled run is detected while the job can still meet its objective.
  */
 constexpr Millis kUrgentWait{ 500 };
+/**
+ * Time after its first missed reply for which the lease of a worker is extended
+ * while its row in the store is refreshed. A worker that loses most replies
+ * gets almost twice as many renewals to reply to before its runs lapse; runs on
+ * a worker out of reach are replaced at most 5 s later.
+ */
+constexpr Millis kMaxUnansweredTime{ 3'000 };
+
 Millis
 AddClockDrift(Millis aTime)
 {
@@ -354,6 +362,9 @@
       aReply.mIncarnation != worker.mInfo.mIncarnation) {
     HandleRestart(worker, aNow);
   }
+  // An acknowledgement that was sent to an earlier incarnation is higher.
+  worker.mConfirmedUpTo = std::max(
+    worker.mConfirmedUpTo, std::min(aCommand.mAckedUpTo, worker.mAckedUpTo));
   worker.mInfo.mIncarnation = aReply.mIncarnation;
   UpdateClock(worker, aReply.mClock, aNow);
   std::set<TaskKey> listed;
@@ -379,7 +390,12 @@
   for (const TerminatedRun& terminated : aReply.mTerminated) {
     worker.mReceivedUpTo = std::max(worker.mReceivedUpTo, terminated.mSequence);
   }
-  HandleUnlistedRuns(worker, listed, aSentAt, aNow);
+  // Runs that are not listed may be among the terminations that did not fit
+  // into the reply. The worker reports those after earlier ones are
+  // acknowledged.
+  if (!aReply.mHasMoreTerminations) {
+    HandleUnlistedRuns(worker, listed, aSentAt, aNow);
+  }
   worker.mNextRenewal =
     worker.HasUnackedTerminations() ? aNow + kUnackedRenewDelay : aNow;
   RemoveUnlistedWorkers();
@@ -464,6 +480,20 @@
   }
 }
 
+/**
+ * @return Whether the lease of an unresponsive worker is extended. Its commands
+ *   may still arrive, so its runs need not lapse; but each extension delays the
+ *   time from which they are certain to have terminated.
+ */
+bool
+Scheduler::Impl::MayExtendWithoutReply(const WorkerState& aWorker, Millis aNow)
+{
+  const WorkerContact& contact = aWorker.mContact;
+  return contact.mHasReplied && aWorker.mClock.count() > 0 &&
+         contact.mRefreshedAt > contact.mSilentSince &&
+         aNow - contact.mSilentSince < kMaxUnansweredTime;
+}
+
 bool
 Scheduler::Impl::HasUrgentRun(const WorkerState& aWorker) const
 {
@@ -483,9 +513,9 @@
     // reply shows that it can be used again.
     const bool isReplyAwaited =
       worker.mFailedRenewals > 0 || worker.mIsQueryDue;
-    const bool isNeeded = !worker.mAssigned.empty() ||
-                          worker.HasUnackedTerminations() ||
-                          (isReplyAwaited && worker.mListed);
+    const bool isNeeded =
+      !worker.mAssigned.empty() || worker.HasUnackedTerminations() ||
+      ((isReplyAwaited || worker.HasUnconfirmedAck()) && worker.mListed);
     if (!isNeeded || worker.mRenewing || aNow < worker.mNextRenewal ||
         worker.mInfo.mAddress.empty()) {
       continue;
@@ -496,18 +526,19 @@
     command.mEpoch = mOptions.mEpoch;
     command.mAckedUpTo =
       aNow - worker.mLastReplyAt < kMaxAckAge ? worker.mAckedUpTo : 0;
-    // An unresponsive worker may still receive renewals. Extending its lease
-    // would delay the time from which its runs are certain to have terminated.
     const bool isResponsive = worker.mFailedRenewals == 0 &&
                               !worker.mIsQueryDue && worker.mClock.count() > 0;
+    if ((isResponsive || MayExtendWithoutReply(worker, aNow)) &&
+        !worker.mIsLeaseWithheld) {
+      command.mLeaseExpiry = ExtendLease(worker, aNow);
+    }
     if (isResponsive) {
-      if (!worker.mIsLeaseWithheld) {
-        command.mLeaseExpiry = ExtendLease(worker, aNow);
-      }
       const bool isUrgent = HasUrgentRun(worker);
-      command.mMaxWait = worker.HasUnackedTerminations() ? Millis(0)
-                         : isUrgent                      ? kUrgentWait
-                                                         : mOptions.mRenewWait;
+      const bool isWaitUseful =
+        !worker.mAssigned.empty() && !worker.HasUnackedTerminations();
+      command.mMaxWait = !isWaitUseful ? Millis(0)
+                         : isUrgent    ? kUrgentWait
+                                       : mOptions.mRenewWait;
     }
     const bool hasUncertainRun =
       std::any_of(worker.mAssigned.begin(),
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -20,7 +20,8 @@
 constexpr milliseconds kGangTimeout{ 3'000 };
 /** Factor on the run time if off the preferred rack or spread over racks. */
 constexpr int kCrossRackFactor = 3;
-constexpr std::size_t kJobsPerWrite = 40;
+/** Maximum number of terminations in the reply to a renewal. */
+constexpr std::size_t kMaxTerminations = 500;
 /** Leaves lower numbers for restarts after the time of day was set back. */
 constexpr std::uint64_t kFirstIncarnation = 1'000;
 
@@ -173,6 +174,13 @@
   mWorkers[aWorker].mReachable = aReachable;
 }
 
+void
+FleetModel::SetRepliesLost(std::size_t aWorker, bool aLost)
+{
+  RecordFault();
+  mWorkers[aWorker].mRepliesLost = aLost;
+}
+
 void
 FleetModel::SetConnectable(std::size_t aWorker, bool aConnectable)
 {
@@ -203,6 +211,13 @@
   mOwner->UpdateWorker(worker.mInfo, mNow);
 }
 
+void
+FleetModel::RefreshRow(std::size_t aWorker)
+{
+  mWorkers[aWorker].mInfo.mClock = mNow;
+  mOwner->UpdateWorker(mWorkers[aWorker].mInfo, mNow);
+}
+
 void
 FleetModel::PublishCopyOf(std::size_t aWorker)
 {
@@ -327,6 +342,12 @@
   return mWorkers[aWorker].mRuns.size();
 }
 
+std::size_t
+FleetModel::UnackedOn(std::size_t aWorker) const
+{
+  return mWorkers[aWorker].mTerminated.size();
+}
+
 void
 FleetModel::Run(milliseconds aTime)
 {
@@ -386,7 +407,7 @@
 FleetModel::WriteRecords()
 {
   mWriting = true;
-  const auto records = mOwner->BeginWrite(kJobsPerWrite);
+  const auto records = mOwner->BeginWrite(mOptions.mJobsPerWrite);
   ScheduleEvent(kStoreLatency, [this, records, epoch = mEpoch] {
     if (epoch != mEpoch) {
       return;
@@ -455,7 +476,8 @@
       });
     return;
   }
-  const bool isReplyLost = Chance(mOptions.mLostReplyShare);
+  const bool isReplyLost = FindWorker(aCommand.mWorker.mId)->mRepliesLost ||
+                           Chance(mOptions.mLostReplyShare);
   ScheduleEvent(kNetworkDelay, [this, aCommand, deliver, isReplyLost] {
     const CommandReply reply = HandleStart(aCommand);
     if (isReplyLost) {
@@ -515,12 +537,16 @@
   // The worker replies at the end of the wait. Terminations are therefore
   // reported slightly late, which the protocol allows.
   ScheduleEvent(kNetworkDelay, [this, aCommand] { HandleRenewal(aCommand); });
-  ScheduleEvent(std::min(aCommand.mMaxWait, milliseconds(100)) + kNetworkDelay,
-                [this, aCommand, deliver] {
-                  const RenewReply report = HandleRenewal(aCommand);
-                  ScheduleEvent(kNetworkDelay,
-                                [deliver, report] { deliver(report); });
-                });
+  ScheduleEvent(
+    std::min(aCommand.mMaxWait, milliseconds(100)) + kNetworkDelay,
+    [this, aCommand, deliver] {
+      const RenewReply report = HandleRenewal(aCommand);
+      if (FindWorker(aCommand.mWorker.mId)->mRepliesLost) {
+        ScheduleEvent(kReplyTimeout, [deliver] { deliver(RenewReply{}); });
+        return;
+      }
+      ScheduleEvent(kNetworkDelay, [deliver, report] { deliver(report); });
+    });
 }
 
 void
@@ -639,6 +665,10 @@
   report.mIncarnation = worker.mInfo.mIncarnation;
   report.mClock = mNow;
   for (const ModelTermination& termination : worker.mTerminated) {
+    if (report.mTerminated.size() == kMaxTerminations) {
+      report.mHasMoreTerminations = true;
+      break;
+    }
     report.mTerminated.push_back(termination.mRun);
   }
   for (const ModelRun& run : worker.mRuns) {
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -34,6 +34,8 @@
   std::string mPolicy = "urgency";
   /** Records a violation for a job that waits although capacity is free. */
   bool mCheckWorkConservation = false;
+  /** Maximum number of records in one write of the owner. */
+  std::size_t mJobsPerWrite = 40;
 };
 
 /** Result of a job as reported to its caller. */
@@ -82,6 +84,8 @@
    * Makes a worker lose all commands, or receive them again; its runs continue.
    */
   void SetReachable(std::size_t aWorker, bool aReachable);
+  /** Makes the replies of a worker get lost; it executes the commands. */
+  void SetRepliesLost(std::size_t aWorker, bool aLost);
   /** Makes connections to a worker fail, or succeed again. */
   void SetConnectable(std::size_t aWorker, bool aConnectable);
   void CrashWorker(std::size_t aWorker);
@@ -94,6 +98,8 @@
    * of a worker, another identifier and a higher incarnation.
    */
   void PublishCopyOf(std::size_t aWorker);
+  /** Updates the clock in the list of workers, as a live worker does. */
+  void RefreshRow(std::size_t aWorker);
   void AddLabel(std::size_t aWorker, const std::string& aLabel);
   /**
    * Updates the list of workers with a clock that is outdated.
@@ -133,6 +139,8 @@
   }
   JobOutcome OutcomeOf(const std::string& aJob) const;
   std::size_t RunningOn(std::size_t aWorker) const;
+  /** @return Number of terminations that a worker still reports. */
+  std::size_t UnackedOn(std::size_t aWorker) const;
   /** @return Number of jobs that the owner reports as pending. */
   std::size_t PendingJobs() const;
   /** @return A gauge of the owner, or 0. */
@@ -174,6 +182,7 @@
   {
     scheduling::WorkerInfo mInfo;
     bool mReachable = true;
+    bool mRepliesLost = false;
     bool mConnectable = true;
     bool mFailing = false;
     bool mStalled = false;
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -92,6 +92,18 @@
            {} };
 }
 
+/** Advances the clock while a worker refreshes its row in the store. */
+void
+RunWithRefreshes(FleetModel& aModel, std::size_t aWorker, milliseconds aTime)
+{
+  constexpr milliseconds kInterval{ 500 };
+  const milliseconds end = aModel.Now() + aTime;
+  while (aModel.Now() < end) {
+    aModel.Run(kInterval);
+    aModel.RefreshRow(aWorker);
+  }
+}
+
 /** Makes half of a fleet reachable or unreachable. */
 void
 SetHalfReachable(FleetModel& aModel, std::size_t aWorkers, bool aReachable)
@@ -286,6 +298,114 @@
   CheckNoViolation(model);
 }
 
+// Guards against runs that lapse on a living worker because several replies in
+// a row were lost.
+TEST(Scheduler, RunsSurviveLostReplies)
+{
+  FleetModel model({ 1, 1 });
+  model.Submit(MakeJob("a", Step(2, 4), 1), milliseconds(12'000));
+  model.Run(milliseconds(500));
+  model.SetRepliesLost(0, true);
+  RunWithRefreshes(model, 0, milliseconds(8'000));
+  model.SetRepliesLost(0, false);
+  RunWithRefreshes(model, 0, milliseconds(6'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(2, model.Starts());
+  CheckNoViolation(model);
+}
+
+// Guards against runs on a worker out of reach that are never replaced because
+// its row in the store shows that it is alive.
+TEST(Scheduler, RunOnUnreachableLiveWorkerIsReplaced)
+{
+  FleetModel model({ 2, 1 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(2'000));
+  model.Run(milliseconds(500));
+  const std::size_t host = FirstBusyWorker(model);
+  model.SetReachable(host, false);
+  RunWithRefreshes(model, host, milliseconds(13'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(2, model.Starts());
+  CheckNoViolation(model);
+}
+
+// Guards against an attempt beyond the limit after a run that was presumed lost
+// turns out to have failed.
+TEST(Scheduler, LateFailureCountsAsAttempt)
+{
+  FleetModel model({ 2, 1 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(5'000));
+  model.FailRuns("a", 2);
+  model.Run(milliseconds(500));
+  const std::size_t host = FirstBusyWorker(model);
+  model.SetReachable(host, false);
+  model.Run(milliseconds(9'500));
+  CHECK_EQUAL(2, model.Starts());
+  model.SetReachable(host, true);
+  model.Run(milliseconds(8'000));
+  CheckPhase(model, "a", JobPhase::kFailed);
+  CHECK_EQUAL(2, model.Starts());
+  CheckNoViolation(model);
+}
+
+// Guards against presuming runs lost whose terminations did not fit into the
+// reply of their worker.
+TEST(Scheduler, TerminationsBeyondOneReplyAreFetched)
+{
+  constexpr std::size_t kTasks = 1'200;
+  FleetModelOptions options;
+  options.mWorkers = 1;
+  options.mCapacity = Resources(2'000'000, 2'000'000, kTasks);
+  FleetModel model(options);
+  model.Submit(MakeJob("a", Step(kTasks, 1), 1), milliseconds(1'000));
+  model.Run(milliseconds(4'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(kTasks, model.Starts());
+  CHECK_EQUAL(0, model.UnackedOn(0));
+  CheckNoViolation(model);
+}
+
+// Guards against terminations that are never acknowledged, and jobs that never
+// start, while more jobs change than fit into one write.
+TEST(Scheduler, PartialWritesDelayNoJobForever)
+{
+  FleetModelOptions options;
+  options.mWorkers = 8;
+  options.mJobsPerWrite = 2;
+  FleetModel model(options);
+  constexpr int kFirst = 999;
+  constexpr int kLast = 100;
+  constexpr int kUrgent = 900;
+  // The last identifiers come first in a write.
+  for (int i = kFirst; i >= kLast; --i) {
+    model.Submit(MakeJob("a" + std::to_string(i), Step(1, 1), 1),
+                 milliseconds(100));
+    if (i == kUrgent) {
+      model.Submit(MakeJob("z", Step(1, 1), 0), milliseconds(100));
+    }
+    model.Run(milliseconds(10));
+  }
+  CheckPhase(model, "z", JobPhase::kDone);
+  std::size_t unacked = 0;
+  for (std::size_t i = 0; i < options.mWorkers; ++i) {
+    unacked += model.UnackedOn(i);
+  }
+  constexpr std::size_t kMaxUnacked = 200;
+  CHECK_COMPARE(unacked, <, kMaxUnacked);
+  CheckNoViolation(model);
+}
+
+// Guards against terminations that an idle worker keeps until its next run.
+TEST(Scheduler, LastTerminationOfIdleWorkerIsAcknowledged)
+{
+  FleetModel model({ 1, 1 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(500));
+  model.Run(milliseconds(2'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(0, model.UnackedOn(0));
+  CheckNoViolation(model);
+}
+
 // Guards against starting tasks again on a worker that was removed from the
 // list while it lived and has completed them.
 TEST(Scheduler, RelistedWorkerIsQueriedBeforeItIsUsed)
