Do not extend leases of workers that do not reply

If a living worker is cut off, its runs lapse when its last lease ends, but the owner would wait up to 5 s longer before it replaces them: nothing of the job runs for longer than the 3 s that callers are promised.

RunOnUnreachableLiveWorkerIsReplaced stays.

--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -191,7 +191,6 @@
                          WorkerState& aWorker,
                          WorkerCommands& aCommands,
                          Millis aNow);
-  static bool MayExtendWithoutReply(const WorkerState& aWorker, Millis aNow);
   bool HasUrgentRun(const WorkerState& aWorker) const;
   void CollectRenewCommands(WorkerCommands& aCommands, Millis aNow);
 
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -44,14 +44,6 @@
  * or a stalled run is detected while the job can still meet its objective.
  */
 constexpr Millis kUrgentWait{ 500 };
-/**
- * Time after its first missed reply for which the lease of a worker is extended
- * while its row in the store is refreshed. A worker that loses most replies
- * gets almost twice as many renewals to reply to before its runs lapse; runs on
- * a worker out of reach are replaced at most 5 s later.
- */
-constexpr Millis kMaxUnansweredTime{ 3'000 };
-
 Millis
 AddClockDrift(Millis aTime)
 {
@@ -480,20 +472,6 @@
   }
 }
 
-/**
- * @return Whether the lease of an unresponsive worker is extended. Its commands
- *   may still arrive, so its runs need not lapse; but each extension delays the
- *   time from which they are certain to have terminated.
- */
-bool
-Scheduler::Impl::MayExtendWithoutReply(const WorkerState& aWorker, Millis aNow)
-{
-  const WorkerContact& contact = aWorker.mContact;
-  return contact.mHasReplied && aWorker.mClock.count() > 0 &&
-         contact.mRefreshedAt > contact.mSilentSince &&
-         aNow - contact.mSilentSince < kMaxUnansweredTime;
-}
-
 bool
 Scheduler::Impl::HasUrgentRun(const WorkerState& aWorker) const
 {
@@ -526,13 +504,14 @@
     command.mEpoch = mOptions.mEpoch;
     command.mAckedUpTo =
       aNow - worker.mLastReplyAt < kMaxAckAge ? worker.mAckedUpTo : 0;
+    // An unresponsive worker may still receive renewals. Extending its lease
+    // would delay the time from which its runs are certain to have terminated.
     const bool isResponsive = worker.mFailedRenewals == 0 &&
                               !worker.mIsQueryDue && worker.mClock.count() > 0;
-    if ((isResponsive || MayExtendWithoutReply(worker, aNow)) &&
-        !worker.mIsLeaseWithheld) {
-      command.mLeaseExpiry = ExtendLease(worker, aNow);
-    }
     if (isResponsive) {
+      if (!worker.mIsLeaseWithheld) {
+        command.mLeaseExpiry = ExtendLease(worker, aNow);
+      }
       const bool isUrgent = HasUrgentRun(worker);
       const bool isWaitUseful =
         !worker.mAssigned.empty() && !worker.HasUnackedTerminations();
