--- a/tests/protocol/RowCodecTest.cpp
+++ b/tests/protocol/RowCodecTest.cpp
@@ -65,11 +65,19 @@
 {
   const cornelrudder::protocol::JsonSchedulingCodec codec;
   const cornelrudder::state::scheduling::OwnerLease lease{
-    "a", "a-incarnation", 3, 4, { { "q", 5 } }, 2, { { "w1", 4'300 } }
+    "a",
+    "a-incarnation",
+    3,
+    4,
+    { { "q", 5 } },
+    2,
+    std::chrono::milliseconds(900),
+    { { "w1", 4'300 } }
   };
   CHECK(codec.DecodeOwnerLease(codec.EncodeOwnerLease(lease)) == lease);
   const auto found = codec.DecodeOwnerLease(
     R"({"owner":"","incarnation":"i","epoch":1,"sequence":1,"pending":{}})");
   CHECK_EQUAL(0, found.mHandovers);
+  CHECK_EQUAL(0, found.mRenewalBound.count());
   CHECK(found.mWorkerLeases.empty());
 }
