Hand on the leases of workers whose replies are overdue

A worker whose reply is 0.3 s overdue counts as silent for the release. Replies that merely wait for an end are not due yet, so reachable workers stay out. OwnerReachability.LeasesWithOverdueRepliesAreTold fails without it (0 of 4).

--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -175,8 +175,10 @@
 
   /**
    * Stops to extend the leases of unresponsive workers with runs, and to start
-   * runs there, for as long as this owner has the lease. A successor that is
-   * told the result does not have to assume a later extension.
+   * runs there, for as long as this owner has the lease. A worker whose reply
+   * to a renewal is overdue counts as unresponsive before the call fails. A
+   * successor that is told the result does not have to assume a later
+   * extension.
    * @return Time after which none of the runs on such a worker can exist, by
    *   worker; repeated calls contain the workers of earlier ones.
    */
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -226,6 +226,8 @@
   Millis mIncarnationSince{ 0 };
   bool mRenewing = false;
   Millis mNextRenewal{ 0 };
+  /** Latest time at which the worker sends its reply to the last renewal. */
+  Millis mReplyDueAt{ 0 };
   /** Renewals and unsent starts in a row without a valid reply. */
   int mFailedRenewals = 0;
   Millis mLastReplyAt{ 0 };
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -13,6 +13,11 @@
 constexpr double kClockDrift = 1.03;
 /** Allowance for the transmission of a command to the worker. */
 constexpr Millis kCommandDelay{ 300 };
+/**
+ * Allowance for the transmission of a renewal and of its reply; a call fails
+ * only some time later.
+ */
+constexpr Millis kReplyDelay{ 300 };
 /**
  * A former owner may keep renewing leases until it detects its successor, at
  * the latest when a worker rejects its next renewal.
@@ -390,8 +395,10 @@
 {
   std::map<std::string, Millis> leases;
   for (auto& [id, worker] : mWorkers) {
+    const bool isReplyOverdue =
+      worker.mRenewing && aNow > worker.mReplyDueAt + kReplyDelay;
     const bool isUnresponsive =
-      worker.mFailedRenewals > 0 || worker.mIsQueryDue;
+      worker.mFailedRenewals > 0 || worker.mIsQueryDue || isReplyOverdue;
     if (worker.mIsLeaseWithheld ||
         (isUnresponsive && !worker.mAssigned.empty())) {
       worker.mIsLeaseWithheld = true;
@@ -520,6 +527,7 @@
     if (hasUncertainRun) {
       command.mMaxWait = std::min(command.mMaxWait, kUncertainRunWait);
     }
+    worker.mReplyDueAt = aNow + command.mMaxWait;
     aCommands.mRenewals.push_back(std::move(command));
   }
 }
--- a/tests/state/scheduling/OwnerReachabilityTest.cpp
+++ b/tests/state/scheduling/OwnerReachabilityTest.cpp
@@ -278,3 +278,15 @@
     CHECK(event.mKind != SchedulerEvent::Kind::kRunLost);
   }
 }
+
+// Guards against a release that leaves out the workers whose renewals are still
+// in flight when most others have failed.
+TEST(OwnerReachability, LeasesWithOverdueRepliesAreTold)
+{
+  std::vector<RenewCommand> renewals;
+  Scheduler scheduler = SchedulerOfBusyWorkers(renewals);
+  CHECK_EQUAL(4, renewals.size());
+  const milliseconds due = milliseconds(1'000) + renewals.front().mMaxWait;
+  CHECK(scheduler.WithholdLeases(due).empty());
+  CHECK_EQUAL(4, scheduler.WithholdLeases(due + milliseconds(500)).size());
+}
