Query idle workers once after a change of owner

What callers saw: work done a second time after a change of owner. A new owner renewed only workers that have runs in its record. The end of a run that its predecessor had presumed lost, on a worker that is idle now, was found late or never, and never acknowledged.

A new owner now queries each listed worker without runs once, four every 250 ms, so that 350 workers cost 16 calls a second for 22 s. As with other queries, a worker gets no new runs until it has replied, a few milliseconds; workers that get runs before their turn are renewed anyway. Weighed: querying all workers before the first plan, which delays it and costs 350 calls at once at each takeover.

Scheduler.NewOwnerQueriesIdleWorkers failed before (the second run went on). State, coordination and protocol tests pass.

--- a/src/state/scheduling/SchedulerHealth.cpp
+++ b/src/state/scheduling/SchedulerHealth.cpp
@@ -23,6 +23,12 @@
 /** Interval and number of queries to idle workers; see QueryIdleWorkers(). */
 constexpr Millis kIdleQueryInterval{ 1'000 };
 constexpr std::size_t kIdleQueries = 4;
+/**
+ * Interval and number of first queries to idle workers. An owner of 350 workers
+ * has queried all of them after 22 s, with 16 calls a second.
+ */
+constexpr Millis kFirstQueryInterval{ 250 };
+constexpr std::size_t kFirstQueries = 4;
 
 } // namespace
 
@@ -97,6 +103,29 @@
   return reachability;
 }
 
+/**
+ * Queries the idle workers once, some at a time: they may report terminations
+ * that no earlier owner has received or acknowledged.
+ */
+void
+Scheduler::Impl::QueryWorkersOnce(Millis aNow)
+{
+  if (aNow < mNextFirstQuery) {
+    return;
+  }
+  mNextFirstQuery = aNow + kFirstQueryInterval;
+  std::size_t n = 0;
+  for (auto& [id, worker] : mWorkers) {
+    const bool isDue = worker.mListed && worker.mAssigned.empty() &&
+                       !worker.mContact.mHasReplied && !worker.mRenewing &&
+                       worker.mFailedRenewals == 0 && !worker.mIsQueryDue;
+    if (isDue && n < kFirstQueries) {
+      worker.mIsQueryDue = true;
+      ++n;
+    }
+  }
+}
+
 /**
  * Queries some idle workers while a worker is out of reach but alive. An owner
  * with few runs would otherwise try too few workers to find that it is
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -149,6 +149,7 @@
   void ExpireUnresponsiveWorkers(Millis aNow);
   void HandleIfLeft(WorkerState& aWorker, Millis aNow);
   void RemoveUnlistedWorkers();
+  void QueryWorkersOnce(Millis aNow);
   void QueryIdleWorkers(Millis aNow);
   void UpdateClock(WorkerState& aWorker, Millis aClock, Millis aNow);
   void RecordReply(WorkerState& aWorker, Millis aNow);
@@ -291,6 +292,7 @@
   std::map<TaskKey, WaitState> mWaits;
   Millis mNextProgressCheck{ 0 };
   Millis mNextStallReport{ 0 };
+  Millis mNextFirstQuery{ 0 };
   Millis mNextIdleQuery{ 0 };
   /** Stops for runs that workers report but that are no longer assigned. */
   std::vector<StopCommand> mOrphanStops;
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -260,7 +260,7 @@
    * The worker gets no new runs until it replies. It was listed after this
    * owner had loaded the tables, and may report completions of tasks that would
    * otherwise be started again; or another entry has its address; or the owner
-   * checks whether it reaches idle workers.
+   * checks whether it reaches idle workers, or has not queried it yet.
    */
   bool mIsQueryDue = false;
   /** The last renewal reply was ignored because of its incarnation. */
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -80,6 +80,7 @@
   ExpireUnresponsiveWorkers(aNow);
   CheckProgress(aNow);
   ReportStalledJobs(aNow, aWallClock);
+  QueryWorkersOnce(aNow);
   QueryIdleWorkers(aNow);
   mGuaranteed = GuaranteedJobs();
   ViewKeys keys;
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -347,6 +347,25 @@
   CheckNoViolation(model);
 }
 
+// Guards against continuing a second run because a new owner does not know the
+// completion that an idle worker reports.
+TEST(Scheduler, NewOwnerQueriesIdleWorkers)
+{
+  FleetModel model({ 2, 1 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(5'000));
+  model.Run(milliseconds(500));
+  const std::size_t host = FirstBusyWorker(model);
+  model.SetReachable(host, false);
+  model.Run(milliseconds(9'500));
+  CHECK_EQUAL(2, model.Starts());
+  model.ReplaceOwner();
+  model.SetReachable(host, true);
+  model.Run(milliseconds(1'500));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(1, model.Stops());
+  CheckNoViolation(model);
+}
+
 // Guards against starting tasks again on a worker that was removed from the
 // list while it lived and has completed them.
 TEST(Scheduler, RelistedWorkerIsQueriedBeforeItIsUsed)
