--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -264,8 +264,8 @@
    * The worker gets no new runs and no extension of its lease until it replies.
    * It was listed after this owner had loaded the tables, and may report
    * completions of tasks that would otherwise be started again; or another
-   * entry has its address; or the owner checks whether it reaches idle workers;
-   * or it did not reply to the former owner.
+   * entry has its address; or the owner checks whether it reaches idle workers,
+   * or has not queried it yet; or it did not reply to the former owner.
    */
   bool mIsQueryDue = false;
   /** The last renewal reply was ignored because of its incarnation. */
