--- a/tests/state/scheduling/OwnerReachabilityTest.cpp
+++ b/tests/state/scheduling/OwnerReachabilityTest.cpp
@@ -222,11 +222,23 @@
   step.mDemand = Resources(1'000, 1'000, 8);
   scheduler.AddJob(
     MakeJob("a", step, 1), milliseconds(0), nullptr, milliseconds(1'000));
+  // The first pass queries the idle workers, and the second one places the job.
+  scheduler.Plan(milliseconds(1'000), milliseconds(0));
+  for (const RenewCommand& query :
+       scheduler.CollectCommands(milliseconds(1'000)).mRenewals) {
+    RenewReply reply;
+    reply.mOutcome = CommandOutcome::kDone;
+    reply.mClock = milliseconds(1);
+    reply.mIncarnation = 7;
+    scheduler.ApplyRenewReply(
+      query, reply, milliseconds(1'000), milliseconds(1'000));
+  }
   scheduler.Plan(milliseconds(1'000), milliseconds(0));
   scheduler.BeginWrite(1);
   scheduler.FinishWrite(true);
   const WorkerCommands commands =
     scheduler.CollectCommands(milliseconds(1'000));
+  CHECK_EQUAL(4, commands.mStarts.size());
   for (const StartCommand& start : commands.mStarts) {
     scheduler.ApplyStartReply(start,
                               { CommandOutcome::kDone, milliseconds(1), "" },
