Log changes of a worker's capacity

A worker's row is taken over silently, so that the log does not show why a worker gets no new runs. The event has the capacity before and after and what is in use.

--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -62,7 +62,8 @@
     kWorkerLeaving,
     kJobStalled,
     kEndIgnored,
-    kReplyIgnored
+    kReplyIgnored,
+    kWorkerCapacityChanged
   };
 
   Kind mKind;
--- a/src/coordination/LogEvent.cpp
+++ b/src/coordination/LogEvent.cpp
@@ -384,6 +384,11 @@
                 "store_refusals",
                 "the store refused calls of one kind with one status; logged "
                 "at most once a second with the numbers since the last line" },
+  LogEventInfo{ LogEvent::kWorkerCapacityChanged,
+                LogLevel::kInfo,
+                "worker_capacity_changed",
+                "a worker announced another capacity; before, after and in use "
+                "as thousandths of a core, megabytes and accelerators" },
 };
 
 } // namespace
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -40,11 +40,14 @@
 
 /** Indexed by SchedulerEvent::Kind. */
 constexpr std::array kLogEvents{
-  LogEvent::kTaskPlaced,      LogEvent::kTaskWaits,  LogEvent::kTaskPreempted,
-  LogEvent::kRunEnded,        LogEvent::kRunLost,    LogEvent::kJobEnded,
-  LogEvent::kWorkerSilent,    LogEvent::kWorkerBack, LogEvent::kWorkerGone,
-  LogEvent::kWorkerSuspected, LogEvent::kRunMoved,   LogEvent::kWorkerLeaving,
-  LogEvent::kJobStalled,      LogEvent::kEndIgnored, LogEvent::kReplyIgnored
+  LogEvent::kTaskPlaced,    LogEvent::kTaskWaits,
+  LogEvent::kTaskPreempted, LogEvent::kRunEnded,
+  LogEvent::kRunLost,       LogEvent::kJobEnded,
+  LogEvent::kWorkerSilent,  LogEvent::kWorkerBack,
+  LogEvent::kWorkerGone,    LogEvent::kWorkerSuspected,
+  LogEvent::kRunMoved,      LogEvent::kWorkerLeaving,
+  LogEvent::kJobStalled,    LogEvent::kEndIgnored,
+  LogEvent::kReplyIgnored,  LogEvent::kWorkerCapacityChanged
 };
 
 milliseconds
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -51,6 +51,15 @@
     static_cast<Millis::rep>(static_cast<double>(aTime.count()) * kClockDrift));
 }
 
+/** @return "CPU/MEMORY/ACCELERATORS". */
+std::string
+ToText(const Resources& aResources)
+{
+  return std::to_string(aResources.CpuMillis()) + "/" +
+         std::to_string(aResources.MemoryMb()) + "/" +
+         std::to_string(aResources.Accelerators());
+}
+
 } // namespace
 
 WorkerState&
@@ -104,7 +113,15 @@
   if (aInfo.mClock > worker.mInfo.mClock) {
     worker.mContact.mRefreshedAt = aNow;
   }
+  const Resources before = worker.mInfo.mCapacity;
   worker.mInfo = aInfo;
+  if (known != 0 && aInfo.mCapacity != before) {
+    RecordEvent(SchedulerEvent::Kind::kWorkerCapacityChanged,
+                { { "worker", aInfo.mId },
+                  { "before", ToText(before) },
+                  { "after", ToText(aInfo.mCapacity) },
+                  { "in_use", ToText(worker.mUsed) } });
+  }
   // A lower incarnation in the list is either outdated or that of a worker
   // whose time of day was set back; the next renewal reply shows which.
   worker.mInfo.mIncarnation = std::max(known, aInfo.mIncarnation);
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -818,6 +818,25 @@
   CheckNoViolation(model);
 }
 
+// Guards against a change of capacity that the log does not show.
+TEST(Scheduler, CapacityChangeIsReported)
+{
+  Scheduler scheduler(SchedulerOptions{});
+  WorkerInfo info;
+  info.mId = "w0";
+  info.mIncarnation = 7;
+  info.mCapacity = Resources(32'000, 64'000, 8);
+  scheduler.UpdateWorker(info, milliseconds(1'000));
+  scheduler.UpdateWorker(info, milliseconds(2'000));
+  CHECK(scheduler.TakeEvents().empty());
+  info.mCapacity = Resources(16'000, 32'000, 4);
+  scheduler.UpdateWorker(info, milliseconds(3'000));
+  const auto events = scheduler.TakeEvents();
+  CHECK_EQUAL(1, events.size());
+  CHECK(events.front().mKind == SchedulerEvent::Kind::kWorkerCapacityChanged);
+  CHECK(events.front().mFields[2].second == "16000/32000/4");
+}
+
 // Guards against parallel runs of a task, lost tasks and overloaded workers
 // when replies are lost or commands late, workers are unreachable or crash, the
 // store fails, and the owner changes.
