Test workers whose capacity shrinks and grows

The model changes the capacity of workers while they run and checks each start against the capacity announced when the command was sent; what is being stopped still counts. The random faults of WorkIsConservedAfterRandomFaults include it.

--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -30,6 +30,15 @@
   return std::chrono::ceil<milliseconds>(aTime);
 }
 
+/** @return The larger value in every dimension. */
+Resources
+Largest(const Resources& aOne, const Resources& aTwo)
+{
+  return { std::max(aOne.CpuMillis(), aTwo.CpuMillis()),
+           std::max(aOne.MemoryMb(), aTwo.MemoryMb()),
+           std::max(aOne.Accelerators(), aTwo.Accelerators()) };
+}
+
 } // namespace
 
 TaskJob
@@ -265,6 +274,13 @@
   mWorkers[aWorker].mRejecting = aRejecting;
 }
 
+void
+FleetModel::SetCapacity(std::size_t aWorker, const Resources& aCapacity)
+{
+  mWorkers[aWorker].mInfo.mCapacity = aCapacity;
+  PublishWorker(aWorker);
+}
+
 void
 FleetModel::SetSlowdown(std::size_t aWorker, double aFactor)
 {
@@ -420,6 +436,7 @@
     ScheduleEvent(kReplyTimeout, [deliver] { deliver(CommandReply{}); });
     return;
   }
+  const Resources capacity = FindWorker(aCommand.mWorker.mId)->mInfo.mCapacity;
   if (mStartsToDelay > 0 || Chance(mOptions.mLateStartShare)) {
     mStartsToDelay -= mStartsToDelay > 0 ? 1 : 0;
     RecordFault();
@@ -429,24 +446,26 @@
       milliseconds(3'000),
       [this,
        aCommand,
+       capacity,
        incarnation = FindWorker(aCommand.mWorker.mId)->mInfo.mIncarnation] {
         RecordFault();
         if (FindWorker(aCommand.mWorker.mId)->mInfo.mIncarnation ==
             incarnation) {
-          HandleStart(aCommand);
+          HandleStart(aCommand, capacity);
         }
       });
     return;
   }
   const bool isReplyLost = Chance(mOptions.mLostReplyShare);
-  ScheduleEvent(kNetworkDelay, [this, aCommand, deliver, isReplyLost] {
-    const CommandReply reply = HandleStart(aCommand);
-    if (isReplyLost) {
-      ScheduleEvent(kReplyTimeout, [deliver] { deliver(CommandReply{}); });
-    } else {
-      ScheduleEvent(kNetworkDelay, [deliver, reply] { deliver(reply); });
-    }
-  });
+  ScheduleEvent(
+    kNetworkDelay, [this, aCommand, capacity, deliver, isReplyLost] {
+      const CommandReply reply = HandleStart(aCommand, capacity);
+      if (isReplyLost) {
+        ScheduleEvent(kReplyTimeout, [deliver] { deliver(CommandReply{}); });
+      } else {
+        ScheduleEvent(kNetworkDelay, [deliver, reply] { deliver(reply); });
+      }
+    });
 }
 
 void
@@ -507,7 +526,9 @@
 }
 
 void
-FleetModel::CheckStart(const ModelWorker& aWorker, const StartCommand& aCommand)
+FleetModel::CheckStart(const ModelWorker& aWorker,
+                       const StartCommand& aCommand,
+                       const Resources& aCapacity)
 {
   const std::string name = aCommand.mTask.Text();
   const TaskJob& job = mJobs.at(aCommand.mTask.Job());
@@ -535,13 +556,16 @@
   }
   const Resources used =
     UsedOn(aWorker).Plus(job.Steps()[aCommand.mTask.Step()].Demand());
-  if (!used.FitsIn(aWorker.mInfo.mCapacity)) {
+  // The owner may have counted on the capacity at the time of sending; if that
+  // has grown since, other runs may have started in between.
+  if (!used.FitsIn(Largest(aCapacity, aWorker.mInfo.mCapacity))) {
     RecordViolation(name + " exceeds the capacity of " + aWorker.mInfo.mId);
   }
 }
 
 CommandReply
-FleetModel::HandleStart(const StartCommand& aCommand)
+FleetModel::HandleStart(const StartCommand& aCommand,
+                        const Resources& aCapacity)
 {
   ModelWorker& worker = *FindWorker(aCommand.mWorker.mId);
   CommandReply reply;
@@ -567,7 +591,7 @@
     ++mRejectedStarts;
     return reply;
   }
-  CheckStart(worker, aCommand);
+  CheckStart(worker, aCommand, aCapacity);
   ++mStarts;
   mLastStarts[aCommand.mTask] = mNow;
   worker.mLeaseExpiry = std::max(worker.mLeaseExpiry, aCommand.mLeaseExpiry);
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -112,6 +112,11 @@
   void SetStalled(std::size_t aWorker, bool aStalled);
   /** Makes a worker reject all start commands. */
   void SetRejecting(std::size_t aWorker, bool aRejecting);
+  /**
+   * Changes the capacity of a worker and updates the list of workers; its runs
+   * continue. From then on, no start may be sent that exceeds the capacity.
+   */
+  void SetCapacity(std::size_t aWorker, const scheduling::Resources& aCapacity);
   /** Multiplies the run time of runs on a worker by a factor. */
   void SetSlowdown(std::size_t aWorker, double aFactor);
   /** Makes the next start commands time out and execute late. */
@@ -191,8 +196,12 @@
   void SendStart(const scheduling::StartCommand& aCommand);
   void SendStop(const scheduling::StopCommand& aCommand);
   void SendRenewal(const scheduling::RenewCommand& aCommand);
-  scheduling::CommandReply HandleStart(
-    const scheduling::StartCommand& aCommand);
+  /**
+   * @param aCapacity Capacity that the worker had announced when the command
+   *   was sent.
+   */
+  scheduling::CommandReply HandleStart(const scheduling::StartCommand& aCommand,
+                                       const scheduling::Resources& aCapacity);
   scheduling::CommandReply HandleStop(const scheduling::StopCommand& aCommand);
   scheduling::RenewReply HandleRenewal(
     const scheduling::RenewCommand& aCommand);
@@ -215,7 +224,8 @@
   /** @return Whether all members of the gang of a run have done their work. */
   bool IsWorkDone(const ModelRun& aRun) const;
   void CheckStart(const ModelWorker& aWorker,
-                  const scheduling::StartCommand& aCommand);
+                  const scheduling::StartCommand& aCommand,
+                  const scheduling::Resources& aCapacity);
   void RecordViolation(const std::string& aText);
   void RestartWorker(ModelWorker& aWorker, std::uint64_t aIncarnation);
 
--- a/tests/state/scheduling/PlanningTest.cpp
+++ b/tests/state/scheduling/PlanningTest.cpp
@@ -253,6 +253,54 @@
   CHECK(DecisionFor(decisions, 1).mReason == PlanReason::kNoCapacity);
 }
 
+// Guards against reserving a worker whose capacity has become too small for the
+// unit, which blocks it for others and leaves the suitable one to them.
+TEST(Planning, WorkerTooSmallForTheUnitIsNotReserved)
+{
+  PlanningView view = Fleet(2);
+  Occupy(view, 0, 1, 0.0);
+  view.mWorkers[1].mCapacity = Resources(16'000, 32'000, 4);
+  view.mWorkers[1].mFree = view.mWorkers[1].mCapacity;
+  AddUnit(view, Step(1, 8), 1);
+  AddUnit(view, Step(1, 2), 2);
+  const auto decisions = Plan(view);
+  CHECK(DecisionFor(decisions, 0).mReason == PlanReason::kNoCapacity);
+  CHECK(DecisionFor(decisions, 1).mReason == PlanReason::kFits);
+}
+
+// Guards against counting workers that lost their capacity as headroom for
+// urgent work, which could not run there.
+TEST(Planning, WorkersThatShrankAreNoHeadroom)
+{
+  constexpr std::size_t kWorkers = 14;
+  PlanningView view = Fleet(kWorkers);
+  for (std::size_t i = 0; i < kWorkers - 3; ++i) {
+    Occupy(view, i, 0, 0.0);
+  }
+  // One of the three idle workers has shrunk; the others are the headroom.
+  view.mWorkers[kWorkers - 1].mCapacity = Resources(4'000, 8'000, 1);
+  view.mWorkers[kWorkers - 1].mFree = view.mWorkers[kWorkers - 1].mCapacity;
+  AddUnit(view, Step(1, 8), 2);
+  AddUnit(view, Step(1, 1), 2);
+  const auto decisions = Plan(view);
+  CHECK(DecisionFor(decisions, 0).mReason == PlanReason::kNoCapacity);
+  CHECK(DecisionFor(decisions, 1).mReason == PlanReason::kFits);
+}
+
+// Guards against promising a nominated unit more than the capacity that is left
+// after the worker has shrunk.
+TEST(Planning, NominationBeyondTheCapacityIsDropped)
+{
+  PlanningView view = Fleet(2);
+  view.mWorkers[0].mCapacity = Resources(16'000, 32'000, 4);
+  view.mWorkers[0].mFree = Resources(-16'000, -32'000, -4);
+  view.mWorkers[0].mReleasing = Resources(32'000, 64'000, 8);
+  AddUnit(view, Step(1, 8), 0).mNominatedWorkers = { 0 };
+  const auto decisions = Plan(view);
+  CHECK(decisions.front().mReason == PlanReason::kFits);
+  CHECK_EQUAL(1, decisions.front().mWorkers.front());
+}
+
 // Guards against a retry on the worker on which the last run failed.
 TEST(Planning, FailedTaskIsRetriedOnAnotherWorker)
 {
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -92,6 +92,13 @@
            {} };
 }
 
+/** @return Capacity of a worker whose accelerators are partly lost. */
+Resources
+CapacityOf(std::int64_t aAccelerators)
+{
+  return { 4'000 * aAccelerators, 8'000 * aAccelerators, aAccelerators };
+}
+
 /** Makes half of a fleet reachable or unreachable. */
 void
 SetHalfReachable(FleetModel& aModel, std::size_t aWorkers, bool aReachable)
@@ -120,7 +127,7 @@
 {
   using Fault =
     std::function<void(FleetModel&, std::size_t aWorker, std::size_t aWorkers)>;
-  static const std::array<Fault, 17> kFaults{
+  static const std::array<Fault, 18> kFaults{
     [](auto& aFleet, auto aWorker, auto) { aFleet.CrashWorker(aWorker); },
     [](auto& aFleet, auto aWorker, auto) {
       aFleet.RestartUnannounced(aWorker);
@@ -162,6 +169,11 @@
     [](auto& aFleet, auto, auto) { aFleet.SetStoreUp(false); },
     [](auto& aFleet, auto, auto) { aFleet.ReplaceOwner(); },
     [](auto& aFleet, auto, auto) { aFleet.DelayStarts(2); },
+    [](auto& aFleet, auto aWorker, auto aCount) {
+      const auto shrunk = static_cast<std::int64_t>((aWorker + aCount) % 3);
+      aFleet.SetCapacity(aWorker, CapacityOf(4 * shrunk));
+      aFleet.SetCapacity(aCount - 1 - aWorker, CapacityOf(8));
+    },
   };
   kFaults.at(aRandom() %
              kFaults.size())(aModel, aRandom() % aWorkers, aWorkers);
@@ -818,6 +830,173 @@
   CheckNoViolation(model);
 }
 
+// Guards against starting a run that was planned before the capacity shrank.
+TEST(Scheduler, PlannedRunIsNotStartedOnWorkerThatShrank)
+{
+  FleetModel model({ 1, 1 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(1'000));
+  model.Run(milliseconds(10));
+  model.SetCapacity(0, CapacityOf(4));
+  model.Run(milliseconds(1'000));
+  CHECK_EQUAL(0, model.RunningOn(0));
+  model.SetCapacity(0, CapacityOf(8));
+  model.Run(milliseconds(2'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
+// Guards against starting members of a gang of which one no longer fits.
+TEST(Scheduler, PlannedGangIsNotStartedAfterOneWorkerShrank)
+{
+  FleetModel model({ 2, 2 });
+  model.Submit(MakeJob("g", Step(2, 8, true), 1), milliseconds(1'000));
+  model.Run(milliseconds(10));
+  model.SetCapacity(1, CapacityOf(4));
+  model.Run(milliseconds(1'000));
+  CHECK_EQUAL(0, model.RunningOn(0) + model.RunningOn(1));
+  model.SetCapacity(1, CapacityOf(8));
+  model.Run(milliseconds(2'000));
+  CheckPhase(model, "g", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
+// Guards against withdrawing more planned runs than the lost capacity requires,
+// and urgent ones before others.
+TEST(Scheduler, UrgentPlannedRunIsKeptOnWorkerThatShrank)
+{
+  FleetModel model({ 1, 1 });
+  model.Submit(MakeJob("a", Step(1, 4), 2), milliseconds(1'000));
+  model.Submit(MakeJob("b", Step(1, 4), 0), milliseconds(1'000));
+  model.Submit(MakeJob("c", Step(1, 4), 2), milliseconds(1'000));
+  model.Run(milliseconds(10));
+  model.SetCapacity(0, CapacityOf(4));
+  model.Run(milliseconds(900));
+  CHECK_EQUAL(1, model.Starts());
+  model.Run(milliseconds(400));
+  CheckPhase(model, "b", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
+// Guards against repeating a start command after the capacity shrank.
+TEST(Scheduler, StartIsNotRetriedOnWorkerThatShrank)
+{
+  FleetModel model({ 1, 1 });
+  model.DelayStarts(1);
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(1'000));
+  model.Run(milliseconds(200));
+  model.SetCapacity(0, CapacityOf(4));
+  model.Run(milliseconds(5'000));
+  CHECK_EQUAL(0, model.Starts());
+  model.SetCapacity(0, CapacityOf(8));
+  model.Run(milliseconds(2'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
+// Guards against new runs, also of tasks without accelerators, on a worker that
+// runs more than its capacity, and against stopping what it runs.
+TEST(Scheduler, WorkerThatShrankKeepsItsRunsAndGetsNoNewOnes)
+{
+  FleetModel model({ 1, 1 });
+  model.Submit(MakeJob("a", Step(1, 6), 1), milliseconds(2'000));
+  model.Run(milliseconds(500));
+  model.SetCapacity(0, CapacityOf(4));
+  model.Submit(MakeJob("b", Step(1, 0), 0), milliseconds(500));
+  model.Run(milliseconds(1'000));
+  CHECK_EQUAL(1, model.RunningOn(0));
+  CHECK_EQUAL(0, model.Stops());
+  model.Run(milliseconds(2'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckPhase(model, "b", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
+// Guards against starting urgent work in capacity that was freed by a
+// preemption and is gone before the run could start.
+TEST(Scheduler, PreemptingTaskWaitsOnWorkerThatShrank)
+{
+  FleetModel model({ 1, 1 });
+  model.ApplyCatalog(CatalogWithGuarantee(8));
+  model.Submit(MakeJob("a", Step(1, 8), 2), milliseconds(20'000));
+  model.Run(milliseconds(500));
+  model.Submit(MakeJob("b", Step(1, 8), 0), milliseconds(500));
+  while (model.Stops() == 0) {
+    model.Run(milliseconds(10));
+  }
+  model.SetCapacity(0, CapacityOf(4));
+  model.Run(milliseconds(3'000));
+  CHECK_EQUAL(0, model.RunningOn(0));
+  model.SetCapacity(0, CapacityOf(8));
+  model.Run(milliseconds(1'500));
+  CheckPhase(model, "b", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
+// Guards against giving up a job that fits no worker at present.
+TEST(Scheduler, JobThatFitsNoWorkerWaitsUntilOneGrows)
+{
+  FleetModel model({ 2, 2 });
+  model.SetCapacity(0, CapacityOf(4));
+  model.SetCapacity(1, Resources());
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(500));
+  model.Submit(MakeJob("b", Step(1, 4), 2), milliseconds(500));
+  model.Run(milliseconds(30'000));
+  CheckPhase(model, "a", JobPhase::kQueued);
+  CheckPhase(model, "b", JobPhase::kDone);
+  model.SetCapacity(1, CapacityOf(8));
+  model.Run(milliseconds(2'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
+// Guards against starts that exceed the announced capacity while workers shrink
+// and grow, commands are late, the store fails and the owner changes.
+TEST(Scheduler, StartsStayWithinChangingCapacity)
+{
+  constexpr std::uint64_t kSeeds = 60;
+  constexpr int kRounds = 40;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    FleetModelOptions options;
+    options.mSeed = seed;
+    options.mLostReplyShare = 0.05;
+    options.mLateStartShare = 0.03;
+    FleetModel model(options);
+    std::mt19937_64 random(seed * 6'007);
+    int jobs = 0;
+    for (int round = 0; round < kRounds; ++round) {
+      if (random() % 4 != 0) {
+        model.Submit(
+          MakeJob("j" + std::to_string(jobs++),
+                  Step(1 + random() % 3, 1 << (random() % 4), random() % 2),
+                  static_cast<int>(random() % 3)),
+          milliseconds(200 + random() % 1'500));
+      }
+      if (random() % 12 == 0) {
+        model.ReplaceOwner();
+      }
+      model.SetStoreUp(random() % 6 != 0);
+      model.Run(milliseconds(random() % 60));
+      model.SetCapacity(random() % 4,
+                        CapacityOf(static_cast<std::int64_t>(random() % 9)));
+      model.Run(milliseconds(random() % 400));
+    }
+    model.SetStoreUp(true);
+    for (std::size_t i = 0; i < 4; ++i) {
+      model.SetCapacity(i, CapacityOf(8));
+    }
+    model.Run(milliseconds(60'000));
+    const std::string name = "seed " + std::to_string(seed) + ": ";
+    for (const std::string& violation : model.Violations()) {
+      FAIL((name + violation).c_str());
+    }
+    for (int i = 0; i < jobs; ++i) {
+      const std::string id = "j" + std::to_string(i);
+      CHECK_TEXT(IsFinal(model.OutcomeOf(id).mPhase),
+                 (name + id + " did not terminate").c_str());
+    }
+  }
+}
+
 // Guards against a change of capacity that the log does not show.
 TEST(Scheduler, CapacityChangeIsReported)
 {
