Withdraw planned runs when the capacity of their worker shrinks

A run is planned, its record is written, and its start is sent when the write is stored. If the worker's row showed a smaller capacity in between, the start was sent nevertheless and brought the worker over its capacity (rule LIMIT).

The owner now withdraws planned runs of a worker that would be over its capacity when the row arrives, the least urgent first and only as many as needed; the tasks wait again, and a gang is withdrawn as a whole. Planning itself places nothing beyond the present capacity, so no other path leads to a planned run over it. Runs that were started stay.

PlannedRunIsNotStartedOnWorkerThatShrank, PlannedGangIsNotStartedAfterOneWorkerShrank and UrgentPlannedRunIsKeptOnWorkerThatShrank failed before and pass.

--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -140,6 +140,7 @@
   WorkerState& FindOrAddWorker(const std::string& aId, Millis aNow);
   void HandleLostWorker(WorkerState& aWorker, const char* aReason, Millis aNow);
   void HandleRestart(WorkerState& aWorker, Millis aNow);
+  void WithdrawPlannedRuns(WorkerState& aWorker, Millis aNow);
   void ExpireUnresponsiveWorkers(Millis aNow);
   void HandleIfLeft(WorkerState& aWorker, Millis aNow);
   void RemoveUnlistedWorkers();
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -266,7 +266,9 @@
   {
     return mFailedRenewals > 0 && mContact.mRepliedAt < mContact.mSilentSince;
   }
+  /** @return Unused capacity; negative if the capacity shrank below the use. */
   Resources Free() const { return mInfo.mCapacity.Minus(mUsed); }
+  bool IsOverCapacity() const { return !Resources().FitsIn(Free()); }
   bool HasUnackedTerminations() const { return mReceivedUpTo > mAckedUpTo; }
 
   /** Resets the state that belongs to one incarnation of the worker. */
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -122,6 +122,7 @@
                   { "after", ToText(aInfo.mCapacity) },
                   { "in_use", ToText(worker.mUsed) } });
   }
+  WithdrawPlannedRuns(worker, aNow);
   // A lower incarnation in the list is either outdated or that of a worker
   // whose time of day was set back; the next renewal reply shows which.
   worker.mInfo.mIncarnation = std::max(known, aInfo.mIncarnation);
@@ -228,6 +229,39 @@
   aWorker.ResetIncarnation();
 }
 
+/**
+ * Withdraws runs whose start has not been sent until the others fit into the
+ * capacity of their worker, the least urgent ones first.
+ */
+void
+Scheduler::Impl::WithdrawPlannedRuns(WorkerState& aWorker, Millis aNow)
+{
+  if (!aWorker.IsOverCapacity()) {
+    return;
+  }
+  std::vector<std::pair<int, TaskKey>> assigned;
+  for (const TaskKey& key : aWorker.mAssigned) {
+    const JobState& job = mJobs.at(key.first);
+    assigned.emplace_back(-job.mJob.Settings().mPriority, key);
+  }
+  std::sort(assigned.begin(), assigned.end());
+  for (const auto& [priority, key] : assigned) {
+    if (!aWorker.IsOverCapacity()) {
+      return;
+    }
+    JobState& job = mJobs.at(key.first);
+    const Task& task = job.mTasks[key.second];
+    if (task.mPhase == TaskPhase::kPlanned) {
+      RecordEvent(SchedulerEvent::Kind::kRunLost,
+                  { { "task", job.IdOf(key.second).Text() },
+                    { "run", std::to_string(task.mRun) },
+                    { "worker", aWorker.mInfo.mId },
+                    { "reason", "capacity_shrank" } });
+      RequestStop(job, key.second, aNow);
+    }
+  }
+}
+
 void
 Scheduler::Impl::ExpireUnresponsiveWorkers(Millis aNow)
 {
