Do not repeat a start on a worker that is over its capacity

A start without a reply is repeated after a renewal reply that does not list the run. If the capacity of the worker had shrunk below its use by then, the repeated command could bring it over its capacity (rule LIMIT).

The run is stopped instead, as after the last repetition: the acknowledged stop rules out that an earlier copy of the command starts it late, and the task waits again. Dropping the repetition alone would leave the run unresolved.

--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -462,8 +462,14 @@
   const WorkerTarget target{ aWorker.mInfo.mId, aWorker.mInfo.mAddress };
   const bool isStored =
     task.mPlanWrite != 0 && task.mPlanWrite <= mStoredWrites;
-  const bool isRetry = task.mPhase == TaskPhase::kStarting &&
-                       task.mStartRetryDue && !task.mStopRequested;
+  const bool isRetryDue = task.mPhase == TaskPhase::kStarting &&
+                          task.mStartRetryDue && !task.mStopRequested;
+  const bool isRetry = isRetryDue && !aWorker.IsOverCapacity();
+  if (isRetryDue && !isRetry) {
+    // The last reply did not list the run. Only a stop rules out that an
+    // earlier copy of the command starts it late.
+    RequestStop(job, aKey.second, aNow);
+  }
   if ((task.mPhase == TaskPhase::kPlanned && isStored) || isRetry) {
     task.mPhase = TaskPhase::kStarting;
     task.mStartRetryDue = false;
