Reserve only workers that can hold a task of the unit

A reservation takes the workers with the most free accelerators. An idle worker whose capacity had shrunk below the demand of the unit came before a busy one that could hold it: the unit waited for a worker that cannot run it, and the shrunk worker was closed to less urgent work.

Workers whose capacity is smaller than the demand of one task are left out. WorkerTooSmallForTheUnitIsNotReserved failed before and passes.

--- a/src/state/scheduling/Packing.cpp
+++ b/src/state/scheduling/Packing.cpp
@@ -99,7 +99,8 @@
   for (const std::size_t i : aCapacity.Workers()) {
     const WorkerView& worker = aCapacity.View().mWorkers[i];
     const bool isOnRack = rack.empty() || rack == worker.mRack;
-    if (isOnRack && CanHost(aUnit, worker, 0) && mPriorities[i] == kNone) {
+    if (isOnRack && CanHost(aUnit, worker, 0) && mPriorities[i] == kNone &&
+        aUnit.mStep.Demand().FitsIn(worker.mCapacity)) {
       hosts.push_back(i);
       places += CountPlaces(aUnit, worker);
     }
