Do not count reduced workers as headroom for urgent work

Less urgent work leaves 16% of the workers empty while urgent work is about. An idle worker that had lost its capacity counted as empty, although no large unit can run there: less urgent work took the whole workers instead.

A worker with less than half of the capacity of the largest one of its service counts neither as empty nor among the workers of which the share is kept.

--- a/src/state/scheduling/CapacityTracker.cpp
+++ b/src/state/scheduling/CapacityTracker.cpp
@@ -2,13 +2,18 @@
 
 #include "Hosting.h"
 
+#include <algorithm>
+
 namespace cornelrudder::state::scheduling {
 
 CapacityTracker::CapacityTracker(const PlanningView& aView)
   : mView(aView)
 {
+  std::map<std::string, double> largest;
   for (const WorkerView& worker : aView.mWorkers) {
     mRackNumbers.emplace(worker.mRack, 0);
+    double& cores = largest[worker.mService];
+    cores = std::max(cores, worker.mCapacity.WeightedCores());
   }
   // Racks are numbered by name, so that equal views give equal plans.
   for (auto& [name, number] : mRackNumbers) {
@@ -23,7 +28,10 @@
     mRacks[rack].push_back(i);
     mFree.push_back(worker.mFree);
     mReleasing.push_back(worker.mReleasing);
-    mSchedulableWorkers += worker.mSchedulable ? 1 : 0;
+    const bool isReduced =
+      2 * worker.mCapacity.WeightedCores() < largest.at(worker.mService);
+    mIsReduced.push_back(isReduced);
+    mWholeSchedulableWorkers += worker.mSchedulable && !isReduced ? 1 : 0;
     if (worker.mSchedulable) {
       auto& [free, total] = mServices[worker.mService];
       free = free.Plus(worker.mFree);
--- a/src/state/scheduling/CapacityTracker.h
+++ b/src/state/scheduling/CapacityTracker.h
@@ -61,7 +61,11 @@
   std::size_t RackOf(std::size_t aWorker) const { return mRackOf[aWorker]; }
   /** @return The workers of a rack, or null if there is no such rack. */
   const WorkerList* FindRack(const std::string& aName) const;
-  std::size_t SchedulableWorkers() const { return mSchedulableWorkers; }
+  /** @return Number of schedulable workers that are not reduced. */
+  std::size_t WholeSchedulableWorkers() const
+  {
+    return mWholeSchedulableWorkers;
+  }
   /**
    * @return Whether at most half of the capacity of a service's schedulable
    *   workers was in use at the start of the planning pass, in every dimension.
@@ -74,9 +78,15 @@
   /** @return Capacity that all workers would have if they ran no tasks. */
   CapacitySnapshot Total() const;
 
+  /**
+   * @return Whether a worker would run no tasks with the given free capacity. A
+   *   reduced worker, with less than half of the capacity of the largest one of
+   *   its service, does not count as empty: it has no place for large units.
+   */
   bool IsEmpty(std::size_t aWorker, const Resources& aCapacity) const
   {
-    return aCapacity == mView.mWorkers[aWorker].mCapacity;
+    return !mIsReduced[aWorker] &&
+           aCapacity == mView.mWorkers[aWorker].mCapacity;
   }
 
   /**
@@ -102,7 +112,8 @@
   std::map<std::string, std::size_t> mRackNumbers;
   std::vector<WorkerList> mRacks;
   std::vector<std::size_t> mRackOf;
-  std::size_t mSchedulableWorkers = 0;
+  std::vector<bool> mIsReduced;
+  std::size_t mWholeSchedulableWorkers = 0;
   /** Free and total capacity of the schedulable workers, by service. */
   std::map<std::string, std::pair<Resources, Resources>> mServices;
   std::vector<Resources> mFree;
--- a/src/state/scheduling/Packing.cpp
+++ b/src/state/scheduling/Packing.cpp
@@ -228,7 +228,7 @@
   }
   // Rounded down, so that a small fleet keeps no worker idle as headroom.
   const double headroom = std::floor(
-    kHeadroomShare * static_cast<double>(mCapacity.SchedulableWorkers()));
+    kHeadroomShare * static_cast<double>(mCapacity.WholeSchedulableWorkers()));
   return static_cast<double>(aCapacity.EmptySchedulable()) - headroom;
 }
 
