Shrink the capacity of workers in the fault soak

A control request of the stand-in makes workers announce fewer accelerators for some time while their runs go on. A start that exceeds the largest capacity of the last 4.5 s, the platform's allowance, is a violation.

--- a/scripts/fleet_soak.sh
+++ b/scripts/fleet_soak.sh
@@ -172,6 +172,14 @@
   draw_of all half "$drawn"
   control "/rows/$drawn/$(((RANDOM % max_fault_seconds + 1) * 1000))"
 }
+# Workers announce less capacity than they run, and more again. The stand-in
+# allows starts beyond it for 4.5 s after the change.
+shrink_workers() {
+  local accelerators=$((RANDOM % 7))
+  draw_worker
+  draw_of all half "$drawn"
+  control "/capacity/$drawn/$accelerators/$(((RANDOM % max_fault_seconds + 1) * 1000))"
+}
 # The workers' part of the store refuses transactions.
 overload_store() {
   control "/overload/$(((RANDOM % max_fault_seconds + 1) * 1000))"
@@ -185,7 +193,8 @@
 faults=(kill_daemon restart_worker store_slow silence_worker drain_daemon
   lose_answers freeze_daemon drop_history store_down lose_and_kill kill_all
   separate_owner reset_owner lose_owner_replies separate_daemon separate_worker
-  separate_all remove_rows write_odd_row overload_store)
+  separate_all remove_rows write_odd_row overload_store
+  shrink_workers)
 
 # Injects one fault and marks its time for the checks of the stand-in.
 inject() {
--- a/tests/fleet/ProgressChecker.h
+++ b/tests/fleet/ProgressChecker.h
@@ -15,7 +15,10 @@
 /** What the workers hold at one moment. */
 struct FleetView
 {
-  /** Unused accelerators of each worker. */
+  /**
+   * Unused accelerators of each worker; negative if it has shrunk below what it
+   * runs.
+   */
   std::vector<std::int64_t> mFreeAccelerators;
   /** Accelerators of all workers together. */
   std::int64_t mAccelerators = 0;
--- a/tests/fleet/ProgressCheckerTest.cpp
+++ b/tests/fleet/ProgressCheckerTest.cpp
@@ -45,6 +45,17 @@
   CHECK_EQUAL(0, CheckTwice(mChecker, IdleFleet(), kStart + 10s));
 }
 
+// Guards against missing an idle job because another worker is over its
+// capacity.
+TEST(ProgressChecker, WorkerOverItsCapacityTakesNoPlaceOfOthers)
+{
+  mChecker.AddJob("a", { { 1, 8, false, {} } });
+  FleetView view;
+  view.mFreeAccelerators = { -8, 8, 8, 7 };
+  view.mAccelerators = 24;
+  CHECK_EQUAL(1, CheckTwice(mChecker, view));
+}
+
 TEST(ProgressChecker, RunInBetweenRestartsTheTime)
 {
   mChecker.AddJob("a", { kTask });
--- a/tests/fleet/WorkerStandins.cpp
+++ b/tests/fleet/WorkerStandins.cpp
@@ -31,6 +31,10 @@
 constexpr Millis kGangStartTimeout{ 3'000 };
 constexpr Millis kMaxLease{ 10'000 };
 constexpr std::int64_t kAccelerators = 8;
+/** Time for which starts may use a capacity that was reduced since. */
+constexpr Millis kCapacityGrace{ 4'500 };
+constexpr std::int64_t kCpuPerAccelerator = 4'000;
+constexpr std::int64_t kMemoryPerAccelerator = 8'000;
 constexpr std::size_t kWorkersPerRack = 4;
 
 /** @return The part of a job's payload that belongs to a task's step. */
@@ -111,6 +115,8 @@
     worker.mRack = "r" + std::to_string(i / kWorkersPerRack);
     worker.mIncarnation = WallClockMs();
     worker.mClockStart = Clock::now();
+    worker.mAccelerators = kAccelerators;
+    worker.mAllowedAccelerators = kAccelerators;
     worker.mLinks.resize(aGates);
     for (std::size_t gate = 0; gate < aGates; ++gate) {
       worker.mLinks[gate].mAddress = "127.0.0.1:0";
@@ -277,6 +283,43 @@
   }
 }
 
+void
+WorkerStandins::SetCapacity(Worker& aWorker, std::int64_t aAccelerators)
+{
+  const std::uint64_t number = ++aWorker.mCapacityNumber;
+  Trace(aWorker.mId,
+        "capacity",
+        "-",
+        static_cast<std::uint64_t>(aAccelerators),
+        aWorker.mEpoch);
+  aWorker.mAccelerators = aAccelerators;
+  aWorker.mAllowedAccelerators =
+    std::max(aWorker.mAllowedAccelerators, aAccelerators);
+  Register(aWorker);
+  mThread.PostAfter(kCapacityGrace, [&aWorker, number] {
+    if (aWorker.mCapacityNumber == number) {
+      aWorker.mAllowedAccelerators = aWorker.mAccelerators;
+    }
+  });
+}
+
+void
+WorkerStandins::ShrinkCapacity(const std::string& aWorkers,
+                               std::int64_t aAccelerators,
+                               Millis aDuration)
+{
+  for (const std::size_t i : SelectWorkers(aWorkers)) {
+    Worker& worker = mWorkers[i];
+    SetCapacity(worker,
+                std::clamp(aAccelerators, std::int64_t{ 0 }, kAccelerators));
+    EndFaultAfter(aDuration, [this, &worker, number = worker.mCapacityNumber] {
+      if (worker.mCapacityNumber == number) {
+        SetCapacity(worker, kAccelerators);
+      }
+    });
+  }
+}
+
 void
 WorkerStandins::Start()
 {
@@ -336,22 +379,24 @@
   if (!aWorker.mIsListed) {
     return;
   }
+  const std::int64_t accelerators = aWorker.mAccelerators;
   for (std::size_t gate = 0; gate < mGates; ++gate) {
-    mStore.PutWorker(gate,
-                     aWorker.mId,
-                     json{ { "service", "presses" },
-                           { "address", aWorker.mLinks[gate].mAddress },
-                           { "zone", "z1" },
-                           { "state", "ready" },
-                           { "born", aWorker.mIncarnation },
-                           { "room",
-                             { { "cpu", 32'000 },
-                               { "mem-mb", 64'000 },
-                               { "gpu", kAccelerators } } },
-                           { "labels", { "a", aWorker.mRack } },
-                           { "clock-ms", ClockMs(aWorker) },
-                           { "sequence", mTicks } }
-                       .dump());
+    mStore.PutWorker(
+      gate,
+      aWorker.mId,
+      json{ { "service", "presses" },
+            { "address", aWorker.mLinks[gate].mAddress },
+            { "zone", "z1" },
+            { "state", "ready" },
+            { "born", aWorker.mIncarnation },
+            { "room",
+              { { "cpu", kCpuPerAccelerator * accelerators },
+                { "mem-mb", kMemoryPerAccelerator * accelerators },
+                { "gpu", accelerators } } },
+            { "labels", { "a", aWorker.mRack } },
+            { "clock-ms", ClockMs(aWorker) },
+            { "sequence", mTicks } }
+        .dump());
   }
 }
 
@@ -491,7 +536,7 @@
   for (const Run& it : aWorker.mRuns) {
     used += it.mAccelerators;
   }
-  if (used > kAccelerators) {
+  if (used > aWorker.mAllowedAccelerators) {
     mViolations.push_back(task + " overfills " + aWorker.mId);
   }
   mStartedJobs.insert(JobName(task));
@@ -615,7 +660,7 @@
 {
   FleetView view;
   for (const Worker& worker : mWorkers) {
-    std::int64_t free = kAccelerators;
+    std::int64_t free = worker.mAccelerators;
     for (const Run& run : worker.mRuns) {
       free -= run.mAccelerators;
       view.mRunningJobs.insert(JobName(run.mTask));
@@ -626,7 +671,7 @@
       }
     }
     view.mFreeAccelerators.push_back(free);
-    view.mAccelerators += kAccelerators;
+    view.mAccelerators += worker.mAccelerators;
   }
   return view;
 }
--- a/tests/fleet/WorkerStandins.h
+++ b/tests/fleet/WorkerStandins.h
@@ -26,8 +26,8 @@
  * daemon and one worker can fail. The workers run tasks under leases and
  * fencing tokens and record each violation: two concurrent runs of a task, a
  * start after completion was acknowledged or told to the same owner, more
- * accelerators in use than a worker has, or a job without progress. The payload
- * of a job sets run time, accelerators and gang size for each step:
+ * accelerators in use than a worker announces, or a job without progress. The
+ * payload of a job sets run time, accelerators and gang size for each step:
  * {"steps":[{"run_ms":700,"accelerators":4,"gang":3}]}.
  */
 class WorkerStandins
@@ -72,6 +72,16 @@
    */
   void RemoveRows(const std::string& aWorkers, Millis aDuration);
 
+  /**
+   * Makes workers announce fewer accelerators for some time; their runs go on.
+   * A start that exceeds what the worker has announced for kCapacityGrace is a
+   * violation.
+   * @param aWorkers As in FailLinks.
+   */
+  void ShrinkCapacity(const std::string& aWorkers,
+                      std::int64_t aAccelerators,
+                      Millis aDuration);
+
   /**
    * Writes a row among those of the workers that stays and names no worker.
    * @param aKind "nested", "number" (too large) or "port" (out of range).
@@ -147,6 +157,11 @@
     bool mIsSilent = false;
     bool mIsListed = true;
     std::uint64_t mRemovalNumber = 0;
+    /** Announced accelerators, and those that starts may still use. */
+    std::int64_t mAccelerators = 0;
+    std::int64_t mAllowedAccelerators = 0;
+    /** Counts the changes of the capacity. */
+    std::uint64_t mCapacityNumber = 0;
     std::uint64_t mIncarnation = 0;
     Clock::time_point mClockStart;
     std::uint64_t mEpoch = 0;
@@ -189,6 +204,7 @@
   void RecordListedEnds(const Worker& aWorker, std::uint64_t aEpoch);
   FleetView View() const;
   nlohmann::json ClockMs(const Worker& aWorker) const;
+  void SetCapacity(Worker& aWorker, std::int64_t aAccelerators);
   void Register(const Worker& aWorker);
   void Tick();
   void Advance(Worker& aWorker);
--- a/tests/fleet/fleet_standin.cpp
+++ b/tests/fleet/fleet_standin.cpp
@@ -10,6 +10,8 @@
  * - `POST /workers/N/ACTION`: silence, answer, restart
  * - `POST /links/GATES/WORKERS/FAULT/MS` (see WorkerStandins::FailLinks)
  * - `POST /rows/WORKERS/MS` (see WorkerStandins::RemoveRows)
+ * - `POST /capacity/WORKERS/ACCELERATORS/MS` (see
+ *   WorkerStandins::ShrinkCapacity)
  * - `POST /overload/MS` (see StoreStandin::Overload)
  * - `POST /odd/KIND` (see WorkerStandins::WriteOddRow)
  * - `POST /faults/begin`, `POST /faults/end`: a fault from outside
@@ -172,6 +174,14 @@
     return json::object();
   }
 
+  json ShrinkCapacity(const Parts& aParts, const std::string&)
+  {
+    mWorkers.ShrinkCapacity(aParts[1],
+                            std::stoll(aParts[2]),
+                            std::chrono::milliseconds(std::stoll(aParts[3])));
+    return json::object();
+  }
+
   json OverloadStore(const Parts& aParts, const std::string&)
   {
     mStore.Overload(std::chrono::milliseconds(std::stoll(aParts[1])));
@@ -205,18 +215,19 @@
     return json::object();
   }
 
-  static const std::array<Route, 9> kRoutes;
+  static const std::array<Route, 10> kRoutes;
 
   StoreStandin& mStore;
   WorkerStandins& mWorkers;
 };
 
-const std::array<Control::Route, 9> Control::kRoutes{ {
+const std::array<Control::Route, 10> Control::kRoutes{ {
   { "journal", 1, &Control::GetJournal },
   { "history", 2, &Control::DropHistory },
   { "workers", 3, &Control::ApplyAction },
   { "links", 5, &Control::FailLinks },
   { "rows", 3, &Control::RemoveRows },
+  { "capacity", 4, &Control::ShrinkCapacity },
   { "overload", 2, &Control::OverloadStore },
   { "odd", 2, &Control::WriteOddRow },
   { "faults", 2, &Control::MarkFault },
