Keep the capacity of a gang member whose start was repeated

The end "done" of one member completes all members of a gang, and the owner released the capacity of all of them. A member whose start was repeated may run again at that time: its worker completed the first run with the gang and restarted before the owner heard of it, and the repeated start was executed by the new incarnation. The owner then started other work in the capacity that this run still used (rule LIMIT).

Such a member is stopped and keeps its capacity until its worker shows that it is gone. Members that were started once can't run after the end of the gang, so that the usual completion is unchanged.

RepeatedMemberOfCompletedGangKeepsItsCapacity failed before and passes.

--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -186,7 +186,17 @@
     }
     const std::uint64_t run = task.mRun;
     for (std::size_t i = first; i < end; ++i) {
-      if (aJob.mTasks[i].mRun == run) {
+      Task& member = aJob.mTasks[i];
+      if (member.mRun != run) {
+        continue;
+      }
+      if (i != aTask && member.IsAssigned() && member.mStartRetries > 0) {
+        // A repeated start may have executed after the gang completed, on a
+        // worker that restarted in between. The run uses its capacity until
+        // the worker shows that it is gone.
+        member.mCompletedEarlier = true;
+        RequestStop(aJob, i, aNow);
+      } else {
         FinishTask(aJob, i, aNow);
       }
     }
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -295,6 +295,13 @@
   mStartsToDelay = aCount;
 }
 
+void
+FleetModel::LoseStartReplies(int aCount)
+{
+  RecordFault();
+  mStartRepliesToLose = aCount;
+}
+
 void
 FleetModel::SetStoreUp(bool aUp)
 {
@@ -456,7 +463,9 @@
       });
     return;
   }
-  const bool isReplyLost = Chance(mOptions.mLostReplyShare);
+  const bool isReplyLost =
+    mStartRepliesToLose > 0 || Chance(mOptions.mLostReplyShare);
+  mStartRepliesToLose -= mStartRepliesToLose > 0 ? 1 : 0;
   ScheduleEvent(
     kNetworkDelay, [this, aCommand, capacity, deliver, isReplyLost] {
       const CommandReply reply = HandleStart(aCommand, capacity);
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -121,6 +121,8 @@
   void SetSlowdown(std::size_t aWorker, double aFactor);
   /** Makes the next start commands time out and execute late. */
   void DelayStarts(int aCount);
+  /** Loses the replies to the next start commands, which are executed. */
+  void LoseStartReplies(int aCount);
   void SetStoreUp(bool aUp);
   void ApplyCatalog(const scheduling::Catalog& aCatalog);
 
@@ -272,6 +274,7 @@
   bool mWriting = false;
   bool mStoreUp = true;
   int mStartsToDelay = 0;
+  int mStartRepliesToLose = 0;
   std::size_t mStarts = 0;
   std::size_t mStops = 0;
   std::size_t mRejectedStarts = 0;
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -108,6 +108,14 @@
   }
 }
 
+void
+SetAllReachable(FleetModel& aModel, std::size_t aWorkers, bool aReachable)
+{
+  for (std::size_t i = 0; i < aWorkers; ++i) {
+    aModel.SetReachable(i, aReachable);
+  }
+}
+
 void
 EndFaults(FleetModel& aModel, std::size_t aWorkers)
 {
@@ -932,6 +940,35 @@
   CheckNoViolation(model);
 }
 
+// Guards against using the capacity of a gang member that was started again
+// after a crash and runs on when the others are known to be done.
+TEST(Scheduler, RepeatedMemberOfCompletedGangKeepsItsCapacity)
+{
+  FleetModel model({ 2, 2 });
+  model.LoseStartReplies(2);
+  model.Submit(MakeJob("g", Step(2, 8, true), 1), milliseconds(300));
+  // The first renewals are lost, the starts are not.
+  SetAllReachable(model, 2, false);
+  model.Run(milliseconds(10));
+  SetAllReachable(model, 2, true);
+  while (model.Starts() < 2) {
+    model.Run(milliseconds(10));
+  }
+  SetAllReachable(model, 2, false);
+  model.Run(milliseconds(500));
+  model.CrashWorker(1);
+  model.SetReachable(1, true);
+  model.Submit(MakeJob("a", Step(2, 8), 1), milliseconds(500));
+  while (model.RunningOn(1) == 0) {
+    model.Run(milliseconds(10));
+  }
+  model.SetReachable(0, true);
+  model.Run(milliseconds(6'000));
+  CheckPhase(model, "g", JobPhase::kDone);
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
 // Guards against giving up a job that fits no worker at present.
 TEST(Scheduler, JobThatFitsNoWorkerWaitsUntilOneGrows)
 {
