Do not suspect workers that lack capacity for a start

Two starts in a row that a worker rejected for want of capacity excluded it for 10 s, like failed runs. A worker whose capacity shrinks rejects starts until its row is read, and stayed excluded after it had grown again.

A lack of capacity is no evidence of a faulty worker: it gets no new runs for 1.5 s, within which its row shows the capacity, and the failure count stays. WorkerIsUsedSoonAfterItLackedCapacity failed before and passes.

--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -247,7 +247,8 @@
   Millis mShutdownAt{ 0 };
   /**
    * Until this time the worker gets no new runs, because one of its runs stalls
-   * or is much slower than others of its step.
+   * or is much slower than others of its step, or because it rejected a start
+   * for want of capacity.
    */
   Millis mSlowUntil{ 0 };
   /**
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -9,6 +9,12 @@
 
 /** Delay before an unacknowledged stop is retried. */
 constexpr Millis kStopRetryDelay{ 300 };
+/**
+ * How long a worker gets no new runs after it rejected a start for want of
+ * capacity: its capacity has shrunk, and its row shows that within one refresh
+ * (1.5 s).
+ */
+constexpr Millis kNoCapacityPause{ 1'500 };
 /** Limit of retries of a start command whose outcome is unknown. */
 constexpr int kMaxStartRetries = 2;
 /** Run time lost by stopping and resuming a task that writes checkpoints. */
@@ -292,6 +298,9 @@
         // it is unresponsive until it replies to a renewal.
         if (aReply.mOutcome == CommandOutcome::kNotSent) {
           RecordMissedReply(workerIt->second, aReply.mDetail, aNow);
+        } else if (aReply.mOutcome == CommandOutcome::kNoCapacity) {
+          workerIt->second.mSlowUntil =
+            std::max(workerIt->second.mSlowUntil, aNow + kNoCapacityPause);
         } else {
           RecordFailure(workerIt->second, *job, aNow);
         }
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -274,6 +274,13 @@
   mWorkers[aWorker].mRejecting = aRejecting;
 }
 
+void
+FleetModel::SetLackingCapacity(std::size_t aWorker, bool aLacking)
+{
+  RecordFault();
+  mWorkers[aWorker].mLackingCapacity = aLacking;
+}
+
 void
 FleetModel::SetCapacity(std::size_t aWorker, const Resources& aCapacity)
 {
@@ -600,6 +607,11 @@
     ++mRejectedStarts;
     return reply;
   }
+  if (worker.mLackingCapacity) {
+    ++mRejectedStarts;
+    reply.mOutcome = CommandOutcome::kNoCapacity;
+    return reply;
+  }
   CheckStart(worker, aCommand, aCapacity);
   ++mStarts;
   mLastStarts[aCommand.mTask] = mNow;
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -112,6 +112,8 @@
   void SetStalled(std::size_t aWorker, bool aStalled);
   /** Makes a worker reject all start commands. */
   void SetRejecting(std::size_t aWorker, bool aRejecting);
+  /** Makes a worker reject all start commands for want of capacity. */
+  void SetLackingCapacity(std::size_t aWorker, bool aLacking);
   /**
    * Changes the capacity of a worker and updates the list of workers; its runs
    * continue. From then on, no start may be sent that exceeds the capacity.
@@ -172,6 +174,7 @@
     bool mFailing = false;
     bool mStalled = false;
     bool mRejecting = false;
+    bool mLackingCapacity = false;
     bool mListed = true;
     double mSlowdown = 1.0;
     std::uint64_t mEpoch = 0;
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -940,6 +940,23 @@
   CheckNoViolation(model);
 }
 
+// Guards against excluding a worker for 10 s because it rejected starts before
+// its row showed that its capacity had shrunk.
+TEST(Scheduler, WorkerIsUsedSoonAfterItLackedCapacity)
+{
+  FleetModel model({ 4, 2 });
+  model.SetLackingCapacity(0, true);
+  model.Submit(MakeJob("a", Step(2, 1), 1), milliseconds(200));
+  model.Run(milliseconds(500));
+  CHECK_EQUAL(2, model.RejectedStarts());
+  CheckPhase(model, "a", JobPhase::kDone);
+  model.SetLackingCapacity(0, false);
+  model.Submit(MakeJob("b", Step(4, 8), 1), milliseconds(4'000));
+  model.Run(milliseconds(2'000));
+  CHECK_EQUAL(1, model.RunningOn(0));
+  CheckNoViolation(model);
+}
+
 // Guards against using the capacity of a gang member that was started again
 // after a crash and runs on when the others are known to be done.
 TEST(Scheduler, RepeatedMemberOfCompletedGangKeepsItsCapacity)
