--- a/tests/fleet/ProgressChecker.cpp
+++ b/tests/fleet/ProgressChecker.cpp
@@ -15,8 +15,8 @@
 {
   std::int64_t slots = 0;
   for (const std::int64_t it : aView.mFreeAccelerators) {
-    slots += std::max<std::int64_t>(it, 0) /
-             std::max<std::int64_t>(aAccelerators, 1);
+    slots +=
+      std::max<std::int64_t>(it, 0) / std::max<std::int64_t>(aAccelerators, 1);
   }
   return slots;
 }
