--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -69,7 +69,8 @@
     kWorkerLeaving,
     kJobStalled,
     kEndIgnored,
-    kReplyIgnored
+    kReplyIgnored,
+    kWorkerCapacityChanged
   };
 
   Kind mKind;
--- a/src/state/scheduling/Packing.cpp
+++ b/src/state/scheduling/Packing.cpp
@@ -99,7 +99,8 @@
   for (const std::size_t i : aCapacity.Workers()) {
     const WorkerView& worker = aCapacity.View().mWorkers[i];
     const bool isOnRack = rack.empty() || rack == worker.mRack;
-    if (isOnRack && CanHost(aUnit, worker, 0) && mPriorities[i] == kNone) {
+    if (isOnRack && CanHost(aUnit, worker, 0) && mPriorities[i] == kNone &&
+        aUnit.mStep.Demand().FitsIn(worker.mCapacity)) {
       hosts.push_back(i);
       places += CountPlaces(aUnit, worker);
     }
@@ -227,7 +228,7 @@
   }
   // Rounded down, so that a small fleet keeps no worker idle as headroom.
   const double headroom = std::floor(
-    kHeadroomShare * static_cast<double>(mCapacity.SchedulableWorkers()));
+    kHeadroomShare * static_cast<double>(mCapacity.WholeSchedulableWorkers()));
   return static_cast<double>(aCapacity.EmptySchedulable()) - headroom;
 }
 
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -257,7 +257,8 @@
   Millis mShutdownAt{ 0 };
   /**
    * Until this time the worker gets no new runs, because one of its runs stalls
-   * or is much slower than others of its step.
+   * or is much slower than others of its step, or because it rejected a start
+   * for want of capacity.
    */
   Millis mSlowUntil{ 0 };
   /**
@@ -277,7 +278,9 @@
   {
     return mFailedRenewals > 0 && mContact.mRepliedAt < mContact.mSilentSince;
   }
+  /** @return Unused capacity; negative if the capacity shrank below the use. */
   Resources Free() const { return mInfo.mCapacity.Minus(mUsed); }
+  bool IsOverCapacity() const { return !Resources().FitsIn(Free()); }
   bool HasUnackedTerminations() const { return mReceivedUpTo > mAckedUpTo; }
   bool HasUnconfirmedAck() const { return mAckedUpTo > mConfirmedUpTo; }
 
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -9,6 +9,12 @@
 
 /** Delay before an unacknowledged stop is retried. */
 constexpr Millis kStopRetryDelay{ 300 };
+/**
+ * How long a worker gets no new runs after it rejected a start for want of
+ * capacity: its capacity has shrunk, and its row shows that within one refresh
+ * (1.5 s).
+ */
+constexpr Millis kNoCapacityPause{ 1'500 };
 /** Limit of retries of a start command whose outcome is unknown. */
 constexpr int kMaxStartRetries = 2;
 /** Run time lost by stopping and resuming a task that writes checkpoints. */
@@ -186,7 +192,17 @@
     }
     const std::uint64_t run = task.mRun;
     for (std::size_t i = first; i < end; ++i) {
-      if (aJob.mTasks[i].mRun == run) {
+      Task& member = aJob.mTasks[i];
+      if (member.mRun != run) {
+        continue;
+      }
+      if (i != aTask && member.IsAssigned() && member.mStartRetries > 0) {
+        // A repeated start may have executed after the gang completed, on a
+        // worker that restarted in between. The run uses its capacity until
+        // the worker shows that it is gone.
+        member.mCompletedEarlier = true;
+        RequestStop(aJob, i, aNow);
+      } else {
         FinishTask(aJob, i, aNow);
       }
     }
@@ -293,6 +309,9 @@
         // it is unresponsive until it replies to a renewal.
         if (aReply.mOutcome == CommandOutcome::kNotSent) {
           RecordMissedReply(workerIt->second, aReply.mDetail, aNow);
+        } else if (aReply.mOutcome == CommandOutcome::kNoCapacity) {
+          workerIt->second.mSlowUntil =
+            std::max(workerIt->second.mSlowUntil, aNow + kNoCapacityPause);
         } else {
           RecordFailure(workerIt->second, *job, aNow);
         }
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -56,6 +56,15 @@
     static_cast<Millis::rep>(static_cast<double>(aTime.count()) * kClockDrift));
 }
 
+/** @return "CPU/MEMORY/ACCELERATORS". */
+std::string
+ToText(const Resources& aResources)
+{
+  return std::to_string(aResources.CpuMillis()) + "/" +
+         std::to_string(aResources.MemoryMb()) + "/" +
+         std::to_string(aResources.Accelerators());
+}
+
 } // namespace
 
 WorkerState&
@@ -116,7 +125,16 @@
   if (aInfo.mClock > worker.mInfo.mClock) {
     worker.mContact.mRefreshedAt = aNow;
   }
+  const Resources before = worker.mInfo.mCapacity;
   worker.mInfo = aInfo;
+  if (known != 0 && aInfo.mCapacity != before) {
+    RecordEvent(SchedulerEvent::Kind::kWorkerCapacityChanged,
+                { { "worker", aInfo.mId },
+                  { "before", ToText(before) },
+                  { "after", ToText(aInfo.mCapacity) },
+                  { "in_use", ToText(worker.mUsed) } });
+  }
+  WithdrawPlannedRuns(worker, aNow);
   // A lower incarnation in the list is either outdated or that of a worker
   // whose time of day was set back; the next renewal reply shows which.
   worker.mInfo.mIncarnation = std::max(known, aInfo.mIncarnation);
@@ -223,6 +241,39 @@
   aWorker.ResetIncarnation();
 }
 
+/**
+ * Withdraws runs whose start has not been sent until the others fit into the
+ * capacity of their worker, the least urgent ones first.
+ */
+void
+Scheduler::Impl::WithdrawPlannedRuns(WorkerState& aWorker, Millis aNow)
+{
+  if (!aWorker.IsOverCapacity()) {
+    return;
+  }
+  std::vector<std::pair<int, TaskKey>> assigned;
+  for (const TaskKey& key : aWorker.mAssigned) {
+    const JobState& job = mJobs.at(key.first);
+    assigned.emplace_back(-job.mJob.Settings().mPriority, key);
+  }
+  std::sort(assigned.begin(), assigned.end());
+  for (const auto& [priority, key] : assigned) {
+    if (!aWorker.IsOverCapacity()) {
+      return;
+    }
+    JobState& job = mJobs.at(key.first);
+    const Task& task = job.mTasks[key.second];
+    if (task.mPhase == TaskPhase::kPlanned) {
+      RecordEvent(SchedulerEvent::Kind::kRunLost,
+                  { { "task", job.IdOf(key.second).Text() },
+                    { "run", std::to_string(task.mRun) },
+                    { "worker", aWorker.mInfo.mId },
+                    { "reason", "capacity_shrank" } });
+      RequestStop(job, key.second, aNow);
+    }
+  }
+}
+
 void
 Scheduler::Impl::ExpireUnresponsiveWorkers(Millis aNow)
 {
@@ -449,8 +500,14 @@
   const WorkerTarget target{ aWorker.mInfo.mId, aWorker.mInfo.mAddress };
   const bool isStored =
     task.mPlanWrite != 0 && task.mPlanWrite <= mStoredWrites;
-  const bool isRetry = task.mPhase == TaskPhase::kStarting &&
-                       task.mStartRetryDue && !task.mStopRequested;
+  const bool isRetryDue = task.mPhase == TaskPhase::kStarting &&
+                          task.mStartRetryDue && !task.mStopRequested;
+  const bool isRetry = isRetryDue && !aWorker.IsOverCapacity();
+  if (isRetryDue && !isRetry) {
+    // The last reply did not list the run. Only a stop rules out that an
+    // earlier copy of the command starts it late.
+    RequestStop(job, aKey.second, aNow);
+  }
   const bool isStartDue =
     (task.mPhase == TaskPhase::kPlanned && isStored) || isRetry;
   if (isStartDue && !aWorker.mIsLeaseWithheld) {
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -122,10 +122,19 @@
   void SetStalled(std::size_t aWorker, bool aStalled);
   /** Makes a worker reject all start commands. */
   void SetRejecting(std::size_t aWorker, bool aRejecting);
+  /** Makes a worker reject all start commands for want of capacity. */
+  void SetLackingCapacity(std::size_t aWorker, bool aLacking);
+  /**
+   * Changes the capacity of a worker and updates the list of workers; its runs
+   * continue. From then on, no start may be sent that exceeds the capacity.
+   */
+  void SetCapacity(std::size_t aWorker, const scheduling::Resources& aCapacity);
   /** Multiplies the run time of runs on a worker by a factor. */
   void SetSlowdown(std::size_t aWorker, double aFactor);
   /** Makes the next start commands time out and execute late. */
   void DelayStarts(int aCount);
+  /** Loses the replies to the next start commands, which are executed. */
+  void LoseStartReplies(int aCount);
   void SetStoreUp(bool aUp);
   void ApplyCatalog(const scheduling::Catalog& aCatalog);
 
@@ -184,6 +193,7 @@
     bool mFailing = false;
     bool mStalled = false;
     bool mRejecting = false;
+    bool mLackingCapacity = false;
     bool mListed = true;
     double mSlowdown = 1.0;
     std::uint64_t mEpoch = 0;
@@ -211,8 +221,12 @@
   void SendStart(const scheduling::StartCommand& aCommand);
   void SendStop(const scheduling::StopCommand& aCommand);
   void SendRenewal(const scheduling::RenewCommand& aCommand);
-  scheduling::CommandReply HandleStart(
-    const scheduling::StartCommand& aCommand);
+  /**
+   * @param aCapacity Capacity that the worker had announced when the command
+   *   was sent.
+   */
+  scheduling::CommandReply HandleStart(const scheduling::StartCommand& aCommand,
+                                       const scheduling::Resources& aCapacity);
   scheduling::CommandReply HandleStop(const scheduling::StopCommand& aCommand);
   scheduling::RenewReply HandleRenewal(
     const scheduling::RenewCommand& aCommand);
@@ -235,7 +249,8 @@
   /** @return Whether all members of the gang of a run have done their work. */
   bool IsWorkDone(const ModelRun& aRun) const;
   void CheckStart(const ModelWorker& aWorker,
-                  const scheduling::StartCommand& aCommand);
+                  const scheduling::StartCommand& aCommand,
+                  const scheduling::Resources& aCapacity);
   void RecordViolation(const std::string& aText);
   void RestartWorker(ModelWorker& aWorker, std::uint64_t aIncarnation);
 
@@ -282,6 +297,7 @@
   bool mWriting = false;
   bool mStoreUp = true;
   int mStartsToDelay = 0;
+  int mStartRepliesToLose = 0;
   std::size_t mStarts = 0;
   std::size_t mStops = 0;
   std::size_t mRejectedStarts = 0;
