Log the runs that were in progress when their worker crashed

The lines of the incident tell that runs were lost, not that their worker had crashed under them. run_crashed has the task, the run, the worker, the evidence (another worker has the address, or a new incarnation), how long the run had worked and the number of runs on the worker.

--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -97,7 +97,8 @@
   kJobStalled = 817,
   kEndIgnored = 818,
   kReplyIgnored = 819,
-  kStoreRefusals = 820
+  kStoreRefusals = 820,
+  kRunCrashed = 821
 };
 
 /** Entry of the event catalogue. */
--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -62,7 +62,8 @@
     kWorkerLeaving,
     kJobStalled,
     kEndIgnored,
-    kReplyIgnored
+    kReplyIgnored,
+    kRunCrashed
   };
 
   Kind mKind;
--- a/src/coordination/LogEvent.cpp
+++ b/src/coordination/LogEvent.cpp
@@ -384,6 +384,11 @@
                 "store_refusals",
                 "the store refused calls of one kind with one status; logged "
                 "at most once a second with the numbers since the last line" },
+  LogEventInfo{ LogEvent::kRunCrashed,
+                LogLevel::kWarning,
+                "run_crashed",
+                "a worker crashed while a run was, or may have been, in "
+                "progress on it" },
 };
 
 } // namespace
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -44,7 +44,8 @@
   LogEvent::kRunEnded,        LogEvent::kRunLost,    LogEvent::kJobEnded,
   LogEvent::kWorkerSilent,    LogEvent::kWorkerBack, LogEvent::kWorkerGone,
   LogEvent::kWorkerSuspected, LogEvent::kRunMoved,   LogEvent::kWorkerLeaving,
-  LogEvent::kJobStalled,      LogEvent::kEndIgnored, LogEvent::kReplyIgnored
+  LogEvent::kJobStalled,      LogEvent::kEndIgnored, LogEvent::kReplyIgnored,
+  LogEvent::kRunCrashed
 };
 
 milliseconds
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -20,6 +20,7 @@
  * - SchedulerHealth: suspected workers, and whether this owner reaches them.
  * - SchedulerDiagnostics: metrics and the report of stalled jobs.
  * - SchedulerProgress: detection of stalled and slow runs.
+ * - SchedulerCrashes: runs that were in progress when their worker crashed.
  * - SchedulerPlan: the view passed to a policy, and the execution of decisions.
  */
 class Scheduler::Impl
@@ -187,6 +188,10 @@
   bool HasUrgentRun(const WorkerState& aWorker) const;
   void CollectRenewCommands(WorkerCommands& aCommands, Millis aNow);
 
+  // Crashes.
+  void HandleReplacedWorker(WorkerState& aWorker, Millis aNow);
+  void RecordCrash(WorkerState& aWorker, const char* aEvidence, Millis aNow);
+
   // Progress.
   void CheckProgress(Millis aNow);
   void CheckStepProgress(JobState& aJob,
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -295,8 +295,12 @@
       }
       break;
     case CommandOutcome::kIncarnationMismatch:
+      if (task.mStartRetries == 0) {
+        // The addressed incarnation did not execute this command.
+        HandleLostRun(key, "other_life", aNow);
+      }
       if (workerIt != mWorkers.end()) {
-        HandleLostWorker(workerIt->second, "other_life", aNow);
+        HandleReplacedWorker(workerIt->second, aNow);
       }
       break;
     case CommandOutcome::kFenced:
@@ -322,7 +326,7 @@
   }
   if (aReply.mOutcome == CommandOutcome::kIncarnationMismatch) {
     if (workerIt != mWorkers.end()) {
-      HandleLostWorker(workerIt->second, "other_life", aNow);
+      HandleReplacedWorker(workerIt->second, aNow);
     }
     return;
   }
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -195,6 +195,7 @@
               { { "worker", aWorker.mInfo.mId },
                 { "reason", "restarted" },
                 { "runs", std::to_string(aWorker.mAssigned.size()) } });
+  RecordCrash(aWorker, "restarted", aNow);
   const std::set<TaskKey> assigned = aWorker.mAssigned;
   for (const TaskKey& key : assigned) {
     const JobState* job = FindJob(key.first);
@@ -309,7 +310,7 @@
     return;
   }
   if (aReply.mOutcome == CommandOutcome::kIncarnationMismatch) {
-    HandleLostWorker(worker, "other_life", aNow);
+    HandleReplacedWorker(worker, aNow);
     worker.mListed = false;
     RemoveUnlistedWorkers();
     return;
