Show that a task that crashes its workers is started without limit

Seven tests fail: nothing counts crashes. SimultaneousRestartsFailNoJob and ShutdownsAndLapsedLeasesAreNoCrashes pass and guard against failing healthy jobs.

--- /dev/null
+++ b/tests/state/scheduling/CrashTest.cpp
@@ -0,0 +1,187 @@
+#include "FleetModel.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cornelrudder::tests;
+using namespace cornelrudder::state::scheduling;
+
+namespace {
+
+StepSpecValues
+Step(std::size_t aTasks, std::int64_t aAccelerators, bool aGang = false)
+{
+  StepSpecValues values;
+  values.mTasks = aTasks;
+  values.mDemand = Resources(1'000, 1'000, aAccelerators);
+  values.mEstimatedRunTime = milliseconds(1'000);
+  values.mGang = aGang;
+  return values;
+}
+
+TaskId
+FirstTaskOf(const std::string& aJob)
+{
+  return { aJob, 0, 0, 0 };
+}
+
+void
+CheckPhase(const FleetModel& aModel, const std::string& aJob, JobPhase aPhase)
+{
+  STRCMP_EQUAL(JobPhaseName(aPhase),
+               JobPhaseName(aModel.OutcomeOf(aJob).mPhase));
+}
+
+void
+CheckNoViolation(const FleetModel& aModel)
+{
+  for (const std::string& violation : aModel.Violations()) {
+    FAIL(violation.c_str());
+  }
+}
+
+} // namespace
+
+TEST_GROUP(SchedulerCrashes){};
+
+// Guards against a task that takes one worker after the other down.
+TEST(SchedulerCrashes, TaskThatCrashesWorkersFailsItsJob)
+{
+  FleetModel model({ 8, 2 });
+  model.MakeDeadly(FirstTaskOf("a"));
+  model.Submit(MakeJob("a", Step(4, 1), 1), milliseconds(1'000));
+  model.Submit(MakeJob("b", Step(16, 2), 1), milliseconds(4'000));
+  model.Run(milliseconds(40'000));
+  CheckPhase(model, "a", JobPhase::kFailed);
+  CheckPhase(model, "b", JobPhase::kDone);
+  CHECK(model.CrashesUnder(FirstTaskOf("a")) <= 3);
+  CheckNoViolation(model);
+}
+
+// Guards against failing healthy tasks that share workers with such a task.
+TEST(SchedulerCrashes, HealthyJobsBesideManySuchTasksComplete)
+{
+  FleetModel model({ 12, 2 });
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = std::to_string(i);
+    model.MakeDeadly(FirstTaskOf("bad" + id));
+    model.Submit(MakeJob("bad" + id, Step(3, 1), 1), milliseconds(3'000));
+    model.Submit(MakeJob("good" + id, Step(6, 1), 1), milliseconds(3'000));
+    model.Run(milliseconds(700));
+  }
+  model.Run(milliseconds(90'000));
+  for (int i = 0; i < 6; ++i) {
+    CheckPhase(model, "bad" + std::to_string(i), JobPhase::kFailed);
+    CheckPhase(model, "good" + std::to_string(i), JobPhase::kDone);
+  }
+  CheckNoViolation(model);
+}
+
+// Guards against a count that starts anew with each owner.
+TEST(SchedulerCrashes, CrashesCountAcrossOwners)
+{
+  FleetModel model({ 8, 2 });
+  model.MakeDeadly(FirstTaskOf("a"));
+  model.Submit(MakeJob("a", Step(1, 1), 1), milliseconds(1'000));
+  for (int i = 0; i < 12; ++i) {
+    model.Run(milliseconds(5'000));
+    model.ReplaceOwner();
+  }
+  CheckPhase(model, "a", JobPhase::kFailed);
+  CheckNoViolation(model);
+}
+
+// Guards against a new owner that does not see that the worker of a recorded
+// run has restarted.
+TEST(SchedulerCrashes, NewOwnerDetectsCrash)
+{
+  FleetModel model({ 4, 2 });
+  model.MakeDeadly(FirstTaskOf("a"));
+  model.Submit(MakeJob("a", Step(1, 1), 1), milliseconds(1'000));
+  for (int i = 0; i < 8; ++i) {
+    const int crashes = model.CrashesUnder(FirstTaskOf("a"));
+    for (int n = 0; n < 200 && model.CrashesUnder(FirstTaskOf("a")) == crashes;
+         ++n) {
+      model.Run(milliseconds(50));
+    }
+    model.ReplaceOwner();
+  }
+  model.Run(milliseconds(20'000));
+  CheckPhase(model, "a", JobPhase::kFailed);
+  CheckNoViolation(model);
+}
+
+// Guards against a start that is repeated on the worker that it has crashed.
+TEST(SchedulerCrashes, UnansweredStartsThatCrashWorkersFailTheJob)
+{
+  FleetModel model({ 8, 2 });
+  model.MakeDeadly(FirstTaskOf("a"), milliseconds(0));
+  model.Submit(MakeJob("a", Step(1, 1), 1), milliseconds(1'000));
+  model.Run(milliseconds(60'000));
+  CheckPhase(model, "a", JobPhase::kFailed);
+  CheckNoViolation(model);
+}
+
+// Guards against counting the crash of one gang member for none of the members.
+TEST(SchedulerCrashes, GangThatCrashesWorkersFailsItsJob)
+{
+  FleetModel model({ 8, 2 });
+  model.MakeDeadly(FirstTaskOf("a"));
+  model.Submit(MakeJob("a", Step(4, 4, true), 1), milliseconds(1'000));
+  model.Run(milliseconds(60'000));
+  CheckPhase(model, "a", JobPhase::kFailed);
+  CheckNoViolation(model);
+}
+
+// Guards against a long-running task that is restarted without limit.
+TEST(SchedulerCrashes, LongRunningTaskThatCrashesWorkersFailsItsJob)
+{
+  FleetModel model({ 8, 2 });
+  StepSpecValues step = Step(2, 1);
+  step.mLongRunning = true;
+  model.MakeDeadly(FirstTaskOf("a"));
+  model.Submit(MakeJob("a", step, 1), milliseconds(1'000'000));
+  model.Run(milliseconds(60'000));
+  CheckPhase(model, "a", JobPhase::kFailed);
+  CheckNoViolation(model);
+}
+
+// Guards against failing jobs because all workers restart at the same time.
+TEST(SchedulerCrashes, SimultaneousRestartsFailNoJob)
+{
+  FleetModel model({ 8, 2 });
+  model.Submit(MakeJob("a", Step(8, 8), 1), milliseconds(6'000));
+  for (int n = 0; n < 3; ++n) {
+    model.Run(milliseconds(3'000));
+    for (std::size_t i = 0; i < 8; ++i) {
+      model.CrashWorker(i);
+    }
+  }
+  model.Run(milliseconds(30'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
+// Guards against counting planned shutdowns and lost paths as crashes.
+TEST(SchedulerCrashes, ShutdownsAndLapsedLeasesAreNoCrashes)
+{
+  FleetModel model({ 8, 8 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(12'000));
+  for (std::size_t i = 0; i < 3; ++i) {
+    model.Run(milliseconds(1'000));
+    std::size_t host = 0;
+    while (host < 8 && model.RunningOn(host) == 0) {
+      ++host;
+    }
+    CHECK(host < 8);
+    if (i == 2) {
+      model.SetDraining(host);
+      model.CrashWorker(host);
+    } else {
+      model.SetReachable(host, false);
+    }
+    model.Run(milliseconds(11'000));
+  }
+  model.Run(milliseconds(30'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -10,6 +10,12 @@
 namespace {
 
 /** Step of the virtual clock. */
+/** Time for which a worker is down after a crash. */
+constexpr milliseconds kCrashTime{ 3'000 };
+/** The platform's limits of the crashes under a task and the starts after them.
+ */
+constexpr int kMaxCrashes = 3;
+constexpr int kMaxStartsAfterCrashes = 3;
 constexpr milliseconds kTick{ 10 };
 /** One-way delay of commands and replies. */
 constexpr milliseconds kNetworkDelay{ 5 };
@@ -223,6 +229,54 @@
   aWorker.mInfo.mIncarnation = aIncarnation;
 }
 
+void
+FleetModel::MakeDeadly(const TaskId& aTask, milliseconds aDelay)
+{
+  mDeadly[aTask] = aDelay;
+}
+
+int
+FleetModel::CrashesUnder(const TaskId& aTask) const
+{
+  const auto it = mCrashes.find(aTask);
+  return it != mCrashes.end() ? it->second : 0;
+}
+
+void
+FleetModel::StartDeadlyRun(ModelWorker& aWorker, const TaskId& aTask)
+{
+  const auto it = mDeadly.find(aTask);
+  if (it == mDeadly.end()) {
+    return;
+  }
+  const auto worker = static_cast<std::size_t>(&aWorker - mWorkers.data());
+  const std::uint64_t incarnation = aWorker.mInfo.mIncarnation;
+  if (it->second.count() == 0) {
+    CrashUnder(worker, aTask, incarnation);
+    return;
+  }
+  ScheduleEvent(it->second, [this, worker, aTask, incarnation] {
+    CrashUnder(worker, aTask, incarnation);
+  });
+}
+
+void
+FleetModel::CrashUnder(std::size_t aWorker,
+                       const TaskId& aTask,
+                       std::uint64_t aIncarnation)
+{
+  if (mWorkers[aWorker].mInfo.mIncarnation != aIncarnation) {
+    return;
+  }
+  ++mCrashes[aTask];
+  RestartUnannounced(aWorker);
+  SetConnectable(aWorker, false);
+  ScheduleEvent(kCrashTime, [this, aWorker] {
+    SetConnectable(aWorker, true);
+    PublishWorker(aWorker);
+  });
+}
+
 void
 FleetModel::RestartUnannounced(std::size_t aWorker)
 {
@@ -440,8 +494,10 @@
   }
   const bool isReplyLost = Chance(mOptions.mLostReplyShare);
   ScheduleEvent(kNetworkDelay, [this, aCommand, deliver, isReplyLost] {
+    const ModelWorker& worker = *FindWorker(aCommand.mWorker.mId);
+    const std::uint64_t incarnation = worker.mInfo.mIncarnation;
     const CommandReply reply = HandleStart(aCommand);
-    if (isReplyLost) {
+    if (isReplyLost || worker.mInfo.mIncarnation != incarnation) {
       ScheduleEvent(kReplyTimeout, [deliver] { deliver(CommandReply{}); });
     } else {
       ScheduleEvent(kNetworkDelay, [deliver, reply] { deliver(reply); });
@@ -524,6 +580,10 @@
   if (mFailedRuns[aCommand.mTask] >= job.Settings().mMaxAttempts) {
     RecordViolation(name + " starts after its last allowed attempt");
   }
+  if (CrashesUnder(aCommand.mTask) >= kMaxCrashes &&
+      ++mStartsAfterCrashes[aCommand.mTask] >= kMaxStartsAfterCrashes) {
+    RecordViolation(name + " starts again although workers crash under it");
+  }
   std::size_t task = aCommand.mTask.Index();
   for (std::size_t i = 0; i < aCommand.mTask.Step(); ++i) {
     task += job.Steps()[i].Tasks();
@@ -580,6 +640,7 @@
                            std::nullopt,
                            resumed });
   reply.mOutcome = CommandOutcome::kDone;
+  StartDeadlyRun(worker, aCommand.mTask);
   return reply;
 }
 
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -66,6 +66,14 @@
    */
   void FailRuns(const std::string& aJob, int aTimes);
 
+  /**
+   * Makes each run of a task crash its worker, which restarts after 3 s with a
+   * new incarnation.
+   * @param aDelay Time from the start of the run to the crash.
+   */
+  void MakeDeadly(const scheduling::TaskId& aTask,
+                  milliseconds aDelay = milliseconds(10));
+
   /** Advances the virtual clock. */
   void Run(milliseconds aTime);
 
@@ -130,6 +138,8 @@
   /** @return Number of jobs that the owner reports as pending. */
   std::size_t PendingJobs() const;
   std::size_t Starts() const { return mStarts; }
+  /** @return Number of workers that crashed under a task. */
+  int CrashesUnder(const scheduling::TaskId& aTask) const;
   std::size_t Stops() const { return mStops; }
   std::size_t RejectedStarts() const { return mRejectedStarts; }
   /** Lost work of stopped runs without checkpoints, in core seconds. */
@@ -218,6 +228,11 @@
                   const scheduling::StartCommand& aCommand);
   void RecordViolation(const std::string& aText);
   void RestartWorker(ModelWorker& aWorker, std::uint64_t aIncarnation);
+  /** Executes the crash of a run that a worker has just started. */
+  void StartDeadlyRun(ModelWorker& aWorker, const scheduling::TaskId& aTask);
+  void CrashUnder(std::size_t aWorker,
+                  const scheduling::TaskId& aTask,
+                  std::uint64_t aIncarnation);
 
   // Work conservation.
   /** Excludes the time from now to the end of the grace time from the check. */
@@ -240,6 +255,11 @@
   std::map<std::string, scheduling::TaskJob> mJobs;
   std::map<std::string, milliseconds> mRunTimes;
   std::map<std::string, int> mFailures;
+  /** Time from the start to the crash of the worker, by task. */
+  std::map<scheduling::TaskId, milliseconds> mDeadly;
+  std::map<scheduling::TaskId, int> mCrashes;
+  /** Starts of a task under which kMaxCrashes workers have crashed. */
+  std::map<scheduling::TaskId, int> mStartsAfterCrashes;
   std::set<std::string> mCancelled;
   std::map<std::string, JobOutcome> mOutcomes;
   /** Records in the simulated store. */
