Fail a job whose task crashes the workers that start it

Cause: a run lost in a crash of its worker was queued again like any lost run; nothing counted crashes. A start without a reply was even retried on the worker that it may have crashed.

A task, or a gang on its first task, counts the crashes of workers under its runs: all of them, those of which it may be the cause (it was young, or no run on the worker was), and those with no other run on the worker. Evidence is a new incarnation of the worker, or another worker at its address; draining workers and lapsed leases are none, unless a later incarnation of the worker appears. Four crashes within 2 s have a common cause and make no task a suspect. A suspect prefers an empty worker; after two crashes as a suspect, or three in all, it runs on a worker of its own only, for a limited part of the fleet. The job fails after two crashes as a suspect, one of them alone, or after four crashes. The counts and the incarnation of the worker are in the record that is stored before the next start; rows without them are read as before.

Ruled out: failing at any second crash, which fails healthy tasks beside such a task or after a power loss.

--- a/include/cornelrudder/state/scheduling/JobProgress.h
+++ b/include/cornelrudder/state/scheduling/JobProgress.h
@@ -1,6 +1,8 @@
 #ifndef CORNELRUDDER_STATE_SCHEDULING_JOB_PROGRESS_H
 #define CORNELRUDDER_STATE_SCHEDULING_JOB_PROGRESS_H
 
+#include "cornelrudder/state/scheduling/CrashCount.h"
+
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -58,6 +60,10 @@
   int mFailures = 0;
   /** Checkpoint that the next run resumes from; empty to start from scratch. */
   std::string mCheckpoint;
+  /** Incarnation of mWorker when the run was planned; 0 if unknown. */
+  std::uint64_t mIncarnation = 0;
+  /** Crashes of workers under runs; a gang counts them on its first task. */
+  CrashCount mCrashes = {};
 
   auto operator<=>(const TaskRecord&) const = default;
 };
--- a/include/cornelrudder/state/scheduling/Planning.h
+++ b/include/cornelrudder/state/scheduling/Planning.h
@@ -20,6 +20,16 @@
 
 namespace cornelrudder::state::scheduling {
 
+/** Whether a unit may share workers with other units. */
+enum class Isolation
+{
+  kNone,
+  /** The unit should run on empty workers, but may run elsewhere. */
+  kPreferred,
+  /** The unit runs on workers of its own only. */
+  kRequired
+};
+
 /** A worker in a planning view. */
 struct WorkerView
 {
@@ -45,6 +55,8 @@
    * was slow, and to 0 after the next completed run.
    */
   double mFailureRate = 0.0;
+  /** A task runs on the worker under which another worker has crashed. */
+  bool mHasSuspect = false;
 
   auto operator<=>(const WorkerView&) const = default;
 };
@@ -126,6 +138,8 @@
    * or from which these runs were moved.
    */
   std::vector<std::size_t> mAvoidedWorkers;
+  /** Set after workers have crashed under runs of the unit's tasks. */
+  Isolation mIsolation = Isolation::kNone;
 
   auto operator<=>(const WaitingUnit&) const = default;
 };
--- a/src/protocol/JsonSchedulingCodec.cpp
+++ b/src/protocol/JsonSchedulingCodec.cpp
@@ -13,6 +13,7 @@
 
 using coordination::CoordinationError;
 using nlohmann::json;
+using state::scheduling::CrashCount;
 using state::scheduling::JobPhase;
 using state::scheduling::JobProgress;
 using state::scheduling::OwnerLease;
@@ -138,7 +139,10 @@
            milliseconds(aJob.Integer("submitted_ms", kSubmittedRange)) };
 }
 
-/** @return [state, run, worker, failures, checkpoint]; 0 for a default record.
+/**
+ * @return [state, run, worker, failures, checkpoint], followed by [incarnation,
+ *   total, suspect and alone crashes] if any of them is set; 0 for a default
+ *   record.
  */
 json
 RecordToJson(const TaskRecord& aRecord)
@@ -146,12 +150,20 @@
   if (aRecord == TaskRecord()) {
     return 0;
   }
-  return json::array(
+  json record = json::array(
     { std::string(1, kStateLetters[static_cast<std::size_t>(aRecord.mState)]),
       aRecord.mRun,
       aRecord.mWorker,
       aRecord.mFailures,
       aRecord.mCheckpoint });
+  const CrashCount& crashes = aRecord.mCrashes;
+  if (aRecord.mIncarnation != 0 || crashes != CrashCount()) {
+    record.push_back(json::array({ aRecord.mIncarnation,
+                                   crashes.Total(),
+                                   crashes.Suspect(),
+                                   crashes.Alone() }));
+  }
+  return record;
 }
 
 TaskRecord
@@ -169,6 +181,15 @@
   record.mWorker = aRecord.Text(2);
   record.mFailures = static_cast<int>(aRecord.Integer(3, kSmallRange));
   record.mCheckpoint = aRecord.Text(4);
+  if (aRecord.Has(5)) {
+    const JsonReader crashes = aRecord.At(5);
+    record.mIncarnation = crashes.Counter(0);
+    const auto count = [&crashes](int aPosition) {
+      constexpr NumberRange kRange{ 0, CrashCount::kMaxCount };
+      return static_cast<int>(crashes.Integer(aPosition, kRange));
+    };
+    record.mCrashes = CrashCount(count(1), count(2), count(3));
+  }
   return record;
 }
 
--- a/src/state/scheduling/CapacityTracker.cpp
+++ b/src/state/scheduling/CapacityTracker.cpp
@@ -23,6 +23,7 @@
     mRacks[rack].push_back(i);
     mFree.push_back(worker.mFree);
     mReleasing.push_back(worker.mReleasing);
+    mHasSuspect.push_back(worker.mHasSuspect);
     mSchedulableWorkers += worker.mSchedulable ? 1 : 0;
     if (worker.mSchedulable) {
       auto& [free, total] = mServices[worker.mService];
@@ -103,6 +104,12 @@
   for (const std::size_t i : aWorkers) {
     mFree[i] = mFree[i].Minus(aUnit.mStep.Demand());
     ++mPlacedTasks[{ aUnit.mStepGroup, i }];
+    mHasSuspect[i] = mHasSuspect[i] || aUnit.mIsolation != Isolation::kNone;
+  }
+  if (aUnit.mIsolation == Isolation::kRequired) {
+    for (const std::size_t i : aWorkers) {
+      mFree[i] = Resources();
+    }
   }
 }
 
--- a/src/state/scheduling/CapacityTracker.h
+++ b/src/state/scheduling/CapacityTracker.h
@@ -85,6 +85,12 @@
    */
   std::size_t TasksOn(const WaitingUnit& aUnit, std::size_t aWorker) const;
 
+  /**
+   * @return Whether a worker has a task under which another worker has crashed,
+   *   including those placed in this pass.
+   */
+  bool HasSuspect(std::size_t aWorker) const { return mHasSuspect[aWorker]; }
+
   /** Allocates capacity for a unit, one task for each entry of the list. */
   void Allocate(const WaitingUnit& aUnit, const WorkerList& aWorkers);
 
@@ -107,6 +113,7 @@
   std::map<std::string, std::pair<Resources, Resources>> mServices;
   std::vector<Resources> mFree;
   std::vector<Resources> mReleasing;
+  std::vector<bool> mHasSuspect;
   /** Number of tasks placed in this pass, by step group and worker. */
   std::map<std::pair<std::size_t, std::size_t>, std::size_t> mPlacedTasks;
 };
--- a/src/state/scheduling/Packing.cpp
+++ b/src/state/scheduling/Packing.cpp
@@ -53,6 +53,13 @@
  * fits.
  */
 constexpr double kFailurePenalty = 100.0;
+/**
+ * Score penalties for placing a task, under which a worker has crashed, beside
+ * other tasks, and beside another such task. The next crash would not tell
+ * which of them is the cause.
+ */
+constexpr double kSharedPenalty = 30.0;
+constexpr double kSuspectsPenalty = 30.0;
 
 /** @return Number of tasks of a unit that an empty worker could run. */
 std::size_t
@@ -87,7 +94,8 @@
 Reservations::Add(const WaitingUnit& aUnit, const CapacityTracker& aCapacity)
 {
   const std::int64_t accelerators = aUnit.mStep.Demand().Accelerators();
-  const bool isLarge = accelerators >= kLargeAccelerators || aUnit.mTasks > 1;
+  const bool isLarge = accelerators >= kLargeAccelerators || aUnit.mTasks > 1 ||
+                       aUnit.mIsolation == Isolation::kRequired;
   if (!isLarge || mCount >= kMaxReservations ||
       aUnit.mExpirySlack.count() < 0) {
     return;
@@ -222,7 +230,8 @@
 Packer::UsableEmptyWorkers(const WaitingUnit& aUnit,
                            const CapacitySnapshot& aCapacity) const
 {
-  if (aUnit.mPriority == 0 || !mHasUrgentWork) {
+  if (aUnit.mPriority == 0 || !mHasUrgentWork ||
+      aUnit.mIsolation == Isolation::kRequired) {
     return std::numeric_limits<double>::max();
   }
   // Rounded down, so that a small fleet keeps no worker idle as headroom.
@@ -242,6 +251,18 @@
     });
 }
 
+double
+Packer::SuspectPenalty(const WaitingUnit& aUnit,
+                       std::size_t aWorker,
+                       bool aIsEmpty) const
+{
+  if (aUnit.mIsolation != Isolation::kPreferred) {
+    return 0.0;
+  }
+  return (aIsEmpty ? 0.0 : kSharedPenalty) +
+         (mCapacity.HasSuspect(aWorker) ? kSuspectsPenalty : 0.0);
+}
+
 std::vector<Packer::Candidate>
 Packer::CandidatesFor(const WaitingUnit& aUnit,
                       const WorkerList& aWorkers,
@@ -259,6 +280,10 @@
     if (!demand.FitsIn(aCapacity.Of(i)) || isReserved || IsAvoided(aUnit, i)) {
       continue;
     }
+    if (aUnit.mIsolation == Isolation::kRequired &&
+        !mCapacity.IsEmpty(i, aCapacity.Of(i))) {
+      continue;
+    }
     const WorkerView& worker = mCapacity.View().mWorkers[i];
     const std::size_t n = mCapacity.TasksOn(aUnit, i);
     const bool isAccepting =
@@ -299,7 +324,8 @@
         isEmpty ? aCapacity.EmptyInRack(mCapacity.RackOf(candidate.mWorker))
                 : 0;
       const double score = PackingScore(worker, candidate.mCapacity, demand) +
-                           kRackWeight * emptyInRack;
+                           kRackWeight * emptyInRack +
+                           SuspectPenalty(aUnit, candidate.mWorker, isEmpty);
       if (score < bestScore) {
         bestScore = score;
         best = &candidate;
--- a/src/state/scheduling/Packing.h
+++ b/src/state/scheduling/Packing.h
@@ -108,6 +108,9 @@
                                        Preferences aPreferences) const;
   /** @return Whether a task of the unit could run on one of the workers. */
   bool HasHost(const WaitingUnit& aUnit, const WorkerList& aWorkers) const;
+  double SuspectPenalty(const WaitingUnit& aUnit,
+                        std::size_t aWorker,
+                        bool aIsEmpty) const;
   double UsableEmptyWorkers(const WaitingUnit& aUnit,
                             const CapacitySnapshot& aCapacity) const;
   bool MayCrossRacks(const WaitingUnit& aUnit) const;
--- a/src/state/scheduling/Preemption.cpp
+++ b/src/state/scheduling/Preemption.cpp
@@ -37,7 +37,9 @@
 bool
 MayPreempt(const WaitingUnit& aUnit)
 {
-  return aUnit.mPriority == 0 &&
+  // Preempting all work of a worker for a task that may crash it loses too
+  // much.
+  return aUnit.mPriority == 0 && aUnit.mIsolation != Isolation::kRequired &&
          (aUnit.mSlack.count() >= 0 || IsReclaimDue(aUnit));
 }
 
--- a/src/state/scheduling/SchedulerCrashes.cpp
+++ b/src/state/scheduling/SchedulerCrashes.cpp
@@ -1,7 +1,44 @@
 #include "SchedulerImpl.h"
 
+#include <algorithm>
+
 namespace cornelrudder::state::scheduling {
 
+namespace {
+
+/**
+ * Reported run time from which a run is an unlikely cause of a crash if a
+ * younger run is on the worker.
+ */
+constexpr Millis kYoungRunTime{ 3'000 };
+/**
+ * Number of workers that crash within a time from which a common cause, for
+ * example a power loss, is more likely than their runs.
+ */
+constexpr std::size_t kCommonCauseCrashes = 4;
+constexpr Millis kCommonCauseTime{ 2'000 };
+/** Limit of the isolated units that run at the same time. */
+constexpr std::size_t kMinIsolatedUnits = 2;
+constexpr std::size_t kWorkersPerIsolatedUnit = 10;
+
+bool
+IsInProgress(const Task& aTask)
+{
+  return aTask.mPhase == TaskPhase::kStarting ||
+         aTask.mPhase == TaskPhase::kRunning;
+}
+
+/** @return Whether a worker has reported a run for less than kYoungRunTime. */
+bool
+IsYoung(const Task& aTask)
+{
+  return aTask.mPhase != TaskPhase::kRunning ||
+         aTask.mReportedAt.count() == 0 ||
+         aTask.mReportedAt - aTask.mRunningSince < kYoungRunTime;
+}
+
+} // namespace
+
 /**
  * Handles a worker whose address another worker has taken over: the earlier one
  * and its runs are gone.
@@ -9,40 +46,251 @@
 void
 Scheduler::Impl::HandleReplacedWorker(WorkerState& aWorker, Millis aNow)
 {
-  RecordCrash(aWorker, "other_life", aNow);
+  const std::vector<CrashedRun> runs = AssessCrash(aWorker, aNow);
   HandleLostWorker(aWorker, "other_life", aNow);
+  for (const CrashedRun& run : runs) {
+    CountCrash(run, aWorker.mInfo.mId, "other_life", aNow);
+  }
+}
+
+/**
+ * Handles a worker whose lease expired without a reply. It may have crashed or
+ * only be out of reach; CountPresumedCrashes() tells when it is back. An
+ * earlier owner's worker that has no entry in the list any more has probably
+ * restarted under another identifier; this alone never makes a run a suspect.
+ */
+void
+Scheduler::Impl::HandleExpiredWorker(WorkerState& aWorker, Millis aNow)
+{
+  std::vector<CrashedRun> runs = AssessCrash(aWorker, aNow);
+  const bool isUnknown = aWorker.mInfo.mAddress.empty();
+  HandleLostWorker(aWorker, "lease_expired", aNow);
+  if (isUnknown) {
+    for (CrashedRun& run : runs) {
+      run.mCrash = RunCrash();
+      CountCrash(run, aWorker.mInfo.mId, "unlisted", aNow);
+    }
+  } else if (!runs.empty()) {
+    mPresumedCrashes[aWorker.mInfo.mAddress] = { aWorker.mInfo.mId,
+                                                 aWorker.mInfo.mIncarnation,
+                                                 std::move(runs) };
+  }
 }
 
 /**
- * Records the runs that were, or may have been, in progress when their worker
- * crashed. A draining worker has shut down as announced.
+ * Handles a run that its worker does not list. It has crashed if the worker has
+ * restarted since the start.
  */
 void
-Scheduler::Impl::RecordCrash(WorkerState& aWorker,
-                             const char* aEvidence,
-                             Millis aNow)
+Scheduler::Impl::HandleUnlistedRun(const WorkerState& aWorker,
+                                   const TaskKey& aKey,
+                                   const char* aReason,
+                                   Millis aNow)
 {
+  const Task& task = mJobs.at(aKey.first).mTasks[aKey.second];
+  const std::optional<RunCrash> crash = task.mPendingCrash;
+  const std::uint64_t run = task.mRun;
+  HandleLostRun(aKey, aReason, aNow);
+  if (crash) {
+    CountCrash({ aKey, run, *crash }, aWorker.mInfo.mId, "restarted", aNow);
+  }
+}
+
+/**
+ * @return The runs that were, or may have been, in progress on a worker that is
+ *   gone, and the evidence about each of them. A draining worker has shut down
+ * as announced.
+ */
+std::vector<CrashedRun>
+Scheduler::Impl::AssessCrash(const WorkerState& aWorker, Millis aNow)
+{
+  std::vector<CrashedRun> runs;
   if (aWorker.mInfo.mDraining) {
+    return runs;
+  }
+  mCrashTimes.push_back(aNow);
+  while (aNow - mCrashTimes.front() > kCommonCauseTime) {
+    mCrashTimes.pop_front();
+  }
+  while (!mRecentSuspects.empty() &&
+         aNow - mRecentSuspects.front().first > kCommonCauseTime) {
+    mRecentSuspects.pop_front();
+  }
+  const bool isCommonCause = mCrashTimes.size() >= kCommonCauseCrashes;
+  if (isCommonCause) {
+    ClearRecentSuspects();
+  }
+  std::set<TaskKey> units;
+  bool isAnyYoung = false;
+  for (const TaskKey& key : aWorker.mAssigned) {
+    const JobState& job = mJobs.at(key.first);
+    const Task& task = job.mTasks[key.second];
+    if (IsInProgress(task)) {
+      units.insert({ key.first, job.CountedTask(key.second) });
+      isAnyYoung = isAnyYoung || IsYoung(task);
+      runs.push_back({ key, task.mRun, {} });
+    }
+  }
+  for (CrashedRun& run : runs) {
+    const Task& task = mJobs.at(run.mTask.first).mTasks[run.mTask.second];
+    run.mCrash.mIsStarted = task.mPhase == TaskPhase::kRunning;
+    run.mCrash.mIsAlone = units.size() == 1;
+    run.mCrash.mIsSuspect = !isCommonCause && (IsYoung(task) || !isAnyYoung);
+  }
+  return runs;
+}
+
+/** Clears the runs that were suspected before a common cause was detected. */
+void
+Scheduler::Impl::ClearRecentSuspects()
+{
+  for (const auto& [time, run] : mRecentSuspects) {
+    JobState* job = FindJob(run.mTask.first);
+    if (job != nullptr && !IsFinal(job->mPhase)) {
+      CrashCount& crashes = job->mTasks[run.mTask.second].mCrashes;
+      crashes = crashes.WithOtherCause(run.mCrash);
+      MarkChanged(*job);
+    }
+  }
+  mRecentSuspects.clear();
+}
+
+/**
+ * Marks the runs of earlier owners that were planned on an earlier incarnation
+ * of a worker and that it has not listed.
+ */
+void
+Scheduler::Impl::MarkRecoveredCrashes(const WorkerState& aWorker, Millis aNow)
+{
+  const auto isCrashed = [&](const TaskKey& aKey) {
+    const Task& task = mJobs.at(aKey.first).mTasks[aKey.second];
+    return task.mRecovered && !task.mPendingCrash && task.mIncarnation != 0 &&
+           task.mIncarnation != aWorker.mInfo.mIncarnation;
+  };
+  if (std::none_of(
+        aWorker.mAssigned.begin(), aWorker.mAssigned.end(), isCrashed)) {
+    return;
+  }
+  for (const CrashedRun& run : AssessCrash(aWorker, aNow)) {
+    if (isCrashed(run.mTask)) {
+      mJobs.at(run.mTask.first).mTasks[run.mTask.second].mPendingCrash =
+        run.mCrash;
+    }
+  }
+}
+
+/**
+ * Counts the crashes of runs whose worker was silent until its lease expired,
+ * once a later incarnation has its address.
+ */
+void
+Scheduler::Impl::CountPresumedCrashes(const WorkerInfo& aPresent, Millis aNow)
+{
+  const auto it = mPresumedCrashes.find(aPresent.mAddress);
+  if (it == mPresumedCrashes.end()) {
     return;
   }
-  for (const auto& [jobId, index] : aWorker.mAssigned) {
-    const JobState& job = mJobs.at(jobId);
-    const Task& task = job.mTasks[index];
-    if (task.mPhase != TaskPhase::kStarting &&
-        task.mPhase != TaskPhase::kRunning) {
-      continue;
+  const PresumedCrash crash = it->second;
+  const bool isSame = aPresent.mId == crash.mWorker &&
+                      aPresent.mIncarnation == crash.mIncarnation;
+  if (isSame) {
+    return;
+  }
+  mPresumedCrashes.erase(it);
+  if (aPresent.mIncarnation > crash.mIncarnation) {
+    for (const CrashedRun& run : crash.mRuns) {
+      CountCrash(run, crash.mWorker, "restarted", aNow);
+    }
+  }
+}
+
+/**
+ * Counts a crash under a run, and terminates the job if the task must not start
+ * again. The count is stored with the next run at the latest, before its start.
+ */
+void
+Scheduler::Impl::CountCrash(const CrashedRun& aRun,
+                            const std::string& aWorker,
+                            const char* aEvidence,
+                            Millis aNow)
+{
+  const auto& [id, index] = aRun.mTask;
+  JobState* job = FindJob(id);
+  if (job == nullptr || IsFinal(job->mPhase) || job->mTasks[index].IsDone()) {
+    return;
+  }
+  const std::size_t countedTask = job->CountedTask(index);
+  Task& counted = job->mTasks[countedTask];
+  // A crash under a gang counts once, on however many workers its members ran.
+  const bool isNew = job->mCrashedRuns[countedTask] < aRun.mRun;
+  if (isNew) {
+    job->mCrashedRuns[countedTask] = aRun.mRun;
+    counted.mCrashes = counted.mCrashes.With(aRun.mCrash);
+    MarkChanged(*job);
+    if (aRun.mCrash.mIsSuspect) {
+      mRecentSuspects.push_back(
+        { aNow, { { id, countedTask }, aRun.mRun, aRun.mCrash } });
+    }
+  }
+  RecordEvent(SchedulerEvent::Kind::kRunCrashed,
+              { { "task", job->IdOf(index).Text() },
+                { "run", std::to_string(aRun.mRun) },
+                { "worker", aWorker },
+                { "evidence", aEvidence },
+                { "started", aRun.mCrash.mIsStarted ? "yes" : "unknown" },
+                { "alone", aRun.mCrash.mIsAlone ? "yes" : "no" },
+                { "suspect", aRun.mCrash.mIsSuspect ? "yes" : "no" },
+                { "crashes", std::to_string(counted.mCrashes.Total()) },
+                { "as_suspect", std::to_string(counted.mCrashes.Suspect()) },
+                { "as_only_run", std::to_string(counted.mCrashes.Alone()) } });
+  if (counted.mCrashes.IsExhausted()) {
+    TerminateJob(*job, JobPhase::kFailed, aNow);
+  }
+}
+
+/**
+ * @return Whether a run may still crash its worker, as earlier runs of the task
+ *   may have done.
+ */
+bool
+Scheduler::Impl::IsSuspectRun(const JobState& aJob, std::size_t aTask)
+{
+  const Task& task = aJob.mTasks[aTask];
+  return !aJob.mCrashedRuns.empty() && task.IsAssigned() && IsYoung(task) &&
+         IsolationOf(aJob, aTask) != Isolation::kNone;
+}
+
+Isolation
+Scheduler::Impl::IsolationOf(const JobState& aJob, std::size_t aTask)
+{
+  const CrashCount crashes = aJob.CrashesOf(aTask);
+  return crashes.NeedsIsolation() ? Isolation::kRequired
+         : crashes.IsSuspected()  ? Isolation::kPreferred
+                                  : Isolation::kNone;
+}
+
+/**
+ * Removes isolated units from a view beyond a share of the fleet, so that many
+ * suspects neither occupy nor crash most workers at the same time.
+ */
+void
+Scheduler::Impl::LimitIsolatedUnits(PlanningView& aView) const
+{
+  const std::size_t limit = std::max(
+    kMinIsolatedUnits, aView.mWorkers.size() / kWorkersPerIsolatedUnit);
+  std::set<TaskKey> running;
+  for (const auto& [id, job] : mJobs) {
+    for (std::size_t i = 0; !job.mCrashedRuns.empty() && i < job.mTasks.size();
+         ++i) {
+      if (IsSuspectRun(job, i) && IsolationOf(job, i) == Isolation::kRequired) {
+        running.insert({ id, job.CountedTask(i) });
+      }
     }
-    const Millis runTime =
-      task.mRunningSince.count() > 0 ? aNow - task.mRunningSince : Millis(0);
-    RecordEvent(SchedulerEvent::Kind::kRunCrashed,
-                { { "task", job.IdOf(index).Text() },
-                  { "run", std::to_string(task.mRun) },
-                  { "worker", aWorker.mInfo.mId },
-                  { "evidence", aEvidence },
-                  { "phase", TaskPhaseName(task.mPhase) },
-                  { "run_ms", std::to_string(runTime.count()) },
-                  { "runs", std::to_string(aWorker.mAssigned.size()) } });
   }
+  std::size_t n = running.size();
+  std::erase_if(aView.mWaiting, [&n, limit](const WaitingUnit& aUnit) {
+    return aUnit.mIsolation == Isolation::kRequired && ++n > limit;
+  });
 }
 
 } // namespace cornelrudder::state::scheduling
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -190,7 +190,22 @@
 
   // Crashes.
   void HandleReplacedWorker(WorkerState& aWorker, Millis aNow);
-  void RecordCrash(WorkerState& aWorker, const char* aEvidence, Millis aNow);
+  void HandleExpiredWorker(WorkerState& aWorker, Millis aNow);
+  void HandleUnlistedRun(const WorkerState& aWorker,
+                         const TaskKey& aKey,
+                         const char* aReason,
+                         Millis aNow);
+  std::vector<CrashedRun> AssessCrash(const WorkerState& aWorker, Millis aNow);
+  void ClearRecentSuspects();
+  void MarkRecoveredCrashes(const WorkerState& aWorker, Millis aNow);
+  void CountPresumedCrashes(const WorkerInfo& aPresent, Millis aNow);
+  void CountCrash(const CrashedRun& aRun,
+                  const std::string& aWorker,
+                  const char* aEvidence,
+                  Millis aNow);
+  static bool IsSuspectRun(const JobState& aJob, std::size_t aTask);
+  static Isolation IsolationOf(const JobState& aJob, std::size_t aTask);
+  void LimitIsolatedUnits(PlanningView& aView) const;
 
   // Progress.
   void CheckProgress(Millis aNow);
@@ -282,6 +297,12 @@
   std::map<TaskKey, std::vector<std::string>> mNominations;
   /** Units that wait, by their first task. */
   std::map<TaskKey, WaitState> mWaits;
+  /** Recent times at which workers were found to have crashed. */
+  std::deque<Millis> mCrashTimes;
+  /** Counted crashes of suspects that may turn out to have a common cause. */
+  std::deque<std::pair<Millis, CrashedRun>> mRecentSuspects;
+  /** By address, since a restarted worker may have another identifier. */
+  std::map<std::string, PresumedCrash> mPresumedCrashes;
   Millis mNextProgressCheck{ 0 };
   Millis mNextStallReport{ 0 };
   Millis mNextIdleQuery{ 0 };
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -59,8 +59,13 @@
     task.mRun = record.mRun;
     task.mFailures = record.mFailures;
     task.mCheckpoint = record.mCheckpoint;
+    task.mCrashes = record.mCrashes;
+    if (task.mCrashes != CrashCount()) {
+      aJob.mCrashedRuns.emplace(i, 0);
+    }
     if (!record.mWorker.empty()) {
       Assign(aJob, i, FindOrAddWorker(record.mWorker, aNow), record.mRun);
+      task.mIncarnation = record.mIncarnation;
       task.mPhase = TaskPhase::kStarting;
       task.mRecovered = true;
       task.mCompletedEarlier = record.mState == RecordedState::kDone;
--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -148,9 +148,11 @@
     TaskRecord record;
     record.mRun = task.mRun;
     record.mFailures = task.mFailures;
+    record.mCrashes = task.mCrashes;
     if (task.IsAssigned()) {
       record.mState = RecordedState::kAssigned;
       record.mWorker = task.mWorker;
+      record.mIncarnation = task.mIncarnation;
     }
     if (task.IsDone()) {
       record.mState = RecordedState::kDone;
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -55,6 +55,14 @@
   std::string mWorker;
   int mFailures = 0;
   std::string mCheckpoint;
+  /** Incarnation of the worker when the run was planned; 0 if unknown. */
+  std::uint64_t mIncarnation = 0;
+  CrashCount mCrashes;
+  /**
+   * The worker has restarted, and its new incarnation has not shown yet whether
+   * it has the run.
+   */
+  std::optional<RunCrash> mPendingCrash;
   /** Number of the write that contains the planned run; 0 before that write. */
   std::uint64_t mPlanWrite = 0;
   /**
@@ -116,6 +124,29 @@
 /** Job and number of a task within the job. */
 using TaskKey = std::pair<std::string, std::size_t>;
 
+/** A crash of a worker under a run. */
+struct CrashedRun
+{
+  TaskKey mTask;
+  std::uint64_t mRun = 0;
+  RunCrash mCrash;
+
+  auto operator<=>(const CrashedRun&) const = default;
+};
+
+/**
+ * Runs that were presumed lost when the lease of a silent worker expired. They
+ * have crashed if a later incarnation of the worker appears.
+ */
+struct PresumedCrash
+{
+  std::string mWorker;
+  std::uint64_t mIncarnation = 0;
+  std::vector<CrashedRun> mRuns;
+
+  auto operator<=>(const PresumedCrash&) const = default;
+};
+
 /** A job and the state of its tasks. */
 struct JobState
 {
@@ -137,6 +168,11 @@
    * task otherwise.
    */
   std::map<std::size_t, std::uint64_t> mFailedRuns;
+  /**
+   * Number of the last run counted as crashed, by CountedTask(); empty while no
+   * crash is counted.
+   */
+  std::map<std::size_t, std::uint64_t> mCrashedRuns;
   /**
    * Since when a task is ready and none is assigned, as seen by
    * Scheduler::Impl::ReportStalledJobs(); 0 otherwise.
@@ -162,6 +198,18 @@
   /** @return Range of task numbers of the step of a task, end exclusive. */
   std::pair<std::size_t, std::size_t> StepRange(std::size_t aTask) const;
 
+  /** @return The task that counts failures and crashes: the first of a gang. */
+  std::size_t CountedTask(std::size_t aTask) const
+  {
+    return StepOf(aTask).IsGang() ? StepRange(aTask).first : aTask;
+  }
+
+  CrashCount CrashesOf(std::size_t aTask) const
+  {
+    return mCrashedRuns.empty() ? CrashCount()
+                                : mTasks[CountedTask(aTask)].mCrashes;
+  }
+
   /** @return Whether all tasks of a step are done. */
   bool IsStepDone(std::size_t aOccurrence, std::size_t aStep) const;
 
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -109,6 +109,7 @@
       unit.mHasRunningPeers = isRunning && !unit.mStep.IsLongRunning();
     }
   }
+  LimitIsolatedUnits(view);
   if (!view.mWaiting.empty()) {
     AddRunning(view, aKeys, aNow);
   }
@@ -137,6 +138,12 @@
       if (job.mTasks[index].mStopRequested) {
         view.mReleasing = view.mReleasing.Plus(job.StepOf(index).Demand());
       }
+      if (IsSuspectRun(job, index)) {
+        view.mHasSuspect = true;
+        if (IsolationOf(job, index) == Isolation::kRequired) {
+          view.mFree = Resources();
+        }
+      }
     }
     aView.mWorkers.push_back(std::move(view));
     aKeys.mPositions.emplace(id, aKeys.mWorkers.size());
@@ -250,6 +257,7 @@
   unit.mTasks = aTasks.size();
   unit.mPriority = settings.mPriority;
   unit.mGuaranteed = mGuaranteed.contains(aJob.mJob.Id());
+  unit.mIsolation = IsolationOf(aJob, first);
   unit.mAge = aNow - aJob.mSubmittedAt;
   if (const auto it = mWaits.find(aTasks.front()); it != mWaits.end()) {
     unit.mWaitingTime = aNow - it->second.mSince;
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -24,6 +24,7 @@
 {
   Task& task = aJob.mTasks[aTask];
   const int failures = task.mFailures;
+  const CrashCount crashes = task.mCrashes;
   std::string checkpoint = std::move(task.mCheckpoint);
   std::string avoidedWorker = std::move(task.mAvoidedWorker);
   task = Task();
@@ -31,6 +32,8 @@
   task.mRun = aRun;
   task.mWorker = aWorker.mInfo.mId;
   task.mFailures = failures;
+  task.mCrashes = crashes;
+  task.mIncarnation = aWorker.mInfo.mIncarnation;
   task.mStartedFromScratch = checkpoint.empty();
   task.mCheckpoint = std::move(checkpoint);
   task.mAvoidedWorker = std::move(avoidedWorker);
@@ -204,8 +207,7 @@
 Scheduler::Impl::FailRun(JobState& aJob, std::size_t aTask, Millis aNow)
 {
   Task& task = aJob.mTasks[aTask];
-  const bool isGang = aJob.StepOf(aTask).IsGang();
-  const std::size_t countedTask = isGang ? aJob.StepRange(aTask).first : aTask;
+  const std::size_t countedTask = aJob.CountedTask(aTask);
   const std::uint64_t run = task.mRun;
   task.mAvoidedWorker = task.mWorker;
   if (const auto it = mWorkers.find(task.mWorker); it != mWorkers.end()) {
@@ -429,6 +431,7 @@
     task.mOutcomeUnknown = false;
     task.mRecovered = false;
   }
+  task.mPendingCrash.reset();
   task.mReportedAt = aNow;
   task.mReportedIncarnation = aIncarnation;
   if (aRun.mProgressPercent != task.mProgressPercent) {
@@ -449,6 +452,7 @@
                                     Millis aSentAt,
                                     Millis aNow)
 {
+  MarkRecoveredCrashes(aWorker, aNow);
   const std::set<TaskKey> assigned = aWorker.mAssigned;
   for (const TaskKey& key : assigned) {
     JobState* job = FindJob(key.first);
@@ -464,13 +468,16 @@
     const bool shouldBeListed =
       task.mReportableSince && *task.mReportableSince <= aSentAt;
     if (cannotRun || (shouldBeListed && task.mPhase == TaskPhase::kRunning)) {
-      HandleLostRun(key, cannotRun ? "not_started" : "not_listed", aNow);
+      HandleUnlistedRun(
+        aWorker, key, cannotRun ? "not_started" : "not_listed", aNow);
     } else if (shouldBeListed && task.mOutcomeUnknown) {
       // The start command may still be in flight. A worker starts a run only
       // once even if it receives the command repeatedly, so retries are safe.
       // After kMaxStartRetries, the run is stopped, since only an acknowledged
-      // stop proves that it cannot start any more.
-      if (task.mStartRetries < kMaxStartRetries && !task.mStopRequested) {
+      // stop proves that it cannot start any more. A start that may have
+      // crashed the worker is not retried.
+      if (task.mStartRetries < kMaxStartRetries && !task.mStopRequested &&
+          !task.mPendingCrash) {
         ++task.mStartRetries;
         task.mStartRetryDue = true;
       } else {
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -84,6 +84,7 @@
     }
   }
   WorkerState& worker = FindOrAddWorker(aInfo.mId, aNow);
+  CountPresumedCrashes(aInfo, aNow);
   const std::uint64_t known = worker.mInfo.mIncarnation;
   if (known != 0 && aInfo.mIncarnation == worker.mReplacedIncarnation) {
     return;
@@ -185,8 +186,8 @@
  * that was never reported may belong to the new incarnation, which accepts
  * commands before this owner detects the restart; the next renewal reply shows
  * whether it does. A start command still in flight may reach the new
- * incarnation; if its outcome stays unknown, HandleUnlistedRuns() retries it
- * there and finally stops the run.
+ * incarnation; if its outcome stays unknown, HandleUnlistedRuns() stops the run
+ * there.
  */
 void
 Scheduler::Impl::HandleRestart(WorkerState& aWorker, Millis aNow)
@@ -195,16 +196,12 @@
               { { "worker", aWorker.mInfo.mId },
                 { "reason", "restarted" },
                 { "runs", std::to_string(aWorker.mAssigned.size()) } });
-  RecordCrash(aWorker, "restarted", aNow);
-  const std::set<TaskKey> assigned = aWorker.mAssigned;
-  for (const TaskKey& key : assigned) {
-    const JobState* job = FindJob(key.first);
-    if (job == nullptr) {
-      continue;
-    }
-    const Task& task = job->mTasks[key.second];
+  for (const CrashedRun& run : AssessCrash(aWorker, aNow)) {
+    Task& task = mJobs.at(run.mTask.first).mTasks[run.mTask.second];
+    task.mPendingCrash = run.mCrash;
     if (task.mPhase == TaskPhase::kRunning && task.mReportedIncarnation != 0) {
-      HandleLostRun(key, "restarted", aNow);
+      HandleLostRun(run.mTask, "restarted", aNow);
+      CountCrash(run, aWorker.mInfo.mId, "restarted", aNow);
     }
   }
   aWorker.mReplacedIncarnation = aWorker.mInfo.mIncarnation;
@@ -219,7 +216,7 @@
     const bool isUnresponsive = worker.mFailedRenewals > 0 || !worker.mListed;
     if (isUnresponsive && !worker.mAssigned.empty() && !worker.mRenewing &&
         aNow >= worker.mLeaseExpiry) {
-      HandleLostWorker(worker, "lease_expired", aNow);
+      HandleExpiredWorker(worker, aNow);
     }
   }
   RemoveUnlistedWorkers();
@@ -344,6 +341,9 @@
   }
   worker.mReplyIgnored = false;
   RecordReply(worker, aNow);
+  WorkerInfo present = worker.mInfo;
+  present.mIncarnation = aReply.mIncarnation;
+  CountPresumedCrashes(present, aNow);
   if (worker.mInfo.mIncarnation != 0 &&
       aReply.mIncarnation != worker.mInfo.mIncarnation) {
     HandleRestart(worker, aNow);
--- a/src/state/scheduling/UrgencyPolicy.cpp
+++ b/src/state/scheduling/UrgencyPolicy.cpp
@@ -109,7 +109,8 @@
       return decision;
     }
     decision.mReason = PlanReason::kNoCapacity;
-    if (aUnit.mAvoidedWorkers.empty()) {
+    if (aUnit.mAvoidedWorkers.empty() &&
+        aUnit.mIsolation != Isolation::kRequired) {
       mUnplaceableGroups.insert(aUnit.mStepGroup);
     }
     mReservations.Add(aUnit, mCapacity);
@@ -154,7 +155,7 @@
   Preemptor mPreemptor;
   /**
    * Step groups with a unit that found no capacity in this pass, although it
-   * avoids no worker.
+   * avoids no worker and needs no empty one.
    */
   std::set<std::size_t> mUnplaceableGroups;
 };
--- a/tests/protocol/SchedulingCodecTest.cpp
+++ b/tests/protocol/SchedulingCodecTest.cpp
@@ -145,6 +145,31 @@
                 Replace(kProgress, "0,\"c\"", "4294967297,\"c\""));
 }
 
+// Guards against a count of crashes that starts anew with the next owner.
+TEST(SchedulingCodec, CrashesOfRecordAreKept)
+{
+  const JsonSchedulingCodec codec;
+  TaskRecord record{ RecordedState::kAssigned, 2, "w", 0, "c" };
+  record.mIncarnation = 1'790'000'000'000;
+  record.mCrashes = CrashCount(3, 2, 1);
+  const JobProgress progress("j", "o", JobPhase::kRunning, true, { record });
+  CHECK(codec.DecodeProgress(codec.EncodeProgress(progress)) == progress);
+}
+
+// Guards against unusable counts of crashes and against rejecting a record of a
+// version that counts none.
+TEST(SchedulingCodec, ProgressRowWithOddCrashesIsRejected)
+{
+  DecodeProgress(Replace(kProgress, "\"c\"", "\"c\",[5,3,2,1]"));
+  for (const std::string& value : tests::NoCounters()) {
+    for (const std::string& crashes :
+         { value, "[5,3,2," + value + "]", "[5," + value + ",2,1]" }) {
+      CheckRejected(DecodeProgress,
+                    Replace(kProgress, "\"c\"", "\"c\"," + crashes));
+    }
+  }
+}
+
 // Guards against an epoch or a sequence number that no later one exceeds.
 TEST(SchedulingCodec, LeaseRowWithNumberOutOfRangeIsRejected)
 {
