Count a crash that several replies show once as a recent crash

Each command in flight to a worker that was replaced shows the crash. Four such replies within 2 s look like a common cause of four crashes, so that the task that crashed the worker is no suspect. Recent crashes are counted by worker. Found by reading the code; not seen in a run.

--- a/src/state/scheduling/SchedulerCrashes.cpp
+++ b/src/state/scheduling/SchedulerCrashes.cpp
@@ -108,10 +108,11 @@
   if (aWorker.mInfo.mDraining) {
     return runs;
   }
-  mCrashTimes.push_back(aNow);
-  while (aNow - mCrashTimes.front() > kCommonCauseTime) {
-    mCrashTimes.pop_front();
-  }
+  // Each call that is in flight when a worker crashes may show the crash.
+  mCrashTimes[aWorker.mInfo.mId] = aNow;
+  std::erase_if(mCrashTimes, [aNow](const auto& aIt) {
+    return aNow - aIt.second > kCommonCauseTime;
+  });
   while (!mRecentSuspects.empty() &&
          aNow - mRecentSuspects.front().first > kCommonCauseTime) {
     mRecentSuspects.pop_front();
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -297,8 +297,8 @@
   std::map<TaskKey, std::vector<std::string>> mNominations;
   /** Units that wait, by their first task. */
   std::map<TaskKey, WaitState> mWaits;
-  /** Recent times at which workers were found to have crashed. */
-  std::deque<Millis> mCrashTimes;
+  /** Recent times at which workers were found to have crashed, by worker. */
+  std::map<std::string, Millis> mCrashTimes;
   /** Counted crashes of suspects that may turn out to have a common cause. */
   std::deque<std::pair<Millis, CrashedRun>> mRecentSuspects;
   /** By address, since a restarted worker may have another identifier. */
