Let isolated units use a fifth of the fleet

With a tenth, four isolated units run at a time on 48 workers. Each such run takes 3 to 4 s until it is cleared or its crash is seen, so that a healthy suspect behind four tasks that crash workers could wait longer than the 3 s after which the platform counts a waiting job as lost.

--- a/src/state/scheduling/SchedulerCrashes.cpp
+++ b/src/state/scheduling/SchedulerCrashes.cpp
@@ -19,7 +19,7 @@
 constexpr Millis kCommonCauseTime{ 2'000 };
 /** Limit of the isolated units that run at the same time. */
 constexpr std::size_t kMinIsolatedUnits = 2;
-constexpr std::size_t kWorkersPerIsolatedUnit = 10;
+constexpr std::size_t kWorkersPerIsolatedUnit = 5;
 
 bool
 IsInProgress(const Task& aTask)
