Test crashes beside owner changes, store outages and late returns

CrashesOfWorkersThatReturnLateCount has workers that are back after their lease has expired; LimitHoldsAcrossOwnersAndStoreOutages plays 20 seeds with three such tasks, a gang among them, beside healthy jobs.

--- a/tests/state/scheduling/CrashTest.cpp
+++ b/tests/state/scheduling/CrashTest.cpp
@@ -145,6 +145,56 @@
   CheckNoViolation(model);
 }
 
+// Guards against taking a crash for a lost path because the worker is back only
+// after its lease has expired.
+TEST(SchedulerCrashes, CrashesOfWorkersThatReturnLateCount)
+{
+  FleetModelOptions options{ 8, 2 };
+  options.mCrashTime = milliseconds(9'000);
+  FleetModel model(options);
+  model.MakeDeadly(FirstTaskOf("a"));
+  model.Submit(MakeJob("a", Step(1, 1), 1), milliseconds(1'000));
+  model.Run(milliseconds(90'000));
+  CheckPhase(model, "a", JobPhase::kFailed);
+  CheckNoViolation(model);
+}
+
+// Guards against starts beyond the limit when owners are replaced and the store
+// is away at any time between a crash and the next start.
+TEST(SchedulerCrashes, LimitHoldsAcrossOwnersAndStoreOutages)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    std::mt19937_64 random(seed);
+    FleetModelOptions options{ 12, 2 };
+    options.mSeed = seed;
+    options.mLostReplyShare = 0.02;
+    FleetModel model(options);
+    for (int i = 0; i < 3; ++i) {
+      const std::string id = std::to_string(i);
+      model.MakeDeadly(FirstTaskOf("bad" + id), milliseconds(10 * i));
+      model.Submit(MakeJob("bad" + id, Step(2, 2, i == 1), 1),
+                   milliseconds(3'000));
+      model.Submit(MakeJob("good" + id, Step(6, 1), 1), milliseconds(3'000));
+    }
+    for (int i = 0; i < 4; ++i) {
+      model.Run(milliseconds(1'000 + random() % 9'000));
+      if (random() % 2 == 0) {
+        model.ReplaceOwner();
+      } else {
+        model.SetStoreUp(false);
+        model.Run(milliseconds(random() % 4'000));
+        model.SetStoreUp(true);
+      }
+    }
+    model.Run(milliseconds(90'000));
+    for (int i = 0; i < 3; ++i) {
+      CheckPhase(model, "bad" + std::to_string(i), JobPhase::kFailed);
+      CheckPhase(model, "good" + std::to_string(i), JobPhase::kDone);
+    }
+    CheckNoViolation(model);
+  }
+}
+
 // Guards against failing jobs because all workers restart at the same time.
 TEST(SchedulerCrashes, SimultaneousRestartsFailNoJob)
 {
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -10,8 +10,6 @@
 namespace {
 
 /** Step of the virtual clock. */
-/** Time for which a worker is down after a crash. */
-constexpr milliseconds kCrashTime{ 3'000 };
 /** The platform's limits of the crashes under a task and the starts after them.
  */
 constexpr int kMaxCrashes = 3;
@@ -271,7 +269,7 @@
   ++mCrashes[aTask];
   RestartUnannounced(aWorker);
   SetConnectable(aWorker, false);
-  ScheduleEvent(kCrashTime, [this, aWorker] {
+  ScheduleEvent(mOptions.mCrashTime, [this, aWorker] {
     SetConnectable(aWorker, true);
     PublishWorker(aWorker);
   });
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -34,6 +34,8 @@
   std::string mPolicy = "urgency";
   /** Records a violation for a job that waits although capacity is free. */
   bool mCheckWorkConservation = false;
+  /** Time for which a worker is down after a crash under a deadly task. */
+  milliseconds mCrashTime{ 3'000 };
 };
 
 /** Result of a job as reported to its caller. */
@@ -67,8 +69,8 @@
   void FailRuns(const std::string& aJob, int aTimes);
 
   /**
-   * Makes each run of a task crash its worker, which restarts after 3 s with a
-   * new incarnation.
+   * Makes each run of a task crash its worker, which restarts with a new
+   * incarnation after FleetModelOptions::mCrashTime.
    * @param aDelay Time from the start of the run to the crash.
    */
   void MakeDeadly(const scheduling::TaskId& aTask,
