Test the placement of tasks that may crash their workers

An isolated unit shares no worker, suspects prefer separate empty workers, and an isolated unit that waits does not block the other tasks of its step.

--- a/tests/state/scheduling/PlanningTest.cpp
+++ b/tests/state/scheduling/PlanningTest.cpp
@@ -291,6 +291,57 @@
 }
 
 // Guards against silently replacing an unknown policy by the default.
+// Guards against placing a task that may crash its worker beside other tasks,
+// or other tasks beside it in the same pass.
+TEST(Planning, IsolatedUnitSharesNoWorker)
+{
+  PlanningView view = Fleet(3);
+  view.mWorkers[0].mFree = Resources(31'000, 63'000, 7);
+  AddUnit(view, Step(1, 1), 1).mIsolation = Isolation::kRequired;
+  AddUnit(view, Step(1, 7), 1);
+  AddUnit(view, Step(1, 8), 1);
+  const auto decisions = MakePlacementPolicy("urgency")->Plan(view);
+  const PlanDecision isolated = DecisionFor(decisions, 0);
+  CHECK(isolated.mReason == PlanReason::kFits);
+  CHECK(isolated.mWorkers.front() != 0);
+  for (const std::size_t other : { std::size_t{ 1 }, std::size_t{ 2 } }) {
+    const PlanDecision& decision = DecisionFor(decisions, other);
+    CHECK(decision.mReason == PlanReason::kFits);
+    CHECK(decision.mWorkers.front() != isolated.mWorkers.front());
+  }
+}
+
+// Guards against placing the tasks of a crashed worker together again while
+// other workers are empty.
+TEST(Planning, SuspectsPreferSeparateEmptyWorkers)
+{
+  PlanningView view = Fleet(4);
+  view.mWorkers[0].mFree = Resources(31'000, 63'000, 7);
+  for (int i = 0; i < 3; ++i) {
+    AddUnit(view, Step(1, 1), 1).mIsolation = Isolation::kPreferred;
+  }
+  std::vector<std::size_t> workers;
+  for (const PlanDecision& decision :
+       MakePlacementPolicy("urgency")->Plan(view)) {
+    CHECK(decision.mReason == PlanReason::kFits);
+    workers.push_back(decision.mWorkers.front());
+  }
+  std::sort(workers.begin(), workers.end());
+  CHECK((workers == std::vector<std::size_t>{ 1, 2, 3 }));
+}
+
+// Guards against a blocked step because one of its tasks needs an empty worker.
+TEST(Planning, WaitingIsolatedUnitBlocksNoTaskOfItsStep)
+{
+  PlanningView view = Fleet(1);
+  view.mWorkers[0].mFree = Resources(31'000, 63'000, 7);
+  AddUnit(view, Step(2, 1), 1).mIsolation = Isolation::kRequired;
+  AddUnit(view, Step(2, 1), 1).mStepGroup = 0;
+  const auto decisions = MakePlacementPolicy("urgency")->Plan(view);
+  CHECK(DecisionFor(decisions, 0).mReason == PlanReason::kNoCapacity);
+  CHECK(DecisionFor(decisions, 1).mReason == PlanReason::kFits);
+}
+
 TEST(Planning, UnknownPolicyThrows)
 {
   CHECK_THROWS(StateError, MakePlacementPolicy("none"));
