--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -98,7 +98,8 @@
   kEndIgnored = 818,
   kReplyIgnored = 819,
   kStoreRefusals = 820,
-  kWorkerCapacityChanged = 821
+  kWorkerCapacityChanged = 821,
+  kRunCrashed = 822
 };
 
 /** Entry of the event catalogue. */
--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -70,7 +70,8 @@
     kJobStalled,
     kEndIgnored,
     kReplyIgnored,
-    kWorkerCapacityChanged
+    kWorkerCapacityChanged,
+    kRunCrashed
   };
 
   Kind mKind;
--- a/src/coordination/LogEvent.cpp
+++ b/src/coordination/LogEvent.cpp
@@ -390,6 +390,11 @@
                 "worker_capacity_changed",
                 "a worker announced another capacity; before, after and in use "
                 "as thousandths of a core, megabytes and accelerators" },
+  LogEventInfo{ LogEvent::kRunCrashed,
+                LogLevel::kWarning,
+                "run_crashed",
+                "a worker crashed while a run was, or may have been, in "
+                "progress on it" },
 };
 
 } // namespace
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -47,7 +47,8 @@
   LogEvent::kWorkerGone,    LogEvent::kWorkerSuspected,
   LogEvent::kRunMoved,      LogEvent::kWorkerLeaving,
   LogEvent::kJobStalled,    LogEvent::kEndIgnored,
-  LogEvent::kReplyIgnored,  LogEvent::kWorkerCapacityChanged
+  LogEvent::kReplyIgnored,  LogEvent::kWorkerCapacityChanged,
+  LogEvent::kRunCrashed
 };
 
 milliseconds
--- a/src/state/scheduling/CapacityTracker.cpp
+++ b/src/state/scheduling/CapacityTracker.cpp
@@ -32,6 +32,7 @@
       2 * worker.mCapacity.WeightedCores() < largest.at(worker.mService);
     mIsReduced.push_back(isReduced);
     mWholeSchedulableWorkers += worker.mSchedulable && !isReduced ? 1 : 0;
+    mHasSuspect.push_back(worker.mHasSuspect);
     if (worker.mSchedulable) {
       auto& [free, total] = mServices[worker.mService];
       free = free.Plus(worker.mFree);
@@ -111,6 +112,12 @@
   for (const std::size_t i : aWorkers) {
     mFree[i] = mFree[i].Minus(aUnit.mStep.Demand());
     ++mPlacedTasks[{ aUnit.mStepGroup, i }];
+    mHasSuspect[i] = mHasSuspect[i] || aUnit.mIsolation != Isolation::kNone;
+  }
+  if (aUnit.mIsolation == Isolation::kRequired) {
+    for (const std::size_t i : aWorkers) {
+      mFree[i] = Resources();
+    }
   }
 }
 
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -20,6 +20,7 @@
  * - SchedulerHealth: suspected workers, and whether this owner reaches them.
  * - SchedulerDiagnostics: metrics and the report of stalled jobs.
  * - SchedulerProgress: detection of stalled and slow runs.
+ * - SchedulerCrashes: runs that were in progress when their worker crashed.
  * - SchedulerPlan: the view passed to a policy, and the execution of decisions.
  */
 class Scheduler::Impl
@@ -196,6 +197,25 @@
   bool HasUrgentRun(const WorkerState& aWorker) const;
   void CollectRenewCommands(WorkerCommands& aCommands, Millis aNow);
 
+  // Crashes.
+  void HandleReplacedWorker(WorkerState& aWorker, Millis aNow);
+  void HandleExpiredWorker(WorkerState& aWorker, Millis aNow);
+  void HandleUnlistedRun(const WorkerState& aWorker,
+                         const TaskKey& aKey,
+                         const char* aReason,
+                         Millis aNow);
+  std::vector<CrashedRun> AssessCrash(const WorkerState& aWorker, Millis aNow);
+  void ClearRecentSuspects();
+  void MarkRecoveredCrashes(const WorkerState& aWorker, Millis aNow);
+  void CountPresumedCrashes(const WorkerInfo& aPresent, Millis aNow);
+  void CountCrash(const CrashedRun& aRun,
+                  const std::string& aWorker,
+                  const char* aEvidence,
+                  Millis aNow);
+  static bool IsSuspectRun(const JobState& aJob, std::size_t aTask);
+  static Isolation IsolationOf(const JobState& aJob, std::size_t aTask);
+  void LimitIsolatedUnits(PlanningView& aView) const;
+
   // Progress.
   void CheckProgress(Millis aNow);
   void CheckStepProgress(JobState& aJob,
@@ -294,6 +314,12 @@
   std::map<TaskKey, std::vector<std::string>> mNominations;
   /** Units that wait, by their first task. */
   std::map<TaskKey, WaitState> mWaits;
+  /** Recent times at which workers were found to have crashed, by worker. */
+  std::map<std::string, Millis> mCrashTimes;
+  /** Counted crashes of suspects that may turn out to have a common cause. */
+  std::deque<std::pair<Millis, CrashedRun>> mRecentSuspects;
+  /** By address, since a restarted worker may have another identifier. */
+  std::map<std::string, PresumedCrash> mPresumedCrashes;
   Millis mNextProgressCheck{ 0 };
   Millis mNextStallReport{ 0 };
   Millis mNextFirstQuery{ 0 };
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -30,6 +30,7 @@
 {
   Task& task = aJob.mTasks[aTask];
   const int failures = task.mFailures;
+  const CrashCount crashes = task.mCrashes;
   std::string checkpoint = std::move(task.mCheckpoint);
   std::string avoidedWorker = std::move(task.mAvoidedWorker);
   task = Task();
@@ -37,6 +38,8 @@
   task.mRun = aRun;
   task.mWorker = aWorker.mInfo.mId;
   task.mFailures = failures;
+  task.mCrashes = crashes;
+  task.mIncarnation = aWorker.mInfo.mIncarnation;
   task.mStartedFromScratch = checkpoint.empty();
   task.mCheckpoint = std::move(checkpoint);
   task.mAvoidedWorker = std::move(avoidedWorker);
@@ -236,8 +239,7 @@
                               std::uint64_t aRun,
                               Millis aNow)
 {
-  const bool isGang = aJob.StepOf(aTask).IsGang();
-  const std::size_t countedTask = isGang ? aJob.StepRange(aTask).first : aTask;
+  const std::size_t countedTask = aJob.CountedTask(aTask);
   // A failed run of a gang counts once, however many members report it.
   if (aJob.mFailedRuns[countedTask].insert(aRun).second) {
     ++aJob.mTasks[countedTask].mFailures;
@@ -325,8 +327,12 @@
       }
       break;
     case CommandOutcome::kIncarnationMismatch:
+      if (task.mStartRetries == 0) {
+        // The addressed incarnation did not execute this command.
+        HandleLostRun(key, "other_life", aNow);
+      }
       if (workerIt != mWorkers.end()) {
-        HandleLostWorker(workerIt->second, "other_life", aNow);
+        HandleReplacedWorker(workerIt->second, aNow);
       }
       break;
     case CommandOutcome::kFenced:
@@ -352,7 +358,7 @@
   }
   if (aReply.mOutcome == CommandOutcome::kIncarnationMismatch) {
     if (workerIt != mWorkers.end()) {
-      HandleLostWorker(workerIt->second, "other_life", aNow);
+      HandleReplacedWorker(workerIt->second, aNow);
     }
     return;
   }
@@ -459,6 +465,7 @@
     task.mOutcomeUnknown = false;
     task.mRecovered = false;
   }
+  task.mPendingCrash.reset();
   task.mReportedAt = aNow;
   task.mReportedIncarnation = aIncarnation;
   if (aRun.mProgressPercent != task.mProgressPercent) {
@@ -479,6 +486,7 @@
                                     Millis aSentAt,
                                     Millis aNow)
 {
+  MarkRecoveredCrashes(aWorker, aNow);
   const std::set<TaskKey> assigned = aWorker.mAssigned;
   for (const TaskKey& key : assigned) {
     JobState* job = FindJob(key.first);
@@ -494,13 +502,16 @@
     const bool shouldBeListed =
       task.mReportableSince && *task.mReportableSince <= aSentAt;
     if (cannotRun || (shouldBeListed && task.mPhase == TaskPhase::kRunning)) {
-      HandleLostRun(key, cannotRun ? "not_started" : "not_listed", aNow);
+      HandleUnlistedRun(
+        aWorker, key, cannotRun ? "not_started" : "not_listed", aNow);
     } else if (shouldBeListed && task.mOutcomeUnknown) {
       // The start command may still be in flight. A worker starts a run only
       // once even if it receives the command repeatedly, so retries are safe.
       // After kMaxStartRetries, the run is stopped, since only an acknowledged
-      // stop proves that it cannot start any more.
-      if (task.mStartRetries < kMaxStartRetries && !task.mStopRequested) {
+      // stop proves that it cannot start any more. A start that may have
+      // crashed the worker is not retried.
+      if (task.mStartRetries < kMaxStartRetries && !task.mStopRequested &&
+          !task.mPendingCrash) {
         ++task.mStartRetries;
         task.mStartRetryDue = true;
       } else {
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -36,6 +36,8 @@
   bool mCheckWorkConservation = false;
   /** Maximum number of records in one write of the owner. */
   std::size_t mJobsPerWrite = 40;
+  /** Time for which a worker is down after a crash under a deadly task. */
+  milliseconds mCrashTime{ 3'000 };
 };
 
 /** Result of a job as reported to its caller. */
@@ -68,6 +70,14 @@
    */
   void FailRuns(const std::string& aJob, int aTimes);
 
+  /**
+   * Makes each run of a task crash its worker, which restarts with a new
+   * incarnation after FleetModelOptions::mCrashTime.
+   * @param aDelay Time from the start of the run to the crash.
+   */
+  void MakeDeadly(const scheduling::TaskId& aTask,
+                  milliseconds aDelay = milliseconds(10));
+
   /** Advances the virtual clock. */
   void Run(milliseconds aTime);
 
@@ -158,6 +168,8 @@
     return it != gauges.end() ? it->second : 0;
   }
   std::size_t Starts() const { return mStarts; }
+  /** @return Number of workers that crashed under a task. */
+  int CrashesUnder(const scheduling::TaskId& aTask) const;
   std::size_t Stops() const { return mStops; }
   std::size_t RejectedStarts() const { return mRejectedStarts; }
   /** Lost work of stopped runs without checkpoints, in core seconds. */
@@ -253,6 +265,11 @@
                   const scheduling::Resources& aCapacity);
   void RecordViolation(const std::string& aText);
   void RestartWorker(ModelWorker& aWorker, std::uint64_t aIncarnation);
+  /** Executes the crash of a run that a worker has just started. */
+  void StartDeadlyRun(ModelWorker& aWorker, const scheduling::TaskId& aTask);
+  void CrashUnder(std::size_t aWorker,
+                  const scheduling::TaskId& aTask,
+                  std::uint64_t aIncarnation);
 
   // Work conservation.
   /** Excludes the time from now to the end of the grace time from the check. */
@@ -275,6 +292,11 @@
   std::map<std::string, scheduling::TaskJob> mJobs;
   std::map<std::string, milliseconds> mRunTimes;
   std::map<std::string, int> mFailures;
+  /** Time from the start to the crash of the worker, by task. */
+  std::map<scheduling::TaskId, milliseconds> mDeadly;
+  std::map<scheduling::TaskId, int> mCrashes;
+  /** Starts of a task under which kMaxCrashes workers have crashed. */
+  std::map<scheduling::TaskId, int> mStartsAfterCrashes;
   std::set<std::string> mCancelled;
   std::map<std::string, JobOutcome> mOutcomes;
   /** Records in the simulated store. */
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -147,7 +147,7 @@
 {
   using Fault =
     std::function<void(FleetModel&, std::size_t aWorker, std::size_t aWorkers)>;
-  static const std::array<Fault, 18> kFaults{
+  static const std::array<Fault, 19> kFaults{
     [](auto& aFleet, auto aWorker, auto) { aFleet.CrashWorker(aWorker); },
     [](auto& aFleet, auto aWorker, auto) {
       aFleet.RestartUnannounced(aWorker);
