Write no removals of ended jobs after a failed write

Callers would see no starts while the part of the jobs refuses writes: the owner's renewal was refused together with the removal of ended jobs, which made it a transaction over both parts, and each retry added the removals again.

--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -308,7 +308,9 @@
                         mPorts.mCodec.EncodeProgress(record));
   }
   std::vector<std::string> expired;
-  if (mMode == Mode::kOwning && records.size() <= kMaxRecordsBesideRemovals) {
+  // Removals cover the part of the jobs, which may refuse writes on its own.
+  if (mMode == Mode::kOwning && mFailedWrites == 0 &&
+      records.size() <= kMaxRecordsBesideRemovals) {
     expired = mScheduler->ExpiredJobs(Now(), kMaxRemovals);
   }
   mRemovalsInFlight = expired.size();
