Do not confirm settings by a poll while newer ones cannot be decoded

Callers could be served under older settings than the newest: after a row of the settings that cannot be decoded, the poll that replaces the condition of a refused write began behind that row and found no change.

Found by review. SchedulingTasks.UnreadableSettingsAreNotConfirmedByAPoll failed before (accepted, not rejected).

--- a/src/coordination/CatalogTask.cpp
+++ b/src/coordination/CatalogTask.cpp
@@ -119,8 +119,10 @@
       return;
     }
     try {
+      mIsNewestMalformed = true;
       mCatalog = std::make_shared<const Catalog>(
         mCodec.DecodeCatalog(aRow.Value(), aRow.Version()));
+      mIsNewestMalformed = false;
       mLog.Write(
         { LogEvent::kCatalogApplied,
           { { "version", std::to_string(mCatalog->OperatorVersion()) },
@@ -185,7 +187,9 @@
 
   CatalogView View() const
   {
-    return { mCatalog, mConfirmedAt, mStoreClock, mIsReachable, mVersion };
+    // Without the newest settings, a poll cannot confirm the older ones.
+    const std::uint64_t readVersion = mIsNewestMalformed ? 0 : mVersion;
+    return { mCatalog, mConfirmedAt, mStoreClock, mIsReachable, readVersion };
   }
 
   StorePort& mStore;
@@ -205,6 +209,8 @@
   /** The latest store call; replies to earlier ones are ignored. */
   std::uint64_t mOperationId = 0;
   bool mIsPollingChanges = false;
+  /** Whether the newest row of the settings could not be decoded. */
+  bool mIsNewestMalformed = false;
   milliseconds mSentAt{ 0 };
   bool mIsStale = false;
   bool mIsReachable = false;
--- a/tests/coordination/FakeFleet.cpp
+++ b/tests/coordination/FakeFleet.cpp
@@ -417,6 +417,7 @@
   {
     const std::lock_guard lock(mMutex);
     Worker& worker = mWorkers[aCommand.mWorker.mId];
+    worker.mIsRenewed = true;
     if (aCommand.mEpoch < worker.mEpoch) {
       reply.mOutcome = CommandOutcome::kFenced;
     } else {
@@ -462,6 +463,16 @@
   return mStarts;
 }
 
+std::size_t
+FakeTaskWorkers::RenewedWorkers()
+{
+  const std::lock_guard lock(mMutex);
+  return static_cast<std::size_t>(
+    std::count_if(mWorkers.begin(), mWorkers.end(), [](const auto& aIt) {
+      return aIt.second.mIsRenewed;
+    }));
+}
+
 std::uint64_t
 FakeTaskWorkers::HighestEpoch()
 {
--- a/tests/coordination/FakeFleet.h
+++ b/tests/coordination/FakeFleet.h
@@ -148,6 +148,8 @@
   /** While set, runs do not complete. */
   void SetRunsBlocked(bool aBlocked);
   int Starts();
+  /** @return Number of workers that were renewed at least once. */
+  std::size_t RenewedWorkers();
   std::uint64_t HighestEpoch();
 
 private:
@@ -157,6 +159,7 @@
     std::vector<state::scheduling::TerminatedRun> mTerminated;
     std::uint64_t mTerminations = 0;
     std::uint64_t mEpoch = 0;
+    bool mIsRenewed = false;
   };
 
   std::mutex mMutex;
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -328,6 +328,38 @@
   CHECK(!daemons.mStore.Has("jobs/j1"));
 }
 
+// Guards against a call that is accepted under older settings than those that
+// the daemon has read and cannot decode.
+TEST(SchedulingTasks, UnreadableSettingsAreNotConfirmedByAPoll)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mStore.Put(kCatalogKey, "unreadable");
+  CHECK(
+    WaitUntil([&] { return daemons.mLog.Count(LogEvent::kRowMalformed) > 0; }));
+  daemons.mStore.SetRefusedTable(kOperatorTable);
+  CheckStatus(JobCallStatus::kUnavailable, daemons.Submit(daemon, "j1"));
+  CHECK(!daemons.mStore.Has("jobs/j1"));
+}
+
+// Guards against an owner whose renewals are refused together with the removal
+// of ended jobs.
+TEST(SchedulingTasks, OwnerRenewsWhileRemovalsAreRefused)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a", milliseconds(300));
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CHECK(
+    WaitUntil([&] { return daemons.HasPhase(daemon, "j1", JobPhase::kDone); }));
+  daemons.mStore.SetRefusedTable(kJobsTable);
+  const std::uint64_t begin = daemons.Lease().mSequence;
+  constexpr std::uint64_t kWrites = 60;
+  const std::uint64_t version = daemons.Lease().mEpoch;
+  CHECK(
+    WaitUntil([&] { return daemons.Lease().mSequence >= begin + kWrites; }));
+  CHECK_EQUAL(version, daemons.Lease().mEpoch);
+}
+
 // Guards against delaying callers while the store is known to be unreachable,
 // and against a write that takes effect after a rejection.
 TEST(SchedulingTasks, UnreachableStoreRejectsWithoutEffect)
@@ -611,6 +643,8 @@
   CHECK(WaitUntil(
     [&] { return daemons.mLog.Count(LogEvent::kJobsRecovered) == 1; }));
   const DaemonTasks second = daemons.Start("b");
+  // A worker that the owner has not reached yet would get no runs.
+  CHECK(WaitUntil([&] { return daemons.mWorkers.RenewedWorkers() == 2; }));
   first.mPath->SetCut(true);
   daemons.SubmitToAllWorkers(second);
   CHECK(
