Limit the time that a task waits for a worker of its own

A task under which workers have crashed twice ran on an empty worker only, however long there was none. After 2 s it may share a worker again, at the lower preference of a first suspicion; the limit of crashes holds as before. Found by review; Scheduler crash tests pass before and after, and no test shows the wait on the old code.

--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -17,6 +17,11 @@
  * last runs failed; there may be no other worker that can run it.
  */
 constexpr Millis kMaxAvoidanceTime{ 1'500 };
+/**
+ * Time that a unit waits for workers of its own; there may be none, although
+ * most of the capacity is free.
+ */
+constexpr Millis kMaxIsolationWait{ 2'000 };
 /** A late result still has value up to this multiple of the objective. */
 constexpr int kExpiryObjectives = 3;
 
@@ -258,11 +263,15 @@
   unit.mTasks = aTasks.size();
   unit.mPriority = settings.mPriority;
   unit.mGuaranteed = mGuaranteed.contains(aJob.mJob.Id());
-  unit.mIsolation = IsolationOf(aJob, first);
   unit.mAge = aNow - aJob.mSubmittedAt;
   if (const auto it = mWaits.find(aTasks.front()); it != mWaits.end()) {
     unit.mWaitingTime = aNow - it->second.mSince;
   }
+  unit.mIsolation = IsolationOf(aJob, first);
+  if (unit.mIsolation == Isolation::kRequired &&
+      unit.mWaitingTime >= kMaxIsolationWait) {
+    unit.mIsolation = Isolation::kPreferred;
+  }
   unit.mSlack = objective - unit.mAge - expected;
   unit.mExpirySlack = objective * kExpiryObjectives - unit.mAge - expected;
   unit.mExpectedRunTime = expected;
