Count a crash as clear evidence against young runs only

Callers would see healthy jobs failed: a run that was alone on its worker counted as the cause of a crash, however long it had worked, so two crashes of any cause failed the job of a task that fills its worker. A task also returned to the worker that had just crashed under it, since that one was empty.

Found by review.

--- a/include/cornelrudder/state/scheduling/CrashCount.h
+++ b/include/cornelrudder/state/scheduling/CrashCount.h
@@ -10,7 +10,7 @@
 {
   /** The worker had acknowledged or reported the run. */
   bool mIsStarted = false;
-  /** The worker had no runs of other tasks or gangs. */
+  /** The run was young, and the worker had no runs of other tasks or gangs. */
   bool mIsAlone = false;
   /** The run may be the cause: it was young, or no run on the worker was. */
   bool mIsSuspect = false;
--- a/src/state/scheduling/SchedulerCrashes.cpp
+++ b/src/state/scheduling/SchedulerCrashes.cpp
@@ -135,7 +135,8 @@
   for (CrashedRun& run : runs) {
     const Task& task = mJobs.at(run.mTask.first).mTasks[run.mTask.second];
     run.mCrash.mIsStarted = task.mPhase == TaskPhase::kRunning;
-    run.mCrash.mIsAlone = units.size() == 1;
+    // A run that has worked for long is no clear cause even if it was alone.
+    run.mCrash.mIsAlone = units.size() == 1 && IsYoung(task);
     run.mCrash.mIsSuspect = !isCommonCause && (IsYoung(task) || !isAnyYoung);
   }
   return runs;
@@ -224,6 +225,8 @@
   Task& counted = job->mTasks[countedTask];
   // A crash under a gang counts once, on however many workers its members ran.
   const bool isNew = job->mCrashedRuns[countedTask] < aRun.mRun;
+  // The worker may crash by itself again.
+  job->mTasks[index].mAvoidedWorker = aWorker;
   if (isNew) {
     job->mCrashedRuns[countedTask] = aRun.mRun;
     counted.mCrashes = counted.mCrashes.With(aRun.mCrash);
--- a/tests/state/scheduling/CrashTest.cpp
+++ b/tests/state/scheduling/CrashTest.cpp
@@ -57,6 +57,56 @@
   CheckNoViolation(model);
 }
 
+// Guards against failing a healthy task that filled its worker when it crashed.
+TEST(SchedulerCrashes, CrashesOfOtherCauseUnderLongRunsFailNoJob)
+{
+  FleetModel model({ 8, 2 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(20'000));
+  for (int i = 0; i < 2; ++i) {
+    model.Run(milliseconds(10'000));
+    for (std::size_t worker = 0; worker < 8; ++worker) {
+      if (model.RunningOn(worker) > 0) {
+        model.CrashWorker(worker);
+        break;
+      }
+    }
+  }
+  model.Run(milliseconds(40'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
+// Guards against failing a healthy task because of one worker that crashes
+// again and again.
+TEST(SchedulerCrashes, FlappingWorkerFailsNoJob)
+{
+  FleetModel model({ 8, 2 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(6'000));
+  for (int i = 0; i < 8; ++i) {
+    model.Run(milliseconds(2'000));
+    model.CrashWorker(0);
+  }
+  model.Run(milliseconds(20'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
+// Guards against a task that waits for ever for a worker without other runs.
+TEST(SchedulerCrashes, SuspectSharesAWorkerIfNoneIsEmpty)
+{
+  FleetModel model({ 4, 1 });
+  model.MakeDeadly(FirstTaskOf("a"));
+  for (int i = 0; i < 4; ++i) {
+    model.Submit(MakeJob("long" + std::to_string(i), Step(1, 5), 1),
+                 milliseconds(300'000));
+  }
+  model.Run(milliseconds(2'000));
+  model.Submit(MakeJob("a", Step(1, 1), 1), milliseconds(1'000));
+  model.Run(milliseconds(60'000));
+  CheckPhase(model, "a", JobPhase::kFailed);
+  CheckNoViolation(model);
+}
+
 // Guards against failing healthy tasks that share workers with such a task.
 TEST(SchedulerCrashes, HealthyJobsBesideManySuchTasksComplete)
 {
