--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -9,11 +9,10 @@
 
 namespace {
 
-/** Step of the virtual clock. */
-/** The platform's limits of the crashes under a task and the starts after them.
- */
+/** Limits of the crashes under a task and of the starts after them. */
 constexpr int kMaxCrashes = 3;
 constexpr int kMaxStartsAfterCrashes = 3;
+/** Step of the virtual clock. */
 constexpr milliseconds kTick{ 10 };
 /** One-way delay of commands and replies. */
 constexpr milliseconds kNetworkDelay{ 5 };
