Place occurrences by the time at which they are due

The age of a unit counted from the submission of its job, also for later occurrences. One that had just become due was ranked as expired, and waited while less urgent work started. A job that was not due yet took the guarantee of its organisation from jobs that waited. Runs of an earlier occurrence kept a later one waiting for a better place.

The age, slack, guarantee and running peers now belong to an occurrence; the wall clock is turned into local time in one place. The age in task_placed and task_waits counts from the due time.

The model checks that nothing starts before it is due.

--- a/include/cornelrudder/state/scheduling/Planning.h
+++ b/include/cornelrudder/state/scheduling/Planning.h
@@ -105,11 +105,12 @@
   int mPriority = 0;
   /** Whether the organisation's guarantee covers the unit. */
   bool mGuaranteed = false;
-  /** Time since the job was submitted. */
+  /** Time since the job was submitted, or since the occurrence was due. */
   std::chrono::milliseconds mAge{ 0 };
   /** Time since a planning pass first found no place for the unit. */
   std::chrono::milliseconds mWaitingTime{ 0 };
-  /** Whether other tasks of the job run; false for long-running tasks. */
+  /** Whether other tasks of the occurrence run; false for long-running tasks.
+   */
   bool mHasRunningPeers = false;
   /**
    * Time left until the unit must start to meet its objective; may be negative.
--- a/include/cornelrudder/state/scheduling/TaskJob.h
+++ b/include/cornelrudder/state/scheduling/TaskJob.h
@@ -43,6 +43,12 @@
   std::chrono::milliseconds mStart{ 0 };
   std::chrono::milliseconds mInterval{ 0 };
 
+  /** @return Due time of an occurrence, since 1970. */
+  std::chrono::milliseconds DueAt(std::size_t aOccurrence) const
+  {
+    return mStart + mInterval * static_cast<std::int64_t>(aOccurrence);
+  }
+
   auto operator<=>(const Schedule&) const = default;
 };
 
--- a/src/state/scheduling/SchedulerDiagnostics.cpp
+++ b/src/state/scheduling/SchedulerDiagnostics.cpp
@@ -48,12 +48,12 @@
 
 /** @return A waiting task whose step is due and ready, or nothing. */
 std::optional<std::size_t>
-Scheduler::Impl::FirstReadyTask(const JobState& aJob, Millis aWallClock) const
+Scheduler::Impl::FirstReadyTask(const JobState& aJob, Millis aNow) const
 {
   for (std::size_t i = 0; i < aJob.mTasks.size(); ++i) {
-    const std::size_t occurrence = i / aJob.mJob.TasksPerOccurrence();
+    const std::size_t occurrence = aJob.OccurrenceOf(i);
     if (aJob.mTasks[i].mPhase == TaskPhase::kWaiting &&
-        IsDue(aJob, occurrence, aWallClock) &&
+        IsDue(aJob, occurrence, aNow) &&
         aJob.IsStepReady(occurrence, aJob.StepAndIndexOf(i).first)) {
       return i;
     }
@@ -81,7 +81,7 @@
  *   reply.
  */
 std::optional<std::size_t>
-Scheduler::Impl::FirstStalledTask(const JobState& aJob, Millis aWallClock) const
+Scheduler::Impl::FirstStalledTask(const JobState& aJob, Millis aNow) const
 {
   const std::vector<std::size_t> unresponsive = UnresponsiveTasks(aJob);
   const auto assigned = static_cast<std::size_t>(
@@ -91,7 +91,7 @@
   if (IsFinal(aJob.mPhase) || assigned > unresponsive.size()) {
     return std::nullopt;
   }
-  if (const auto ready = FirstReadyTask(aJob, aWallClock)) {
+  if (const auto ready = FirstReadyTask(aJob, aNow)) {
     return ready;
   }
   return unresponsive.empty() ? std::nullopt
@@ -103,7 +103,7 @@
  * with the number of such jobs and of the workers by condition.
  */
 void
-Scheduler::Impl::ReportStalledJobs(Millis aNow, Millis aWallClock)
+Scheduler::Impl::ReportStalledJobs(Millis aNow)
 {
   if (aNow < mNextStallReport) {
     return;
@@ -112,7 +112,7 @@
   std::size_t stalled = 0;
   const JobState* longest = nullptr;
   for (auto& [id, job] : mJobs) {
-    if (!FirstStalledTask(job, aWallClock)) {
+    if (!FirstStalledTask(job, aNow)) {
       job.mStalledSince = Millis(0);
       continue;
     }
@@ -127,7 +127,7 @@
   if (longest == nullptr || aNow - longest->mStalledSince < kMinStallReported) {
     return;
   }
-  const std::size_t task = *FirstStalledTask(*longest, aWallClock);
+  const std::size_t task = *FirstStalledTask(*longest, aNow);
   const std::vector<std::size_t> unresponsive = UnresponsiveTasks(*longest);
   Millis leaseEnd{ 0 };
   for (const std::size_t i : unresponsive) {
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -239,21 +239,20 @@
   // Diagnostics.
   std::array<std::size_t, kWorkerConditions> CountConditions(Millis aNow) const;
   std::optional<std::size_t> FirstReadyTask(const JobState& aJob,
-                                            Millis aWallClock) const;
+                                            Millis aNow) const;
   std::vector<std::size_t> UnresponsiveTasks(const JobState& aJob) const;
   std::optional<std::size_t> FirstStalledTask(const JobState& aJob,
-                                              Millis aWallClock) const;
-  void ReportStalledJobs(Millis aNow, Millis aWallClock);
+                                              Millis aNow) const;
+  void ReportStalledJobs(Millis aNow);
 
   // Planning.
-  PlanningView BuildView(ViewKeys& aKeys, Millis aNow, Millis aWallClock);
+  PlanningView BuildView(ViewKeys& aKeys, Millis aNow);
   void AddWorkers(PlanningView& aView, ViewKeys& aKeys, Millis aNow) const;
   void AddRunning(PlanningView& aView, ViewKeys& aKeys, Millis aNow) const;
   void AddWaiting(PlanningView& aView,
                   ViewKeys& aKeys,
                   const JobState& aJob,
-                  Millis aNow,
-                  Millis aWallClock) const;
+                  Millis aNow) const;
   void AddWaitingStep(PlanningView& aView,
                       ViewKeys& aKeys,
                       const JobState& aJob,
@@ -265,10 +264,9 @@
                        Millis aNow) const;
   void Apply(const PlanDecision& aDecision, const ViewKeys& aKeys, Millis aNow);
   std::int64_t GuaranteeOf(const std::string& aOrganisation) const;
-  std::set<std::string> GuaranteedJobs() const;
-  bool IsDue(const JobState& aJob,
-             std::size_t aOccurrence,
-             Millis aWallClock) const;
+  std::set<OccurrenceKey> GuaranteedOccurrences(Millis aNow) const;
+  Millis DueSince(const JobState& aJob, std::size_t aOccurrence) const;
+  bool IsDue(const JobState& aJob, std::size_t aOccurrence, Millis aNow) const;
   double LostCoreSeconds(const JobState& aJob,
                          const Task& aTask,
                          Millis aNow) const;
@@ -306,8 +304,10 @@
   std::uint64_t mWrites = 0;
   std::uint64_t mStoredWrites = 0;
   RunTimes mRunTimes;
-  /** Jobs covered by a guarantee, as of the last planning pass. */
-  std::set<std::string> mGuaranteed;
+  /** Occurrences covered by a guarantee, as of the last planning pass. */
+  std::set<OccurrenceKey> mGuaranteed;
+  /** Time since 1970 less the local time, as of the last planning pass. */
+  Millis mWallClockOffset{ 0 };
   /**
    * Workers on which runs were preempted for a waiting unit, by its first task.
    */
--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -69,7 +69,7 @@
 JobState::IdOf(std::size_t aTask) const
 {
   const auto [step, index] = StepAndIndexOf(aTask);
-  return { mJob.Id(), aTask / mJob.TasksPerOccurrence(), step, index };
+  return { mJob.Id(), OccurrenceOf(aTask), step, index };
 }
 
 std::optional<std::size_t>
@@ -119,6 +119,31 @@
   });
 }
 
+std::span<const Task>
+JobState::TasksOf(std::size_t aOccurrence) const
+{
+  const std::size_t n = mJob.TasksPerOccurrence();
+  return std::span<const Task>(mTasks).subspan(aOccurrence * n, n);
+}
+
+bool
+JobState::IsAnyAssigned(std::size_t aOccurrence) const
+{
+  const std::span<const Task> tasks = TasksOf(aOccurrence);
+  return std::any_of(tasks.begin(), tasks.end(), [](const Task& aTask) {
+    return aTask.IsAssigned();
+  });
+}
+
+bool
+JobState::IsOccurrenceDone(std::size_t aOccurrence) const
+{
+  const std::span<const Task> tasks = TasksOf(aOccurrence);
+  return std::all_of(tasks.begin(), tasks.end(), [](const Task& aTask) {
+    return aTask.IsDone();
+  });
+}
+
 bool
 JobState::IsWaitingForGang(std::size_t aTask) const
 {
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -124,6 +125,9 @@
 /** Job and number of a task within the job. */
 using TaskKey = std::pair<std::string, std::size_t>;
 
+/** Job and number of an occurrence; 0 for an unscheduled job. */
+using OccurrenceKey = std::pair<std::string, std::size_t>;
+
 /** A crash of a worker under a run. */
 struct CrashedRun
 {
@@ -181,6 +185,12 @@
    */
   Millis mStalledSince{ 0 };
 
+  /** @return Occurrence that a task belongs to; 0 for an unscheduled job. */
+  std::size_t OccurrenceOf(std::size_t aTask) const
+  {
+    return aTask / mJob.TasksPerOccurrence();
+  }
+
   /** @return Number of the first task of a step in an occurrence. */
   std::size_t FirstTask(std::size_t aOccurrence, std::size_t aStep) const;
 
@@ -220,6 +230,15 @@
 
   bool IsAnyAssigned() const;
 
+  /** @return Whether a task of one occurrence is assigned. */
+  bool IsAnyAssigned(std::size_t aOccurrence) const;
+
+  /** @return Whether all tasks of one occurrence are done. */
+  bool IsOccurrenceDone(std::size_t aOccurrence) const;
+
+  /** @return The tasks of one occurrence. */
+  std::span<const Task> TasksOf(std::size_t aOccurrence) const;
+
   /**
    * @return Whether a run has done its work and waits for other members of its
    *   gang; all members terminate together.
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -35,61 +35,73 @@
 }
 
 /**
- * @return Urgent jobs (priority 0) that their organisations' guarantees cover.
- *   Each guarantee is given to the oldest jobs first; a job that does not fit
- *   into the rest is skipped.
+ * @return Due occurrences of urgent jobs (priority 0) that their organisations'
+ *   guarantees cover. Each guarantee is given to those that were due first; one
+ *   that does not fit into the rest is skipped.
  */
-std::set<std::string>
-Scheduler::Impl::GuaranteedJobs() const
+std::set<OccurrenceKey>
+Scheduler::Impl::GuaranteedOccurrences(Millis aNow) const
 {
-  std::vector<const JobState*> urgent;
+  std::vector<std::pair<Millis, OccurrenceKey>> urgent;
   for (const auto& [id, job] : mJobs) {
-    if (job.mJob.Settings().mPriority == 0 && !IsFinal(job.mPhase)) {
-      urgent.push_back(&job);
+    if (job.mJob.Settings().mPriority != 0 || IsFinal(job.mPhase)) {
+      continue;
+    }
+    for (std::size_t k = 0; k < job.mJob.Occurrences() && IsDue(job, k, aNow);
+         ++k) {
+      if (!job.IsOccurrenceDone(k)) {
+        urgent.emplace_back(DueSince(job, k), OccurrenceKey{ id, k });
+      }
     }
   }
-  std::sort(
-    urgent.begin(), urgent.end(), [](const auto* aOne, const auto* aTwo) {
-      return std::make_pair(aOne->mSubmittedAt, aOne->mJob.Id()) <
-             std::make_pair(aTwo->mSubmittedAt, aTwo->mJob.Id());
-    });
+  std::sort(urgent.begin(), urgent.end());
   std::map<std::string, std::int64_t> used;
-  std::set<std::string> covered;
-  for (const JobState* job : urgent) {
-    std::int64_t& n = used[job->mJob.Organisation()];
-    const std::int64_t peak = job->mJob.PeakAccelerators();
-    if (n + peak <= GuaranteeOf(job->mJob.Organisation())) {
+  std::set<OccurrenceKey> covered;
+  for (const auto& [dueSince, key] : urgent) {
+    const TaskJob& job = mJobs.at(key.first).mJob;
+    std::int64_t& n = used[job.Organisation()];
+    const std::int64_t peak = job.PeakAccelerators();
+    if (n + peak <= GuaranteeOf(job.Organisation())) {
       n += peak;
-      covered.insert(job->mJob.Id());
+      covered.insert(key);
     }
   }
   return covered;
 }
 
+/**
+ * @return Local time from which an occurrence may run and its age counts: the
+ *   submission of an unscheduled job, the due time of a scheduled one.
+ */
+Millis
+Scheduler::Impl::DueSince(const JobState& aJob, std::size_t aOccurrence) const
+{
+  return aJob.mJob.IsScheduled()
+           ? aJob.mJob.Timing().DueAt(aOccurrence) - mWallClockOffset
+           : aJob.mSubmittedAt;
+}
+
 bool
 Scheduler::Impl::IsDue(const JobState& aJob,
                        std::size_t aOccurrence,
-                       Millis aWallClock) const
+                       Millis aNow) const
 {
-  const Schedule& schedule = aJob.mJob.Timing();
-  return !aJob.mJob.IsScheduled() ||
-         aWallClock >=
-           schedule.mStart +
-             schedule.mInterval * static_cast<Millis::rep>(aOccurrence);
+  return !aJob.mJob.IsScheduled() || DueSince(aJob, aOccurrence) <= aNow;
 }
 
 void
 Scheduler::Impl::Plan(Millis aNow, Millis aWallClock)
 {
   mPlannedAt = aNow;
+  mWallClockOffset = aWallClock - aNow;
   ExpireUnresponsiveWorkers(aNow);
   CheckProgress(aNow);
-  ReportStalledJobs(aNow, aWallClock);
+  ReportStalledJobs(aNow);
   QueryWorkersOnce(aNow);
   QueryIdleWorkers(aNow);
-  mGuaranteed = GuaranteedJobs();
+  mGuaranteed = GuaranteedOccurrences(aNow);
   ViewKeys keys;
-  const PlanningView view = BuildView(keys, aNow, aWallClock);
+  const PlanningView view = BuildView(keys, aNow);
   if (view.mWaiting.empty()) {
     return;
   }
@@ -99,7 +111,7 @@
 }
 
 PlanningView
-Scheduler::Impl::BuildView(ViewKeys& aKeys, Millis aNow, Millis aWallClock)
+Scheduler::Impl::BuildView(ViewKeys& aKeys, Millis aNow)
 {
   PlanningView view;
   AddWorkers(view, aKeys, aNow);
@@ -107,13 +119,7 @@
     if (IsFinal(job.mPhase)) {
       continue;
     }
-    const std::size_t first = view.mWaiting.size();
-    AddWaiting(view, aKeys, job, aNow, aWallClock);
-    const bool isRunning = first < view.mWaiting.size() && job.IsAnyAssigned();
-    for (std::size_t i = first; i < view.mWaiting.size(); ++i) {
-      WaitingUnit& unit = view.mWaiting[i];
-      unit.mHasRunningPeers = isRunning && !unit.mStep.IsLongRunning();
-    }
+    AddWaiting(view, aKeys, job, aNow);
   }
   LimitIsolatedUnits(view);
   if (!view.mWaiting.empty()) {
@@ -178,7 +184,7 @@
         RunningUnit unit;
         unit.mKey = aKeys.mRunning.size();
         unit.mPriority = job.mJob.Settings().mPriority;
-        unit.mGuaranteed = mGuaranteed.contains(id);
+        unit.mGuaranteed = mGuaranteed.contains({ id, job.OccurrenceOf(i) });
         aView.mRunning.push_back(std::move(unit));
         aKeys.mRunning.emplace_back();
       }
@@ -195,18 +201,24 @@
 Scheduler::Impl::AddWaiting(PlanningView& aView,
                             ViewKeys& aKeys,
                             const JobState& aJob,
-                            Millis aNow,
-                            Millis aWallClock) const
+                            Millis aNow) const
 {
   for (std::size_t k = 0; k < aJob.mJob.Occurrences(); ++k) {
-    if (!IsDue(aJob, k, aWallClock)) {
+    if (!IsDue(aJob, k, aNow)) {
       return;
     }
+    const std::size_t first = aView.mWaiting.size();
     for (std::size_t step = 0; step < aJob.mJob.Steps().size(); ++step) {
       if (aJob.IsStepReady(k, step)) {
         AddWaitingStep(aView, aKeys, aJob, aJob.FirstTask(k, step), aNow);
       }
     }
+    const bool isRunning =
+      first < aView.mWaiting.size() && aJob.IsAnyAssigned(k);
+    for (std::size_t i = first; i < aView.mWaiting.size(); ++i) {
+      WaitingUnit& unit = aView.mWaiting[i];
+      unit.mHasRunningPeers = isRunning && !unit.mStep.IsLongRunning();
+    }
   }
 }
 
@@ -262,8 +274,9 @@
   WaitingUnit unit(aKeys.mWaiting.size(), settings.mService, step);
   unit.mTasks = aTasks.size();
   unit.mPriority = settings.mPriority;
-  unit.mGuaranteed = mGuaranteed.contains(aJob.mJob.Id());
-  unit.mAge = aNow - aJob.mSubmittedAt;
+  const std::size_t occurrence = aJob.OccurrenceOf(first);
+  unit.mGuaranteed = mGuaranteed.contains({ aJob.mJob.Id(), occurrence });
+  unit.mAge = aNow - DueSince(aJob, occurrence);
   if (const auto it = mWaits.find(aTasks.front()); it != mWaits.end()) {
     unit.mWaitingTime = aNow - it->second.mSince;
   }
@@ -319,7 +332,8 @@
                       { "tasks", std::to_string(tasks.size()) },
                       { "reason", PlanReasonName(aDecision.mReason) },
                       { "age_ms",
-                        std::to_string((aNow - job.mSubmittedAt).count()) } };
+                        std::to_string(
+                          (aNow - DueSince(job, id.Occurrence())).count()) } };
   if (aDecision.mReason == PlanReason::kFits) {
     // The members of a gang get the same run number. They resume from the same
     // checkpoint, that of the member with the most progress.
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -273,6 +273,14 @@
   return it != mCrashes.end() ? it->second : 0;
 }
 
+std::optional<milliseconds>
+FleetModel::CompletedAt(const TaskId& aTask) const
+{
+  const auto it = mCompletedTasks.find(aTask);
+  return it != mCompletedTasks.end() ? std::make_optional(it->second)
+                                     : std::nullopt;
+}
+
 void
 FleetModel::StartDeadlyRun(ModelWorker& aWorker, const TaskId& aTask)
 {
@@ -460,7 +468,7 @@
     RecordViolation("the only owner was fenced");
     StartOwner();
   }
-  mOwner->Plan(mNow, milliseconds(0));
+  mOwner->Plan(mNow, mNow);
   mOwner->TakeEvents();
   const WorkerCommands commands = mOwner->CollectCommands(mNow);
   for (const StopCommand& command : commands.mStops) {
@@ -649,7 +657,15 @@
       ++mStartsAfterCrashes[aCommand.mTask] >= kMaxStartsAfterCrashes) {
     RecordViolation(name + " starts again although workers crash under it");
   }
-  std::size_t task = aCommand.mTask.Index();
+  const Schedule& schedule = job.Timing();
+  const auto occurrence =
+    static_cast<milliseconds::rep>(aCommand.mTask.Occurrence());
+  if (job.IsScheduled() &&
+      mNow < schedule.mStart + schedule.mInterval * occurrence) {
+    RecordViolation(name + " starts before it is due");
+  }
+  std::size_t task = aCommand.mTask.Occurrence() * job.TasksPerOccurrence() +
+                     aCommand.mTask.Index();
   for (std::size_t i = 0; i < aCommand.mTask.Step(); ++i) {
     task += job.Steps()[i].Tasks();
   }
@@ -930,7 +946,7 @@
       mNow });
   mFailedRuns[aRun.mTask] += aReason == TerminationReason::kFailed ? 1 : 0;
   if (aReason == TerminationReason::kDone) {
-    mCompletedTasks.insert(aRun.mTask);
+    mCompletedTasks.emplace(aRun.mTask, mNow);
   }
   const StepSpec& step = mJobs.at(aRun.mTask.Job()).Steps()[aRun.mTask.Step()];
   if (!step.IsGang()) {
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -170,6 +170,9 @@
   std::size_t Starts() const { return mStarts; }
   /** @return Number of workers that crashed under a task. */
   int CrashesUnder(const scheduling::TaskId& aTask) const;
+  /** @return When a run of a task completed first. */
+  std::optional<milliseconds> CompletedAt(
+    const scheduling::TaskId& aTask) const;
   std::size_t Stops() const { return mStops; }
   std::size_t RejectedStarts() const { return mRejectedStarts; }
   /** Lost work of stopped runs without checkpoints, in core seconds. */
@@ -305,8 +308,10 @@
   std::set<scheduling::TaskId> mDoneTasks;
   std::map<scheduling::TaskId, milliseconds> mLastStarts;
   std::map<scheduling::TaskId, int> mFailedRuns;
-  /** Tasks of which a run completed, whether or not the owner knows it. */
-  std::set<scheduling::TaskId> mCompletedTasks;
+  /**
+   * When a run of each task completed first, whether or not the owner knows it.
+   */
+  std::map<scheduling::TaskId, milliseconds> mCompletedTasks;
   milliseconds mLastFaultAt{ 0 };
   /** Time since which a job waits although capacity is free. */
   std::map<std::string, milliseconds> mIdleSince;
