Count the work of runs that an earlier owner started

An owner does not know when a run of an earlier owner started, and took the work that its preemption loses for nothing. After each takeover such runs were therefore preempted first, whatever they had done.

The work now follows from the reported progress, and before the first report from the age of the occurrence, each with the expected run time. The same value is logged as lost_core_s when such a run ends.

RecoveredRunIsNotPreemptedBeforeYoungerOne and UnreportedRecoveredRunIsNotPreemptedBeforeYoungerOne fail without the change.

--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -267,6 +267,7 @@
   std::set<OccurrenceKey> GuaranteedOccurrences(Millis aNow) const;
   Millis DueSince(const JobState& aJob, std::size_t aOccurrence) const;
   bool IsDue(const JobState& aJob, std::size_t aOccurrence, Millis aNow) const;
+  Millis WorkedTime(const JobState& aJob, std::size_t aTask, Millis aNow) const;
   double LostCoreSeconds(const JobState& aJob,
                          const Task& aTask,
                          Millis aNow) const;
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -521,6 +521,29 @@
   }
 }
 
+/**
+ * @return Time that a run has worked. When an earlier owner's run started is
+ *   unknown: its reported progress tells, or before the first report the age of
+ *   its occurrence.
+ */
+Millis
+Scheduler::Impl::WorkedTime(const JobState& aJob,
+                            std::size_t aTask,
+                            Millis aNow) const
+{
+  const Task& task = aJob.mTasks[aTask];
+  if (task.mRunningSince.count() > 0) {
+    return aNow - task.mRunningSince;
+  }
+  const Millis expected = mRunTimes.ExpectedRunTime(
+    aJob.mJob.Settings().mQueue, aJob.StepOf(aTask).EstimatedRunTime());
+  if (task.mRecovered) {
+    const Millis age = aNow - DueSince(aJob, aJob.OccurrenceOf(aTask));
+    return std::clamp(age, Millis(0), expected);
+  }
+  return expected * task.mProgressPercent / kCompletePercent;
+}
+
 double
 Scheduler::Impl::LostCoreSeconds(const JobState& aJob,
                                  const Task& aTask,
@@ -533,8 +556,8 @@
     // The task writes a checkpoint when it is stopped, so only the time of
     // stopping and resuming is lost.
     lost = kRestartCost;
-  } else if (aTask.mRunningSince.count() > 0) {
-    lost = aNow - aTask.mRunningSince;
+  } else {
+    lost = WorkedTime(aJob, index, aNow);
   }
   return step.Demand().WeightedCores() * static_cast<double>(lost.count()) /
          1'000.0;
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -836,6 +836,44 @@
   CheckNoViolation(model);
 }
 
+// Guards against taking the work of a run that an earlier owner started for
+// nothing, since its start is unknown: it would always be preempted first.
+TEST(Scheduler, RecoveredRunIsNotPreemptedBeforeYoungerOne)
+{
+  FleetModel model({ 2, 1 });
+  StepSpecValues step = Step(1, 8);
+  step.mEstimatedRunTime = milliseconds(10'000);
+  model.Submit(MakeJob("old", step, 2), milliseconds(10'000));
+  model.Run(milliseconds(6'000));
+  model.ReplaceOwner();
+  model.Run(milliseconds(1'000));
+  model.Submit(MakeJob("young", step, 2), milliseconds(10'000));
+  model.Run(milliseconds(500));
+  model.Submit(MakeJob("urgent", step, 0), milliseconds(10'000));
+  model.Run(milliseconds(4'000));
+  CHECK_EQUAL(1, model.Stops());
+  CheckPhase(model, "old", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
+// Guards against preempting a run that the new owner has not heard of yet.
+TEST(Scheduler, UnreportedRecoveredRunIsNotPreemptedBeforeYoungerOne)
+{
+  FleetModel model({ 2, 1 });
+  StepSpecValues step = Step(1, 8);
+  step.mEstimatedRunTime = milliseconds(10'000);
+  model.Submit(MakeJob("old", step, 2), milliseconds(10'000));
+  model.Run(milliseconds(7'000));
+  model.Submit(MakeJob("young", step, 2), milliseconds(10'000));
+  model.Run(milliseconds(500));
+  model.ReplaceOwner();
+  model.Submit(MakeJob("urgent", step, 0), milliseconds(10'000));
+  model.Run(milliseconds(4'000));
+  CHECK_EQUAL(1, model.Stops());
+  CheckPhase(model, "old", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
 // Guards against waiting for suspected workers while all workers are suspected.
 TEST(Scheduler, WorkRunsAfterAllWorkersRejectedStarts)
 {
