--- a/src/state/scheduling/SchedulerDiagnostics.cpp
+++ b/src/state/scheduling/SchedulerDiagnostics.cpp
@@ -1,6 +1,7 @@
 #include "SchedulerImpl.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cornelrudder::state::scheduling {
 
@@ -35,6 +36,12 @@
     gauges[std::string("scheduler_workers_") + WorkerConditionName(condition)] =
       counts.at(i);
   }
+  for (std::size_t i = 0; i < mLostWork.size(); ++i) {
+    const auto cause = static_cast<LossCause>(i);
+    gauges[std::string("scheduler_lost_core_seconds{cause=\"") +
+           LossCauseName(cause) + "\"}"] =
+      static_cast<std::uint64_t>(std::llround(mLostWork.at(i)));
+  }
   for (const auto& [id, job] : mJobs) {
     gauges["scheduler_jobs_stalled"] += job.mStalledSince.count() > 0 ? 1 : 0;
     for (const Task& task : job.mTasks) {
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -140,9 +140,19 @@
                     std::uint64_t aRun,
                     Millis aNow);
   void HandleLostRun(const TaskKey& aKey, const char* aReason, Millis aNow);
-  void RequestStop(JobState& aJob, std::size_t aTask, Millis aNow);
+  void RequestStop(JobState& aJob,
+                   std::size_t aTask,
+                   LossCause aCause,
+                   Millis aNow);
   void StopAll(JobState& aJob, Millis aNow);
-  void StopGang(JobState& aJob, std::size_t aTask, Millis aNow);
+  void StopGang(JobState& aJob,
+                std::size_t aTask,
+                LossCause aCause,
+                Millis aNow);
+  double CountLoss(const JobState& aJob,
+                   const Task& aTask,
+                   LossCause aCause,
+                   Millis aNow);
 
   // Workers.
   WorkerState& FindOrAddWorker(const std::string& aId, Millis aNow);
@@ -233,7 +243,7 @@
                                   Millis aNow) const;
   void MoveRun(JobState& aJob,
                std::size_t aTask,
-               const char* aReason,
+               LossCause aCause,
                Millis aNow);
 
   // Diagnostics.
@@ -328,6 +338,8 @@
   /** Stops for runs that workers report but that are no longer assigned. */
   std::vector<StopCommand> mOrphanStops;
   std::vector<SchedulerEvent> mEvents;
+  /** Core seconds of lost work, by LossCause. */
+  std::array<double, kLossCauses> mLostWork{};
   bool mFenced = false;
 };
 
--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -14,6 +14,16 @@
   return kNames.at(static_cast<std::size_t>(aPhase));
 }
 
+const char*
+LossCauseName(LossCause aCause)
+{
+  static constexpr std::array<const char*, kLossCauses> kNames{
+    "other", "failed",        "gang_broken", "preempted",  "stalled",
+    "slow",  "worker_leaves", "job_ended",   "worker_lost"
+  };
+  return kNames.at(static_cast<std::size_t>(aCause));
+}
+
 const char*
 WorkerConditionName(WorkerCondition aCondition)
 {
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -48,6 +48,32 @@
 const char*
 TaskPhaseName(TaskPhase aPhase);
 
+/** Why the work of a run was lost. */
+enum class LossCause
+{
+  /** Not stopped by this owner, or the cause is not known to it. */
+  kOther,
+  /** The run failed. */
+  kFailed,
+  /** Another member of the gang failed, was lost or ended. */
+  kGangBroken,
+  kPreempted,
+  /** Stopped to be started elsewhere. */
+  kStalled,
+  kSlow,
+  kWorkerLeaves,
+  /** The job was cancelled or has failed. */
+  kJobEnded,
+  /** Presumed lost with its worker or after its lease. */
+  kWorkerLost
+};
+
+constexpr std::size_t kLossCauses = 9;
+
+/** @return Name of a cause, for logs and metrics. */
+const char*
+LossCauseName(LossCause aCause);
+
 /** State of a task and of its current run. */
 struct Task
 {
@@ -87,6 +113,8 @@
    */
   bool mCompletedEarlier = false;
   bool mStopRequested = false;
+  /** Why the run was stopped; kOther if it was not. */
+  LossCause mStopCause = LossCause::kOther;
   bool mStopInFlight = false;
   /**
    * When the worker acknowledged the stop; the run cannot start after this
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -381,7 +381,7 @@
                     { "lost_core_s",
                       std::to_string(std::lround(
                         LostCoreSeconds(other, other.mTasks[i], aNow))) } });
-      RequestStop(other, i, aNow);
+      RequestStop(other, i, LossCause::kPreempted, aNow);
     }
   }
   const auto [it, isNew] =
--- a/src/state/scheduling/SchedulerProgress.cpp
+++ b/src/state/scheduling/SchedulerProgress.cpp
@@ -212,7 +212,7 @@
   WorkerState& worker = it->second;
   const Millis startedAt = WorkStartOf(task, aStep.mStartedAt);
   if (CannotFinishBeforeShutdown(aJob, aTask, worker, startedAt, aNow)) {
-    MoveRun(aJob, aTask, "worker_leaves", aNow);
+    MoveRun(aJob, aTask, LossCause::kWorkerLeaves, aNow);
     return;
   }
   const Millis stalledFor =
@@ -226,11 +226,11 @@
   const bool isCheckpointing = aJob.StepOf(aTask).IsCheckpointing();
   if (isStalled && stalledFor > StallLimit(task, isCheckpointing, startedAt)) {
     RecordFailure(worker, aJob, aNow);
-    MoveRun(aJob, aTask, "stalled", aNow);
+    MoveRun(aJob, aTask, LossCause::kStalled, aNow);
   } else if (isSlow &&
              IsWorthMoving(task, startedAt, aStep.mMedianRate, aNow)) {
     RecordFailure(worker, aJob, aNow);
-    MoveRun(aJob, aTask, "slow", aNow);
+    MoveRun(aJob, aTask, LossCause::kSlow, aNow);
   }
 }
 
@@ -269,7 +269,7 @@
 void
 Scheduler::Impl::MoveRun(JobState& aJob,
                          std::size_t aTask,
-                         const char* aReason,
+                         LossCause aCause,
                          Millis aNow)
 {
   Task& task = aJob.mTasks[aTask];
@@ -278,12 +278,12 @@
     { { "task", aJob.IdOf(aTask).Text() },
       { "run", std::to_string(task.mRun) },
       { "worker", task.mWorker },
-      { "reason", aReason },
+      { "reason", LossCauseName(aCause) },
       { "percent", std::to_string(task.mProgressPercent) },
       { "stood_ms", std::to_string((aNow - task.mProgressAt).count()) },
       { "running_ms", std::to_string((aNow - task.mRunningSince).count()) } });
   task.mAvoidedWorker = task.mWorker;
-  RequestStop(aJob, aTask, aNow);
+  RequestStop(aJob, aTask, aCause, aNow);
 }
 
 } // namespace cornelrudder::state::scheduling
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -20,6 +20,20 @@
 /** Run time lost by stopping and resuming a task that writes checkpoints. */
 constexpr Millis kRestartCost{ 500 };
 
+/** @return Why a terminated run has lost its work. */
+LossCause
+CauseOf(TerminationReason aReason, const Task& aTask)
+{
+  if (aReason == TerminationReason::kFailed) {
+    return LossCause::kFailed;
+  }
+  if (aTask.mStopRequested) {
+    return aTask.mStopCause;
+  }
+  return aReason == TerminationReason::kGangBroken ? LossCause::kGangBroken
+                                                   : LossCause::kOther;
+}
+
 } // namespace
 
 void
@@ -75,26 +89,35 @@
 {
   Unassign(aJob, aTask);
   Task& task = aJob.mTasks[aTask];
+  // The other members of a gang lose their work for the same reason.
+  const LossCause cause =
+    task.mStopRequested ? task.mStopCause : LossCause::kGangBroken;
   task.mPhase = task.IsDone() ? TaskPhase::kDone : TaskPhase::kWaiting;
   task.mStopRequested = false;
   if (aJob.StepOf(aTask).IsGang()) {
-    StopGang(aJob, aTask, aNow);
+    StopGang(aJob, aTask, cause, aNow);
   }
 }
 
 void
-Scheduler::Impl::StopGang(JobState& aJob, std::size_t aTask, Millis aNow)
+Scheduler::Impl::StopGang(JobState& aJob,
+                          std::size_t aTask,
+                          LossCause aCause,
+                          Millis aNow)
 {
   const auto [first, end] = aJob.StepRange(aTask);
   for (std::size_t i = first; i < end; ++i) {
     if (aJob.mTasks[i].IsAssigned()) {
-      RequestStop(aJob, i, aNow);
+      RequestStop(aJob, i, aCause, aNow);
     }
   }
 }
 
 void
-Scheduler::Impl::RequestStop(JobState& aJob, std::size_t aTask, Millis aNow)
+Scheduler::Impl::RequestStop(JobState& aJob,
+                             std::size_t aTask,
+                             LossCause aCause,
+                             Millis aNow)
 {
   Task& task = aJob.mTasks[aTask];
   if (task.mPhase == TaskPhase::kPlanned) {
@@ -103,10 +126,13 @@
     Unassign(aJob, aTask);
     task.mPhase = task.IsDone() ? TaskPhase::kDone : TaskPhase::kWaiting;
     if (aJob.StepOf(aTask).IsGang()) {
-      StopGang(aJob, aTask, aNow);
+      StopGang(aJob, aTask, aCause, aNow);
     }
     return;
   }
+  if (!task.mStopRequested) {
+    task.mStopCause = aCause;
+  }
   task.mStopRequested = true;
 }
 
@@ -115,7 +141,7 @@
 {
   for (std::size_t i = 0; i < aJob.mTasks.size(); ++i) {
     if (aJob.mTasks[i].IsAssigned()) {
-      RequestStop(aJob, i, aNow);
+      RequestStop(aJob, i, LossCause::kJobEnded, aNow);
     }
   }
 }
@@ -152,7 +178,7 @@
     Task& task = aJob.mTasks[i];
     if (task.IsAssigned()) {
       task.mCompletedEarlier = true;
-      RequestStop(aJob, i, aNow);
+      RequestStop(aJob, i, LossCause::kOther, aNow);
     } else {
       FinishTask(aJob, i, aNow);
     }
@@ -172,16 +198,17 @@
 {
   Task& task = aJob.mTasks[aTask];
   const std::string id = aJob.mJob.Id();
-  RecordEvent(
-    SchedulerEvent::Kind::kRunEnded,
-    { { "task", aJob.IdOf(aTask).Text() },
-      { "run", std::to_string(task.mRun) },
-      { "worker", task.mWorker },
-      { "end", TerminationReasonName(aReason) },
-      { "lost_core_s",
-        std::to_string(aReason == TerminationReason::kDone
-                         ? 0
-                         : std::lround(LostCoreSeconds(aJob, task, aNow))) } });
+  EventFields fields{ { "task", aJob.IdOf(aTask).Text() },
+                      { "run", std::to_string(task.mRun) },
+                      { "worker", task.mWorker },
+                      { "end", TerminationReasonName(aReason) } };
+  if (aReason != TerminationReason::kDone) {
+    const LossCause cause = CauseOf(aReason, task);
+    const double lost = CountLoss(aJob, task, cause, aNow);
+    fields.emplace_back("cause", LossCauseName(cause));
+    fields.emplace_back("lost_core_s", std::to_string(std::lround(lost)));
+  }
+  RecordEvent(SchedulerEvent::Kind::kRunEnded, std::move(fields));
   if (!aCheckpoint.empty()) {
     task.mCheckpoint = aCheckpoint;
   }
@@ -204,7 +231,7 @@
         // worker that restarted in between. The run uses its capacity until
         // the worker shows that it is gone.
         member.mCompletedEarlier = true;
-        RequestStop(aJob, i, aNow);
+        RequestStop(aJob, i, LossCause::kOther, aNow);
       } else {
         FinishTask(aJob, i, aNow);
       }
@@ -261,11 +288,13 @@
     return;
   }
   const Task& task = job->mTasks[aKey.second];
+  const double lost = CountLoss(*job, task, LossCause::kWorkerLost, aNow);
   RecordEvent(SchedulerEvent::Kind::kRunLost,
               { { "task", job->IdOf(aKey.second).Text() },
                 { "run", std::to_string(task.mRun) },
                 { "worker", task.mWorker },
-                { "reason", aReason } });
+                { "reason", aReason },
+                { "lost_core_s", std::to_string(std::lround(lost)) } });
   job->mLostRuns.emplace(aKey.second, task.mRun);
   Requeue(*job, aKey.second, aNow);
   RemoveIfTerminated(aKey.first);
@@ -321,7 +350,7 @@
       if (task.mStartRetries > 0) {
         // An earlier copy of the start command may still be executed.
         task.mOutcomeUnknown = true;
-        RequestStop(*job, *index, aNow);
+        RequestStop(*job, *index, LossCause::kOther, aNow);
       } else {
         HandleLostRun(key, aReply.mDetail.c_str(), aNow);
       }
@@ -515,7 +544,7 @@
         ++task.mStartRetries;
         task.mStartRetryDue = true;
       } else {
-        RequestStop(*job, key.second, aNow);
+        RequestStop(*job, key.second, LossCause::kOther, aNow);
       }
     }
   }
@@ -544,6 +573,21 @@
   return expected * task.mProgressPercent / kCompletePercent;
 }
 
+/**
+ * Adds the work that a run loses to the total of its cause.
+ * @return The lost work in core seconds.
+ */
+double
+Scheduler::Impl::CountLoss(const JobState& aJob,
+                           const Task& aTask,
+                           LossCause aCause,
+                           Millis aNow)
+{
+  const double lost = LostCoreSeconds(aJob, aTask, aNow);
+  mLostWork.at(static_cast<std::size_t>(aCause)) += lost;
+  return lost;
+}
+
 double
 Scheduler::Impl::LostCoreSeconds(const JobState& aJob,
                                  const Task& aTask,
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -267,7 +267,7 @@
                     { "run", std::to_string(task.mRun) },
                     { "worker", aWorker.mInfo.mId },
                     { "reason", "capacity_shrank" } });
-      RequestStop(job, key.second, aNow);
+      RequestStop(job, key.second, LossCause::kOther, aNow);
     }
   }
 }
@@ -507,7 +507,7 @@
   if (isRetryDue && !isRetry) {
     // The last reply did not list the run. Only a stop rules out that an
     // earlier copy of the command starts it late.
-    RequestStop(job, aKey.second, aNow);
+    RequestStop(job, aKey.second, LossCause::kOther, aNow);
   }
   const bool isStartDue =
     (task.mPhase == TaskPhase::kPlanned && isStored) || isRetry;
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -874,6 +874,35 @@
   CheckNoViolation(model);
 }
 
+// Guards against thrown-away work without a cause in the metrics.
+TEST(Scheduler, LostWorkIsCountedByCause)
+{
+  const auto lost = [](const FleetModel& aModel, const std::string& aCause) {
+    return aModel.Gauge("scheduler_lost_core_seconds{cause=\"" + aCause +
+                        "\"}");
+  };
+  FleetModel model({ 2, 2 });
+  model.FailRuns("failing", 1);
+  model.Submit(MakeJob("failing", Step(2, 4, true), 2), milliseconds(2'000));
+  model.Run(milliseconds(8'000));
+  CHECK_TRUE(lost(model, "failed") > 0);
+  CHECK_TRUE(lost(model, "gang_broken") > 0);
+  CHECK_EQUAL(0, lost(model, "preempted"));
+  model.Submit(MakeJob("low", Step(2, 8), 2), milliseconds(10'000));
+  model.Run(milliseconds(1'000));
+  StepSpecValues urgent = Step(2, 8, true);
+  urgent.mEstimatedRunTime = milliseconds(5'000);
+  model.Submit(MakeJob("urgent", urgent, 0), milliseconds(5'000));
+  model.Run(milliseconds(2'000));
+  CHECK_TRUE(lost(model, "preempted") > 0);
+  CHECK_EQUAL(0, lost(model, "job_ended"));
+  model.Cancel("urgent");
+  model.Run(milliseconds(2'000));
+  CHECK_TRUE(lost(model, "job_ended") > 0);
+  CHECK_EQUAL(0, lost(model, "worker_lost"));
+  CheckNoViolation(model);
+}
+
 // Guards against waiting for suspected workers while all workers are suspected.
 TEST(Scheduler, WorkRunsAfterAllWorkersRejectedStarts)
 {
