Follow full pages of worker changes at once

The owner polled the changes of the workers once in 400 ms, whatever the poll returned. If a fleet changes faster than the store returns in one reply, the owner falls behind without a limit, and starts work on workers that have long been leaving.

A reply with 500 rows or more is now followed by the next poll at once; the age of the list is in the metrics as scheduler_worker_list_age_ms. FullPagesOfWorkerChangesAreFollowedAtOnce fails without the change: 62 workers are not known after a minute.

--- a/include/cornelrudder/coordination/SchedulerTask.h
+++ b/include/cornelrudder/coordination/SchedulerTask.h
@@ -74,6 +74,11 @@
   std::uint64_t mJitterSeed = 1;
   /** Interval at which the owner polls the changes of the workers table. */
   std::chrono::milliseconds mWorkerPollInterval{ 400 };
+  /**
+   * Changed rows from which a reply counts as a full page: the store may keep
+   * more changes, which are polled at once.
+   */
+  std::size_t mFullPageRows = 500;
   /** Longest time that a poll of the jobs table waits for a change. */
   std::chrono::milliseconds mFeedPollTimeout{ 1'000 };
   /** See SchedulerOptions, also for the following option. */
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -249,6 +249,8 @@
   AddLatency("owner_write_ms", "", mWriteLatency, counters);
   if (mScheduler) {
     counters.merge(mScheduler->Gauges());
+    counters["scheduler_worker_list_age_ms"] =
+      static_cast<std::uint64_t>((Now() - mWorkersCurrentAt).count());
   }
   return counters;
 }
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -203,6 +203,9 @@
   TableRead mJobsRead{ kJobsTable };
   std::uint64_t mJobsVersion = 0;
   std::uint64_t mWorkersVersion = 0;
+  /** When the last poll that returned all changes of the workers was sent. */
+  Millis mWorkersCurrentAt{ 0 };
+  Millis mWorkersPolledAt{ 0 };
   std::set<std::string> mListedWorkers;
   Millis mLoadStart{ 0 };
   state::LatencyHistogram mWriteLatency;
--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -160,6 +160,7 @@
         { "workers", std::to_string(mListedWorkers.size()) },
         { "took_ms", std::to_string((Now() - mLoadStart).count()) } } });
   mWorkersVersion = mWorkersRead.mVersion;
+  mWorkersCurrentAt = mLoadStart;
   mJobsVersion = mJobsRead.mVersion;
   mWorkersRead.mRows.clear();
   mProgressRead.mRows.clear();
@@ -268,6 +269,7 @@
 void
 SchedulerTask::PollWorkers()
 {
+  mWorkersPolledAt = Now();
   mPorts.mFeed.PollChanges(kWorkersTable,
                            mWorkersVersion,
                            Millis(0),
@@ -286,6 +288,13 @@
       ApplyWorkerRow(row);
     }
     mWorkersVersion = std::max(mWorkersVersion, aResult.Version());
+    // A fleet that changes faster than one page in each interval would
+    // otherwise leave this owner further and further behind.
+    if (aResult.HasMore() || aResult.Rows().size() >= mOptions.mFullPageRows) {
+      PollWorkers();
+      return;
+    }
+    mWorkersCurrentAt = mWorkersPolledAt;
   }
   RetryLater(mOptions.mWorkerPollInterval, &SchedulerTask::PollWorkers);
 }
@@ -311,6 +320,7 @@
   }
   mWorkersRead.mRows.clear();
   mWorkersVersion = mWorkersRead.mVersion;
+  mWorkersCurrentAt = Now();
   PollWorkers();
 }
 
--- a/tests/coordination/FakeFleet.cpp
+++ b/tests/coordination/FakeFleet.cpp
@@ -50,6 +50,21 @@
   return { aStatus, std::move(aRows), mVersion, StoreTime() };
 }
 
+StoreResult
+FakeFeedStore::MakePage(std::vector<StoreRow> aRows) const
+{
+  if (mFeedPage == 0 || aRows.size() <= mFeedPage) {
+    return MakeResult(StoreStatus::kOk, std::move(aRows));
+  }
+  std::sort(aRows.begin(), aRows.end(), [](const auto& aOne, const auto& aTwo) {
+    return aOne.Version() < aTwo.Version();
+  });
+  aRows.erase(aRows.begin() + static_cast<std::ptrdiff_t>(mFeedPage),
+              aRows.end());
+  const std::uint64_t version = aRows.back().Version();
+  return { StoreStatus::kOk, std::move(aRows), version, StoreTime() };
+}
+
 std::vector<StoreRow>
 FakeFeedStore::ChangesOf(const std::string& aTable, std::uint64_t aAfter) const
 {
@@ -128,9 +143,8 @@
       mPendingPolls.push_back(std::move(poll));
       continue;
     }
-    const StoreResult result = mDown
-                                 ? StoreResult(StoreStatus::kUnavailable, {})
-                                 : MakeResult(StoreStatus::kOk, rows);
+    const StoreResult result =
+      mDown ? StoreResult(StoreStatus::kUnavailable, {}) : MakePage(rows);
     aLock.unlock();
     poll.mCompletion(result);
     aLock.lock();
@@ -361,6 +375,13 @@
   mFeedSuppressed = aSuppressed;
 }
 
+void
+FakeFeedStore::SetFeedPage(std::size_t aRows)
+{
+  const std::lock_guard lock(mMutex);
+  mFeedPage = aRows;
+}
+
 void
 FakeFeedStore::DropHistory()
 {
--- a/tests/coordination/FakeFleet.h
+++ b/tests/coordination/FakeFleet.h
@@ -80,6 +80,8 @@
                  std::chrono::milliseconds aWrite);
   /** While set, polls report no changes. */
   void SetFeedSuppressed(bool aSuppressed);
+  /** Limits the rows of one poll to the oldest changes; 0 for no limit. */
+  void SetFeedPage(std::size_t aRows);
   /** Makes the next poll fail because its history is no longer kept. */
   void DropHistory();
 
@@ -113,6 +115,8 @@
                                          std::uint64_t aAfter) const;
   state::StoreResult MakeResult(state::StoreStatus aStatus,
                                 std::vector<state::StoreRow> aRows) const;
+  /** @return The oldest of some changes, up to the limit of SetFeedPage(). */
+  state::StoreResult MakePage(std::vector<state::StoreRow> aRows) const;
   state::StoreResult Apply(const state::Transaction& aTransaction);
   bool IsRefused(const state::Transaction& aTransaction) const;
 
@@ -124,6 +128,7 @@
   int mRowReads = 0;
   bool mDown = false;
   bool mFeedSuppressed = false;
+  std::size_t mFeedPage = 0;
   WriteFault mWriteFault = WriteFault::kNone;
   std::string mRefusedTable;
   std::chrono::milliseconds mReadDelay{ 0 };
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -62,6 +62,9 @@
   Daemons(const Daemons&) = delete;
   Daemons& operator=(const Daemons&) = delete;
 
+  /** Options of the scheduler tasks that are started from now on. */
+  SchedulerTaskOptions mSchedulerOptions;
+
   const DaemonTasks& Start(const std::string& aName,
                            milliseconds aRetention = milliseconds(600'000))
   {
@@ -81,7 +84,7 @@
                                          mClock,
                                          mLog,
                                          gateway);
-    SchedulerTaskOptions scheduler;
+    SchedulerTaskOptions scheduler = mSchedulerOptions;
     scheduler.mSelf = aName;
     scheduler.mIncarnation = aName + "-incarnation";
     scheduler.mRenewInterval = milliseconds(50);
@@ -283,6 +286,28 @@
   }));
 }
 
+// Guards against an owner that falls behind the changes of a large fleet, one
+// page in each interval, and starts work on workers that have long been
+// leaving.
+TEST(SchedulingTasks, FullPagesOfWorkerChangesAreFollowedAtOnce)
+{
+  constexpr std::size_t kWorkers = 60;
+  constexpr std::size_t kPage = 2;
+  Daemons daemons;
+  daemons.mSchedulerOptions.mFullPageRows = kPage;
+  // With one page in each interval, the last workers would be known after 300
+  // s.
+  daemons.mSchedulerOptions.mWorkerPollInterval = milliseconds(3'000);
+  daemons.Start("a");
+  CHECK(WaitUntil([&] { return daemons.mWorkers.RenewedWorkers() == 2; }));
+  daemons.mStore.SetFeedPage(kPage);
+  for (std::size_t i = 0; i < kWorkers; ++i) {
+    daemons.mStore.Put("workers/x" + std::to_string(i), "8");
+  }
+  CHECK(WaitUntil(
+    [&] { return daemons.mWorkers.RenewedWorkers() == kWorkers + 2; }));
+}
+
 // Guards against reporting "not run" for a job that was stored although the
 // reply to the write was lost.
 TEST(SchedulingTasks, RetryDetectsAWriteWithLostReply)
