Do not scan the fleet for each worker row and each reply

Each row of a worker was compared with the address of every other worker, and each reply of a worker scanned all of them for unlisted ones.

Workers are now found by address, and only workers that may be unlisted are looked at. The behaviour is the same; EntryWithAddressOfLiveWorkerEndsNoRuns, RelistedWorkerIsQueriedBeforeItIsUsed and the random fault tests cover it.

--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -162,6 +162,8 @@
   void ExpireUnresponsiveWorkers(Millis aNow);
   void HandleIfLeft(WorkerState& aWorker, Millis aNow);
   void RemoveUnlistedWorkers();
+  void MarkUnlisted(WorkerState& aWorker);
+  void RemoveFromAddressIndex(const WorkerState& aWorker);
   void QueryWorkersOnce(Millis aNow);
   void QueryIdleWorkers(Millis aNow);
   void UpdateClock(WorkerState& aWorker, Millis aClock, Millis aNow);
@@ -302,6 +304,12 @@
    */
   Millis mPlannedAt{ 0 };
   std::map<std::string, WorkerState> mWorkers;
+  /**
+   * Workers by address, and those that may be unlisted: an update of one worker
+   * or a reply of it must not cost a scan of the fleet.
+   */
+  std::map<std::string, std::set<std::string>> mWorkersByAddress;
+  std::set<std::string> mUnlistedWorkers;
   /**
    * Jobs with changes that no write contains yet. The writes take them from
    * mRound; when it is empty, mDirty becomes the next round. Writes that cannot
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -74,7 +74,7 @@
   if (isNew) {
     WorkerState& worker = it->second;
     worker.mInfo.mId = aId;
-    worker.mListed = false;
+    MarkUnlisted(worker);
     worker.mLastReplyAt = aNow;
     // This owner has started no runs on the worker, but an earlier owner may
     // have.
@@ -97,11 +97,14 @@
   // A newer entry with the same address suggests that the earlier worker is
   // gone, but may be wrong. A worker rejects a command to another identifier,
   // so the next renewal shows it.
-  for (auto& [id, other] : mWorkers) {
-    if (id != aInfo.mId && other.mInfo.mAddress == aInfo.mAddress &&
-        other.mInfo.mIncarnation <= aInfo.mIncarnation) {
-      other.mIsQueryDue = true;
-      other.mNextRenewal = Millis(0);
+  const auto sameAddress = mWorkersByAddress.find(aInfo.mAddress);
+  if (sameAddress != mWorkersByAddress.end()) {
+    for (const std::string& id : sameAddress->second) {
+      WorkerState& other = mWorkers.at(id);
+      if (id != aInfo.mId && other.mInfo.mIncarnation <= aInfo.mIncarnation) {
+        other.mIsQueryDue = true;
+        other.mNextRenewal = Millis(0);
+      }
     }
   }
   WorkerState& worker = FindOrAddWorker(aInfo.mId, aNow);
@@ -127,7 +130,9 @@
     worker.mContact.mRefreshedAt = aNow;
   }
   const Resources before = worker.mInfo.mCapacity;
+  RemoveFromAddressIndex(worker);
   worker.mInfo = aInfo;
+  mWorkersByAddress[aInfo.mAddress].insert(aInfo.mId);
   if (known != 0 && aInfo.mCapacity != before) {
     RecordEvent(SchedulerEvent::Kind::kWorkerCapacityChanged,
                 { { "worker", aInfo.mId },
@@ -162,7 +167,7 @@
     return;
   }
   WorkerState& worker = it->second;
-  worker.mListed = false;
+  MarkUnlisted(worker);
   // The worker may only have lost the store, so the next renewal shows whether
   // a draining worker has left.
   worker.mNextRenewal = Millis(0);
@@ -184,12 +189,40 @@
   }
 }
 
+void
+Scheduler::Impl::MarkUnlisted(WorkerState& aWorker)
+{
+  aWorker.mListed = false;
+  mUnlistedWorkers.insert(aWorker.mInfo.mId);
+}
+
+void
+Scheduler::Impl::RemoveFromAddressIndex(const WorkerState& aWorker)
+{
+  const auto it = mWorkersByAddress.find(aWorker.mInfo.mAddress);
+  if (it != mWorkersByAddress.end()) {
+    it->second.erase(aWorker.mInfo.mId);
+    if (it->second.empty()) {
+      mWorkersByAddress.erase(it);
+    }
+  }
+}
+
+/** Removes workers that are neither listed nor in use. */
 void
 Scheduler::Impl::RemoveUnlistedWorkers()
 {
-  std::erase_if(mWorkers, [](const auto& aIt) {
-    return !aIt.second.mListed && aIt.second.mAssigned.empty() &&
-           !aIt.second.mRenewing;
+  std::erase_if(mUnlistedWorkers, [this](const std::string& aId) {
+    const auto it = mWorkers.find(aId);
+    if (it == mWorkers.end() || it->second.mListed) {
+      return true;
+    }
+    const bool isUnused = it->second.mAssigned.empty() && !it->second.mRenewing;
+    if (isUnused) {
+      RemoveFromAddressIndex(it->second);
+      mWorkers.erase(it);
+    }
+    return isUnused;
   });
 }
 
@@ -371,7 +404,7 @@
   }
   if (aReply.mOutcome == CommandOutcome::kIncarnationMismatch) {
     HandleReplacedWorker(worker, aNow);
-    worker.mListed = false;
+    MarkUnlisted(worker);
     RemoveUnlistedWorkers();
     return;
   }
