Read the lease row when the owner's silence reaches its limit

A follower reads the lease row every 400 ms.

A read that finds the limit less than an interval away is now followed by one at the limit. The limit itself and the conditions of the acquisition are unchanged. SilentOwnerIsReplacedBeforeTheNextRegularRead fails without the change.

--- a/include/cornelrudder/coordination/SchedulingMessages.h
+++ b/include/cornelrudder/coordination/SchedulingMessages.h
@@ -173,6 +173,12 @@
   auto operator<=>(const RenewCallCompleted&) const = default;
 };
 
+/** Makes a follower read the lease row when the owner may count as silent. */
+struct ReadLeaseAtExpiry
+{
+  auto operator<=>(const ReadLeaseAtExpiry&) const = default;
+};
+
 /** Makes the scheduler task plan, send commands and write changes. */
 struct RunSchedulingCycle
 {
@@ -209,6 +215,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::StartCallCompleted)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::StopCallCompleted)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::RenewCallCompleted)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::ReadLeaseAtExpiry)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::RunSchedulingCycle)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::ResumeCall)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::RefreshCatalog)
--- a/include/cornelrudder/state/scheduling/OwnerLease.h
+++ b/include/cornelrudder/state/scheduling/OwnerLease.h
@@ -98,6 +98,17 @@
            mLastReadAt - mFirstReadAt >= std::max(mTimeout, aMinimum);
   }
 
+  /**
+   * @param aMinimum As for IsExpired().
+   * @return Time from the last read until the lease expires if the row stays
+   *   unchanged; not positive if it has expired.
+   */
+  std::chrono::milliseconds TimeToExpiry(
+    std::chrono::milliseconds aMinimum = {}) const
+  {
+    return std::max(mTimeout, aMinimum) - (mLastReadAt - mFirstReadAt);
+  }
+
 private:
   std::chrono::milliseconds mTimeout;
   bool mHasObservation = false;
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -86,6 +86,12 @@
       mCycleScheduled = false;
       RunSchedulingCycle();
     },
+    [this](const ReadLeaseAtExpiry&) {
+      mExpiryReadScheduled = false;
+      if (mMode == Mode::kFollowing) {
+        ReadLease();
+      }
+    },
     [this](const StoreCallCompleted& aCompleted) {
       HandleStoreReply(aCompleted);
     },
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -195,6 +195,7 @@
   std::optional<state::scheduling::Scheduler> mScheduler;
   std::shared_ptr<const state::scheduling::Catalog> mCatalog;
   bool mCycleScheduled = false;
+  bool mExpiryReadScheduled = false;
   /** Minimum delay of the next cycle, set by the last plan. */
   Millis mPlanPause{ 0 };
 
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -174,6 +174,13 @@
                        mOptions.mTakeoverDelay;
   if (!mOwnerObserver.IsExpired(limit)) {
     mTakeoverAt.reset();
+    // The next regular read would be up to an interval later than the expiry,
+    // in which nothing starts.
+    const Millis left = mOwnerObserver.TimeToExpiry(limit);
+    if (left < mOptions.mRenewInterval && !mExpiryReadScheduled) {
+      mExpiryReadScheduled = true;
+      delayed_send(this, left, ReadLeaseAtExpiry{});
+    }
     return false;
   }
   if (!mTakeoverAt) {
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -50,6 +50,8 @@
   {
     mStore.Put(kCatalogKey, "1 key");
     RefreshWorkers();
+    mSchedulerOptions.mRenewInterval = milliseconds(50);
+    mSchedulerOptions.mOwnerTimeout = milliseconds(600);
   }
 
   ~Daemons()
@@ -87,8 +89,6 @@
     SchedulerTaskOptions scheduler = mSchedulerOptions;
     scheduler.mSelf = aName;
     scheduler.mIncarnation = aName + "-incarnation";
-    scheduler.mRenewInterval = milliseconds(50);
-    scheduler.mOwnerTimeout = milliseconds(600);
     scheduler.mJobRetention = aRetention;
     tasks.mScheduler = SpawnSchedulerTask(
       mSystem,
@@ -501,6 +501,21 @@
   CHECK_EQUAL(1, daemons.mWorkers.Starts());
 }
 
+// Guards against a takeover that waits for a regular read of the lease row
+// after the owner counts as silent.
+TEST(SchedulingTasks, SilentOwnerIsReplacedBeforeTheNextRegularRead)
+{
+  Daemons daemons;
+  const DaemonTasks first = daemons.Start("a");
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kJobsRecovered) == 1; }));
+  daemons.Kill(first);
+  // The regular reads are further apart than WaitUntil() waits.
+  daemons.mSchedulerOptions.mRenewInterval = milliseconds(300'000);
+  daemons.Start("b");
+  CHECK(WaitUntil([&] { return daemons.Lease().mOwner == "b"; }));
+}
+
 // Guards against a former owner that continues to write after another daemon
 // has acquired the lease row.
 TEST(SchedulingTasks, SupersededOwnerStepsDown)
