Keep advanced runs of earlier owners through short stalls

A run whose start is unknown, since an earlier owner started it, was moved after 3 s without progress, whatever it had done: a gang near its end lost all its work to a hang that other runs survive (up to 8 s). The limit now follows the work that its progress tells, as that of other runs; it is never below 3 s.

AdvancedRecoveredRunSurvivesShortStall fails without the change. The model of the tests also checks that no step starts before the steps that it depends on, and a full page of worker changes is followed at once only if it brought a newer version.

--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -287,10 +287,13 @@
     for (const StoreRow& row : aResult.Rows()) {
       ApplyWorkerRow(row);
     }
+    const bool isFullPage =
+      aResult.HasMore() || aResult.Rows().size() >= mOptions.mFullPageRows;
+    const bool isAhead = aResult.Version() > mWorkersVersion;
     mWorkersVersion = std::max(mWorkersVersion, aResult.Version());
     // A fleet that changes faster than one page in each interval would
     // otherwise leave this owner further and further behind.
-    if (aResult.HasMore() || aResult.Rows().size() >= mOptions.mFullPageRows) {
+    if (isFullPage && isAhead) {
       PollWorkers();
       return;
     }
--- a/src/state/scheduling/SchedulerProgress.cpp
+++ b/src/state/scheduling/SchedulerProgress.cpp
@@ -15,10 +15,10 @@
  */
 constexpr Millis kMinStallTime{ 1'500 };
 /**
- * Time without progress after which a run of unknown start time is moved: an
- * earlier owner started it.
+ * The same for a run of unknown start time: an earlier owner started it, and
+ * its work is only estimated.
  */
-constexpr Millis kRecoveredStallTime{ 3'000 };
+constexpr Millis kMinRecoveredStallTime{ 3'000 };
 /** Time without progress after which any run is moved. */
 constexpr Millis kMaxStallTime{ 8'000 };
 /**
@@ -134,16 +134,21 @@
 }
 
 /**
+ * @param aWorkedTime Estimated time that a run of unknown start has worked.
  * @return Time without progress after which a run is moved. Within fixed limits
  *   it equals the time that the run's unsaved work took, since a move loses
  * that work: a short stall does not discard much work, and a permanent one
  * wastes at most as much time again.
  */
 Millis
-StallLimit(const Task& aTask, bool aIsCheckpointing, Millis aStartedAt)
+StallLimit(const Task& aTask,
+           bool aIsCheckpointing,
+           Millis aStartedAt,
+           Millis aWorkedTime)
 {
   if (aStartedAt.count() == 0) {
-    return kRecoveredStallTime;
+    const Millis unsaved = aIsCheckpointing ? Millis(0) : aWorkedTime;
+    return std::clamp(unsaved, kMinRecoveredStallTime, kMaxStallTime);
   }
   const Millis lossStart =
     aIsCheckpointing ? std::max(aStartedAt, aTask.mCheckpointAt) : aStartedAt;
@@ -224,7 +229,9 @@
     worker.mSlowUntil = aNow + kSlowWorkerTime;
   }
   const bool isCheckpointing = aJob.StepOf(aTask).IsCheckpointing();
-  if (isStalled && stalledFor > StallLimit(task, isCheckpointing, startedAt)) {
+  const Millis stallLimit =
+    StallLimit(task, isCheckpointing, startedAt, WorkedTime(aJob, aTask, aNow));
+  if (isStalled && stalledFor > stallLimit) {
     RecordFailure(worker, aJob, aNow);
     MoveRun(aJob, aTask, LossCause::kStalled, aNow);
   } else if (isSlow &&
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -664,6 +664,15 @@
       mNow < schedule.mStart + schedule.mInterval * occurrence) {
     RecordViolation(name + " starts before it is due");
   }
+  for (const std::size_t earlier :
+       job.Steps()[aCommand.mTask.Step()].Dependencies()) {
+    for (std::size_t i = 0; i < job.Steps()[earlier].Tasks(); ++i) {
+      if (!mCompletedTasks.contains(
+            { job.Id(), aCommand.mTask.Occurrence(), earlier, i })) {
+        RecordViolation(name + " starts before an earlier step is done");
+      }
+    }
+  }
   std::size_t task = aCommand.mTask.Occurrence() * job.TasksPerOccurrence() +
                      aCommand.mTask.Index();
   for (std::size_t i = 0; i < aCommand.mTask.Step(); ++i) {
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -767,6 +767,28 @@
   CheckNoViolation(model);
 }
 
+// Guards against discarding a nearly completed run because of a short stall
+// after the owner has changed, since the new owner does not know when the run
+// started.
+TEST(Scheduler, AdvancedRecoveredRunSurvivesShortStall)
+{
+  FleetModel model({ 2, 2 });
+  StepSpecValues step = Step(1, 8);
+  step.mEstimatedRunTime = milliseconds(6'000);
+  model.Submit(MakeJob("a", step, 1), milliseconds(6'000));
+  model.Run(milliseconds(5'500));
+  model.ReplaceOwner();
+  model.Run(milliseconds(200));
+  const std::size_t host = FirstBusyWorker(model);
+  model.SetStalled(host, true);
+  model.Run(milliseconds(4'500));
+  model.SetStalled(host, false);
+  model.Run(milliseconds(1'500));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CHECK_EQUAL(1, model.Starts());
+  CheckNoViolation(model);
+}
+
 // Guards against new runs on a worker whose runs are stalled.
 TEST(Scheduler, WorkerWithStalledRunGetsNoNewRuns)
 {
