--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -312,6 +312,111 @@
       " transactions; daemons that ended: " + std::to_string(exits));
 }
 
+/** Two tenants choose the same identifier for jobs in their queues. */
+int
+SameId(World& aWorld)
+{
+  const std::string first = "0000000000000001";
+  const std::string second = aWorld.Trouble() ? first : "0000000000000002";
+  aWorld.SetWork("000000000000000", { 1'000, false, false });
+  if (!Begin(aWorld)) {
+    return CannotRun(aWorld, "the daemons are not ready");
+  }
+  const auto steps = [](int aCount) {
+    return json::array({ { { "count", aCount },
+                           { "cpu", 2000 },
+                           { "mem-mb", 4096 },
+                           { "gpu", 1 },
+                           { "estimate-ms", 1000 } } });
+  };
+  if (aWorld.Submit("raster", kKeyA, first, steps(1)) != 200) {
+    return CannotRun(aWorld, "the first job was not accepted");
+  }
+  Sleep(500);
+  const int status = aWorld.Submit("thumb", kKeyB, second, steps(3));
+  // Longer than visible_ms, 3 s.
+  Sleep(4'000);
+  const std::string stateA = aWorld.State("raster", kKeyA, first);
+  const std::string stateB = aWorld.State("thumb", kKeyB, second);
+  const std::size_t starts = CountEvents(aWorld, "start", first) +
+                             (second != first
+                                ? CountEvents(aWorld, "start", second)
+                                : 0);
+  return Report(aWorld,
+                status == 200 && stateB != "done",
+                "the job of the second tenant was answered " +
+                  std::to_string(status) + "; 4 s later GET says " + stateB +
+                  "; the first tenant's job is " + stateA + "; " +
+                  std::to_string(starts) + " of 4 tasks were started");
+}
+
+/**
+ * The store does the writes of a submission late and doesn't answer them. The
+ * caller gets no result, cancels the job, and is told that there is none.
+ */
+int
+LateSubmission(World& aWorld)
+{
+  const std::string job = "700af9e515d68d52";
+  const std::string task = job + ".0.0.0";
+  aWorld.SetWork(job, { 11'000, false, false });
+  if (!Begin(aWorld)) {
+    return CannotRun(aWorld, "the daemons are not ready");
+  }
+  Sleep(1'000);
+  const json body{ { "spec", "spec of " + job },
+                   { "steps",
+                     { { { "count", 1 },
+                         { "cpu", 26000 },
+                         { "mem-mb", 110000 },
+                         { "gpu", 8 },
+                         { "estimate-ms", 8500 } } } } };
+  if (aWorld.Trouble()) {
+    aWorld.Table().LoseWrites("jobs", job, 6'000);
+  }
+  const int status =
+    aWorld.Post("raster", kKeyA, job, body, aWorld.Daemons()[0]);
+  const auto [lost, all] = aWorld.Table().LostAndAllWrites();
+  aWorld.Table().LoseWrites("", "", 0);
+  if (aWorld.Trouble()) {
+    aWorld.Log().Write("store: all writes are answered again; " +
+                       std::to_string(lost) + " of " + std::to_string(all) +
+                       " were not");
+  }
+  const int cancel = aWorld.Cancel("raster", kKeyA, job);
+  if (cancel / 100 != 2 && cancel != 410) {
+    return CannotRun(aWorld, "the cancellation was not answered");
+  }
+  const double cancelledAt = aWorld.Log().Now();
+  Sleep(16'000);
+  // cancel_ms 3 s and stop-ms 0.9 s after the answer to the cancellation.
+  double startedAt = 0;
+  double endedAt = 0;
+  std::string how = "none";
+  for (const RunEvent& it : aWorld.Events()) {
+    if (it.mTask == task && it.mWhat == "start") {
+      startedAt = it.mAt;
+    } else if (it.mTask == task) {
+      endedAt = it.mAt;
+      how = it.mWhat;
+    }
+  }
+  aWorld.State("raster", kKeyA, job);
+  const bool isLateStart = startedAt > cancelledAt + 3.0;
+  const bool isRunningOn = endedAt > cancelledAt + 3.0 + 0.9;
+  char text[256];
+  std::snprintf(text,
+                sizeof text,
+                "POST was answered %d, DELETE %d; the task was started %.2f s "
+                "after the answer to DELETE and ended (%s) %.2f s after it",
+                status,
+                cancel,
+                startedAt - cancelledAt,
+                how.c_str(),
+                endedAt - cancelledAt);
+  return Report(aWorld, isLateStart || isRunningOn, text);
+}
+
 struct CaseRow
 {
   const char* mName;
@@ -325,6 +430,8 @@
   { "lasting-job", LastingJob, 12, 64'000, 262'144 },
   { "early-crashes", EarlyCrashes, 12, 64'000, 262'144 },
   { "draining-cut", DrainingCut, 12, 64'000, 262'144 },
+  { "late-submission", LateSubmission, 12, 64'000, 262'144 },
+  { "same-id", SameId, 12, 64'000, 262'144 },
   { "large-job", LargeJob, 360, 32'000, 65'536 },
 };
 
--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -447,6 +447,9 @@
 {
   Sleep(kStoreDelayMs);
   if (aRequest.mPath == "/v1/rows-tx") {
+    if (IsLost(aRequest)) {
+      return std::nullopt;
+    }
     return Transact(aRequest);
   }
   if (aRequest.mPath == "/v1/rows-get") {
@@ -458,6 +461,58 @@
   return Response{ 404, "{}" };
 }
 
+void
+Store::LoseWrites(const std::string& aTable,
+                  const std::string& aKey,
+                  int aDelayMs)
+{
+  const std::lock_guard lock(mMutex);
+  mLostTable = aTable;
+  mLostKey = aKey;
+  mLostDelayMs = aDelayMs;
+  if (!aTable.empty()) {
+    mLostWrites = 0;
+    mWrites = 0;
+  }
+}
+
+std::pair<std::size_t, std::size_t>
+Store::LostAndAllWrites()
+{
+  const std::lock_guard lock(mMutex);
+  return { mLostWrites, mWrites };
+}
+
+/** Decides on a write, and does a lost one after the delay. */
+bool
+Store::IsLost(const Request& aRequest)
+{
+  const std::lock_guard lock(mMutex);
+  if (mLostTable.empty()) {
+    return false;
+  }
+  ++mWrites;
+  const json body = json::parse(aRequest.mBody);
+  bool isLost = false;
+  for (const json& it : body.value("puts", json::array())) {
+    isLost =
+      isLost || (it.at("table") == mLostTable && it.at("key") == mLostKey);
+  }
+  if (isLost) {
+    ++mLostWrites;
+    mRecord.Write("store: a write of " + mLostTable + "/" + mLostKey +
+                  " gets no answer and is done " +
+                  std::to_string(mLostDelayMs) + " ms later");
+    std::thread([this, aRequest, delay = mLostDelayMs] {
+      Sleep(delay);
+      const Response response = Transact(aRequest);
+      mRecord.Write("store: the late write is carried out: " +
+                    std::to_string(response.mStatus));
+    }).detach();
+  }
+  return isLost;
+}
+
 Response
 Store::Transact(const Request& aRequest)
 {
@@ -1213,6 +1268,25 @@
 
 } // namespace
 
+int
+World::Post(const std::string& aQueue,
+            const std::string& aKey,
+            const std::string& aJob,
+            const json& aBody,
+            const Daemon& aDaemon)
+{
+  const int status = Call(aDaemon.mAddress,
+                          "POST",
+                          "/" + aQueue + "/" + aJob,
+                          CallerHeaders(aKey),
+                          aBody.dump(),
+                          3000)
+                       .mStatus;
+  mRecord.Write("caller: POST /" + aQueue + "/" + aJob + " to " +
+                aDaemon.mName + " -> " + std::to_string(status));
+  return status;
+}
+
 int
 World::Submit(const std::string& aQueue,
               const std::string& aKey,
@@ -1225,15 +1299,7 @@
   int status = 0;
   for (int i = 0; i < 5; ++i) {
     const Daemon& daemon = mDaemons[mNextDaemon++ % mDaemons.size()];
-    status = Call(daemon.mAddress,
-                  "POST",
-                  "/" + aQueue + "/" + aJob,
-                  CallerHeaders(aKey),
-                  body.dump(),
-                  3000)
-               .mStatus;
-    mRecord.Write("caller: POST /" + aQueue + "/" + aJob + " to " +
-                  daemon.mName + " -> " + std::to_string(status));
+    status = Post(aQueue, aKey, aJob, body, daemon);
     if (status != 0 && status != 502 && status != 504) {
       break;
     }
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -119,6 +119,15 @@
                                  const std::string& aPart,
                                  const std::string& aKey);
   std::size_t Refused() const { return mRefused; }
+  /**
+   * From now on, writes of a row of a table are not answered, and done later.
+   * An empty table ends this.
+   */
+  void LoseWrites(const std::string& aTable,
+                  const std::string& aKey,
+                  int aDelayMs);
+  /** @return Number of writes since the last call of LoseWrites. */
+  std::pair<std::size_t, std::size_t> LostAndAllWrites();
 
 private:
   struct Id
@@ -142,6 +151,7 @@
 
   std::optional<Response> Handle(const Request& aRequest);
   Response Transact(const Request& aRequest);
+  bool IsLost(const Request& aRequest);
   Response Read(const Request& aRequest);
   Response Feed(const Request& aRequest);
   json Base() const;
@@ -154,6 +164,11 @@
   std::vector<Change> mHistory;
   std::uint64_t mVersion = 1;
   std::atomic<std::size_t> mRefused{ 0 };
+  std::string mLostTable;
+  std::string mLostKey;
+  int mLostDelayMs = 0;
+  std::size_t mLostWrites = 0;
+  std::size_t mWrites = 0;
   std::unique_ptr<Server> mServer;
 };
 
@@ -309,6 +324,12 @@
              const std::string& aJob,
              const json& aSteps,
              const json& aTimes = json::object());
+  /** Sends a submission once. @return The status; 0 if there was no answer. */
+  int Post(const std::string& aQueue,
+           const std::string& aKey,
+           const std::string& aJob,
+           const json& aBody,
+           const Daemon& aDaemon);
   /** @return The state of a job, or the status as text. */
   std::string State(const std::string& aQueue,
                     const std::string& aKey,
