--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -109,11 +109,12 @@
   state = aWorld.State("raster", kKeyA, job);
   const std::size_t failed = CountEvents(aWorld, "failed", job);
   const bool isAtWork = aWorld.WorkerOf(task) != nullptr;
-  return Report(aWorld,
-                state != "running" || !isAtWork,
-                "the job is shown as " + state + "; " + std::to_string(failed) +
-                  " runs ended failed; nobody cancelled it; its first task is " +
-                  (isAtWork ? "at work" : "not at work"));
+  return Report(
+    aWorld,
+    state != "running" || !isAtWork,
+    "the job is shown as " + state + "; " + std::to_string(failed) +
+      " runs ended failed; nobody cancelled it; its first task is " +
+      (isAtWork ? "at work" : "not at work"));
 }
 
 /** A job of one task of 8.5 s. Its worker crashes twice, early in the run. */
@@ -338,10 +339,9 @@
   Sleep(4'000);
   const std::string stateA = aWorld.State("raster", kKeyA, first);
   const std::string stateB = aWorld.State("thumb", kKeyB, second);
-  const std::size_t starts = CountEvents(aWorld, "start", first) +
-                             (second != first
-                                ? CountEvents(aWorld, "start", second)
-                                : 0);
+  const std::size_t starts =
+    CountEvents(aWorld, "start", first) +
+    (second != first ? CountEvents(aWorld, "start", second) : 0);
   return Report(aWorld,
                 status == 200 && stateB != "done",
                 "the job of the second tenant was answered " +
--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -144,8 +144,8 @@
 {
   std::size_t sent = 0;
   while (sent < aText.size()) {
-    const ssize_t n = send(
-      aSocket, aText.data() + sent, aText.size() - sent, MSG_NOSIGNAL);
+    const ssize_t n =
+      send(aSocket, aText.data() + sent, aText.size() - sent, MSG_NOSIGNAL);
     if (n <= 0) {
       return false;
     }
@@ -194,8 +194,7 @@
     throw std::runtime_error("cannot listen on " + mIp);
   }
   socklen_t size = sizeof address;
-  getsockname(
-    mState->mListener, reinterpret_cast<sockaddr*>(&address), &size);
+  getsockname(mState->mListener, reinterpret_cast<sockaddr*>(&address), &size);
   mPort = ntohs(address.sin_port);
   mThread = std::thread([this] { Accept(); });
 }
@@ -323,8 +322,7 @@
     std::string line;
     std::map<std::string, std::string> headers;
     if (SendAll(socket, text + aBody) &&
-        ReadMessage(
-          socket, buffer, line, headers, response.mBody, deadline)) {
+        ReadMessage(socket, buffer, line, headers, response.mBody, deadline)) {
       response.mStatus = std::stoi(line.substr(line.find(' ') + 1));
     }
   }
@@ -332,16 +330,31 @@
   return response;
 }
 
-int
-FreePort(const std::string& aIp)
+std::vector<int>
+FreePorts(const std::string& aIp, std::size_t aCount)
 {
-  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = MakeAddress(aIp, 0);
-  socklen_t size = sizeof address;
-  bind(socket, reinterpret_cast<sockaddr*>(&address), size);
-  getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
-  close(socket);
-  return ntohs(address.sin_port);
+  std::vector<int> ports;
+  std::vector<int> sockets;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address = MakeAddress(aIp, 0);
+    socklen_t size = sizeof address;
+    bind(socket, reinterpret_cast<sockaddr*>(&address), size);
+    getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
+    ports.push_back(ntohs(address.sin_port));
+    sockets.push_back(socket);
+  }
+  for (const int it : sockets) {
+    close(it);
+  }
+  return ports;
+}
+
+std::string
+LoopbackIp(int aThird, int aFourth)
+{
+  return "127." + std::to_string(20 + getpid() % 200) + "." +
+         std::to_string(aThird) + "." + std::to_string(aFourth);
 }
 
 // Store ----------------------------------------------------------------------
@@ -416,10 +429,10 @@
 
 Store::Store(Record& aRecord)
   : mRecord(aRecord)
-  , mServer(std::make_unique<Server>(
-      "127.0.0.1",
-      0,
-      [this](const Request& aRequest) { return Handle(aRequest); }))
+  , mServer(
+      std::make_unique<Server>("127.0.0.1", 0, [this](const Request& aRequest) {
+        return Handle(aRequest);
+      }))
 {
 }
 
@@ -539,9 +552,9 @@
   if (!tooLarge.empty() || aRequest.mBody.size() > kCallBytes ||
       entries > kCallEntries) {
     if (++mRefused <= 5) {
-      mRecord.Write("store: refuses a transaction: " +
-                    (tooLarge.empty() ? "call too large"
-                                      : "row too large: " + tooLarge));
+      mRecord.Write(
+        "store: refuses a transaction: " +
+        (tooLarge.empty() ? "call too large" : "row too large: " + tooLarge));
     }
     return { 413, R"({"error":"too large"})" };
   }
@@ -586,12 +599,13 @@
   const std::string table = QueryText(aRequest, "table");
   const std::string part = QueryText(aRequest, "part");
   const std::string to = QueryText(aRequest, "to");
-  const std::size_t limit = std::min<std::size_t>(
-    QueryNumber(aRequest, "limit", kPageRows), kPageRows);
+  const std::size_t limit =
+    std::min<std::size_t>(QueryNumber(aRequest, "limit", kPageRows), kPageRows);
   json reply = Base();
   json rows = json::array();
   bool hasMore = false;
-  for (auto it = mRows.lower_bound({ table, part, QueryText(aRequest, "from") });
+  for (auto it =
+         mRows.lower_bound({ table, part, QueryText(aRequest, "from") });
        it != mRows.end() && it->first.mTable == table &&
        it->first.mPart == part && (to.empty() || it->first.mKey < to);
        ++it) {
@@ -697,8 +711,7 @@
 Worker::Worker(World& aWorld, int aNumber, std::string aZone)
   : mWorld(aWorld)
   , mNumber(aNumber)
-  , mIp("127.0." + std::to_string(10 + aNumber / 200) + "." +
-        std::to_string(aNumber % 200 + 1))
+  , mIp(LoopbackIp(10 + aNumber / 200, aNumber % 200 + 1))
   , mZone(std::move(aZone))
 {
   Begin();
@@ -826,9 +839,9 @@
 Worker::Cut(bool aIsCut)
 {
   mIsCut = aIsCut;
-  mWorld.mRecord.Write("worker " + mId +
-                       (aIsCut ? " is cut off from the store and the VMs"
-                               : " is reached again"));
+  mWorld.mRecord.Write(
+    "worker " + mId +
+    (aIsCut ? " is cut off from the store and the VMs" : " is reached again"));
   if (!aIsCut) {
     Report();
   }
@@ -1023,31 +1036,21 @@
   , mRecord(aOptions.mRecord)
   , mStore(std::make_unique<Store>(mRecord))
 {
-  static const char* const kZones[] = { "rennes", "vannes", "quimper", "brest" };
+  static const char* const kZones[] = {
+    "rennes", "vannes", "quimper", "brest"
+  };
   const std::lock_guard lock(mMutex);
   for (int i = 0; i < mOptions.mWorkers; ++i) {
     mWorkers.push_back(std::make_unique<Worker>(*this, i, kZones[i % 4]));
   }
   for (int i = 0; i < mOptions.mDaemons; ++i) {
     const std::string zone = kZones[i % 4];
-    const std::string ip = "127.0.2." + std::to_string(i + 1);
     Daemon daemon;
     daemon.mName = "client_facing-" + zone + "-" + std::to_string(i / 4 + 1);
-    daemon.mAddress = ip + ":" + std::to_string(FreePort(ip));
-    daemon.mReadiness = ip + ":" + std::to_string(FreePort(ip));
+    daemon.mZone = zone;
+    daemon.mIp = LoopbackIp(2, i + 1);
     daemon.mConfig = mOptions.mFolder + "/" + daemon.mName + ".toml";
-    std::ofstream config(daemon.mConfig);
-    // deploy/daemon.toml.template with the platform's values.
-    config << "[daemon]\nid = \"" << daemon.mName
-           << "\"\nregion = \"bretagne\"\nzone = \"" << zone
-           << "\"\nhttp_address = \"" << daemon.mAddress
-           << "\"\nreadiness_address = \"" << daemon.mReadiness
-           << "\"\nmetrics_address = \"" << ip << ":" << FreePort(ip)
-           << "\"\ncpu_share = 0.25\nlink_mbps = 1000.0\n\n[platform]\nkind = "
-              "\"fleet\"\naddress = \""
-           << mStore->Address()
-           << "\"\n\n[timing]\ndrain_notice_ms = 2500\ndrain_grace_ms = "
-              "2500\nstore_timeout_ms = 800\n";
+    Configure(daemon);
     mDaemons.push_back(std::move(daemon));
   }
   mThread = std::thread([this] {
@@ -1058,6 +1061,29 @@
   });
 }
 
+void
+World::Configure(Daemon& aDaemon)
+{
+  const std::vector<int> ports = FreePorts(aDaemon.mIp, 3);
+  const auto address = [&](std::size_t aPort) {
+    return aDaemon.mIp + ":" + std::to_string(ports[aPort]);
+  };
+  aDaemon.mAddress = address(0);
+  aDaemon.mReadiness = address(1);
+  std::ofstream config(aDaemon.mConfig);
+  // deploy/daemon.toml.template with the platform's values.
+  config << "[daemon]\nid = \"" << aDaemon.mName
+         << "\"\nregion = \"bretagne\"\nzone = \"" << aDaemon.mZone
+         << "\"\nhttp_address = \"" << aDaemon.mAddress
+         << "\"\nreadiness_address = \"" << aDaemon.mReadiness
+         << "\"\nmetrics_address = \"" << address(2)
+         << "\"\ncpu_share = 0.25\nlink_mbps = 1000.0\n\n[platform]\nkind = "
+            "\"fleet\"\naddress = \""
+         << mStore->Address()
+         << "\"\n\n[timing]\ndrain_notice_ms = 2500\ndrain_grace_ms = "
+            "2500\nstore_timeout_ms = 800\n";
+}
+
 World::~World()
 {
   for (Daemon& it : mDaemons) {
@@ -1113,7 +1139,8 @@
   };
   const json manifest{
     { "version", 7 },
-    { "routes", { route("raster", 1, 2), route("cover", 0, 2), route("thumb", 2, 4) } },
+    { "routes",
+      { route("raster", 1, 2), route("cover", 0, 2), route("thumb", 2, 4) } },
     { "services",
       { { { "name", "epreuves" },
           { "health-path", "/healthz" },
@@ -1202,17 +1229,19 @@
 World::AwaitReady(int aTimeoutMs)
 {
   const auto deadline = Clock::now() + Millis(aTimeoutMs);
-  for (const Daemon& it : mDaemons) {
-    while (Call(it.mReadiness,
-                "GET",
-                "/v1/readyz",
-                { { "Host", "ready" } },
-                "",
-                1000)
-             .mStatus != 200) {
+  for (Daemon& it : mDaemons) {
+    while (
+      Call(
+        it.mReadiness, "GET", "/v1/readyz", { { "Host", "ready" } }, "", 1000)
+        .mStatus != 200) {
       if (Clock::now() > deadline) {
         return false;
       }
+      if (waitpid(it.mPid, nullptr, WNOHANG) == it.mPid) {
+        // Another program has taken one of its ports.
+        Configure(it);
+        StartDaemon(it);
+      }
       Sleep(100);
     }
   }
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -30,7 +30,8 @@
 using Clock = std::chrono::steady_clock;
 using Millis = std::chrono::milliseconds;
 
-void Sleep(int aMs);
+void
+Sleep(int aMs);
 
 /** Writes lines with the time since the start to record.txt. */
 class Record
@@ -90,15 +91,21 @@
  * Sends one request on a new connection.
  * @return The response; status 0 if there was none in time.
  */
-Response Call(const std::string& aAddress,
-              const std::string& aMethod,
-              const std::string& aPath,
-              const std::map<std::string, std::string>& aHeaders,
-              const std::string& aBody,
-              int aTimeoutMs);
-
-/** @return A port that was free a moment ago. */
-int FreePort(const std::string& aIp);
+Response
+Call(const std::string& aAddress,
+     const std::string& aMethod,
+     const std::string& aPath,
+     const std::map<std::string, std::string>& aHeaders,
+     const std::string& aBody,
+     int aTimeoutMs);
+
+/** @return Different ports that were free a moment ago. */
+std::vector<int>
+FreePorts(const std::string& aIp, std::size_t aCount);
+
+/** @return A loopback address; those of two plays at a time differ. */
+std::string
+LoopbackIp(int aThird, int aFourth);
 
 /** The platform's table store. Rows have at most kRowBytes bytes. */
 class Store
@@ -267,6 +274,8 @@
 struct Daemon
 {
   std::string mName;
+  std::string mZone;
+  std::string mIp;
   std::string mConfig;
   std::string mAddress;
   std::string mReadiness;
@@ -308,6 +317,8 @@
   void WriteManifest();
   void StartDaemons();
   void StartDaemon(Daemon& aDaemon);
+  /** Writes a daemon's settings with free ports. */
+  void Configure(Daemon& aDaemon);
   void Signal(Daemon& aDaemon, int aSignal);
   /** @return Whether every daemon is ready within the time. */
   bool AwaitReady(int aTimeoutMs);
