Move the review's stand-in into the folders of its cases

Each case has its program, with what they share in the first one. A script ends its processes also if it is ended itself.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,14 +5,19 @@
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
-for program in target/apps/cornelrudderd target/review/cases; do
+for program in target/apps/cornelrudderd target/review/case-1; do
   [ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
 work=$(mktemp -d)
-trap 'rm -rf "$work"' EXIT
-timeout -k 2 115 target/review/cases large-job target/apps/cornelrudderd "$work" \
-  "$here/record.txt" "${TROUBLE:-1}"
+timeout -k 2 115 target/review/case-1 target/apps/cornelrudderd "$work" \
+  "$here/record.txt" "${TROUBLE:-1}" &
+pid=$!
+# The daemons end with the program of the case.
+trap '[ -z "$pid" ] || { kill "$pid"; wait "$pid"; }; rm -rf "$work"' EXIT
+trap 'exit 2' TERM INT HUP
+wait "$pid"
 status=$?
+pid=
 tail -n 1 "$here/record.txt"
 case $status in
   0 | 1) exit "$status" ;;
--- a/review/standin/world.cc
+++ b/review/1/world.cc
@@ -1086,12 +1086,7 @@
 
 World::~World()
 {
-  for (Daemon& it : mDaemons) {
-    if (it.mPid > 0) {
-      kill(it.mPid, SIGKILL);
-      waitpid(it.mPid, nullptr, 0);
-    }
-  }
+  EndDaemons();
   mStopping = true;
   mThread.join();
 }
@@ -1429,4 +1424,96 @@
   return mEvents;
 }
 
+std::size_t
+World::CountEvents(const std::string& aWhat, const std::string& aJob)
+{
+  std::size_t n = 0;
+  for (const RunEvent& it : Events()) {
+    n += it.mWhat == aWhat && it.mTask.starts_with(aJob + ".") ? 1 : 0;
+  }
+  return n;
+}
+
+void
+World::CrashWorkerOf(const std::string& aTask)
+{
+  Worker* worker = nullptr;
+  {
+    const std::lock_guard lock(mMutex);
+    worker = WorkerOf(aTask);
+    if (worker == nullptr) {
+      return;
+    }
+    worker->Crash();
+  }
+  Sleep(4'500);
+  const std::lock_guard lock(mMutex);
+  worker->Restart();
+}
+
+bool
+World::Begin()
+{
+  WriteManifest();
+  StartDaemons();
+  return AwaitReady(20'000);
+}
+
+void
+World::EndDaemons()
+{
+  for (Daemon& it : mDaemons) {
+    if (it.mPid > 0) {
+      kill(it.mPid, SIGKILL);
+      waitpid(it.mPid, nullptr, 0);
+      it.mPid = 0;
+    }
+  }
+}
+
+int
+World::CannotRun(const std::string& aWhy)
+{
+  mRecord.Write("CANNOT RUN: " + aWhy);
+  return kCannotRun;
+}
+
+int
+World::Verdict(bool aIsBroken, const std::string& aText)
+{
+  mRecord.Write((aIsBroken ? "BROKEN: " : "HELD: ") + aText);
+  return aIsBroken ? kBroken : kHeld;
+}
+
+int
+RunCase(int aCount,
+        char** aArguments,
+        int (*aPlay)(World&),
+        const Fleet& aFleet)
+{
+  signal(SIGPIPE, SIG_IGN);
+  if (aCount != 5) {
+    std::fprintf(stderr, "usage: case DAEMON FOLDER RECORD TROUBLE\n");
+    return kCannotRun;
+  }
+  WorldOptions options;
+  options.mDaemonProgram = aArguments[1];
+  options.mFolder = aArguments[2];
+  options.mRecord = aArguments[3];
+  options.mTrouble = std::string(aArguments[4]) != "0";
+  options.mWorkers = aFleet.mWorkers;
+  options.mRoomCpu = aFleet.mRoomCpu;
+  options.mRoomMemory = aFleet.mRoomMemory;
+  try {
+    World world(options);
+    const int status = aPlay(world);
+    world.EndDaemons();
+    // Threads of open connections still use the world.
+    _exit(status);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "%s\n", error.what());
+  }
+  return kCannotRun;
+}
+
 } // namespace review
--- a/review/standin/world.h
+++ b/review/1/world.h
@@ -357,6 +357,17 @@
                 std::uint64_t aRun,
                 const std::string& aWorker);
   std::vector<RunEvent> Events();
+  /** @return Number of events of one kind of the tasks of a job. */
+  std::size_t CountEvents(const std::string& aWhat, const std::string& aJob);
+  /** Crashes the worker of a task; its next life starts 4.5 s later. */
+  void CrashWorkerOf(const std::string& aTask);
+  /** Starts the daemons. @return Whether all of them are ready. */
+  bool Begin();
+  /** Ends all daemons and waits for their ends. */
+  void EndDaemons();
+  /** Record a result. @return The exit status of the case. */
+  int CannotRun(const std::string& aWhy);
+  int Verdict(bool aIsBroken, const std::string& aText);
   std::vector<Daemon>& Daemons() { return mDaemons; }
   /** @return Number of daemons that have ended by themselves. */
   int CountExits();
@@ -383,6 +394,26 @@
   friend class Worker;
 };
 
+/** Number and size of the workers of a case. */
+struct Fleet
+{
+  int mWorkers;
+  int mRoomCpu;
+  int mRoomMemory;
+};
+
+/**
+ * Plays a case. Arguments: DAEMON FOLDER RECORD TROUBLE.
+ * @return 0 if the rule held, 1 if it was broken, 2 if the case could not run.
+ */
+int
+RunCase(int aCount,
+        char** aArguments,
+        int (*aPlay)(World&),
+        const Fleet& aFleet);
+
+constexpr const char* kKeyA = "key-a";
+constexpr const char* kKeyB = "key-b";
 constexpr int kHeld = 0;
 constexpr int kBroken = 1;
 constexpr int kCannotRun = 2;
