--- a/apps/cornelrudderd/DaemonSettings.cpp
+++ b/apps/cornelrudderd/DaemonSettings.cpp
@@ -35,6 +35,10 @@
 constexpr std::int64_t kMinuteMs = 60'000;
 constexpr std::int64_t kDayMs = 1'440 * kMinuteMs;
 
+/** A row holds at least the lease of the owner. */
+constexpr std::int64_t kMinRowBytes = 1'024;
+constexpr std::int64_t kMaxRowBytes = 16'777'216;
+
 const std::array kFileKeys{
   FileKey{ "daemon", "id", &Values::mId, true, 1, 64, "" },
   FileKey{ "daemon", "region", &Values::mRegion, true, 1, 64, "" },
@@ -73,6 +77,13 @@
            1,
            16,
            "standin|fleet" },
+  FileKey{ "platform",
+           "row_bytes",
+           &Values::mRowBytes,
+           false,
+           kMinRowBytes,
+           kMaxRowBytes,
+           "" },
   FileKey{ "log",
            "level",
            &Values::mLogLevel,
--- a/apps/cornelrudderd/DaemonSettings.h
+++ b/apps/cornelrudderd/DaemonSettings.h
@@ -32,6 +32,7 @@
   std::string mMetricsAddress;
   std::string mPlatformAddress;
   std::string mPlatformKind = "standin";
+  std::int64_t mRowBytes = 65'536;
   std::string mLogLevel = "info";
   std::string mLogFormat = "text";
   std::int64_t mPollMs = 2'000;
@@ -129,6 +130,11 @@
   const std::string& MetricsAddress() const { return mValues.mMetricsAddress; }
   /** @return Whether the platform is the production one, not the stand-in. */
   bool IsOnFleet() const { return mValues.mPlatformKind == "fleet"; }
+  /** @return Limit of the store on the encoded value of a row. */
+  std::size_t RowBytes() const
+  {
+    return static_cast<std::size_t>(mValues.mRowBytes);
+  }
   const std::string& PlacementPolicy() const
   {
     return mValues.mPlacementPolicy;
--- a/apps/cornelrudderd/FleetDaemon.cpp
+++ b/apps/cornelrudderd/FleetDaemon.cpp
@@ -72,6 +72,7 @@
              aSettings.PlatformAddress(),
              aSettings.StoreReadTimeout(),
              aSettings.StoreTimeout(),
+             platform::TableLimits{ aSettings.RowBytes() },
              mLog)
     , mWorkers(mWorkerClient, aSettings.WorkerTimeout())
     , mSystem(mConfig)
@@ -139,6 +140,9 @@
     coordination::JobGatewayTaskOptions gateway;
     gateway.mIncarnation = mIncarnation;
     gateway.mCatalogMaxAge = mSettings.CatalogMaxAge();
+    const std::size_t maxRowBytes =
+      platform::TableLimits{ mSettings.RowBytes() }.MaxValueBytes();
+    gateway.mMaxRowBytes = maxRowBytes;
     mGateway = mTasks.Add(SpawnJobGatewayTask(mSystem,
                                               mCatalog,
                                               mStore,
@@ -159,6 +163,7 @@
     scheduler.mRenewWait = mSettings.WorkerWait();
     scheduler.mJobRetention = mSettings.JobRetention();
     scheduler.mPolicy = mSettings.PlacementPolicy();
+    scheduler.mMaxRowBytes = maxRowBytes;
     mScheduler = mTasks.Add(
       SpawnSchedulerTask(
         mSystem,
--- a/include/cornelrudder/coordination/JobGatewayTask.h
+++ b/include/cornelrudder/coordination/JobGatewayTask.h
@@ -40,6 +40,8 @@
   std::chrono::milliseconds mWriteRetryDelay{ 120 };
   /** Part of a call's timeout reserved for sending the reply. */
   std::chrono::milliseconds mReplyTimeReserve{ 200 };
+  /** Largest value of a row in the store, in bytes. */
+  std::size_t mMaxRowBytes = 49'152;
 };
 
 /**
--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -99,7 +99,9 @@
   kReplyIgnored = 819,
   kStoreRefusals = 820,
   kWorkerCapacityChanged = 821,
-  kRunCrashed = 822
+  kRunCrashed = 822,
+  kJobSetAside = 823,
+  kWriteRejected = 824
 };
 
 /** Entry of the event catalogue. */
--- a/include/cornelrudder/coordination/SchedulerTask.h
+++ b/include/cornelrudder/coordination/SchedulerTask.h
@@ -91,6 +91,8 @@
   std::chrono::milliseconds mJobRetention{ 600'000 };
   /** Name of the placement policy; empty for the default. */
   std::string mPolicy;
+  /** Largest value of a row in the store, in bytes. */
+  std::size_t mMaxRowBytes = 49'152;
 };
 
 /**
--- a/include/cornelrudder/coordination/SchedulingTables.h
+++ b/include/cornelrudder/coordination/SchedulingTables.h
@@ -42,10 +42,22 @@
   return JobKey(aJob) + kCancelSuffix;
 }
 
+/**
+ * @param aPart Number of the part of a divided record. The first part has the
+ *   key of an undivided record.
+ */
+inline std::string
+ProgressKey(const std::string& aJob, std::size_t aPart = 0)
+{
+  return std::string(kProgressTable) + "/" + aJob +
+         (aPart > 0 ? "." + std::to_string(aPart) : "");
+}
+
+/** @return The job of a progress row; job ids have no dots. */
 inline std::string
-ProgressKey(const std::string& aJob)
+JobOfProgressRow(const std::string& aName)
 {
-  return std::string(kProgressTable) + "/" + aJob;
+  return aName.substr(0, aName.find('.'));
 }
 
 /** @return The part of a row's key after the table name and the slash. */
--- a/include/cornelrudder/state/StoreRow.h
+++ b/include/cornelrudder/state/StoreRow.h
@@ -134,7 +134,12 @@
   /** The operation certainly had no effect. */
   kUnavailable,
   /** A write may or may not have taken effect. */
-  kOutcomeUnknown
+  kOutcomeUnknown,
+  /**
+   * The store refuses the operation as it is: it had no effect, and a
+   * repetition would not have one either.
+   */
+  kRejected
 };
 
 /** Result of a read or a transaction. */
--- a/include/cornelrudder/state/scheduling/JobProgress.h
+++ b/include/cornelrudder/state/scheduling/JobProgress.h
@@ -69,8 +69,10 @@
 };
 
 /**
- * The recorded progress of a job. Tasks are sorted by occurrence, step and
- * index. A terminated job of which no run can exist has no task records.
+ * The recorded progress of a job, or one part of it: the record of a job with
+ * many tasks is divided, since a row of the store has a limited size. Tasks are
+ * sorted by occurrence, step and index. A terminated job of which no run can
+ * exist has no task records.
  */
 class JobProgress
 {
@@ -89,11 +91,29 @@
   {
   }
 
+  /**
+   * @param aPart Number of the part.
+   * @param aTasksPerPart Number of tasks of each part but the last one; 0 if
+   *   the record is not divided.
+   * @return This record as a part of a divided one.
+   */
+  JobProgress AsPart(std::size_t aPart, std::size_t aTasksPerPart) const;
+
+  /**
+   * Joins the parts of a divided record. The first part tells the phase of the
+   * job; tasks of a part that has never been written have default records.
+   * @param aParts All parts that were stored, at least one.
+   * @throws StateError if the parts contradict each other.
+   */
+  static JobProgress Join(std::vector<JobProgress> aParts);
+
   const std::string& Job() const { return mJob; }
   const std::string& Organisation() const { return mOrganisation; }
   JobPhase Phase() const { return mPhase; }
   bool HasStarted() const { return mStarted; }
   const std::vector<TaskRecord>& Tasks() const { return mTasks; }
+  std::size_t Part() const { return mPart; }
+  std::size_t TasksPerPart() const { return mTasksPerPart; }
 
   auto operator<=>(const JobProgress&) const = default;
 
@@ -103,6 +123,8 @@
   JobPhase mPhase;
   bool mStarted;
   std::vector<TaskRecord> mTasks;
+  std::size_t mPart = 0;
+  std::size_t mTasksPerPart = 0;
 };
 
 } // namespace cornelrudder::state::scheduling
--- a/include/cornelrudder/state/scheduling/OwnerLease.h
+++ b/include/cornelrudder/state/scheduling/OwnerLease.h
@@ -53,6 +53,14 @@
   /** @return The lease as such an owner releases it. */
   OwnerLease HandedOver(std::chrono::milliseconds aHeld) const;
 
+  bool HasLists() const { return !mPending.empty() || !mWorkerLeases.empty(); }
+
+  /**
+   * @return The lease without half of the workers' leases or, if there are
+   *   none, without the shorter half of the queues.
+   */
+  OwnerLease WithShorterLists() const;
+
   auto operator<=>(const OwnerLease&) const = default;
 };
 
--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -39,9 +39,34 @@
    * after.
    */
   std::map<std::string, std::chrono::milliseconds> mInheritedLeases{};
+  /**
+   * Number of tasks whose records one row of the store has room for; the
+   * default divides no record.
+   */
+  std::size_t mTasksPerRecord = TaskJob::kMaxTasks;
   auto operator<=>(const SchedulerOptions&) const = default;
 };
 
+/** Limits of one write of records. */
+struct WriteLimits
+{
+  std::size_t mRecords = 0;
+  /** The last record may exceed it. */
+  std::size_t mTasks = 0;
+
+  auto operator<=>(const WriteLimits&) const = default;
+};
+
+/** A terminated job whose rows need not be kept any longer. */
+struct ExpiredJob
+{
+  std::string mJob;
+  /** Number of parts of its record. */
+  std::size_t mParts = 1;
+
+  auto operator<=>(const ExpiredJob&) const = default;
+};
+
 /** Commands to send now. */
 struct WorkerCommands
 {
@@ -71,7 +96,8 @@
     kEndIgnored,
     kReplyIgnored,
     kWorkerCapacityChanged,
-    kRunCrashed
+    kRunCrashed,
+    kJobSetAside
   };
 
   Kind mKind;
@@ -151,10 +177,10 @@
 
   /**
    * Starts a write of changed records; only one write may be pending.
-   * @param aMaxJobs Maximum number of records in the write.
-   * @return The records to write.
+   * @return The records to write: each is that of a job or a part of it. A part
+   *   other than the first one that has no tasks is to be deleted.
    */
-  std::vector<JobProgress> BeginWrite(std::size_t aMaxJobs);
+  std::vector<JobProgress> BeginWrite(const WriteLimits& aLimits);
 
   /**
    * Completes the pending write.
@@ -162,12 +188,20 @@
    */
   void FinishWrite(bool aStored);
 
+  /**
+   * Completes the pending write, which has a single record, after the store
+   * rejected it: a repetition would be rejected, too. The job waits and is
+   * tried again later, so that the records of other jobs are written.
+   */
+  void SetAsideRejected(Millis aNow);
+
   /**
    * @return Terminated jobs whose rows were kept for mJobRetention, oldest
-   *   first, at most aMax. The time counts from when this owner removed the job
-   *   from its active jobs, to the accuracy of a planning pass.
+   *   first, at most aMaxRows rows or one job. The time counts from when this
+   *   owner removed the job from its active jobs, to the accuracy of a planning
+   *   pass.
    */
-  std::vector<std::string> ExpiredJobs(Millis aNow, std::size_t aMax) const;
+  std::vector<ExpiredJob> ExpiredJobs(Millis aNow, std::size_t aMaxRows) const;
 
   /**
    * Removes the first jobs of ExpiredJobs() after their rows were deleted.
--- a/include/cornelrudder/state/scheduling/TaskJob.h
+++ b/include/cornelrudder/state/scheduling/TaskJob.h
@@ -58,12 +58,17 @@
 public:
   static constexpr std::size_t kMaxOccurrences = 1'000;
   static constexpr std::size_t kMaxSteps = 100;
+  /**
+   * Limit on the tasks of all occurrences: the owner keeps about 400 bytes for
+   * each task of an active job.
+   */
+  static constexpr std::size_t kMaxTasks = 20'000;
 
   /**
    * @param aPayload Opaque text passed to each task at its start.
    * @param aSubmittedAt Time of the submission by the clock of the store.
-   * @throws StateError if the number of steps or occurrences is out of range or
-   *   the interval is negative.
+   * @throws StateError if the number of steps, occurrences or tasks is out of
+   *   range or the interval is negative.
    */
   TaskJob(std::string aId,
           std::string aOrganisation,
@@ -91,6 +96,9 @@
 
   std::size_t TasksPerOccurrence() const;
 
+  /** @return Number of tasks of all occurrences. */
+  std::size_t Tasks() const { return TasksPerOccurrence() * Occurrences(); }
+
   /**
    * @return Largest number of accelerators that the tasks of a single step use
    *   in parallel. Steps that run at the same time are not added up.
--- a/src/coordination/JobGatewayTask.cpp
+++ b/src/coordination/JobGatewayTask.cpp
@@ -223,8 +223,17 @@
                         std::move(submission.mSteps),
                         submission.mSchedule,
                         mStoreClock.StoreTimeAt(aPending.mStartedAt));
+      std::string row = mCodec.EncodeTaskJob(job);
+      if (row.size() > mOptions.mMaxRowBytes) {
+        Reject(aId,
+               JobCallStatus::kBadRequest,
+               "the job takes " + std::to_string(row.size()) +
+                 " bytes in the store; allowed are at most " +
+                 std::to_string(mOptions.mMaxRowBytes));
+        return;
+      }
       Write(aId,
-            { { JobKey(aPending.mJob), 0, mCodec.EncodeTaskJob(job) } },
+            { { JobKey(aPending.mJob), 0, std::move(row) } },
             &JobGatewayTask::HandleSubmitResult);
     } catch (const std::exception& error) {
       Reject(aId, JobCallStatus::kBadRequest, error.what());
@@ -370,6 +379,9 @@
       case StoreStatus::kOutcomeUnknown:
         aPending.mMayBeWritten = true;
         break;
+      case StoreStatus::kRejected:
+        Reject(aId, JobCallStatus::kUnavailable, "the store rejects the write");
+        return;
     }
     // Retrying is safe: a job's row is written only if it does not exist, and a
     // second write of the same cancellation changes nothing.
--- a/src/coordination/LogEvent.cpp
+++ b/src/coordination/LogEvent.cpp
@@ -395,6 +395,16 @@
                 "run_crashed",
                 "a worker crashed while a run was, or may have been, in "
                 "progress on it" },
+  LogEventInfo{ LogEvent::kJobSetAside,
+                LogLevel::kError,
+                "job_set_aside",
+                "the store rejects the record of a job, which gets no runs "
+                "until a later write succeeds" },
+  LogEventInfo{ LogEvent::kWriteRejected,
+                LogLevel::kError,
+                "write_rejected",
+                "a write that the store does not accept was not sent, or was "
+                "rejected; with the largest row, its size and the limits" },
 };
 
 } // namespace
--- a/src/coordination/PlacementTaskRows.cpp
+++ b/src/coordination/PlacementTaskRows.cpp
@@ -46,6 +46,7 @@
       ResolvePendingWrite(aJob, entry, aResult);
       return;
     case StoreStatus::kUnavailable:
+    case StoreStatus::kRejected:
       OnWriteNotApplied(aJob, entry);
       return;
     case StoreStatus::kOutcomeUnknown:
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -48,7 +48,7 @@
   LogEvent::kRunMoved,      LogEvent::kWorkerLeaving,
   LogEvent::kJobStalled,    LogEvent::kEndIgnored,
   LogEvent::kReplyIgnored,  LogEvent::kWorkerCapacityChanged,
-  LogEvent::kRunCrashed
+  LogEvent::kRunCrashed,    LogEvent::kJobSetAside
 };
 
 milliseconds
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -24,6 +24,12 @@
 
 class SchedulerTask;
 
+/**
+ * Limit on records in one write. With the lease and the removals, a write stays
+ * below the 100 rows that the store accepts.
+ */
+inline constexpr std::size_t kMaxRecordsPerWrite = 40;
+
 /** Retries a step, if the scheduler task still owns the lease of the epoch. */
 struct RetryStep
 {
@@ -101,7 +107,12 @@
   void FinishAcquire(std::uint64_t aVersion);
   bool IsWriteDue() const;
   void Write();
+  std::size_t TasksPerRecord() const;
+  std::string EncodeLease();
+  std::vector<state::RowWrite> CollectRecords();
+  std::vector<state::RowWrite> CollectRemovals(std::size_t aRecords);
   void FinishWrite(const state::StoreResult& aResult);
+  void HandleRejectedWrite();
   void HandleWriteConflict(const state::StoreResult& aResult);
   void StepDown(const char* aReason);
   void EndOwnership();
@@ -120,6 +131,8 @@
   void ReadPage(const std::string& aFrom);
   template<TableRead SchedulerTask::*Read>
   void HandlePage(const state::StoreResult& aResult);
+  std::optional<state::scheduling::JobProgress> DecodeRecord(
+    const std::vector<const state::StoreRow*>& aRows);
   void LoadProgress();
   void LoadJobs();
   void FinishLoad();
@@ -174,8 +187,17 @@
   Millis mLeaseReadSentAt{ 0 };
   state::scheduling::StoreTiming mStoreTiming;
   bool mWriteInFlight = false;
+  /** Number of records in the write in flight. */
+  std::size_t mRecordsInFlight = 0;
   /** Number of terminated jobs whose rows the write in flight removes. */
   std::size_t mRemovalsInFlight = 0;
+  /**
+   * Limit on the records of a write. The store rejects a write whole, so the
+   * limit is halved after each rejection until the rejected record is alone.
+   */
+  std::size_t mMaxRecords = kMaxRecordsPerWrite;
+  /** The next write only renews the lease, since the last one was rejected. */
+  bool mIsRenewalFirst = false;
   Millis mLastWriteAt{ 0 };
   /** Begin of the first write since the last stored one. */
   Millis mWriteBegunAt{ 0 };
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -3,6 +3,7 @@
 #include "cornelrudder/coordination/SchedulingTables.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace cornelrudder::coordination {
 
@@ -13,6 +14,7 @@
 using state::StoreRow;
 using state::StoreStatus;
 using state::Transaction;
+using state::scheduling::ExpiredJob;
 using state::scheduling::JobProgress;
 using state::scheduling::LeaseObserver;
 using state::scheduling::OwnerLease;
@@ -20,16 +22,22 @@
 using std::chrono::milliseconds;
 
 /**
- * Limit on job records in one write: the store accepts 100 rows and 1 MB in a
- * transaction, and the records of the widest jobs have about 20 KB.
+ * Largest record of a task in bytes: a worker identifier and a checkpoint of
+ * the longest accepted lengths, 200 and 100 bytes, beside the counts.
  */
-constexpr std::size_t kMaxJobsPerWrite = 40;
+constexpr std::size_t kMaxTaskRecordBytes = 360;
 
 /**
- * Limit on terminated jobs that one write removes, with three rows each.
- * Removals are added only to writes with few records, to stay below 100 rows.
+ * Limit on the size of the records in one write, in bytes: encoded, they take a
+ * third more, and the store accepts 1 MB in a transaction.
  */
-constexpr std::size_t kMaxRemovals = 20;
+constexpr std::size_t kMaxWriteBytes = 512'000;
+
+/**
+ * Limit on the rows of terminated jobs that one write removes. Removals are
+ * added only to writes with few records, since the store accepts 100 rows.
+ */
+constexpr std::size_t kMaxRemovedRows = 60;
 constexpr std::size_t kMaxRecordsBesideRemovals = 20;
 
 } // namespace
@@ -256,6 +264,8 @@
   mAcquiredAt = Now();
   mWriteInFlight = false;
   mNextWriteAt = Millis(0);
+  mMaxRecords = kMaxRecordsPerWrite;
+  mIsRenewalFirst = false;
   mFailedWrites = 0;
   mFailedAcquisitions = 0;
   mPorts.mLog.Write(
@@ -289,9 +299,9 @@
   ++mLease.mSequence;
   mLease.mRenewalBound =
     mStoreTiming.RenewalBound(Now(), mOptions.mRenewInterval);
-  std::vector<JobProgress> records;
+  std::vector<RowWrite> records;
   if (mMode == Mode::kOwning) {
-    records = mScheduler->BeginWrite(kMaxJobsPerWrite);
+    records = CollectRecords();
     mLease.mPending = mScheduler->PendingJobs();
   }
   if (mReleasing) {
@@ -306,38 +316,98 @@
         worker, static_cast<std::uint64_t>(remaining.count()));
     }
   }
-  std::vector<RowWrite> writes;
-  writes.emplace_back(
-    kOwnerLeaseKey, mLeaseVersion, mPorts.mCodec.EncodeOwnerLease(mLease));
-  for (const JobProgress& record : records) {
-    writes.emplace_back(ProgressKey(record.Job()),
-                        RowWrite::kAnyVersion,
-                        mPorts.mCodec.EncodeProgress(record));
-  }
-  std::vector<std::string> expired;
-  // Removals cover the part of the jobs, which may refuse writes on its own.
-  if (mMode == Mode::kOwning && mFailedWrites == 0 &&
-      records.size() <= kMaxRecordsBesideRemovals) {
-    expired = mScheduler->ExpiredJobs(Now(), kMaxRemovals);
-  }
-  mRemovalsInFlight = expired.size();
-  for (const std::string& job : expired) {
-    for (const std::string& key :
-         { JobKey(job), CancelKey(job), ProgressKey(job) }) {
-      writes.emplace_back(key, RowWrite::kAnyVersion, std::nullopt);
-    }
-  }
+  std::vector<RowWrite> writes{
+    { kOwnerLeaseKey, mLeaseVersion, EncodeLease() }
+  };
+  std::move(records.begin(), records.end(), std::back_inserter(writes));
+  const std::vector<RowWrite> removals = CollectRemovals(records.size());
+  writes.insert(writes.end(), removals.begin(), removals.end());
   ++mCounters["owner_writes_total"];
   mPorts.mStore.Transact(Transaction(mWriteIds.Next(), std::move(writes)),
                          ExpectResult(&SchedulerTask::FinishWrite));
 }
 
+/** @return Number of tasks whose records fit into one row in any case. */
+std::size_t
+SchedulerTask::TasksPerRecord() const
+{
+  return std::max<std::size_t>(mOptions.mMaxRowBytes / kMaxTaskRecordBytes, 1);
+}
+
+/**
+ * @return The value of the lease row. Lists that would make it too large are
+ *   shortened: a successor assumes the longest lease of a worker that it is not
+ *   told of, and the shortest queues are left out.
+ */
+std::string
+SchedulerTask::EncodeLease()
+{
+  std::string value = mPorts.mCodec.EncodeOwnerLease(mLease);
+  while (value.size() > mOptions.mMaxRowBytes && mLease.HasLists()) {
+    mLease = mLease.WithShorterLists();
+    value = mPorts.mCodec.EncodeOwnerLease(mLease);
+  }
+  return value;
+}
+
+/** @return Writes of changed records, in the limits of one transaction. */
+std::vector<RowWrite>
+SchedulerTask::CollectRecords()
+{
+  std::vector<RowWrite> writes;
+  const std::size_t maxRecords = mIsRenewalFirst ? 0 : mMaxRecords;
+  for (const JobProgress& record : mScheduler->BeginWrite(
+         { maxRecords, kMaxWriteBytes / kMaxTaskRecordBytes })) {
+    const bool isRemoved = record.Part() > 0 && record.Tasks().empty();
+    writes.emplace_back(
+      ProgressKey(record.Job(), record.Part()),
+      RowWrite::kAnyVersion,
+      isRemoved ? std::nullopt
+                : std::optional(mPorts.mCodec.EncodeProgress(record)));
+  }
+  mRecordsInFlight = writes.size();
+  return writes;
+}
+
+/**
+ * @return Deletions of the rows of expired jobs. They cover the part of the
+ *   jobs, which may refuse writes on its own.
+ */
+std::vector<RowWrite>
+SchedulerTask::CollectRemovals(std::size_t aRecords)
+{
+  mRemovalsInFlight = 0;
+  std::vector<RowWrite> writes;
+  const bool isDue = mMode == Mode::kOwning && mFailedWrites == 0 &&
+                     mMaxRecords == kMaxRecordsPerWrite &&
+                     aRecords <= kMaxRecordsBesideRemovals;
+  if (!isDue) {
+    return writes;
+  }
+  for (const ExpiredJob& job :
+       mScheduler->ExpiredJobs(Now(), kMaxRemovedRows)) {
+    ++mRemovalsInFlight;
+    std::vector<std::string> keys{ JobKey(job.mJob), CancelKey(job.mJob) };
+    for (std::size_t i = 0; i < job.mParts; ++i) {
+      keys.push_back(ProgressKey(job.mJob, i));
+    }
+    for (std::string& key : keys) {
+      writes.emplace_back(std::move(key), RowWrite::kAnyVersion, std::nullopt);
+    }
+  }
+  return writes;
+}
+
 void
 SchedulerTask::FinishWrite(const StoreResult& aResult)
 {
   mWriteInFlight = false;
   mWriteLatency = mWriteLatency.WithSample(Now() - mLastWriteAt);
   const bool isStored = aResult.Status() == StoreStatus::kOk;
+  if (aResult.Status() == StoreStatus::kRejected && mMode == Mode::kOwning) {
+    HandleRejectedWrite();
+    return;
+  }
   if (mMode == Mode::kOwning) {
     mScheduler->FinishWrite(isStored);
     if (isStored) {
@@ -349,6 +419,10 @@
     mStoreTiming = mStoreTiming.WithRenewal(Now(), Now() - mWriteBegunAt);
     mIsWriteRetry = false;
     mFailedWrites = 0;
+    mMaxRecords = mIsRenewalFirst
+                    ? mMaxRecords
+                    : std::min(2 * mMaxRecords, kMaxRecordsPerWrite);
+    mIsRenewalFirst = false;
     mLeaseVersion = aResult.Version();
     if (mLease.mOwner.empty()) {
       LogRelease();
@@ -365,6 +439,29 @@
   }
 }
 
+/**
+ * Renews the lease apart from the records, and finds the record that the store
+ * rejects by halving the writes: neither the lease nor the other jobs depend on
+ * a write that can never succeed.
+ */
+void
+SchedulerTask::HandleRejectedWrite()
+{
+  ++mCounters["owner_writes_rejected_total"];
+  ++mFailedWrites;
+  if (mRecordsInFlight == 1 && mRemovalsInFlight == 0) {
+    mScheduler->SetAsideRejected(Now());
+  } else {
+    mScheduler->FinishWrite(false);
+    mMaxRecords = std::max<std::size_t>(mRecordsInFlight / 2, 1);
+  }
+  if (mRecordsInFlight + mRemovalsInFlight == 0) {
+    mNextWriteAt = Now() + Delay(mWriteBackoff, mFailedWrites);
+  }
+  mIsRenewalFirst = true;
+  ScheduleCycle(Millis(0));
+}
+
 void
 SchedulerTask::HandleWriteConflict(const StoreResult& aResult)
 {
--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -1,6 +1,7 @@
 #include "SchedulerTaskImpl.h"
 #include "cornelrudder/coordination/CoordinationError.h"
 #include "cornelrudder/coordination/SchedulingTables.h"
+#include "cornelrudder/state/StateError.h"
 
 #include <algorithm>
 #include <string_view>
@@ -125,6 +126,7 @@
   options.mJobRetention = mOptions.mJobRetention;
   options.mPolicy = mOptions.mPolicy;
   options.mInheritedLeases = std::move(mInheritedLeases);
+  options.mTasksPerRecord = TasksPerRecord();
   mInheritedLeases.clear();
   mScheduler.emplace(std::move(options));
   if (mCatalog) {
@@ -134,23 +136,16 @@
   for (const StoreRow& row : mWorkersRead.mRows) {
     ApplyWorkerRow(row);
   }
-  std::map<std::string, const StoreRow*> progressRows;
+  std::map<std::string, std::vector<const StoreRow*>> progressRows;
   for (const StoreRow& row : mProgressRead.mRows) {
-    progressRows.emplace(NameInTable(row.Key()), &row);
+    progressRows[JobOfProgressRow(NameInTable(row.Key()))].push_back(&row);
   }
   for (const StoreRow& row : mJobsRead.mRows) {
     const auto it = progressRows.find(NameInTable(row.Key()));
     if (it == progressRows.end()) {
       ApplyJobRow(row, nullptr);
-      continue;
-    }
-    try {
-      const JobProgress progress =
-        mPorts.mCodec.DecodeProgress(it->second->Value());
-      ApplyJobRow(row, &progress);
-    } catch (const CoordinationError& error) {
-      // The job is skipped: without its progress record it could run twice.
-      LogMalformed(it->second->Key(), error.what());
+    } else if (const auto progress = DecodeRecord(it->second)) {
+      ApplyJobRow(row, &*progress);
     }
   }
   mPorts.mLog.Write(
@@ -171,6 +166,30 @@
   ScheduleCycle(Millis(0));
 }
 
+/**
+ * @param aRows All rows of a job's record.
+ * @return The record, or nothing if a row cannot be decoded. The job is then
+ *   skipped: without its whole record it could run twice.
+ */
+std::optional<JobProgress>
+SchedulerTask::DecodeRecord(const std::vector<const StoreRow*>& aRows)
+{
+  std::string key;
+  try {
+    std::vector<JobProgress> parts;
+    for (const StoreRow* row : aRows) {
+      key = row->Key();
+      parts.push_back(mPorts.mCodec.DecodeProgress(row->Value()));
+    }
+    return JobProgress::Join(std::move(parts));
+  } catch (const CoordinationError& error) {
+    LogMalformed(key, error.what());
+  } catch (const state::StateError& error) {
+    LogMalformed(key, error.what());
+  }
+  return std::nullopt;
+}
+
 void
 SchedulerTask::ApplyJobRow(const StoreRow& aRow, const JobProgress* aProgress)
 {
--- a/src/coordination/StoreTask.cpp
+++ b/src/coordination/StoreTask.cpp
@@ -184,6 +184,7 @@
         HandleConflict(aOperationId, aOperation, aWrite, aResult);
         return;
       case StoreStatus::kUnavailable:
+      case StoreStatus::kRejected:
         RetryWithinBudget(aOperationId);
         return;
       case StoreStatus::kOutcomeUnknown:
--- a/src/protocol/JsonSchedulingCodec.cpp
+++ b/src/protocol/JsonSchedulingCodec.cpp
@@ -40,6 +40,9 @@
 /** Priorities and attempts; far above what operators set. */
 constexpr NumberRange kSmallRange{ 0, 1'000'000 };
 
+/** Parts of a divided record, and tasks in a part. */
+constexpr NumberRange kPartRange{ 0, 1'000'000 };
+
 /** Parses the text, decodes it and converts errors to CoordinationError. */
 template<typename Function>
 auto
@@ -264,22 +267,30 @@
   for (const TaskRecord& record : aProgress.Tasks()) {
     tasks.push_back(RecordToJson(record));
   }
-  return ToText({ { "id", aProgress.Job() },
-                  { "organisation", aProgress.Organisation() },
-                  { "state", JobPhaseName(aProgress.Phase()) },
-                  { "begun", aProgress.HasStarted() },
-                  { "tasks", std::move(tasks) } });
+  json progress{ { "id", aProgress.Job() },
+                 { "organisation", aProgress.Organisation() },
+                 { "state", JobPhaseName(aProgress.Phase()) },
+                 { "begun", aProgress.HasStarted() },
+                 { "tasks", std::move(tasks) } };
+  if (aProgress.TasksPerPart() > 0) {
+    progress["part"] = aProgress.Part();
+    progress["tasks_per_part"] = aProgress.TasksPerPart();
+  }
+  return ToText(progress);
 }
 
 JobProgress
 JsonSchedulingCodec::DecodeProgress(const std::string& aValue) const
 {
   return Decode("job progress", aValue, [](const JsonReader& aObject) {
-    return JobProgress(aObject.Text("id"),
-                       aObject.Text("organisation"),
-                       PhaseFromName(aObject.Text("state")),
-                       aObject.Flag("begun"),
-                       RecordsFromJson(aObject.At("tasks")));
+    const JobProgress progress(aObject.Text("id"),
+                               aObject.Text("organisation"),
+                               PhaseFromName(aObject.Text("state")),
+                               aObject.Flag("begun"),
+                               RecordsFromJson(aObject.At("tasks")));
+    const std::uint64_t part = aObject.Integer("part", kPartRange, 0);
+    return progress.AsPart(part,
+                           aObject.Integer("tasks_per_part", kPartRange, 0));
   });
 }
 
--- a/src/state/scheduling/OwnerLease.cpp
+++ b/src/state/scheduling/OwnerLease.cpp
@@ -1,5 +1,9 @@
 #include "cornelrudder/state/scheduling/OwnerLease.h"
 
+#include <iterator>
+#include <utility>
+#include <vector>
+
 namespace cornelrudder::state::scheduling {
 
 namespace {
@@ -45,6 +49,29 @@
   return lease;
 }
 
+OwnerLease
+OwnerLease::WithShorterLists() const
+{
+  OwnerLease lease = *this;
+  if (!lease.mWorkerLeases.empty()) {
+    const std::size_t kept = lease.mWorkerLeases.size() / 2;
+    lease.mWorkerLeases.erase(
+      std::next(lease.mWorkerLeases.begin(), static_cast<std::ptrdiff_t>(kept)),
+      lease.mWorkerLeases.end());
+    return lease;
+  }
+  std::vector<std::pair<std::uint64_t, std::string>> queues;
+  for (const auto& [queue, jobs] : lease.mPending) {
+    queues.emplace_back(jobs, queue);
+  }
+  std::sort(queues.begin(), queues.end());
+  queues.resize((queues.size() + 1) / 2);
+  for (const auto& [jobs, queue] : queues) {
+    lease.mPending.erase(queue);
+  }
+  return lease;
+}
+
 void
 LeaseObserver::Observe(std::uint64_t aVersion,
                        std::chrono::milliseconds aStoreTime)
--- a/src/state/scheduling/Scheduler.cpp
+++ b/src/state/scheduling/Scheduler.cpp
@@ -85,9 +85,9 @@
 }
 
 std::vector<JobProgress>
-Scheduler::BeginWrite(std::size_t aMaxJobs)
+Scheduler::BeginWrite(const WriteLimits& aLimits)
 {
-  return mImpl->BeginWrite(aMaxJobs);
+  return mImpl->BeginWrite(aLimits);
 }
 
 void
@@ -96,10 +96,16 @@
   mImpl->FinishWrite(aStored);
 }
 
-std::vector<std::string>
-Scheduler::ExpiredJobs(Millis aNow, std::size_t aMax) const
+void
+Scheduler::SetAsideRejected(Millis aNow)
+{
+  mImpl->SetAsideRejected(aNow);
+}
+
+std::vector<ExpiredJob>
+Scheduler::ExpiredJobs(Millis aNow, std::size_t aMaxRows) const
 {
-  return mImpl->ExpiredJobs(aNow, aMax);
+  return mImpl->ExpiredJobs(aNow, aMaxRows);
 }
 
 void
--- a/src/state/scheduling/SchedulerCrashes.cpp
+++ b/src/state/scheduling/SchedulerCrashes.cpp
@@ -151,7 +151,7 @@
     if (job != nullptr && !IsFinal(job->mPhase)) {
       CrashCount& crashes = job->mTasks[run.mTask.second].mCrashes;
       crashes = crashes.WithOtherCause(run.mCrash);
-      MarkChanged(*job);
+      MarkChanged(*job, run.mTask.second);
     }
   }
   mRecentSuspects.clear();
@@ -230,7 +230,7 @@
   if (isNew) {
     job->mCrashedRuns[countedTask] = aRun.mRun;
     counted.mCrashes = counted.mCrashes.With(aRun.mCrash);
-    MarkChanged(*job);
+    MarkChanged(*job, countedTask);
     if (aRun.mCrash.mIsSuspect) {
       mRecentSuspects.push_back(
         { aNow, { { id, countedTask }, aRun.mRun, aRun.mCrash } });
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -38,9 +38,10 @@
   {
     return HasUnwrittenJobs() || HasUnwrittenTerminations();
   }
-  std::vector<JobProgress> BeginWrite(std::size_t aMaxJobs);
+  std::vector<JobProgress> BeginWrite(const WriteLimits& aLimits);
   void FinishWrite(bool aStored);
-  std::vector<std::string> ExpiredJobs(Millis aNow, std::size_t aMax) const;
+  void SetAsideRejected(Millis aNow);
+  std::vector<ExpiredJob> ExpiredJobs(Millis aNow, std::size_t aMaxRows) const;
   void RemoveExpiredJobs(std::size_t aCount);
   std::map<std::string, std::uint64_t> PendingJobs() const;
   bool IsIdle() const;
@@ -111,7 +112,13 @@
   // Jobs and records.
   JobState* FindJob(const std::string& aJob);
   void Restore(JobState& aJob, const JobProgress& aProgress, Millis aNow);
-  void MarkChanged(const JobState& aJob);
+  void UpdateRestoredPhase(JobState& aJob, Millis aNow);
+  void MarkChanged(JobState& aJob);
+  void MarkChanged(JobState& aJob, std::size_t aTask);
+  void MarkAllChanged(JobState& aJob);
+  void RestoreChanges(const std::string& aJob,
+                      const std::set<std::size_t>& aParts);
+  void RetryJobsSetAside(Millis aNow);
   void BeginRoundIfDue();
   bool HasUnwrittenJobs() const { return !mDirty.empty() || !mRound.empty(); }
   void UpdatePhase(JobState& aJob, Millis aNow);
@@ -297,7 +304,7 @@
    * Terminated jobs, oldest first, with the value of mPlannedAt when this owner
    * removed them from mJobs.
    */
-  std::deque<std::pair<Millis, std::string>> mTerminatedJobsByTime;
+  std::deque<std::pair<Millis, ExpiredJob>> mTerminatedJobsByTime;
   /**
    * Time of the last planning pass or added job, used where the current time is
    * not passed.
@@ -317,8 +324,10 @@
    */
   std::set<std::string> mDirty;
   std::set<std::string> mRound;
-  /** Jobs whose records are in the pending write. */
-  std::set<std::string> mWriting;
+  /** Jobs and parts of their records in the pending write. */
+  std::map<std::string, std::set<std::size_t>> mWriting;
+  /** Jobs whose records the store rejected; see JobState::mSetAsideUntil. */
+  std::set<std::string> mSetAside;
   /** Numbers of the last started write and of the last stored one. */
   std::uint64_t mWrites = 0;
   std::uint64_t mStoredWrites = 0;
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -4,6 +4,15 @@
 
 namespace cornelrudder::state::scheduling {
 
+namespace {
+
+/** Time until the record of a job that the store rejected is written again. */
+constexpr Millis kSetAsideTime{ 5'000 };
+/** Rows of a job that are not part of its record: the job's, a cancellation. */
+constexpr std::size_t kRowsBesideRecord = 2;
+
+} // namespace
+
 Scheduler::Impl::Impl(SchedulerOptions aOptions)
   : mOptions(std::move(aOptions))
   , mPolicy(MakePlacementPolicy(mOptions.mPolicy))
@@ -35,8 +44,13 @@
   if (mJobs.contains(aJob.Id()) || mTerminatedJobs.contains(aJob.Id())) {
     return;
   }
-  JobState job(aJob, aNow - std::max(aAge, Millis(0)));
-  job.mTasks.resize(aJob.TasksPerOccurrence() * aJob.Occurrences());
+  // A record stays divided as it was stored.
+  const bool isDivided = aProgress != nullptr && aProgress->TasksPerPart() > 0;
+  JobState job(aJob,
+               aNow - std::max(aAge, Millis(0)),
+               isDivided ? aProgress->TasksPerPart()
+                         : mOptions.mTasksPerRecord);
+  job.mTasks.resize(aJob.Tasks());
   mPlannedAt = std::max(mPlannedAt, aNow);
   JobState& added = mJobs.emplace(aJob.Id(), std::move(job)).first->second;
   if (aProgress != nullptr) {
@@ -74,6 +88,25 @@
       task.mPhase = TaskPhase::kDone;
     }
   }
+  UpdateRestoredPhase(aJob, aNow);
+}
+
+/**
+ * Ends a job whose tasks have ended it: the parts of its record are not always
+ * stored by the same write, and the first part tells the phase.
+ */
+void
+Scheduler::Impl::UpdateRestoredPhase(JobState& aJob, Millis aNow)
+{
+  const int maxAttempts = aJob.mJob.Settings().mMaxAttempts;
+  const bool hasFailed = std::any_of(
+    aJob.mTasks.begin(), aJob.mTasks.end(), [maxAttempts](const Task& aTask) {
+      return aTask.mFailures > 0 && aTask.mFailures >= maxAttempts;
+    });
+  if (hasFailed && !IsFinal(aJob.mPhase)) {
+    TerminateJob(aJob, JobPhase::kFailed, aNow);
+  }
+  UpdatePhase(aJob, aNow);
 }
 
 void
@@ -86,11 +119,42 @@
   }
 }
 
+/** Marks the first part of a job's record, which tells the phase. */
+void
+Scheduler::Impl::MarkChanged(JobState& aJob)
+{
+  aJob.mChangedParts.insert(0);
+  const std::string& id = aJob.mJob.Id();
+  if (!mRound.contains(id) && !mSetAside.contains(id)) {
+    mDirty.insert(id);
+  }
+}
+
+/** Marks the part with a task, and those with the other members of a gang. */
+void
+Scheduler::Impl::MarkChanged(JobState& aJob, std::size_t aTask)
+{
+  MarkChanged(aJob);
+  if (IsFinal(aJob.mPhase)) {
+    MarkAllChanged(aJob);
+    return;
+  }
+  auto [first, end] = aJob.StepRange(aTask);
+  if (!aJob.StepOf(aTask).IsGang()) {
+    first = aTask;
+    end = aTask + 1;
+  }
+  for (std::size_t i = first; i < end; ++i) {
+    aJob.mChangedParts.insert(i / aJob.mTasksPerPart);
+  }
+}
+
 void
-Scheduler::Impl::MarkChanged(const JobState& aJob)
+Scheduler::Impl::MarkAllChanged(JobState& aJob)
 {
-  if (!mRound.contains(aJob.mJob.Id())) {
-    mDirty.insert(aJob.mJob.Id());
+  MarkChanged(aJob);
+  for (std::size_t i = 0; i < aJob.Parts(); ++i) {
+    aJob.mChangedParts.insert(i);
   }
 }
 
@@ -115,7 +179,8 @@
 Scheduler::Impl::TerminateJob(JobState& aJob, JobPhase aPhase, Millis aNow)
 {
   aJob.mPhase = aPhase;
-  MarkChanged(aJob);
+  aJob.mSetAsideUntil = Millis(0);
+  MarkAllChanged(aJob);
   RecordEvent(
     SchedulerEvent::Kind::kJobEnded,
     { { "job", aJob.mJob.Id() },
@@ -129,17 +194,19 @@
 Scheduler::Impl::RemoveIfTerminated(const std::string& aJob)
 {
   const JobState* job = FindJob(aJob);
-  const bool isTerminated = job != nullptr && IsFinal(job->mPhase) &&
-                            !job->IsAnyAssigned() && !mDirty.contains(aJob) &&
-                            !mRound.contains(aJob) && !mWriting.contains(aJob);
+  const bool isTerminated =
+    job != nullptr && IsFinal(job->mPhase) && !job->IsAnyAssigned() &&
+    !mDirty.contains(aJob) && !mRound.contains(aJob) &&
+    !mWriting.contains(aJob) && !mSetAside.contains(aJob);
   if (isTerminated) {
     for (std::size_t i = 0; i < job->mTasks.size(); ++i) {
       mWaits.erase({ aJob, i });
       mNominations.erase({ aJob, i });
     }
+    const std::size_t parts = job->Parts();
     mJobs.erase(aJob);
     mTerminatedJobs.insert(aJob);
-    mTerminatedJobsByTime.emplace_back(mPlannedAt, aJob);
+    mTerminatedJobsByTime.push_back({ mPlannedAt, { aJob, parts } });
   }
 }
 
@@ -173,43 +240,65 @@
 }
 
 std::vector<JobProgress>
-Scheduler::Impl::BeginWrite(std::size_t aMaxJobs)
+Scheduler::Impl::BeginWrite(const WriteLimits& aLimits)
 {
   ++mWrites;
   std::vector<JobProgress> records;
+  std::size_t tasks = 0;
   BeginRoundIfDue();
-  while (!mRound.empty() && records.size() < aMaxJobs) {
+  while (!mRound.empty() && records.size() < aLimits.mRecords &&
+         tasks < aLimits.mTasks) {
     const std::string id = *mRound.begin();
-    mRound.erase(mRound.begin());
     JobState* job = FindJob(id);
-    if (job == nullptr) {
+    if (job == nullptr || job->mChangedParts.empty()) {
+      mRound.erase(id);
       continue;
     }
-    mWriting.insert(id);
-    records.push_back(job->ToProgress());
-    for (Task& task : job->mTasks) {
+    const std::size_t part = *job->mChangedParts.begin();
+    job->mChangedParts.erase(part);
+    mWriting[id].insert(part);
+    records.push_back(job->ToProgress(part));
+    tasks += records.back().Tasks().size();
+    const auto [first, end] = job->PartRange(part);
+    for (std::size_t i = first; i < end; ++i) {
+      Task& task = job->mTasks[i];
       if (task.mPhase == TaskPhase::kPlanned && task.mPlanWrite == 0) {
         task.mPlanWrite = mWrites;
       }
     }
+    if (job->mChangedParts.empty()) {
+      mRound.erase(id);
+    }
     BeginRoundIfDue();
   }
   return records;
 }
 
+/** Makes the next write contain the records of a write that was not stored. */
+void
+Scheduler::Impl::RestoreChanges(const std::string& aJob,
+                                const std::set<std::size_t>& aParts)
+{
+  JobState& job = mJobs.at(aJob);
+  for (const std::size_t part : aParts) {
+    job.mChangedParts.insert(part);
+    const auto [first, end] = job.PartRange(part);
+    for (std::size_t i = first; i < end; ++i) {
+      job.mTasks[i].mPlanWrite = 0;
+    }
+  }
+  mDirty.erase(aJob);
+  mRound.insert(aJob);
+}
+
 void
 Scheduler::Impl::FinishWrite(bool aStored)
 {
-  std::set<std::string> written;
+  std::map<std::string, std::set<std::size_t>> written;
   written.swap(mWriting);
   if (!aStored) {
-    // The next write of these jobs contains at least the same changes.
-    for (const std::string& id : written) {
-      mDirty.erase(id);
-      mRound.insert(id);
-      for (Task& task : mJobs.at(id).mTasks) {
-        task.mPlanWrite = 0;
-      }
+    for (const auto& [id, parts] : written) {
+      RestoreChanges(id, parts);
     }
     for (auto& [id, worker] : mWorkers) {
       worker.mWritingUpTo = worker.mAckedUpTo;
@@ -218,26 +307,82 @@
   }
   mStoredWrites = mWrites;
   for (auto& [id, worker] : mWorkers) {
-    if (worker.mWritingUpTo > worker.mAckedUpTo) {
-      worker.mAckedUpTo = worker.mWritingUpTo;
+    const std::uint64_t ackable =
+      std::min(worker.mWritingUpTo, worker.mAckLimit);
+    if (ackable > worker.mAckedUpTo) {
+      worker.mAckedUpTo = ackable;
       // Renews at once to acknowledge the stored terminations to the worker.
       worker.mNextRenewal = Millis(0);
     }
   }
-  for (const std::string& id : written) {
+  for (const auto& [id, parts] : written) {
     RemoveIfTerminated(id);
   }
 }
 
-std::vector<std::string>
-Scheduler::Impl::ExpiredJobs(Millis aNow, std::size_t aMax) const
+/**
+ * Ends a write that the store rejects and that has one record. Its job waits,
+ * so that the other jobs go on. The job's terminations stay unacknowledged, and
+ * its planned runs give their capacity back.
+ */
+void
+Scheduler::Impl::SetAsideRejected(Millis aNow)
+{
+  const std::string id = mWriting.begin()->first;
+  FinishWrite(false);
+  JobState& job = mJobs.at(id);
+  mRound.erase(id);
+  mSetAside.insert(id);
+  job.mSetAsideUntil = aNow + kSetAsideTime;
+  for (auto& [workerId, worker] : mWorkers) {
+    if (worker.HasUnackedTerminations()) {
+      worker.mAckLimit = std::min(worker.mAckLimit, worker.mAckedUpTo);
+    }
+  }
+  for (std::size_t i = 0; i < job.mTasks.size(); ++i) {
+    if (job.mTasks[i].mPhase == TaskPhase::kPlanned) {
+      RequestStop(job, i, LossCause::kOther, aNow);
+    }
+  }
+  RecordEvent(SchedulerEvent::Kind::kJobSetAside,
+              { { "job", id },
+                { "tasks", std::to_string(job.mTasks.size()) },
+                { "parts", std::to_string(job.Parts()) },
+                { "retry_after_ms", std::to_string(kSetAsideTime.count()) } });
+}
+
+/** Makes the jobs that were set aside long enough part of the next round. */
+void
+Scheduler::Impl::RetryJobsSetAside(Millis aNow)
+{
+  const bool isAny = !mSetAside.empty();
+  std::erase_if(mSetAside, [this, aNow](const std::string& aId) {
+    const bool isDue = mJobs.at(aId).mSetAsideUntil <= aNow;
+    if (isDue) {
+      mDirty.insert(aId);
+    }
+    return isDue;
+  });
+  if (isAny && mSetAside.empty()) {
+    for (auto& [id, worker] : mWorkers) {
+      worker.mAckLimit = WorkerState::kNoAckLimit;
+    }
+  }
+}
+
+std::vector<ExpiredJob>
+Scheduler::Impl::ExpiredJobs(Millis aNow, std::size_t aMaxRows) const
 {
-  std::vector<std::string> jobs;
-  for (const auto& [terminatedAt, id] : mTerminatedJobsByTime) {
-    if (jobs.size() == aMax || aNow - terminatedAt < mOptions.mJobRetention) {
+  std::vector<ExpiredJob> jobs;
+  std::size_t rows = 0;
+  for (const auto& [terminatedAt, job] : mTerminatedJobsByTime) {
+    rows += kRowsBesideRecord + job.mParts;
+    // A job with more rows than the limit is removed by a write of its own.
+    if ((rows > aMaxRows && !jobs.empty()) ||
+        aNow - terminatedAt < mOptions.mJobRetention) {
       break;
     }
-    jobs.push_back(id);
+    jobs.push_back(job);
   }
   return jobs;
 }
@@ -246,7 +391,7 @@
 Scheduler::Impl::RemoveExpiredJobs(std::size_t aCount)
 {
   for (std::size_t i = 0; i < aCount; ++i) {
-    mTerminatedJobs.erase(mTerminatedJobsByTime.front().second);
+    mTerminatedJobs.erase(mTerminatedJobsByTime.front().second.mJob);
     mTerminatedJobsByTime.pop_front();
   }
 }
--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -170,16 +170,18 @@
 }
 
 JobProgress
-JobState::ToProgress() const
+JobState::ToProgress(std::size_t aPart) const
 {
   std::vector<TaskRecord> records;
+  auto [first, end] = PartRange(aPart);
   if (IsFinal(mPhase) && !IsAnyAssigned()) {
     // No run can exist any more. Without its tasks, the record is smaller for a
     // new owner to read.
-    return { mJob.Id(), mJob.Organisation(), mPhase, mStarted, {} };
+    end = first;
   }
-  records.reserve(mTasks.size());
-  for (const Task& task : mTasks) {
+  records.reserve(end - first);
+  for (std::size_t i = first; i < end; ++i) {
+    const Task& task = mTasks[i];
     TaskRecord record;
     record.mRun = task.mRun;
     record.mFailures = task.mFailures;
@@ -196,9 +198,9 @@
     }
     records.push_back(std::move(record));
   }
-  return {
-    mJob.Id(), mJob.Organisation(), mPhase, mStarted, std::move(records)
-  };
+  const JobProgress progress(
+    mJob.Id(), mJob.Organisation(), mPhase, mStarted, std::move(records));
+  return Parts() > 1 ? progress.AsPart(aPart, mTasksPerPart) : progress;
 }
 
 } // namespace cornelrudder::state::scheduling
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -7,8 +7,10 @@
 #include "cornelrudder/state/scheduling/WorkerCalls.h"
 #include "cornelrudder/state/scheduling/WorkerInfo.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -182,15 +184,25 @@
 /** A job and the state of its tasks. */
 struct JobState
 {
-  JobState(TaskJob aJob, Millis aSubmittedAt)
+  JobState(TaskJob aJob, Millis aSubmittedAt, std::size_t aTasksPerPart)
     : mJob(std::move(aJob))
     , mSubmittedAt(aSubmittedAt)
+    , mTasksPerPart(aTasksPerPart)
   {
   }
 
   TaskJob mJob;
   /** When the job was submitted. */
   Millis mSubmittedAt;
+  /** Number of tasks in each part of the job's record. */
+  std::size_t mTasksPerPart;
+  /** Parts of the record with changes that no write contains yet. */
+  std::set<std::size_t> mChangedParts;
+  /**
+   * Until this time the record is not written and no task is planned, since the
+   * store rejected the record.
+   */
+  Millis mSetAsideUntil{ 0 };
   JobPhase mPhase = JobPhase::kQueued;
   /** Whether a worker has acknowledged or reported a run. */
   bool mStarted = false;
@@ -273,7 +285,22 @@
    */
   bool IsWaitingForGang(std::size_t aTask) const;
 
-  JobProgress ToProgress() const;
+  /** @return Number of parts of the job's record. */
+  std::size_t Parts() const
+  {
+    return std::max<std::size_t>(
+      (mTasks.size() + mTasksPerPart - 1) / mTasksPerPart, 1);
+  }
+
+  /** @return Range of task numbers of a part, end exclusive. */
+  std::pair<std::size_t, std::size_t> PartRange(std::size_t aPart) const
+  {
+    return { std::min(aPart * mTasksPerPart, mTasks.size()),
+             std::min((aPart + 1) * mTasksPerPart, mTasks.size()) };
+  }
+
+  /** @return A part of the job's record. */
+  JobProgress ToProgress(std::size_t aPart) const;
 };
 
 /** Whether a worker may get new runs; otherwise the reason why not. */
@@ -300,6 +327,9 @@
 /** State of a worker, its lease and the tasks assigned to it. */
 struct WorkerState
 {
+  static constexpr std::uint64_t kNoAckLimit =
+    std::numeric_limits<std::uint64_t>::max();
+
   WorkerInfo mInfo;
   /** Whether the list of workers contains this one. */
   bool mListed = true;
@@ -317,6 +347,11 @@
   std::uint64_t mRoundUpTo = 0;
   std::uint64_t mWritingUpTo = 0;
   std::uint64_t mAckedUpTo = 0;
+  /**
+   * Terminations above this number may belong to a job whose record the store
+   * rejects, and are not acknowledged.
+   */
+  std::uint64_t mAckLimit = kNoAckLimit;
   /** Highest acknowledged one of which the worker is known to know. */
   std::uint64_t mConfirmedUpTo = 0;
   /**
@@ -386,6 +421,7 @@
     mRoundUpTo = 0;
     mWritingUpTo = 0;
     mAckedUpTo = 0;
+    mAckLimit = kNoAckLimit;
     mConfirmedUpTo = 0;
     mClock = Millis(0);
     mFailedRenewals = 0;
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -94,6 +94,7 @@
 {
   mPlannedAt = aNow;
   mWallClockOffset = aWallClock - aNow;
+  RetryJobsSetAside(aNow);
   ExpireUnresponsiveWorkers(aNow);
   CheckProgress(aNow);
   ReportStalledJobs(aNow);
@@ -116,7 +117,7 @@
   PlanningView view;
   AddWorkers(view, aKeys, aNow);
   for (const auto& [id, job] : mJobs) {
-    if (IsFinal(job.mPhase)) {
+    if (IsFinal(job.mPhase) || mSetAside.contains(id)) {
       continue;
     }
     AddWaiting(view, aKeys, job, aNow);
@@ -354,9 +355,9 @@
       const std::string& worker = aKeys.mWorkers[aDecision.mWorkers[n]];
       job.mTasks[tasks[n].second].mCheckpoint = checkpoint;
       Assign(job, tasks[n].second, mWorkers.at(worker), run + 1);
+      MarkChanged(job, tasks[n].second);
       workers += (workers.empty() ? "" : ",") + worker;
     }
-    MarkChanged(job);
     mWaits.erase(tasks.front());
     mNominations.erase(tasks.front());
     fields.emplace_back("run", std::to_string(run + 1));
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -81,7 +81,7 @@
       it->second.mAssigned.erase({ aJob.mJob.Id(), aTask }) > 0) {
     it->second.mUsed = it->second.mUsed.Minus(aJob.StepOf(aTask).Demand());
   }
-  MarkChanged(aJob);
+  MarkChanged(aJob, aTask);
 }
 
 void
@@ -182,8 +182,8 @@
     } else {
       FinishTask(aJob, i, aNow);
     }
+    MarkChanged(aJob, i);
   }
-  MarkChanged(aJob);
   const std::string id = aJob.mJob.Id();
   UpdatePhase(aJob, aNow);
   RemoveIfTerminated(id);
@@ -270,7 +270,7 @@
   // A failed run of a gang counts once, however many members report it.
   if (aJob.mFailedRuns[countedTask].insert(aRun).second) {
     ++aJob.mTasks[countedTask].mFailures;
-    MarkChanged(aJob);
+    MarkChanged(aJob, countedTask);
   }
   if (!IsFinal(aJob.mPhase) &&
       aJob.mTasks[countedTask].mFailures >= aJob.mJob.Settings().mMaxAttempts) {
@@ -455,6 +455,9 @@
   const Task& task = job->mTasks[*index];
   const bool isCurrent = task.IsAssigned() && task.mRun == aRun.mRun &&
                          task.mWorker == aWorker.mInfo.mId;
+  if (mSetAside.contains(aRun.mTask.Job())) {
+    aWorker.mAckLimit = std::min(aWorker.mAckLimit, aRun.mSequence - 1);
+  }
   RecordStart(*job, aNow);
   if (!isCurrent) {
     ApplyEarlierTermination(aWorker, aRun, *job, *index, aNow);
--- a/src/state/scheduling/TaskJob.cpp
+++ b/src/state/scheduling/TaskJob.cpp
@@ -31,6 +31,11 @@
                      std::to_string(kMaxOccurrences) +
                      " occurrences and no negative interval");
   }
+  if (Tasks() > kMaxTasks) {
+    throw StateError("job: found " + std::to_string(Tasks()) +
+                     " tasks in all occurrences; allowed are at most " +
+                     std::to_string(kMaxTasks));
+  }
 }
 
 std::size_t
--- a/tests/coordination/FakeFleet.cpp
+++ b/tests/coordination/FakeFleet.cpp
@@ -281,6 +281,32 @@
                       isRefused));
 }
 
+bool
+FakeFeedStore::IsRejected(const state::Transaction& aTransaction) const
+{
+  return std::any_of(aTransaction.Writes().begin(),
+                     aTransaction.Writes().end(),
+                     [this](const RowWrite& aWrite) {
+                       return aWrite.Key() == mRejectedRow ||
+                              (aWrite.Value() &&
+                               aWrite.Value()->size() > mRowLimit);
+                     });
+}
+
+void
+FakeFeedStore::SetRowLimit(std::size_t aBytes)
+{
+  const std::lock_guard lock(mMutex);
+  mRowLimit = aBytes;
+}
+
+void
+FakeFeedStore::SetRejectedRow(const std::string& aKey)
+{
+  const std::lock_guard lock(mMutex);
+  mRejectedRow = aKey;
+}
+
 void
 FakeFeedStore::SetRefusedTable(const std::string& aTable)
 {
@@ -305,7 +331,9 @@
   StoreResult result(StoreStatus::kUnavailable, {});
   {
     const std::lock_guard lock(mMutex);
-    if (!mDown && !IsRefused(aTransaction)) {
+    if (!mDown && IsRejected(aTransaction)) {
+      result = StoreResult(StoreStatus::kRejected, {});
+    } else if (!mDown && !IsRefused(aTransaction)) {
       if (mWriteFault != WriteFault::kRequestLost) {
         result = Apply(aTransaction);
       }
--- a/tests/coordination/FakeFleet.h
+++ b/tests/coordination/FakeFleet.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <functional>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <set>
@@ -75,6 +76,10 @@
    * @param aTable Name of the table; empty for none.
    */
   void SetRefusedTable(const std::string& aTable);
+  /** Rejects all further writes of values of more than so many bytes. */
+  void SetRowLimit(std::size_t aBytes);
+  /** Rejects all further writes of a row; empty for none. */
+  void SetRejectedRow(const std::string& aKey);
   /** Delays the effect and the reply of all further calls but polls. */
   void SetDelays(std::chrono::milliseconds aRead,
                  std::chrono::milliseconds aWrite);
@@ -119,6 +124,7 @@
   state::StoreResult MakePage(std::vector<state::StoreRow> aRows) const;
   state::StoreResult Apply(const state::Transaction& aTransaction);
   bool IsRefused(const state::Transaction& aTransaction) const;
+  bool IsRejected(const state::Transaction& aTransaction) const;
 
   std::mutex mMutex;
   std::condition_variable mWake;
@@ -131,6 +137,8 @@
   std::size_t mFeedPage = 0;
   WriteFault mWriteFault = WriteFault::kNone;
   std::string mRefusedTable;
+  std::size_t mRowLimit = std::numeric_limits<std::size_t>::max();
+  std::string mRejectedRow;
   std::chrono::milliseconds mReadDelay{ 0 };
   std::chrono::milliseconds mWriteDelay{ 0 };
   std::vector<DelayedCall> mDelayedCalls;
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -50,6 +50,7 @@
   {
     mStore.Put(kCatalogKey, "1 key");
     RefreshWorkers();
+    mStep.mDemand = Resources(1'000, 1'000, 4);
     mSchedulerOptions.mRenewInterval = milliseconds(50);
     mSchedulerOptions.mOwnerTimeout = milliseconds(600);
   }
@@ -66,6 +67,9 @@
 
   /** Options of the scheduler tasks that are started from now on. */
   SchedulerTaskOptions mSchedulerOptions;
+  /** The only step and the payload of the jobs submitted from now on. */
+  StepSpecValues mStep;
+  std::string mPayload = "payload";
 
   const DaemonTasks& Start(const std::string& aName,
                            milliseconds aRetention = milliseconds(600'000))
@@ -161,10 +165,8 @@
     call.mPath = "/q/" + aJob;
     call.mApiKey = aKey;
     call.mTimeout = milliseconds(1'500);
-    call.mDecodeBody = [](const CallLimits&) {
-      StepSpecValues step;
-      step.mDemand = Resources(1'000, 1'000, 4);
-      return Submission{ "payload", { StepSpec(step, 0) }, {} };
+    call.mDecodeBody = [step = mStep, payload = mPayload](const CallLimits&) {
+      return Submission{ payload, { StepSpec(step, 0) }, {} };
     };
     call.mRespond = [promise](const JobCallReply& aReply) {
       promise->set_value(aReply);
@@ -211,6 +213,10 @@
  */
 constexpr std::uint64_t kWaitForUntoldLease = 8'680;
 
+/** Row size of the store, and a step whose record is larger than one row. */
+constexpr std::size_t kRowBytes = 65'536;
+constexpr std::size_t kWideStep = 2'760;
+
 void
 CheckStatus(JobCallStatus aExpected, JobCallStatus aFound)
 {
@@ -385,6 +391,82 @@
   CHECK_EQUAL(version, daemons.Lease().mEpoch);
 }
 
+// Guards against a job whose record outgrows the rows of the store, so that no
+// write of any owner succeeds and no job starts.
+TEST(SchedulingTasks, RecordOfAWideJobFitsTheRowsOfTheStore)
+{
+  Daemons daemons;
+  daemons.mStore.SetRowLimit(kRowBytes);
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mStep.mTasks = kWideStep;
+  daemons.mStep.mDemand = Resources(1, 1, 0);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  daemons.mStep.mTasks = 1;
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j2"));
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.HasPhase(daemon, "j2", JobPhase::kDone); }));
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.HasPhase(daemon, "j1", JobPhase::kDone); }));
+  CHECK_EQUAL(1, daemons.Lease().mEpoch);
+}
+
+// Guards against accepting a job that no row of the store can hold.
+TEST(SchedulingTasks, JobThatTheStoreCannotHoldIsRefused)
+{
+  Daemons daemons;
+  daemons.mStore.SetRowLimit(kRowBytes);
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mPayload.assign(kRowBytes, 'x');
+  CheckStatus(JobCallStatus::kBadRequest, daemons.Submit(daemon, "j1"));
+  CHECK(!daemons.mStore.Has("jobs/j1"));
+}
+
+// Guards against a successor that loses a part of a divided record and starts
+// tasks again that are running or done.
+TEST(SchedulingTasks, SuccessorReadsADividedRecord)
+{
+  Daemons daemons;
+  daemons.mStore.SetRowLimit(kRowBytes);
+  daemons.mWorkers.SetRunsBlocked(true);
+  const DaemonTasks first = daemons.Start("a");
+  daemons.mStep.mTasks = kWideStep;
+  daemons.mStep.mDemand = Resources(1, 1, 0);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(first, "j1"));
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.mWorkers.Starts() == static_cast<int>(kWideStep); }));
+  const DaemonTasks second = daemons.Start("b");
+  daemons.Kill(first);
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.mWorkers.HighestEpoch() == 2; }));
+  daemons.mWorkers.SetRunsBlocked(false);
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.HasPhase(second, "j1", JobPhase::kDone); }));
+  CHECK_EQUAL(static_cast<int>(kWideStep), daemons.mWorkers.Starts());
+}
+
+// Guards against a write that the store rejects for good and that is repeated
+// for ever, with the lease and the records of all other jobs.
+TEST(SchedulingTasks, RejectedRecordHoldsUpOnlyItsJob)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mStore.SetRejectedRow("runs/j1");
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  for (const char* job : { "j2", "j3", "j4" }) {
+    CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, job));
+  }
+  CHECK(daemons.WaitWithLiveWorkers([&] {
+    return daemons.HasPhase(daemon, "j2", JobPhase::kDone) &&
+           daemons.HasPhase(daemon, "j3", JobPhase::kDone) &&
+           daemons.HasPhase(daemon, "j4", JobPhase::kDone);
+  }));
+  CHECK_EQUAL(1, daemons.Lease().mEpoch);
+  CHECK_EQUAL(3, daemons.mWorkers.Starts());
+  daemons.mStore.SetRejectedRow("");
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.HasPhase(daemon, "j1", JobPhase::kDone); }));
+}
+
 // Guards against delaying callers while the store is known to be unreachable,
 // and against a write that takes effect after a rejection.
 TEST(SchedulingTasks, UnreachableStoreRejectsWithoutEffect)
--- a/tests/platform/TableStoreTest.cpp
+++ b/tests/platform/TableStoreTest.cpp
@@ -44,7 +44,7 @@
                 aRespond(reply(mLastRequest));
               })
     , mClient(mThread, {})
-    , mStore(mClient, mServer.Address(), kTimeout, kTimeout, mLog)
+    , mStore(mClient, mServer.Address(), kTimeout, kTimeout, {}, mLog)
   {
   }
 
@@ -70,6 +70,10 @@
   {
     return mLog.Count(coordination::LogEvent::kRowMalformed);
   }
+  int CountRejectedWrites()
+  {
+    return mLog.Count(coordination::LogEvent::kWriteRejected);
+  }
   int CountRefusalLines()
   {
     return mLog.Count(coordination::LogEvent::kStoreRefusals);
@@ -162,10 +166,41 @@
   CheckStatus(StoreStatus::kUnavailable, 503, "");
   CheckStatus(StoreStatus::kUnavailable, 429, "");
   CheckStatus(StoreStatus::kUnavailable, 404, "the store has no call");
+  CheckStatus(StoreStatus::kRejected, 400, R"({"error":"bad call"})");
+  CheckStatus(StoreStatus::kRejected, 403, R"({"error":"not yours"})");
+  CheckStatus(StoreStatus::kRejected, 413, R"({"error":"too large"})");
   CheckStatus(StoreStatus::kOutcomeUnknown, 500, "");
   CheckStatus(StoreStatus::kOutcomeUnknown, 200, "{");
 }
 
+// Guards against sending a write that the store can never accept, and against a
+// log that does not name its row.
+TEST(TableStore, WritesOverTheLimitsOfTheStoreAreRejected)
+{
+  const platform::TableLimits limits;
+  StoreFixture fixture(HttpResponse::Json(200, R"({"ver":5})"));
+  const auto statusOf = [&fixture](std::vector<RowWrite> aWrites) {
+    return fixture.Write(Transaction("id", std::move(aWrites))).Status();
+  };
+  const std::string longest(limits.MaxValueBytes(), 'x');
+  const std::vector<RowWrite> most(limits.mEntries,
+                                   { "runs/j", RowWrite::kAnyVersion, "text" });
+  CHECK(statusOf({ { "runs/j", RowWrite::kAnyVersion, longest } }) ==
+        StoreStatus::kOk);
+  CHECK(statusOf(most) == StoreStatus::kOk);
+  CHECK_EQUAL(0, fixture.CountRejectedWrites());
+  CHECK(statusOf({ { "runs/j", RowWrite::kAnyVersion, longest + "x" } }) ==
+        StoreStatus::kRejected);
+  std::vector<RowWrite> tooMany = most;
+  tooMany.front() = RowWrite("runs/j", 0, "text");
+  CHECK(statusOf(tooMany) == StoreStatus::kRejected);
+  const std::vector<RowWrite> tooLong(
+    limits.mCallBytes / limits.mRowBytes + 1,
+    { "runs/j", RowWrite::kAnyVersion, longest });
+  CHECK(statusOf(tooLong) == StoreStatus::kRejected);
+  CHECK_EQUAL(3, fixture.CountRejectedWrites());
+}
+
 // Guards against an owner that cannot write while the workers write too much.
 TEST(TableStore, OwnerWritesWhileThePartOfTheWorkersIsOverloaded)
 {
--- a/tests/protocol/SchedulingCodecTest.cpp
+++ b/tests/protocol/SchedulingCodecTest.cpp
@@ -156,6 +156,15 @@
   CHECK(codec.DecodeProgress(codec.EncodeProgress(progress)) == progress);
 }
 
+// Guards against a part of a record that a new owner takes for another one.
+TEST(SchedulingCodec, PartOfARecordIsKept)
+{
+  const JsonSchedulingCodec codec;
+  const JobProgress part =
+    JobProgress("j", "o", JobPhase::kRunning, true, { {}, {} }).AsPart(3, 2);
+  CHECK(codec.DecodeProgress(codec.EncodeProgress(part)) == part);
+}
+
 // Guards against unusable counts of crashes and against rejecting a record of a
 // version that counts none.
 TEST(SchedulingCodec, ProgressRowWithOddCrashesIsRejected)
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -489,7 +489,8 @@
 FleetModel::WriteRecords()
 {
   mWriting = true;
-  const auto records = mOwner->BeginWrite(mOptions.mJobsPerWrite);
+  const auto records =
+    mOwner->BeginWrite({ mOptions.mJobsPerWrite, TaskJob::kMaxTasks });
   ScheduleEvent(kStoreLatency, [this, records, epoch = mEpoch] {
     if (epoch != mEpoch) {
       return;
--- a/tests/state/scheduling/OwnerLeaseTest.cpp
+++ b/tests/state/scheduling/OwnerLeaseTest.cpp
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 using cornelrudder::state::scheduling::LeaseObserver;
+using cornelrudder::state::scheduling::OwnerLease;
 using cornelrudder::state::scheduling::StoreTiming;
 using std::chrono::milliseconds;
 
@@ -65,3 +66,22 @@
   CHECK(timing.SilenceLimit(kLater, kNone, kTimeout) == kTimeout);
   CHECK(timing.AcquireSpread(kLater) == kNone);
 }
+
+// Guards against a lease row that outgrows the rows of the store with the
+// number of queues or silent workers, and against leaving out the longest
+// queues.
+TEST(OwnerLease, ListsBecomeShorterUntilNoneIsLeft)
+{
+  OwnerLease lease;
+  lease.mPending = { { "long", 9 }, { "short", 1 }, { "middle", 5 } };
+  lease.mWorkerLeases = { { "w1", 1 }, { "w2", 2 } };
+  lease = lease.WithShorterLists();
+  CHECK_EQUAL(1, lease.mWorkerLeases.size());
+  CHECK_EQUAL(3, lease.mPending.size());
+  lease = lease.WithShorterLists().WithShorterLists();
+  CHECK(lease.mWorkerLeases.empty());
+  CHECK(lease.mPending ==
+        (std::map<std::string, std::uint64_t>{ { "long", 9 } }));
+  CHECK(lease.HasLists());
+  CHECK(!lease.WithShorterLists().HasLists());
+}
--- a/tests/state/scheduling/OwnerReachabilityTest.cpp
+++ b/tests/state/scheduling/OwnerReachabilityTest.cpp
@@ -234,7 +234,7 @@
       query, reply, milliseconds(1'000), milliseconds(1'000));
   }
   scheduler.Plan(milliseconds(1'000), milliseconds(0));
-  scheduler.BeginWrite(1);
+  scheduler.BeginWrite({ 1, 1 });
   scheduler.FinishWrite(true);
   const WorkerCommands commands =
     scheduler.CollectCommands(milliseconds(1'000));
