Keep runs of a draining worker that is cut off until its lease ends

Cause: a draining worker without an entry and with one missed reply counted as gone. The store removes an entry after three missed reports, too, and a worker that is cut off misses reports and replies for the same reason.

Ruled out: leases that differ between owner and worker. With the same cut and without draining, no second run starts before the lease has expired.

Change: what proves that runs have ended with their worker is one table, and one function decides by it. A removed entry counts as a departure only if it was too young to be removed for silence; its age is overestimated from the clocks of the entry and of the last renewal reply. Without such a reply, as after a takeover, the lease decides.

Failed before: Scheduler.SilentDrainingWorkerKeepsItsRunsUntilItsLeaseExpires ("two runs at the same time" at 7,640 ms). The existing test of a departure that costs no lease, RunOfWorkerThatLeftIsReplacedWithinItsLease, holds.

--- a/apps/cornelrudderd/DaemonSettings.h
+++ b/apps/cornelrudderd/DaemonSettings.h
@@ -47,6 +47,7 @@
   std::int64_t mWorkerTimeoutMs = 600;
   std::int64_t mWorkerLeaseMs = 6'000;
   std::int64_t mWorkerWaitMs = 1'500;
+  std::int64_t mWorkerReportMs = 1'500;
   std::int64_t mOwnerTimeoutMs = 1'300;
   std::int64_t mJobRetentionMs = 600'000;
   std::int64_t mCatalogMaxAgeMs = 3'000;
@@ -158,6 +159,11 @@
   {
     return std::chrono::milliseconds(mValues.mWorkerWaitMs);
   }
+  /** @return Interval at which the workers refresh their entries. */
+  std::chrono::milliseconds WorkerReportInterval() const
+  {
+    return std::chrono::milliseconds(mValues.mWorkerReportMs);
+  }
   std::chrono::milliseconds JobRetention() const
   {
     return std::chrono::milliseconds(mValues.mJobRetentionMs);
--- a/apps/cornelrudderd/FleetDaemon.cpp
+++ b/apps/cornelrudderd/FleetDaemon.cpp
@@ -45,6 +45,8 @@
 constexpr double kMinOwnerLinkMbps = 40.0;
 /** Two polls of the owner record, so that a larger VM can take over first. */
 constexpr std::chrono::milliseconds kSmallVmTakeoverDelay{ 800 };
+/** The store removes the entry of a worker after so many missed reports. */
+constexpr int kReportsBeforeRemoval = 3;
 
 std::chrono::milliseconds
 TakeoverDelay(const DaemonSettings& aSettings)
@@ -161,6 +163,8 @@
     scheduler.mTakeoverDelay = TakeoverDelay(mSettings);
     scheduler.mWorkerLease = mSettings.WorkerLease();
     scheduler.mRenewWait = mSettings.WorkerWait();
+    scheduler.mSilenceLimit =
+      kReportsBeforeRemoval * mSettings.WorkerReportInterval();
     scheduler.mJobRetention = mSettings.JobRetention();
     scheduler.mPolicy = mSettings.PlacementPolicy();
     scheduler.mMaxRowBytes = maxRowBytes;
--- a/include/cornelrudder/coordination/SchedulerTask.h
+++ b/include/cornelrudder/coordination/SchedulerTask.h
@@ -81,9 +81,10 @@
   std::size_t mFullPageRows = 500;
   /** Longest time that a poll of the jobs table waits for a change. */
   std::chrono::milliseconds mFeedPollTimeout{ 1'000 };
-  /** See SchedulerOptions, also for the following option. */
+  /** See SchedulerOptions, also for the following options. */
   std::chrono::milliseconds mWorkerLease{ 6'000 };
   std::chrono::milliseconds mRenewWait{ 1'500 };
+  std::chrono::milliseconds mSilenceLimit{ 4'500 };
   /**
    * Time that the rows of a terminated job are kept: five times the period in
    * which the platform's callers may query its state.
--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -26,6 +26,11 @@
   std::uint64_t mEpoch = 0;
   /** Time that the runs of a worker continue without a lease renewal. */
   std::chrono::milliseconds mWorkerLease{ 6'000 };
+  /**
+   * Shortest silence for which the store removes the entry of a worker. A
+   * younger entry is only removed when its worker leaves.
+   */
+  std::chrono::milliseconds mSilenceLimit{ 4'500 };
   /** Maximum time that a worker may delay its reply to a renewal. */
   std::chrono::milliseconds mRenewWait{ 1'500 };
   /** Time that the rows of a terminated job are kept. */
--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -123,6 +123,7 @@
   options.mEpoch = mLease.mEpoch;
   options.mWorkerLease = mOptions.mWorkerLease;
   options.mRenewWait = mOptions.mRenewWait;
+  options.mSilenceLimit = mOptions.mSilenceLimit;
   options.mJobRetention = mOptions.mJobRetention;
   options.mPolicy = mOptions.mPolicy;
   options.mInheritedLeases = std::move(mInheritedLeases);
--- a/src/state/scheduling/SchedulerCrashes.cpp
+++ b/src/state/scheduling/SchedulerCrashes.cpp
@@ -47,9 +47,12 @@
 Scheduler::Impl::HandleReplacedWorker(WorkerState& aWorker, Millis aNow)
 {
   const std::vector<CrashedRun> runs = AssessCrash(aWorker, aNow);
-  HandleLostWorker(aWorker, "other_life", aNow);
+  EndRunsIfProven(aWorker, WorkerEvidence::kOtherWorkerAtAddress, aNow);
   for (const CrashedRun& run : runs) {
-    CountCrash(run, aWorker.mInfo.mId, "other_life", aNow);
+    CountCrash(run,
+               aWorker.mInfo.mId,
+               InfoOf(WorkerEvidence::kOtherWorkerAtAddress).mName,
+               aNow);
   }
 }
 
@@ -64,7 +67,7 @@
 {
   std::vector<CrashedRun> runs = AssessCrash(aWorker, aNow);
   const bool isUnknown = aWorker.mInfo.mAddress.empty();
-  HandleLostWorker(aWorker, "lease_expired", aNow);
+  EndRunsIfProven(aWorker, WorkerEvidence::kLeaseExpired, aNow);
   if (isUnknown) {
     for (CrashedRun& run : runs) {
       run.mCrash = RunCrash();
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -3,6 +3,7 @@
 
 #include "RunTimes.h"
 #include "SchedulerModel.h"
+#include "WorkerEvidence.h"
 #include "cornelrudder/state/scheduling/Scheduler.h"
 
 #include <array>
@@ -167,7 +168,11 @@
   void HandleRestart(WorkerState& aWorker, Millis aNow);
   void WithdrawPlannedRuns(WorkerState& aWorker, Millis aNow);
   void ExpireUnresponsiveWorkers(Millis aNow);
-  void HandleIfLeft(WorkerState& aWorker, Millis aNow);
+  bool CanOnlyBeDeregistered(const WorkerState& aWorker, Millis aNow) const;
+  static WorkerEvidence EvidenceOfAbsence(const WorkerState& aWorker);
+  void EndRunsIfProven(WorkerState& aWorker,
+                       WorkerEvidence aEvidence,
+                       Millis aNow);
   void RemoveUnlistedWorkers();
   void MarkUnlisted(WorkerState& aWorker);
   void RemoveFromAddressIndex(const WorkerState& aWorker);
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -338,6 +338,11 @@
   /** Last reported clock of the worker, and the local time of its receipt. */
   Millis mClock{ 0 };
   Millis mClockAt{ 0 };
+  /** Clock in the last renewal reply, and when that renewal was sent. */
+  Millis mReplyClock{ 0 };
+  Millis mReplySentAt{ 0 };
+  /** See Scheduler::Impl::CanOnlyBeDeregistered(). */
+  bool mIsDeregistered = false;
   /**
    * Highest sequence numbers of terminations: received from the worker, of jobs
    * in the present round of writes (see Scheduler::Impl::mRound) or earlier
@@ -424,6 +429,7 @@
     mAckLimit = kNoAckLimit;
     mConfirmedUpTo = 0;
     mClock = Millis(0);
+    mReplyClock = Millis(0);
     mFailedRenewals = 0;
   }
 };
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -147,6 +147,7 @@
   worker.mIsQueryDue =
     worker.mIsQueryDue || (!worker.mListed && mPlannedAt.count() > 0);
   worker.mListed = true;
+  worker.mIsDeregistered = false;
   worker.mShutdownAt =
     aInfo.mShutdownAfter.count() > 0 ? aNow + aInfo.mShutdownAfter : Millis(0);
   // A clock that is too low shortens the next lease, which is safe. One that is
@@ -168,24 +169,59 @@
   }
   WorkerState& worker = it->second;
   MarkUnlisted(worker);
+  worker.mIsDeregistered = CanOnlyBeDeregistered(worker, aNow);
   // The worker may only have lost the store, so the next renewal shows whether
   // a draining worker has left.
   worker.mNextRenewal = Millis(0);
-  HandleIfLeft(worker, aNow);
+  EndRunsIfProven(worker, EvidenceOfAbsence(worker), aNow);
   RemoveUnlistedWorkers();
 }
 
 /**
- * Handles a draining worker that has neither an entry in the list nor replies:
- * it has left, and its runs with it. Any other worker may only be unreachable
- * and keep its runs until its lease expires.
+ * @return Whether an entry that is removed now was too young to be removed for
+ *   the silence of its worker. Its age is overestimated: the last renewal reply
+ *   was sent at the earliest when the renewal was, and the clock of the entry
+ *   tells when the worker wrote it in relation to that.
+ */
+bool
+Scheduler::Impl::CanOnlyBeDeregistered(const WorkerState& aWorker,
+                                       Millis aNow) const
+{
+  if (aWorker.mReplyClock.count() == 0 || aWorker.mInfo.mClock.count() == 0) {
+    return false;
+  }
+  const Millis sinceReply = aWorker.mInfo.mClock - aWorker.mReplyClock;
+  const Millis writtenAt =
+    aWorker.mReplySentAt +
+    (sinceReply.count() < 0 ? AddClockDrift(sinceReply) : sinceReply);
+  return AddClockDrift(aNow - writtenAt) < mOptions.mSilenceLimit;
+}
+
+/** @return The strongest evidence that a worker without a reply is gone. */
+WorkerEvidence
+Scheduler::Impl::EvidenceOfAbsence(const WorkerState& aWorker)
+{
+  if (aWorker.mListed) {
+    return WorkerEvidence::kNoReply;
+  }
+  const bool hasLeft = aWorker.mInfo.mDraining && aWorker.mIsDeregistered &&
+                       aWorker.mFailedRenewals > 0;
+  return hasLeft ? WorkerEvidence::kDeregistered
+                 : WorkerEvidence::kEntryRemoved;
+}
+
+/**
+ * Ends the runs of a worker if the evidence proves that none of them can exist.
+ * All decisions that runs ended with their worker are made here.
  */
 void
-Scheduler::Impl::HandleIfLeft(WorkerState& aWorker, Millis aNow)
+Scheduler::Impl::EndRunsIfProven(WorkerState& aWorker,
+                                 WorkerEvidence aEvidence,
+                                 Millis aNow)
 {
-  if (aWorker.mInfo.mDraining && !aWorker.mListed &&
-      aWorker.mFailedRenewals > 0) {
-    HandleLostWorker(aWorker, "left", aNow);
+  const WorkerEvidenceInfo& info = InfoOf(aEvidence);
+  if (info.mEndsRuns) {
+    HandleLostWorker(aWorker, info.mName, aNow);
   }
 }
 
@@ -255,16 +291,17 @@
 void
 Scheduler::Impl::HandleRestart(WorkerState& aWorker, Millis aNow)
 {
+  const char* const reason = InfoOf(WorkerEvidence::kLaterIncarnation).mName;
   RecordEvent(SchedulerEvent::Kind::kWorkerGone,
               { { "worker", aWorker.mInfo.mId },
-                { "reason", "restarted" },
+                { "reason", reason },
                 { "runs", std::to_string(aWorker.mAssigned.size()) } });
   for (const CrashedRun& run : AssessCrash(aWorker, aNow)) {
     Task& task = mJobs.at(run.mTask.first).mTasks[run.mTask.second];
     task.mPendingCrash = run.mCrash;
     if (task.mPhase == TaskPhase::kRunning && task.mReportedIncarnation != 0) {
-      HandleLostRun(run.mTask, "restarted", aNow);
-      CountCrash(run, aWorker.mInfo.mId, "restarted", aNow);
+      HandleLostRun(run.mTask, reason, aNow);
+      CountCrash(run, aWorker.mInfo.mId, reason, aNow);
     }
   }
   aWorker.mReplacedIncarnation = aWorker.mInfo.mIncarnation;
@@ -416,7 +453,7 @@
       worker.mContact.mHasReplied = true;
       worker.mContact.mRepliedAt = aNow;
     }
-    HandleIfLeft(worker, aNow);
+    EndRunsIfProven(worker, EvidenceOfAbsence(worker), aNow);
     RemoveUnlistedWorkers();
     return;
   }
@@ -449,6 +486,8 @@
     worker.mConfirmedUpTo, std::min(aCommand.mAckedUpTo, worker.mAckedUpTo));
   worker.mInfo.mIncarnation = aReply.mIncarnation;
   UpdateClock(worker, aReply.mClock, aNow);
+  worker.mReplyClock = aReply.mClock;
+  worker.mReplySentAt = aSentAt;
   std::set<TaskKey> listed;
   for (const RunningRun& run : aReply.mRunning) {
     ApplyRunning(worker, run, aReply.mIncarnation, aNow);
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -570,6 +570,44 @@
   CheckNoViolation(model);
 }
 
+// Guards against a second run while a draining worker that is cut off from the
+// store and the owner runs on under its lease: its silence removed its entry.
+TEST(Scheduler, SilentDrainingWorkerKeepsItsRunsUntilItsLeaseExpires)
+{
+  FleetModel model({ 2, 1 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(20'000));
+  model.Run(milliseconds(2'000));
+  const std::size_t host = FirstBusyWorker(model);
+  model.RefreshRow(host);
+  model.SetDraining(host, milliseconds(30'000));
+  model.Run(milliseconds(100));
+  model.SetReachable(host, false);
+  model.Run(milliseconds(4'500));
+  model.UnlistWorker(host);
+  model.Run(milliseconds(15'000));
+  CHECK_EQUAL(2, model.Starts());
+  CheckNoViolation(model);
+}
+
+// Guards against the same after a takeover: the new owner knows nothing of the
+// worker but an entry that is removed.
+TEST(Scheduler, SilentDrainingWorkerKeepsItsRunsAfterATakeover)
+{
+  FleetModel model({ 2, 1 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(20'000));
+  model.Run(milliseconds(2'000));
+  const std::size_t host = FirstBusyWorker(model);
+  model.RefreshRow(host);
+  model.SetDraining(host, milliseconds(30'000));
+  model.SetReachable(host, false);
+  model.ReplaceOwner();
+  model.Run(milliseconds(1'500));
+  model.UnlistWorker(host);
+  model.Run(milliseconds(20'000));
+  CHECK_EQUAL(2, model.Starts());
+  CheckNoViolation(model);
+}
+
 // Guards against waiting for the lease of a drained worker that has left.
 TEST(Scheduler, RunOfWorkerThatLeftIsReplacedWithinItsLease)
 {
