Withdraw a job before its cancellation is answered "no such job"

Cause: 410 was answered while a write of the submission, to which the store had not replied, could still take effect. The submission was conditional on the row of the job alone, and a cancellation of an unknown job wrote nothing.

Ruled out: an owner that ignores a cancellation; there was none to see.

Change: a cancellation of a job that is not stored writes a withdrawal, on condition that the job is absent. A submission is conditional on the absence of a withdrawal by its organisation, so that the first of the two writes decides, from whichever daemons. The owner removes withdrawals after a minute; a token bucket bounds them when a caller cancels identifiers at random. A later submission under the identifier gets 503 until then.

Failed before: SchedulingTasks.LateSubmissionOfACancelledJobIsNotStored (the row appeared), CancellationWithoutAnAnswerOfTheStoreIsUnknown (410 without a write). New tests cover the removal, the limit and other organisations.

--- a/include/cornelrudder/coordination/SchedulerTask.h
+++ b/include/cornelrudder/coordination/SchedulerTask.h
@@ -90,6 +90,11 @@
    * which the platform's callers may query its state.
    */
   std::chrono::milliseconds mJobRetention{ 600'000 };
+  /**
+   * Time that withdrawals of jobs are kept: ten times the longest delay with
+   * which the store may execute a write, 6 s.
+   */
+  std::chrono::milliseconds mWithdrawalRetention{ 60'000 };
   /** Name of the placement policy; empty for the default. */
   std::string mPolicy;
   /** Largest value of a row in the store, in bytes. */
--- a/include/cornelrudder/coordination/SchedulingTables.h
+++ b/include/cornelrudder/coordination/SchedulingTables.h
@@ -13,7 +13,7 @@
 
 namespace cornelrudder::coordination {
 
-/** Accepted jobs and cancellations; each row is written once. */
+/** Accepted jobs, cancellations and withdrawals; each row is written once. */
 inline constexpr const char* kJobsTable = "jobs";
 /** Progress of jobs; written only by the owner. */
 inline constexpr const char* kProgressTable = "runs";
@@ -30,6 +30,13 @@
 /** Key suffix of a cancellation; its row sorts right after the job's row. */
 inline constexpr const char* kCancelSuffix = ".cancel";
 
+/**
+ * Key suffix of a withdrawal, before the name of the organisation: the answer
+ * to a cancellation was that there is no such job. A submission by the same
+ * organisation under this identifier is not stored while the row exists.
+ */
+inline constexpr const char* kWithdrawnSuffix = ".withdrawn.";
+
 inline std::string
 JobKey(const std::string& aJob)
 {
@@ -42,6 +49,16 @@
   return JobKey(aJob) + kCancelSuffix;
 }
 
+/**
+ * @return Key of a withdrawal. Organisations choose their identifiers
+ *   independently, so one of them does not withdraw the jobs of another.
+ */
+inline std::string
+WithdrawnKey(const std::string& aJob, const std::string& aOrganisation)
+{
+  return JobKey(aJob) + kWithdrawnSuffix + aOrganisation;
+}
+
 /**
  * @param aPart Number of the part of a divided record. The first part has the
  *   key of an undivided record.
--- a/src/coordination/JobGatewayTask.cpp
+++ b/src/coordination/JobGatewayTask.cpp
@@ -7,6 +7,7 @@
 #include "cornelrudder/coordination/SchedulingTables.h"
 #include "cornelrudder/coordination/WriteIdGenerator.h"
 #include "cornelrudder/state/Ids.h"
+#include "cornelrudder/state/TokenBucket.h"
 
 #include <caf/actor_system.hpp>
 #include <caf/event_based_actor.hpp>
@@ -30,6 +31,14 @@
 using state::scheduling::TaskJob;
 using std::chrono::milliseconds;
 
+/**
+ * Limits on the withdrawals that a daemon writes. With ten daemons and
+ * SchedulerTaskOptions::mWithdrawalRetention, they keep the rows below 10,000
+ * however many identifiers callers make up.
+ */
+constexpr std::int64_t kWithdrawalBurst = 400;
+constexpr std::int64_t kWithdrawalsPerSecond = 10;
+
 /** Limit on repeated evaluations of a call after write conflicts. */
 constexpr int kMaxReevaluations = 5;
 
@@ -234,7 +243,8 @@
       }
       Write(aId,
             { { JobKey(aPending.mJob), 0, std::move(row) } },
-            &JobGatewayTask::HandleSubmitResult);
+            &JobGatewayTask::HandleSubmitResult,
+            { { WithdrawnKey(aPending.mJob, aPending.mOrganisation), 0 } });
     } catch (const std::exception& error) {
       Reject(aId, JobCallStatus::kBadRequest, error.what());
     }
@@ -354,6 +364,14 @@
         Reply(aId, {});
         return;
       }
+      const StoreRow* withdrawn =
+        FindRow(aResult, WithdrawnKey(aPending.mJob, aPending.mOrganisation));
+      if (withdrawn != nullptr && withdrawn->Version() != 0) {
+        // No write of the job can take effect any more, this call's included.
+        aPending.mMayBeWritten = false;
+        Reject(aId, JobCallStatus::kUnavailable, "the job was cancelled");
+        return;
+      }
     }
     HandleWriteResult(aId, aPending, aResult);
   }
@@ -547,8 +565,8 @@
       RejectOrRetry(aId, aPending, "the store does not answer");
       return;
     }
-    // Reads the job's row and the cancellation row, whose key sorts right
-    // after it.
+    // Reads the job's row and those of its cancellation and withdrawal, whose
+    // keys sort right after it.
     mFeed.ReadRange(kJobsTable,
                     aPending.mJob,
                     aPending.mJob + "/",
@@ -565,7 +583,7 @@
     }
     const StoreRow* job = FindRow(aResult, JobKey(aPending.mJob));
     if (job == nullptr) {
-      Reject(aId, JobCallStatus::kNoJob, "no such job");
+      Withdraw(aId, aPending, aResult);
       return;
     }
     if (FindRow(aResult, CancelKey(aPending.mJob)) != nullptr) {
@@ -590,6 +608,51 @@
           { { JobKey(aPending.mJob), job->Version() } });
   }
 
+  /**
+   * Answers the cancellation of a job that is not stored. A write of its
+   * submission may still be on its way, from any daemon, so a row is written
+   * first that excludes it.
+   */
+  void Withdraw(std::uint64_t aId, Pending& aPending, const StoreResult& aRows)
+  {
+    const std::string key = WithdrawnKey(aPending.mJob, aPending.mOrganisation);
+    if (FindRow(aRows, key) != nullptr) {
+      RejectWithdrawn(aId, aPending);
+      return;
+    }
+    const auto withdrawals = mWithdrawals.WithTake(mClock.Now());
+    if (!withdrawals) {
+      Reject(aId,
+             JobCallStatus::kUnavailable,
+             "too many cancellations of unknown jobs");
+      return;
+    }
+    mWithdrawals = *withdrawals;
+    Write(aId,
+          { { key, state::RowWrite::kAnyVersion, aPending.mOrganisation } },
+          &JobGatewayTask::HandleWithdrawResult,
+          { { JobKey(aPending.mJob), 0 } });
+  }
+
+  void HandleWithdrawResult(std::uint64_t aId,
+                            Pending& aPending,
+                            const StoreResult& aResult)
+  {
+    if (aResult.Status() == StoreStatus::kOk) {
+      RejectWithdrawn(aId, aPending);
+      return;
+    }
+    // After a conflict with the job's row, the job itself is cancelled.
+    HandleWriteResult(aId, aPending, aResult);
+  }
+
+  void RejectWithdrawn(std::uint64_t aId, Pending& aPending)
+  {
+    // Whatever became of earlier writes of this call, the row is stored.
+    aPending.mMayBeWritten = false;
+    Reject(aId, JobCallStatus::kNoJob, "no such job");
+  }
+
   void Count(std::uint64_t aId, Pending& /*aPending*/)
   {
     mStore.ReadRow(kOwnerLeaseKey,
@@ -694,6 +757,7 @@
   EventLog& mLog;
   JobGatewayTaskOptions mOptions;
   WriteIdGenerator mWriteIds;
+  state::TokenBucket mWithdrawals{ kWithdrawalBurst, kWithdrawalsPerSecond };
   std::shared_ptr<const Catalog> mCatalog;
   milliseconds mConfirmedAt{ 0 };
   StoreClockReading mStoreClock;
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -13,6 +13,7 @@
 
 #include <caf/event_based_actor.hpp>
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -191,6 +192,10 @@
   std::size_t mRecordsInFlight = 0;
   /** Number of terminated jobs whose rows the write in flight removes. */
   std::size_t mRemovalsInFlight = 0;
+  /** When this owner read each row of a withdrawal, and its key. */
+  std::deque<std::pair<Millis, std::string>> mWithdrawals;
+  /** Number of withdrawals, the oldest ones, that the write removes. */
+  std::size_t mWithdrawalsInFlight = 0;
   /**
    * Limit on the records of a write. The store rejects a write whole, so the
    * limit is halved after each rejection until the rejected record is alone.
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -377,6 +377,7 @@
 SchedulerTask::CollectRemovals(std::size_t aRecords)
 {
   mRemovalsInFlight = 0;
+  mWithdrawalsInFlight = 0;
   std::vector<RowWrite> writes;
   const bool isDue = mMode == Mode::kOwning && mFailedWrites == 0 &&
                      mMaxRecords == kMaxRecordsPerWrite &&
@@ -395,6 +396,14 @@
       writes.emplace_back(std::move(key), RowWrite::kAnyVersion, std::nullopt);
     }
   }
+  for (const auto& [readAt, key] : mWithdrawals) {
+    if (writes.size() >= kMaxRemovedRows ||
+        Now() - readAt < mOptions.mWithdrawalRetention) {
+      break;
+    }
+    ++mWithdrawalsInFlight;
+    writes.emplace_back(key, RowWrite::kAnyVersion, std::nullopt);
+  }
   return writes;
 }
 
@@ -413,6 +422,10 @@
     if (isStored) {
       mScheduler->RemoveExpiredJobs(mRemovalsInFlight);
       mCounters["jobs_removed_total"] += mRemovalsInFlight;
+      mWithdrawals.erase(mWithdrawals.begin(),
+                         mWithdrawals.begin() +
+                           static_cast<std::ptrdiff_t>(std::min(
+                             mWithdrawalsInFlight, mWithdrawals.size())));
     }
   }
   if (isStored) {
@@ -449,13 +462,14 @@
 {
   ++mCounters["owner_writes_rejected_total"];
   ++mFailedWrites;
-  if (mRecordsInFlight == 1 && mRemovalsInFlight == 0) {
+  const std::size_t removals = mRemovalsInFlight + mWithdrawalsInFlight;
+  if (mRecordsInFlight == 1 && removals == 0) {
     mScheduler->SetAsideRejected(Now());
   } else {
     mScheduler->FinishWrite(false);
     mMaxRecords = std::max<std::size_t>(mRecordsInFlight / 2, 1);
   }
-  if (mRecordsInFlight + mRemovalsInFlight == 0) {
+  if (mRecordsInFlight + removals == 0) {
     mNextWriteAt = Now() + Delay(mWriteBackoff, mFailedWrites);
   }
   mIsRenewalFirst = true;
--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -21,6 +21,12 @@
 /** Delay before a failed read is retried. */
 constexpr milliseconds kReadRetryDelay{ 100 };
 
+bool
+IsWithdrawal(const std::string& aKey)
+{
+  return aKey.find(kWithdrawnSuffix) != std::string::npos;
+}
+
 bool
 IsCancellation(const std::string& aKey)
 {
@@ -134,6 +140,7 @@
     mScheduler->ApplyCatalog(*mCatalog);
   }
   mListedWorkers.clear();
+  mWithdrawals.clear();
   for (const StoreRow& row : mWorkersRead.mRows) {
     ApplyWorkerRow(row);
   }
@@ -195,6 +202,10 @@
 SchedulerTask::ApplyJobRow(const StoreRow& aRow, const JobProgress* aProgress)
 {
   const std::string name = NameInTable(aRow.Key());
+  if (IsWithdrawal(name)) {
+    mWithdrawals.emplace_back(Now(), aRow.Key());
+    return;
+  }
   if (IsCancellation(name)) {
     mScheduler->CancelJob(
       name.substr(0, name.size() - std::string_view(kCancelSuffix).size()),
@@ -275,6 +286,7 @@
 void
 SchedulerTask::FinishRereadJobs()
 {
+  mWithdrawals.clear();
   for (const StoreRow& row : mJobsRead.mRows) {
     // The scheduler ignores active jobs and terminated jobs that it still
     // keeps.
--- a/tests/coordination/FakeFleet.cpp
+++ b/tests/coordination/FakeFleet.cpp
@@ -281,6 +281,19 @@
                       isRefused));
 }
 
+void
+FakeFeedStore::DeliverLate()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    for (const state::Transaction& transaction : mLate) {
+      Apply(transaction);
+    }
+    mLate.clear();
+  }
+  mWake.notify_all();
+}
+
 bool
 FakeFeedStore::IsRejected(const state::Transaction& aTransaction) const
 {
@@ -334,12 +347,16 @@
     if (!mDown && IsRejected(aTransaction)) {
       result = StoreResult(StoreStatus::kRejected, {});
     } else if (!mDown && !IsRefused(aTransaction)) {
-      if (mWriteFault != WriteFault::kRequestLost) {
+      const bool isExecuted = mWriteFault != WriteFault::kRequestLost &&
+                              mWriteFault != WriteFault::kLate;
+      if (isExecuted) {
         result = Apply(aTransaction);
+      } else if (mWriteFault == WriteFault::kLate) {
+        mLate.push_back(aTransaction);
       }
-      const bool isReplyLost = mWriteFault == WriteFault::kRequestLost ||
-                               (mWriteFault == WriteFault::kReplyLost &&
-                                result.Status() == StoreStatus::kOk);
+      const bool isReplyLost =
+        !isExecuted || (mWriteFault == WriteFault::kReplyLost &&
+                        result.Status() == StoreStatus::kOk);
       if (isReplyLost) {
         result = StoreResult(StoreStatus::kOutcomeUnknown, {});
       }
--- a/tests/coordination/FakeFleet.h
+++ b/tests/coordination/FakeFleet.h
@@ -27,7 +27,9 @@
   /** The write takes effect, but its reply is lost. */
   kReplyLost,
   /** The write has no effect and gets no reply. */
-  kRequestLost
+  kRequestLost,
+  /** The write gets no reply and takes effect only in DeliverLate(). */
+  kLate
 };
 
 /**
@@ -71,6 +73,8 @@
   void SetDown(bool aDown);
   /** Sets the fault of all further writes. */
   void SetWriteFault(WriteFault aFault);
+  /** Applies the writes that were delayed by WriteFault::kLate. */
+  void DeliverLate();
   /**
    * Refuses all further writes that cover a row of a table, without effect.
    * @param aTable Name of the table; empty for none.
@@ -142,6 +146,7 @@
   std::chrono::milliseconds mReadDelay{ 0 };
   std::chrono::milliseconds mWriteDelay{ 0 };
   std::vector<DelayedCall> mDelayedCalls;
+  std::vector<state::Transaction> mLate;
   std::vector<PendingPoll> mPendingPolls;
   bool mStopping = false;
   std::thread mThread;
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -498,6 +498,87 @@
               daemons.Call(daemon, JobCallKind::kQuery, "none").mStatus);
 }
 
+// Guards against a job that runs after its cancellation was answered with "no
+// such job", because a write of its submission took effect later.
+TEST(SchedulingTasks, LateSubmissionOfACancelledJobIsNotStored)
+{
+  Daemons daemons;
+  const DaemonTasks first = daemons.Start("a");
+  const DaemonTasks second = daemons.Start("b");
+  daemons.mStore.SetWriteFault(WriteFault::kLate);
+  CheckStatus(JobCallStatus::kUnknown, daemons.Submit(first, "j1"));
+  daemons.mStore.SetWriteFault(WriteFault::kNone);
+  CheckStatus(JobCallStatus::kNoJob,
+              daemons.Call(second, JobCallKind::kCancel, "j1").mStatus);
+  daemons.mStore.DeliverLate();
+  CHECK(!daemons.mStore.Has("jobs/j1"));
+  // A repetition of the submission is refused, as are the late writes.
+  CheckStatus(JobCallStatus::kUnavailable, daemons.Submit(first, "j1"));
+  CheckStatus(JobCallStatus::kNoJob,
+              daemons.Call(first, JobCallKind::kCancel, "j1").mStatus);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(first, "j2"));
+  CHECK(
+    WaitUntil([&] { return daemons.HasPhase(second, "j2", JobPhase::kDone); }));
+  CHECK_EQUAL(1, daemons.mWorkers.Starts());
+}
+
+// Guards against the answer "no such job" while it is not certain that no write
+// of the submission takes effect.
+TEST(SchedulingTasks, CancellationWithoutAnAnswerOfTheStoreIsUnknown)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mStore.SetWriteFault(WriteFault::kRequestLost);
+  CheckStatus(JobCallStatus::kUnknown,
+              daemons.Call(daemon, JobCallKind::kCancel, "j1").mStatus);
+  daemons.mStore.SetWriteFault(WriteFault::kReplyLost);
+  CheckStatus(JobCallStatus::kNoJob,
+              daemons.Call(daemon, JobCallKind::kCancel, "j1").mStatus);
+}
+
+// Guards against withdrawals that accumulate in the store, and against an
+// identifier that stays unusable for ever.
+TEST(SchedulingTasks, WithdrawalsAreRemoved)
+{
+  Daemons daemons;
+  daemons.mSchedulerOptions.mWithdrawalRetention = milliseconds(300);
+  const DaemonTasks daemon = daemons.Start("a");
+  CheckStatus(JobCallStatus::kNoJob,
+              daemons.Call(daemon, JobCallKind::kCancel, "j1").mStatus);
+  CHECK(WaitUntil(
+    [&] { return daemons.Submit(daemon, "j1") == JobCallStatus::kOk; }));
+  CHECK(
+    WaitUntil([&] { return daemons.HasPhase(daemon, "j1", JobPhase::kDone); }));
+}
+
+// Guards against an organisation that excludes the jobs of another by
+// cancelling their identifiers.
+TEST(SchedulingTasks, WithdrawalConcernsOneOrganisation)
+{
+  Daemons daemons;
+  daemons.mStore.Put(kCatalogKey, "2 key other");
+  const DaemonTasks daemon = daemons.Start("a");
+  CheckStatus(
+    JobCallStatus::kNoJob,
+    daemons.Call(daemon, JobCallKind::kCancel, "j1", "other").mStatus);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+}
+
+// Guards against a caller that fills the store with withdrawals.
+TEST(SchedulingTasks, CancellationsOfUnknownJobsAreLimited)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  constexpr int kLimit = 5'000;
+  int n = 0;
+  while (n < kLimit &&
+         daemons.Call(daemon, JobCallKind::kCancel, "j" + std::to_string(n))
+             .mStatus == JobCallStatus::kNoJob) {
+    ++n;
+  }
+  CHECK(n < kLimit);
+}
+
 TEST(SchedulingTasks, CancelledJobIsReportedAsCancelled)
 {
   Daemons daemons;
