Refuse a submission whose identifier another organisation uses

Cause: any conflict with the row of the job counted as an earlier call of the same caller. Ruled out: a lost write; none was sent after the conflict.

Change: the row of the conflict is decoded, and a job of another organisation is answered 503, which says truthfully that the job never runs.

Failed before: SchedulingTasks.IdentifierOfAnotherOrganisationIsRefused (status ok instead of unavailable).

--- a/src/coordination/JobGatewayTask.cpp
+++ b/src/coordination/JobGatewayTask.cpp
@@ -360,8 +360,7 @@
     if (aResult.Status() == StoreStatus::kConflict) {
       const StoreRow* row = FindRow(aResult, JobKey(aPending.mJob));
       if (row != nullptr && row->Version() != 0) {
-        // An earlier write of this call or an earlier call stored the job.
-        Reply(aId, {});
+        ReplyStored(aId, aPending, *row);
         return;
       }
       const StoreRow* withdrawn =
@@ -376,6 +375,28 @@
     HandleWriteResult(aId, aPending, aResult);
   }
 
+  /**
+   * Answers a submission whose job has a row already, by an earlier write of
+   * this call, an earlier call or another organisation.
+   */
+  void ReplyStored(std::uint64_t aId, Pending& aPending, const StoreRow& aRow)
+  {
+    try {
+      const TaskJob job = mCodec.DecodeTaskJob(aRow.Value());
+      if (job.Organisation() == aPending.mOrganisation) {
+        Reply(aId, {});
+        return;
+      }
+      // While the row exists, no write of this call can take effect.
+      aPending.mMayBeWritten = false;
+      Reject(aId,
+             JobCallStatus::kUnavailable,
+             "another organisation uses the identifier");
+    } catch (const CoordinationError& error) {
+      Reject(aId, JobCallStatus::kUnknown, error.what());
+    }
+  }
+
   /** Handles the store's reply to a write of any kind. */
   void HandleWriteResult(std::uint64_t aId,
                          Pending& aPending,
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -564,6 +564,21 @@
   CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
 }
 
+// Guards against the answer "accepted" to a submission that is never stored,
+// since another organisation has chosen the same identifier.
+TEST(SchedulingTasks, IdentifierOfAnotherOrganisationIsRefused)
+{
+  Daemons daemons;
+  daemons.mStore.Put(kCatalogKey, "2 key other");
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mWorkers.SetRunsBlocked(true);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CheckStatus(
+    JobCallStatus::kUnavailable,
+    daemons.Call(daemon, JobCallKind::kSubmit, "j1", "other").mStatus);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+}
+
 // Guards against a caller that fills the store with withdrawals.
 TEST(SchedulingTasks, CancellationsOfUnknownJobsAreLimited)
 {
