Send no commands after a suspension until the lease is confirmed

An owner that was suspended for seconds sent renewals before the write that shows its successor. Workers that the successor does not reach do not reject them: their leases then end after the successor has started their tasks elsewhere.

Cause: a successor presumes that a former owner extends leases for at most 2.5 s; nothing enforced that.

Ruled out as a remedy: no extensions without a recent write at all. Runs would lapse in any outage of the store of more than 10 s.

Change: an owner that ran no cycle for more than 2 s sends no commands until a write sent afterwards shows that it has the lease.

Failed before: SchedulingTasks.

--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -101,7 +101,8 @@
   kWorkerCapacityChanged = 821,
   kRunCrashed = 822,
   kJobSetAside = 823,
-  kWriteRejected = 824
+  kWriteRejected = 824,
+  kOwnerSuspended = 825
 };
 
 /** Entry of the event catalogue. */
--- a/src/coordination/LogEvent.cpp
+++ b/src/coordination/LogEvent.cpp
@@ -405,6 +405,11 @@
                 "write_rejected",
                 "a write that the store does not accept was not sent, or was "
                 "rejected; with the largest row, its size and the limits" },
+  LogEventInfo{ LogEvent::kOwnerSuspended,
+                LogLevel::kWarning,
+                "owner_suspended",
+                "the owner did not run for some time; it sends no commands "
+                "until the store confirms its lease" },
 };
 
 } // namespace
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -38,6 +38,14 @@
  */
 constexpr milliseconds kCycleInterval{ 100 };
 
+/**
+ * Time between two cycles above which this process counts as suspended. A
+ * successor acquires the lease 1.3 s after the last renewal at the earliest and
+ * presumes that leases of workers are extended for 2.5 s more; renewals are 0.4
+ * s apart.
+ */
+constexpr milliseconds kMaxCycleGap{ 2'000 };
+
 /** Indexed by SchedulerEvent::Kind. */
 constexpr std::array kLogEvents{
   LogEvent::kTaskPlaced,    LogEvent::kTaskWaits,
@@ -179,7 +187,8 @@
     return;
   }
   CheckReachability();
-  const bool isScheduling = !mReleasing && !mIsolation;
+  DetectSuspension();
+  const bool isScheduling = !mReleasing && !mIsolation && IsLeaseConfirmed();
   if (isScheduling) {
     const Millis start = Now();
     mScheduler->Plan(start, WallClockNow());
@@ -187,10 +196,12 @@
       std::min((Now() - start) * kPauseToPlanTimeRatio, kMaxPlanPause);
   }
   LogSchedulerEvents();
-  if (!mReleasing) {
+  // Planning may have been suspended.
+  const Millis now = DetectSuspension();
+  if (!mReleasing && IsLeaseConfirmed()) {
     // An isolated owner renews the leases that it can until the store has taken
     // the release, which may be long.
-    SendCommands();
+    SendCommands(now);
   }
   if (IsWriteDue()) {
     Write();
@@ -209,10 +220,31 @@
   };
 }
 
+/**
+ * Notices that this process was suspended. A successor may have acquired the
+ * lease meanwhile, and workers that only this owner reaches do not reject its
+ * commands. Until the store has confirmed the lease, no command is sent.
+ * @return The time up to which no suspension has been missed.
+ */
+milliseconds
+SchedulerTask::DetectSuspension()
+{
+  const Millis now = Now();
+  if (now - mLastCycleAt > kMaxCycleGap) {
+    mConfirmLeaseFrom = now;
+    mPorts.mLog.Write(
+      { LogEvent::kOwnerSuspended,
+        { { "epoch", std::to_string(mLease.mEpoch) },
+          { "ms", std::to_string((now - mLastCycleAt).count()) } } });
+  }
+  mLastCycleAt = now;
+  return now;
+}
+
 void
-SchedulerTask::SendCommands()
+SchedulerTask::SendCommands(Millis aNow)
 {
-  const WorkerCommands commands = mScheduler->CollectCommands(Now());
+  const WorkerCommands commands = mScheduler->CollectCommands(aNow);
   for (const StopCommand& command : commands.mStops) {
     mPorts.mWorkers.Stop(command, MakeReplyHandler<StopCallCompleted>(command));
   }
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -88,7 +88,13 @@
   void HandleTick();
   void ScheduleCycle(Millis aDelay);
   void RunSchedulingCycle();
-  void SendCommands();
+  Millis DetectSuspension();
+  /** @return Whether the lease was confirmed after the last suspension. */
+  bool IsLeaseConfirmed() const
+  {
+    return mLeaseConfirmedAt >= mConfirmLeaseFrom;
+  }
+  void SendCommands(Millis aNow);
   void LogSchedulerEvents();
   Counters CollectCounters() const;
   template<typename CompletedMessage, typename Command>
@@ -204,6 +210,11 @@
   /** The next write only renews the lease, since the last one was rejected. */
   bool mIsRenewalFirst = false;
   Millis mLastWriteAt{ 0 };
+  Millis mLastCycleAt{ 0 };
+  /** When the last write was sent after which this daemon had the lease. */
+  Millis mLeaseConfirmedAt{ 0 };
+  /** End of the last suspension of this process that was noticed. */
+  Millis mConfirmLeaseFrom{ 0 };
   /** Begin of the first write since the last stored one. */
   Millis mWriteBegunAt{ 0 };
   bool mIsWriteRetry = false;
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -260,6 +260,8 @@
 {
   mLeaseVersion = aVersion;
   mLastWriteAt = Now();
+  mLastCycleAt = mLastWriteAt;
+  mConfirmLeaseFrom = Millis(0);
   mIsWriteRetry = false;
   mAcquiredAt = Now();
   mWriteInFlight = false;
@@ -282,7 +284,7 @@
   }
   const bool hasChanges =
     mMode == Mode::kOwning && mScheduler && mScheduler->HasChanges();
-  return hasChanges || mReleasing || mIsolation ||
+  return hasChanges || mReleasing || mIsolation || !IsLeaseConfirmed() ||
          Now() - mLastWriteAt >= mOptions.mRenewInterval;
 }
 
@@ -437,6 +439,7 @@
                     : std::min(2 * mMaxRecords, kMaxRecordsPerWrite);
     mIsRenewalFirst = false;
     mLeaseVersion = aResult.Version();
+    mLeaseConfirmedAt = mLastWriteAt;
     if (mLease.mOwner.empty()) {
       LogRelease();
       EndOwnership();
@@ -490,6 +493,7 @@
         // An earlier write of this daemon took effect although its result was
         // lost. Its records, and later changes, are written again.
         mLeaseVersion = row.Version();
+        mLeaseConfirmedAt = mLastWriteAt;
         return;
       }
     } catch (const CoordinationError& error) {
--- a/tests/coordination/FakeFleet.cpp
+++ b/tests/coordination/FakeFleet.cpp
@@ -281,6 +281,13 @@
                       isRefused));
 }
 
+int
+FakeFeedStore::Writes()
+{
+  const std::lock_guard lock(mMutex);
+  return mWrites;
+}
+
 void
 FakeFeedStore::DeliverLate()
 {
@@ -344,6 +351,7 @@
   StoreResult result(StoreStatus::kUnavailable, {});
   {
     const std::lock_guard lock(mMutex);
+    ++mWrites;
     if (!mDown && IsRejected(aTransaction)) {
       result = StoreResult(StoreStatus::kRejected, {});
     } else if (!mDown && !IsRefused(aTransaction)) {
@@ -484,6 +492,7 @@
     const std::lock_guard lock(mMutex);
     Worker& worker = mWorkers[aCommand.mWorker.mId];
     worker.mIsRenewed = true;
+    ++mRenewals;
     if (aCommand.mEpoch < worker.mEpoch) {
       reply.mOutcome = CommandOutcome::kFenced;
     } else {
@@ -522,6 +531,13 @@
   mRunsBlocked = aBlocked;
 }
 
+int
+FakeTaskWorkers::Renewals()
+{
+  const std::lock_guard lock(mMutex);
+  return mRenewals;
+}
+
 int
 FakeTaskWorkers::Starts()
 {
--- a/tests/coordination/FakeFleet.h
+++ b/tests/coordination/FakeFleet.h
@@ -67,6 +67,8 @@
   bool Has(const std::string& aKey);
   /** @return Number of reads of single rows so far. */
   int RowReads();
+  /** @return Number of writes so far, executed or not. */
+  int Writes();
   std::string ValueOf(const std::string& aKey);
 
   /** While set, all calls fail without effect. */
@@ -136,6 +138,7 @@
   std::uint64_t mVersion = 1;
   std::uint64_t mHistoryFrom = 0;
   int mRowReads = 0;
+  int mWrites = 0;
   bool mDown = false;
   bool mFeedSuppressed = false;
   std::size_t mFeedPage = 0;
@@ -166,6 +169,7 @@
   /** While set, runs do not complete. */
   void SetRunsBlocked(bool aBlocked);
   int Starts();
+  int Renewals();
   /** @return Number of workers that were renewed at least once. */
   std::size_t RenewedWorkers();
   std::uint64_t HighestEpoch();
@@ -184,6 +188,7 @@
   std::map<std::string, Worker> mWorkers;
   bool mRunsBlocked = false;
   int mStarts = 0;
+  int mRenewals = 0;
 };
 
 /** Path from one daemon to the workers, which can be cut. */
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -15,6 +15,7 @@
 #include <caf/scoped_actor.hpp>
 #include <caf/send.hpp>
 
+#include <atomic>
 #include <functional>
 #include <future>
 #include <memory>
@@ -31,6 +32,18 @@
 
 namespace {
 
+/** A clock that can be advanced, as by a suspension of the process. */
+class JumpClock final : public Clock
+{
+public:
+  milliseconds Now() const override { return mClock.Now() + mAhead.load(); }
+  void Jump(milliseconds aTime) { mAhead = aTime; }
+
+private:
+  BootClock mClock;
+  std::atomic<milliseconds> mAhead{ milliseconds(0) };
+};
+
 /** The tasks of one daemon. */
 struct DaemonTasks
 {
@@ -188,6 +201,9 @@
     return reply.mStatus == JobCallStatus::kOk && reply.mPhase == aPhase;
   }
 
+  /** Makes the daemons find that they were suspended for some time. */
+  void Suspend(milliseconds aTime) { mClock.Jump(aTime); }
+
   FakeFeedStore mStore;
   FakeTaskWorkers mWorkers;
   FakeLog mLog;
@@ -201,7 +217,7 @@
   tests::SystemConfig mConfig;
   protocol::JsonSchedulingCodec mCodec;
   tests::FakePlatformRowCodec mPlatformCodec;
-  BootClock mClock;
+  JumpClock mClock;
   caf::actor_system mSystem;
   caf::scoped_actor mSelf;
   std::vector<DaemonTasks> mDaemons;
@@ -694,6 +710,33 @@
   CHECK(WaitUntil([&] { return daemons.Lease().mOwner == "b"; }));
 }
 
+// Guards against an owner that was suspended and then extends the leases of
+// workers or starts runs although a successor may have presumed them to end.
+TEST(SchedulingTasks, SuspendedOwnerSendsNoCommandsBeforeItsLeaseIsConfirmed)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mWorkers.SetRunsBlocked(true);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CHECK(WaitUntil([&] { return daemons.mWorkers.Starts() == 1; }));
+  daemons.mStore.SetDown(true);
+  daemons.Suspend(milliseconds(5'000));
+  const auto awaitWrites = [&daemons](int aCount) {
+    const int begin = daemons.mStore.Writes();
+    CHECK(WaitUntil([&] { return daemons.mStore.Writes() >= begin + aCount; }));
+  };
+  // The first write may be that of a cycle from before the suspension.
+  awaitWrites(2);
+  const int renewals = daemons.mWorkers.Renewals();
+  awaitWrites(3);
+  CHECK_EQUAL(renewals, daemons.mWorkers.Renewals());
+  daemons.mStore.SetDown(false);
+  CHECK(WaitUntil([&] { return daemons.mWorkers.Renewals() > renewals; }));
+  daemons.mWorkers.SetRunsBlocked(false);
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.HasPhase(daemon, "j1", JobPhase::kDone); }));
+}
+
 // Guards against a former owner that continues to write after another daemon
 // has acquired the lease row.
 TEST(SchedulingTasks, SupersededOwnerStepsDown)
