Play draining workers and long runs in the fault soak

The soak could not show that: no worker drained, and all runs took less than a second. Workers now drain and leave, or drain and are cut off, and one step in eight has runs of 4 to 10 s. The stand-in removes the entry of a draining worker when it leaves or after three missed reports.

--- a/scripts/fleet_soak.sh
+++ b/scripts/fleet_soak.sh
@@ -41,6 +41,10 @@
 drain_notice_ms = 300
 drain_grace_ms = 1000
 store_timeout_ms = 800
+
+[scheduling]
+# The workers of the stand-in refresh their rows each second.
+worker_report_ms = 1000
 TOML
 }
 
@@ -172,6 +176,23 @@
   draw_of all half "$drawn"
   control "/rows/$drawn/$(((RANDOM % max_fault_seconds + 1) * 1000))"
 }
+# A worker drains and leaves with its runs.
+drain_worker() {
+  draw_worker
+  control "/drains/$drawn/$(((RANDOM % max_fault_seconds + 1) * 1000))"
+}
+# A worker drains, is cut off from the store and the daemons at once, and runs on
+# under its lease.
+drain_and_cut_worker() {
+  local worker milliseconds
+  draw_worker
+  worker=$drawn
+  milliseconds=$(((RANDOM % max_fault_seconds + 1) * 1000))
+  control "/drains/$worker/$((milliseconds + 3000))"
+  pause
+  control "/rows/$worker/$milliseconds"
+  control "/links/all/$worker/silent/$milliseconds"
+}
 # Workers announce less capacity than they run, and more again. The stand-in
 # allows starts beyond it for 4.5 s after the change.
 shrink_workers() {
@@ -194,7 +215,7 @@
   lose_answers freeze_daemon drop_history store_down lose_and_kill kill_all
   separate_owner reset_owner lose_owner_replies separate_daemon separate_worker
   separate_all remove_rows write_odd_row overload_store
-  shrink_workers)
+  shrink_workers drain_worker drain_and_cut_worker)
 
 # Injects one fault and marks its time for the checks of the stand-in.
 inject() {
--- a/tests/fleet/WorkerStandins.cpp
+++ b/tests/fleet/WorkerStandins.cpp
@@ -30,6 +30,10 @@
 /** Time after which a gang member fails if others have not started. */
 constexpr Millis kGangStartTimeout{ 3'000 };
 constexpr Millis kMaxLease{ 10'000 };
+/** Silence after which the row of a worker is removed: three reports. */
+constexpr Millis kMaxSilence{ 3'000 };
+/** Time from the departure of a worker until it joins again. */
+constexpr Millis kRejoinDelay{ 1'000 };
 constexpr std::int64_t kAccelerators = 8;
 /** Time for which starts may use a capacity that was reduced since. */
 constexpr Millis kCapacityGrace{ 4'500 };
@@ -262,8 +266,8 @@
           "-",
           static_cast<std::uint64_t>(aDuration.count()),
           worker.mEpoch);
-    for (std::size_t gate = 0; gate < mGates; ++gate) {
-      mStore.RemoveWorker(gate, worker.mId);
+    if (!worker.mIsDraining) {
+      RemoveRow(worker);
     }
     EndFaultAfter(aDuration, [this, &worker, number] {
       if (worker.mRemovalNumber == number) {
@@ -274,6 +278,84 @@
   }
 }
 
+void
+WorkerStandins::RemoveRow(const Worker& aWorker)
+{
+  for (std::size_t gate = 0; gate < mGates; ++gate) {
+    mStore.RemoveWorker(gate, aWorker.mId);
+  }
+}
+
+/** Removes the row of a draining worker that no longer writes it. */
+void
+WorkerStandins::RemoveSilentRow(const Worker& aWorker)
+{
+  if (aWorker.mIsDraining && !aWorker.mIsListed &&
+      Clock::now() - aWorker.mRegisteredAt >= kMaxSilence) {
+    RemoveRow(aWorker);
+  }
+}
+
+void
+WorkerStandins::Drain(const std::string& aWorkers, Millis aDuration)
+{
+  for (const std::size_t i : SelectWorkers(aWorkers)) {
+    Worker& worker = mWorkers[i];
+    Trace(worker.mId,
+          "drain",
+          "-",
+          static_cast<std::uint64_t>(aDuration.count()),
+          worker.mEpoch);
+    worker.mIsDraining = true;
+    Register(worker);
+    EndFaultAfter(aDuration, [this, &worker, number = ++worker.mDrainNumber] {
+      if (worker.mDrainNumber == number) {
+        Leave(worker);
+      }
+    });
+  }
+}
+
+void
+WorkerStandins::Leave(Worker& aWorker)
+{
+  Trace(aWorker.mId, "leave", "-", 0, aWorker.mEpoch);
+  Restart(aWorker);
+  // While it is not listed, it answers nobody.
+  aWorker.mIsListed = false;
+  aWorker.mIsSilent = true;
+  RemoveRow(aWorker);
+  EndFaultAfter(kRejoinDelay,
+                [this, &aWorker, number = ++aWorker.mRemovalNumber] {
+                  aWorker.mIsDraining = false;
+                  aWorker.mIsSilent = false;
+                  if (aWorker.mRemovalNumber == number) {
+                    aWorker.mIsListed = true;
+                  }
+                  Restart(aWorker);
+                  Register(aWorker);
+                });
+}
+
+void
+WorkerStandins::Restart(Worker& aWorker)
+{
+  const std::list<Run> runs = aWorker.mRuns;
+  aWorker.mRuns.clear();
+  aWorker.mResults.clear();
+  aWorker.mHighestEndedRuns.clear();
+  aWorker.mLastResultNumber = 0;
+  aWorker.mEpoch = 0;
+  aWorker.mIncarnation = WallClockMs();
+  aWorker.mClockStart = Clock::now();
+  aWorker.mLeaseExpiry = {};
+  for (const Run& run : runs) {
+    if (run.mGangSize > 0) {
+      FinishGang(StepName(run.mTask), run.mRun, "broken");
+    }
+  }
+}
+
 void
 WorkerStandins::WriteOddRow(const std::string& aKind)
 {
@@ -324,7 +406,7 @@
 WorkerStandins::Start()
 {
   mThread.Post([this] {
-    for (const Worker& worker : mWorkers) {
+    for (Worker& worker : mWorkers) {
       Register(worker);
     }
     Tick();
@@ -339,20 +421,7 @@
   if (aAction == "silence" || aAction == "answer") {
     worker.mIsSilent = aAction == "silence";
   } else if (aAction == "restart") {
-    const std::list<Run> runs = worker.mRuns;
-    worker.mRuns.clear();
-    worker.mResults.clear();
-    worker.mHighestEndedRuns.clear();
-    worker.mLastResultNumber = 0;
-    worker.mEpoch = 0;
-    worker.mIncarnation = WallClockMs();
-    worker.mClockStart = Clock::now();
-    worker.mLeaseExpiry = {};
-    for (const Run& run : runs) {
-      if (run.mGangSize > 0) {
-        FinishGang(StepName(run.mTask), run.mRun, "broken");
-      }
-    }
+    Restart(worker);
     Register(worker);
   } else {
     throw std::runtime_error("unknown action \"" + aAction + "\"");
@@ -374,11 +443,12 @@
 }
 
 void
-WorkerStandins::Register(const Worker& aWorker)
+WorkerStandins::Register(Worker& aWorker)
 {
   if (!aWorker.mIsListed) {
     return;
   }
+  aWorker.mRegisteredAt = Clock::now();
   const std::int64_t accelerators = aWorker.mAccelerators;
   for (std::size_t gate = 0; gate < mGates; ++gate) {
     mStore.PutWorker(
@@ -387,7 +457,7 @@
       json{ { "service", "presses" },
             { "address", aWorker.mLinks[gate].mAddress },
             { "zone", "z1" },
-            { "state", "ready" },
+            { "state", aWorker.mIsDraining ? "draining" : "ready" },
             { "born", aWorker.mIncarnation },
             { "room",
               { { "cpu", kCpuPerAccelerator * accelerators },
@@ -682,6 +752,7 @@
   ++mTicks;
   for (Worker& worker : mWorkers) {
     Advance(worker);
+    RemoveSilentRow(worker);
     if (mTicks % kTicksPerRegistration == 0) {
       Register(worker);
     }
--- a/tests/fleet/WorkerStandins.h
+++ b/tests/fleet/WorkerStandins.h
@@ -67,11 +67,20 @@
                  Millis aDuration);
 
   /**
-   * Removes the rows of workers that go on running, for some time.
+   * Removes the rows of workers that go on running, for some time. The row of a
+   * draining worker is removed when the worker has been silent for kMaxSilence,
+   * since an owner may take an earlier removal for its departure.
    * @param aWorkers As in FailLinks.
    */
   void RemoveRows(const std::string& aWorkers, Millis aDuration);
 
+  /**
+   * Makes a worker announce that it drains, and leave after some time: its row
+   * is removed and its runs end. It joins again a second later.
+   * @param aWorkers As in FailLinks.
+   */
+  void Drain(const std::string& aWorkers, Millis aDuration);
+
   /**
    * Makes workers announce fewer accelerators for some time; their runs go on.
    * A start that exceeds what the worker has announced for kCapacityGrace is a
@@ -156,6 +165,10 @@
     std::vector<Link> mLinks;
     bool mIsSilent = false;
     bool mIsListed = true;
+    bool mIsDraining = false;
+    /** When a draining worker leaves, unless it drains anew. */
+    std::uint64_t mDrainNumber = 0;
+    Clock::time_point mRegisteredAt;
     std::uint64_t mRemovalNumber = 0;
     /** Announced accelerators, and those that starts may still use. */
     std::int64_t mAccelerators = 0;
@@ -205,7 +218,11 @@
   FleetView View() const;
   nlohmann::json ClockMs(const Worker& aWorker) const;
   void SetCapacity(Worker& aWorker, std::int64_t aAccelerators);
-  void Register(const Worker& aWorker);
+  void Register(Worker& aWorker);
+  void RemoveRow(const Worker& aWorker);
+  void RemoveSilentRow(const Worker& aWorker);
+  void Restart(Worker& aWorker);
+  void Leave(Worker& aWorker);
   void Tick();
   void Advance(Worker& aWorker);
   void FinishRun(Worker& aWorker,
--- a/tests/fleet/fleet_caller.cpp
+++ b/tests/fleet/fleet_caller.cpp
@@ -33,6 +33,8 @@
 constexpr std::size_t kCallers = 8;
 /** Distance between the job seeds of two runs, so that they do not overlap. */
 constexpr std::uint64_t kSeedStep = 100'003;
+/** One step in so many has runs of 4 to 10 s. */
+constexpr std::size_t kStepsPerLongStep = 8;
 constexpr auto kRequestTimeout = 3s;
 /** Limit for the completion of an accepted job, also under faults. */
 constexpr auto kCompletionTimeout = 120s;
@@ -186,7 +188,12 @@
     const std::int64_t accelerators = 1LL << (aRandom() % 4);
     const std::size_t tasks = 1 + aRandom() % 4;
     const bool isGang = aRandom() % 2 == 0;
-    const std::int64_t work = 100 + static_cast<std::int64_t>(aRandom() % 900);
+    // A run that lasts for longer than a lease shows whether it is started
+    // again while it goes on out of reach.
+    const bool isLong = aRandom() % kStepsPerLongStep == 0;
+    const std::int64_t work =
+      isLong ? 4'000 + static_cast<std::int64_t>(aRandom() % 6'000)
+             : 100 + static_cast<std::int64_t>(aRandom() % 900);
     json payload{ { "run_ms", work }, { "accelerators", accelerators } };
     json step{ { "count", tasks },
                { "cpu", 1'000 },
--- a/tests/fleet/fleet_standin.cpp
+++ b/tests/fleet/fleet_standin.cpp
@@ -10,6 +10,7 @@
  * - `POST /workers/N/ACTION`: silence, answer, restart
  * - `POST /links/GATES/WORKERS/FAULT/MS` (see WorkerStandins::FailLinks)
  * - `POST /rows/WORKERS/MS` (see WorkerStandins::RemoveRows)
+ * - `POST /drains/WORKERS/MS` (see WorkerStandins::Drain)
  * - `POST /capacity/WORKERS/ACCELERATORS/MS` (see
  *   WorkerStandins::ShrinkCapacity)
  * - `POST /overload/MS` (see StoreStandin::Overload)
@@ -174,6 +175,12 @@
     return json::object();
   }
 
+  json Drain(const Parts& aParts, const std::string&)
+  {
+    mWorkers.Drain(aParts[1], std::chrono::milliseconds(std::stoll(aParts[2])));
+    return json::object();
+  }
+
   json ShrinkCapacity(const Parts& aParts, const std::string&)
   {
     mWorkers.ShrinkCapacity(aParts[1],
@@ -215,18 +222,19 @@
     return json::object();
   }
 
-  static const std::array<Route, 10> kRoutes;
+  static const std::array<Route, 11> kRoutes;
 
   StoreStandin& mStore;
   WorkerStandins& mWorkers;
 };
 
-const std::array<Control::Route, 10> Control::kRoutes{ {
+const std::array<Control::Route, 11> Control::kRoutes{ {
   { "journal", 1, &Control::GetJournal },
   { "history", 2, &Control::DropHistory },
   { "workers", 3, &Control::ApplyAction },
   { "links", 5, &Control::FailLinks },
   { "rows", 3, &Control::RemoveRows },
+  { "drains", 3, &Control::Drain },
   { "capacity", 4, &Control::ShrinkCapacity },
   { "overload", 2, &Control::OverloadStore },
   { "odd", 2, &Control::WriteOddRow },
