Restart lasting tasks after any number of crashes

Cause: the limit on crashes made no exception for steps that last.

Change: crashes isolate lasting tasks and do not end their jobs.

--- a/src/state/scheduling/SchedulerCrashes.cpp
+++ b/src/state/scheduling/SchedulerCrashes.cpp
@@ -250,7 +250,8 @@
                 { "crashes", std::to_string(counted.mCrashes.Total()) },
                 { "as_suspect", std::to_string(counted.mCrashes.Suspect()) },
                 { "as_only_run", std::to_string(counted.mCrashes.Alone()) } });
-  if (counted.mCrashes.IsExhausted()) {
+  // Tasks that last are restarted however they end; isolation contains them.
+  if (counted.mCrashes.IsExhausted() && !job->StepOf(index).IsLongRunning()) {
     TerminateJob(*job, JobPhase::kFailed, aNow);
   }
 }
