Keep divided records whole when limits change or jobs end

A job of more than 97 parts could not be removed in one transaction, which would have held up all later removals; and a whole record that a smaller row limit would divide was about to be overwritten by its first part.

The parts of a terminated job are deleted with its end already, so expiry removes three rows again, whatever the size. A new owner repeats the deletion for a divided record. A record that was stored whole stays whole.

SchedulingTasks.DividedRecordOfAnEndedJobIsRemoved covers the deletion.

--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -62,16 +62,6 @@
   auto operator<=>(const WriteLimits&) const = default;
 };
 
-/** A terminated job whose rows need not be kept any longer. */
-struct ExpiredJob
-{
-  std::string mJob;
-  /** Number of parts of its record. */
-  std::size_t mParts = 1;
-
-  auto operator<=>(const ExpiredJob&) const = default;
-};
-
 /** Commands to send now. */
 struct WorkerCommands
 {
@@ -202,11 +192,11 @@
 
   /**
    * @return Terminated jobs whose rows were kept for mJobRetention, oldest
-   *   first, at most aMaxRows rows or one job. The time counts from when this
-   *   owner removed the job from its active jobs, to the accuracy of a planning
-   *   pass.
+   *   first, at most aMax. The time counts from when this owner removed the job
+   *   from its active jobs, to the accuracy of a planning pass. Of the record
+   * of such a job, only the first part is stored.
    */
-  std::vector<ExpiredJob> ExpiredJobs(Millis aNow, std::size_t aMaxRows) const;
+  std::vector<std::string> ExpiredJobs(Millis aNow, std::size_t aMax) const;
 
   /**
    * Removes the first jobs of ExpiredJobs() after their rows were deleted.
--- a/include/cornelrudder/state/scheduling/TaskJob.h
+++ b/include/cornelrudder/state/scheduling/TaskJob.h
@@ -59,8 +59,8 @@
   static constexpr std::size_t kMaxOccurrences = 1'000;
   static constexpr std::size_t kMaxSteps = 100;
   /**
-   * Limit on the tasks of all occurrences: the owner keeps about 400 bytes for
-   * each task of an active job.
+   * Limit on the tasks of all occurrences. The owner keeps the state of each
+   * task of an active job in memory.
    */
   static constexpr std::size_t kMaxTasks = 20'000;
 
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -14,7 +14,6 @@
 using state::StoreRow;
 using state::StoreStatus;
 using state::Transaction;
-using state::scheduling::ExpiredJob;
 using state::scheduling::JobProgress;
 using state::scheduling::LeaseObserver;
 using state::scheduling::OwnerLease;
@@ -34,9 +33,11 @@
 constexpr std::size_t kMaxWriteBytes = 512'000;
 
 /**
- * Limit on the rows of terminated jobs that one write removes. Removals are
- * added only to writes with few records, since the store accepts 100 rows.
+ * Limits on terminated jobs that one write removes, with three rows each, and
+ * on all rows that it removes. Removals are added only to writes with few
+ * records, since the store accepts 100 rows.
  */
+constexpr std::size_t kMaxRemovals = 20;
 constexpr std::size_t kMaxRemovedRows = 60;
 constexpr std::size_t kMaxRecordsBesideRemovals = 20;
 
@@ -387,15 +388,13 @@
   if (!isDue) {
     return writes;
   }
-  for (const ExpiredJob& job :
-       mScheduler->ExpiredJobs(Now(), kMaxRemovedRows)) {
-    ++mRemovalsInFlight;
-    std::vector<std::string> keys{ JobKey(job.mJob), CancelKey(job.mJob) };
-    for (std::size_t i = 0; i < job.mParts; ++i) {
-      keys.push_back(ProgressKey(job.mJob, i));
-    }
-    for (std::string& key : keys) {
-      writes.emplace_back(std::move(key), RowWrite::kAnyVersion, std::nullopt);
+  const std::vector<std::string> expired =
+    mScheduler->ExpiredJobs(Now(), kMaxRemovals);
+  mRemovalsInFlight = expired.size();
+  for (const std::string& job : expired) {
+    for (const std::string& key :
+         { JobKey(job), CancelKey(job), ProgressKey(job) }) {
+      writes.emplace_back(key, RowWrite::kAnyVersion, std::nullopt);
     }
   }
   for (const auto& [readAt, key] : mWithdrawals) {
--- a/src/state/scheduling/Scheduler.cpp
+++ b/src/state/scheduling/Scheduler.cpp
@@ -102,10 +102,10 @@
   mImpl->SetAsideRejected(aNow);
 }
 
-std::vector<ExpiredJob>
-Scheduler::ExpiredJobs(Millis aNow, std::size_t aMaxRows) const
+std::vector<std::string>
+Scheduler::ExpiredJobs(Millis aNow, std::size_t aMax) const
 {
-  return mImpl->ExpiredJobs(aNow, aMaxRows);
+  return mImpl->ExpiredJobs(aNow, aMax);
 }
 
 void
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -42,7 +42,7 @@
   std::vector<JobProgress> BeginWrite(const WriteLimits& aLimits);
   void FinishWrite(bool aStored);
   void SetAsideRejected(Millis aNow);
-  std::vector<ExpiredJob> ExpiredJobs(Millis aNow, std::size_t aMaxRows) const;
+  std::vector<std::string> ExpiredJobs(Millis aNow, std::size_t aMax) const;
   void RemoveExpiredJobs(std::size_t aCount);
   std::map<std::string, std::uint64_t> PendingJobs() const;
   bool IsIdle() const;
@@ -309,7 +309,7 @@
    * Terminated jobs, oldest first, with the value of mPlannedAt when this owner
    * removed them from mJobs.
    */
-  std::deque<std::pair<Millis, ExpiredJob>> mTerminatedJobsByTime;
+  std::deque<std::pair<Millis, std::string>> mTerminatedJobsByTime;
   /**
    * Time of the last planning pass or added job, used where the current time is
    * not passed.
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -8,8 +8,6 @@
 
 /** Time until the record of a job that the store rejected is written again. */
 constexpr Millis kSetAsideTime{ 5'000 };
-/** Rows of a job that are not part of its record: the job's, a cancellation. */
-constexpr std::size_t kRowsBesideRecord = 2;
 
 } // namespace
 
@@ -44,17 +42,23 @@
   if (mJobs.contains(aJob.Id()) || mTerminatedJobs.contains(aJob.Id())) {
     return;
   }
-  // A record stays divided as it was stored.
+  // A record stays divided, or whole, as it was stored.
   const bool isDivided = aProgress != nullptr && aProgress->TasksPerPart() > 0;
+  const std::size_t storedTasks =
+    aProgress != nullptr ? aProgress->Tasks().size() : 0;
   JobState job(aJob,
                aNow - std::max(aAge, Millis(0)),
                isDivided ? aProgress->TasksPerPart()
-                         : mOptions.mTasksPerRecord);
+                         : std::max(mOptions.mTasksPerRecord, storedTasks));
   job.mTasks.resize(aJob.Tasks());
   mPlannedAt = std::max(mPlannedAt, aNow);
   JobState& added = mJobs.emplace(aJob.Id(), std::move(job)).first->second;
   if (aProgress != nullptr) {
     Restore(added, *aProgress, aNow);
+    if (isDivided && IsFinal(added.mPhase)) {
+      // The earlier owner may not have deleted the other parts of the record.
+      MarkAllChanged(added);
+    }
     RemoveIfTerminated(aJob.Id());
   }
 }
@@ -203,10 +207,9 @@
       mWaits.erase({ aJob, i });
       mNominations.erase({ aJob, i });
     }
-    const std::size_t parts = job->Parts();
     mJobs.erase(aJob);
     mTerminatedJobs.insert(aJob);
-    mTerminatedJobsByTime.push_back({ mPlannedAt, { aJob, parts } });
+    mTerminatedJobsByTime.emplace_back(mPlannedAt, aJob);
   }
 }
 
@@ -370,19 +373,15 @@
   }
 }
 
-std::vector<ExpiredJob>
-Scheduler::Impl::ExpiredJobs(Millis aNow, std::size_t aMaxRows) const
+std::vector<std::string>
+Scheduler::Impl::ExpiredJobs(Millis aNow, std::size_t aMax) const
 {
-  std::vector<ExpiredJob> jobs;
-  std::size_t rows = 0;
-  for (const auto& [terminatedAt, job] : mTerminatedJobsByTime) {
-    rows += kRowsBesideRecord + job.mParts;
-    // A job with more rows than the limit is removed by a write of its own.
-    if ((rows > aMaxRows && !jobs.empty()) ||
-        aNow - terminatedAt < mOptions.mJobRetention) {
+  std::vector<std::string> jobs;
+  for (const auto& [terminatedAt, id] : mTerminatedJobsByTime) {
+    if (jobs.size() == aMax || aNow - terminatedAt < mOptions.mJobRetention) {
       break;
     }
-    jobs.push_back(job);
+    jobs.push_back(id);
   }
   return jobs;
 }
@@ -391,7 +390,7 @@
 Scheduler::Impl::RemoveExpiredJobs(std::size_t aCount)
 {
   for (std::size_t i = 0; i < aCount; ++i) {
-    mTerminatedJobs.erase(mTerminatedJobsByTime.front().second.mJob);
+    mTerminatedJobs.erase(mTerminatedJobsByTime.front().second);
     mTerminatedJobsByTime.pop_front();
   }
 }
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -514,6 +514,23 @@
               daemons.Call(daemon, JobCallKind::kQuery, "none").mStatus);
 }
 
+// Guards against parts of the record of an ended job that stay in the store.
+TEST(SchedulingTasks, DividedRecordOfAnEndedJobIsRemoved)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a", milliseconds(300));
+  daemons.mStep.mTasks = kWideStep;
+  daemons.mStep.mDemand = Resources(1, 1, 0);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.mStore.Has("runs/j1.1"); }));
+  CHECK(daemons.WaitWithLiveWorkers([&] {
+    return !daemons.mStore.Has("jobs/j1") && !daemons.mStore.Has("runs/j1") &&
+           !daemons.mStore.Has("runs/j1.1") &&
+           !daemons.mStore.Has("runs/j1.20");
+  }));
+}
+
 // Guards against a job that runs after its cancellation was answered with "no
 // such job", because a write of its submission took effect later.
 TEST(SchedulingTasks, LateSubmissionOfACancelledJobIsNotStored)
