--- a/tests/fleet/WorkerStandins.h
+++ b/tests/fleet/WorkerStandins.h
@@ -166,7 +166,7 @@
     bool mIsSilent = false;
     bool mIsListed = true;
     bool mIsDraining = false;
-    /** When a draining worker leaves, unless it drains anew. */
+    /** Counts the drains, so that an earlier one does not end a later one. */
     std::uint64_t mDrainNumber = 0;
     Clock::time_point mRegisteredAt;
     std::uint64_t mRemovalNumber = 0;
