--- a/tests/coordination/FakeFleet.cpp
+++ b/tests/coordination/FakeFleet.cpp
@@ -457,6 +457,7 @@
       worker.mEpoch = aCommand.mEpoch;
       worker.mRuns[aCommand.mTask] = aCommand.mRun;
       ++mStarts;
+      ++mExtensions;
       reply.mOutcome = CommandOutcome::kDone;
     }
   }
@@ -497,6 +498,7 @@
       reply.mOutcome = CommandOutcome::kFenced;
     } else {
       worker.mEpoch = aCommand.mEpoch;
+      mExtensions += aCommand.mLeaseExpiry.count() > 0 ? 1 : 0;
       reply.mOutcome = CommandOutcome::kDone;
       std::erase_if(worker.mTerminated,
                     [&aCommand](const TerminatedRun& aTerminated) {
@@ -538,6 +540,13 @@
   return mRenewals;
 }
 
+int
+FakeTaskWorkers::Extensions()
+{
+  const std::lock_guard lock(mMutex);
+  return mExtensions;
+}
+
 int
 FakeTaskWorkers::Starts()
 {
--- a/tests/coordination/FakeFleet.h
+++ b/tests/coordination/FakeFleet.h
@@ -170,6 +170,8 @@
   void SetRunsBlocked(bool aBlocked);
   int Starts();
   int Renewals();
+  /** @return Number of commands that extended the lease of a worker. */
+  int Extensions();
   /** @return Number of workers that were renewed at least once. */
   std::size_t RenewedWorkers();
   std::uint64_t HighestEpoch();
@@ -189,6 +191,7 @@
   bool mRunsBlocked = false;
   int mStarts = 0;
   int mRenewals = 0;
+  int mExtensions = 0;
 };
 
 /** Path from one daemon to the workers, which can be cut. */
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -8,6 +8,7 @@
 #include "cornelrudder/coordination/SchedulingMessages.h"
 #include "cornelrudder/coordination/SchedulingTables.h"
 #include "cornelrudder/protocol/JsonSchedulingCodec.h"
+#include "cornelrudder/state/scheduling/OwnerTenure.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -204,6 +205,15 @@
   /** Makes the daemons find that they were suspended for some time. */
   void Suspend(milliseconds aTime) { mClock.Jump(aTime); }
 
+  milliseconds Now() const { return mClock.Now(); }
+
+  /** Waits until so many more writes have reached the store or failed. */
+  void AwaitWrites(int aCount)
+  {
+    const int begin = mStore.Writes();
+    CHECK(WaitUntil([&] { return mStore.Writes() >= begin + aCount; }));
+  }
+
   FakeFeedStore mStore;
   FakeTaskWorkers mWorkers;
   FakeLog mLog;
@@ -738,14 +748,10 @@
   CHECK(WaitUntil([&] { return daemons.mWorkers.Starts() == 1; }));
   daemons.mStore.SetDown(true);
   daemons.Suspend(milliseconds(5'000));
-  const auto awaitWrites = [&daemons](int aCount) {
-    const int begin = daemons.mStore.Writes();
-    CHECK(WaitUntil([&] { return daemons.mStore.Writes() >= begin + aCount; }));
-  };
   // The first write may be that of a cycle from before the suspension.
-  awaitWrites(2);
+  daemons.AwaitWrites(2);
   const int renewals = daemons.mWorkers.Renewals();
-  awaitWrites(3);
+  daemons.AwaitWrites(3);
   CHECK_EQUAL(renewals, daemons.mWorkers.Renewals());
   daemons.mStore.SetDown(false);
   CHECK(WaitUntil([&] { return daemons.mWorkers.Renewals() > renewals; }));
@@ -754,6 +760,54 @@
     [&] { return daemons.HasPhase(daemon, "j1", JobPhase::kDone); }));
 }
 
+// Guards against a former owner that extends leases after the time from which
+// its successor presumes that it does not.
+TEST(SchedulingTasks, OwnerWithoutTheStoreStopsExtendingLeases)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mWorkers.SetRunsBlocked(true);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CHECK(WaitUntil([&] { return daemons.mWorkers.Starts() == 1; }));
+  daemons.mStore.SetDown(true);
+  const milliseconds down = daemons.Now();
+  CHECK(WaitUntil(
+    [&] { return daemons.Now() - down > OwnerTenure::kCommandTime; }));
+  daemons.AwaitWrites(2);
+  const int extensions = daemons.mWorkers.Extensions();
+  daemons.AwaitWrites(3);
+  CHECK_EQUAL(extensions, daemons.mWorkers.Extensions());
+  daemons.mStore.SetDown(false);
+  CHECK(WaitUntil([&] { return daemons.mWorkers.Extensions() > extensions; }));
+}
+
+// Guards against commands of a daemon that was suspended while it acquired the
+// lease and has a successor already.
+TEST(SchedulingTasks, SuspendedAcquirerSendsNoCommandsBeforeItsLeaseIsConfirmed)
+{
+  Daemons daemons;
+  const DaemonTasks first = daemons.Start("a");
+  daemons.mWorkers.SetRunsBlocked(true);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(first, "j1"));
+  CHECK(WaitUntil([&] { return daemons.mWorkers.Starts() == 1; }));
+  daemons.Kill(first);
+  daemons.mStore.SetDelays(milliseconds(0), milliseconds(500));
+  const int writes = daemons.mStore.Writes();
+  daemons.Start("b");
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kDomainOwnerChanged) == 2; }));
+  daemons.Suspend(milliseconds(10'000));
+  CHECK(WaitUntil([&] { return daemons.mStore.Writes() > writes; }));
+  daemons.mStore.SetWriteFault(WriteFault::kRequestLost);
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kJobsRecovered) == 2; }));
+  const int renewals = daemons.mWorkers.Renewals();
+  daemons.AwaitWrites(3);
+  CHECK_EQUAL(renewals, daemons.mWorkers.Renewals());
+  daemons.mStore.SetWriteFault(WriteFault::kNone);
+  CHECK(WaitUntil([&] { return daemons.mWorkers.HighestEpoch() == 2; }));
+}
+
 // Guards against a former owner that continues to write after another daemon
 // has acquired the lease row.
 TEST(SchedulingTasks, SupersededOwnerStepsDown)
