Send no commands to workers after the tenure that a successor assumes

Callers saw tasks run twice at the same time. A successor replaced the runs of a worker that it could not reach 9 s after it had loaded the tables, on the presumption that the former owner extended leases for 2.5 s more. A former owner without the store went on until a worker or the store showed it the successor, which may be never for a worker that only it reaches.

An owner now starts, stops and extends only for 3.7 s after it sent its last stored write, and the successor counts the same time, with drift, from its first read of the row version that its own write replaced (OwnerTenure). A conflict that shows an own row does not confirm the lease any more.

SchedulingTasks.OwnerWithoutTheStoreStopsExtendingLeases failed before (150 extensions after the time) and passes.

--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -40,10 +40,14 @@
   /**
    * Local times from which none of the runs that earlier owners started can
    * exist, by worker, as far as the earlier owner told. The lease of any other
-   * worker may have been extended until this owner took over, and shortly
-   * after.
+   * worker may have been extended until mLastEarlierCommandAt.
    */
   std::map<std::string, std::chrono::milliseconds> mInheritedLeases{};
+  /**
+   * Local time from which earlier owners send no commands to workers; see
+   * OwnerTenure.
+   */
+  std::chrono::milliseconds mLastEarlierCommandAt{ 0 };
   /**
    * Number of tasks whose records one row of the store has room for; the
    * default divides no record.
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -39,10 +39,8 @@
 constexpr milliseconds kCycleInterval{ 100 };
 
 /**
- * Time between two cycles above which this process counts as suspended. A
- * successor acquires the lease 1.3 s after the last renewal at the earliest and
- * presumes that leases of workers are extended for 2.5 s more; renewals are 0.4
- * s apart.
+ * Time between two cycles above which this process counts as suspended. Then a
+ * successor is likely, and the lease is confirmed before further commands.
  */
 constexpr milliseconds kMaxCycleGap{ 2'000 };
 
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -9,6 +9,7 @@
 #include "cornelrudder/coordination/WriteIdGenerator.h"
 #include "cornelrudder/state/Backoff.h"
 #include "cornelrudder/state/scheduling/OwnerLease.h"
+#include "cornelrudder/state/scheduling/OwnerTenure.h"
 #include "cornelrudder/state/scheduling/Scheduler.h"
 
 #include <caf/event_based_actor.hpp>
@@ -89,10 +90,14 @@
   void ScheduleCycle(Millis aDelay);
   void RunSchedulingCycle();
   Millis DetectSuspension();
-  /** @return Whether the lease was confirmed after the last suspension. */
+  /**
+   * @return Whether the lease was confirmed recently enough to command workers,
+   *   and after the last suspension.
+   */
   bool IsLeaseConfirmed() const
   {
-    return mLeaseConfirmedAt >= mConfirmLeaseFrom;
+    return mTenure.MayCommand(Now()) &&
+           mTenure.ConfirmedAt() >= mConfirmLeaseFrom;
   }
   void SendCommands(Millis aNow);
   void LogSchedulerEvents();
@@ -188,6 +193,9 @@
   /** See SchedulerOptions; from the released lease until the tables are read.
    */
   std::map<std::string, Millis> mInheritedLeases;
+  state::scheduling::LeaseSighting mLeaseSighting;
+  /** See SchedulerOptions. */
+  Millis mLastEarlierCommandAt{ 0 };
   /** Last logged version of a lease row that could not be decoded. */
   std::uint64_t mMalformedLeaseVersion = 0;
   bool mLeaseReadInFlight = false;
@@ -211,8 +219,7 @@
   bool mIsRenewalFirst = false;
   Millis mLastWriteAt{ 0 };
   Millis mLastCycleAt{ 0 };
-  /** When the last write was sent after which this daemon had the lease. */
-  Millis mLeaseConfirmedAt{ 0 };
+  state::scheduling::OwnerTenure mTenure;
   /** End of the last suspension of this process that was noticed. */
   Millis mConfirmLeaseFrom{ 0 };
   /** Begin of the first write since the last stored one. */
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -18,6 +18,7 @@
 using state::scheduling::LeaseObserver;
 using state::scheduling::OwnerLease;
 using state::scheduling::OwnerReachability;
+using state::scheduling::OwnerTenure;
 using std::chrono::milliseconds;
 
 /**
@@ -114,6 +115,7 @@
   }
   mStoreTiming = mStoreTiming.WithRead(Now(), Now() - mLeaseReadSentAt);
   const StoreRow& row = aResult.Rows().front();
+  mLeaseSighting = mLeaseSighting.WithRead(row.Version(), Now());
   try {
     const OwnerLease lease = mPorts.mCodec.DecodeOwnerLease(row.Value());
     mOwnerObserver.Observe(row.Version(), aResult.StoreTime());
@@ -123,6 +125,7 @@
       // The write that acquired the lease succeeded, but its result was lost.
       if (lease.mEpoch != mLease.mEpoch) {
         mInheritedLeases.clear();
+        mLastEarlierCommandAt = mLeaseSighting.LastCommandAt();
       }
       mLease = lease;
       FinishAcquire(row.Version());
@@ -223,6 +226,8 @@
         worker, Now() + Millis(static_cast<Millis::rep>(remaining)));
     }
   }
+  mLastEarlierCommandAt =
+    aVersion != 0 ? mLeaseSighting.LastCommandAt() : Now();
   mLease.mOwner = mOptions.mSelf;
   mLease.mIncarnation = mOptions.mIncarnation;
   mLease.mEpoch = aObserved.mEpoch + 1;
@@ -260,8 +265,9 @@
 SchedulerTask::FinishAcquire(std::uint64_t aVersion)
 {
   mLeaseVersion = aVersion;
+  mTenure = OwnerTenure().WithStoredWrite(Now());
   mLastWriteAt = Now();
-  mLastCycleAt = mLastWriteAt;
+  mLastCycleAt = Now();
   mConfirmLeaseFrom = Millis(0);
   mIsWriteRetry = false;
   mAcquiredAt = Now();
@@ -438,7 +444,7 @@
                     : std::min(2 * mMaxRecords, kMaxRecordsPerWrite);
     mIsRenewalFirst = false;
     mLeaseVersion = aResult.Version();
-    mLeaseConfirmedAt = mLastWriteAt;
+    mTenure = mTenure.WithStoredWrite(mLastWriteAt);
     if (mLease.mOwner.empty()) {
       LogRelease();
       EndOwnership();
@@ -490,9 +496,9 @@
       if (lease.mIncarnation == mOptions.mIncarnation &&
           lease.mEpoch == mLease.mEpoch) {
         // An earlier write of this daemon took effect although its result was
-        // lost. Its records, and later changes, are written again.
+        // lost. Its records, and later changes, are written again. When that
+        // write was sent is not known, so it does not extend the tenure.
         mLeaseVersion = row.Version();
-        mLeaseConfirmedAt = mLastWriteAt;
         return;
       }
     } catch (const CoordinationError& error) {
--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -133,6 +133,7 @@
   options.mJobRetention = mOptions.mJobRetention;
   options.mPolicy = mOptions.mPolicy;
   options.mInheritedLeases = std::move(mInheritedLeases);
+  options.mLastEarlierCommandAt = mLastEarlierCommandAt;
   options.mTasksPerRecord = TasksPerRecord();
   mInheritedLeases.clear();
   mScheduler.emplace(std::move(options));
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -18,11 +18,6 @@
  * only some time later.
  */
 constexpr Millis kReplyDelay{ 300 };
-/**
- * A former owner may keep renewing leases until it detects its successor, at
- * the latest when a worker rejects its next renewal.
- */
-constexpr Millis kFormerOwnerRenewTime{ 2'500 };
 /** Delay before the next renewal after a failed one. */
 constexpr Millis kUnresponsiveRetryDelay{ 400 };
 /**
@@ -83,7 +78,7 @@
       worker.mLeaseExpiry = inherited->second;
       worker.mIsQueryDue = true;
     } else {
-      worker.mLeaseExpiry = aNow + kFormerOwnerRenewTime +
+      worker.mLeaseExpiry = mOptions.mLastEarlierCommandAt +
                             AddClockDrift(mOptions.mWorkerLease) +
                             kCommandDelay;
     }
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -234,8 +234,8 @@
 };
 
 /**
- * Milliseconds that a new owner waits for leases of which it is not told: 2.5
- * s, and 6 s with an allowance of 3%.
+ * Less than the milliseconds that a new owner waits for leases of which it is
+ * not told.
  */
 constexpr std::uint64_t kWaitForUntoldLease = 8'680;
 
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -1,5 +1,7 @@
 #include "FleetModel.h"
 
+#include "cornelrudder/state/scheduling/OwnerTenure.h"
+
 #include <algorithm>
 #include <iterator>
 
@@ -17,6 +19,8 @@
 /** One-way delay of commands and replies. */
 constexpr milliseconds kNetworkDelay{ 5 };
 constexpr milliseconds kStoreLatency{ 15 };
+/** Silence after which an owner is replaced. */
+constexpr milliseconds kOwnerTimeout{ 1'300 };
 constexpr milliseconds kReplyTimeout{ 600 };
 constexpr milliseconds kStopDuration{ 500 };
 /** Time that a gang member waits for the start of the other members. */
@@ -104,6 +108,8 @@
 {
   SchedulerOptions options;
   options.mInheritedLeases = std::move(aLeases);
+  options.mLastEarlierCommandAt =
+    LeaseSighting().WithRead(mEpoch + 1, mNow - kOwnerTimeout).LastCommandAt();
   options.mEpoch = ++mEpoch;
   options.mPolicy = mOptions.mPolicy;
   mOwner.emplace(std::move(options));
