Count the tenure of a new owner from the sending of its acquisition

A daemon that is suspended while its acquisition is under way finds the success reply when it wakes up, although another daemon may have taken over meanwhile. The gap of its first cycle was not noticed, since cycles begin with the end of the acquisition.

--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -220,6 +220,8 @@
   Millis mLastWriteAt{ 0 };
   Millis mLastCycleAt{ 0 };
   state::scheduling::OwnerTenure mTenure;
+  /** When the write that acquired the lease was sent. */
+  Millis mAcquireSentAt{ 0 };
   /** End of the last suspension of this process that was noticed. */
   Millis mConfirmLeaseFrom{ 0 };
   /** Begin of the first write since the last stored one. */
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -228,6 +228,7 @@
   }
   mLastEarlierCommandAt =
     aVersion != 0 ? mLeaseSighting.LastCommandAt() : Now();
+  mAcquireSentAt = Now();
   mLease.mOwner = mOptions.mSelf;
   mLease.mIncarnation = mOptions.mIncarnation;
   mLease.mEpoch = aObserved.mEpoch + 1;
@@ -265,8 +266,8 @@
 SchedulerTask::FinishAcquire(std::uint64_t aVersion)
 {
   mLeaseVersion = aVersion;
-  mTenure = OwnerTenure().WithStoredWrite(Now());
-  mLastWriteAt = Now();
+  mTenure = OwnerTenure().WithStoredWrite(mAcquireSentAt);
+  mLastWriteAt = mAcquireSentAt;
   mLastCycleAt = Now();
   mConfirmLeaseFrom = Millis(0);
   mIsWriteRetry = false;
