Do not start a job anew whose record could not be decoded

A new owner skips a job whose record it cannot decode, since the job could run twice. When the job's row was read again (lost history of the feed, or a change), the job was added without a record and all its tasks started again: 4 starts instead of 3 in SchedulingTasks.JobWithUndecodableRecordIsNotStarted- Anew, which passes now. Found while looking for other ways to a second run.

--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -255,6 +255,8 @@
   Millis mWorkersCurrentAt{ 0 };
   Millis mWorkersPolledAt{ 0 };
   std::set<std::string> mListedWorkers;
+  /** Keys of the jobs whose records could not be decoded at the load. */
+  std::set<std::string> mUnreadableJobs;
   Millis mLoadStart{ 0 };
   state::LatencyHistogram mWriteLatency;
   Counters mCounters;
--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -142,6 +142,7 @@
   }
   mListedWorkers.clear();
   mWithdrawals.clear();
+  mUnreadableJobs.clear();
   for (const StoreRow& row : mWorkersRead.mRows) {
     ApplyWorkerRow(row);
   }
@@ -155,6 +156,8 @@
       ApplyJobRow(row, nullptr);
     } else if (const auto progress = DecodeRecord(it->second)) {
       ApplyJobRow(row, &*progress);
+    } else {
+      mUnreadableJobs.insert(row.Key());
     }
   }
   mPorts.mLog.Write(
@@ -178,7 +181,7 @@
 /**
  * @param aRows All rows of a job's record.
  * @return The record, or nothing if a row cannot be decoded. The job is then
- *   skipped: without its whole record it could run twice.
+ *   skipped until the next load: without its whole record it could run twice.
  */
 std::optional<JobProgress>
 SchedulerTask::DecodeRecord(const std::vector<const StoreRow*>& aRows)
@@ -213,6 +216,9 @@
       Now());
     return;
   }
+  if (mUnreadableJobs.contains(aRow.Key())) {
+    return;
+  }
   try {
     const TaskJob job = mPorts.mCodec.DecodeTaskJob(aRow.Value());
     const Millis now = Now();
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -760,6 +760,30 @@
     [&] { return daemons.HasPhase(daemon, "j1", JobPhase::kDone); }));
 }
 
+// Guards against a second run of a job whose record cannot be decoded, when its
+// row is read again.
+TEST(SchedulingTasks, JobWithUndecodableRecordIsNotStartedAnew)
+{
+  Daemons daemons;
+  daemons.mWorkers.SetRunsBlocked(true);
+  const DaemonTasks first = daemons.Start("a");
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(first, "j1"));
+  CHECK(WaitUntil([&] { return daemons.mWorkers.Starts() == 1; }));
+  daemons.Kill(first);
+  daemons.mStore.Put(ProgressKey("j1"), "garbled");
+  const DaemonTasks second = daemons.Start("b");
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kJobsRecovered) == 2; }));
+  daemons.mStore.Put("jobs/j1", daemons.mStore.ValueOf("jobs/j1"));
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(second, "j2"));
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(second, "j3"));
+  for (const char* job : { "j2", "j3" }) {
+    CHECK(WaitUntil(
+      [&] { return daemons.HasPhase(second, job, JobPhase::kRunning); }));
+  }
+  CHECK_EQUAL(3, daemons.mWorkers.Starts());
+}
+
 // Guards against a former owner that extends leases after the time from which
 // its successor presumes that it does not.
 TEST(SchedulingTasks, OwnerWithoutTheStoreStopsExtendingLeases)
