Do not take an undecodable entry for the departure of a worker

A draining worker whose entry is removed while it is younger than three reports counts as gone once it misses a reply. Such an entry now only makes the worker unusable for new runs.

Found while looking for other ways to a second run.

--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -150,6 +150,12 @@
   /** Handles the removal of a worker from the list of workers. */
   void RemoveWorker(const std::string& aWorker, Millis aNow);
 
+  /**
+   * Handles an entry in the list of workers that describes no usable worker:
+   * the worker gets no new runs, but nothing tells that it has left.
+   */
+  void HandleUnusableEntry(const std::string& aWorker);
+
   void ApplyStartReply(const StartCommand& aCommand,
                        const CommandReply& aReply,
                        Millis aNow);
--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -245,7 +245,7 @@
   } catch (const CoordinationError& error) {
     // A row that cannot be decoded describes no usable worker.
     if (mListedWorkers.erase(id) > 0) {
-      mScheduler->RemoveWorker(id, Now());
+      mScheduler->HandleUnusableEntry(id);
     }
     LogMalformed(aRow.Key(), error.what());
   }
--- a/src/state/scheduling/Scheduler.cpp
+++ b/src/state/scheduling/Scheduler.cpp
@@ -47,6 +47,12 @@
   mImpl->RemoveWorker(aWorker, aNow);
 }
 
+void
+Scheduler::HandleUnusableEntry(const std::string& aWorker)
+{
+  mImpl->HandleUnusableEntry(aWorker);
+}
+
 void
 Scheduler::ApplyStartReply(const StartCommand& aCommand,
                            const CommandReply& aReply,
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -50,6 +50,7 @@
 
   void UpdateWorker(const WorkerInfo& aInfo, Millis aNow);
   void RemoveWorker(const std::string& aWorker, Millis aNow);
+  void HandleUnusableEntry(const std::string& aWorker);
   void ApplyStartReply(const StartCommand& aCommand,
                        const CommandReply& aReply,
                        Millis aNow);
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -172,6 +172,18 @@
   RemoveUnlistedWorkers();
 }
 
+void
+Scheduler::Impl::HandleUnusableEntry(const std::string& aWorker)
+{
+  const auto it = mWorkers.find(aWorker);
+  if (it == mWorkers.end()) {
+    return;
+  }
+  MarkUnlisted(it->second);
+  it->second.mNextRenewal = Millis(0);
+  RemoveUnlistedWorkers();
+}
+
 /**
  * @return Whether an entry that is removed now was too young to be removed for
  *   the silence of its worker. Its age is overestimated: the last renewal reply
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -254,6 +254,14 @@
   mOwner->RemoveWorker(mWorkers[aWorker].mInfo.mId, mNow);
 }
 
+void
+FleetModel::GarbleEntry(std::size_t aWorker)
+{
+  RecordFault();
+  mWorkers[aWorker].mListed = false;
+  mOwner->HandleUnusableEntry(mWorkers[aWorker].mInfo.mId);
+}
+
 void
 FleetModel::RestartWorker(ModelWorker& aWorker, std::uint64_t aIncarnation)
 {
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -116,6 +116,8 @@
   void PublishStaleClock(std::size_t aWorker, milliseconds aAge);
   /** Removes a worker from the list of workers; its runs continue. */
   void UnlistWorker(std::size_t aWorker);
+  /** Makes the entry of a worker undecodable; its runs continue. */
+  void GarbleEntry(std::size_t aWorker);
   /**
    * Restarts a worker whose time of day was set back, without updating the list
    * of workers: the new incarnation has a lower number.
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -589,6 +589,25 @@
   CheckNoViolation(model);
 }
 
+// Guards against an entry that another writer has garbled and that counts as a
+// departure.
+TEST(Scheduler, SilentDrainingWorkerWithUndecodableEntryKeepsItsRuns)
+{
+  FleetModel model({ 2, 1 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(20'000));
+  model.Run(milliseconds(2'000));
+  const std::size_t host = FirstBusyWorker(model);
+  model.RefreshRow(host);
+  model.SetDraining(host, milliseconds(30'000));
+  model.Run(milliseconds(100));
+  model.SetReachable(host, false);
+  model.Run(milliseconds(500));
+  model.GarbleEntry(host);
+  model.Run(milliseconds(20'000));
+  CHECK_EQUAL(2, model.Starts());
+  CheckNoViolation(model);
+}
+
 // Guards against the same after a takeover: the new owner knows nothing of the
 // worker but an entry that is removed.
 TEST(Scheduler, SilentDrainingWorkerKeepsItsRunsAfterATakeover)
