Take no clock for leases from replies to start commands

A reply to a start that an earlier incarnation sent arrives after the restart was noticed, and set the worker's clock to a reading that is far ahead. Renewal replies name their incarnation and are enough.

Scheduler.LeaseOfRestartedWorkerFollowsItsNewClock failed before (the clock of the earlier incarnation at 1,000,400 ms, that of the new one at 100 ms).

--- a/include/cornelrudder/state/scheduling/WorkerCalls.h
+++ b/include/cornelrudder/state/scheduling/WorkerCalls.h
@@ -97,7 +97,10 @@
 struct CommandReply
 {
   CommandOutcome mOutcome = CommandOutcome::kUnknown;
-  /** Clock of the worker; 0 if the reply has none. */
+  /**
+   * Clock of the worker; 0 if the reply has none. Leases do not rely on it,
+   * since the reply does not name the incarnation that read it.
+   */
   std::chrono::milliseconds mClock{ 0 };
   /** The worker's reason for a rejection, for the log. */
   std::string mDetail;
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -306,9 +306,6 @@
                                  Millis aNow)
 {
   const auto workerIt = mWorkers.find(aCommand.mWorker.mId);
-  if (workerIt != mWorkers.end() && aReply.mClock.count() > 0) {
-    UpdateClock(workerIt->second, aReply.mClock, aNow);
-  }
   if (aReply.mOutcome == CommandOutcome::kFenced) {
     mFenced = true;
     return;
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -1379,6 +1379,51 @@
   }
 }
 
+// Guards against leases that outlast their assumed end, since the reply to an
+// earlier start sets the clock of a worker that has restarted.
+TEST(Scheduler, LeaseOfRestartedWorkerFollowsItsNewClock)
+{
+  const SchedulerOptions options;
+  Scheduler scheduler(options);
+  WorkerInfo info;
+  info.mId = "w0";
+  info.mAddress = "127.0.0.1:1";
+  info.mService = "s";
+  info.mIncarnation = 7;
+  info.mCapacity = Resources(32'000, 64'000, 8);
+  info.mClock = milliseconds(1'000'000);
+  const milliseconds planned(1'000);
+  scheduler.UpdateWorker(info, planned);
+  scheduler.Plan(planned, planned);
+  RenewReply reply;
+  reply.mOutcome = CommandOutcome::kDone;
+  reply.mIncarnation = info.mIncarnation;
+  reply.mClock = info.mClock;
+  for (const auto& query : scheduler.CollectCommands(planned).mRenewals) {
+    scheduler.ApplyRenewReply(query, reply, planned, planned);
+  }
+  scheduler.AddJob(
+    MakeJob("a", Step(1, 8), 1), milliseconds(0), nullptr, planned);
+  scheduler.Plan(planned, planned);
+  scheduler.BeginWrite({ 10, 10 });
+  scheduler.FinishWrite(true);
+  const WorkerCommands sent = scheduler.CollectCommands(planned);
+  CHECK_EQUAL(1, sent.mStarts.size());
+  CHECK_EQUAL(1, sent.mRenewals.size());
+  reply.mIncarnation = 8;
+  reply.mClock = milliseconds(100);
+  const milliseconds replied(1'500);
+  scheduler.ApplyRenewReply(sent.mRenewals.front(), reply, planned, replied);
+  scheduler.ApplyStartReply(
+    sent.mStarts.front(),
+    { CommandOutcome::kDone, info.mClock + milliseconds(400), "" },
+    replied);
+  const WorkerCommands next = scheduler.CollectCommands(replied);
+  CHECK_EQUAL(1, next.mRenewals.size());
+  CHECK(next.mRenewals.front().mLeaseExpiry <=
+        reply.mClock + options.mWorkerLease);
+}
+
 // Guards against a change of capacity that the log does not show.
 TEST(Scheduler, CapacityChangeIsReported)
 {
