Log on whose word an owner ends runs

Cause: a run_lost line named the reason, but not whether the end of the lease that it relies on came from this owner's own command, from a release or from the presumption of the takeover, nor which owner had ordered the run.

Change: a table of bases; worker_gone tells the basis and its age, when the lease ended, when it was last extended and until when on the worker's clock. run_lost tells the basis and who ordered the run; a run that a renewal reply does not list also tells the incarnations, the epoch and when the renewal was sent. The gauge scheduler_runs_lost counts by basis. The fleet model keeps the events of its owners for the tests. No decision is changed.

--- a/src/state/scheduling/SchedulerCrashes.cpp
+++ b/src/state/scheduling/SchedulerCrashes.cpp
@@ -88,12 +88,21 @@
 Scheduler::Impl::HandleUnlistedRun(const WorkerState& aWorker,
                                    const TaskKey& aKey,
                                    const char* aReason,
+                                   Millis aSentAt,
                                    Millis aNow)
 {
   const Task& task = mJobs.at(aKey.first).mTasks[aKey.second];
   const std::optional<RunCrash> crash = task.mPendingCrash;
   const std::uint64_t run = task.mRun;
-  HandleLostRun(aKey, aReason, aNow);
+  HandleLostRun(
+    aKey,
+    aReason,
+    LossBasis::kRenewReply,
+    aNow,
+    { { "planned_incarnation", std::to_string(task.mIncarnation) },
+      { "incarnation", std::to_string(aWorker.mInfo.mIncarnation) },
+      { "epoch", std::to_string(mOptions.mEpoch) },
+      { "sent_ms_ago", std::to_string((aNow - aSentAt).count()) } });
   if (crash) {
     CountCrash({ aKey, run, *crash }, aWorker.mInfo.mId, "restarted", aNow);
   }
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -147,7 +147,12 @@
                     std::size_t aTask,
                     std::uint64_t aRun,
                     Millis aNow);
-  void HandleLostRun(const TaskKey& aKey, const char* aReason, Millis aNow);
+  void HandleLostRun(const TaskKey& aKey,
+                     const char* aReason,
+                     LossBasis aBasis,
+                     Millis aNow,
+                     const EventFields& aDetails = {});
+  std::string OrderedBy(const Task& aTask) const;
   void RequestStop(JobState& aJob,
                    std::size_t aTask,
                    LossCause aCause,
@@ -164,8 +169,15 @@
 
   // Workers.
   WorkerState& FindOrAddWorker(const std::string& aId, Millis aNow);
-  void HandleLostWorker(WorkerState& aWorker, const char* aReason, Millis aNow);
-  void HandleRestart(WorkerState& aWorker, Millis aNow);
+  void HandleLostWorker(WorkerState& aWorker,
+                        const char* aReason,
+                        const LossWord& aWord,
+                        Millis aNow);
+  void RecordWorkerGone(const WorkerState& aWorker,
+                        const char* aReason,
+                        const LossWord& aWord,
+                        Millis aNow);
+  void HandleRestart(WorkerState& aWorker, const LossWord& aWord, Millis aNow);
   void WithdrawPlannedRuns(WorkerState& aWorker, Millis aNow);
   void ExpireUnresponsiveWorkers(Millis aNow);
   bool CanOnlyBeDeregistered(const WorkerState& aWorker, Millis aNow) const;
@@ -227,6 +239,7 @@
   void HandleUnlistedRun(const WorkerState& aWorker,
                          const TaskKey& aKey,
                          const char* aReason,
+                         Millis aSentAt,
                          Millis aNow);
   std::vector<CrashedRun> AssessCrash(const WorkerState& aWorker, Millis aNow);
   void ClearRecentSuspects();
@@ -362,6 +375,8 @@
   std::vector<SchedulerEvent> mEvents;
   /** Core seconds of lost work, by LossCause. */
   std::array<double, kLossCauses> mLostWork{};
+  /** Number of lost runs, by LossBasis. */
+  std::array<std::uint64_t, kLossBases> mLostRuns{};
   bool mFenced = false;
 };
 
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -86,6 +86,7 @@
       task.mIncarnation = record.mIncarnation;
       task.mPhase = TaskPhase::kStarting;
       task.mRecovered = true;
+      task.mIsInherited = true;
       task.mCompletedEarlier = record.mState == RecordedState::kDone;
       task.mStopRequested = IsFinal(aJob.mPhase) || task.mCompletedEarlier;
     } else if (record.mState == RecordedState::kDone) {
--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -24,6 +24,16 @@
   return kNames.at(static_cast<std::size_t>(aCause));
 }
 
+const char*
+LossBasisName(LossBasis aBasis)
+{
+  static constexpr std::array<const char*, kLossBases> kNames{
+    "own_command",        "release",     "presumption", "entry",
+    "other_worker_reply", "renew_reply", "start_reply"
+  };
+  return kNames.at(static_cast<std::size_t>(aBasis));
+}
+
 const char*
 WorkerConditionName(WorkerCondition aCondition)
 {
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -1,6 +1,7 @@
 #ifndef CORNELRUDDER_SRC_STATE_SCHEDULING_SCHEDULER_MODEL_H
 #define CORNELRUDDER_SRC_STATE_SCHEDULING_SCHEDULER_MODEL_H
 
+#include "LossBasis.h"
 #include "cornelrudder/state/scheduling/JobProgress.h"
 #include "cornelrudder/state/scheduling/OwnerReachability.h"
 #include "cornelrudder/state/scheduling/TaskJob.h"
@@ -99,6 +100,8 @@
    * it yet.
    */
   bool mRecovered = false;
+  /** An earlier owner has planned the run. */
+  bool mIsInherited = false;
   /** The outcome of the start command is unknown. */
   bool mOutcomeUnknown = false;
   /** Number of retries of the start command, and whether another one is due. */
@@ -378,6 +381,9 @@
    * Local time from which none of the runs that were started so far can exist.
    */
   Millis mLeaseExpiry{ 0 };
+  LeaseWord mLeaseWord;
+  /** When the entry of the worker was last read or was removed. */
+  Millis mEntryAt{ 0 };
   /** See Scheduler::WithholdLeases(). */
   bool mIsLeaseWithheld = false;
   /**
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -281,7 +281,9 @@
 void
 Scheduler::Impl::HandleLostRun(const TaskKey& aKey,
                                const char* aReason,
-                               Millis aNow)
+                               LossBasis aBasis,
+                               Millis aNow,
+                               const EventFields& aDetails)
 {
   JobState* job = FindJob(aKey.first);
   if (job == nullptr || !job->mTasks[aKey.second].IsAssigned()) {
@@ -289,17 +291,28 @@
   }
   const Task& task = job->mTasks[aKey.second];
   const double lost = CountLoss(*job, task, LossCause::kWorkerLost, aNow);
-  RecordEvent(SchedulerEvent::Kind::kRunLost,
-              { { "task", job->IdOf(aKey.second).Text() },
-                { "run", std::to_string(task.mRun) },
-                { "worker", task.mWorker },
-                { "reason", aReason },
-                { "lost_core_s", std::to_string(std::lround(lost)) } });
+  ++mLostRuns.at(static_cast<std::size_t>(aBasis));
+  EventFields fields{ { "task", job->IdOf(aKey.second).Text() },
+                      { "run", std::to_string(task.mRun) },
+                      { "worker", task.mWorker },
+                      { "reason", aReason },
+                      { "lost_core_s", std::to_string(std::lround(lost)) },
+                      { "basis", LossBasisName(aBasis) },
+                      { "ordered_by", OrderedBy(task) } };
+  fields.insert(fields.end(), aDetails.begin(), aDetails.end());
+  RecordEvent(SchedulerEvent::Kind::kRunLost, std::move(fields));
   job->mLostRuns.emplace(aKey.second, task.mRun);
   Requeue(*job, aKey.second, aNow);
   RemoveIfTerminated(aKey.first);
 }
 
+/** @return The epoch of the owner that planned a run, as far as known. */
+std::string
+Scheduler::Impl::OrderedBy(const Task& aTask) const
+{
+  return aTask.mIsInherited ? "earlier" : std::to_string(mOptions.mEpoch);
+}
+
 void
 Scheduler::Impl::ApplyStartReply(const StartCommand& aCommand,
                                  const CommandReply& aReply,
@@ -352,13 +365,14 @@
         task.mOutcomeUnknown = true;
         RequestStop(*job, *index, LossCause::kOther, aNow);
       } else {
-        HandleLostRun(key, aReply.mDetail.c_str(), aNow);
+        HandleLostRun(
+          key, aReply.mDetail.c_str(), LossBasis::kStartReply, aNow);
       }
       break;
     case CommandOutcome::kIncarnationMismatch:
       if (task.mStartRetries == 0) {
         // The addressed incarnation did not execute this command.
-        HandleLostRun(key, "other_life", aNow);
+        HandleLostRun(key, "other_life", LossBasis::kStartReply, aNow);
       }
       if (workerIt != mWorkers.end()) {
         HandleReplacedWorker(workerIt->second, aNow);
@@ -535,7 +549,7 @@
       task.mReportableSince && *task.mReportableSince <= aSentAt;
     if (cannotRun || (shouldBeListed && task.mPhase == TaskPhase::kRunning)) {
       HandleUnlistedRun(
-        aWorker, key, cannotRun ? "not_started" : "not_listed", aNow);
+        aWorker, key, cannotRun ? "not_started" : "not_listed", aSentAt, aNow);
     } else if (shouldBeListed && task.mOutcomeUnknown) {
       // The start command may still be in flight. A worker starts a run only
       // once even if it receives the command repeatedly, so retries are safe.
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -76,10 +76,12 @@
     worker.mInfo.mId = aId;
     MarkUnlisted(worker);
     worker.mLastReplyAt = aNow;
+    worker.mLeaseWord.mWord = { LossBasis::kPresumption, aNow };
     // This owner has started no runs on the worker, but an earlier owner may
     // have.
     const auto inherited = mOptions.mInheritedLeases.find(aId);
     if (inherited != mOptions.mInheritedLeases.end()) {
+      worker.mLeaseWord.mWord = { LossBasis::kRelease, aNow };
       worker.mLeaseExpiry = inherited->second;
       worker.mIsQueryDue = true;
     } else {
@@ -115,8 +117,9 @@
   }
   const bool isRestarted = known != 0 && known < aInfo.mIncarnation;
   if (isRestarted) {
-    HandleRestart(worker, aNow);
+    HandleRestart(worker, { LossBasis::kEntry, aNow }, aNow);
   }
+  worker.mEntryAt = aNow;
   const bool isFirst = worker.mClock.count() == 0 || isRestarted;
   if (aInfo.mDraining && !worker.mInfo.mDraining) {
     RecordEvent(
@@ -169,6 +172,7 @@
   }
   WorkerState& worker = it->second;
   MarkUnlisted(worker);
+  worker.mEntryAt = aNow;
   worker.mIsDeregistered = CanOnlyBeDeregistered(worker, aNow);
   // The worker may only have lost the store, so the next renewal shows whether
   // a draining worker has left.
@@ -221,7 +225,12 @@
 {
   const WorkerEvidenceInfo& info = InfoOf(aEvidence);
   if (info.mEndsRuns) {
-    HandleLostWorker(aWorker, info.mName, aNow);
+    LossWord word = aWorker.mLeaseWord.mWord;
+    if (info.mBasis) {
+      word = { *info.mBasis,
+               info.mBasis == LossBasis::kEntry ? aWorker.mEntryAt : aNow };
+    }
+    HandleLostWorker(aWorker, info.mName, word, aNow);
   }
 }
 
@@ -265,20 +274,42 @@
 void
 Scheduler::Impl::HandleLostWorker(WorkerState& aWorker,
                                   const char* aReason,
+                                  const LossWord& aWord,
                                   Millis aNow)
 {
   if (!aWorker.mAssigned.empty()) {
-    RecordEvent(SchedulerEvent::Kind::kWorkerGone,
-                { { "worker", aWorker.mInfo.mId },
-                  { "reason", aReason },
-                  { "runs", std::to_string(aWorker.mAssigned.size()) } });
+    RecordWorkerGone(aWorker, aReason, aWord, aNow);
   }
   const std::set<TaskKey> assigned = aWorker.mAssigned;
   for (const TaskKey& key : assigned) {
-    HandleLostRun(key, aReason, aNow);
+    HandleLostRun(key, aReason, aWord.mBasis, aNow);
   }
 }
 
+void
+Scheduler::Impl::RecordWorkerGone(const WorkerState& aWorker,
+                                  const char* aReason,
+                                  const LossWord& aWord,
+                                  Millis aNow)
+{
+  const auto age = [aNow](Millis aTime) {
+    return std::to_string((aNow - aTime).count());
+  };
+  EventFields fields{ { "worker", aWorker.mInfo.mId },
+                      { "reason", aReason },
+                      { "runs", std::to_string(aWorker.mAssigned.size()) },
+                      { "epoch", std::to_string(mOptions.mEpoch) },
+                      { "basis", LossBasisName(aWord.mBasis) },
+                      { "basis_ms_ago", age(aWord.mHeardAt) },
+                      { "lease_ended_ms_ago", age(aWorker.mLeaseExpiry) } };
+  const LeaseWord& lease = aWorker.mLeaseWord;
+  if (lease.mExtendedAt) {
+    fields.emplace_back("extended_ms_ago", age(*lease.mExtendedAt));
+    fields.emplace_back("until_ms", std::to_string(lease.mUntil.count()));
+  }
+  RecordEvent(SchedulerEvent::Kind::kWorkerGone, std::move(fields));
+}
+
 /**
  * Handles a worker that restarted under the same identifier. Runs that its
  * earlier incarnation reported are lost. A run whose start was acknowledged but
@@ -289,18 +320,17 @@
  * there.
  */
 void
-Scheduler::Impl::HandleRestart(WorkerState& aWorker, Millis aNow)
+Scheduler::Impl::HandleRestart(WorkerState& aWorker,
+                               const LossWord& aWord,
+                               Millis aNow)
 {
   const char* const reason = InfoOf(WorkerEvidence::kLaterIncarnation).mName;
-  RecordEvent(SchedulerEvent::Kind::kWorkerGone,
-              { { "worker", aWorker.mInfo.mId },
-                { "reason", reason },
-                { "runs", std::to_string(aWorker.mAssigned.size()) } });
+  RecordWorkerGone(aWorker, reason, aWord, aNow);
   for (const CrashedRun& run : AssessCrash(aWorker, aNow)) {
     Task& task = mJobs.at(run.mTask.first).mTasks[run.mTask.second];
     task.mPendingCrash = run.mCrash;
     if (task.mPhase == TaskPhase::kRunning && task.mReportedIncarnation != 0) {
-      HandleLostRun(run.mTask, reason, aNow);
+      HandleLostRun(run.mTask, reason, aWord.mBasis, aNow);
       CountCrash(run, aWorker.mInfo.mId, reason, aNow);
     }
   }
@@ -403,10 +433,14 @@
 Millis
 Scheduler::Impl::ExtendLease(WorkerState& aWorker, Millis aNow)
 {
-  aWorker.mLeaseExpiry =
-    std::max(aWorker.mLeaseExpiry,
-             aNow + AddClockDrift(mOptions.mWorkerLease) + kCommandDelay);
-  return aWorker.mClock + (aNow - aWorker.mClockAt) + mOptions.mWorkerLease;
+  const Millis end =
+    aNow + AddClockDrift(mOptions.mWorkerLease) + kCommandDelay;
+  const Millis until =
+    aWorker.mClock + (aNow - aWorker.mClockAt) + mOptions.mWorkerLease;
+  aWorker.mLeaseWord =
+    aWorker.mLeaseWord.WithExtension(aNow, until, end >= aWorker.mLeaseExpiry);
+  aWorker.mLeaseExpiry = std::max(aWorker.mLeaseExpiry, end);
+  return until;
 }
 
 /**
@@ -479,7 +513,7 @@
   CountPresumedCrashes(present, aNow);
   if (worker.mInfo.mIncarnation != 0 &&
       aReply.mIncarnation != worker.mInfo.mIncarnation) {
-    HandleRestart(worker, aNow);
+    HandleRestart(worker, { LossBasis::kRenewReply, aSentAt }, aNow);
   }
   // An acknowledgement that was sent to an earlier incarnation is higher.
   worker.mConfirmedUpTo = std::max(
--- a/src/state/scheduling/WorkerEvidence.h
+++ b/src/state/scheduling/WorkerEvidence.h
@@ -1,7 +1,10 @@
 #ifndef CORNELRUDDER_SRC_STATE_SCHEDULING_WORKER_EVIDENCE_H
 #define CORNELRUDDER_SRC_STATE_SCHEDULING_WORKER_EVIDENCE_H
 
+#include "LossBasis.h"
+
 #include <array>
+#include <optional>
 
 namespace cornelrudder::state::scheduling {
 
@@ -28,29 +31,45 @@
    * Otherwise its runs keep their tasks until other evidence is found.
    */
   bool mEndsRuns;
+  /** For the log; empty for what the end of the lease rests on. */
+  std::optional<LossBasis> mBasis;
 };
 
 /** In the order of WorkerEvidence; docs/platform.md gives the reasons. */
 inline constexpr std::array kWorkerEvidence{
   // The worker, the link or this owner may be slow or paused.
-  WorkerEvidenceInfo{ WorkerEvidence::kNoReply, "no_reply", false },
+  WorkerEvidenceInfo{ WorkerEvidence::kNoReply, "no_reply", false, {} },
   // The store removes entries of workers that it does not hear from, too.
-  WorkerEvidenceInfo{ WorkerEvidence::kEntryRemoved, "entry_removed", false },
+  WorkerEvidenceInfo{ WorkerEvidence::kEntryRemoved,
+                      "entry_removed",
+                      false,
+                      LossBasis::kEntry },
   // Another writer may have written the entry.
   WorkerEvidenceInfo{ WorkerEvidence::kNewerEntryAtAddress,
                       "newer_entry",
-                      false },
+                      false,
+                      LossBasis::kEntry },
   // Removed before its silence can be the reason, while draining, and silent:
   // the worker has left.
-  WorkerEvidenceInfo{ WorkerEvidence::kDeregistered, "left", true },
+  WorkerEvidenceInfo{ WorkerEvidence::kDeregistered,
+                      "left",
+                      true,
+                      LossBasis::kEntry },
   // A reply of another worker that listens at the address.
   WorkerEvidenceInfo{ WorkerEvidence::kOtherWorkerAtAddress,
                       "other_life",
-                      true },
+                      true,
+                      LossBasis::kOtherWorkerReply },
   // The runs that the earlier incarnation has reported are gone with it.
-  WorkerEvidenceInfo{ WorkerEvidence::kLaterIncarnation, "restarted", true },
+  WorkerEvidenceInfo{ WorkerEvidence::kLaterIncarnation,
+                      "restarted",
+                      true,
+                      LossBasis::kRenewReply },
   // The worker kills its runs at the end of its lease, by its own clock.
-  WorkerEvidenceInfo{ WorkerEvidence::kLeaseExpired, "lease_expired", true },
+  WorkerEvidenceInfo{ WorkerEvidence::kLeaseExpired,
+                      "lease_expired",
+                      true,
+                      {} },
 };
 
 constexpr const WorkerEvidenceInfo&
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -469,7 +469,9 @@
     StartOwner();
   }
   mOwner->Plan(mNow, mNow);
-  mOwner->TakeEvents();
+  for (SchedulerEvent& event : mOwner->TakeEvents()) {
+    mOwnerEvents.push_back(std::move(event));
+  }
   const WorkerCommands commands = mOwner->CollectCommands(mNow);
   for (const StopCommand& command : commands.mStops) {
     SendStop(command);
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -178,6 +178,11 @@
   /** Lost work of stopped runs without checkpoints, in core seconds. */
   double WastedWork() const { return mWastedWork; }
   milliseconds Now() const { return mNow; }
+  /** @return Events of all owners. */
+  const std::vector<scheduling::SchedulerEvent>& OwnerEvents() const
+  {
+    return mOwnerEvents;
+  }
 
 private:
   struct ModelRun
@@ -330,6 +335,7 @@
   std::size_t mRejectedStarts = 0;
   double mWastedWork = 0.0;
   std::vector<std::string> mViolations;
+  std::vector<scheduling::SchedulerEvent> mOwnerEvents;
 };
 
 /** @return A job with one step. */
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <array>
 
 using namespace cornelrudder::tests;
@@ -46,6 +47,45 @@
   return i;
 }
 
+/** @return The only event of a kind. */
+SchedulerEvent
+OnlyEvent(const FleetModel& aModel, SchedulerEvent::Kind aKind)
+{
+  std::vector<SchedulerEvent> found;
+  for (const SchedulerEvent& event : aModel.OwnerEvents()) {
+    if (event.mKind == aKind) {
+      found.push_back(event);
+    }
+  }
+  CHECK_EQUAL(1, found.size());
+  return found.front();
+}
+
+/** @return A field of an event, or nothing. */
+std::string
+FieldOf(const SchedulerEvent& aEvent, const std::string& aName)
+{
+  const auto it = std::find_if(
+    aEvent.mFields.begin(), aEvent.mFields.end(), [&aName](const auto& aField) {
+      return aField.first == aName;
+    });
+  return it != aEvent.mFields.end() ? it->second : std::string();
+}
+
+/** Checks what the only loss of a run rests on, and who ordered the run. */
+void
+CheckLoss(const FleetModel& aModel,
+          const std::string& aReason,
+          const std::string& aBasis,
+          const std::string& aOrderedBy)
+{
+  const SchedulerEvent lost = OnlyEvent(aModel, SchedulerEvent::Kind::kRunLost);
+  CHECK_EQUAL(aReason, FieldOf(lost, "reason"));
+  CHECK_EQUAL(aBasis, FieldOf(lost, "basis"));
+  CHECK_EQUAL(aOrderedBy, FieldOf(lost, "ordered_by"));
+  CHECK_EQUAL(1, aModel.Gauge("scheduler_runs_lost{basis=\"" + aBasis + "\"}"));
+}
+
 /**
  * @return A catalog that guarantees accelerators to the organisation of
  *   MakeJob().
@@ -244,6 +284,96 @@
   CheckNoViolation(model);
 }
 
+// Guards against a lost run whose log does not tell what its loss rests on; so
+// do the following tests.
+TEST(Scheduler, LossByOwnLeaseTellsTheLastCommand)
+{
+  FleetModel model({});
+  // The first owner assumes leases of earlier ones as well.
+  model.Run(milliseconds(4'000));
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(4'000));
+  model.Run(milliseconds(500));
+  model.SetReachable(FirstBusyWorker(model), false);
+  model.Run(milliseconds(8'000));
+  CheckLoss(model, "lease_expired", "own_command", "1");
+  const SchedulerEvent gone =
+    OnlyEvent(model, SchedulerEvent::Kind::kWorkerGone);
+  CHECK_EQUAL(std::string("own_command"), FieldOf(gone, "basis"));
+  CHECK_EQUAL(FieldOf(gone, "extended_ms_ago"), FieldOf(gone, "basis_ms_ago"));
+  const int endedAgo = std::stoi(FieldOf(gone, "lease_ended_ms_ago"));
+  CHECK(endedAgo >= 0);
+  // The lease of 6 s, with the allowances for clocks and transmission.
+  CHECK_EQUAL(6'480 + endedAgo, std::stoi(FieldOf(gone, "basis_ms_ago")));
+  CHECK(std::stoll(FieldOf(gone, "until_ms")) > 0);
+}
+
+TEST(Scheduler, LossByReleaseTellsTheRelease)
+{
+  FleetModel model({});
+  model.Run(milliseconds(4'000));
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(4'000));
+  model.Run(milliseconds(500));
+  model.SetReachable(FirstBusyWorker(model), false);
+  model.Run(milliseconds(2'000));
+  model.HandOver();
+  model.Run(milliseconds(6'000));
+  CheckLoss(model, "lease_expired", "release", "earlier");
+  const SchedulerEvent gone =
+    OnlyEvent(model, SchedulerEvent::Kind::kWorkerGone);
+  CHECK_EQUAL(std::string(), FieldOf(gone, "extended_ms_ago"));
+  CHECK_EQUAL(std::string("2"), FieldOf(gone, "epoch"));
+}
+
+TEST(Scheduler, LossAfterTakeoverTellsThePresumption)
+{
+  FleetModel model({});
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(4'000));
+  model.Run(milliseconds(500));
+  model.SetReachable(FirstBusyWorker(model), false);
+  model.Run(milliseconds(1'000));
+  model.ReplaceOwner();
+  model.Run(milliseconds(12'000));
+  CheckLoss(model, "lease_expired", "presumption", "earlier");
+}
+
+TEST(Scheduler, LossByReplyTellsTheRenewal)
+{
+  FleetModel model({});
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(4'000));
+  model.Run(milliseconds(500));
+  const std::size_t host = FirstBusyWorker(model);
+  model.ReplaceOwner();
+  model.RestartUnannounced(host);
+  model.Run(milliseconds(3'000));
+  CheckLoss(model, "not_started", "renew_reply", "earlier");
+  const SchedulerEvent lost = OnlyEvent(model, SchedulerEvent::Kind::kRunLost);
+  CHECK_EQUAL(std::string("2"), FieldOf(lost, "epoch"));
+  CHECK(FieldOf(lost, "incarnation") != FieldOf(lost, "planned_incarnation"));
+  CHECK(std::stoi(FieldOf(lost, "sent_ms_ago")) >= 0);
+}
+
+TEST(Scheduler, LossByRestartTellsTheReply)
+{
+  FleetModel model({});
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(8'000));
+  model.Run(milliseconds(2'000));
+  model.RestartUnannounced(FirstBusyWorker(model));
+  model.Run(milliseconds(3'000));
+  CheckLoss(model, "restarted", "renew_reply", "1");
+}
+
+TEST(Scheduler, LossByRestartTellsTheEntry)
+{
+  FleetModel model({});
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(8'000));
+  model.Run(milliseconds(2'000));
+  const std::size_t host = FirstBusyWorker(model);
+  model.RestartUnannounced(host);
+  model.PublishWorker(host);
+  model.Run(milliseconds(3'000));
+  CheckLoss(model, "restarted", "entry", "1");
+}
+
 // Guards against a wait for the leases of silent workers that starts anew with
 // each owner, so that handovers postpone the replacement of their runs.
 TEST(Scheduler, HandoversDoNotDelayReplacementOfUnreachableRuns)
