Log what a takeover inherits and how a former owner stops

Cause: the logs of an incident did not tell what a new owner had taken over, how long a former owner had gone on to extend leases, or when an owner withheld its commands.

Change: four events. takeover names the former owner, the age of the row that was replaced, the recovered runs and the ends of leases by source; owner_stopped the age of the last stored write and the last extension of the lease of each worker in use, at most 40 in a line; commands_paused and commands_resumed the times without commands. No decision is changed.

--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -102,7 +102,11 @@
   kRunCrashed = 822,
   kJobSetAside = 823,
   kWriteRejected = 824,
-  kOwnerSuspended = 825
+  kOwnerSuspended = 825,
+  kTakeover = 826,
+  kOwnerStopped = 827,
+  kCommandsPaused = 828,
+  kCommandsResumed = 829
 };
 
 /** Entry of the event catalogue. */
--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -70,6 +71,32 @@
   std::vector<RenewCommand> mRenewals;
 };
 
+/** What an owner has taken over from earlier ones, for the log. */
+struct TakeoverSummary
+{
+  /** Runs that earlier owners have planned, and the workers that have them. */
+  std::size_t mRuns = 0;
+  std::size_t mWorkers = 0;
+  /** Workers whose lease ends a release tells, and the time left of these. */
+  std::size_t mReleasedWorkers = 0;
+  std::chrono::milliseconds mShortestRelease{ 0 };
+  std::chrono::milliseconds mLongestRelease{ 0 };
+  /** Workers with such runs whose lease end is presumed, and the time left. */
+  std::size_t mPresumedWorkers = 0;
+  std::chrono::milliseconds mLongestPresumption{ 0 };
+
+  auto operator<=>(const TakeoverSummary&) const = default;
+};
+
+/** When an owner last extended the lease of a worker with runs, for the log. */
+struct LeaseExtension
+{
+  std::optional<std::chrono::milliseconds> mAt;
+  std::string mWorker;
+
+  auto operator<=>(const LeaseExtension&) const = default;
+};
+
 /** A decision or a detected state change, for the log. */
 struct SchedulerEvent
 {
@@ -233,6 +260,12 @@
   /** @return Which workers this owner reaches. */
   OwnerReachability Reachability(Millis aNow) const;
 
+  /** @return What this owner has taken over and not given up yet. */
+  TakeoverSummary Inherited(Millis aNow) const;
+
+  /** @return The last extensions of leases, latest first. */
+  std::vector<LeaseExtension> LeaseExtensions() const;
+
   /** @return Number of jobs not started yet, by queue. */
   std::map<std::string, std::uint64_t> PendingJobs() const;
 
--- a/src/coordination/LogEvent.cpp
+++ b/src/coordination/LogEvent.cpp
@@ -410,6 +410,27 @@
                 "owner_suspended",
                 "the owner did not run for some time; it sends no commands "
                 "until the store confirms its lease" },
+  LogEventInfo{ LogEvent::kTakeover,
+                LogLevel::kWarning,
+                "takeover",
+                "a new owner has loaded what an earlier one left: why the "
+                "lease was acquired, the runs, and when leases of workers end "
+                "as told by a release or as presumed" },
+  LogEventInfo{ LogEvent::kOwnerStopped,
+                LogLevel::kWarning,
+                "owner_stopped",
+                "an owner stopped to command workers, with the time since its "
+                "last stored write was sent and since it last extended the "
+                "lease of each worker in use" },
+  LogEventInfo{ LogEvent::kCommandsPaused,
+                LogLevel::kWarning,
+                "commands_paused",
+                "the owner sends no commands until the store confirms its "
+                "lease" },
+  LogEventInfo{ LogEvent::kCommandsResumed,
+                LogLevel::kInfo,
+                "commands_resumed",
+                "the owner sends commands again" },
 };
 
 } // namespace
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -198,6 +198,7 @@
   LogSchedulerEvents();
   // Planning may have been suspended.
   const Millis now = DetectSuspension();
+  TrackCommandPause(now);
   if (!mReleasing && IsLeaseConfirmed()) {
     // An isolated owner renews the leases that it can until the store has taken
     // the release, which may be long.
@@ -236,6 +237,7 @@
       { LogEvent::kOwnerSuspended,
         { { "epoch", std::to_string(mLease.mEpoch) },
           { "ms", std::to_string((now - mLastCycleAt).count()) } } });
+    LogOwnerStopped("suspended");
   }
   mLastCycleAt = now;
   return now;
@@ -289,6 +291,8 @@
     counters.merge(mScheduler->Gauges());
     counters["scheduler_worker_list_age_ms"] =
       static_cast<std::uint64_t>((Now() - mWorkersCurrentAt).count());
+    counters["scheduler_last_stored_write_age_ms"] =
+      static_cast<std::uint64_t>((Now() - LastStoredWriteAt()).count());
   }
   return counters;
 }
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -9,6 +9,7 @@
 #include "cornelrudder/coordination/WriteIdGenerator.h"
 #include "cornelrudder/state/Backoff.h"
 #include "cornelrudder/state/scheduling/OwnerLease.h"
+#include "cornelrudder/state/scheduling/OwnerTenure.h"
 #include "cornelrudder/state/scheduling/Scheduler.h"
 
 #include <caf/event_based_actor.hpp>
@@ -70,6 +71,18 @@
     std::uint64_t mVersion = 0;
   };
 
+  /** How this daemon acquired the lease, for the log. */
+  struct Takeover
+  {
+    std::string mFormerOwner;
+    std::uint64_t mFormerEpoch = 0;
+    std::string mReason;
+    /** Time since this daemon first read the version that it replaced. */
+    Millis mRowAge{ 0 };
+
+    auto operator<=>(const Takeover&) const = default;
+  };
+
   enum class Mode
   {
     /** This daemon is not the owner and watches the lease row. */
@@ -128,6 +141,11 @@
   void CheckReachability();
   void LogRelease();
   void Release();
+  Millis LastStoredWriteAt() const;
+  void LogTakeover();
+  void LogOwnerStopped(const char* aReason);
+  void TrackCommandPause(Millis aNow);
+  void EndCommandPause();
 
   // Tables.
   void RetryLater(Millis aDelay, Step aStep);
@@ -188,6 +206,7 @@
   /** See SchedulerOptions; from the released lease until the tables are read.
    */
   std::map<std::string, Millis> mInheritedLeases;
+  state::scheduling::LeaseSighting mLeaseSighting;
   /** Last logged version of a lease row that could not be decoded. */
   std::uint64_t mMalformedLeaseVersion = 0;
   bool mLeaseReadInFlight = false;
@@ -227,6 +246,9 @@
   /** When this daemon takes over from a silent owner; see IsOwnerSilent(). */
   std::optional<Millis> mTakeoverAt;
   int mFailedAcquisitions = 0;
+  Takeover mTakeover;
+  /** Set while no commands are sent until the store confirms the lease. */
+  std::optional<Millis> mCommandsPausedAt;
   state::Backoff mAcquireBackoff;
   std::mt19937_64 mRandom;
 
--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -162,6 +162,7 @@
         { "jobs", std::to_string(mJobsRead.mRows.size()) },
         { "workers", std::to_string(mListedWorkers.size()) },
         { "took_ms", std::to_string((Now() - mLoadStart).count()) } } });
+  LogTakeover();
   mWorkersVersion = mWorkersRead.mVersion;
   mWorkersCurrentAt = mLoadStart;
   mJobsVersion = mJobsRead.mVersion;
--- a/src/state/scheduling/Scheduler.cpp
+++ b/src/state/scheduling/Scheduler.cpp
@@ -144,6 +144,18 @@
   return mImpl->Reachability(aNow);
 }
 
+TakeoverSummary
+Scheduler::Inherited(Millis aNow) const
+{
+  return mImpl->Inherited(aNow);
+}
+
+std::vector<LeaseExtension>
+Scheduler::LeaseExtensions() const
+{
+  return mImpl->LeaseExtensions();
+}
+
 std::map<std::string, std::uint64_t>
 Scheduler::PendingJobs() const
 {
--- a/src/state/scheduling/SchedulerDiagnostics.cpp
+++ b/src/state/scheduling/SchedulerDiagnostics.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace cornelrudder::state::scheduling {
 
@@ -58,6 +59,51 @@
   return gauges;
 }
 
+TakeoverSummary
+Scheduler::Impl::Inherited(Millis aNow) const
+{
+  TakeoverSummary summary;
+  for (const auto& [id, end] : mOptions.mInheritedLeases) {
+    const Millis left = end - aNow;
+    const bool isFirst = summary.mReleasedWorkers++ == 0;
+    summary.mShortestRelease =
+      isFirst ? left : std::min(summary.mShortestRelease, left);
+    summary.mLongestRelease =
+      isFirst ? left : std::max(summary.mLongestRelease, left);
+  }
+  for (const auto& [id, worker] : mWorkers) {
+    const auto runs = static_cast<std::size_t>(std::count_if(
+      worker.mAssigned.begin(),
+      worker.mAssigned.end(),
+      [this](const TaskKey& aKey) {
+        return mJobs.at(aKey.first).mTasks[aKey.second].mIsInherited;
+      }));
+    summary.mRuns += runs;
+    summary.mWorkers += runs > 0 ? 1 : 0;
+    if (runs > 0 && worker.mLeaseWord.mWord.mBasis == LossBasis::kPresumption) {
+      const Millis left = worker.mLeaseExpiry - aNow;
+      summary.mLongestPresumption =
+        summary.mPresumedWorkers++ == 0
+          ? left
+          : std::max(summary.mLongestPresumption, left);
+    }
+  }
+  return summary;
+}
+
+std::vector<LeaseExtension>
+Scheduler::Impl::LeaseExtensions() const
+{
+  std::vector<LeaseExtension> extensions;
+  for (const auto& [id, worker] : mWorkers) {
+    if (!worker.mAssigned.empty()) {
+      extensions.push_back({ worker.mLeaseWord.mExtendedAt, id });
+    }
+  }
+  std::sort(extensions.begin(), extensions.end(), std::greater<>());
+  return extensions;
+}
+
 /** @return A waiting task whose step is due and ready, or nothing. */
 std::optional<std::size_t>
 Scheduler::Impl::FirstReadyTask(const JobState& aJob, Millis aNow) const
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -64,6 +64,8 @@
   WorkerCommands CollectCommands(Millis aNow);
   bool IsFenced() const { return mFenced; }
   OwnerReachability Reachability(Millis aNow) const;
+  TakeoverSummary Inherited(Millis aNow) const;
+  std::vector<LeaseExtension> LeaseExtensions() const;
 
   void Plan(Millis aNow, Millis aWallClock);
 
--- a/tests/coordination/FakeTable.cpp
+++ b/tests/coordination/FakeTable.cpp
@@ -202,6 +202,22 @@
     }));
 }
 
+std::string
+FakeLog::LastField(coordination::LogEvent aEvent, const std::string& aName)
+{
+  const std::lock_guard lock(mMutex);
+  std::string value;
+  for (const coordination::LogRecord& record : mRecords) {
+    if (record.Event() == aEvent) {
+      value.clear();
+      for (const auto& [name, text] : record.AllFields()) {
+        value = name == aName ? text : value;
+      }
+    }
+  }
+  return value;
+}
+
 bool
 WaitUntil(const std::function<bool()>& aCondition)
 {
--- a/tests/coordination/FakeTable.h
+++ b/tests/coordination/FakeTable.h
@@ -103,6 +103,9 @@
 public:
   void Write(const coordination::LogRecord& aRecord) override;
   int Count(coordination::LogEvent aEvent);
+  /** @return A field of the last record of an event, or nothing. */
+  std::string LastField(coordination::LogEvent aEvent,
+                        const std::string& aName);
 
 private:
   std::mutex mMutex;
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -948,3 +948,111 @@
     [&] { return daemons.HasPhase(daemon, "j1", JobPhase::kDone); }));
   CHECK_EQUAL(2, daemons.Lease().mEpoch);
 }
+
+// Guards against a takeover that does not tell what it inherits.
+TEST(SchedulingTasks, TakeoverFromSilentOwnerTellsPresumedLeases)
+{
+  Daemons daemons;
+  const DaemonTasks first = daemons.Start("a");
+  daemons.mWorkers.SetRunsBlocked(true);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(first, "j1"));
+  CHECK(WaitUntil([&] { return daemons.mWorkers.Starts() == 1; }));
+  CHECK_EQUAL(0, daemons.mLog.Count(LogEvent::kTakeover));
+  daemons.Start("b");
+  daemons.Kill(first);
+  CHECK(
+    WaitUntil([&] { return daemons.mLog.Count(LogEvent::kTakeover) == 1; }));
+  const auto field = [&daemons](const char* aName) {
+    return daemons.mLog.LastField(LogEvent::kTakeover, aName);
+  };
+  CHECK_EQUAL(std::string("2"), field("epoch"));
+  CHECK_EQUAL(std::string("a"), field("former_owner"));
+  CHECK_EQUAL(std::string("1"), field("former_epoch"));
+  CHECK_EQUAL(std::string("owner_silent"), field("reason"));
+  CHECK(milliseconds(std::stoi(field("row_age_ms"))) >=
+        daemons.mSchedulerOptions.mOwnerTimeout);
+  CHECK_EQUAL(std::string("1"), field("runs"));
+  CHECK_EQUAL(std::string("1"), field("workers"));
+  CHECK_EQUAL(std::string("0"), field("released_workers"));
+  CHECK_EQUAL(std::string("1"), field("presumed_workers"));
+  CHECK(std::stoi(field("presumption_ends_ms")) > 0);
+}
+
+TEST(SchedulingTasks, TakeoverAfterReleaseTellsReleasedLeases)
+{
+  Daemons daemons;
+  daemons.mWorkers.SetRunsBlocked(true);
+  const DaemonTasks first = daemons.Start("a");
+  daemons.SubmitToAllWorkers(first);
+  CHECK(WaitUntil([&] { return daemons.mWorkers.Starts() == 4; }));
+  daemons.Start("b");
+  daemons.Kill(first);
+  OwnerLease lease = daemons.Lease();
+  lease.mOwner.clear();
+  lease.mWorkerLeases = { { "w1", 30'000 }, { "w2", 60'000 } };
+  const protocol::JsonSchedulingCodec codec;
+  daemons.mStore.Put(kOwnerLeaseKey, codec.EncodeOwnerLease(lease));
+  CHECK(
+    WaitUntil([&] { return daemons.mLog.Count(LogEvent::kTakeover) == 1; }));
+  const auto field = [&daemons](const char* aName) {
+    return daemons.mLog.LastField(LogEvent::kTakeover, aName);
+  };
+  CHECK_EQUAL(std::string("released"), field("reason"));
+  CHECK_EQUAL(std::string("4"), field("runs"));
+  CHECK_EQUAL(std::string("2"), field("workers"));
+  CHECK_EQUAL(std::string("2"), field("released_workers"));
+  CHECK_EQUAL(std::string("0"), field("presumed_workers"));
+  CHECK(std::stoi(field("first_release_ends_ms")) <= 30'000);
+  CHECK(std::stoi(field("last_release_ends_ms")) > 30'000);
+}
+
+// Guards against a former owner that does not tell how long it has extended the
+// leases of workers.
+TEST(SchedulingTasks, OvertakenOwnerTellsItsLastExtensions)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mWorkers.SetRunsBlocked(true);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CHECK(WaitUntil([&] { return daemons.mWorkers.Starts() == 1; }));
+  const protocol::JsonSchedulingCodec codec;
+  daemons.mStore.Put(
+    kOwnerLeaseKey,
+    codec.EncodeOwnerLease({ "b", "b-incarnation", 7, 1, {}, 0 }));
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kOwnerStopped) == 1; }));
+  const auto field = [&daemons](const char* aName) {
+    return daemons.mLog.LastField(LogEvent::kOwnerStopped, aName);
+  };
+  CHECK_EQUAL(std::string("1"), field("epoch"));
+  CHECK_EQUAL(std::string("overtaken"), field("reason"));
+  CHECK(std::stoi(field("since_stored_ms")) >= 0);
+  CHECK_EQUAL(std::string("1"), field("workers"));
+  CHECK(std::stoi(field("extended_ms_ago")) >= 0);
+  CHECK(field("extended").ends_with(":" + field("extended_ms_ago")));
+  CHECK_EQUAL(std::string(), field("more"));
+}
+
+// Guards against an owner that withholds its commands unnoticed.
+TEST(SchedulingTasks, PauseOfCommandsIsLogged)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mWorkers.SetRunsBlocked(true);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CHECK(WaitUntil([&] { return daemons.mWorkers.Starts() == 1; }));
+  daemons.mStore.SetDown(true);
+  daemons.Suspend(milliseconds(5'000));
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kCommandsPaused) == 1; }));
+  CHECK(std::stoi(daemons.mLog.LastField(LogEvent::kCommandsPaused,
+                                         "since_stored_ms")) >= 5'000);
+  CHECK_EQUAL(std::string("suspended"),
+              daemons.mLog.LastField(LogEvent::kOwnerStopped, "reason"));
+  daemons.mStore.SetDown(false);
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kCommandsResumed) == 1; }));
+  CHECK(std::stoi(daemons.mLog.LastField(LogEvent::kCommandsResumed,
+                                         "paused_ms")) >= 0);
+  CHECK_EQUAL(1, daemons.mLog.Count(LogEvent::kCommandsPaused));
+}
