--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -71,6 +71,18 @@
     std::uint64_t mVersion = 0;
   };
 
+  /** How this daemon acquired the lease, for the log. */
+  struct Takeover
+  {
+    std::string mFormerOwner;
+    std::uint64_t mFormerEpoch = 0;
+    std::string mReason;
+    /** Time since this daemon first read the version that it replaced. */
+    Millis mRowAge{ 0 };
+
+    auto operator<=>(const Takeover&) const = default;
+  };
+
   enum class Mode
   {
     /** This daemon is not the owner and watches the lease row. */
@@ -133,6 +145,11 @@
   void CheckReachability();
   void LogRelease();
   void Release();
+  Millis LastStoredWriteAt() const;
+  void LogTakeover();
+  void LogOwnerStopped(const char* aReason);
+  void TrackCommandPause(Millis aNow);
+  void EndCommandPause();
 
   // Tables.
   void RetryLater(Millis aDelay, Step aStep);
@@ -236,6 +253,9 @@
   /** When this daemon takes over from a silent owner; see IsOwnerSilent(). */
   std::optional<Millis> mTakeoverAt;
   int mFailedAcquisitions = 0;
+  Takeover mTakeover;
+  /** Set while no commands are sent until the store confirms the lease. */
+  std::optional<Millis> mCommandsPausedAt;
   state::Backoff mAcquireBackoff;
   std::mt19937_64 mRandom;
 
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -180,6 +180,11 @@
   /** Lost work of stopped runs without checkpoints, in core seconds. */
   double WastedWork() const { return mWastedWork; }
   milliseconds Now() const { return mNow; }
+  /** @return Events of all owners. */
+  const std::vector<scheduling::SchedulerEvent>& OwnerEvents() const
+  {
+    return mOwnerEvents;
+  }
 
 private:
   struct ModelRun
@@ -332,6 +337,7 @@
   std::size_t mRejectedStarts = 0;
   double mWastedWork = 0.0;
   std::vector<std::string> mViolations;
+  std::vector<scheduling::SchedulerEvent> mOwnerEvents;
 };
 
 /** @return A job with one step. */
