--- a/tests/coordination/FakeFleet.cpp
+++ b/tests/coordination/FakeFleet.cpp
@@ -205,10 +205,38 @@
       }
       result = MakeResult(StoreStatus::kOk, std::move(rows));
     }
+    if (aTable == mHeldTable) {
+      mHeldReplies.emplace_back(
+        [result, completion = std::move(aCompletion)] { completion(result); });
+      return;
+    }
   }
   aCompletion(result);
 }
 
+void
+FakeFeedStore::SetRepliesHeld(const std::string& aTable)
+{
+  std::vector<std::function<void()>> replies;
+  {
+    const std::lock_guard lock(mMutex);
+    mHeldTable = aTable;
+    if (aTable.empty()) {
+      replies.swap(mHeldReplies);
+    }
+  }
+  for (const auto& reply : replies) {
+    reply();
+  }
+}
+
+std::size_t
+FakeFeedStore::RepliesHeld()
+{
+  const std::lock_guard lock(mMutex);
+  return mHeldReplies.size();
+}
+
 void
 FakeFeedStore::PollChanges(const std::string& aTable,
                            std::uint64_t aAfter,
@@ -217,7 +245,8 @@
 {
   {
     const std::lock_guard lock(mMutex);
-    const bool isHistoryDropped = aAfter < mHistoryFrom;
+    const bool isHistoryDropped =
+      aAfter < mHistoryFrom || aTable == mDroppedTable;
     if (!mDown && !isHistoryDropped) {
       mPendingPolls.push_back(
         { aTable, aAfter, Clock::now() + aWait, std::move(aCompletion) });
@@ -225,6 +254,7 @@
     }
     if (isHistoryDropped && !mDown) {
       mHistoryFrom = 0;
+      mDroppedTable.clear();
     }
   }
   aCompletion(StoreResult(
@@ -436,10 +466,11 @@
 }
 
 void
-FakeFeedStore::DropHistory()
+FakeFeedStore::DropHistory(const std::string& aTable)
 {
   const std::lock_guard lock(mMutex);
-  mHistoryFrom = mVersion + 1;
+  mDroppedTable = aTable;
+  mHistoryFrom = aTable.empty() ? mVersion + 1 : mHistoryFrom;
 }
 
 void
--- a/tests/coordination/FakeFleet.h
+++ b/tests/coordination/FakeFleet.h
@@ -93,8 +93,16 @@
   void SetFeedSuppressed(bool aSuppressed);
   /** Limits the rows of one poll to the oldest changes; 0 for no limit. */
   void SetFeedPage(std::size_t aRows);
-  /** Makes the next poll fail because its history is no longer kept. */
-  void DropHistory();
+  /**
+   * Makes a poll fail because its history is no longer kept.
+   * @param aTable Fails the next poll of this table; empty for the next poll of
+   *   changes since now or earlier.
+   */
+  void DropHistory(const std::string& aTable = "");
+  /** Holds the replies to reads of a table; empty to send those held. */
+  void SetRepliesHeld(const std::string& aTable);
+  /** @return Number of replies held. */
+  std::size_t RepliesHeld();
 
 private:
   struct PendingPoll
@@ -137,6 +145,7 @@
   std::map<std::string, state::StoreRow> mRows;
   std::uint64_t mVersion = 1;
   std::uint64_t mHistoryFrom = 0;
+  std::string mDroppedTable;
   int mRowReads = 0;
   int mWrites = 0;
   bool mDown = false;
@@ -150,6 +159,8 @@
   std::chrono::milliseconds mWriteDelay{ 0 };
   std::vector<DelayedCall> mDelayedCalls;
   std::vector<state::Transaction> mLate;
+  std::string mHeldTable;
+  std::vector<std::function<void()>> mHeldReplies;
   std::vector<PendingPoll> mPendingPolls;
   bool mStopping = false;
   std::thread mThread;
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -832,6 +832,48 @@
   CHECK(WaitUntil([&] { return daemons.mWorkers.HighestEpoch() == 2; }));
 }
 
+// Guards against a second run of an ended job whose rows are deleted while the
+// jobs are read again.
+TEST(SchedulingTasks, JobRemovedDuringARereadIsNotRunAgain)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a", milliseconds(3'000));
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CHECK(
+    WaitUntil([&] { return daemons.HasPhase(daemon, "j1", JobPhase::kDone); }));
+  daemons.mStore.SetRepliesHeld(kJobsTable);
+  daemons.mStore.DropHistory(kJobsTable);
+  CHECK(WaitUntil([&] { return daemons.mStore.RepliesHeld() > 0; }));
+  CHECK(daemons.mStore.Has("jobs/j1"));
+  CHECK(WaitUntil([&] { return !daemons.mStore.Has("jobs/j1"); }));
+  daemons.AwaitWrites(3);
+  daemons.mStore.SetRepliesHeld("");
+  daemons.AwaitWrites(10);
+  CHECK_EQUAL(1, daemons.mWorkers.Starts());
+}
+
+// Guards against a second run of a task whose record the owner could not decode
+// when it loaded the tables.
+TEST(SchedulingTasks, JobWithUnreadableRecordIsNotStartedAfterAReread)
+{
+  Daemons daemons;
+  const DaemonTasks first = daemons.Start("a");
+  daemons.mWorkers.SetRunsBlocked(true);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(first, "j1"));
+  CHECK(WaitUntil([&] { return daemons.mWorkers.Starts() == 1; }));
+  daemons.Kill(first);
+  daemons.mStore.Put("runs/j1", "unreadable");
+  daemons.Start("b");
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kJobsRecovered) == 2; }));
+  daemons.mStore.DropHistory(kJobsTable);
+  daemons.mStore.Put("jobs/other", "unreadable");
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kRowMalformed) >= 2; }));
+  daemons.AwaitWrites(10);
+  CHECK_EQUAL(1, daemons.mWorkers.Starts());
+}
+
 // Guards against a former owner that continues to write after another daemon
 // has acquired the lease row.
 TEST(SchedulingTasks, SupersededOwnerStepsDown)
