Do not run a job again that is removed while the jobs are read again

After lost history of the feed, the owner reads all jobs again and adds those that it does not know. Ten minutes after a job has ended, its rows are deleted and the owner forgets it. If that happened during the reread, a page that was read before brought the job back without a record: all its tasks ran again, though their ends had been acknowledged (2 starts instead of 1 in SchedulingTasks.JobRemovedDuringARereadIsNotRunAgain, which passes now).

The jobs whose rows are deleted during a reread are now left out of it.

--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -135,6 +135,7 @@
   std::string EncodeLease();
   std::vector<state::RowWrite> CollectRecords();
   std::vector<state::RowWrite> CollectRemovals(std::size_t aRecords);
+  void FinishRemovals();
   void FinishWrite(const state::StoreResult& aResult);
   void HandleRejectedWrite();
   void HandleWriteConflict(const state::StoreResult& aResult);
@@ -221,8 +222,8 @@
   bool mWriteInFlight = false;
   /** Number of records in the write in flight. */
   std::size_t mRecordsInFlight = 0;
-  /** Number of terminated jobs whose rows the write in flight removes. */
-  std::size_t mRemovalsInFlight = 0;
+  /** Terminated jobs whose rows the write in flight removes. */
+  std::vector<std::string> mRemovalsInFlight;
   /** When this owner read each row of a withdrawal, and its key. */
   std::deque<std::pair<Millis, std::string>> mWithdrawals;
   /** Number of withdrawals, the oldest ones, that the write removes. */
@@ -269,6 +270,10 @@
   TableRead mWorkersRead{ kWorkersTable };
   TableRead mProgressRead{ kProgressTable };
   TableRead mJobsRead{ kJobsTable };
+  /** The jobs are being read again, after the feed has lost changes. */
+  bool mIsRereadingJobs = false;
+  /** Keys of the jobs whose rows were deleted meanwhile. */
+  std::set<std::string> mRemovedDuringReread;
   std::uint64_t mJobsVersion = 0;
   std::uint64_t mWorkersVersion = 0;
   /** When the last poll that returned all changes of the workers was sent. */
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -393,7 +393,7 @@
 std::vector<RowWrite>
 SchedulerTask::CollectRemovals(std::size_t aRecords)
 {
-  mRemovalsInFlight = 0;
+  mRemovalsInFlight.clear();
   mWithdrawalsInFlight = 0;
   std::vector<RowWrite> writes;
   const bool isDue = mMode == Mode::kOwning && mFailedWrites == 0 &&
@@ -402,10 +402,8 @@
   if (!isDue) {
     return writes;
   }
-  const std::vector<std::string> expired =
-    mScheduler->ExpiredJobs(Now(), kMaxRemovals);
-  mRemovalsInFlight = expired.size();
-  for (const std::string& job : expired) {
+  mRemovalsInFlight = mScheduler->ExpiredJobs(Now(), kMaxRemovals);
+  for (const std::string& job : mRemovalsInFlight) {
     for (const std::string& key :
          { JobKey(job), CancelKey(job), ProgressKey(job) }) {
       writes.emplace_back(key, RowWrite::kAnyVersion, std::nullopt);
@@ -422,6 +420,20 @@
   return writes;
 }
 
+/** Forgets the jobs whose rows the store has deleted. */
+void
+SchedulerTask::FinishRemovals()
+{
+  mScheduler->RemoveExpiredJobs(mRemovalsInFlight.size());
+  mCounters["jobs_removed_total"] += mRemovalsInFlight.size();
+  if (mIsRereadingJobs) {
+    // Pages that were read before still contain these jobs.
+    for (const std::string& job : mRemovalsInFlight) {
+      mRemovedDuringReread.insert(JobKey(job));
+    }
+  }
+}
+
 void
 SchedulerTask::FinishWrite(const StoreResult& aResult)
 {
@@ -435,8 +447,7 @@
   if (mMode == Mode::kOwning) {
     mScheduler->FinishWrite(isStored);
     if (isStored) {
-      mScheduler->RemoveExpiredJobs(mRemovalsInFlight);
-      mCounters["jobs_removed_total"] += mRemovalsInFlight;
+      FinishRemovals();
       mWithdrawals.erase(mWithdrawals.begin(),
                          mWithdrawals.begin() +
                            static_cast<std::ptrdiff_t>(std::min(
@@ -478,7 +489,7 @@
 {
   ++mCounters["owner_writes_rejected_total"];
   ++mFailedWrites;
-  const std::size_t removals = mRemovalsInFlight + mWithdrawalsInFlight;
+  const std::size_t removals = mRemovalsInFlight.size() + mWithdrawalsInFlight;
   if (mRecordsInFlight == 1 && removals == 0) {
     mScheduler->SetAsideRejected(Now());
   } else {
--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -143,6 +143,8 @@
   mListedWorkers.clear();
   mWithdrawals.clear();
   mUnreadableJobs.clear();
+  mIsRereadingJobs = false;
+  mRemovedDuringReread.clear();
   for (const StoreRow& row : mWorkersRead.mRows) {
     ApplyWorkerRow(row);
   }
@@ -287,6 +289,7 @@
 void
 SchedulerTask::RereadJobs()
 {
+  mIsRereadingJobs = true;
   ReadTable<&SchedulerTask::mJobsRead>(&SchedulerTask::RereadJobs,
                                        &SchedulerTask::FinishRereadJobs);
 }
@@ -298,8 +301,12 @@
   for (const StoreRow& row : mJobsRead.mRows) {
     // The scheduler ignores active jobs and terminated jobs that it still
     // keeps.
-    ApplyJobRow(row, nullptr);
+    if (!mRemovedDuringReread.contains(row.Key())) {
+      ApplyJobRow(row, nullptr);
+    }
   }
+  mIsRereadingJobs = false;
+  mRemovedDuringReread.clear();
   mJobsRead.mRows.clear();
   mJobsVersion = mJobsRead.mVersion;
   PollJobs();
