--- a/tests/state/scheduling/OwnerReachabilityTest.cpp
+++ b/tests/state/scheduling/OwnerReachabilityTest.cpp
@@ -4,6 +4,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 using namespace cornelrudder::tests;
 using namespace cornelrudder::state::scheduling;
 
@@ -291,6 +293,30 @@
   }
 }
 
+// Guards against a loss to another worker at the address whose log does not
+// tell so.
+TEST(OwnerReachability, LossToOtherWorkerTellsItsReply)
+{
+  std::vector<RenewCommand> renewals;
+  Scheduler scheduler = SchedulerOfBusyWorkers(renewals);
+  scheduler.TakeEvents();
+  RenewReply reply;
+  reply.mOutcome = CommandOutcome::kIncarnationMismatch;
+  scheduler.ApplyRenewReply(
+    renewals.front(), reply, milliseconds(2'000), milliseconds(2'010));
+  const std::pair<std::string, std::string> basis{ "basis",
+                                                   "other_worker_reply" };
+  int told = 0;
+  for (const SchedulerEvent& event : scheduler.TakeEvents()) {
+    const bool isLoss = event.mKind == SchedulerEvent::Kind::kWorkerGone ||
+                        event.mKind == SchedulerEvent::Kind::kRunLost;
+    told += isLoss ? static_cast<int>(std::count(
+                       event.mFields.begin(), event.mFields.end(), basis))
+                   : 0;
+  }
+  CHECK_EQUAL(2, told);
+}
+
 // Guards against a release that leaves out the workers whose renewals are still
 // in flight when most others have failed.
 TEST(OwnerReachability, LeasesWithOverdueRepliesAreTold)
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -362,6 +362,18 @@
   CheckLoss(model, "restarted", "renew_reply", "1");
 }
 
+TEST(Scheduler, LossOfAcknowledgedRunTellsTheRenewal)
+{
+  FleetModel model({});
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(8'000));
+  model.Run(milliseconds(60));
+  model.RestartUnannounced(FirstBusyWorker(model));
+  model.Run(milliseconds(5'000));
+  CheckLoss(model, "not_listed", "renew_reply", "1");
+  const SchedulerEvent lost = OnlyEvent(model, SchedulerEvent::Kind::kRunLost);
+  CHECK(FieldOf(lost, "incarnation") != FieldOf(lost, "planned_incarnation"));
+}
+
 TEST(Scheduler, LossByRestartTellsTheEntry)
 {
   FleetModel model({});
