End no runs on a rejection from an address that the worker has left

A worker that restarts under its identifier at another address leaves its old one to others. A command that was under way to the old address is rejected by the worker that has it now (421), and the owner took that for the end of the addressed worker: a run that had been started at the new address was started again elsewhere. The rejection counts only if the worker still has the address.

WorkerBelief.RejectionFromAFormerAddressEndsNoRuns failed before.

--- a/src/state/scheduling/SchedulerCrashes.cpp
+++ b/src/state/scheduling/SchedulerCrashes.cpp
@@ -41,11 +41,18 @@
 
 /**
  * Handles a worker whose address another worker has taken over: the earlier one
- * and its runs are gone.
+ * and its runs are gone, unless it has another address by now.
+ * @param aTarget Destination of the command that the other worker rejected.
+ * @return Whether the worker is gone.
  */
-void
-Scheduler::Impl::HandleReplacedWorker(WorkerState& aWorker, Millis aNow)
+bool
+Scheduler::Impl::HandleReplacedWorker(WorkerState& aWorker,
+                                      const WorkerTarget& aTarget,
+                                      Millis aNow)
 {
+  if (aTarget.mAddress != aWorker.mInfo.mAddress) {
+    return false;
+  }
   const std::vector<CrashedRun> runs = AssessCrash(aWorker, aNow);
   EndRunsIfProven(aWorker, WorkerEvidence::kOtherWorkerAtAddress, aNow);
   for (const CrashedRun& run : runs) {
@@ -54,6 +61,7 @@
                InfoOf(WorkerEvidence::kOtherWorkerAtAddress).mName,
                aNow);
   }
+  return true;
 }
 
 /**
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -237,7 +237,9 @@
   void CollectRenewCommands(WorkerCommands& aCommands, Millis aNow);
 
   // Crashes.
-  void HandleReplacedWorker(WorkerState& aWorker, Millis aNow);
+  bool HandleReplacedWorker(WorkerState& aWorker,
+                            const WorkerTarget& aTarget,
+                            Millis aNow);
   void HandleExpiredWorker(WorkerState& aWorker, Millis aNow);
   void HandleUnlistedRun(const WorkerState& aWorker,
                          const TaskKey& aKey,
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -372,7 +372,7 @@
         HandleLostRun(key, "other_life", LossBasis::kStartReply, aNow);
       }
       if (workerIt != mWorkers.end()) {
-        HandleReplacedWorker(workerIt->second, aNow);
+        HandleReplacedWorker(workerIt->second, aCommand.mWorker, aNow);
       }
       break;
     case CommandOutcome::kFenced:
@@ -396,10 +396,9 @@
     mFenced = true;
     return;
   }
-  if (aReply.mOutcome == CommandOutcome::kIncarnationMismatch) {
-    if (workerIt != mWorkers.end()) {
-      HandleReplacedWorker(workerIt->second, aNow);
-    }
+  if (aReply.mOutcome == CommandOutcome::kIncarnationMismatch &&
+      (workerIt == mWorkers.end() ||
+       HandleReplacedWorker(workerIt->second, aCommand.mWorker, aNow))) {
     return;
   }
   JobState* job = FindJob(aCommand.mTask.Job());
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -481,8 +481,9 @@
     return;
   }
   if (aReply.mOutcome == CommandOutcome::kIncarnationMismatch) {
-    HandleReplacedWorker(worker, aNow);
-    MarkUnlisted(worker);
+    if (HandleReplacedWorker(worker, aCommand.mWorker, aNow)) {
+      MarkUnlisted(worker);
+    }
     RemoveUnlistedWorkers();
     return;
   }
