Stop a run again after its worker has restarted

An acknowledged stop proves that a run can't start any more, but only in the incarnation that acknowledged it. A start without a reply may be executed late by the new incarnation, and the first reply that didn't list the run ended it there. The stop is now sent again after a restart.

WorkerBelief.StopAcknowledgedByAnEarlierIncarnationEndsNoRun failed before. Found by the review of the incident.

--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -341,6 +341,12 @@
       CountCrash(run, aWorker.mInfo.mId, reason, aNow);
     }
   }
+  for (const TaskKey& key : aWorker.mAssigned) {
+    // The new incarnation has acknowledged no stop.
+    Task& task = mJobs.at(key.first).mTasks[key.second];
+    task.mStoppedAt.reset();
+    task.mStopInFlight = false;
+  }
   aWorker.mReplacedIncarnation = aWorker.mInfo.mIncarnation;
   aWorker.mIncarnationSince = aNow;
   aWorker.ResetIncarnation();
