Allow for drift since the last reading of a worker's clock

The end of a lease is sent as a time on the worker's clock, extrapolated from its last reading at the rate of the local clock. A worker that is 2% slow is behind by 0.8 s after 40 s without a reading, for example after an outage of the store, and its runs outlived the end that the owner presumed.

WorkerBelief.LeaseFromAnOldReadingOfTheClockEndsBeforeTheRunIsReplaced failed before.

--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -51,6 +51,14 @@
     static_cast<Millis::rep>(static_cast<double>(aTime.count()) * kClockDrift));
 }
 
+/** @return Time by which a worker's clock has advanced at least. */
+Millis
+SlowestAdvance(Millis aTime)
+{
+  return Millis(
+    static_cast<Millis::rep>(static_cast<double>(aTime.count()) / kClockDrift));
+}
+
 /** @return "CPU/MEMORY/ACCELERATORS". */
 std::string
 ToText(const Resources& aResources)
@@ -448,8 +456,9 @@
 {
   const Millis end =
     aNow + AddClockDrift(mOptions.mWorkerLease) + kCommandDelay;
-  const Millis until =
-    aWorker.mClock + (aNow - aWorker.mClockAt) + mOptions.mWorkerLease;
+  const Millis until = aWorker.mClock +
+                       SlowestAdvance(aNow - aWorker.mClockAt) +
+                       mOptions.mWorkerLease;
   aWorker.mLeaseWord =
     aWorker.mLeaseWord.WithExtension(aNow, until, end >= aWorker.mLeaseExpiry);
   aWorker.mLeaseExpiry = std::max(aWorker.mLeaseExpiry, end);
