Confirm an acquisition that is found by reading before commands are sent

A daemon that finds its own name in the lease row counted its tenure from the sending of its last attempt. If an earlier attempt, whose outcome was unknown, wrote the row, a successor may have seen it before that. Such an owner now sends no commands before its next stored write.

--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -132,6 +132,8 @@
       }
       mLease = lease;
       FinishAcquire(row.Version());
+      // An earlier attempt than the last one may have written the row.
+      mTenure = OwnerTenure();
     } else if (Now() < mAbstainUntil) {
       if (mUnclaimedObserver.IsExpired()) {
         AcquireLease(row.Version(), lease, "unclaimed");
