Reset the number of records in flight with each write

A write that was begun while the tables were loaded has no records. If the store rejected it after the load, the number of an earlier tenure could set a job aside that no write contained. Found by the review of the incident, by reading.

--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -310,6 +310,7 @@
 SchedulerTask::Write()
 {
   mWriteInFlight = true;
+  mRecordsInFlight = 0;
   mLastWriteAt = Now();
   if (!mIsWriteRetry) {
     mWriteBegunAt = mLastWriteAt;
