Do not end runs on a renewal of the millisecond in which they were started

A run whose start is acknowledged must be listed by replies to renewals that are sent later. Times have a resolution of one millisecond, and a renewal that was sent in the millisecond of the acknowledgement counted as later. A worker that executes it before the start, and whose reply is overtaken by that to the start, lost all runs that were started on it at that moment: they went on there, and were started again elsewhere. It needs round trips below a millisecond, as on a host or a local network. The same holds for an acknowledged stop.

WorkerBelief.RenewalOfTheMillisecondOfAStartReplyEndsNoRun and .RenewalOfTheMillisecondOfAStopReplyEndsNoRun failed before.

--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -539,10 +539,12 @@
     Task& task = job->mTasks[key.second];
     // The renewal carried this owner's epoch, so the worker rejects late start
     // commands of earlier owners: an unlisted recovered run cannot start.
+    // Times are in milliseconds: a renewal of the same millisecond as the reply
+    // may have been sent, and executed, before it.
     const bool cannotRun =
-      task.mRecovered || (task.mStoppedAt && *task.mStoppedAt <= aSentAt);
+      task.mRecovered || (task.mStoppedAt && *task.mStoppedAt < aSentAt);
     const bool shouldBeListed =
-      task.mReportableSince && *task.mReportableSince <= aSentAt;
+      task.mReportableSince && *task.mReportableSince < aSentAt;
     if (cannotRun || (shouldBeListed && task.mPhase == TaskPhase::kRunning)) {
       HandleUnlistedRun(
         aWorker, key, cannotRun ? "not_started" : "not_listed", aSentAt, aNow);
--- a/tests/state/scheduling/WorkerBeliefTest.cpp
+++ b/tests/state/scheduling/WorkerBeliefTest.cpp
@@ -147,6 +147,47 @@
 
 TEST_GROUP(WorkerBelief){};
 
+// Guards against a second run of a task whose start was executed after a
+// renewal that was sent in the same millisecond.
+TEST(WorkerBelief, RenewalOfTheMillisecondOfAStartReplyEndsNoRun)
+{
+  ScriptedFleet fleet;
+  fleet.List("w0", kIncarnation, "10.0.0.1:1", kWorkerClock);
+  fleet.Greet("w0", kWorkerClock);
+  fleet.Submit();
+  const WorkerCommands commands = fleet.Cycle();
+  CHECK_EQUAL(1, commands.mStarts.size());
+  CHECK_EQUAL(1, commands.mRenewals.size());
+  fleet.Answer(commands.mStarts.front(), CommandOutcome::kDone, kWorkerClock);
+  fleet.Answer("w0", ScriptedFleet::ReplyOf(kIncarnation, kWorkerClock));
+  CHECK_EQUAL(0, fleet.Cycle().mStarts.size());
+}
+
+// Guards against the same for a stop that was executed after the renewal.
+TEST(WorkerBelief, RenewalOfTheMillisecondOfAStopReplyEndsNoRun)
+{
+  ScriptedFleet fleet;
+  fleet.List("w0", kIncarnation, "10.0.0.1:1", kWorkerClock);
+  fleet.Greet("w0", kWorkerClock);
+  fleet.Submit();
+  std::optional<WorkerCommands> stopping;
+  for (int i = 0; i < 100 && !stopping; ++i) {
+    const WorkerCommands commands = fleet.Cycle();
+    for (const StartCommand& it : commands.mStarts) {
+      fleet.Answer(it, CommandOutcome::kUnknown, milliseconds(0));
+    }
+    if (!commands.mStops.empty() && !commands.mRenewals.empty()) {
+      stopping = commands;
+    } else {
+      fleet.Answer("w0", ScriptedFleet::ReplyOf(kIncarnation, kWorkerClock));
+    }
+  }
+  CHECK(stopping.has_value());
+  fleet.Answer(stopping->mStops.front(), CommandOutcome::kDone);
+  fleet.Answer("w0", ScriptedFleet::ReplyOf(kIncarnation, kWorkerClock));
+  CHECK_EQUAL(0, fleet.Cycle().mStarts.size());
+}
+
 // Guards against a second run of a task after a rejection by another worker, at
 // an address that the task's worker has left before the run started.
 TEST(WorkerBelief, RejectionFromAFormerAddressEndsNoRuns)
