Draw more faults of workers in the model of takeovers

150 plans had 9 workers whose restart an owner noticed, one that another one replaced and one that left, beside 127 pauses. Their weight is three times as high now. The trace shows leases that a worker shortens.

--- a/tests/state/scheduling/TakeoverModel.cpp
+++ b/tests/state/scheduling/TakeoverModel.cpp
@@ -1367,7 +1367,7 @@
 TakeoverModel::Impl::LogSchedulerEvents(ModelDaemon& aDaemon)
 {
   using Kind = SchedulerEvent::Kind;
-  static const std::map<Kind, const char*> sNames{
+  static const std::map<Kind, const char*> kNames{
     { Kind::kPlaced, "placed" },
     { Kind::kRunEnded, "run_ended" },
     { Kind::kRunLost, "run_lost" },
@@ -1381,8 +1381,8 @@
     { Kind::kReplyIgnored, "reply_ignored" }
   };
   for (const SchedulerEvent& event : aDaemon.mState.mScheduler->TakeEvents()) {
-    const auto name = sNames.find(event.mKind);
-    if (mIsTraced && name != sNames.end()) {
+    const auto name = kNames.find(event.mKind);
+    if (mIsTraced && name != kNames.end()) {
       std::string text = name->second;
       for (const auto& [field, value] : event.mFields) {
         text += " " + field + "=" + value;
@@ -1605,6 +1605,9 @@
     return;
   }
   aWorker.mLeaseExpiry = expiry;
+  if (expiry < aExpiry) {
+    Log(aWorker.mInfo.mId, "shortens a lease to the longest one");
+  }
   mQueue.Schedule(aWorker.mClock.TimeFor(expiry - now) + milliseconds(1),
                   [this, &aWorker, life = aWorker.mLife] {
                     if (life != aWorker.mLife ||
--- a/tests/state/scheduling/TakeoverPlan.cpp
+++ b/tests/state/scheduling/TakeoverPlan.cpp
@@ -29,29 +29,36 @@
   std::size_t mLinkWeight;
   std::size_t mOwnerWeight;
   std::size_t mPartitionWeight;
-  std::size_t mWeight = 1;
+  /** Weight among all faults. */
+  std::size_t mWeight;
 };
 
 /** In the order of TakeoverFaultKind. */
 constexpr std::array<FaultRow, 18> kFaultRows{
-  { { Kind::kCommandsLost, "commands_lost", Scope::kLink, 1, 0, 0 },
-    { Kind::kRepliesLost, "replies_lost", Scope::kLink, 1, 0, 0 },
-    { Kind::kLinkDown, "link_down", Scope::kLink, 4, 0, 0 },
-    { Kind::kCommandsLate, "commands_late", Scope::kLink, 1, 0, 0 },
-    { Kind::kStoreCut, "store_cut", Scope::kDaemon, 0, 4, 3 },
-    { Kind::kStoreRepliesLost, "store_replies_lost", Scope::kDaemon, 0, 3, 2 },
-    { Kind::kStoreSlow, "store_slow", Scope::kDaemon, 0, 1, 1 },
-    { Kind::kStoreWritesLate, "store_writes_late", Scope::kDaemon, 0, 3, 2 },
-    { Kind::kStoreDown, "store_down", Scope::kAll, 0, 0, 0 },
-    { Kind::kPause, "pause", Scope::kDaemon, 0, 3, 1 },
-    { Kind::kPauseAtReply, "pause_at_reply", Scope::kDaemon, 0, 3, 1 },
-    { Kind::kPauseAtSend, "pause_at_send", Scope::kDaemon, 0, 2, 0 },
-    { Kind::kDaemonRestart, "daemon_restart", Scope::kDaemon, 0, 1, 0 },
-    { Kind::kDaemonStop, "daemon_stop", Scope::kDaemon, 0, 2, 0 },
-    { Kind::kWorkerRestart, "worker_restart", Scope::kWorker, 0, 0, 0 },
-    { Kind::kWorkerReplaced, "worker_replaced", Scope::kWorker, 0, 0, 0 },
-    { Kind::kWorkerDrains, "worker_drains", Scope::kWorker, 0, 0, 0 },
-    { Kind::kWorkerUnlisted, "worker_unlisted", Scope::kWorker, 0, 0, 0 } }
+  { { Kind::kCommandsLost, "commands_lost", Scope::kLink, 1, 0, 0, 1 },
+    { Kind::kRepliesLost, "replies_lost", Scope::kLink, 1, 0, 0, 1 },
+    { Kind::kLinkDown, "link_down", Scope::kLink, 4, 0, 0, 1 },
+    { Kind::kCommandsLate, "commands_late", Scope::kLink, 1, 0, 0, 1 },
+    { Kind::kStoreCut, "store_cut", Scope::kDaemon, 0, 4, 3, 1 },
+    { Kind::kStoreRepliesLost,
+      "store_replies_lost",
+      Scope::kDaemon,
+      0,
+      3,
+      2,
+      1 },
+    { Kind::kStoreSlow, "store_slow", Scope::kDaemon, 0, 1, 1, 1 },
+    { Kind::kStoreWritesLate, "store_writes_late", Scope::kDaemon, 0, 3, 2, 1 },
+    { Kind::kStoreDown, "store_down", Scope::kAll, 0, 0, 0, 1 },
+    { Kind::kPause, "pause", Scope::kDaemon, 0, 3, 1, 1 },
+    { Kind::kPauseAtReply, "pause_at_reply", Scope::kDaemon, 0, 3, 1, 1 },
+    { Kind::kPauseAtSend, "pause_at_send", Scope::kDaemon, 0, 2, 0, 1 },
+    { Kind::kDaemonRestart, "daemon_restart", Scope::kDaemon, 0, 1, 0, 1 },
+    { Kind::kDaemonStop, "daemon_stop", Scope::kDaemon, 0, 2, 0, 1 },
+    { Kind::kWorkerRestart, "worker_restart", Scope::kWorker, 0, 0, 0, 3 },
+    { Kind::kWorkerReplaced, "worker_replaced", Scope::kWorker, 0, 0, 0, 3 },
+    { Kind::kWorkerDrains, "worker_drains", Scope::kWorker, 0, 0, 0, 3 },
+    { Kind::kWorkerUnlisted, "worker_unlisted", Scope::kWorker, 0, 0, 0, 3 } }
 };
 
 const FaultRow&
