Test that a restarted worker keeps no runs that its owner replaces (fails)

A worker restarts under its identifier. Before the owner learns of it, it sends a start or a renewal whose end of the lease is by the clock of the earlier incarnation, far ahead of the new one. The worker cuts it to its longest lease, 10 s on Attica, and a lease is never shortened. The owner counts 6.5 s. If the link to the worker is cut within 3.5 s, all its runs are replaced while they exist.

--- a/tests/state/scheduling/TakeoverModelTest.cpp
+++ b/tests/state/scheduling/TakeoverModelTest.cpp
@@ -23,12 +23,33 @@
                                        false,
                                        &EarlierCommandTimes::mNone };
 
+/** @return A plan in which the owner loses a worker that has restarted. */
+TakeoverPlan
+DrawLostRestart(std::uint64_t aSeed)
+{
+  constexpr milliseconds kCutTime{ 11'000 };
+  Draws draws(aSeed);
+  TakeoverPlan plan;
+  plan.mSeed = aSeed;
+  TakeoverFault restart;
+  restart.mKind = TakeoverFaultKind::kWorkerRestart;
+  restart.mAt = draws.Between(milliseconds(4'000), milliseconds(14'000));
+  restart.mWorkers = 1;
+  TakeoverFault cut = restart;
+  cut.mKind = TakeoverFaultKind::kLinkDown;
+  cut.mAt += draws.Between(milliseconds(300), milliseconds(4'500));
+  cut.mFor = kCutTime;
+  plan.mFaults = { restart, cut };
+  return plan;
+}
+
 /** @return The first violation in the plans of kSeeds, or an empty text. */
 std::string
-FindViolation(const TakeoverRules& aRules)
+FindViolation(const TakeoverRules& aRules,
+              TakeoverPlan (*aDraw)(std::uint64_t) = &TakeoverPlan::Draw)
 {
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    TakeoverModel model(aRules, TakeoverPlan::Draw(seed));
+    TakeoverModel model(aRules, aDraw(seed));
     model.Run();
     if (!model.Violations().empty()) {
       return std::string(aRules.mName) + ", seed " + std::to_string(seed) +
@@ -64,3 +85,9 @@
 {
   CHECK_FALSE(FindViolation(kUnawareRules).empty());
 }
+
+// Guards against a lease by the clock of a worker's earlier incarnation.
+TEST(TakeoverModel, RestartedWorkerKeepsNoRunsThatItsOwnerReplaces)
+{
+  STRCMP_EQUAL("", FindViolation(kTenureRules, &DrawLostRestart).c_str());
+}
