Count the longest lease of a worker after it has restarted

A command that is sent before the owner learns of a restart names the end of the lease on the clock of the earlier incarnation. The new one shortens it to its longest lease only (10 s on Attica), while the owner took it for over after 6.5 s; if the worker was cut off meanwhile, its runs were started elsewhere while they went on. After a restart the owner now counts the longest lease (scheduling.worker_max_lease_ms, from the platform's settings).

Found by the model of takeovers and by the review of the incident.

--- a/apps/cornelrudderd/DaemonSettings.h
+++ b/apps/cornelrudderd/DaemonSettings.h
@@ -48,6 +48,7 @@
   std::int64_t mWorkerLeaseMs = 6'000;
   std::int64_t mWorkerWaitMs = 1'500;
   std::int64_t mWorkerReportMs = 1'500;
+  std::int64_t mWorkerMaxLeaseMs = 10'000;
   std::int64_t mOwnerTimeoutMs = 1'300;
   std::int64_t mJobRetentionMs = 600'000;
   std::int64_t mCatalogMaxAgeMs = 3'000;
@@ -159,6 +160,11 @@
   {
     return std::chrono::milliseconds(mValues.mWorkerWaitMs);
   }
+  /** @return Longest lease that a worker grants. */
+  std::chrono::milliseconds WorkerMaxLease() const
+  {
+    return std::chrono::milliseconds(mValues.mWorkerMaxLeaseMs);
+  }
   /** @return Interval at which the workers refresh their entries. */
   std::chrono::milliseconds WorkerReportInterval() const
   {
--- a/apps/cornelrudderd/FleetDaemon.cpp
+++ b/apps/cornelrudderd/FleetDaemon.cpp
@@ -162,6 +162,7 @@
     scheduler.mOwnerTimeout = mSettings.OwnerTimeout();
     scheduler.mTakeoverDelay = TakeoverDelay(mSettings);
     scheduler.mWorkerLease = mSettings.WorkerLease();
+    scheduler.mMaxWorkerLease = mSettings.WorkerMaxLease();
     scheduler.mRenewWait = mSettings.WorkerWait();
     scheduler.mSilenceLimit =
       kReportsBeforeRemoval * mSettings.WorkerReportInterval();
--- a/include/cornelrudder/coordination/SchedulerTask.h
+++ b/include/cornelrudder/coordination/SchedulerTask.h
@@ -83,6 +83,7 @@
   std::chrono::milliseconds mFeedPollTimeout{ 1'000 };
   /** See SchedulerOptions, also for the following options. */
   std::chrono::milliseconds mWorkerLease{ 6'000 };
+  std::chrono::milliseconds mMaxWorkerLease{ 10'000 };
   std::chrono::milliseconds mRenewWait{ 1'500 };
   std::chrono::milliseconds mSilenceLimit{ 4'500 };
   /**
--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -27,6 +27,8 @@
   std::uint64_t mEpoch = 0;
   /** Time that the runs of a worker continue without a lease renewal. */
   std::chrono::milliseconds mWorkerLease{ 6'000 };
+  /** Longest lease that a worker grants; it shortens longer ones. */
+  std::chrono::milliseconds mMaxWorkerLease{ 10'000 };
   /**
    * Shortest silence for which the store removes the entry of a worker. A
    * younger entry is only removed when its worker leaves.
--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -128,6 +128,7 @@
   SchedulerOptions options;
   options.mEpoch = mLease.mEpoch;
   options.mWorkerLease = mOptions.mWorkerLease;
+  options.mMaxWorkerLease = mOptions.mMaxWorkerLease;
   options.mRenewWait = mOptions.mRenewWait;
   options.mSilenceLimit = mOptions.mSilenceLimit;
   options.mJobRetention = mOptions.mJobRetention;
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -357,6 +357,11 @@
   }
   aWorker.mReplacedIncarnation = aWorker.mInfo.mIncarnation;
   aWorker.mIncarnationSince = aNow;
+  // Commands that were sent before name a time on the clock of the earlier
+  // incarnation, which the new one may have cut to its longest lease only.
+  aWorker.mLeaseExpiry =
+    std::max(aWorker.mLeaseExpiry,
+             aNow + AddClockDrift(mOptions.mMaxWorkerLease) + kCommandDelay);
   aWorker.ResetIncarnation();
 }
 
