--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -40,9 +40,10 @@
 };
 
 /**
- * The actor behind SpawnSchedulerTask. It is implemented in three files:
+ * The actor behind SpawnSchedulerTask. It is implemented in four files:
  * SchedulerTask (messages, planning, commands), SchedulerTaskOwnership (lease
- * and writes) and SchedulerTaskRows (loading the tables and their changes).
+ * and writes), SchedulerTaskRows (loading the tables and their changes) and
+ * SchedulerTaskDiagnostics (log lines on changes of owner).
  */
 class SchedulerTask : public caf::event_based_actor
 {
