Confirm the lease by a conflict that shows an own write

While all replies to writes were lost, though the store executed them, an owner stopped to extend leases 3.7 s after the last reply. The row in the conflict has the sequence number of the write that it shows, and the tenure now counts from the sending of that write.

SchedulingTasks.OwnerWhoseRepliesAreLostExtendsLeases failed before.

--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -140,6 +140,7 @@
   void FinishWrite(const state::StoreResult& aResult);
   void HandleRejectedWrite();
   void HandleWriteConflict(const state::StoreResult& aResult);
+  void ConfirmLease(std::uint64_t aSequence);
   void StepDown(const char* aReason);
   void EndOwnership();
   bool IsOwnerSilent(const state::scheduling::OwnerLease& aLease);
@@ -239,6 +240,8 @@
   Millis mLastWriteAt{ 0 };
   Millis mLastCycleAt{ 0 };
   state::scheduling::OwnerTenure mTenure;
+  /** When recent writes were sent, by sequence number of the lease. */
+  std::map<std::uint64_t, Millis> mSentWrites;
   /** When the write that acquired the lease was sent. */
   Millis mAcquireSentAt{ 0 };
   /** End of the last suspension of this process that was noticed. */
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -42,6 +42,9 @@
 constexpr std::size_t kMaxRemovedRows = 60;
 constexpr std::size_t kMaxRecordsBesideRemovals = 20;
 
+/** Writes of unknown outcome whose sending is remembered. */
+constexpr std::size_t kMaxSentWrites = 32;
+
 } // namespace
 
 StorePort::Completion
@@ -273,6 +276,7 @@
 {
   mLeaseVersion = aVersion;
   mTenure = OwnerTenure().WithStoredWrite(mAcquireSentAt);
+  mSentWrites.clear();
   mLastWriteAt = mAcquireSentAt;
   mLastCycleAt = Now();
   mConfirmLeaseFrom = Millis(0);
@@ -314,6 +318,10 @@
   }
   mIsWriteRetry = true;
   ++mLease.mSequence;
+  mSentWrites.emplace(mLease.mSequence, mLastWriteAt);
+  if (mSentWrites.size() > kMaxSentWrites) {
+    mSentWrites.erase(mSentWrites.begin());
+  }
   mLease.mRenewalBound =
     mStoreTiming.RenewalBound(Now(), mOptions.mRenewInterval);
   std::vector<RowWrite> records;
@@ -463,7 +471,7 @@
                     : std::min(2 * mMaxRecords, kMaxRecordsPerWrite);
     mIsRenewalFirst = false;
     mLeaseVersion = aResult.Version();
-    mTenure = mTenure.WithStoredWrite(mLastWriteAt);
+    ConfirmLease(mLease.mSequence);
     if (mLease.mOwner.empty()) {
       LogRelease();
       EndOwnership();
@@ -515,9 +523,9 @@
       if (lease.mIncarnation == mOptions.mIncarnation &&
           lease.mEpoch == mLease.mEpoch) {
         // An earlier write of this daemon took effect although its result was
-        // lost. Its records, and later changes, are written again. When that
-        // write was sent is not known, so it does not extend the tenure.
+        // lost. Its records, and later changes, are written again.
         mLeaseVersion = row.Version();
+        ConfirmLease(lease.mSequence);
         return;
       }
     } catch (const CoordinationError& error) {
@@ -527,6 +535,16 @@
   StepDown("overtaken");
 }
 
+/** Extends the tenure after a write of this daemon is known to be stored. */
+void
+SchedulerTask::ConfirmLease(std::uint64_t aSequence)
+{
+  if (const auto it = mSentWrites.find(aSequence); it != mSentWrites.end()) {
+    mTenure = mTenure.WithStoredWrite(it->second);
+    mSentWrites.erase(mSentWrites.begin(), std::next(it));
+  }
+}
+
 void
 SchedulerTask::StepDown(const char* aReason)
 {
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -805,6 +805,24 @@
   CHECK(WaitUntil([&] { return daemons.mWorkers.Extensions() > extensions; }));
 }
 
+// Guards against runs that end because the store executes the owner's writes
+// but all replies are lost.
+TEST(SchedulingTasks, OwnerWhoseRepliesAreLostExtendsLeases)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mWorkers.SetRunsBlocked(true);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CHECK(WaitUntil([&] { return daemons.mWorkers.Starts() == 1; }));
+  daemons.mStore.SetWriteFault(WriteFault::kReplyLost);
+  const milliseconds lost = daemons.Now();
+  CHECK(WaitUntil(
+    [&] { return daemons.Now() - lost > OwnerTenure::kCommandTime; }));
+  const int extensions = daemons.mWorkers.Extensions();
+  daemons.AwaitWrites(4);
+  CHECK(daemons.mWorkers.Extensions() > extensions);
+}
+
 // Guards against commands of a daemon that was suspended while it acquired the
 // lease and has a successor already.
 TEST(SchedulingTasks, SuspendedAcquirerSendsNoCommandsBeforeItsLeaseIsConfirmed)
