Let the soak's store fail for one daemon alone

The stand-in could fail the store for all daemons only. The owner is the daemon that last wrote the owner's row, and a control request tells it, at once or after its next write of runs. The stand-in reports pairs of runs as PairChecker finds them.

--- a/tests/fleet/StoreStandin.cpp
+++ b/tests/fleet/StoreStandin.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr std::size_t kMaxPage = 500;
+constexpr std::chrono::milliseconds kMaxOwnerWait{ 2'000 };
+constexpr std::chrono::milliseconds kHeldReply{ 100 };
 
 using Clock = std::chrono::steady_clock;
 
@@ -66,7 +68,7 @@
                      std::size_t aGate)
 {
   if (aRequest.Path() == "/v1/rows-tx") {
-    Transact(aRequest, aRespond);
+    Transact(aRequest, aRespond, aGate);
   } else if (aRequest.Path() == "/v1/rows-get") {
     Read(aRequest, aRespond, aGate);
   } else if (aRequest.Path() == "/v1/rows-feed") {
@@ -145,7 +147,8 @@
 
 void
 StoreStandin::Transact(const HttpRequest& aRequest,
-                       const HttpResponder& aRespond)
+                       const HttpResponder& aRespond,
+                       std::size_t aGate)
 {
   const json body = json::parse(aRequest.Body());
   if (const auto refusal = Refuse(body)) {
@@ -183,11 +186,55 @@
       { it.at("table"), it.at("part"), it.at("key") }, { "", mVersion }, true);
   }
   Tick();
+  const bool isHeld = FollowOwner(body, aGate);
   if (tools::TakeFault(mServer.Faults().mLoseAnswers)) {
     tools::LeaveUnanswered(mServer.Thread(), aRespond);
     return;
   }
-  aRespond(HttpResponse::Json(200, MakeReply().dump()));
+  const HttpResponse response = HttpResponse::Json(200, MakeReply().dump());
+  if (isHeld) {
+    mServer.Thread().PostAfter(kHeldReply,
+                               [aRespond, response] { aRespond(response); });
+  } else {
+    aRespond(response);
+  }
+}
+
+bool
+StoreStandin::FollowOwner(const json& aTransaction, std::size_t aGate)
+{
+  const auto writes = [&](const char* aTable) {
+    const json puts = aTransaction.value("puts", json::array());
+    return std::any_of(puts.begin(), puts.end(), [aTable](const json& aPut) {
+      return aPut.at("table") == aTable;
+    });
+  };
+  if (!writes("owner")) {
+    return false;
+  }
+  mOwnerGate = aGate;
+  const bool isHeld = !mOwnerWaits.empty() && writes("runs");
+  RespondToOwnerWaits(isHeld);
+  return isHeld;
+}
+
+void
+StoreStandin::AwaitOwnerWrite(const HttpResponder& aRespond)
+{
+  mOwnerWaits.push_back({ Clock::now() + kMaxOwnerWait, aRespond });
+}
+
+void
+StoreStandin::RespondToOwnerWaits(bool aRespondToAll)
+{
+  std::erase_if(mOwnerWaits, [&](const OwnerWait& aWait) {
+    const bool isDue = aRespondToAll || Clock::now() >= aWait.mDeadline;
+    if (isDue) {
+      aWait.mRespond(
+        HttpResponse::Json(200, json{ { "gate", mOwnerGate } }.dump()));
+    }
+    return isDue;
+  });
 }
 
 void
@@ -270,6 +317,7 @@
 void
 StoreStandin::Tick()
 {
+  RespondToOwnerWaits(false);
   for (auto it = mPendingFeeds.begin(); it != mPendingFeeds.end();) {
     json reply = MakeReply();
     reply["rows"] = ChangesAfter(it->mTable, it->mGate, it->mAfter);
--- a/tests/fleet/StoreStandin.h
+++ b/tests/fleet/StoreStandin.h
@@ -63,7 +63,17 @@
     mOverloadedUntil = std::chrono::steady_clock::now() + aTime;
   }
 
-  /** Responds to feed requests that have new changes or timed out. */
+  /** @return The gate at which the owner's row was last written. */
+  std::size_t OwnerGate() const { return mOwnerGate; }
+
+  /**
+   * Responds when the owner has written records of runs, or with the present
+   * gate after kMaxOwnerWait: {"gate":N}. The reply to the owner is held back
+   * for kHeldReply, so that the owner can be paused before it receives it.
+   */
+  void AwaitOwnerWrite(const transport::HttpResponder& aRespond);
+
+  /** Responds to requests that have new changes or timed out. */
   void Tick();
 
 private:
@@ -100,8 +110,19 @@
     transport::HttpResponder mRespond;
   };
 
+  /** A control request that waits for a write of the owner. */
+  struct OwnerWait
+  {
+    std::chrono::steady_clock::time_point mDeadline;
+    transport::HttpResponder mRespond;
+  };
+
   void Transact(const protocol::HttpRequest& aRequest,
-                const transport::HttpResponder& aRespond);
+                const transport::HttpResponder& aRespond,
+                std::size_t aGate);
+  /** @return Whether the reply to an executed transaction is held back. */
+  bool FollowOwner(const nlohmann::json& aTransaction, std::size_t aGate);
+  void RespondToOwnerWaits(bool aRespondToAll);
   void Read(const protocol::HttpRequest& aRequest,
             const transport::HttpResponder& aRespond,
             std::size_t aGate) const;
@@ -124,6 +145,8 @@
   std::uint64_t mVersion = 0;
   std::chrono::steady_clock::time_point mOverloadedUntil;
   std::list<PendingFeedRequest> mPendingFeeds;
+  std::size_t mOwnerGate = 0;
+  std::list<OwnerWait> mOwnerWaits;
 };
 
 } // namespace cornelrudder::tests
--- a/tests/fleet/WorkerStandins.cpp
+++ b/tests/fleet/WorkerStandins.cpp
@@ -82,7 +82,8 @@
       .count());
 }
 
-/** Prints an event, so that the cause of a violation can be traced. */
+} // namespace
+
 void
 Trace(const std::string& aWorker,
       const char* aEvent,
@@ -90,10 +91,8 @@
       std::uint64_t aRun,
       std::uint64_t aEpoch)
 {
-  const std::uint64_t now = WallClockMs();
-  std::printf("%llu.%03llu %s %s %s run=%llu epoch=%llu\n",
-              static_cast<unsigned long long>(now / 1'000),
-              static_cast<unsigned long long>(now % 1'000),
+  std::printf("%s %s %s %s run=%llu epoch=%llu\n",
+              FormatSeconds(WallClockMs()).c_str(),
               aWorker.c_str(),
               aEvent,
               aTask.c_str(),
@@ -102,8 +101,6 @@
   std::fflush(stdout);
 }
 
-} // namespace
-
 WorkerStandins::WorkerStandins(transport::IoThread& aThread,
                                StoreStandin& aStore,
                                std::size_t aCount,
@@ -174,12 +171,12 @@
 std::vector<std::size_t>
 WorkerStandins::SelectGates(const std::string& aGates) const
 {
-  if (aGates == "owner") {
-    return { mOwnerGate };
-  }
+  const std::size_t owner = mStore.OwnerGate();
   std::vector<std::size_t> gates;
   for (std::size_t i = 0; i < mGates; ++i) {
-    if (aGates == "all" || aGates == std::to_string(i)) {
+    if (aGates == "all" || aGates == std::to_string(i) ||
+        (aGates == "owner" && i == owner) ||
+        (aGates == "others" && i != owner)) {
       gates.push_back(i);
     }
   }
@@ -194,8 +191,10 @@
 {
   std::vector<std::size_t> workers;
   for (std::size_t i = 0; i < mWorkers.size(); ++i) {
+    const std::string number = std::to_string(i);
     if (aWorkers == "all" || (aWorkers == "half" && i % 2 == 0) ||
-        aWorkers == std::to_string(i)) {
+        (aWorkers == "odd" && i % 2 == 1) || aWorkers == number ||
+        (aWorkers.starts_with("but-") && aWorkers != "but-" + number)) {
       workers.push_back(i);
     }
   }
@@ -350,6 +349,7 @@
   aWorker.mClockStart = Clock::now();
   aWorker.mLeaseExpiry = {};
   for (const Run& run : runs) {
+    mPairChecker.RecordEnd({ run.mTask, run.mRun, aWorker.mId }, WallClockMs());
     if (run.mGangSize > 0) {
       FinishGang(StepName(run.mTask), run.mRun, "broken");
     }
@@ -431,7 +431,9 @@
 json
 WorkerStandins::Journal() const
 {
-  return { { "violations", mViolations }, { "started", mStartedJobs } };
+  return { { "violations", mViolations },
+           { "pairs", mPairs },
+           { "started", mStartedJobs } };
 }
 
 json
@@ -485,6 +487,11 @@
                         const HttpRequest& aRequest,
                         const HttpResponder& aRespond)
 {
+  if (aRequest.Path() == "/v1/run-start") {
+    const json body = json::parse(aRequest.Body());
+    mPairChecker.RecordOrder(
+      body.at("task"), body.at("run").get<std::uint64_t>(), WallClockMs());
+  }
   const LinkFault fault = aWorker.mLinks.at(aGate).mFault;
   if (aWorker.mIsSilent || fault == LinkFault::kSilent ||
       fault == LinkFault::kReset) {
@@ -524,10 +531,10 @@
   aWorker.mEpoch = epoch;
   if (epoch > mHighestEpoch) {
     mHighestEpoch = epoch;
-    mOwnerGate = aGate;
+    Trace("gate-" + std::to_string(aGate), "commands", "-", 0, epoch);
   }
   if (aRequest.Path() == "/v1/run-start") {
-    StartRun(aWorker, body, aRespond);
+    StartRun(aWorker, aGate, body, aRespond);
   } else if (aRequest.Path() == "/v1/run-stop") {
     StopRun(aWorker, body, aRespond);
   } else {
@@ -544,30 +551,19 @@
     std::max(aWorker.mLeaseExpiry, std::min(expiry, Clock::now() + kMaxLease));
 }
 
-/** Records a violation if the task runs elsewhere or is already done. */
 void
-WorkerStandins::RecordStartViolations(const Worker& aWorker,
-                                      const std::string& aTask)
+WorkerStandins::RecordPairs(const std::vector<std::string>& aPairs)
 {
-  for (const Worker& worker : mWorkers) {
-    for (const Run& it : worker.mRuns) {
-      if (it.mTask == aTask) {
-        mViolations.push_back(aTask + " runs on " + worker.mId +
-                              " and is started on " + aWorker.mId);
-      }
-    }
-  }
-  if (mDoneTasks.contains(aTask)) {
-    mViolations.push_back(aTask + " was started after its end was recorded");
-  }
-  if (mEnds.WasTold(aTask, aWorker.mEpoch)) {
-    mViolations.push_back(aTask +
-                          " was started after its owner was told of its end");
+  for (const std::string& it : aPairs) {
+    Trace("check", "pair", it, 0, mHighestEpoch);
+    mViolations.push_back(it);
+    ++mPairs;
   }
 }
 
 void
 WorkerStandins::StartRun(Worker& aWorker,
+                         std::size_t aGate,
                          const json& aBody,
                          const HttpResponder& aRespond)
 {
@@ -590,8 +586,12 @@
     aRespond(HttpResponse::Json(409, reply.dump()));
     return;
   }
-  RecordStartViolations(aWorker, task);
-  mLastStarts[task] = Clock::now();
+  RecordPairs(mPairChecker.RecordStart(
+    { task, run, aWorker.mId }, aWorker.mEpoch, aGate, WallClockMs()));
+  if (mEnds.WasTold(task, aWorker.mEpoch)) {
+    mViolations.push_back(task +
+                          " was started after its owner was told of its end");
+  }
   const json payload =
     StepPayload(json::parse(aBody.at("spec").get<std::string>()), task);
   aWorker.mRuns.push_back({ task,
@@ -660,12 +660,8 @@
   for (const RunResult& result : aWorker.mResults) {
     if (result.mNumber <= aUpTo && result.mOutcome == "done" &&
         !result.mHasLapsed) {
-      mDoneTasks.insert(result.mTask);
-      const auto start = mLastStarts.find(result.mTask);
-      if (start != mLastStarts.end() && start->second > result.mEndedAt) {
-        mViolations.push_back(result.mTask +
-                              " was started after an end recorded later");
-      }
+      RecordPairs(mPairChecker.RecordAcknowledged(
+        { result.mTask, result.mRun, aWorker.mId }));
     }
   }
   aWorker.mResults.remove_if(
@@ -761,6 +757,10 @@
     RespondToRenewals(worker, false);
   }
   mStore.Tick();
+  if (mOwnerGate != mStore.OwnerGate()) {
+    mOwnerGate = mStore.OwnerGate();
+    Trace("gate-" + std::to_string(mOwnerGate), "owns", "-", 0, mHighestEpoch);
+  }
   if (mTicks % kTicksPerCheck == 0) {
     for (std::string& it : mProgress.Check(Clock::now(), View())) {
       Trace("check", "stuck", it, 0, mHighestEpoch);
@@ -823,8 +823,9 @@
   aWorker.mResults.push_back({ ++aWorker.mLastResultNumber,
                                aRun->mTask,
                                aRun->mRun,
-                               std::move(aOutcome),
-                               Clock::now() });
+                               std::move(aOutcome) });
+  mPairChecker.RecordEnd({ aRun->mTask, aRun->mRun, aWorker.mId },
+                         WallClockMs());
   aWorker.mRuns.erase(aRun);
 }
 
--- a/tests/fleet/WorkerStandins.h
+++ b/tests/fleet/WorkerStandins.h
@@ -1,6 +1,7 @@
 #ifndef CORNELRUDDER_TESTS_FLEET_WORKER_STANDINS_H
 #define CORNELRUDDER_TESTS_FLEET_WORKER_STANDINS_H
 
+#include "PairChecker.h"
 #include "ProgressChecker.h"
 #include "StoreStandin.h"
 #include "cornelrudder/transport/HttpServer.h"
@@ -20,6 +21,14 @@
 
 namespace cornelrudder::tests {
 
+/** Prints an event, so that the cause of a violation can be traced. */
+void
+Trace(const std::string& aWorker,
+      const char* aEvent,
+      const std::string& aTask,
+      std::uint64_t aRun,
+      std::uint64_t aEpoch);
+
 /**
  * Stand-ins for the workers of a fleet. Each worker has one address for each
  * gate, which is the store listener of one daemon, so that the link between one
@@ -54,9 +63,10 @@
 
   /**
    * Makes links fail for some time while the workers go on.
-   * @param aGates Number of a gate, "all", or "owner": the gate of the daemon
-   *   that sent the highest epoch.
-   * @param aWorkers Number of a worker, "all" or "half".
+   * @param aGates Number of a gate, "all", "owner" (the gate of the daemon that
+   *   last wrote the owner's row) or "others" (all but this one).
+   * @param aWorkers Number of a worker, "but-" and a number for all others,
+   *   "all", "half" or "odd" for the other half.
    * @param aFault "silent" (nothing passes), "one-way" (requests pass, replies
    *   do not) or "reset" (connections are refused).
    * @throws std::runtime_error if an argument is not one of these.
@@ -100,7 +110,13 @@
 
   ProgressChecker& Progress() { return mProgress; }
 
-  /** @return {"violations":[...],"started":[jobs]}. */
+  /** @return The gates that a name stands for, as in FailLinks. */
+  std::vector<std::size_t> SelectGates(const std::string& aGates) const;
+
+  /** Marks a fault that begins now, and ends it after a time. */
+  void EndFaultAfter(Millis aDuration, std::function<void()> aEnd);
+
+  /** @return {"violations":[...],"pairs":N,"started":[jobs]}. */
   nlohmann::json Journal() const;
 
 private:
@@ -143,7 +159,6 @@
     std::string mTask;
     std::uint64_t mRun;
     std::string mOutcome;
-    Clock::time_point mEndedAt;
     bool mHasLapsed = false;
   };
 
@@ -188,9 +203,7 @@
 
   void Listen(Worker& aWorker, std::size_t aGate);
   void SetLinkFault(Worker& aWorker, std::size_t aGate, LinkFault aFault);
-  std::vector<std::size_t> SelectGates(const std::string& aGates) const;
   std::vector<std::size_t> SelectWorkers(const std::string& aWorkers) const;
-  void EndFaultAfter(Millis aDuration, std::function<void()> aEnd);
   bool Reaches(const Worker& aWorker, std::size_t aGate) const;
   void Receive(Worker& aWorker,
                std::size_t aGate,
@@ -201,9 +214,10 @@
              const protocol::HttpRequest& aRequest,
              const transport::HttpResponder& aRespond);
   void StartRun(Worker& aWorker,
+                std::size_t aGate,
                 const nlohmann::json& aBody,
                 const transport::HttpResponder& aRespond);
-  void RecordStartViolations(const Worker& aWorker, const std::string& aTask);
+  void RecordPairs(const std::vector<std::string>& aPairs);
   void StopRun(Worker& aWorker,
                const nlohmann::json& aBody,
                const transport::HttpResponder& aRespond);
@@ -239,13 +253,12 @@
   std::vector<Worker> mWorkers;
   std::map<const Worker*, std::list<PendingRenewal>> mPendingRenewals;
   std::set<std::string> mStartedJobs;
-  /** Tasks whose completion was acknowledged before the lease expired. */
-  std::set<std::string> mDoneTasks;
-  std::map<std::string, Clock::time_point> mLastStarts;
+  PairChecker mPairChecker;
+  std::size_t mPairs = 0;
   ProgressChecker mProgress;
   EndChecker mEnds;
   std::size_t mGates;
-  /** Gate of the highest epoch and that epoch. */
+  /** The owner's gate as traced last. */
   std::size_t mOwnerGate = 0;
   std::uint64_t mHighestEpoch = 0;
   std::vector<std::string> mViolations;
--- a/tests/fleet/fleet_standin.cpp
+++ b/tests/fleet/fleet_standin.cpp
@@ -1,14 +1,18 @@
 /**
  * @file
  * Stand-in for the users' platform: the store, a fleet of workers and the
- * operator's settings. On start it prints "control on ADDRESS", for each daemon
- * "gate N on ADDRESS", and "listening on ADDRESS". The gates serve the store,
- * each with its own addresses of the workers; faults of the store
+ * operator's settings. `--gates N` sets the number of daemons. On start it
+ * prints "control on ADDRESS", for each daemon "gate N on ADDRESS", and
+ * "listening on ADDRESS". The gates serve the store, each with its own
+ * addresses of the workers; faults of the store
  * (`PUT /faults`, see FaultSwitches, on any address) do not affect the control
  * requests:
  * - `POST /history/drop`
  * - `POST /workers/N/ACTION`: silence, answer, restart
  * - `POST /links/GATES/WORKERS/FAULT/MS` (see WorkerStandins::FailLinks)
+ * - `POST /stores/GATES/FAULT/MS` (see StoreGates::Fail)
+ * - `POST /owner/now`, `POST /owner/write`: {"gate":N}, the gate of the owner,
+ * at once or after its next write (see StoreStandin::AwaitOwnerWrite)
  * - `POST /rows/WORKERS/MS` (see WorkerStandins::RemoveRows)
  * - `POST /drains/WORKERS/MS` (see WorkerStandins::Drain)
  * - `POST /capacity/WORKERS/ACCELERATORS/MS` (see
@@ -20,13 +24,13 @@
  * - `GET /journal`
  */
 
-#include "WorkerStandins.h"
+#include "StoreGates.h"
 
 #include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdio>
-#include <memory>
+#include <cstdlib>
 #include <sstream>
 #include <string>
 #include <string_view>
@@ -44,7 +48,8 @@
 namespace {
 
 constexpr std::size_t kWorkers = 12;
-constexpr std::size_t kGates = 4;
+constexpr std::size_t kDefaultGates = 4;
+constexpr std::size_t kMaxGates = 10;
 
 json
 MakeQueue(int aPriority, double aSlack)
@@ -106,14 +111,19 @@
 class Control
 {
 public:
-  Control(StoreStandin& aStore, WorkerStandins& aWorkers)
+  Control(StoreStandin& aStore, WorkerStandins& aWorkers, StoreGates& aGates)
     : mStore(aStore)
     , mWorkers(aWorkers)
+    , mGates(aGates)
   {
   }
 
   void Serve(const HttpRequest& aRequest, const HttpResponder& aRespond)
   {
+    if (aRequest.Path() == "/owner/write") {
+      mStore.AwaitOwnerWrite(aRespond);
+      return;
+    }
     const std::vector<std::string> parts = SplitPath(aRequest.Path());
     const auto it = std::find_if(
       kRoutes.begin(), kRoutes.end(), [&parts](const Route& aRoute) {
@@ -168,6 +178,18 @@
     return json::object();
   }
 
+  json FailStore(const Parts& aParts, const std::string&)
+  {
+    mGates.Fail(
+      aParts[1], aParts[2], std::chrono::milliseconds(std::stoll(aParts[3])));
+    return json::object();
+  }
+
+  json GetOwner(const Parts&, const std::string&)
+  {
+    return { { "gate", mStore.OwnerGate() } };
+  }
+
   json RemoveRows(const Parts& aParts, const std::string&)
   {
     mWorkers.RemoveRows(aParts[1],
@@ -222,17 +244,20 @@
     return json::object();
   }
 
-  static const std::array<Route, 11> kRoutes;
+  static const std::array<Route, 13> kRoutes;
 
   StoreStandin& mStore;
   WorkerStandins& mWorkers;
+  StoreGates& mGates;
 };
 
-const std::array<Control::Route, 11> Control::kRoutes{ {
+const std::array<Control::Route, 13> Control::kRoutes{ {
   { "journal", 1, &Control::GetJournal },
   { "history", 2, &Control::DropHistory },
   { "workers", 3, &Control::ApplyAction },
   { "links", 5, &Control::FailLinks },
+  { "stores", 4, &Control::FailStore },
+  { "owner", 2, &Control::GetOwner },
   { "rows", 3, &Control::RemoveRows },
   { "drains", 3, &Control::Drain },
   { "capacity", 4, &Control::ShrinkCapacity },
@@ -242,15 +267,21 @@
   { "jobs", 2, &Control::RecordJob },
 } };
 
-/** @return A copy of the request that names the gate at which it arrived. */
-HttpRequest
-AtGate(const HttpRequest& aRequest, std::size_t aGate)
+/**
+ * Takes the option `--gates N` off the front of the command line.
+ * @return The number of gates; 0 if it is out of range.
+ */
+std::size_t
+TakeGates(int& aCount, char**& aArguments)
 {
-  auto headers = aRequest.Headers();
-  headers["x-gate"] = std::to_string(aGate);
-  return {
-    aRequest.Method(), aRequest.Target(), std::move(headers), aRequest.Body()
-  };
+  if (aCount < 3 || std::string_view(aArguments[1]) != "--gates") {
+    return kDefaultGates;
+  }
+  const std::size_t gates = std::strtoul(aArguments[2], nullptr, 10);
+  aArguments[2] = aArguments[0];
+  aArguments += 2;
+  aCount -= 2;
+  return gates <= kMaxGates ? gates : 0;
 }
 
 } // namespace
@@ -258,10 +289,16 @@
 int
 main(int aCount, char** aArguments)
 {
+  const std::size_t gateCount = TakeGates(aCount, aArguments);
+  if (gateCount == 0) {
+    std::fprintf(stderr, "--gates must be 1 to %zu\n", kMaxGates);
+    return 2;
+  }
   tools::StandinServer server;
   StoreStandin store(server);
-  WorkerStandins workers(server.Thread(), store, kWorkers, kGates);
-  Control control(store, workers);
+  WorkerStandins workers(server.Thread(), store, kWorkers, gateCount);
+  StoreGates gates(server, workers, gateCount);
+  Control control(store, workers, gates);
   store.Put("op", "config", MakeSettings());
   workers.Start();
   const transport::HttpServer controlServer(
@@ -272,17 +309,8 @@
       control.Serve(aRequest, aRespond);
     });
   std::printf("control on %s\n", controlServer.Address().c_str());
-  std::vector<std::unique_ptr<transport::HttpServer>> gates;
-  for (std::size_t gate = 0; gate < kGates; ++gate) {
-    gates.push_back(std::make_unique<transport::HttpServer>(
-      server.Thread(),
-      "127.0.0.1:0",
-      transport::HttpServerLimits{},
-      [&server, gate](const HttpRequest& aRequest,
-                      const HttpResponder& aRespond) {
-        server.Serve(AtGate(aRequest, gate), aRespond);
-      }));
-    std::printf("gate %zu on %s\n", gate, gates.back()->Address().c_str());
+  for (std::size_t gate = 0; gate < gateCount; ++gate) {
+    std::printf("gate %zu on %s\n", gate, gates.Address(gate).c_str());
   }
   return server.Run(
     aCount,
