Add a load of long runs to the soak's callers

A pair of runs across a change of owner shows only if the first run goes on for longer than its successor waits. The jobs of a seed are unchanged without it.

--- a/tests/fleet/fleet_caller.cpp
+++ b/tests/fleet/fleet_caller.cpp
@@ -3,6 +3,7 @@
  * Submits seeded jobs to the daemons, polls them until they finish and checks
  * the promises made to callers. Usage:
  * fleet_caller --daemons A,B,... --standin CONTROL_ADDRESS --seed N --jobs N
+ * [--long-runs]
  */
 
 #include "cornelrudder/transport/HttpClient.h"
@@ -30,11 +31,10 @@
 
 namespace {
 
-constexpr std::size_t kCallers = 8;
 /** Distance between the job seeds of two runs, so that they do not overlap. */
 constexpr std::uint64_t kSeedStep = 100'003;
-/** One step in so many has runs of 4 to 10 s. */
-constexpr std::size_t kStepsPerLongStep = 8;
+/** Run time of the tasks of a long step, without the drawn part. */
+constexpr std::int64_t kLongRunMs = 4'000;
 constexpr auto kRequestTimeout = 3s;
 /** Limit for the completion of an accepted job, also under faults. */
 constexpr auto kCompletionTimeout = 120s;
@@ -43,12 +43,28 @@
 /** Limit of submissions if an earlier one may have stored the job. */
 constexpr int kMaxUncertainAttempts = 40;
 
+/** Sizes of the load; a step of 2^n accelerators has n below a limit. */
+struct Profile
+{
+  std::size_t mCallers;
+  /** One step in so many is long. */
+  std::size_t mStepsPerLongStep;
+  /** Upper limit of what is drawn beyond kLongRunMs. */
+  std::int64_t mMaxMoreMs;
+  std::size_t mSizes;
+};
+
+constexpr Profile kMixedRuns{ 8, 8, 6'000, 4 };
+/** Most runs last for longer than a takeover, several on each worker. */
+constexpr Profile kLongRuns{ 16, 2, 12'000, 2 };
+
 struct Options
 {
   std::vector<std::string> mDaemons;
   std::string mStandin;
   std::uint64_t mSeed = 1;
   int mJobs = 60;
+  Profile mProfile = kMixedRuns;
 };
 
 /** Final result of a job from the caller's point of view. */
@@ -165,7 +181,7 @@
   }
 
   /** @return A job of one to three steps, one after the other. */
-  static json MakeBody(std::mt19937_64& aRandom)
+  json MakeBody(std::mt19937_64& aRandom) const
   {
     json payloads = json::array();
     json steps = json::array();
@@ -183,17 +199,21 @@
   }
 
   /** @return The payload and the request of a step. */
-  static std::pair<json, json> MakeStep(std::mt19937_64& aRandom)
+  std::pair<json, json> MakeStep(std::mt19937_64& aRandom) const
   {
-    const std::int64_t accelerators = 1LL << (aRandom() % 4);
+    const Profile& profile = mOptions.mProfile;
+    const std::int64_t accelerators = 1LL << (aRandom() % profile.mSizes);
     const std::size_t tasks = 1 + aRandom() % 4;
     const bool isGang = aRandom() % 2 == 0;
     // A run that lasts for longer than a lease shows whether it is started
     // again while it goes on out of reach.
-    const bool isLong = aRandom() % kStepsPerLongStep == 0;
+    const bool isLong = aRandom() % profile.mStepsPerLongStep == 0;
+    const auto draw = [&aRandom](std::int64_t aLimit) {
+      return static_cast<std::int64_t>(aRandom() %
+                                       static_cast<std::uint64_t>(aLimit));
+    };
     const std::int64_t work =
-      isLong ? 4'000 + static_cast<std::int64_t>(aRandom() % 6'000)
-             : 100 + static_cast<std::int64_t>(aRandom() % 900);
+      isLong ? kLongRunMs + draw(profile.mMaxMoreMs) : 100 + draw(900);
     json payload{ { "run_ms", work }, { "accelerators", accelerators } };
     json step{ { "count", tasks },
                { "cpu", 1'000 },
@@ -214,11 +234,12 @@
 bool
 ParseOptions(int aCount, char** aArguments, Options& aOptions)
 {
-  static const std::array<option, 5> kOptions{ {
+  static const std::array<option, 6> kOptions{ {
     { "daemons", required_argument, nullptr, 'd' },
     { "standin", required_argument, nullptr, 's' },
     { "seed", required_argument, nullptr, 'r' },
     { "jobs", required_argument, nullptr, 'j' },
+    { "long-runs", no_argument, nullptr, 'l' },
     { nullptr, 0, nullptr, 0 },
   } };
   int flag = 0;
@@ -237,6 +258,8 @@
       aOptions.mSeed = std::stoull(optarg);
     } else if (flag == 'j') {
       aOptions.mJobs = std::stoi(optarg);
+    } else if (flag == 'l') {
+      aOptions.mProfile = kLongRuns;
     } else {
       return false;
     }
@@ -263,10 +286,11 @@
 {
   std::vector<Outcome> outcomes(static_cast<std::size_t>(aOptions.mJobs));
   std::vector<std::thread> callers;
-  for (std::size_t c = 0; c < kCallers; ++c) {
+  const std::size_t count = aOptions.mProfile.mCallers;
+  for (std::size_t c = 0; c < count; ++c) {
     callers.emplace_back([&, c] {
       Caller caller(aClient, aOptions);
-      for (std::size_t i = c; i < outcomes.size(); i += kCallers) {
+      for (std::size_t i = c; i < outcomes.size(); i += count) {
         outcomes[i] = caller.SubmitAndFollow(aOptions.mSeed * kSeedStep + i,
                                              JobId(aOptions, i));
       }
@@ -313,7 +337,8 @@
   Options options;
   if (!ParseOptions(aCount, aArguments, options)) {
     std::fprintf(stderr,
-                 "usage: %s --daemons A,B --standin A [--seed N] [--jobs N]\n",
+                 "usage: %s --daemons A,B --standin A [--seed N] [--jobs N] "
+                 "[--long-runs]\n",
                  aArguments[0]);
     return 2;
   }
@@ -327,17 +352,19 @@
     std::printf("BROKEN: the stand-in did not return its journal\n");
     return 1;
   }
-  const int violations =
-    CheckPromises(options, outcomes, json::parse(response.Response().Body()));
+  const json journal = json::parse(response.Response().Body());
+  const int violations = CheckPromises(options, outcomes, journal);
   const auto count = [&outcomes](Outcome aOutcome) {
     return static_cast<int>(
       std::count(outcomes.begin(), outcomes.end(), aOutcome));
   };
-  std::printf("seed %llu: %d done, %d refused, %d unknown, %d broken\n",
-              static_cast<unsigned long long>(options.mSeed),
-              count(Outcome::kDone),
-              count(Outcome::kRefused),
-              count(Outcome::kUnknown),
-              violations);
+  std::printf(
+    "seed %llu: %d done, %d refused, %d unknown, %d broken, pairs=%zu\n",
+    static_cast<unsigned long long>(options.mSeed),
+    count(Outcome::kDone),
+    count(Outcome::kRefused),
+    count(Outcome::kUnknown),
+    violations,
+    journal.at("pairs").get<std::size_t>());
   return violations == 0 ? 0 : 1;
 }
