Draw the soak's faults from a list, and add those around takeovers

The default list and its sequence of a seed stay as they were. The list takeover has faults of the owner: the store refuses, ignores or delays it alone, it is paused again and again, also right after a write, it shares no worker with its successors, and owners are replaced in a row. Number of daemons, path of the daemon and time between faults are variables. The script prints the number of pairs of runs.

--- a/scripts/fleet_soak.sh
+++ b/scripts/fleet_soak.sh
@@ -5,19 +5,32 @@
 # to make progress. The logs of a seed that fails stay in
 # ${TMPDIR:-/tmp}/fleet-soak-SEED.
 # Usage: scripts/fleet_soak.sh FIRST_SEED [COUNT [JOBS]]
+# FLEET_SOAK_DAEMONS: number of daemons, 1 to 10; default 4.
+# FLEET_SOAK_FAULTS: names of the faults to draw from; "takeover" stands for those
+#   around takeovers.
+# FLEET_SOAK_LONG_RUNS: if set, half of the steps have runs of 4 to 16 s.
+# FLEET_SOAK_GAP: upper limit of the seconds between two faults; without it, they
+#   are less than a second apart.
+# FLEET_SOAK_CALM: seconds of a calm.
+# FLEET_SOAK_DAEMON: path of the daemon.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
 first=${1:?a seed is required}
 count=${2:-1}
 jobs=${3:-80}
-daemons=4
+daemons=${FLEET_SOAK_DAEMONS:-4}
+daemon=${FLEET_SOAK_DAEMON:-$build/apps/cornelrudderd}
 restarts=0
 # Longest fault of a link or row, longer than the lease of the workers (6 s).
 max_fault_seconds=9
+# Longer than a takeover and the time after which a successor counts the runs of a
+# worker as lost.
+min_split_seconds=8
+max_split_seconds=16
 # Longer than the longest fault of a link, the recovery time and the time without
 # a run that fleet_standin allows, 9 + 10 + 3 s.
-calm_seconds=23
+calm_seconds=${FLEET_SOAK_CALM:-23}
 # No series begins later than this, so that the jobs end within their limit.
 last_series_seconds=90
 . scripts/cluster.sh
@@ -49,7 +62,7 @@
 }
 
 start_daemon() {
-  start "$1" "$build/apps/cornelrudderd" --config "$work/$1.toml"
+  start "$1" "$daemon" --config "$work/$1.toml"
   await_address "$1" '.*name=started http=\([0-9.:]*\).*'
 }
 
@@ -211,25 +224,173 @@
   control "/odd/$drawn"
 }
 
+# Sets $drawn to the name of the owner: at once ("now") or right after its next
+# write of runs ("write"), the reply to which it has not received.
+find_owner() {
+  local reply
+  reply=$(curl -sSf -m 5 -X POST \
+    "http://${address_of_name[control]}/owner/$1") || fail "owner/$1"
+  drawn="daemon-$((${reply//[^0-9]/} + 1))"
+}
+# Waits until the owner is another one than the named one, for 3 s at most.
+await_other_owner() {
+  for _ in $(seq 50); do
+    find_owner now
+    [ "$drawn" != "$1" ] && return
+    sleep 0.05
+  done
+}
+# Draws a number of milliseconds and sets $drawn to it in seconds.
+draw_seconds() {
+  local milliseconds=$(($1 + RANDOM % ($2 - $1)))
+  printf -v drawn '%d.%03d' $((milliseconds / 1000)) $((milliseconds % 1000))
+}
+# Usage: fail_store GATES FAULT
+fail_store() {
+  control "/stores/$1/$2/$(((RANDOM % max_fault_seconds + 1) * 1000))"
+}
+isolate_owner_store() {
+  draw_of silent one-way reset
+  fail_store owner "$drawn"
+}
+refuse_owner_store() {
+  draw_of 503 429
+  fail_store owner "$drawn"
+}
+delay_owner_writes() { fail_store owner "late-$((RANDOM % 6 + 1))"; }
+isolate_daemon_store() {
+  draw_of silent one-way reset 503 429 late-3
+  fail_store "$((RANDOM % daemons))" "$drawn"
+}
+# Workers that the others do not reach.
+separate_others() {
+  local workers
+  draw_worker
+  draw_of all half "$drawn"
+  workers=$drawn
+  draw_of silent one-way reset
+  separate others "$workers" "$drawn"
+}
+# The owner loses the store and keeps workers that its successors do not reach.
+leave_workers_to_owner() {
+  separate_others
+  isolate_owner_store
+}
+# The owner and the others reach no worker in common. Sets $milliseconds.
+split_workers() {
+  local kept rest fault
+  milliseconds=$(((RANDOM % (max_split_seconds - min_split_seconds + 1) + \
+    min_split_seconds) * 1000))
+  draw_worker
+  draw_of half odd "$drawn"
+  kept=$drawn
+  case $kept in
+    half) rest=odd ;;
+    odd) rest=half ;;
+    *) rest=but-$kept ;;
+  esac
+  draw_of silent one-way reset
+  fault=$drawn
+  control "/links/others/$kept/$fault/$milliseconds"
+  draw_of silent reset
+  control "/links/owner/$rest/$drawn/$milliseconds"
+}
+split_and_isolate_owner() {
+  local milliseconds
+  split_workers
+  draw_of silent one-way reset 503 late-3
+  control "/stores/owner/$drawn/$milliseconds"
+}
+split_and_pause_owner() {
+  local milliseconds
+  split_workers
+  pause_owner
+}
+# The owner loses its workers, and the replies to the release that follows.
+lose_release() {
+  separate owner all silent
+  fail_store owner one-way
+}
+# Usage: pause_again MOMENT, as in find_owner
+pause_again() {
+  local name
+  for _ in $(seq $((RANDOM % 3 + 2))); do
+    find_owner "$1"
+    name=$drawn
+    kill -STOP "${pid_of[$name]}"
+    draw_seconds 500 2000
+    sleep "$drawn"
+    kill -CONT "${pid_of[$name]}"
+    draw_seconds 50 500
+    sleep "$drawn"
+  done
+}
+pause_owner() { pause_again now; }
+pause_writing_owner() { pause_again write; }
+kill_owner() {
+  find_owner now
+  signal_and_restart "$drawn" KILL
+}
+drain_owner() {
+  find_owner now
+  signal_and_restart "$drawn" TERM
+}
+# Takes the place of two or three owners in a row, each as soon as it is one.
+replace_owners() {
+  local name
+  separate_others
+  for _ in $(seq $((RANDOM % 2 + 2))); do
+    find_owner now
+    name=$drawn
+    draw_of isolate_owner_store delay_owner_writes kill_owner drain_owner \
+      freeze
+    if [ "$drawn" = freeze ]; then
+      kill -STOP "${pid_of[$name]}"
+      await_other_owner "$name"
+      kill -CONT "${pid_of[$name]}"
+    else
+      "$drawn"
+      await_other_owner "$name"
+    fi
+  done
+}
+
+takeover=(isolate_owner_store refuse_owner_store delay_owner_writes
+  isolate_daemon_store separate_others leave_workers_to_owner
+  split_and_isolate_owner split_and_pause_owner lose_release pause_owner pause_writing_owner kill_owner drain_owner replace_owners
+  separate_owner lose_owner_replies)
 faults=(kill_daemon restart_worker store_slow silence_worker drain_daemon
   lose_answers freeze_daemon drop_history store_down lose_and_kill kill_all
   separate_owner reset_owner lose_owner_replies separate_daemon separate_worker
   separate_all remove_rows write_odd_row overload_store
   shrink_workers drain_worker drain_and_cut_worker)
+if [ "${FLEET_SOAK_FAULTS:-}" ]; then
+  read -ra faults <<<"${FLEET_SOAK_FAULTS/takeover/${takeover[*]}}"
+fi
 
 # Injects one fault and marks its time for the checks of the stand-in.
 inject() {
+  echo "$(date +%s.%3N) $1" >>"$work/faults.log"
   control /faults/begin
   "$1"
   control /faults/end
 }
 
+await_next_fault() {
+  if [ "${FLEET_SOAK_GAP:-}" ]; then
+    draw_seconds 300 $((FLEET_SOAK_GAP * 1000))
+    sleep "$drawn"
+  else
+    pause
+  fi
+}
+
 # Injects faults until the time is over or the load has ended.
 # Usage: run_series LOAD_PID SECONDS
 run_series() {
   local load=$1 end=$((SECONDS + $2)) fault
   while [ "$SECONDS" -lt "$end" ] && kill -0 "$load" 2>/dev/null; do
-    pause
+    await_next_fault
     fault=${faults[$((RANDOM % ${#faults[@]}))]}
     injected+=("$fault")
     inject "$fault"
@@ -254,7 +415,7 @@
   [ -n "${pid_of[fleet]:-}" ] && kill -KILL "${pid_of[fleet]}" || true
   wait 2>/dev/null || true
   rm -f "$work"/*.log
-  start fleet "$build/tests/fleet_standin"
+  start fleet "$build/tests/fleet_standin" --gates "$daemons"
   await_address fleet '^listening on \(.*\)$'
   await_address control '^control on \(.*\)$' fleet
   for i in $(seq "$daemons"); do
@@ -270,7 +431,8 @@
   done
   "$build/tests/fleet_caller" --seed "$seed" --jobs "$jobs" \
     --standin "${address_of_name[control]}" \
-    --daemons "$(IFS=,; echo "${servers[*]}")" &
+    --daemons "$(IFS=,; echo "${servers[*]}")" \
+    ${FLEET_SOAK_LONG_RUNS:+--long-runs} >"$work/caller.log" 2>&1 &
   load=$!
   begin=$SECONDS
   while kill -0 "$load" 2>/dev/null; do
@@ -280,6 +442,8 @@
     stay_calm "$load" "$calm_seconds"
   done
   wait "$load" || status=$?
+  cat "$work/caller.log"
+  pairs=$((pairs + $(sed -n 's/.* pairs=\([0-9]*\)$/\1/p' "$work/caller.log")))
   if [ "$status" -ne 0 ]; then
     echo "FAILED: seed $seed after ${injected[*]}"
     rm -rf "${TMPDIR:-/tmp}/fleet-soak-$seed"
@@ -288,9 +452,9 @@
   return "$status"
 }
 
-failed=0
+failed=0 pairs=0
 for seed in $(seq "$first" $((first + count - 1))); do
   run_seed "$seed" || failed=$((failed + 1))
 done
-echo "$((count - failed)) of $count seeds passed"
+echo "$((count - failed)) of $count seeds passed, pairs=$pairs"
 [ "$failed" -eq 0 ]
