Let the soak's owner reach workers again after it has lost the store

A start whose reply was lost is sent again when the worker replies. With this fault, a former owner does so when its successor cannot reach the worker.

--- a/scripts/fleet_soak.sh
+++ b/scripts/fleet_soak.sh
@@ -276,9 +276,10 @@
   separate_others
   isolate_owner_store
 }
-# The owner and the others reach no worker in common. Sets $milliseconds.
+# The owner and the others reach no worker in common. Sets $milliseconds and
+# $kept.
 split_workers() {
-  local kept rest fault
+  local rest fault
   milliseconds=$(((RANDOM % (max_split_seconds - min_split_seconds + 1) + \
     min_split_seconds) * 1000))
   draw_worker
@@ -296,13 +297,21 @@
   control "/links/owner/$rest/$drawn/$milliseconds"
 }
 split_and_isolate_owner() {
-  local milliseconds
+  local milliseconds kept
   split_workers
   draw_of silent one-way reset 503 late-3
   control "/stores/owner/$drawn/$milliseconds"
 }
+# The owner reaches its part of the workers again when it has lost the store.
+split_and_delay_owner() {
+  local milliseconds kept
+  split_workers
+  control "/links/owner/$kept/silent/$(((RANDOM % 5 + 3) * 1000))"
+  pause
+  control "/stores/owner/silent/$milliseconds"
+}
 split_and_pause_owner() {
-  local milliseconds
+  local milliseconds kept
   split_workers
   pause_owner
 }
@@ -357,8 +366,9 @@
 
 takeover=(isolate_owner_store refuse_owner_store delay_owner_writes
   isolate_daemon_store separate_others leave_workers_to_owner
-  split_and_isolate_owner split_and_pause_owner lose_release pause_owner pause_writing_owner kill_owner drain_owner replace_owners
-  separate_owner lose_owner_replies)
+  split_and_isolate_owner split_and_delay_owner split_and_pause_owner
+  lose_release pause_owner pause_writing_owner kill_owner drain_owner
+  replace_owners separate_owner lose_owner_replies)
 faults=(kill_daemon restart_worker store_slow silence_worker drain_daemon
   lose_answers freeze_daemon drop_history store_down lose_and_kill kill_all
   separate_owner reset_owner lose_owner_replies separate_daemon separate_worker
