Let commands of the soak's owner be executed late

A call without a response may be executed seconds later, after newer calls, by the platform's protocol. The soak played this for no command to workers.

--- a/scripts/fleet_soak.sh
+++ b/scripts/fleet_soak.sh
@@ -257,6 +257,10 @@
   draw_of 503 429
   fail_store owner "$drawn"
 }
+delay_owner_commands() {
+  draw_of all half odd
+  separate owner "$drawn" late
+}
 delay_owner_writes() { fail_store owner "late-$((RANDOM % 6 + 1))"; }
 isolate_daemon_store() {
   draw_of silent one-way reset 503 429 late-3
@@ -365,7 +369,7 @@
 }
 
 takeover=(isolate_owner_store refuse_owner_store delay_owner_writes
-  isolate_daemon_store separate_others leave_workers_to_owner
+  delay_owner_commands isolate_daemon_store separate_others leave_workers_to_owner
   split_and_isolate_owner split_and_delay_owner split_and_pause_owner
   lose_release pause_owner pause_writing_owner kill_owner drain_owner
   replace_owners separate_owner lose_owner_replies)
--- a/tests/fleet/WorkerStandins.cpp
+++ b/tests/fleet/WorkerStandins.cpp
@@ -25,6 +25,7 @@
 constexpr int kTicksPerRegistration = 100;
 /** Ticks between two checks of the progress of the jobs. */
 constexpr int kTicksPerCheck = 10;
+constexpr Millis kLateness{ 3'000 };
 /** Time that a run needs to stop after a stop request. */
 constexpr Millis kStopDuration{ 300 };
 /** Time after which a gang member fails if others have not started. */
@@ -223,6 +224,7 @@
   static const std::map<std::string, LinkFault> kFaults{
     { "silent", LinkFault::kSilent },
     { "one-way", LinkFault::kOneWay },
+    { "late", LinkFault::kLate },
     { "reset", LinkFault::kReset },
   };
   const auto fault = kFaults.find(aFault);
@@ -498,6 +500,13 @@
     tools::LeaveUnanswered(mThread, aRespond);
     return;
   }
+  if (fault == LinkFault::kLate) {
+    tools::LeaveUnanswered(mThread, aRespond);
+    mThread.PostAfter(kLateness, [this, &aWorker, aGate, aRequest] {
+      Serve(aWorker, aGate, aRequest, [](const HttpResponse&) {});
+    });
+    return;
+  }
   Serve(aWorker,
         aGate,
         aRequest,
--- a/tests/fleet/WorkerStandins.h
+++ b/tests/fleet/WorkerStandins.h
@@ -68,7 +68,8 @@
    * @param aWorkers Number of a worker, "but-" and a number for all others,
    *   "all", "half" or "odd" for the other half.
    * @param aFault "silent" (nothing passes), "one-way" (requests pass, replies
-   *   do not) or "reset" (connections are refused).
+   *   do not), "late" (the same, and requests pass kLateness later) or "reset"
+   *   (connections are refused).
    * @throws std::runtime_error if an argument is not one of these.
    */
   void FailLinks(const std::string& aGates,
@@ -125,6 +126,7 @@
     kNone,
     kSilent,
     kOneWay,
+    kLate,
     kReset
   };
 
