--- a/tests/fleet/PairChecker.cpp
+++ b/tests/fleet/PairChecker.cpp
@@ -13,11 +13,9 @@
 }
 
 void
-PairChecker::RecordOrder(const std::string& aTask,
-                         std::uint64_t aRun,
-                         std::uint64_t aNowMs)
+PairChecker::RecordOrder(const RunId& aId, std::uint64_t aNowMs)
 {
-  mOrders.try_emplace({ aTask, aRun }, aNowMs);
+  mOrders.try_emplace(aId, aNowMs);
 }
 
 std::vector<std::string>
@@ -26,7 +24,7 @@
                          std::size_t aGate,
                          std::uint64_t aNowMs)
 {
-  const auto order = mOrders.find({ aId.mTask, aId.mRun });
+  const auto order = mOrders.find(aId);
   const Run run{
     aId, aEpoch, aGate, order != mOrders.end() ? order->second : aNowMs, aNowMs
   };
--- a/tests/fleet/PairChecker.h
+++ b/tests/fleet/PairChecker.h
@@ -1,11 +1,11 @@
 #ifndef CORNELRUDDER_TESTS_FLEET_PAIR_CHECKER_H
 #define CORNELRUDDER_TESTS_FLEET_PAIR_CHECKER_H
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace cornelrudder::tests {
@@ -29,9 +29,7 @@
 {
 public:
   /** Records that the order of a run has arrived, whether it passes or not. */
-  void RecordOrder(const std::string& aTask,
-                   std::uint64_t aRun,
-                   std::uint64_t aNowMs);
+  void RecordOrder(const RunId& aId, std::uint64_t aNowMs);
 
   /**
    * @param aEpoch Epoch of the order.
@@ -75,7 +73,7 @@
 
   /** By task, in the order of their starts. */
   std::map<std::string, std::vector<Run>> mRuns;
-  std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> mOrders;
+  std::map<RunId, std::uint64_t> mOrders;
 };
 
 /** @return Seconds with three decimals. */
--- a/tests/fleet/PairCheckerTest.cpp
+++ b/tests/fleet/PairCheckerTest.cpp
@@ -66,8 +66,8 @@
 
 TEST(PairChecker, TextNamesBothOrders)
 {
-  mChecker.RecordOrder("a.0.0.0", 1, 900);
-  mChecker.RecordOrder("a.0.0.0", 1, 950);
+  mChecker.RecordOrder(kFirst, 900);
+  mChecker.RecordOrder(kFirst, 950);
   mChecker.RecordStart(kFirst, 7, 3, 1'000);
   const auto pairs = mChecker.RecordStart(kSecond, 8, 4, 2'005);
   STRCMP_EQUAL(
--- a/tests/fleet/WorkerStandins.cpp
+++ b/tests/fleet/WorkerStandins.cpp
@@ -491,8 +491,8 @@
 {
   if (aRequest.Path() == "/v1/run-start") {
     const json body = json::parse(aRequest.Body());
-    mPairChecker.RecordOrder(
-      body.at("task"), body.at("run").get<std::uint64_t>(), WallClockMs());
+    mPairChecker.RecordOrder({ body.at("task"), body.at("run"), aWorker.mId },
+                             WallClockMs());
   }
   const LinkFault fault = aWorker.mLinks.at(aGate).mFault;
   if (aWorker.mIsSilent || fault == LinkFault::kSilent ||
