--- a/scripts/fleet_soak.sh
+++ b/scripts/fleet_soak.sh
@@ -280,15 +280,17 @@
   separate_others
   isolate_owner_store
 }
-# The owner and the others reach no worker in common. Sets $milliseconds and
-# $kept.
+# The owner and the others reach no worker in common. Sets $milliseconds.
+# Usage: split_workers [KEPT], the workers that the owner keeps
 split_workers() {
-  local rest fault
+  local kept=${1:-} rest fault
   milliseconds=$(((RANDOM % (max_split_seconds - min_split_seconds + 1) + \
     min_split_seconds) * 1000))
-  draw_worker
-  draw_of half odd "$drawn"
-  kept=$drawn
+  if [ -z "$kept" ]; then
+    draw_worker
+    draw_of half odd "$drawn"
+    kept=$drawn
+  fi
   case $kept in
     half) rest=odd ;;
     odd) rest=half ;;
@@ -301,21 +303,22 @@
   control "/links/owner/$rest/$drawn/$milliseconds"
 }
 split_and_isolate_owner() {
-  local milliseconds kept
+  local milliseconds
   split_workers
   draw_of silent one-way reset 503 late-3
   control "/stores/owner/$drawn/$milliseconds"
 }
-# The owner reaches its part of the workers again when it has lost the store.
+# The owner reaches one of its workers again when it has lost the store.
 split_and_delay_owner() {
-  local milliseconds kept
-  split_workers
-  control "/links/owner/$kept/silent/$(((RANDOM % 5 + 3) * 1000))"
+  local milliseconds parity=$((RANDOM % 2))
+  local kept=(half odd)
+  split_workers "${kept[$parity]}"
+  control "/links/owner/$((RANDOM % 6 * 2 + parity))/silent/$(((RANDOM % 5 + 2) * 1000))"
   pause
   control "/stores/owner/silent/$milliseconds"
 }
 split_and_pause_owner() {
-  local milliseconds kept
+  local milliseconds
   split_workers
   pause_owner
 }
