--- a/tests/fleet/PairCheckerTest.cpp
+++ b/tests/fleet/PairCheckerTest.cpp
@@ -76,3 +76,15 @@
     "(epoch 8, gate 4, ordered 2.005, started 2.005, ended -)",
     pairs.at(0).c_str());
 }
+
+// Guards against showing the time of the first order for both runs when a
+// successor that does not know a run gives its number to another one.
+TEST(PairChecker, OrdersOfOneRunNumberOnTwoWorkersAreTwo)
+{
+  const RunId same{ kFirst.mTask, kFirst.mRun, "w1" };
+  mChecker.RecordOrder(kFirst, 900);
+  mChecker.RecordOrder(same, 1'900);
+  mChecker.RecordStart(kFirst, 7, 3, 1'000);
+  const auto pairs = mChecker.RecordStart(same, 8, 4, 2'000);
+  STRCMP_CONTAINS("ordered 1.900, started 2.000", pairs.at(0).c_str());
+}
