--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -53,6 +53,9 @@
   step "history, seed $seed" scripts/history.sh "$seed"
 done
 step "fleet soak, seed 4" scripts/fleet_soak.sh 4 1 60
+step "fleet soak of takeovers, seed 32001" env \
+  FLEET_SOAK_FAULTS=split_and_isolate_owner FLEET_SOAK_LONG_RUNS=1 \
+  FLEET_SOAK_GAP=20 FLEET_SOAK_CALM=10 scripts/fleet_soak.sh 32001 1 60
 step "lint" scripts/lint.sh
 if [ -e KNOWN-RED.txt ]; then
   echo "== known red"
