Name the counts of lost runs apart; give the age of an acquisition in logs

A counter by basis had the name of the set of lost runs of a job. The age of the last stored write was that of the machine until the first write of an owner that had found its acquisition by reading.

--- a/src/coordination/SchedulerTaskDiagnostics.cpp
+++ b/src/coordination/SchedulerTaskDiagnostics.cpp
@@ -33,7 +33,7 @@
 milliseconds
 SchedulerTask::LastStoredWriteAt() const
 {
-  return mTenure.ConfirmedAt();
+  return std::max(mTenure.ConfirmedAt(), mAcquireSentAt);
 }
 
 void
--- a/src/state/scheduling/SchedulerDiagnostics.cpp
+++ b/src/state/scheduling/SchedulerDiagnostics.cpp
@@ -43,10 +43,10 @@
            LossCauseName(cause) + "\"}"] =
       static_cast<std::uint64_t>(std::llround(mLostWork.at(i)));
   }
-  for (std::size_t i = 0; i < mLostRuns.size(); ++i) {
+  for (std::size_t i = 0; i < mLostRunsByBasis.size(); ++i) {
     const auto basis = static_cast<LossBasis>(i);
     gauges[std::string("scheduler_runs_lost{basis=\"") + LossBasisName(basis) +
-           "\"}"] = mLostRuns.at(i);
+           "\"}"] = mLostRunsByBasis.at(i);
   }
   for (const auto& [id, job] : mJobs) {
     gauges["scheduler_jobs_stalled"] += job.mStalledSince.count() > 0 ? 1 : 0;
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -381,7 +381,7 @@
   /** Core seconds of lost work, by LossCause. */
   std::array<double, kLossCauses> mLostWork{};
   /** Number of lost runs, by LossBasis. */
-  std::array<std::uint64_t, kLossBases> mLostRuns{};
+  std::array<std::uint64_t, kLossBases> mLostRunsByBasis{};
   bool mFenced = false;
 };
 
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -291,7 +291,7 @@
   }
   const Task& task = job->mTasks[aKey.second];
   const double lost = CountLoss(*job, task, LossCause::kWorkerLost, aNow);
-  ++mLostRuns.at(static_cast<std::size_t>(aBasis));
+  ++mLostRunsByBasis.at(static_cast<std::size_t>(aBasis));
   EventFields fields{ { "task", job->IdOf(aKey.second).Text() },
                       { "run", std::to_string(task.mRun) },
                       { "worker", task.mWorker },
