--- a/tests/state/scheduling/TakeoverModel.h
+++ b/tests/state/scheduling/TakeoverModel.h
@@ -4,7 +4,6 @@
 #include "TakeoverPlan.h"
 
 #include <chrono>
-#include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
@@ -61,12 +60,8 @@
    *   acknowledged end within the lease.
    */
   const std::vector<std::string>& Violations() const;
-  /** @return What happened, if traced. */
+  /** @return What happened, if traced; for searches by hand. */
   const std::vector<std::string>& Trace() const;
-  /** @return Number of acquisitions of the lease. */
-  std::size_t Takeovers() const;
-  /** @return Number of runs that workers started. */
-  std::size_t Starts() const;
 
 private:
   class Impl;
