--- a/tests/state/scheduling/TakeoverDaemonCycle.cpp
+++ b/tests/state/scheduling/TakeoverDaemonCycle.cpp
@@ -234,8 +234,7 @@
                      : mContext.DrawLatency());
   mContext.mQueue.Schedule(
     delay, [=, this, &worker, &link, id = aTarget.mId, life = worker.Life()] {
-      if (!isLate || life == worker.Life() ||
-          mContext.mPlan.mCommandsOutliveWorkers) {
+      if (!isLate || life == worker.Life()) {
         ExecuteCommand<Reply>(worker, id, link, aOperation, deliver);
       }
     });
--- a/tests/state/scheduling/TakeoverPlan.h
+++ b/tests/state/scheduling/TakeoverPlan.h
@@ -112,8 +112,6 @@
   /** Shares of messages of any kind, 0 to 1. */
   double mLostShare = 0.0;
   double mLateShare = 0.0;
-  /** A late command reaches a worker that has restarted since it was sent. */
-  bool mCommandsOutliveWorkers = false;
   std::vector<TakeoverFault> mFaults;
 
   /** @return A plan that depends only on the seed. */
