Mirror the unconfirmed acquisition by reading in the model of takeovers

As in SchedulerTask, an owner that finds its acquisition by reading the lease row sends no commands until a write of its own is stored.

--- a/tests/state/scheduling/TakeoverDaemonOwnership.cpp
+++ b/tests/state/scheduling/TakeoverDaemonOwnership.cpp
@@ -55,6 +55,8 @@
     }
     mState.mLease = lease;
     FinishAcquire(aReply.mVersion);
+    // An earlier attempt than the last one may have written the row.
+    mState.mTenure = OwnerTenure();
   } else if (IsAcquisitionDue(aReply)) {
     AcquireLease(aReply.mVersion, lease);
   }
