--- a/tests/state/scheduling/TakeoverDaemon.h
+++ b/tests/state/scheduling/TakeoverDaemon.h
@@ -109,6 +109,7 @@
     bool mIsWriteRetry = false;
     milliseconds mNextWriteAt{ 0 };
     int mFailedWrites = 0;
+    std::map<std::uint64_t, milliseconds> mSentWrites;
     milliseconds mLastCycleAt{ 0 };
     milliseconds mConfirmLeaseFrom{ 0 };
     bool mCycleScheduled = false;
@@ -152,6 +153,7 @@
   bool IsLeaseConfirmed() const;
   bool IsWriteDue() const;
   void Write();
+  void ConfirmLease(std::uint64_t aSequence);
   void RelinquishLease(milliseconds aNow);
   void FinishWrite(const StoreReply& aReply);
   void StepDown(const char* aReason);
