--- a/src/state/scheduling/LossBasis.h
+++ b/src/state/scheduling/LossBasis.h
@@ -8,7 +8,7 @@
 
 namespace cornelrudder::state::scheduling {
 
-/** On whose word an owner takes a run for ended that its worker did not end. */
+/** Why an owner takes a run for ended without a report of its worker. */
 enum class LossBasis
 {
   /** The end of the lease in this owner's own last command. */
@@ -33,19 +33,19 @@
 const char*
 LossBasisName(LossBasis aBasis);
 
-/** What an owner relies on when it ends runs, and since when it knows that. */
-struct LossWord
+/** What an owner relies on when it ends runs, and since when it knows it. */
+struct LossSource
 {
   LossBasis mBasis;
-  std::chrono::milliseconds mHeardAt;
+  std::chrono::milliseconds mKnownAt;
 
-  auto operator<=>(const LossWord&) const = default;
+  auto operator<=>(const LossSource&) const = default;
 };
 
 /** What the end of a worker's lease rests on, for logs. */
-struct LeaseWord
+struct LeaseSource
 {
-  LossWord mWord{ LossBasis::kPresumption, std::chrono::milliseconds(0) };
+  LossSource mSource{ LossBasis::kPresumption, std::chrono::milliseconds(0) };
   /** When this owner last extended the lease. */
   std::optional<std::chrono::milliseconds> mExtendedAt{};
   /** End of the lease in that command, on the worker's clock. */
@@ -54,18 +54,18 @@
   /**
    * @param aUntil End of the lease on the worker's clock.
    * @param aIsLatest Whether this end is not before the one known so far.
-   * @return The word after this owner has extended the lease.
+   * @return The source after this owner has extended the lease.
    */
-  LeaseWord WithExtension(std::chrono::milliseconds aNow,
-                          std::chrono::milliseconds aUntil,
-                          bool aIsLatest) const
+  LeaseSource WithExtension(std::chrono::milliseconds aNow,
+                            std::chrono::milliseconds aUntil,
+                            bool aIsLatest) const
   {
-    return { aIsLatest ? LossWord{ LossBasis::kOwnCommand, aNow } : mWord,
+    return { aIsLatest ? LossSource{ LossBasis::kOwnCommand, aNow } : mSource,
              aNow,
              aUntil };
   }
 
-  auto operator<=>(const LeaseWord&) const = default;
+  auto operator<=>(const LeaseSource&) const = default;
 };
 
 } // namespace cornelrudder::state::scheduling
--- a/src/state/scheduling/SchedulerDiagnostics.cpp
+++ b/src/state/scheduling/SchedulerDiagnostics.cpp
@@ -80,7 +80,8 @@
       }));
     summary.mRuns += runs;
     summary.mWorkers += runs > 0 ? 1 : 0;
-    if (runs > 0 && worker.mLeaseWord.mWord.mBasis == LossBasis::kPresumption) {
+    if (runs > 0 &&
+        worker.mLeaseSource.mSource.mBasis == LossBasis::kPresumption) {
       const Millis left = worker.mLeaseExpiry - aNow;
       summary.mLongestPresumption =
         summary.mPresumedWorkers++ == 0
@@ -97,7 +98,7 @@
   std::vector<LeaseExtension> extensions;
   for (const auto& [id, worker] : mWorkers) {
     if (!worker.mAssigned.empty()) {
-      extensions.push_back({ worker.mLeaseWord.mExtendedAt, id });
+      extensions.push_back({ worker.mLeaseSource.mExtendedAt, id });
     }
   }
   std::sort(extensions.begin(), extensions.end(), std::greater<>());
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -174,13 +174,15 @@
   WorkerState& FindOrAddWorker(const std::string& aId, Millis aNow);
   void HandleLostWorker(WorkerState& aWorker,
                         const char* aReason,
-                        const LossWord& aWord,
+                        const LossSource& aSource,
                         Millis aNow);
   void RecordWorkerGone(const WorkerState& aWorker,
                         const char* aReason,
-                        const LossWord& aWord,
+                        const LossSource& aSource,
                         Millis aNow);
-  void HandleRestart(WorkerState& aWorker, const LossWord& aWord, Millis aNow);
+  void HandleRestart(WorkerState& aWorker,
+                     const LossSource& aSource,
+                     Millis aNow);
   void WithdrawPlannedRuns(WorkerState& aWorker, Millis aNow);
   void ExpireUnresponsiveWorkers(Millis aNow);
   bool CanOnlyBeDeregistered(const WorkerState& aWorker, Millis aNow) const;
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -381,7 +381,7 @@
    * Local time from which none of the runs that were started so far can exist.
    */
   Millis mLeaseExpiry{ 0 };
-  LeaseWord mLeaseWord;
+  LeaseSource mLeaseSource;
   /** When the entry of the worker was last read or was removed. */
   Millis mEntryAt{ 0 };
   /** See Scheduler::WithholdLeases(). */
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -79,12 +79,12 @@
     worker.mInfo.mId = aId;
     MarkUnlisted(worker);
     worker.mLastReplyAt = aNow;
-    worker.mLeaseWord.mWord = { LossBasis::kPresumption, aNow };
+    worker.mLeaseSource.mSource = { LossBasis::kPresumption, aNow };
     // This owner has started no runs on the worker, but an earlier owner may
     // have.
     const auto inherited = mOptions.mInheritedLeases.find(aId);
     if (inherited != mOptions.mInheritedLeases.end()) {
-      worker.mLeaseWord.mWord = { LossBasis::kRelease, aNow };
+      worker.mLeaseSource.mSource = { LossBasis::kRelease, aNow };
       worker.mLeaseExpiry = inherited->second;
       worker.mIsQueryDue = true;
     } else {
@@ -240,12 +240,12 @@
 {
   const WorkerEvidenceInfo& info = InfoOf(aEvidence);
   if (info.mEndsRuns) {
-    LossWord word = aWorker.mLeaseWord.mWord;
+    LossSource source = aWorker.mLeaseSource.mSource;
     if (info.mBasis) {
-      word = { *info.mBasis,
-               info.mBasis == LossBasis::kEntry ? aWorker.mEntryAt : aNow };
+      source = { *info.mBasis,
+                 info.mBasis == LossBasis::kEntry ? aWorker.mEntryAt : aNow };
     }
-    HandleLostWorker(aWorker, info.mName, word, aNow);
+    HandleLostWorker(aWorker, info.mName, source, aNow);
   }
 }
 
@@ -289,22 +289,22 @@
 void
 Scheduler::Impl::HandleLostWorker(WorkerState& aWorker,
                                   const char* aReason,
-                                  const LossWord& aWord,
+                                  const LossSource& aSource,
                                   Millis aNow)
 {
   if (!aWorker.mAssigned.empty()) {
-    RecordWorkerGone(aWorker, aReason, aWord, aNow);
+    RecordWorkerGone(aWorker, aReason, aSource, aNow);
   }
   const std::set<TaskKey> assigned = aWorker.mAssigned;
   for (const TaskKey& key : assigned) {
-    HandleLostRun(key, aReason, aWord.mBasis, aNow);
+    HandleLostRun(key, aReason, aSource.mBasis, aNow);
   }
 }
 
 void
 Scheduler::Impl::RecordWorkerGone(const WorkerState& aWorker,
                                   const char* aReason,
-                                  const LossWord& aWord,
+                                  const LossSource& aSource,
                                   Millis aNow)
 {
   const auto age = [aNow](Millis aTime) {
@@ -314,10 +314,10 @@
                       { "reason", aReason },
                       { "runs", std::to_string(aWorker.mAssigned.size()) },
                       { "epoch", std::to_string(mOptions.mEpoch) },
-                      { "basis", LossBasisName(aWord.mBasis) },
-                      { "basis_ms_ago", age(aWord.mHeardAt) },
+                      { "basis", LossBasisName(aSource.mBasis) },
+                      { "basis_ms_ago", age(aSource.mKnownAt) },
                       { "lease_ended_ms_ago", age(aWorker.mLeaseExpiry) } };
-  const LeaseWord& lease = aWorker.mLeaseWord;
+  const LeaseSource& lease = aWorker.mLeaseSource;
   if (lease.mExtendedAt) {
     fields.emplace_back("extended_ms_ago", age(*lease.mExtendedAt));
     fields.emplace_back("until_ms", std::to_string(lease.mUntil.count()));
@@ -336,16 +336,16 @@
  */
 void
 Scheduler::Impl::HandleRestart(WorkerState& aWorker,
-                               const LossWord& aWord,
+                               const LossSource& aSource,
                                Millis aNow)
 {
   const char* const reason = InfoOf(WorkerEvidence::kLaterIncarnation).mName;
-  RecordWorkerGone(aWorker, reason, aWord, aNow);
+  RecordWorkerGone(aWorker, reason, aSource, aNow);
   for (const CrashedRun& run : AssessCrash(aWorker, aNow)) {
     Task& task = mJobs.at(run.mTask.first).mTasks[run.mTask.second];
     task.mPendingCrash = run.mCrash;
     if (task.mPhase == TaskPhase::kRunning && task.mReportedIncarnation != 0) {
-      HandleLostRun(run.mTask, reason, aWord.mBasis, aNow);
+      HandleLostRun(run.mTask, reason, aSource.mBasis, aNow);
       CountCrash(run, aWorker.mInfo.mId, reason, aNow);
     }
   }
@@ -464,8 +464,8 @@
   const Millis until = aWorker.mClock +
                        SlowestAdvance(aNow - aWorker.mClockAt) +
                        mOptions.mWorkerLease;
-  aWorker.mLeaseWord =
-    aWorker.mLeaseWord.WithExtension(aNow, until, end >= aWorker.mLeaseExpiry);
+  aWorker.mLeaseSource = aWorker.mLeaseSource.WithExtension(
+    aNow, until, end >= aWorker.mLeaseExpiry);
   aWorker.mLeaseExpiry = std::max(aWorker.mLeaseExpiry, end);
   return until;
 }
