--- a/review/6/lib.sh
+++ b/review/6/lib.sh
@@ -1,7 +1,6 @@
 # Functions of the scripts of this review. A script sets $here to its folder and
-# $trouble to 0 or 1
-# and sources this file. It needs the build of the deploy file (target/) and
-# review/build-2.sh.
+# $trouble to TROUBLE, and sources this file. It needs the build of the deploy
+# file (target/) and review/build-2.sh.
 
 root=$(cd "$here/../.." && pwd)
 daemon=$root/target/apps/cornelrudderd
