Start runs only until a successor can acquire the lease

Its former owner, frozen for 1.9 s as the reply to its write was on its way, started it on a worker that had restarted, while it ran elsewhere by order of the successor.

Cause: three bounds, each right on its own. A successor may own the lease 1.3 s after the last renewal; a former owner commanded workers for 3.7 s after its last stored write; a pause counts as a suspension from 2 s on. Between 1.3 and 3.7 s only the epoch that a worker knows stopped a start of the former owner, and a restarted worker knows none.

Evidence: the case's log (plan stored by epoch 1, freeze, epoch 2 asks the worker, the worker restarts, epoch 2 starts run 2 elsewhere, epoch 1 starts run 1). The model of takeovers was clean since its plans hardly reach this sequence: a pause of 1.3 to 2 s at a reply, and a restart in the 0.3 s after the successor's first query. Its check sees the pair.

Change: starts, also repeated ones, have a bound of their own, which ends before a successor can acquire the lease, and follows the silence that the stored row allows while the store is slow. It is checked when commands are collected and again just before the request is written, so that a start that waited for a connection, or in a frozen process, is not sent. Nothing is started from the decision to release the lease on. A successor replaces no run that an earlier owner may still start: after a silent owner this time has passed, after a release it is up to 1.3 s. Stops and extensions of leases create no run and keep their 3.7 s.

Why it works: when a worker is asked under the new epoch, no earlier owner sends starts any more, so that it does not matter whether the worker remembers the epoch. A request that was written before reaches only the life of the worker that its connection belongs to.

--- a/apps/cornelrudderd/FleetDaemon.cpp
+++ b/apps/cornelrudderd/FleetDaemon.cpp
@@ -76,7 +76,7 @@
              aSettings.StoreTimeout(),
              platform::TableLimits{ aSettings.RowBytes() },
              mLog)
-    , mWorkers(mWorkerClient, aSettings.WorkerTimeout())
+    , mWorkers(mWorkerClient, mClock, aSettings.WorkerTimeout())
     , mSystem(mConfig)
     , mTasks(mSystem, mLog)
   {
--- a/include/cornelrudder/coordination/TaskWorkerPort.h
+++ b/include/cornelrudder/coordination/TaskWorkerPort.h
@@ -20,6 +20,10 @@
 
   virtual ~TaskWorkerPort() = default;
 
+  /**
+   * Does not send the command from StartCommand::mSendBefore on, by the clock
+   * of the scheduler task.
+   */
   virtual void Start(const state::scheduling::StartCommand& aCommand,
                      CommandCompletion aCompletion) = 0;
 
--- a/include/cornelrudder/state/scheduling/OwnerLease.h
+++ b/include/cornelrudder/state/scheduling/OwnerLease.h
@@ -155,6 +155,15 @@
    * @param aBound Bound in the lease row.
    * @param aTimeout Silence after which an owner counts as failed while the
    *   store is fast.
+   * @return The least that SilenceLimit() is for any daemon.
+   */
+  static std::chrono::milliseconds LeastSilence(
+    std::chrono::milliseconds aBound,
+    std::chrono::milliseconds aTimeout);
+
+  /**
+   * @param aBound As for LeastSilence().
+   * @param aTimeout As for LeastSilence().
    * @return Silence of the owner after which it counts as failed.
    */
   std::chrono::milliseconds SilenceLimit(
--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -51,6 +51,11 @@
    * OwnerTenure.
    */
   std::chrono::milliseconds mLastEarlierCommandAt{ 0 };
+  /**
+   * Local time from which earlier owners start no runs. Until then, a worker
+   * that restarts may start a run that it has reported as ended or not started.
+   */
+  std::chrono::milliseconds mLastEarlierStartAt{ 0 };
   /**
    * Number of tasks whose records one row of the store has room for; the
    * default divides no record.
@@ -256,9 +261,11 @@
     std::chrono::milliseconds aNow);
 
   /**
+   * @param aStartsUntil Time from which this owner may not start runs.
    * @return Commands that are due; start commands only for stored assignments.
    */
-  WorkerCommands CollectCommands(Millis aNow);
+  WorkerCommands CollectCommands(Millis aNow,
+                                 Millis aStartsUntil = Millis::max());
 
   /** @return Events since the last call. */
   std::vector<SchedulerEvent> TakeEvents();
--- a/include/cornelrudder/state/scheduling/WorkerCalls.h
+++ b/include/cornelrudder/state/scheduling/WorkerCalls.h
@@ -35,6 +35,11 @@
   std::chrono::milliseconds mLeaseExpiry{ 0 };
   /** Fencing token. */
   std::uint64_t mEpoch = 0;
+  /**
+   * Local time from which the command must not be sent any more, however long
+   * it has waited for a connection; see OwnerTenure.
+   */
+  std::chrono::milliseconds mSendBefore{ std::chrono::milliseconds::max() };
 
   auto operator<=>(const StartCommand&) const = default;
 };
@@ -78,6 +83,8 @@
   kRejected,
   /** No connection to the worker: the command was not sent. */
   kNotSent,
+  /** The command was not sent, since StartCommand::mSendBefore had passed. */
+  kWithheld,
   /** The worker lacks the capacity. */
   kNoCapacity,
   /** The worker knows a higher epoch. */
--- a/include/cornelrudder/transport/HttpClient.h
+++ b/include/cornelrudder/transport/HttpClient.h
@@ -27,6 +27,8 @@
   kNone,
   /** No byte of the request left. */
   kNotSent,
+  /** The same, because HttpExchangeOptions::mMaySend did not allow it. */
+  kWithheld,
   /** The connection broke after bytes had left. */
   kConnectionLost,
   /** No whole response came in time. */
@@ -72,6 +74,11 @@
    * the meantime, which leaves open whether the request was seen.
    */
   bool mReuseConnection = true;
+  /**
+   * Called on the I/O thread just before the request is written, if set; the
+   * request is not sent if the result is false.
+   */
+  std::function<bool()> mMaySend{};
 };
 
 /** Called once, on the I/O thread. */
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 using state::scheduling::CommandReply;
+using state::scheduling::OwnerTenure;
 using state::scheduling::RenewCommand;
 using state::scheduling::RenewReply;
 using state::scheduling::SchedulerEvent;
@@ -197,9 +198,10 @@
   // Planning may have been suspended.
   const Millis now = DetectSuspension();
   TrackCommandPause(now);
+  TrackStartPause(now);
   if (!mReleasing && IsLeaseConfirmed()) {
     // An isolated owner renews the leases that it can until the store has taken
-    // the release, which may be long.
+    // the release, which may be long. It starts nothing meanwhile.
     SendCommands(now);
   }
   if (IsWriteDue()) {
@@ -241,10 +243,23 @@
   return now;
 }
 
+/**
+ * @return Time from which no run is started. It is at most the shortest silence
+ *   away: a start that waits for a connection must not be sent after a
+ *   successor has acquired the lease from a row that is written meanwhile.
+ */
+milliseconds
+SchedulerTask::StartsUntil(Millis aNow) const
+{
+  const Millis limit = aNow + OwnerTenure::StartTime(mOptions.mOwnerTimeout);
+  return mIsolation ? aNow : std::min(mTenure.StartsUntil(), limit);
+}
+
 void
 SchedulerTask::SendCommands(Millis aNow)
 {
-  const WorkerCommands commands = mScheduler->CollectCommands(aNow);
+  const WorkerCommands commands =
+    mScheduler->CollectCommands(aNow, StartsUntil(aNow));
   for (const StopCommand& command : commands.mStops) {
     mPorts.mWorkers.Stop(command, MakeReplyHandler<StopCallCompleted>(command));
   }
--- a/src/coordination/SchedulerTaskDiagnostics.cpp
+++ b/src/coordination/SchedulerTaskDiagnostics.cpp
@@ -33,7 +33,7 @@
 milliseconds
 SchedulerTask::LastStoredWriteAt() const
 {
-  return std::max(mTenure.ConfirmedAt(), mAcquireSentAt);
+  return std::max(mTenure.ConfirmedAt(), mAcquireWrite.mSentAt);
 }
 
 void
@@ -132,6 +132,20 @@
       std::move(fields) });
 }
 
+/** Counts the time in which this owner may command workers, but not start. */
+void
+SchedulerTask::TrackStartPause(Millis aNow)
+{
+  const bool isPaused = aNow >= StartsUntil(aNow);
+  if (isPaused && !mStartsPausedAt) {
+    mStartsPausedAt = aNow;
+  } else if (!isPaused && mStartsPausedAt) {
+    mCounters["starts_paused_ms_total"] +=
+      static_cast<std::uint64_t>((aNow - *mStartsPausedAt).count());
+    mStartsPausedAt.reset();
+  }
+}
+
 void
 SchedulerTask::EndCommandPause()
 {
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -112,6 +112,7 @@
     return mTenure.MayCommand(Now()) &&
            mTenure.ConfirmedAt() >= mConfirmLeaseFrom;
   }
+  Millis StartsUntil(Millis aNow) const;
   void SendCommands(Millis aNow);
   void LogSchedulerEvents();
   Counters CollectCounters() const;
@@ -151,7 +152,11 @@
   Millis LastStoredWriteAt() const;
   void LogTakeover();
   void LogOwnerStopped(const char* aReason);
+  state::scheduling::LeaseWrite MakeLeaseWrite(Millis aSentAt) const;
+  Millis LastEarlierStartAt(std::uint64_t aVersion,
+                            const state::scheduling::OwnerLease& aLease) const;
   void TrackCommandPause(Millis aNow);
+  void TrackStartPause(Millis aNow);
   void EndCommandPause();
 
   // Tables.
@@ -216,6 +221,7 @@
   state::scheduling::LeaseSighting mLeaseSighting;
   /** See SchedulerOptions. */
   Millis mLastEarlierCommandAt{ 0 };
+  Millis mLastEarlierStartAt{ 0 };
   /** Last logged version of a lease row that could not be decoded. */
   std::uint64_t mMalformedLeaseVersion = 0;
   bool mLeaseReadInFlight = false;
@@ -240,10 +246,10 @@
   Millis mLastWriteAt{ 0 };
   Millis mLastCycleAt{ 0 };
   state::scheduling::OwnerTenure mTenure;
-  /** When recent writes were sent, by sequence number of the lease. */
-  std::map<std::uint64_t, Millis> mSentWrites;
-  /** When the write that acquired the lease was sent. */
-  Millis mAcquireSentAt{ 0 };
+  /** Recent writes by sequence number of the lease. */
+  std::map<std::uint64_t, state::scheduling::LeaseWrite> mSentWrites;
+  /** The write that acquired the lease. */
+  state::scheduling::LeaseWrite mAcquireWrite;
   /** End of the last suspension of this process that was noticed. */
   Millis mConfirmLeaseFrom{ 0 };
   /** Begin of the first write since the last stored one. */
@@ -261,6 +267,8 @@
   Takeover mTakeover;
   /** Set while no commands are sent until the store confirms the lease. */
   std::optional<Millis> mCommandsPausedAt;
+  /** Set while no runs are started for the same reason. */
+  std::optional<Millis> mStartsPausedAt;
   state::Backoff mAcquireBackoff;
   std::mt19937_64 mRandom;
 
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -16,9 +16,11 @@
 using state::Transaction;
 using state::scheduling::JobProgress;
 using state::scheduling::LeaseObserver;
+using state::scheduling::LeaseWrite;
 using state::scheduling::OwnerLease;
 using state::scheduling::OwnerReachability;
 using state::scheduling::OwnerTenure;
+using state::scheduling::StoreTiming;
 using std::chrono::milliseconds;
 
 /**
@@ -129,6 +131,7 @@
       if (lease.mEpoch != mLease.mEpoch) {
         mInheritedLeases.clear();
         mLastEarlierCommandAt = mLeaseSighting.LastCommandAt();
+        mLastEarlierStartAt = mLastEarlierCommandAt;
       }
       mLease = lease;
       FinishAcquire(row.Version());
@@ -176,6 +179,8 @@
     OwnerLease base;
     base.mEpoch = aRow.Version();
     AcquireLease(aRow.Version(), base, "malformed");
+    // The row does not tell how long its writer starts runs.
+    mLastEarlierStartAt = mLastEarlierCommandAt;
   }
 }
 
@@ -210,6 +215,22 @@
   return Now() >= *mTakeoverAt;
 }
 
+/**
+ * @param aVersion Version of the row that an acquisition replaces; 0 for none.
+ * @param aLease The lease in that row.
+ * @return Time from which earlier owners start no runs.
+ */
+milliseconds
+SchedulerTask::LastEarlierStartAt(std::uint64_t aVersion,
+                                  const OwnerLease& aLease) const
+{
+  // An earlier process of this daemon has ended.
+  const bool isEnded = aVersion == 0 || aLease.mOwner == mOptions.mSelf;
+  return isEnded ? Now()
+                 : mLeaseSighting.LastStartAt(StoreTiming::LeastSilence(
+                     aLease.mRenewalBound, mOptions.mOwnerTimeout));
+}
+
 void
 SchedulerTask::AcquireLease(std::uint64_t aVersion,
                             const OwnerLease& aObserved,
@@ -233,7 +254,8 @@
   }
   mLastEarlierCommandAt =
     aVersion != 0 ? mLeaseSighting.LastCommandAt() : Now();
-  mAcquireSentAt = Now();
+  mLastEarlierStartAt = LastEarlierStartAt(aVersion, aObserved);
+  mAcquireWrite = MakeLeaseWrite(Now());
   mLease.mOwner = mOptions.mSelf;
   mLease.mIncarnation = mOptions.mIncarnation;
   mLease.mEpoch = aObserved.mEpoch + 1;
@@ -275,9 +297,9 @@
 SchedulerTask::FinishAcquire(std::uint64_t aVersion)
 {
   mLeaseVersion = aVersion;
-  mTenure = OwnerTenure().WithStoredWrite(mAcquireSentAt);
+  mTenure = OwnerTenure().WithStoredWrite(mAcquireWrite);
   mSentWrites.clear();
-  mLastWriteAt = mAcquireSentAt;
+  mLastWriteAt = mAcquireWrite.mSentAt;
   mLastCycleAt = Now();
   mConfirmLeaseFrom = Millis(0);
   mIsWriteRetry = false;
@@ -306,6 +328,15 @@
          Now() - mLastWriteAt >= mOptions.mRenewInterval;
 }
 
+/** @return A write of the present lease. */
+LeaseWrite
+SchedulerTask::MakeLeaseWrite(Millis aSentAt) const
+{
+  return { aSentAt,
+           StoreTiming::LeastSilence(mLease.mRenewalBound,
+                                     mOptions.mOwnerTimeout) };
+}
+
 /** Writes changed records and removals; each write renews the lease. */
 void
 SchedulerTask::Write()
@@ -318,12 +349,14 @@
   }
   mIsWriteRetry = true;
   ++mLease.mSequence;
-  mSentWrites.emplace(mLease.mSequence, mLastWriteAt);
+  mLease.mRenewalBound =
+    mStoreTiming.RenewalBound(Now(), mOptions.mRenewInterval);
+  const LeaseWrite write = MakeLeaseWrite(mLastWriteAt);
+  mTenure = mTenure.WithSentWrite(write);
+  mSentWrites.emplace(mLease.mSequence, write);
   if (mSentWrites.size() > kMaxSentWrites) {
     mSentWrites.erase(mSentWrites.begin());
   }
-  mLease.mRenewalBound =
-    mStoreTiming.RenewalBound(Now(), mOptions.mRenewInterval);
   std::vector<RowWrite> records;
   if (mMode == Mode::kOwning) {
     records = CollectRecords();
@@ -572,6 +605,7 @@
   }
   mIsolation.reset();
   EndCommandPause();
+  mStartsPausedAt.reset();
   mInheritedLeases.clear();
   mScheduler.reset();
   mStoreCalls.clear();
--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -135,6 +135,7 @@
   options.mPolicy = mOptions.mPolicy;
   options.mInheritedLeases = std::move(mInheritedLeases);
   options.mLastEarlierCommandAt = mLastEarlierCommandAt;
+  options.mLastEarlierStartAt = mLastEarlierStartAt;
   options.mTasksPerRecord = TasksPerRecord();
   mInheritedLeases.clear();
   mScheduler.emplace(std::move(options));
--- a/src/state/scheduling/OwnerLease.cpp
+++ b/src/state/scheduling/OwnerLease.cpp
@@ -112,13 +112,19 @@
   return std::min(aInterval + took * kRenewalBoundFactor, kMaxRenewalBound);
 }
 
+std::chrono::milliseconds
+StoreTiming::LeastSilence(std::chrono::milliseconds aBound,
+                          std::chrono::milliseconds aTimeout)
+{
+  return std::max(aTimeout, std::min(aBound, kMaxRenewalBound));
+}
+
 std::chrono::milliseconds
 StoreTiming::SilenceLimit(std::chrono::milliseconds aNow,
                           std::chrono::milliseconds aBound,
                           std::chrono::milliseconds aTimeout) const
 {
-  return std::max(aTimeout, std::min(aBound, kMaxRenewalBound)) +
-         ReadDelay(aNow) * kCallsPerRenewal;
+  return LeastSilence(aBound, aTimeout) + ReadDelay(aNow) * kCallsPerRenewal;
 }
 
 std::chrono::milliseconds
--- a/src/state/scheduling/OwnerTenure.cpp
+++ b/src/state/scheduling/OwnerTenure.cpp
@@ -9,15 +9,41 @@
 /** Allows for clocks of two daemons that differ by up to three percent. */
 constexpr double kClockDrift = 1.03;
 
+std::chrono::milliseconds
+Scaled(std::chrono::milliseconds aTime, double aFactor)
+{
+  using Millis = std::chrono::milliseconds;
+  return Millis(
+    static_cast<Millis::rep>(static_cast<double>(aTime.count()) * aFactor));
+}
+
 } // namespace
 
+std::chrono::milliseconds
+OwnerTenure::StartTime(std::chrono::milliseconds aSilence)
+{
+  return std::min(Scaled(aSilence, 1 / kClockDrift), kCommandTime);
+}
+
 OwnerTenure
-OwnerTenure::WithStoredWrite(std::chrono::milliseconds aSentAt) const
+OwnerTenure::WithSentWrite(const LeaseWrite& aWrite) const
 {
   OwnerTenure tenure = *this;
-  tenure.mConfirmedAt =
-    mIsConfirmed ? std::max(mConfirmedAt, aSentAt) : aSentAt;
+  tenure.mStartsUntil =
+    std::min(mStartsUntil, aWrite.mSentAt + StartTime(aWrite.mSilence));
+  return tenure;
+}
+
+OwnerTenure
+OwnerTenure::WithStoredWrite(const LeaseWrite& aWrite) const
+{
+  if (mIsConfirmed && aWrite.mSentAt < mConfirmedAt) {
+    return *this;
+  }
+  OwnerTenure tenure;
   tenure.mIsConfirmed = true;
+  tenure.mConfirmedAt = aWrite.mSentAt;
+  tenure.mStartsUntil = aWrite.mSentAt + StartTime(aWrite.mSilence);
   return tenure;
 }
 
@@ -37,10 +63,13 @@
 std::chrono::milliseconds
 LeaseSighting::LastCommandAt() const
 {
-  using Millis = std::chrono::milliseconds;
-  return mSeenAt + Millis(static_cast<Millis::rep>(
-                     static_cast<double>(OwnerTenure::kCommandTime.count()) *
-                     kClockDrift));
+  return mSeenAt + Scaled(OwnerTenure::kCommandTime, kClockDrift);
+}
+
+std::chrono::milliseconds
+LeaseSighting::LastStartAt(std::chrono::milliseconds aSilence) const
+{
+  return mSeenAt + Scaled(OwnerTenure::StartTime(aSilence), kClockDrift);
 }
 
 } // namespace cornelrudder::state::scheduling
--- a/src/state/scheduling/Scheduler.cpp
+++ b/src/state/scheduling/Scheduler.cpp
@@ -127,9 +127,9 @@
 }
 
 WorkerCommands
-Scheduler::CollectCommands(Millis aNow)
+Scheduler::CollectCommands(Millis aNow, Millis aStartsUntil)
 {
-  return mImpl->CollectCommands(aNow);
+  return mImpl->CollectCommands(aNow, aStartsUntil);
 }
 
 std::vector<SchedulerEvent>
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -62,7 +62,7 @@
                        Millis aSentAt,
                        Millis aNow);
   std::map<std::string, Millis> WithholdLeases(Millis aNow);
-  WorkerCommands CollectCommands(Millis aNow);
+  WorkerCommands CollectCommands(Millis aNow, Millis aStartsUntil);
   bool IsFenced() const { return mFenced; }
   OwnerReachability Reachability(Millis aNow) const;
   TakeoverSummary Inherited(Millis aNow) const;
@@ -156,6 +156,14 @@
                      Millis aNow,
                      const EventFields& aDetails = {});
   std::string OrderedBy(const Task& aTask) const;
+  /**
+   * @return Whether an earlier owner may start the run of a task at a time. Its
+   *   worker rejects that only until the next restart.
+   */
+  bool MayEarlierOwnerStart(const Task& aTask, Millis aAt) const
+  {
+    return aTask.mIsInherited && aAt < mOptions.mLastEarlierStartAt;
+  }
   void RequestStop(JobState& aJob,
                    std::size_t aTask,
                    LossCause aCause,
@@ -230,11 +238,14 @@
                             Millis aNow);
   /** @return Whether a suspected or slow worker may be tried again. */
   static bool IsRetryable(const WorkerState& aWorker, Millis aNow);
-  void CollectRunCommands(WorkerCommands& aCommands, Millis aNow);
+  void CollectRunCommands(WorkerCommands& aCommands,
+                          Millis aNow,
+                          Millis aStartsUntil);
   void CollectRunCommand(const TaskKey& aKey,
                          WorkerState& aWorker,
                          WorkerCommands& aCommands,
-                         Millis aNow);
+                         Millis aNow,
+                         Millis aStartsUntil);
   bool HasUrgentRun(const WorkerState& aWorker) const;
   void CollectRenewCommands(WorkerCommands& aCommands, Millis aNow);
 
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -233,7 +233,9 @@
   const StepSpec& step = aJob.StepOf(aFirst);
   std::vector<TaskKey> waiting;
   for (std::size_t i = aFirst; i < aFirst + step.Tasks(); ++i) {
-    if (aJob.mTasks[i].mPhase == TaskPhase::kWaiting) {
+    const Task& task = aJob.mTasks[i];
+    if (task.mPhase == TaskPhase::kWaiting &&
+        !MayEarlierOwnerStart(task, aNow)) {
       waiting.push_back({ aJob.mJob.Id(), i });
     }
   }
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -343,9 +343,11 @@
       task.mProgressAt = aNow;
       break;
     case CommandOutcome::kNotSent:
+    case CommandOutcome::kWithheld:
     case CommandOutcome::kNoCapacity:
     case CommandOutcome::kRejected:
-      if (workerIt != mWorkers.end()) {
+      if (workerIt != mWorkers.end() &&
+          aReply.mOutcome != CommandOutcome::kWithheld) {
         // A missing connection says nothing about how the worker runs tasks:
         // it is unresponsive until it replies to a renewal.
         if (aReply.mOutcome == CommandOutcome::kNotSent) {
@@ -537,6 +539,10 @@
       continue;
     }
     Task& task = job->mTasks[key.second];
+    if (MayEarlierOwnerStart(task, aSentAt)) {
+      // The worker knows this owner's epoch, but not after a restart.
+      continue;
+    }
     // The renewal carried this owner's epoch, so the worker rejects late start
     // commands of earlier owners: an unlisted recovered run cannot start.
     // Times are in milliseconds: a renewal of the same millisecond as the reply
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -332,7 +332,7 @@
  * commands before this owner detects the restart; the next renewal reply shows
  * whether it does. A start command still in flight may reach the new
  * incarnation; if its outcome stays unknown, HandleUnlistedRuns() stops the run
- * there.
+ * there. While an earlier owner may start its runs again, theirs stay assigned.
  */
 void
 Scheduler::Impl::HandleRestart(WorkerState& aWorker,
@@ -344,7 +344,11 @@
   for (const CrashedRun& run : AssessCrash(aWorker, aNow)) {
     Task& task = mJobs.at(run.mTask.first).mTasks[run.mTask.second];
     task.mPendingCrash = run.mCrash;
-    if (task.mPhase == TaskPhase::kRunning && task.mReportedIncarnation != 0) {
+    if (MayEarlierOwnerStart(task, aNow)) {
+      task.mPhase = TaskPhase::kStarting;
+      task.mRecovered = true;
+    } else if (task.mPhase == TaskPhase::kRunning &&
+               task.mReportedIncarnation != 0) {
       HandleLostRun(run.mTask, reason, aSource.mBasis, aNow);
       CountCrash(run, aWorker.mInfo.mId, reason, aNow);
     }
@@ -603,23 +607,25 @@
 }
 
 WorkerCommands
-Scheduler::Impl::CollectCommands(Millis aNow)
+Scheduler::Impl::CollectCommands(Millis aNow, Millis aStartsUntil)
 {
   WorkerCommands commands;
   if (!mFenced) {
     commands.mStops.swap(mOrphanStops);
-    CollectRunCommands(commands, aNow);
+    CollectRunCommands(commands, aNow, aStartsUntil);
     CollectRenewCommands(commands, aNow);
   }
   return commands;
 }
 
 void
-Scheduler::Impl::CollectRunCommands(WorkerCommands& aCommands, Millis aNow)
+Scheduler::Impl::CollectRunCommands(WorkerCommands& aCommands,
+                                    Millis aNow,
+                                    Millis aStartsUntil)
 {
   for (auto& [id, worker] : mWorkers) {
     for (const TaskKey& key : worker.mAssigned) {
-      CollectRunCommand(key, worker, aCommands, aNow);
+      CollectRunCommand(key, worker, aCommands, aNow, aStartsUntil);
     }
   }
 }
@@ -628,7 +634,8 @@
 Scheduler::Impl::CollectRunCommand(const TaskKey& aKey,
                                    WorkerState& aWorker,
                                    WorkerCommands& aCommands,
-                                   Millis aNow)
+                                   Millis aNow,
+                                   Millis aStartsUntil)
 {
   JobState& job = mJobs.at(aKey.first);
   Task& task = job.mTasks[aKey.second];
@@ -645,7 +652,8 @@
   }
   const bool isStartDue =
     (task.mPhase == TaskPhase::kPlanned && isStored) || isRetry;
-  if (isStartDue && !aWorker.mIsLeaseWithheld) {
+  const bool mayStart = !aWorker.mIsLeaseWithheld && aNow < aStartsUntil;
+  if (isStartDue && mayStart) {
     task.mPhase = TaskPhase::kStarting;
     task.mStartRetryDue = false;
     task.mOutcomeUnknown = false;
@@ -655,7 +663,8 @@
                                   job.mJob.Payload(),
                                   task.mCheckpoint,
                                   ExtendLease(aWorker, aNow),
-                                  mOptions.mEpoch });
+                                  mOptions.mEpoch,
+                                  aStartsUntil });
     return;
   }
   const bool isStopDue = task.mStopRequested && !task.mStopInFlight &&
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -224,6 +224,11 @@
                       const Exchange& aExchange,
                       asio::yield_context aYield)
   {
+    if (aExchange.mOptions.mMaySend && !aExchange.mOptions.mMaySend()) {
+      aConnection->mStream.expires_never();
+      KeepIdle(aExchange.mAddress, std::move(aConnection));
+      return { HttpFailure::kWithheld, "not allowed to be sent any more" };
+    }
     error_code ec;
     beast::tcp_stream& stream = aConnection->mStream;
     stream.expires_at(aExchange.mDeadline);
--- a/tests/coordination/FakeFleet.cpp
+++ b/tests/coordination/FakeFleet.cpp
@@ -26,6 +26,22 @@
     Clock::now().time_since_epoch());
 }
 
+/** @return Whether a transaction has an entry in a table; false for no table.
+ */
+bool
+Covers(const state::Transaction& aTransaction, const std::string& aTable)
+{
+  const auto isInTable = [&aTable](const auto& aEntry) {
+    return aEntry.Key().starts_with(aTable + "/");
+  };
+  return !aTable.empty() && (std::any_of(aTransaction.Conditions().begin(),
+                                         aTransaction.Conditions().end(),
+                                         isInTable) ||
+                             std::any_of(aTransaction.Writes().begin(),
+                                         aTransaction.Writes().end(),
+                                         isInTable));
+}
+
 } // namespace
 
 FakeFeedStore::FakeFeedStore()
@@ -215,12 +231,13 @@
 }
 
 void
-FakeFeedStore::SetRepliesHeld(const std::string& aTable)
+FakeFeedStore::Hold(std::string FakeFeedStore::*aHeldTable,
+                    const std::string& aTable)
 {
   std::vector<std::function<void()>> replies;
   {
     const std::lock_guard lock(mMutex);
-    mHeldTable = aTable;
+    this->*aHeldTable = aTable;
     if (aTable.empty()) {
       replies.swap(mHeldReplies);
     }
@@ -299,16 +316,7 @@
 bool
 FakeFeedStore::IsRefused(const state::Transaction& aTransaction) const
 {
-  const auto isRefused = [this](const auto& aEntry) {
-    return aEntry.Key().starts_with(mRefusedTable + "/");
-  };
-  return !mRefusedTable.empty() &&
-         (std::any_of(aTransaction.Conditions().begin(),
-                      aTransaction.Conditions().end(),
-                      isRefused) ||
-          std::any_of(aTransaction.Writes().begin(),
-                      aTransaction.Writes().end(),
-                      isRefused));
+  return Covers(aTransaction, mRefusedTable);
 }
 
 int
@@ -399,6 +407,10 @@
         result = StoreResult(StoreStatus::kOutcomeUnknown, {});
       }
     }
+    if (Covers(aTransaction, mHeldWriteTable)) {
+      mHeldReplies.emplace_back([result, aCompletion] { aCompletion(result); });
+      return;
+    }
   }
   mWake.notify_all();
   aCompletion(result);
--- a/tests/coordination/FakeFleet.h
+++ b/tests/coordination/FakeFleet.h
@@ -100,7 +100,15 @@
    */
   void DropHistory(const std::string& aTable = "");
   /** Holds the replies to reads of a table; empty to send those held. */
-  void SetRepliesHeld(const std::string& aTable);
+  void SetRepliesHeld(const std::string& aTable)
+  {
+    Hold(&FakeFeedStore::mHeldTable, aTable);
+  }
+  /** The same for the replies to writes that cover a row of the table. */
+  void SetWriteRepliesHeld(const std::string& aTable)
+  {
+    Hold(&FakeFeedStore::mHeldWriteTable, aTable);
+  }
   /** @return Number of replies held. */
   std::size_t RepliesHeld();
 
@@ -137,6 +145,8 @@
   /** @return The oldest of some changes, up to the limit of SetFeedPage(). */
   state::StoreResult MakePage(std::vector<state::StoreRow> aRows) const;
   state::StoreResult Apply(const state::Transaction& aTransaction);
+  /** Sets a table whose replies are held; empty to send those held. */
+  void Hold(std::string FakeFeedStore::*aHeldTable, const std::string& aTable);
   bool IsRefused(const state::Transaction& aTransaction) const;
   bool IsRejected(const state::Transaction& aTransaction) const;
 
@@ -160,6 +170,7 @@
   std::vector<DelayedCall> mDelayedCalls;
   std::vector<state::Transaction> mLate;
   std::string mHeldTable;
+  std::string mHeldWriteTable;
   std::vector<std::function<void()>> mHeldReplies;
   std::vector<PendingPoll> mPendingPolls;
   bool mStopping = false;
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -760,6 +760,27 @@
     [&] { return daemons.HasPhase(daemon, "j1", JobPhase::kDone); }));
 }
 
+// Guards against a start by an owner that reads the reply to its write after a
+// successor may have acquired the lease, on a worker that has restarted since.
+TEST(SchedulingTasks, OwnerThatSeesItsWriteLateStartsNoRuns)
+{
+  // Too short to count as a suspension, and longer than the owner timeout.
+  constexpr milliseconds kPause{ 1'500 };
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mStore.SetWriteRepliesHeld(kProgressTable);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CHECK(WaitUntil([&] { return daemons.mStore.RepliesHeld() > 0; }));
+  CHECK(daemons.mStore.Has(ProgressKey("j1")));
+  daemons.mStore.SetDown(true);
+  daemons.Suspend(kPause);
+  daemons.mStore.SetWriteRepliesHeld("");
+  daemons.AwaitWrites(3);
+  CHECK_EQUAL(0, daemons.mWorkers.Starts());
+  daemons.mStore.SetDown(false);
+  CHECK(WaitUntil([&] { return daemons.mWorkers.Starts() == 1; }));
+}
+
 // Guards against a second run of a job whose record cannot be decoded, when its
 // row is read again.
 TEST(SchedulingTasks, JobWithUndecodableRecordIsNotStartedAnew)
--- a/tests/platform/CallCodecTest.cpp
+++ b/tests/platform/CallCodecTest.cpp
@@ -100,6 +100,8 @@
                       HttpResult(HttpFailure::kTimedOut, ""));
   CheckCommandOutcome(CommandOutcome::kNotSent,
                       HttpResult(HttpFailure::kNotSent, ""));
+  CheckCommandOutcome(CommandOutcome::kWithheld,
+                      HttpResult(HttpFailure::kWithheld, ""));
 }
 
 TEST(CallCodec, DecodesRenewReply)
--- a/tests/state/scheduling/TakeoverDaemon.h
+++ b/tests/state/scheduling/TakeoverDaemon.h
@@ -92,7 +92,7 @@
     scheduling::OwnerTenure mTenure;
     milliseconds mAbstainUntil{ 0 };
     milliseconds mAcquiredAt{ 0 };
-    milliseconds mAcquireSentAt{ 0 };
+    scheduling::LeaseWrite mAcquireWrite;
     scheduling::OwnerLease mLease;
     std::uint64_t mLeaseVersion = 0;
     std::map<std::string, milliseconds> mInheritedLeases;
@@ -109,7 +109,7 @@
     bool mIsWriteRetry = false;
     milliseconds mNextWriteAt{ 0 };
     int mFailedWrites = 0;
-    std::map<std::uint64_t, milliseconds> mSentWrites;
+    std::map<std::uint64_t, scheduling::LeaseWrite> mSentWrites;
     milliseconds mLastCycleAt{ 0 };
     milliseconds mConfirmLeaseFrom{ 0 };
     bool mCycleScheduled = false;
@@ -151,6 +151,8 @@
   void HandleAcquireResult(const StoreReply& aReply);
   void FinishAcquire(std::uint64_t aVersion);
   bool IsLeaseConfirmed() const;
+  scheduling::LeaseWrite MakeLeaseWrite(milliseconds aSentAt) const;
+  milliseconds StartsUntil() const;
   bool IsWriteDue() const;
   void Write();
   void ConfirmLease(std::uint64_t aSequence);
--- a/tests/state/scheduling/TakeoverDaemonCycle.cpp
+++ b/tests/state/scheduling/TakeoverDaemonCycle.cpp
@@ -111,7 +111,8 @@
 void
 TakeoverDaemon::SendCommands(milliseconds aNow)
 {
-  const WorkerCommands commands = mState.mScheduler->CollectCommands(aNow);
+  const WorkerCommands commands =
+    mState.mScheduler->CollectCommands(aNow, StartsUntil());
   milliseconds delay(0);
   const bool hasCommands = !commands.mStops.empty() ||
                            !commands.mStarts.empty() ||
@@ -150,6 +151,14 @@
 void
 TakeoverDaemon::SendStart(const StartCommand& aCommand, milliseconds aDelay)
 {
+  if (LocalNow() + aDelay * 98 / 100 >= aCommand.mSendBefore) {
+    MakeDelivery<CommandReply>([aCommand](Scheduler& aScheduler,
+                                          const CommandReply& aReply,
+                                          milliseconds aAt) {
+      aScheduler.ApplyStartReply(aCommand, aReply, aAt);
+    })(aDelay, ReplyWith<CommandReply>(CommandOutcome::kWithheld));
+    return;
+  }
   CallWorker<CommandReply>(
     aCommand.mWorker,
     aDelay,
--- a/tests/state/scheduling/TakeoverDaemonOwnership.cpp
+++ b/tests/state/scheduling/TakeoverDaemonOwnership.cpp
@@ -1,5 +1,7 @@
 #include "TakeoverDaemon.h"
 
+#include <algorithm>
+
 namespace cornelrudder::tests {
 
 using namespace state::scheduling;
@@ -52,6 +54,8 @@
     if (lease.mEpoch != mState.mLease.mEpoch) {
       mState.mInheritedLeases.clear();
       mState.mEarlierCommands.mBySighting = mState.mSighting.LastCommandAt();
+      mState.mEarlierCommands.mStartsBySighting =
+        mState.mEarlierCommands.mBySighting;
     }
     mState.mLease = lease;
     FinishAcquire(aReply.mVersion);
@@ -127,7 +131,12 @@
   }
   mState.mEarlierCommands.mBySighting =
     aVersion != 0 ? mState.mSighting.LastCommandAt() : now;
-  mState.mAcquireSentAt = now;
+  mState.mEarlierCommands.mStartsBySighting =
+    aVersion == 0 || aObserved.mOwner == mName
+      ? now
+      : mState.mSighting.LastStartAt(
+          StoreTiming::LeastSilence(aObserved.mRenewalBound, kOwnerTimeout));
+  mState.mAcquireWrite = MakeLeaseWrite(now);
   mState.mLease.mOwner = mName;
   mState.mLease.mIncarnation = mState.mIncarnation;
   mState.mLease.mEpoch = aObserved.mEpoch + 1;
@@ -161,9 +170,9 @@
 TakeoverDaemon::FinishAcquire(std::uint64_t aVersion)
 {
   mState.mLeaseVersion = aVersion;
-  mState.mTenure = OwnerTenure().WithStoredWrite(mState.mAcquireSentAt);
+  mState.mTenure = OwnerTenure().WithStoredWrite(mState.mAcquireWrite);
   mState.mSentWrites.clear();
-  mState.mLastWriteAt = mState.mAcquireSentAt;
+  mState.mLastWriteAt = mState.mAcquireWrite.mSentAt;
   mState.mLastCycleAt = LocalNow();
   mState.mConfirmLeaseFrom = milliseconds(0);
   mState.mIsWriteRetry = false;
@@ -183,6 +192,28 @@
          mState.mTenure.ConfirmedAt() >= mState.mConfirmLeaseFrom;
 }
 
+LeaseWrite
+TakeoverDaemon::MakeLeaseWrite(milliseconds aSentAt) const
+{
+  return { aSentAt,
+           StoreTiming::LeastSilence(mState.mLease.mRenewalBound,
+                                     kOwnerTimeout) };
+}
+
+/** @return Time from which no run is started. */
+milliseconds
+TakeoverDaemon::StartsUntil() const
+{
+  const milliseconds now = LocalNow();
+  if (!mRules.mAreStartsLimited) {
+    return milliseconds::max();
+  }
+  return mState.mIsolated
+           ? now
+           : std::min(mState.mTenure.StartsUntil(),
+                      now + OwnerTenure::StartTime(kOwnerTimeout));
+}
+
 bool
 TakeoverDaemon::IsWriteDue() const
 {
@@ -207,9 +238,11 @@
   }
   mState.mIsWriteRetry = true;
   ++mState.mLease.mSequence;
-  mState.mSentWrites.emplace(mState.mLease.mSequence, now);
   mState.mLease.mRenewalBound =
     mState.mStoreTiming.RenewalBound(now, kRenewInterval);
+  const LeaseWrite write = MakeLeaseWrite(now);
+  mState.mTenure = mState.mTenure.WithSentWrite(write);
+  mState.mSentWrites.emplace(mState.mLease.mSequence, write);
   std::vector<JobProgress> records;
   if (mState.mMode == Mode::kOwning) {
     records =
@@ -273,7 +306,8 @@
     mState.mLeaseVersion = aReply.mVersion;
     ConfirmLease(aReply.mLease.mSequence);
     if (mRules.mIsConfirmedByConflict) {
-      mState.mTenure = mState.mTenure.WithStoredWrite(mState.mLastWriteAt);
+      mState.mTenure =
+        mState.mTenure.WithStoredWrite(MakeLeaseWrite(mState.mLastWriteAt));
     }
   } else {
     StepDown("overtaken");
--- a/tests/state/scheduling/TakeoverDaemonTables.cpp
+++ b/tests/state/scheduling/TakeoverDaemonTables.cpp
@@ -82,6 +82,8 @@
   options.mInheritedLeases = std::move(mState.mInheritedLeases);
   options.mLastEarlierCommandAt =
     mState.mEarlierCommands.*mRules.mLastEarlierCommandAt;
+  options.mLastEarlierStartAt =
+    mState.mEarlierCommands.*mRules.mLastEarlierStartAt;
   mState.mInheritedLeases.clear();
   mState.mScheduler.emplace(std::move(options));
   mState.mTablesVersion = mState.mLoaded.mVersion;
--- a/tests/state/scheduling/TakeoverModel.h
+++ b/tests/state/scheduling/TakeoverModel.h
@@ -20,6 +20,8 @@
   /** By the time of the load. */
   milliseconds mByLoad{ 0 };
   milliseconds mNone{ 0 };
+  /** For starts of runs only, by that read. */
+  milliseconds mStartsBySighting{ 0 };
 };
 
 /** Rules of the daemons on which the safety of a takeover rests. */
@@ -31,6 +33,10 @@
   /** A conflict with an own row confirms the lease. */
   bool mIsConfirmedByConflict;
   milliseconds EarlierCommandTimes::*mLastEarlierCommandAt;
+  /** An owner starts runs only until a successor can acquire the lease. */
+  bool mAreStartsLimited = true;
+  milliseconds EarlierCommandTimes::*mLastEarlierStartAt =
+    &EarlierCommandTimes::mStartsBySighting;
 };
 
 /** The rules in force. */
--- a/tests/state/scheduling/TakeoverModelTest.cpp
+++ b/tests/state/scheduling/TakeoverModelTest.cpp
@@ -23,6 +23,13 @@
                                        false,
                                        &EarlierCommandTimes::mNone };
 
+constexpr TakeoverRules kUnlimitedStartRules{ "unlimited starts",
+                                              true,
+                                              false,
+                                              &EarlierCommandTimes::mBySighting,
+                                              false,
+                                              &EarlierCommandTimes::mNone };
+
 /** @return A plan in which the owner loses a worker that has restarted. */
 TakeoverPlan
 DrawLostRestart(std::uint64_t aSeed)
@@ -43,6 +50,36 @@
   return plan;
 }
 
+/**
+ * @return A plan in which the owner pauses for long enough to be replaced, when
+ *   it would start runs, and each worker restarts about the time of the
+ *   takeover.
+ */
+TakeoverPlan
+DrawRestartDuringPause(std::uint64_t aSeed)
+{
+  Draws draws(aSeed);
+  TakeoverPlan plan;
+  plan.mSeed = aSeed;
+  plan.mWorkers = 2 + draws.Below(3);
+  plan.mLongestLease = milliseconds(draws.Chance(0.5) ? 6'000 : 10'000);
+  TakeoverFault pause;
+  pause.mKind = draws.Chance(0.5) ? TakeoverFaultKind::kPauseAtReply
+                                  : TakeoverFaultKind::kPauseAtSend;
+  pause.mAt = draws.Between(milliseconds(4'000), milliseconds(14'000));
+  pause.mFor = draws.Between(milliseconds(1'400), milliseconds(3'500));
+  plan.mFaults.push_back(pause);
+  for (std::size_t i = 0; i < plan.mWorkers; ++i) {
+    TakeoverFault restart;
+    restart.mKind = TakeoverFaultKind::kWorkerRestart;
+    restart.mAt =
+      pause.mAt + draws.Between(milliseconds(1'300), milliseconds(5'000));
+    restart.mWorkers = 1U << i;
+    plan.mFaults.push_back(restart);
+  }
+  return plan;
+}
+
 /** @return The first violation in the plans of kSeeds, or an empty text. */
 std::string
 FindViolation(const TakeoverRules& aRules,
@@ -91,3 +128,18 @@
 {
   STRCMP_EQUAL("", FindViolation(kTenureRules, &DrawLostRestart).c_str());
 }
+
+// Guards against a start by a former owner on a worker that knows no epoch any
+// more, after its successor has started the task elsewhere.
+TEST(TakeoverModel, RestartedWorkerStartsNoRunOfAFormerOwner)
+{
+  STRCMP_EQUAL("",
+               FindViolation(kTenureRules, &DrawRestartDuringPause).c_str());
+}
+
+// An owner that starts runs for as long as it extends leases.
+TEST(TakeoverModel, StartsWithoutALimitOfTheirOwnAreRejected)
+{
+  CHECK_FALSE(
+    FindViolation(kUnlimitedStartRules, &DrawRestartDuringPause).empty());
+}
--- a/tests/state/scheduling/WorkerBeliefTest.cpp
+++ b/tests/state/scheduling/WorkerBeliefTest.cpp
@@ -143,6 +143,73 @@
   return std::nullopt;
 }
 
+/**
+ * A new owner and the run 1 of a task that the former owner has planned on the
+ * worker "w0", and may still start for a while. Another worker is idle.
+ */
+class Successor
+{
+public:
+  Successor()
+    : mFleet(Options())
+  {
+    mFleet.List("w0", kIncarnation, "10.0.0.1:1", kWorkerClock);
+    mFleet.List("w1", kIncarnation, "10.0.0.2:1", kWorkerClock);
+    StepSpecValues step;
+    step.mDemand = Resources(1'000, 1'000, 1);
+    TaskRecord record;
+    record.mState = RecordedState::kAssigned;
+    record.mRun = 1;
+    record.mWorker = "w0";
+    record.mIncarnation = kIncarnation;
+    const JobProgress progress(
+      "j1", "acme", JobPhase::kQueued, false, { record });
+    mFleet.mScheduler.AddJob(
+      MakeJob("j1", step, 1), milliseconds(0), &progress, mFleet.mNow);
+    mFleet.Cycle();
+  }
+
+  static TaskId Task() { return { "j1", 0, 0, 0 }; }
+
+  /** Lets "w0" reply to the renewal in flight. */
+  void AnswerOfTheWorker(const RenewReply& aReply)
+  {
+    mFleet.Answer("w0", aReply);
+    mWorkerReply = aReply;
+    mWorkerReply.mTerminated.clear();
+  }
+
+  /** @return When the task is started again, or nothing within some seconds. */
+  std::optional<milliseconds> NextStartAt()
+  {
+    constexpr milliseconds kEnd{ 10'000 };
+    while (mFleet.mNow < kEnd) {
+      if (!mFleet.Cycle().mStarts.empty()) {
+        return mFleet.mNow;
+      }
+      mFleet.Answer("w0", mWorkerReply);
+      mFleet.Answer("w1", ScriptedFleet::ReplyOf(kIncarnation, kWorkerClock));
+    }
+    return std::nullopt;
+  }
+
+  /** Time from which the former owner starts no runs. */
+  static constexpr milliseconds kLastEarlierStart{ 3'400 };
+
+  ScriptedFleet mFleet;
+
+private:
+  static SchedulerOptions Options()
+  {
+    SchedulerOptions options;
+    options.mEpoch = 2;
+    options.mLastEarlierStartAt = kLastEarlierStart;
+    return options;
+  }
+
+  RenewReply mWorkerReply;
+};
+
 } // namespace
 
 TEST_GROUP(WorkerBelief){};
@@ -276,32 +343,41 @@
 // the first one on a worker that restarts and then knows no epoch.
 TEST(WorkerBelief, RecoveredRunIsKeptWhileTheFormerOwnerMayStartIt)
 {
-  constexpr milliseconds kLastEarlierCommand{ 3'400 };
-  SchedulerOptions options;
-  options.mEpoch = 2;
-  options.mLastEarlierCommandAt = kLastEarlierCommand;
-  ScriptedFleet fleet(std::move(options));
-  fleet.List("w0", kIncarnation, "10.0.0.1:1", kWorkerClock);
-  fleet.List("w1", kIncarnation, "10.0.0.2:1", kWorkerClock);
-  StepSpecValues step;
-  step.mDemand = Resources(1'000, 1'000, 1);
-  TaskRecord record;
-  record.mState = RecordedState::kAssigned;
-  record.mRun = 1;
-  record.mWorker = "w0";
-  record.mIncarnation = kIncarnation;
-  const JobProgress progress(
-    "j1", "acme", JobPhase::kQueued, false, { record });
-  fleet.mScheduler.AddJob(
-    MakeJob("j1", step, 1), milliseconds(0), &progress, fleet.mNow);
-  fleet.Cycle();
-  fleet.Answer("w0", ScriptedFleet::ReplyOf(kIncarnation, kWorkerClock));
-  fleet.Answer("w1", ScriptedFleet::ReplyOf(kIncarnation, kWorkerClock));
-  std::size_t starts = fleet.Cycle().mStarts.size();
-  fleet.Answer("w1", ScriptedFleet::ReplyOf(kIncarnation, kWorkerClock));
-  starts += fleet.Cycle().mStarts.size();
-  CHECK(fleet.mNow < kLastEarlierCommand);
-  CHECK_EQUAL(0, starts);
+  Successor successor;
+  successor.AnswerOfTheWorker(
+    ScriptedFleet::ReplyOf(kIncarnation, kWorkerClock));
+  const auto next = successor.NextStartAt();
+  CHECK(next.has_value());
+  CHECK(*next >= Successor::kLastEarlierStart);
+}
+
+// Guards against the same after the run has ended: its worker forgets the end
+// when it restarts.
+TEST(WorkerBelief, EndedRunIsNotReplacedWhileTheFormerOwnerMayStartIt)
+{
+  Successor successor;
+  RenewReply reply = ScriptedFleet::ReplyOf(kIncarnation, kWorkerClock);
+  reply.mTerminated = {
+    { 1, successor.Task(), 1, TerminationReason::kStopped, "" }
+  };
+  successor.AnswerOfTheWorker(reply);
+  const auto next = successor.NextStartAt();
+  CHECK(next.has_value());
+  CHECK(*next >= Successor::kLastEarlierStart);
+}
+
+// Guards against the same after the worker has restarted under the run.
+TEST(WorkerBelief, CrashedRunIsNotReplacedWhileTheFormerOwnerMayStartIt)
+{
+  Successor successor;
+  successor.AnswerOfTheWorker(ScriptedFleet::ReplyOf(
+    kIncarnation, kWorkerClock, { { successor.Task(), 1, "", 1 } }));
+  successor.mFleet.Cycle();
+  successor.AnswerOfTheWorker(
+    ScriptedFleet::ReplyOf(kIncarnation + 1, milliseconds(100)));
+  const auto next = successor.NextStartAt();
+  CHECK(next.has_value());
+  CHECK(*next >= Successor::kLastEarlierStart);
 }
 
 // Guards against a second run of a task while a late start of the first one may
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -4,6 +4,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <atomic>
 #include <future>
 
 using namespace cornelrudder::transport;
@@ -89,6 +90,34 @@
   CHECK(result.Failure() == HttpFailure::kNotSent);
 }
 
+// Guards against a request that is sent after its sender lost the right to it,
+// for example while it waited for a connection.
+TEST(Http, RequestThatMayNotBeSentAnyMoreIsWithheld)
+{
+  IoThread thread;
+  std::atomic<int> requests{ 0 };
+  HttpServer server(
+    thread,
+    "127.0.0.1:0",
+    {},
+    [&requests](const HttpRequest& aRequest, const HttpResponder& aRespond) {
+      ++requests;
+      Echo(aRequest, aRespond);
+    });
+  HttpClient client(thread, {});
+  for (const bool maySend : { true, false, true }) {
+    std::promise<HttpResult> result;
+    client.Send(
+      server.Address(),
+      { "POST", "/", {}, "x" },
+      { kGenerous, true, [maySend] { return maySend; } },
+      [&result](HttpResult aResult) { result.set_value(std::move(aResult)); });
+    CHECK(result.get_future().get().Failure() ==
+          (maySend ? HttpFailure::kNone : HttpFailure::kWithheld));
+  }
+  LONGS_EQUAL(2, requests);
+}
+
 // Guards against a daemon that starts although its port is taken.
 TEST(Http, AddressInUseThrows)
 {
