Divide records by their encoded length

Cause: a record was divided into parts of as many tasks as fit into a row with 360 bytes each, a figure that assumes checkpoints of 100 bytes and that nothing enforced. The division was fixed when the job was added. The record of 72 waiting tasks had 61,144 bytes where 49,152 are allowed; the store rejected the same write every 5 s, and the job stayed set aside. The limit on one write rested on the same figure.

Evidence: write_rejected and job_set_aside every 5 s in the case's logs. On the unchanged code these tests fail, all by waiting for an end that never comes:

SchedulingTasks.RecordWithLongCheckpointsFitsTheRowsOfTheStore SchedulingTasks.SuccessorWithALowerLimitDividesTheRecordFurther SchedulingTasks.RejectedRecordIsDividedFurther SchedulingTasks.CheckpointLongerThanARowDoesNotHoldUpItsJob

Change: each record is measured as it is encoded. A row whose record is too large is divided when it is written, again if needed, whenever it has grown and whatever limit the owner or the store has. The record of a single task that is still too large leaves the checkpoint out (checkpoint_not_stored): the run goes on, this owner resumes the task from it, and another one if a worker reports it. A rejected record that cannot be made smaller sets its job aside for 5 to 60 s. Records of terminated jobs have no checkpoints. Rows beyond the largest job are refused before memory is taken for them.

Why it works: no row is written over the limit unless it is that of a single task without its checkpoint, which has a few hundred bytes. Rows are divided so that a reader finds each task in a row at any time: the property test RecordRows reads all rows after each write, with lost, rejected and unanswered writes and owners with other limits.

--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -106,7 +106,8 @@
   kTakeover = 826,
   kOwnerStopped = 827,
   kCommandsPaused = 828,
-  kCommandsResumed = 829
+  kCommandsResumed = 829,
+  kCheckpointNotStored = 830
 };
 
 /** Entry of the event catalogue. */
--- a/include/cornelrudder/state/scheduling/JobProgress.h
+++ b/include/cornelrudder/state/scheduling/JobProgress.h
@@ -68,11 +68,25 @@
   auto operator<=>(const TaskRecord&) const = default;
 };
 
+/**
+ * A row of a divided record. It has the tasks up to the first one of the next
+ * row.
+ */
+struct RecordRow
+{
+  std::size_t mFirstTask = 0;
+  /** Distinguishes the rows of a job; that of the first task has 0. */
+  std::size_t mNumber = 0;
+
+  auto operator<=>(const RecordRow&) const = default;
+};
+
 /**
  * The recorded progress of a job, or one part of it: the record of a job with
- * many tasks is divided, since a row of the store has a limited size. Tasks are
- * sorted by occurrence, step and index. A terminated job of which no run can
- * exist has no task records.
+ * many tasks is divided, since a row of the store has a limited size. It is
+ * divided into equal parts at first; a part that outgrows a row is divided
+ * further. Tasks are sorted by occurrence, step and index. A terminated job of
+ * which no run can exist has no task records.
  */
 class JobProgress
 {
@@ -95,13 +109,18 @@
    * @param aPart Number of the part.
    * @param aTasksPerPart Number of tasks of each part but the last one; 0 if
    *   the record is not divided.
-   * @return This record as a part of a divided one.
+   * @return This record as a part of one that is divided equally.
    */
   JobProgress AsPart(std::size_t aPart, std::size_t aTasksPerPart) const;
 
+  /** @return This record as a row of one that is divided unequally. */
+  JobProgress AsRow(const RecordRow& aRow) const;
+
   /**
    * Joins the parts of a divided record. The first part tells the phase of the
-   * job; tasks of a part that has never been written have default records.
+   * job; tasks of a part that has never been written have default records. Of
+   * tasks in two rows, the later row has the present records: it was divided
+   * from the earlier row, which was not written again since.
    * @param aParts All parts that were stored, at least one.
    * @throws StateError if the parts contradict each other.
    */
@@ -114,6 +133,11 @@
   const std::vector<TaskRecord>& Tasks() const { return mTasks; }
   std::size_t Part() const { return mPart; }
   std::size_t TasksPerPart() const { return mTasksPerPart; }
+  std::size_t FirstTask() const { return mFirstTask; }
+  /** @return The rows of a joined record that is divided unequally. */
+  const std::vector<RecordRow>& Rows() const { return mRows; }
+  /** @return Whether this is a row of a record that is divided unequally. */
+  bool IsRow() const { return mIsRow; }
 
   auto operator<=>(const JobProgress&) const = default;
 
@@ -125,6 +149,9 @@
   std::vector<TaskRecord> mTasks;
   std::size_t mPart = 0;
   std::size_t mTasksPerPart = 0;
+  std::size_t mFirstTask = 0;
+  bool mIsRow = false;
+  std::vector<RecordRow> mRows;
 };
 
 } // namespace cornelrudder::state::scheduling
--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -11,6 +11,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -57,8 +59,8 @@
    */
   std::chrono::milliseconds mLastEarlierStartAt{ 0 };
   /**
-   * Number of tasks whose records one row of the store has room for; the
-   * default divides no record.
+   * Number of tasks in each row of the record of a new job; the default divides
+   * no record. BeginWrite() divides rows further whose records are too large.
    */
   std::size_t mTasksPerRecord = TaskJob::kMaxTasks;
   auto operator<=>(const SchedulerOptions&) const = default;
@@ -70,10 +72,17 @@
   std::size_t mRecords = 0;
   /** The last record may exceed it. */
   std::size_t mTasks = 0;
+  /** Largest size of a record in bytes. */
+  std::size_t mRecordBytes = std::numeric_limits<std::size_t>::max();
+  /** Size of all records in bytes; the last record may exceed it. */
+  std::size_t mBytes = std::numeric_limits<std::size_t>::max();
 
   auto operator<=>(const WriteLimits&) const = default;
 };
 
+/** Returns the size of a record in bytes as it is stored. */
+using RecordSizer = std::function<std::size_t(const JobProgress&)>;
+
 /** Commands to send now. */
 struct WorkerCommands
 {
@@ -130,7 +139,8 @@
     kReplyIgnored,
     kWorkerCapacityChanged,
     kRunCrashed,
-    kJobSetAside
+    kJobSetAside,
+    kCheckpointNotStored
   };
 
   Kind mKind;
@@ -216,10 +226,16 @@
 
   /**
    * Starts a write of changed records; only one write may be pending.
+   * @param aSizeOf Called once for each record of the write, and before that
+   *   for records that are too large and are divided; empty for no limits in
+   *   bytes.
    * @return The records to write: each is that of a job or a part of it. A part
-   *   other than the first one that has no tasks is to be deleted.
+   *   other than the first one that has no tasks is to be deleted. A record
+   *   exceeds the limit only if it is that of a single task without its
+   *   checkpoint.
    */
-  std::vector<JobProgress> BeginWrite(const WriteLimits& aLimits);
+  std::vector<JobProgress> BeginWrite(const WriteLimits& aLimits,
+                                      const RecordSizer& aSizeOf = {});
 
   /**
    * Completes the pending write.
@@ -229,10 +245,11 @@
 
   /**
    * Completes the pending write, which has a single record, after the store
-   * rejected it: a repetition would be rejected, too. The job waits and is
-   * tried again later, so that the records of other jobs are written.
+   * rejected it: a repetition would be rejected, too. The record is divided, or
+   * its job waits and is tried again later, so that the records of other jobs
+   * are written.
    */
-  void SetAsideRejected(Millis aNow);
+  void HandleRejectedRecord(Millis aNow);
 
   /**
    * @return Terminated jobs whose rows were kept for mJobRetention, oldest
--- a/src/coordination/LogEvent.cpp
+++ b/src/coordination/LogEvent.cpp
@@ -431,6 +431,12 @@
                 LogLevel::kInfo,
                 "commands_resumed",
                 "the owner sends commands again" },
+  LogEventInfo{ LogEvent::kCheckpointNotStored,
+                LogLevel::kWarning,
+                "checkpoint_not_stored",
+                "the record of a task leaves its checkpoint out, since both "
+                "do not fit into a row; another owner starts the task from "
+                "scratch unless a worker reports the checkpoint" },
 };
 
 } // namespace
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -46,17 +46,25 @@
 constexpr milliseconds kMaxCycleGap{ 2'000 };
 
 /** Indexed by SchedulerEvent::Kind. */
-constexpr std::array kLogEvents{
-  LogEvent::kTaskPlaced,    LogEvent::kTaskWaits,
-  LogEvent::kTaskPreempted, LogEvent::kRunEnded,
-  LogEvent::kRunLost,       LogEvent::kJobEnded,
-  LogEvent::kWorkerSilent,  LogEvent::kWorkerBack,
-  LogEvent::kWorkerGone,    LogEvent::kWorkerSuspected,
-  LogEvent::kRunMoved,      LogEvent::kWorkerLeaving,
-  LogEvent::kJobStalled,    LogEvent::kEndIgnored,
-  LogEvent::kReplyIgnored,  LogEvent::kWorkerCapacityChanged,
-  LogEvent::kRunCrashed,    LogEvent::kJobSetAside
-};
+constexpr std::array kLogEvents{ LogEvent::kTaskPlaced,
+                                 LogEvent::kTaskWaits,
+                                 LogEvent::kTaskPreempted,
+                                 LogEvent::kRunEnded,
+                                 LogEvent::kRunLost,
+                                 LogEvent::kJobEnded,
+                                 LogEvent::kWorkerSilent,
+                                 LogEvent::kWorkerBack,
+                                 LogEvent::kWorkerGone,
+                                 LogEvent::kWorkerSuspected,
+                                 LogEvent::kRunMoved,
+                                 LogEvent::kWorkerLeaving,
+                                 LogEvent::kJobStalled,
+                                 LogEvent::kEndIgnored,
+                                 LogEvent::kReplyIgnored,
+                                 LogEvent::kWorkerCapacityChanged,
+                                 LogEvent::kRunCrashed,
+                                 LogEvent::kJobSetAside,
+                                 LogEvent::kCheckpointNotStored };
 
 milliseconds
 WallClockNow()
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 
 namespace cornelrudder::coordination {
 
@@ -21,13 +22,15 @@
 using state::scheduling::OwnerReachability;
 using state::scheduling::OwnerTenure;
 using state::scheduling::StoreTiming;
+using state::scheduling::WriteLimits;
 using std::chrono::milliseconds;
 
 /**
- * Largest record of a task in bytes: a worker identifier and a checkpoint of
- * the longest accepted lengths, 200 and 100 bytes, beside the counts.
+ * Size of the record of a task in bytes by which the records of new jobs are
+ * divided: a worker identifier of the longest accepted length, 200 bytes, and a
+ * checkpoint of 100 bytes beside the counts.
  */
-constexpr std::size_t kMaxTaskRecordBytes = 360;
+constexpr std::size_t kUsualTaskRecordBytes = 360;
 
 /**
  * Limit on the size of the records in one write, in bytes: encoded, they take a
@@ -385,11 +388,12 @@
                          ExpectResult(&SchedulerTask::FinishWrite));
 }
 
-/** @return Number of tasks whose records fit into one row in any case. */
+/** @return Number of tasks whose records usually fit into one row. */
 std::size_t
 SchedulerTask::TasksPerRecord() const
 {
-  return std::max<std::size_t>(mOptions.mMaxRowBytes / kMaxTaskRecordBytes, 1);
+  return std::max<std::size_t>(mOptions.mMaxRowBytes / kUsualTaskRecordBytes,
+                               1);
 }
 
 /**
@@ -412,16 +416,25 @@
 std::vector<RowWrite>
 SchedulerTask::CollectRecords()
 {
+  WriteLimits limits;
+  limits.mRecords = mIsRenewalFirst ? 0 : mMaxRecords;
+  limits.mTasks = std::numeric_limits<std::size_t>::max();
+  limits.mRecordBytes = mOptions.mMaxRowBytes;
+  limits.mBytes = kMaxWriteBytes;
+  std::map<std::string, std::string> values;
+  const auto encode = [&](const JobProgress& aRecord) {
+    std::string& value = values[ProgressKey(aRecord.Job(), aRecord.Part())];
+    value = mPorts.mCodec.EncodeProgress(aRecord);
+    return value.size();
+  };
   std::vector<RowWrite> writes;
-  const std::size_t maxRecords = mIsRenewalFirst ? 0 : mMaxRecords;
-  for (const JobProgress& record : mScheduler->BeginWrite(
-         { maxRecords, kMaxWriteBytes / kMaxTaskRecordBytes })) {
+  for (const JobProgress& record : mScheduler->BeginWrite(limits, encode)) {
+    const std::string key = ProgressKey(record.Job(), record.Part());
     const bool isRemoved = record.Part() > 0 && record.Tasks().empty();
-    writes.emplace_back(
-      ProgressKey(record.Job(), record.Part()),
-      RowWrite::kAnyVersion,
-      isRemoved ? std::nullopt
-                : std::optional(mPorts.mCodec.EncodeProgress(record)));
+    writes.emplace_back(key,
+                        RowWrite::kAnyVersion,
+                        isRemoved ? std::nullopt
+                                  : std::optional(std::move(values[key])));
   }
   mRecordsInFlight = writes.size();
   return writes;
@@ -532,7 +545,7 @@
   ++mFailedWrites;
   const std::size_t removals = mRemovalsInFlight.size() + mWithdrawalsInFlight;
   if (mRecordsInFlight == 1 && removals == 0) {
-    mScheduler->SetAsideRejected(Now());
+    mScheduler->HandleRejectedRecord(Now());
   } else {
     mScheduler->FinishWrite(false);
     mMaxRecords = std::max<std::size_t>(mRecordsInFlight / 2, 1);
--- a/src/protocol/JsonSchedulingCodec.cpp
+++ b/src/protocol/JsonSchedulingCodec.cpp
@@ -40,7 +40,7 @@
 /** Priorities and attempts; far above what operators set. */
 constexpr NumberRange kSmallRange{ 0, 1'000'000 };
 
-/** Parts of a divided record, and tasks in a part. */
+/** Parts of a divided record, and tasks in or before a part. */
 constexpr NumberRange kPartRange{ 0, 1'000'000 };
 
 /** Parses the text, decodes it and converts errors to CoordinationError. */
@@ -272,7 +272,10 @@
                  { "state", JobPhaseName(aProgress.Phase()) },
                  { "begun", aProgress.HasStarted() },
                  { "tasks", std::move(tasks) } };
-  if (aProgress.TasksPerPart() > 0) {
+  if (aProgress.IsRow()) {
+    progress["row"] = aProgress.Part();
+    progress["first_task"] = aProgress.FirstTask();
+  } else if (aProgress.TasksPerPart() > 0) {
     progress["part"] = aProgress.Part();
     progress["tasks_per_part"] = aProgress.TasksPerPart();
   }
@@ -288,6 +291,11 @@
                                PhaseFromName(aObject.Text("state")),
                                aObject.Flag("begun"),
                                RecordsFromJson(aObject.At("tasks")));
+    if (aObject.Has("first_task")) {
+      const std::size_t first = aObject.Integer("first_task", kPartRange);
+      const std::size_t number = aObject.Integer("row", kPartRange);
+      return progress.AsRow({ first, number });
+    }
     const std::uint64_t part = aObject.Integer("part", kPartRange, 0);
     return progress.AsPart(part,
                            aObject.Integer("tasks_per_part", kPartRange, 0));
--- a/src/state/scheduling/Scheduler.cpp
+++ b/src/state/scheduling/Scheduler.cpp
@@ -91,9 +91,9 @@
 }
 
 std::vector<JobProgress>
-Scheduler::BeginWrite(const WriteLimits& aLimits)
+Scheduler::BeginWrite(const WriteLimits& aLimits, const RecordSizer& aSizeOf)
 {
-  return mImpl->BeginWrite(aLimits);
+  return mImpl->BeginWrite(aLimits, aSizeOf);
 }
 
 void
@@ -103,9 +103,9 @@
 }
 
 void
-Scheduler::SetAsideRejected(Millis aNow)
+Scheduler::HandleRejectedRecord(Millis aNow)
 {
-  mImpl->SetAsideRejected(aNow);
+  mImpl->HandleRejectedRecord(aNow);
 }
 
 std::vector<std::string>
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -39,9 +39,10 @@
   {
     return HasUnwrittenJobs() || HasUnwrittenTerminations();
   }
-  std::vector<JobProgress> BeginWrite(const WriteLimits& aLimits);
+  std::vector<JobProgress> BeginWrite(const WriteLimits& aLimits,
+                                      const RecordSizer& aSizeOf);
   void FinishWrite(bool aStored);
-  void SetAsideRejected(Millis aNow);
+  void HandleRejectedRecord(Millis aNow);
   std::vector<std::string> ExpiredJobs(Millis aNow, std::size_t aMax) const;
   void RemoveExpiredJobs(std::size_t aCount);
   std::map<std::string, std::uint64_t> PendingJobs() const;
@@ -120,8 +121,9 @@
   void MarkChanged(JobState& aJob);
   void MarkChanged(JobState& aJob, std::size_t aTask);
   void MarkAllChanged(JobState& aJob);
+  bool ShrinkRecord(JobState& aJob, std::size_t aFirst);
   void RestoreChanges(const std::string& aJob,
-                      const std::set<std::size_t>& aParts);
+                      const std::set<std::size_t>& aRows);
   void RetryJobsSetAside(Millis aNow);
   void BeginRoundIfDue();
   bool HasUnwrittenJobs() const { return !mDirty.empty() || !mRound.empty(); }
@@ -135,6 +137,7 @@
               std::size_t aTask,
               WorkerState& aWorker,
               std::uint64_t aRun);
+  static void SetCheckpoint(Task& aTask, const std::string& aCheckpoint);
   void RecordStart(JobState& aJob, Millis aNow);
   void Unassign(JobState& aJob, std::size_t aTask);
   void Requeue(JobState& aJob, std::size_t aTask, Millis aNow);
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -6,8 +6,23 @@
 
 namespace {
 
-/** Time until the record of a job that the store rejected is written again. */
+/**
+ * Time until the record of a job that the store rejected is written again. It
+ * is doubled for each further rejection up to a limit, since the record may
+ * never be accepted.
+ */
 constexpr Millis kSetAsideTime{ 5'000 };
+constexpr Millis kMaxSetAsideTime{ 60'000 };
+
+Millis
+SetAsideTime(int aRejections)
+{
+  Millis time = kSetAsideTime;
+  for (int i = 1; i < aRejections && time < kMaxSetAsideTime; ++i) {
+    time *= 2;
+  }
+  return std::min(time, kMaxSetAsideTime);
+}
 
 } // namespace
 
@@ -42,15 +57,18 @@
   if (mJobs.contains(aJob.Id()) || mTerminatedJobs.contains(aJob.Id())) {
     return;
   }
-  // A record stays divided, or whole, as it was stored.
-  const bool isDivided = aProgress != nullptr && aProgress->TasksPerPart() > 0;
+  // A record is divided, or whole, as it was stored; BeginWrite() divides it
+  // further if that is necessary.
+  const bool isDivided =
+    aProgress != nullptr &&
+    (aProgress->TasksPerPart() > 0 || !aProgress->Rows().empty());
   const std::size_t storedTasks =
     aProgress != nullptr ? aProgress->Tasks().size() : 0;
   JobState job(aJob,
                aNow - std::max(aAge, Millis(0)),
                isDivided ? aProgress->TasksPerPart()
-                         : std::max(mOptions.mTasksPerRecord, storedTasks));
-  job.mTasks.resize(aJob.Tasks());
+                         : std::max(mOptions.mTasksPerRecord, storedTasks),
+               isDivided ? aProgress->Rows() : std::vector<RecordRow>());
   mPlannedAt = std::max(mPlannedAt, aNow);
   JobState& added = mJobs.emplace(aJob.Id(), std::move(job)).first->second;
   if (aProgress != nullptr) {
@@ -124,18 +142,18 @@
   }
 }
 
-/** Marks the first part of a job's record, which tells the phase. */
+/** Marks the first row of a job's record, which tells the phase. */
 void
 Scheduler::Impl::MarkChanged(JobState& aJob)
 {
-  aJob.mChangedParts.insert(0);
+  aJob.mChangedRows.insert(0);
   const std::string& id = aJob.mJob.Id();
   if (!mRound.contains(id) && !mSetAside.contains(id)) {
     mDirty.insert(id);
   }
 }
 
-/** Marks the part with a task, and those with the other members of a gang. */
+/** Marks the row with a task, and those with the other members of a gang. */
 void
 Scheduler::Impl::MarkChanged(JobState& aJob, std::size_t aTask)
 {
@@ -150,7 +168,7 @@
     end = aTask + 1;
   }
   for (std::size_t i = first; i < end; ++i) {
-    aJob.mChangedParts.insert(i / aJob.mTasksPerPart);
+    aJob.mChangedRows.insert(aJob.RowOf(i).mFirstTask);
   }
 }
 
@@ -158,8 +176,8 @@
 Scheduler::Impl::MarkAllChanged(JobState& aJob)
 {
   MarkChanged(aJob);
-  for (std::size_t i = 0; i < aJob.Parts(); ++i) {
-    aJob.mChangedParts.insert(i);
+  for (const RecordRow& row : aJob.mRows) {
+    aJob.mChangedRows.insert(row.mFirstTask);
   }
 }
 
@@ -243,34 +261,70 @@
   }
 }
 
+/**
+ * Makes the record of a row smaller if it is too large: divides the row, or
+ * leaves the checkpoint of its only task out. The run that made the checkpoint
+ * goes on, and this owner resumes the task from it; a later owner starts the
+ * task from scratch if no worker reports the checkpoint.
+ * @return Whether the record has become smaller.
+ */
+bool
+Scheduler::Impl::ShrinkRecord(JobState& aJob, std::size_t aFirst)
+{
+  const auto [first, end] = aJob.RowRange(aFirst);
+  if (end - first > 1) {
+    aJob.DivideRow(first);
+    return true;
+  }
+  Task& task = aJob.mTasks[first];
+  if (task.IsDone() || task.mCheckpoint.empty() || task.mIsCheckpointUnstored) {
+    return false;
+  }
+  task.mIsCheckpointUnstored = true;
+  aJob.mChangedRows.insert(first);
+  RecordEvent(SchedulerEvent::Kind::kCheckpointNotStored,
+              { { "task", aJob.IdOf(first).Text() },
+                { "run", std::to_string(task.mRun) },
+                { "bytes", std::to_string(task.mCheckpoint.size()) } });
+  return true;
+}
+
 std::vector<JobProgress>
-Scheduler::Impl::BeginWrite(const WriteLimits& aLimits)
+Scheduler::Impl::BeginWrite(const WriteLimits& aLimits,
+                            const RecordSizer& aSizeOf)
 {
   ++mWrites;
   std::vector<JobProgress> records;
   std::size_t tasks = 0;
+  std::size_t bytes = 0;
   BeginRoundIfDue();
   while (!mRound.empty() && records.size() < aLimits.mRecords &&
-         tasks < aLimits.mTasks) {
+         tasks < aLimits.mTasks && bytes < aLimits.mBytes) {
     const std::string id = *mRound.begin();
     JobState* job = FindJob(id);
-    if (job == nullptr || job->mChangedParts.empty()) {
+    if (job == nullptr || job->mChangedRows.empty()) {
       mRound.erase(id);
       continue;
     }
-    const std::size_t part = *job->mChangedParts.begin();
-    job->mChangedParts.erase(part);
-    mWriting[id].insert(part);
-    records.push_back(job->ToProgress(part));
-    tasks += records.back().Tasks().size();
-    const auto [first, end] = job->PartRange(part);
+    const std::size_t row = job->NextChangedRow();
+    JobProgress record = job->ToProgress(row);
+    const std::size_t size = aSizeOf ? aSizeOf(record) : 0;
+    if (size > aLimits.mRecordBytes && ShrinkRecord(*job, row)) {
+      continue;
+    }
+    job->mChangedRows.erase(row);
+    mWriting[id].insert(row);
+    tasks += record.Tasks().size();
+    bytes += size;
+    records.push_back(std::move(record));
+    const auto [first, end] = job->RowRange(row);
     for (std::size_t i = first; i < end; ++i) {
       Task& task = job->mTasks[i];
       if (task.mPhase == TaskPhase::kPlanned && task.mPlanWrite == 0) {
         task.mPlanWrite = mWrites;
       }
     }
-    if (job->mChangedParts.empty()) {
+    if (job->mChangedRows.empty()) {
       mRound.erase(id);
     }
     BeginRoundIfDue();
@@ -281,12 +335,12 @@
 /** Makes the next write contain the records of a write that was not stored. */
 void
 Scheduler::Impl::RestoreChanges(const std::string& aJob,
-                                const std::set<std::size_t>& aParts)
+                                const std::set<std::size_t>& aRows)
 {
   JobState& job = mJobs.at(aJob);
-  for (const std::size_t part : aParts) {
-    job.mChangedParts.insert(part);
-    const auto [first, end] = job.PartRange(part);
+  for (const std::size_t row : aRows) {
+    job.mChangedRows.insert(row);
+    const auto [first, end] = job.RowRange(row);
     for (std::size_t i = first; i < end; ++i) {
       job.mTasks[i].mPlanWrite = 0;
     }
@@ -301,8 +355,8 @@
   std::map<std::string, std::set<std::size_t>> written;
   written.swap(mWriting);
   if (!aStored) {
-    for (const auto& [id, parts] : written) {
-      RestoreChanges(id, parts);
+    for (const auto& [id, rows] : written) {
+      RestoreChanges(id, rows);
     }
     for (auto& [id, worker] : mWorkers) {
       worker.mWritingUpTo = worker.mAckedUpTo;
@@ -319,25 +373,35 @@
       worker.mNextRenewal = Millis(0);
     }
   }
-  for (const auto& [id, parts] : written) {
+  for (const auto& [id, rows] : written) {
+    if (JobState* job = FindJob(id)) {
+      job->mRejections = 0;
+    }
     RemoveIfTerminated(id);
   }
 }
 
 /**
- * Ends a write that the store rejects and that has one record. Its job waits,
- * so that the other jobs go on. The job's terminations stay unacknowledged, and
- * its planned runs give their capacity back.
+ * Ends a write that the store rejects and that has one record. The record is
+ * written again in smaller ones, since the store may have a lower limit than
+ * the settings. If it cannot be made smaller, its job waits, so that the other
+ * jobs go on. The job's terminations stay unacknowledged then, and its planned
+ * runs give their capacity back.
  */
 void
-Scheduler::Impl::SetAsideRejected(Millis aNow)
+Scheduler::Impl::HandleRejectedRecord(Millis aNow)
 {
   const std::string id = mWriting.begin()->first;
+  const std::size_t row = *mWriting.begin()->second.begin();
   FinishWrite(false);
   JobState& job = mJobs.at(id);
+  if (ShrinkRecord(job, row)) {
+    return;
+  }
+  const Millis setAsideTime = SetAsideTime(++job.mRejections);
   mRound.erase(id);
   mSetAside.insert(id);
-  job.mSetAsideUntil = aNow + kSetAsideTime;
+  job.mSetAsideUntil = aNow + setAsideTime;
   for (auto& [workerId, worker] : mWorkers) {
     if (worker.HasUnackedTerminations()) {
       worker.mAckLimit = std::min(worker.mAckLimit, worker.mAckedUpTo);
@@ -351,8 +415,8 @@
   RecordEvent(SchedulerEvent::Kind::kJobSetAside,
               { { "job", id },
                 { "tasks", std::to_string(job.mTasks.size()) },
-                { "parts", std::to_string(job.Parts()) },
-                { "retry_after_ms", std::to_string(kSetAsideTime.count()) } });
+                { "parts", std::to_string(job.mRows.size()) },
+                { "retry_after_ms", std::to_string(setAsideTime.count()) } });
 }
 
 /** Makes the jobs that were set aside long enough part of the next round. */
--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -179,11 +179,72 @@
                      });
 }
 
+JobState::JobState(TaskJob aJob,
+                   Millis aSubmittedAt,
+                   std::size_t aTasksPerPart,
+                   std::vector<RecordRow> aRows)
+  : mJob(std::move(aJob))
+  , mSubmittedAt(aSubmittedAt)
+  , mTasksPerPart(aTasksPerPart)
+  , mRows(std::move(aRows))
+  , mTasks(mJob.Tasks())
+{
+  if (mTasksPerPart > 0) {
+    mRows = { { 0, 0 } };
+    while (mRows.back().mFirstTask + mTasksPerPart < mTasks.size()) {
+      mRows.push_back(
+        { mRows.back().mFirstTask + mTasksPerPart, mRows.size() });
+    }
+  }
+}
+
+const RecordRow&
+JobState::RowOf(std::size_t aTask) const
+{
+  const auto next =
+    std::upper_bound(mRows.begin(),
+                     mRows.end(),
+                     aTask,
+                     [](std::size_t aTask, const RecordRow& aRow) {
+                       return aTask < aRow.mFirstTask;
+                     });
+  return *std::prev(next);
+}
+
+std::pair<std::size_t, std::size_t>
+JobState::RowRange(std::size_t aFirst) const
+{
+  const RecordRow* row = &RowOf(aFirst);
+  const bool isLast = row == &mRows.back();
+  return { aFirst, isLast ? mTasks.size() : std::next(row)->mFirstTask };
+}
+
+std::size_t
+JobState::NextChangedRow() const
+{
+  const bool isFirstToLast = IsFinal(mPhase) || mTasksPerPart > 0;
+  return isFirstToLast ? *mChangedRows.begin() : *mChangedRows.rbegin();
+}
+
+void
+JobState::DivideRow(std::size_t aFirst)
+{
+  const auto [first, end] = RowRange(aFirst);
+  const auto highest =
+    std::max_element(mRows.begin(), mRows.end(), [](auto& aOne, auto& aTwo) {
+      return aOne.mNumber < aTwo.mNumber;
+    });
+  const RecordRow added{ first + (end - first) / 2, highest->mNumber + 1 };
+  mRows.insert(std::upper_bound(mRows.begin(), mRows.end(), added), added);
+  mTasksPerPart = 0;
+  mChangedRows.insert({ first, added.mFirstTask });
+}
+
 JobProgress
-JobState::ToProgress(std::size_t aPart) const
+JobState::ToProgress(std::size_t aFirst) const
 {
   std::vector<TaskRecord> records;
-  auto [first, end] = PartRange(aPart);
+  auto [first, end] = RowRange(aFirst);
   if (IsFinal(mPhase) && !IsAnyAssigned()) {
     // No run can exist any more. Without its tasks, the record is smaller for a
     // new owner to read.
@@ -203,14 +264,19 @@
     }
     if (task.IsDone()) {
       record.mState = RecordedState::kDone;
-    } else {
+    } else if (!IsFinal(mPhase) && !task.mIsCheckpointUnstored) {
       record.mCheckpoint = task.mCheckpoint;
     }
     records.push_back(std::move(record));
   }
   const JobProgress progress(
     mJob.Id(), mJob.Organisation(), mPhase, mStarted, std::move(records));
-  return Parts() > 1 ? progress.AsPart(aPart, mTasksPerPart) : progress;
+  const RecordRow& row = RowOf(aFirst);
+  if (mTasksPerPart == 0) {
+    return progress.AsRow(row);
+  }
+  return mRows.size() > 1 ? progress.AsPart(row.mNumber, mTasksPerPart)
+                          : progress;
 }
 
 } // namespace cornelrudder::state::scheduling
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -93,6 +93,11 @@
    * it has the run.
    */
   std::optional<RunCrash> mPendingCrash;
+  /**
+   * The record leaves the checkpoint out, since with it the record of this task
+   * alone is too large for a row. This owner still resumes the task from it.
+   */
+  bool mIsCheckpointUnstored = false;
   /** Number of the write that contains the planned run; 0 before that write. */
   std::uint64_t mPlanWrite = 0;
   /**
@@ -187,25 +192,34 @@
 /** A job and the state of its tasks. */
 struct JobState
 {
-  JobState(TaskJob aJob, Millis aSubmittedAt, std::size_t aTasksPerPart)
-    : mJob(std::move(aJob))
-    , mSubmittedAt(aSubmittedAt)
-    , mTasksPerPart(aTasksPerPart)
-  {
-  }
+  /**
+   * @param aTasksPerPart Number of tasks in each row of the job's record; 0 if
+   *   it is divided unequally.
+   * @param aRows The rows in that case.
+   */
+  JobState(TaskJob aJob,
+           Millis aSubmittedAt,
+           std::size_t aTasksPerPart,
+           std::vector<RecordRow> aRows = {});
 
   TaskJob mJob;
   /** When the job was submitted. */
   Millis mSubmittedAt;
-  /** Number of tasks in each part of the job's record. */
+  /** Number of tasks in each row of the record; 0 after DivideRow(). */
   std::size_t mTasksPerPart;
-  /** Parts of the record with changes that no write contains yet. */
-  std::set<std::size_t> mChangedParts;
+  /** The rows of the record, by first task. */
+  std::vector<RecordRow> mRows;
+  /**
+   * First tasks of the rows with changes that no write contains yet.
+   */
+  std::set<std::size_t> mChangedRows;
   /**
    * Until this time the record is not written and no task is planned, since the
    * store rejected the record.
    */
   Millis mSetAsideUntil{ 0 };
+  /** How often in a row the record was rejected. */
+  int mRejections = 0;
   JobPhase mPhase = JobPhase::kQueued;
   /** Whether a worker has acknowledged or reported a run. */
   bool mStarted = false;
@@ -288,22 +302,28 @@
    */
   bool IsWaitingForGang(std::size_t aTask) const;
 
-  /** @return Number of parts of the job's record. */
-  std::size_t Parts() const
-  {
-    return std::max<std::size_t>(
-      (mTasks.size() + mTasksPerPart - 1) / mTasksPerPart, 1);
-  }
+  /** @return The row of the record that has a task. */
+  const RecordRow& RowOf(std::size_t aTask) const;
 
-  /** @return Range of task numbers of a part, end exclusive. */
-  std::pair<std::size_t, std::size_t> PartRange(std::size_t aPart) const
-  {
-    return { std::min(aPart * mTasksPerPart, mTasks.size()),
-             std::min((aPart + 1) * mTasksPerPart, mTasks.size()) };
-  }
+  /**
+   * @param aFirst First task of a row.
+   * @return Range of task numbers of the row, end exclusive.
+   */
+  std::pair<std::size_t, std::size_t> RowRange(std::size_t aFirst) const;
+
+  /**
+   * @return First task of the changed row to write next. A row comes after
+   *   those that were divided from it: it is shorter then, and their tasks must
+   *   not be in no row. The first row of a terminated job comes before the
+   *   others, which are deleted.
+   */
+  std::size_t NextChangedRow() const;
+
+  /** Divides a row that has several tasks into two. */
+  void DivideRow(std::size_t aFirst);
 
-  /** @return A part of the job's record. */
-  JobProgress ToProgress(std::size_t aPart) const;
+  /** @return A row of the job's record. */
+  JobProgress ToProgress(std::size_t aFirst) const;
 };
 
 /** Whether a worker may get new runs; otherwise the reason why not. */
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -61,6 +61,13 @@
   aWorker.mUsed = aWorker.mUsed.Plus(aJob.StepOf(aTask).Demand());
 }
 
+void
+Scheduler::Impl::SetCheckpoint(Task& aTask, const std::string& aCheckpoint)
+{
+  aTask.mCheckpoint = aCheckpoint;
+  aTask.mIsCheckpointUnstored = false;
+}
+
 /** Records that a worker has started a run of a job. */
 void
 Scheduler::Impl::RecordStart(JobState& aJob, Millis aNow)
@@ -159,7 +166,7 @@
     Unassign(aJob, aTask);
   }
   task.mPhase = TaskPhase::kDone;
-  task.mCheckpoint.clear();
+  SetCheckpoint(task, "");
 }
 
 /**
@@ -210,7 +217,7 @@
   }
   RecordEvent(SchedulerEvent::Kind::kRunEnded, std::move(fields));
   if (!aCheckpoint.empty()) {
-    task.mCheckpoint = aCheckpoint;
+    SetCheckpoint(task, aCheckpoint);
   }
   const bool isLongRunning = aJob.StepOf(aTask).IsLongRunning();
   if (aReason == TerminationReason::kDone && !isLongRunning) {
@@ -519,7 +526,7 @@
   if (!aRun.mCheckpoint.empty() && aRun.mCheckpoint != task.mCheckpoint) {
     // The job is not marked as changed for a checkpoint alone: a new owner
     // reads it from the worker's renewal reply.
-    task.mCheckpoint = aRun.mCheckpoint;
+    SetCheckpoint(task, aRun.mCheckpoint);
     task.mCheckpointAt = aNow;
   }
 }
--- a/tests/coordination/FakeFleet.cpp
+++ b/tests/coordination/FakeFleet.cpp
@@ -26,6 +26,15 @@
     Clock::now().time_since_epoch());
 }
 
+/** @return The checkpoint of a task, filled up to a length. */
+std::string
+CheckpointOf(const state::scheduling::TaskId& aTask, std::size_t aBytes)
+{
+  std::string text = aTask.Text() + ":";
+  text.resize(std::max(text.size(), aBytes), 'c');
+  return text;
+}
+
 /** @return Whether a transaction has an entry in a table; false for no table.
  */
 bool
@@ -498,8 +507,12 @@
       reply.mOutcome = CommandOutcome::kFenced;
     } else {
       worker.mEpoch = aCommand.mEpoch;
-      worker.mRuns[aCommand.mTask] = aCommand.mRun;
+      const bool isResumed =
+        !aCommand.mCheckpoint.empty() &&
+        aCommand.mCheckpoint == CheckpointOf(aCommand.mTask, mCheckpointBytes);
+      worker.mRuns[aCommand.mTask] = { aCommand.mRun, isResumed };
       ++mStarts;
+      mResumptions += isResumed ? 1 : 0;
       ++mExtensions;
       reply.mOutcome = CommandOutcome::kDone;
     }
@@ -549,16 +562,19 @@
                     });
       if (!mRunsBlocked) {
         for (const auto& [task, run] : worker.mRuns) {
-          worker.mTerminated.push_back({ ++worker.mTerminations,
-                                         task,
-                                         run,
-                                         TerminationReason::kDone,
-                                         "" });
+          const bool isDone = run.mIsResumed || mCheckpointBytes == 0;
+          worker.mTerminated.push_back(
+            { ++worker.mTerminations,
+              task,
+              run.mNumber,
+              isDone ? TerminationReason::kDone
+                     : TerminationReason::kLeaseExpired,
+              isDone ? "" : CheckpointOf(task, mCheckpointBytes) });
         }
         worker.mRuns.clear();
       }
       for (const auto& [task, run] : worker.mRuns) {
-        reply.mRunning.push_back({ task, run, "", 50 });
+        reply.mRunning.push_back({ task, run.mNumber, "", 50 });
       }
       reply.mTerminated = worker.mTerminated;
     }
@@ -576,6 +592,20 @@
   mRunsBlocked = aBlocked;
 }
 
+void
+FakeTaskWorkers::SetCheckpointBytes(std::size_t aBytes)
+{
+  const std::lock_guard lock(mMutex);
+  mCheckpointBytes = aBytes;
+}
+
+int
+FakeTaskWorkers::Resumptions()
+{
+  const std::lock_guard lock(mMutex);
+  return mResumptions;
+}
+
 int
 FakeTaskWorkers::Renewals()
 {
--- a/tests/coordination/FakeFleet.h
+++ b/tests/coordination/FakeFleet.h
@@ -190,7 +190,14 @@
 
   /** While set, runs do not complete. */
   void SetRunsBlocked(bool aBlocked);
+  /**
+   * Makes each run that starts from scratch end at its lease with a checkpoint
+   * of so many bytes, which no other task has; 0 for none.
+   */
+  void SetCheckpointBytes(std::size_t aBytes);
   int Starts();
+  /** @return Number of starts that resumed a task from its own checkpoint. */
+  int Resumptions();
   int Renewals();
   /** @return Number of commands that extended the lease of a worker. */
   int Extensions();
@@ -199,9 +206,15 @@
   std::uint64_t HighestEpoch();
 
 private:
+  struct Run
+  {
+    std::uint64_t mNumber = 0;
+    bool mIsResumed = false;
+  };
+
   struct Worker
   {
-    std::map<state::scheduling::TaskId, std::uint64_t> mRuns;
+    std::map<state::scheduling::TaskId, Run> mRuns;
     std::vector<state::scheduling::TerminatedRun> mTerminated;
     std::uint64_t mTerminations = 0;
     std::uint64_t mEpoch = 0;
@@ -211,7 +224,9 @@
   std::mutex mMutex;
   std::map<std::string, Worker> mWorkers;
   bool mRunsBlocked = false;
+  std::size_t mCheckpointBytes = 0;
   int mStarts = 0;
+  int mResumptions = 0;
   int mRenewals = 0;
   int mExtensions = 0;
 };
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -45,6 +45,9 @@
   std::atomic<milliseconds> mAhead{ milliseconds(0) };
 };
 
+/** Tasks of a job with checkpoints. */
+constexpr int kCheckpointingTasks = 72;
+
 /** The tasks of one daemon. */
 struct DaemonTasks
 {
@@ -118,6 +121,26 @@
     return mDaemons.back();
   }
 
+  /**
+   * Starts a daemon and submits a job whose tasks run together and end at their
+   * lease with checkpoints, to be resumed once.
+   */
+  const DaemonTasks& StartCheckpointing(const std::string& aName,
+                                        std::size_t aCheckpointBytes)
+  {
+    mStore.SetRowLimit(mSchedulerOptions.mMaxRowBytes);
+    mWorkers.SetRunsBlocked(true);
+    mWorkers.SetCheckpointBytes(aCheckpointBytes);
+    const DaemonTasks& tasks = Start(aName);
+    mStep.mTasks = kCheckpointingTasks;
+    mStep.mDemand = Resources(1, 1, 0);
+    CHECK(Submit(tasks, "j1") == JobCallStatus::kOk);
+    CHECK(WaitWithLiveWorkers(
+      [&] { return mWorkers.Starts() == kCheckpointingTasks; }));
+    mWorkers.SetRunsBlocked(false);
+    return tasks;
+  }
+
   void Kill(const DaemonTasks& aTasks)
   {
     for (const auto& task :
@@ -436,6 +459,64 @@
   CHECK_EQUAL(1, daemons.Lease().mEpoch);
 }
 
+// Guards against a job that never goes on after its checkpoints have made its
+// record larger than a row.
+TEST(SchedulingTasks, RecordWithLongCheckpointsFitsTheRowsOfTheStore)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.StartCheckpointing("a", 800);
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.HasPhase(daemon, "j1", JobPhase::kDone); }));
+  CHECK_EQUAL(kCheckpointingTasks, daemons.mWorkers.Resumptions());
+  CHECK_EQUAL(0, daemons.mLog.Count(LogEvent::kJobSetAside));
+  CHECK_EQUAL(1, daemons.Lease().mEpoch);
+}
+
+// Guards against the same after a takeover by an owner with a lower limit, and
+// against a successor that misreads a record that was divided while it grew.
+TEST(SchedulingTasks, SuccessorWithALowerLimitDividesTheRecordFurther)
+{
+  constexpr std::size_t kLowerLimit = 8'000;
+  Daemons daemons;
+  const DaemonTasks first = daemons.StartCheckpointing("a", 800);
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.mWorkers.Resumptions() == kCheckpointingTasks; }));
+  daemons.mSchedulerOptions.mMaxRowBytes = kLowerLimit;
+  const DaemonTasks second = daemons.Start("b");
+  daemons.mStore.SetRowLimit(kLowerLimit);
+  daemons.Kill(first);
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.HasPhase(second, "j1", JobPhase::kDone); }));
+  CHECK_EQUAL(0, daemons.mLog.Count(LogEvent::kJobSetAside));
+  CHECK_EQUAL(2 * kCheckpointingTasks, daemons.mWorkers.Starts());
+}
+
+// Guards against a record that the store rejects unchanged again and again,
+// since its limit is lower than the daemon's setting.
+TEST(SchedulingTasks, RejectedRecordIsDividedFurther)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.StartCheckpointing("a", 800);
+  daemons.mStore.SetRowLimit(8'000);
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.HasPhase(daemon, "j1", JobPhase::kDone); }));
+  CHECK_EQUAL(kCheckpointingTasks, daemons.mWorkers.Resumptions());
+}
+
+// Guards against a job that never goes on because a single checkpoint is longer
+// than a row: the owner keeps it, and the record leaves it out.
+TEST(SchedulingTasks, CheckpointLongerThanARowDoesNotHoldUpItsJob)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.StartCheckpointing("a", 60'000);
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.HasPhase(daemon, "j1", JobPhase::kDone); }));
+  CHECK_EQUAL(kCheckpointingTasks, daemons.mWorkers.Resumptions());
+  CHECK(daemons.mLog.Count(LogEvent::kCheckpointNotStored) > 0);
+
+  CHECK_EQUAL(0, daemons.mLog.Count(LogEvent::kJobSetAside));
+}
+
 // Guards against accepting a job that no row of the store can hold.
 TEST(SchedulingTasks, JobThatTheStoreCannotHoldIsRefused)
 {
--- a/tests/protocol/SchedulingCodecTest.cpp
+++ b/tests/protocol/SchedulingCodecTest.cpp
@@ -165,6 +165,16 @@
   CHECK(codec.DecodeProgress(codec.EncodeProgress(part)) == part);
 }
 
+// Guards against a row of a record that is divided unequally and that a new
+// owner takes for an equal part.
+TEST(SchedulingCodec, RowOfAnUnequallyDividedRecordIsKept)
+{
+  const JsonSchedulingCodec codec;
+  const JobProgress row =
+    JobProgress("j", "o", JobPhase::kRunning, true, { {}, {} }).AsRow({ 7, 3 });
+  CHECK(codec.DecodeProgress(codec.EncodeProgress(row)) == row);
+}
+
 // Guards against unusable counts of crashes and against rejecting a record of a
 // version that counts none.
 TEST(SchedulingCodec, ProgressRowWithOddCrashesIsRejected)
--- a/tests/state/scheduling/JobProgressTest.cpp
+++ b/tests/state/scheduling/JobProgressTest.cpp
@@ -59,3 +59,26 @@
     StateError,
     JobProgress::Join({ Part(0, { 1 }), Part(1, { 1 }).AsPart(1, 5) }));
 }
+
+// Guards against tasks of a divided row that are read from the row that had
+// them before, and against tasks that are read twice.
+TEST(JobProgress, DividedRowsHideTheTasksOfTheRowTheyWereDividedFrom)
+{
+  const JobProgress whole(
+    "j", "o", JobPhase::kRunning, true, Part(0, { 1, 1, 1, 1 }).Tasks());
+  const auto joined = JobProgress::Join({ whole,
+                                          Part(0, { 4 }).AsRow({ 3, 2 }),
+                                          Part(0, { 2, 3 }).AsRow({ 1, 1 }) });
+  CHECK(RunsOf(joined) == (std::vector<std::uint64_t>{ 1, 2, 3, 4 }));
+  const std::vector<RecordRow> rows{ { 0, 0 }, { 1, 1 }, { 3, 2 } };
+  CHECK(joined.Rows() == rows);
+  CHECK_EQUAL(0, joined.TasksPerPart());
+}
+
+// Guards against memory for tasks that no job can have.
+TEST(JobProgress, RowBeyondTheLargestJobIsRejected)
+{
+  CHECK_THROWS(StateError,
+               JobProgress::Join(
+                 { Part(0, { 1, 2 }), Part(0, { 1 }).AsRow({ 900'000, 1 }) }));
+}
