Limit the memory that checkpoints take

The checkpoints of all tasks together are limited to 24 MB. Beyond that a task keeps the checkpoint that it has and resumes from it; checkpoints_limited is logged once while the limit is reached, scheduler_checkpoint_bytes shows the use.

--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -107,7 +107,8 @@
   kOwnerStopped = 827,
   kCommandsPaused = 828,
   kCommandsResumed = 829,
-  kCheckpointNotStored = 830
+  kCheckpointNotStored = 830,
+  kCheckpointsLimited = 831
 };
 
 /** Entry of the event catalogue. */
--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -63,6 +63,11 @@
    * no record. BeginWrite() divides rows further whose records are too large.
    */
   std::size_t mTasksPerRecord = TaskJob::kMaxTasks;
+  /**
+   * Limit on the checkpoints of all tasks together, in bytes. Beyond it, tasks
+   * keep the checkpoints that they have.
+   */
+  std::size_t mMaxCheckpointBytes = 24'000'000;
   auto operator<=>(const SchedulerOptions&) const = default;
 };
 
@@ -140,7 +145,8 @@
     kWorkerCapacityChanged,
     kRunCrashed,
     kJobSetAside,
-    kCheckpointNotStored
+    kCheckpointNotStored,
+    kCheckpointsLimited
   };
 
   Kind mKind;
--- a/src/coordination/LogEvent.cpp
+++ b/src/coordination/LogEvent.cpp
@@ -437,6 +437,12 @@
                 "the record of a task leaves its checkpoint out, since both "
                 "do not fit into a row; another owner starts the task from "
                 "scratch unless a worker reports the checkpoint" },
+  LogEventInfo{ LogEvent::kCheckpointsLimited,
+                LogLevel::kWarning,
+                "checkpoints_limited",
+                "the checkpoints of all tasks have reached their limit in "
+                "memory; further ones are not kept, and their tasks resume "
+                "from the earlier ones" },
 };
 
 } // namespace
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -64,7 +64,8 @@
                                  LogEvent::kWorkerCapacityChanged,
                                  LogEvent::kRunCrashed,
                                  LogEvent::kJobSetAside,
-                                 LogEvent::kCheckpointNotStored };
+                                 LogEvent::kCheckpointNotStored,
+                                 LogEvent::kCheckpointsLimited };
 
 milliseconds
 WallClockNow()
--- a/src/state/scheduling/SchedulerDiagnostics.cpp
+++ b/src/state/scheduling/SchedulerDiagnostics.cpp
@@ -29,7 +29,9 @@
 Scheduler::Impl::Gauges() const
 {
   std::map<std::string, std::uint64_t> gauges{
-    { "scheduler_jobs", mJobs.size() }, { "scheduler_workers", mWorkers.size() }
+    { "scheduler_jobs", mJobs.size() },
+    { "scheduler_workers", mWorkers.size() },
+    { "scheduler_checkpoint_bytes", mCheckpointBytes }
   };
   const auto counts = CountConditions(mPlannedAt);
   for (std::size_t i = 0; i < counts.size(); ++i) {
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -137,7 +137,8 @@
               std::size_t aTask,
               WorkerState& aWorker,
               std::uint64_t aRun);
-  static void SetCheckpoint(Task& aTask, const std::string& aCheckpoint);
+  void ReplaceCheckpoint(Task& aTask, const std::string& aCheckpoint);
+  void SetCheckpoint(Task& aTask, const std::string& aCheckpoint);
   void RecordStart(JobState& aJob, Millis aNow);
   void Unassign(JobState& aJob, std::size_t aTask);
   void Requeue(JobState& aJob, std::size_t aTask, Millis aNow);
@@ -399,6 +400,9 @@
   /** Number of lost runs, by LossBasis. */
   std::array<std::uint64_t, kLossBases> mLostRunsByBasis{};
   bool mFenced = false;
+  /** Length of the checkpoints of all tasks. */
+  std::size_t mCheckpointBytes = 0;
+  bool mIsCheckpointLimitReached = false;
 };
 
 } // namespace cornelrudder::state::scheduling
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -94,7 +94,7 @@
     Task& task = aJob.mTasks[i];
     task.mRun = record.mRun;
     task.mFailures = record.mFailures;
-    task.mCheckpoint = record.mCheckpoint;
+    ReplaceCheckpoint(task, record.mCheckpoint);
     task.mCrashes = record.mCrashes;
     if (task.mCrashes != CrashCount()) {
       aJob.mCrashedRuns.emplace(i, 0);
@@ -225,6 +225,7 @@
     for (std::size_t i = 0; i < job->mTasks.size(); ++i) {
       mWaits.erase({ aJob, i });
       mNominations.erase({ aJob, i });
+      mCheckpointBytes -= job->mTasks[i].mCheckpoint.size();
     }
     mJobs.erase(aJob);
     mTerminatedJobs.insert(aJob);
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -355,7 +355,7 @@
     std::string workers;
     for (std::size_t n = 0; n < tasks.size(); ++n) {
       const std::string& worker = aKeys.mWorkers[aDecision.mWorkers[n]];
-      job.mTasks[tasks[n].second].mCheckpoint = checkpoint;
+      ReplaceCheckpoint(job.mTasks[tasks[n].second], checkpoint);
       Assign(job, tasks[n].second, mWorkers.at(worker), run + 1);
       MarkChanged(job, tasks[n].second);
       workers += (workers.empty() ? "" : ",") + worker;
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -62,12 +62,42 @@
 }
 
 void
-Scheduler::Impl::SetCheckpoint(Task& aTask, const std::string& aCheckpoint)
+Scheduler::Impl::ReplaceCheckpoint(Task& aTask, const std::string& aCheckpoint)
 {
+  mCheckpointBytes += aCheckpoint.size();
+  mCheckpointBytes -= aTask.mCheckpoint.size();
   aTask.mCheckpoint = aCheckpoint;
   aTask.mIsCheckpointUnstored = false;
 }
 
+/**
+ * Replaces the checkpoint of a task, unless all checkpoints together would take
+ * too much memory: the next run resumes from the earlier one then.
+ */
+void
+Scheduler::Impl::SetCheckpoint(Task& aTask, const std::string& aCheckpoint)
+{
+  const std::size_t others = mCheckpointBytes - aTask.mCheckpoint.size();
+  const bool isLonger = aCheckpoint.size() > aTask.mCheckpoint.size();
+  const bool isKept =
+    !isLonger || others + aCheckpoint.size() <= mOptions.mMaxCheckpointBytes;
+  if (isKept) {
+    ReplaceCheckpoint(aTask, aCheckpoint);
+    // Hysteresis bounds the log lines.
+    mIsCheckpointLimitReached =
+      mIsCheckpointLimitReached &&
+      mCheckpointBytes > mOptions.mMaxCheckpointBytes / 2;
+    return;
+  }
+  if (!mIsCheckpointLimitReached) {
+    mIsCheckpointLimitReached = true;
+    RecordEvent(SchedulerEvent::Kind::kCheckpointsLimited,
+                { { "bytes", std::to_string(mCheckpointBytes) },
+                  { "max_bytes", std::to_string(mOptions.mMaxCheckpointBytes) },
+                  { "rejected_bytes", std::to_string(aCheckpoint.size()) } });
+  }
+}
+
 /** Records that a worker has started a run of a job. */
 void
 Scheduler::Impl::RecordStart(JobState& aJob, Millis aNow)
