--- a/apps/cornelrudderd/Daemon.cpp
+++ b/apps/cornelrudderd/Daemon.cpp
@@ -179,6 +179,7 @@
     AddTraffic(counters, "platform", mPlatformClient.Traffic());
     AddTraffic(counters, "runner", mRunnerClient.Traffic());
     AddTraffic(counters, "worker", mWorkerClient.Traffic());
+    counters["log_lines_dropped_total"] = mLog.DroppedLines();
     return counters;
   }
 
--- a/apps/cornelrudderd/FleetDaemon.cpp
+++ b/apps/cornelrudderd/FleetDaemon.cpp
@@ -176,8 +176,18 @@
         std::move(scheduler)),
       "scheduler");
     caf::anon_send(mCatalog, coordination::Subscribe{ mScheduler });
-    mMetricsTask = mTasks.Add(
-      SpawnMetricsTask(mSystem, { mCatalog, mGateway, mScheduler }), "metrics");
+    mLogCounters = mTasks.Add(
+      SpawnCounterTask(mSystem,
+                       [this] {
+                         return coordination::Counters{
+                           { "log_lines_dropped_total", mLog.DroppedLines() }
+                         };
+                       }),
+      "log_counters");
+    mMetricsTask =
+      mTasks.Add(SpawnMetricsTask(
+                   mSystem, { mCatalog, mGateway, mScheduler, mLogCounters }),
+                 "metrics");
   }
 
   /**
@@ -214,6 +224,7 @@
   caf::actor mCatalog;
   caf::actor mGateway;
   caf::actor mScheduler;
+  caf::actor mLogCounters;
   caf::actor mMetricsTask;
   std::unique_ptr<HttpServer> mServer;
   std::unique_ptr<HttpServer> mReadinessServer;
--- a/apps/cornelrudderd/MetricsTask.cpp
+++ b/apps/cornelrudderd/MetricsTask.cpp
@@ -97,6 +97,14 @@
   return aSystem.spawn<MetricsTask>(std::move(aTasks));
 }
 
+caf::actor
+SpawnCounterTask(caf::actor_system& aSystem, std::function<Counters()> aCount)
+{
+  return aSystem.spawn([count = std::move(aCount)]() -> caf::behavior {
+    return { [count](const GetCounters&) { return count(); } };
+  });
+}
+
 transport::HttpHandler
 MakeMetricsHandler(const caf::actor& aMetrics)
 {
--- a/apps/cornelrudderd/MetricsTask.h
+++ b/apps/cornelrudderd/MetricsTask.h
@@ -7,6 +7,7 @@
 
 #include <caf/actor.hpp>
 
+#include <functional>
 #include <vector>
 
 namespace cornelrudder::daemon {
@@ -22,6 +23,14 @@
 caf::actor
 SpawnMetricsTask(caf::actor_system& aSystem, std::vector<caf::actor> aTasks);
 
+/**
+ * Starts a task with counters that belong to no other task.
+ * @param aCount Called for each GetCounters; must stay callable.
+ */
+caf::actor
+SpawnCounterTask(caf::actor_system& aSystem,
+                 std::function<coordination::Counters()> aCount);
+
 /** @return A handler that responds with the sums of all counters. */
 transport::HttpHandler
 MakeMetricsHandler(const caf::actor& aMetrics);
--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -108,7 +108,8 @@
   kCommandsPaused = 828,
   kCommandsResumed = 829,
   kCheckpointNotStored = 830,
-  kCheckpointsLimited = 831
+  kCheckpointsLimited = 831,
+  kLogLinesDropped = 832
 };
 
 /** Entry of the event catalogue. */
--- a/src/coordination/LogEvent.cpp
+++ b/src/coordination/LogEvent.cpp
@@ -443,6 +443,11 @@
                 "the checkpoints of all tasks have reached their limit in "
                 "memory; further ones are not kept, and their tasks resume "
                 "from the earlier ones" },
+  LogEventInfo{ LogEvent::kLogLinesDropped,
+                LogLevel::kWarning,
+                "log_lines_dropped",
+                "standard output was not read for some time, and the oldest "
+                "lines that waited were dropped" },
 };
 
 } // namespace
