Keep the ends of rejected records in the lease row

Cause: the ends of a job whose record is rejected are not acknowledged. Workers are told a number up to which ends are known, so that one such end held back all later ones of its worker, of whatever job; a worker reports at most 500. By reading, the limit was also lifted as soon as the job was no longer set aside, before its record was stored.

Change: these ends are stored in the lease row, which every write contains, and are acknowledged then. A successor applies them to the outdated record and keeps them in the row until the record is stored. The limit follows from what the worker reports and the row contains, and is lifted when the record is stored completely.

Why it works: an end is acknowledged only when a write is stored that contains it, either in the record of its job or in the lease row, and each new owner reads both. The test changes the owner before the row is accepted again; the job ends without a further start.

--- a/include/cornelrudder/state/scheduling/OwnerLease.h
+++ b/include/cornelrudder/state/scheduling/OwnerLease.h
@@ -2,6 +2,8 @@
 #define CORNELRUDDER_STATE_SCHEDULING_OWNER_LEASE_H
 
 #include "cornelrudder/state/PeakWindow.h"
+#include "cornelrudder/state/scheduling/TaskId.h"
+#include "cornelrudder/state/scheduling/WorkerCalls.h"
 
 #include <algorithm>
 #include <chrono>
@@ -9,9 +11,23 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace cornelrudder::state::scheduling {
 
+/**
+ * A termination that the record of its job does not contain, since the store
+ * rejects the record.
+ */
+struct UnrecordedEnd
+{
+  TaskId mTask;
+  std::uint64_t mRun = 0;
+  TerminationReason mReason = TerminationReason::kStopped;
+
+  auto operator<=>(const UnrecordedEnd&) const = default;
+};
+
 /** Value of the lease row, which names the daemon that schedules the tasks. */
 struct OwnerLease
 {
@@ -41,6 +57,11 @@
    * unresponsive workers with runs, whose leases the owner no longer extends.
    */
   std::map<std::string, std::uint64_t> mWorkerLeases{};
+  /**
+   * Kept here so that workers may forget them: a worker reports only its first
+   * unacknowledged terminations, and those of other jobs come after them.
+   */
+  std::vector<UnrecordedEnd> mUnrecordedEnds{};
 
   /**
    * Limits handovers among daemons of which none reaches the workers.
--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -3,6 +3,7 @@
 
 #include "cornelrudder/state/scheduling/Catalog.h"
 #include "cornelrudder/state/scheduling/JobProgress.h"
+#include "cornelrudder/state/scheduling/OwnerLease.h"
 #include "cornelrudder/state/scheduling/OwnerReachability.h"
 #include "cornelrudder/state/scheduling/Planning.h"
 #include "cornelrudder/state/scheduling/TaskJob.h"
@@ -257,6 +258,19 @@
    */
   void HandleRejectedRecord(Millis aNow);
 
+  /**
+   * @return Terminations of jobs whose records the store rejects, to be stored
+   *   in the lease row by the pending write. Workers may forget them then.
+   */
+  std::vector<UnrecordedEnd> UnrecordedEnds() const;
+
+  /**
+   * Applies the terminations that an earlier owner stored in the lease row;
+   * called after the jobs were added.
+   */
+  void RestoreUnrecordedEnds(const std::vector<UnrecordedEnd>& aEnds,
+                             Millis aNow);
+
   /**
    * @return Terminated jobs whose rows were kept for mJobRetention, oldest
    *   first, at most aMax. The time counts from when this owner removed the job
--- a/include/cornelrudder/state/scheduling/WorkerCalls.h
+++ b/include/cornelrudder/state/scheduling/WorkerCalls.h
@@ -6,7 +6,9 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cornelrudder::state::scheduling {
@@ -143,6 +145,10 @@
 const char*
 TerminationReasonName(TerminationReason aReason);
 
+/** @return The reason with a name, or nothing for an unknown name. */
+std::optional<TerminationReason>
+TerminationReasonFromName(std::string_view aName);
+
 /** A run that a worker reports as terminated. */
 struct TerminatedRun
 {
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -364,6 +364,7 @@
   if (mMode == Mode::kOwning) {
     records = CollectRecords();
     mLease.mPending = mScheduler->PendingJobs();
+    mLease.mUnrecordedEnds = mScheduler->UnrecordedEnds();
   }
   if (mReleasing) {
     mLease.mOwner.clear();
--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -164,6 +164,7 @@
       mUnreadableJobs.insert(row.Key());
     }
   }
+  mScheduler->RestoreUnrecordedEnds(mLease.mUnrecordedEnds, Now());
   mPorts.mLog.Write(
     { LogEvent::kJobsRecovered,
       { { "epoch", std::to_string(mLease.mEpoch) },
--- a/src/protocol/JsonSchedulingCodec.cpp
+++ b/src/protocol/JsonSchedulingCodec.cpp
@@ -23,8 +23,12 @@
 using state::scheduling::Schedule;
 using state::scheduling::StepSpec;
 using state::scheduling::StepSpecValues;
+using state::scheduling::TaskId;
 using state::scheduling::TaskJob;
 using state::scheduling::TaskRecord;
+using state::scheduling::TerminationReasonFromName;
+using state::scheduling::TerminationReasonName;
+using state::scheduling::UnrecordedEnd;
 using std::chrono::milliseconds;
 
 namespace {
@@ -196,6 +200,23 @@
   return record;
 }
 
+std::vector<UnrecordedEnd>
+EndsFromJson(const JsonReader& aEnds)
+{
+  std::vector<UnrecordedEnd> ends;
+  for (int i = 0; aEnds.Has(i); ++i) {
+    const JsonReader it = aEnds.At(i);
+    const auto task = TaskId::Parse(it.Text(0));
+    const auto reason = TerminationReasonFromName(it.Text(2));
+    if (!task || !reason) {
+      throw CoordinationError(
+        "owner lease: unusable end of a run: " + it.Text(0) + " " + it.Text(2));
+    }
+    ends.push_back({ *task, it.Counter(1), *reason });
+  }
+  return ends;
+}
+
 std::vector<TaskRecord>
 RecordsFromJson(const JsonReader& aTasks)
 {
@@ -315,6 +336,10 @@
   if (!aLease.mWorkerLeases.empty()) {
     lease["worker_leases_ms"] = aLease.mWorkerLeases;
   }
+  for (const UnrecordedEnd& it : aLease.mUnrecordedEnds) {
+    lease["unrecorded_ends"].push_back(
+      { it.mTask.Text(), it.mRun, TerminationReasonName(it.mReason) });
+  }
   return ToText(lease);
 }
 
@@ -335,6 +360,9 @@
     if (aObject.Has("worker_leases_ms")) {
       lease.mWorkerLeases = aObject.CountersByName("worker_leases_ms");
     }
+    if (aObject.Has("unrecorded_ends")) {
+      lease.mUnrecordedEnds = EndsFromJson(aObject.At("unrecorded_ends"));
+    }
     return lease;
   });
 }
--- a/src/state/scheduling/Names.cpp
+++ b/src/state/scheduling/Names.cpp
@@ -14,6 +14,11 @@
                                   "failed",
                                   "cancelled" };
 
+/** Indexed by TerminationReason. */
+constexpr std::array kReasonNames{ "done",        "failed",
+                                   "stopped",     "lease_expired",
+                                   "gang_broken", "gang_incomplete" };
+
 } // namespace
 
 const char*
@@ -43,10 +48,18 @@
 const char*
 TerminationReasonName(TerminationReason aReason)
 {
-  static constexpr std::array kNames{ "done",        "failed",
-                                      "stopped",     "lease_expired",
-                                      "gang_broken", "gang_incomplete" };
-  return kNames.at(static_cast<std::size_t>(aReason));
+  return kReasonNames.at(static_cast<std::size_t>(aReason));
+}
+
+std::optional<TerminationReason>
+TerminationReasonFromName(std::string_view aName)
+{
+  for (std::size_t i = 0; i < kReasonNames.size(); ++i) {
+    if (kReasonNames.at(i) == aName) {
+      return static_cast<TerminationReason>(i);
+    }
+  }
+  return std::nullopt;
 }
 
 } // namespace cornelrudder::state::scheduling
--- a/src/state/scheduling/Scheduler.cpp
+++ b/src/state/scheduling/Scheduler.cpp
@@ -108,6 +108,19 @@
   mImpl->HandleRejectedRecord(aNow);
 }
 
+std::vector<UnrecordedEnd>
+Scheduler::UnrecordedEnds() const
+{
+  return mImpl->UnrecordedEnds();
+}
+
+void
+Scheduler::RestoreUnrecordedEnds(const std::vector<UnrecordedEnd>& aEnds,
+                                 Millis aNow)
+{
+  mImpl->RestoreUnrecordedEnds(aEnds, aNow);
+}
+
 std::vector<std::string>
 Scheduler::ExpiredJobs(Millis aNow, std::size_t aMax) const
 {
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -43,6 +43,9 @@
                                       const RecordSizer& aSizeOf);
   void FinishWrite(bool aStored);
   void HandleRejectedRecord(Millis aNow);
+  std::vector<UnrecordedEnd> UnrecordedEnds() const;
+  void RestoreUnrecordedEnds(const std::vector<UnrecordedEnd>& aEnds,
+                             Millis aNow);
   std::vector<std::string> ExpiredJobs(Millis aNow, std::size_t aMax) const;
   void RemoveExpiredJobs(std::size_t aCount);
   std::map<std::string, std::uint64_t> PendingJobs() const;
@@ -122,6 +125,9 @@
   void MarkChanged(JobState& aJob, std::size_t aTask);
   void MarkAllChanged(JobState& aJob);
   bool ShrinkRecord(JobState& aJob, std::size_t aFirst);
+  void NoteUnrecordedEnds(WorkerState& aWorker,
+                          const std::vector<TerminatedRun>& aTerminated);
+  void ForgetRecordedJob(const std::string& aJob);
   void RestoreChanges(const std::string& aJob,
                       const std::set<std::size_t>& aRows);
   void RetryJobsSetAside(Millis aNow);
@@ -368,6 +374,13 @@
   std::map<std::string, std::set<std::size_t>> mWriting;
   /** Jobs whose records the store rejected; see JobState::mSetAsideUntil. */
   std::set<std::string> mSetAside;
+  /** Jobs whose record was rejected and is not stored completely since. */
+  std::set<std::string> mRejectedJobs;
+  /**
+   * Terminations of these jobs, and the number of the write that contains each
+   * of them; 0 before that write.
+   */
+  std::map<UnrecordedEnd, std::uint64_t> mUnrecordedEnds;
   /** Numbers of the last started write and of the last stored one. */
   std::uint64_t mWrites = 0;
   std::uint64_t mStoredWrites = 0;
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -13,6 +13,11 @@
  */
 constexpr Millis kSetAsideTime{ 5'000 };
 constexpr Millis kMaxSetAsideTime{ 60'000 };
+/**
+ * Limit on the terminations in the lease row, which is written each time: it
+ * stays below 30 KB. Those beyond the limit stay unacknowledged.
+ */
+constexpr std::size_t kMaxUnrecordedEnds = 400;
 
 Millis
 SetAsideTime(int aRejections)
@@ -295,6 +300,9 @@
                             const RecordSizer& aSizeOf)
 {
   ++mWrites;
+  for (auto& [end, write] : mUnrecordedEnds) {
+    write = write == 0 ? mWrites : write;
+  }
   std::vector<JobProgress> records;
   std::size_t tasks = 0;
   std::size_t bytes = 0;
@@ -362,6 +370,9 @@
     for (auto& [id, worker] : mWorkers) {
       worker.mWritingUpTo = worker.mAckedUpTo;
     }
+    for (auto& [end, write] : mUnrecordedEnds) {
+      write = write == mWrites ? 0 : write;
+    }
     return;
   }
   mStoredWrites = mWrites;
@@ -375,8 +386,10 @@
     }
   }
   for (const auto& [id, rows] : written) {
-    if (JobState* job = FindJob(id)) {
+    JobState* job = FindJob(id);
+    if (job != nullptr && job->mChangedRows.empty()) {
       job->mRejections = 0;
+      ForgetRecordedJob(id);
     }
     RemoveIfTerminated(id);
   }
@@ -402,6 +415,7 @@
   const Millis setAsideTime = SetAsideTime(++job.mRejections);
   mRound.erase(id);
   mSetAside.insert(id);
+  mRejectedJobs.insert(id);
   job.mSetAsideUntil = aNow + setAsideTime;
   for (auto& [workerId, worker] : mWorkers) {
     if (worker.HasUnackedTerminations()) {
@@ -420,11 +434,92 @@
                 { "retry_after_ms", std::to_string(setAsideTime.count()) } });
 }
 
+/**
+ * Notes the terminations of jobs whose records are rejected, for the lease row,
+ * and limits the acknowledgement to those before the first one that is not
+ * stored there yet.
+ * @param aTerminated All terminations that the worker reports, in the sequence
+ *   in which they happened.
+ */
+void
+Scheduler::Impl::NoteUnrecordedEnds(
+  WorkerState& aWorker,
+  const std::vector<TerminatedRun>& aTerminated)
+{
+  if (mRejectedJobs.empty()) {
+    return;
+  }
+  std::uint64_t limit = WorkerState::kNoAckLimit;
+  for (const TerminatedRun& it : aTerminated) {
+    if (!mRejectedJobs.contains(it.mTask.Job())) {
+      continue;
+    }
+    const UnrecordedEnd end{ it.mTask, it.mRun, it.mReason };
+    if (mUnrecordedEnds.size() < kMaxUnrecordedEnds) {
+      mUnrecordedEnds.emplace(end, 0);
+    }
+    const auto noted = mUnrecordedEnds.find(end);
+    const bool isStored = noted != mUnrecordedEnds.end() &&
+                          noted->second != 0 && noted->second <= mStoredWrites;
+    if (!isStored) {
+      limit = std::min(limit, it.mSequence - 1);
+    }
+  }
+  aWorker.mAckLimit = limit;
+}
+
+/** Ends the limits that a job caused, once its record is stored completely. */
+void
+Scheduler::Impl::ForgetRecordedJob(const std::string& aJob)
+{
+  if (mRejectedJobs.erase(aJob) == 0) {
+    return;
+  }
+  std::erase_if(mUnrecordedEnds, [&aJob](const auto& aIt) {
+    return aIt.first.mTask.Job() == aJob;
+  });
+  if (mRejectedJobs.empty()) {
+    for (auto& [id, worker] : mWorkers) {
+      worker.mAckLimit = WorkerState::kNoAckLimit;
+    }
+  }
+}
+
+std::vector<UnrecordedEnd>
+Scheduler::Impl::UnrecordedEnds() const
+{
+  std::vector<UnrecordedEnd> ends;
+  ends.reserve(mUnrecordedEnds.size());
+  for (const auto& [end, write] : mUnrecordedEnds) {
+    ends.push_back(end);
+  }
+  return ends;
+}
+
+void
+Scheduler::Impl::RestoreUnrecordedEnds(const std::vector<UnrecordedEnd>& aEnds,
+                                       Millis aNow)
+{
+  for (const UnrecordedEnd& end : aEnds) {
+    JobState* job = FindJob(end.mTask.Job());
+    const auto index = job != nullptr ? job->Find(end.mTask) : std::nullopt;
+    if (!index) {
+      continue;
+    }
+    const Task& task = job->mTasks[*index];
+    if (task.IsAssigned() && task.mRun == end.mRun) {
+      // The lease row contains the end until the record does.
+      mRejectedJobs.insert(end.mTask.Job());
+      mUnrecordedEnds.emplace(end, 0);
+      HandleTermination(*job, *index, end.mReason, "", aNow);
+    }
+  }
+}
+
 /** Makes the jobs that were set aside long enough part of the next round. */
 void
 Scheduler::Impl::RetryJobsSetAside(Millis aNow)
 {
-  const bool isAny = !mSetAside.empty();
   std::erase_if(mSetAside, [this, aNow](const std::string& aId) {
     const bool isDue = mJobs.at(aId).mSetAsideUntil <= aNow;
     if (isDue) {
@@ -432,11 +527,6 @@
     }
     return isDue;
   });
-  if (isAny && mSetAside.empty()) {
-    for (auto& [id, worker] : mWorkers) {
-      worker.mAckLimit = WorkerState::kNoAckLimit;
-    }
-  }
 }
 
 std::vector<std::string>
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -377,7 +377,7 @@
   std::uint64_t mAckedUpTo = 0;
   /**
    * Terminations above this number may belong to a job whose record the store
-   * rejects, and are not acknowledged.
+   * rejects, and are not acknowledged before they are in the lease row.
    */
   std::uint64_t mAckLimit = kNoAckLimit;
   /** Highest acknowledged one of which the worker is known to know. */
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -504,7 +504,7 @@
   const Task& task = job->mTasks[*index];
   const bool isCurrent = task.IsAssigned() && task.mRun == aRun.mRun &&
                          task.mWorker == aWorker.mInfo.mId;
-  if (mSetAside.contains(aRun.mTask.Job())) {
+  if (mRejectedJobs.contains(aRun.mTask.Job())) {
     aWorker.mAckLimit = std::min(aWorker.mAckLimit, aRun.mSequence - 1);
   }
   RecordStart(*job, aNow);
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -577,6 +577,7 @@
   for (const TerminatedRun& terminated : aReply.mTerminated) {
     worker.mReceivedUpTo = std::max(worker.mReceivedUpTo, terminated.mSequence);
   }
+  NoteUnrecordedEnds(worker, aReply.mTerminated);
   // Runs that are not listed may be among the terminations that did not fit
   // into the reply. The worker reports those after earlier ones are
   // acknowledged.
--- a/tests/coordination/FakeFleet.cpp
+++ b/tests/coordination/FakeFleet.cpp
@@ -599,6 +599,17 @@
   mCheckpointBytes = aBytes;
 }
 
+std::size_t
+FakeTaskWorkers::UnacknowledgedEnds()
+{
+  const std::lock_guard lock(mMutex);
+  std::size_t ends = 0;
+  for (const auto& [id, worker] : mWorkers) {
+    ends += worker.mTerminated.size();
+  }
+  return ends;
+}
+
 int
 FakeTaskWorkers::Resumptions()
 {
--- a/tests/coordination/FakeFleet.h
+++ b/tests/coordination/FakeFleet.h
@@ -196,6 +196,8 @@
    */
   void SetCheckpointBytes(std::size_t aBytes);
   int Starts();
+  /** @return Number of terminations that no owner has acknowledged. */
+  std::size_t UnacknowledgedEnds();
   /** @return Number of starts that resumed a task from its own checkpoint. */
   int Resumptions();
   int Renewals();
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -574,6 +574,39 @@
     [&] { return daemons.HasPhase(daemon, "j1", JobPhase::kDone); }));
 }
 
+// Guards against a job whose record the store rejects for any cause and that
+// stops the acknowledgement of all ends of its workers: each worker reports
+// only the first 500. The ends of the job itself must outlast a change of
+// owner.
+TEST(SchedulingTasks, RejectedRecordStopsNoAcknowledgements)
+{
+  Daemons daemons;
+  const DaemonTasks first = daemons.Start("a");
+  daemons.mWorkers.SetRunsBlocked(true);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(first, "j1"));
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.mWorkers.Starts() == 1; }));
+  daemons.mStore.SetRejectedRow("runs/j1");
+  daemons.mWorkers.SetRunsBlocked(false);
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.mLog.Count(LogEvent::kJobSetAside) > 0; }));
+  for (const char* job : { "j2", "j3", "j4" }) {
+    CheckStatus(JobCallStatus::kOk, daemons.Submit(first, job));
+    CHECK(daemons.WaitWithLiveWorkers(
+      [&] { return daemons.HasPhase(first, job, JobPhase::kDone); }));
+  }
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.mWorkers.UnacknowledgedEnds() == 0; }));
+  const DaemonTasks second = daemons.Start("b");
+  daemons.Kill(first);
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.mWorkers.HighestEpoch() == 2; }));
+  daemons.mStore.SetRejectedRow("");
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.HasPhase(second, "j1", JobPhase::kDone); }));
+  CHECK_EQUAL(4, daemons.mWorkers.Starts());
+}
+
 // Guards against delaying callers while the store is known to be unreachable,
 // and against a write that takes effect after a rejection.
 TEST(SchedulingTasks, UnreachableStoreRejectsWithoutEffect)
--- a/tests/protocol/SchedulingCodecTest.cpp
+++ b/tests/protocol/SchedulingCodecTest.cpp
@@ -189,6 +189,21 @@
   }
 }
 
+// Guards against terminations that a successor does not learn of.
+TEST(SchedulingCodec, UnrecordedEndsAreKept)
+{
+  const JsonSchedulingCodec codec;
+  OwnerLease lease;
+  lease.mOwner = "v";
+  lease.mUnrecordedEnds = {
+    { TaskId("j", 0, 1, 2), 3, TerminationReason::kDone },
+    { TaskId("k", 4, 0, 0), 1, TerminationReason::kLeaseExpired }
+  };
+  const std::string text = codec.EncodeOwnerLease(lease);
+  CHECK(codec.DecodeOwnerLease(text) == lease);
+  CheckRejected(DecodeLease, Replace(text, "lease_expired", "unknown"));
+}
+
 // Guards against an epoch or a sequence number that no later one exceeds.
 TEST(SchedulingCodec, LeaseRowWithNumberOutOfRangeIsRejected)
 {
