Let isolated tasks that wait for their turn share workers

Cause: tasks that need isolation were taken out of the plan beyond a fifth of the fleet, before any decision about them, so that no waiting time was noted and the limit of 2 s after which they may share a worker never began. The counts of crashes of tasks that last were never reset.

Evidence: on the unchanged code SchedulerCrashes.LongRunningTasksReturnSoonAfterCrashesOfSingleWorkers has 23 of 24 tasks running 6 s after the last crash.

Change: units that are taken out of the plan wait like those that found no place. A reported run of 30 s clears the counts of a task that lasts.

--- a/src/state/scheduling/SchedulerCrashes.cpp
+++ b/src/state/scheduling/SchedulerCrashes.cpp
@@ -11,6 +11,8 @@
  * younger run is on the worker.
  */
 constexpr Millis kYoungRunTime{ 3'000 };
+/** Reported run time after which no earlier crash was caused by the task. */
+constexpr Millis kProvenRunTime{ 30'000 };
 /**
  * Number of workers that crash within a time from which a common cause, for
  * example a power loss, is more likely than their runs.
@@ -294,12 +296,33 @@
                                   : Isolation::kNone;
 }
 
+/**
+ * Forgets the crashes under a task that lasts once one of its runs has worked
+ * for long: over weeks, crashes of other causes would isolate each such task.
+ */
+void
+Scheduler::Impl::ResetCrashCount(JobState& aJob, std::size_t aTask, Millis aNow)
+{
+  const Task& task = aJob.mTasks[aTask];
+  const bool isProven = aJob.StepOf(aTask).IsLongRunning() &&
+                        task.mReportableSince &&
+                        aNow - *task.mReportableSince >= kProvenRunTime;
+  if (isProven && aJob.CrashesOf(aTask) != CrashCount()) {
+    const std::size_t counted = aJob.CountedTask(aTask);
+    aJob.mTasks[counted].mCrashes = CrashCount();
+    MarkChanged(aJob, counted);
+  }
+}
+
 /**
  * Removes isolated units from a view beyond a share of the fleet, so that many
- * suspects neither occupy nor crash most workers at the same time.
+ * suspects neither occupy nor crash most workers at the same time. They wait
+ * meanwhile, so that they may share workers after the longest isolation wait.
  */
 void
-Scheduler::Impl::LimitIsolatedUnits(PlanningView& aView) const
+Scheduler::Impl::LimitIsolatedUnits(PlanningView& aView,
+                                    const ViewKeys& aKeys,
+                                    Millis aNow)
 {
   const std::size_t limit = std::max(
     kMinIsolatedUnits, aView.mWorkers.size() / kWorkersPerIsolatedUnit);
@@ -313,8 +336,14 @@
     }
   }
   std::size_t n = running.size();
-  std::erase_if(aView.mWaiting, [&n, limit](const WaitingUnit& aUnit) {
-    return aUnit.mIsolation == Isolation::kRequired && ++n > limit;
+  std::erase_if(aView.mWaiting, [&](const WaitingUnit& aUnit) {
+    const bool isRemoved =
+      aUnit.mIsolation == Isolation::kRequired && ++n > limit;
+    if (isRemoved) {
+      mWaits.emplace(aKeys.mWaiting[aUnit.mKey].front(),
+                     WaitState{ PlanReason::kNoCapacity, aNow });
+    }
+    return isRemoved;
   });
 }
 
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -279,7 +279,10 @@
                   Millis aNow);
   static bool IsSuspectRun(const JobState& aJob, std::size_t aTask);
   static Isolation IsolationOf(const JobState& aJob, std::size_t aTask);
-  void LimitIsolatedUnits(PlanningView& aView) const;
+  void LimitIsolatedUnits(PlanningView& aView,
+                          const ViewKeys& aKeys,
+                          Millis aNow);
+  void ResetCrashCount(JobState& aJob, std::size_t aTask, Millis aNow);
 
   // Progress.
   void CheckProgress(Millis aNow);
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -122,7 +122,7 @@
     }
     AddWaiting(view, aKeys, job, aNow);
   }
-  LimitIsolatedUnits(view);
+  LimitIsolatedUnits(view, aKeys, aNow);
   if (!view.mWaiting.empty()) {
     AddRunning(view, aKeys, aNow);
   }
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -549,6 +549,7 @@
   task.mPendingCrash.reset();
   task.mReportedAt = aNow;
   task.mReportedIncarnation = aIncarnation;
+  ResetCrashCount(*job, *index, aNow);
   if (aRun.mProgressPercent != task.mProgressPercent) {
     task.mProgressPercent = aRun.mProgressPercent;
     task.mProgressAt = aNow;
--- a/tests/state/scheduling/CrashTest.cpp
+++ b/tests/state/scheduling/CrashTest.cpp
@@ -209,6 +209,40 @@
   CheckNoViolation(model);
 }
 
+// Guards against lasting tasks that stay down on an idle fleet after crashes of
+// single workers: those beyond the limit of isolated tasks never got a turn.
+TEST(SchedulerCrashes, LongRunningTasksReturnSoonAfterCrashesOfSingleWorkers)
+{
+  constexpr std::size_t kWorkers = 7;
+  constexpr std::size_t kTasks = 24;
+  constexpr int kCrashes = 4;
+  FleetModelOptions options;
+  options.mWorkers = kWorkers;
+  options.mCrashTime = milliseconds(800);
+  FleetModel model(options);
+  StepSpecValues step = Step(kTasks, 1);
+  step.mLongRunning = true;
+  model.Submit(MakeJob("a", step, 1), milliseconds(1'000'000));
+  for (int i = 0; i < kCrashes; ++i) {
+    model.Run(milliseconds(8'000));
+    std::size_t busiest = 0;
+    for (std::size_t worker = 1; worker < kWorkers; ++worker) {
+      if (model.RunningOn(worker) > model.RunningOn(busiest)) {
+        busiest = worker;
+      }
+    }
+    model.CrashWorker(busiest);
+  }
+  // A task that lasts has to run again 6 s after its last run.
+  model.Run(milliseconds(6'000));
+  std::size_t running = 0;
+  for (std::size_t worker = 0; worker < kWorkers; ++worker) {
+    running += model.RunningOn(worker);
+  }
+  CHECK_EQUAL(kTasks, running);
+  CheckNoViolation(model);
+}
+
 // Guards against ending a long-running job because its workers have crashed
 // from time to time.
 TEST(SchedulerCrashes, CrashesUnderALongRunningTaskFailNoJob)
@@ -238,6 +272,30 @@
   CheckNoViolation(model);
 }
 
+// Guards against tasks that last for weeks and that crashes of other causes
+// isolate for ever.
+TEST(SchedulerCrashes, LongRunOfALastingTaskClearsItsCrashes)
+{
+  constexpr std::size_t kWorkers = 8;
+  FleetModel model({ kWorkers, 2 });
+  StepSpecValues step = Step(1, 1);
+  step.mLongRunning = true;
+  model.Submit(MakeJob("a", step, 1), milliseconds(1'000'000));
+  for (int i = 0; i < 2; ++i) {
+    model.Run(milliseconds(5'000));
+    for (std::size_t worker = 0; worker < kWorkers; ++worker) {
+      if (model.RunningOn(worker) > 0) {
+        model.CrashWorker(worker);
+      }
+    }
+  }
+  model.Run(milliseconds(10'000));
+  CHECK_EQUAL(2, model.StoredCrashes("a").Total());
+  model.Run(milliseconds(40'000));
+  CHECK(model.StoredCrashes("a") == CrashCount());
+  CheckNoViolation(model);
+}
+
 // Guards against taking a crash for a lost path because the worker is back only
 // after its lease has expired.
 TEST(SchedulerCrashes, CrashesOfWorkersThatReturnLateCount)
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -158,6 +158,11 @@
   }
   JobOutcome OutcomeOf(const std::string& aJob) const;
   std::size_t RunningOn(std::size_t aWorker) const;
+  /** @return Crashes in the stored record of the first task of a job. */
+  scheduling::CrashCount StoredCrashes(const std::string& aJob) const
+  {
+    return mRecords.at(aJob).Tasks().front().mCrashes;
+  }
   /** @return Number of terminations that a worker still reports. */
   std::size_t UnackedOn(std::size_t aWorker) const;
   /** @return Number of jobs that the owner reports as pending. */
