Fail no job after two crashes of its workers

Cause: two crashes under a task, one of them with no other run on the worker, counted as proof that the task crashes its workers. Workers crash by themselves, and any crash under a gang of whole workers counts as one alone.

Evidence: SchedulerCrashes.TwoEarlyCrashesOfAWorkerOfItsOwnFailNoJob fails on the unchanged code: the job is failed.

Change: three crashes are needed, one of them alone.

--- a/include/cornelrudder/state/scheduling/CrashCount.h
+++ b/include/cornelrudder/state/scheduling/CrashCount.h
@@ -70,17 +70,20 @@
     return mSuspect >= kIsolatedCrashes || mTotal > kIsolatedCrashes;
   }
 
-  /** @return Whether the task must not start again. */
+  /**
+   * @return Whether the task must not start again. Two crashes are no reason,
+   *   even if the task was the only one on its worker: the platform counts only
+   *   failed runs as attempts, and workers crash without a cause in their runs.
+   */
   bool IsExhausted() const
   {
-    return (mAlone > 0 && mSuspect >= kIsolatedCrashes) ||
-           mTotal >= kMaxCrashes;
+    return (mAlone > 0 && mSuspect > kIsolatedCrashes) || mTotal >= kMaxCrashes;
   }
 
   auto operator<=>(const CrashCount&) const = default;
 
 private:
-  /** The platform lets a job fail after two crashes under one of its tasks. */
+  /** One crash is no evidence; a second one is worth a worker of its own. */
   static constexpr int kIsolatedCrashes = 2;
   /**
    * The platform allows two starts after three crashes. One of them is left for
--- a/tests/state/scheduling/CrashTest.cpp
+++ b/tests/state/scheduling/CrashTest.cpp
@@ -209,6 +209,30 @@
   CheckNoViolation(model);
 }
 
+// Guards against a job that fails although none of its runs has: two workers
+// crashed early in its runs, and the task had each of them for itself.
+TEST(SchedulerCrashes, TwoEarlyCrashesOfAWorkerOfItsOwnFailNoJob)
+{
+  constexpr std::size_t kWorkers = 6;
+  FleetModel model({ kWorkers, 2 });
+  model.Submit(MakeJob("a", Step(1, 8), 1), milliseconds(6'000));
+  for (int i = 0; i < 2; ++i) {
+    std::size_t host = kWorkers;
+    for (int n = 0; n < 100 && host == kWorkers; ++n) {
+      model.Run(milliseconds(100));
+      for (std::size_t worker = 0; worker < kWorkers; ++worker) {
+        host = model.RunningOn(worker) > 0 ? worker : host;
+      }
+    }
+    CHECK(host < kWorkers);
+    model.Run(milliseconds(1'200));
+    model.CrashWorker(host);
+  }
+  model.Run(milliseconds(20'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
 // Guards against lasting tasks that stay down on an idle fleet after crashes of
 // single workers: those beyond the limit of isolated tasks never got a turn.
 TEST(SchedulerCrashes, LongRunningTasksReturnSoonAfterCrashesOfSingleWorkers)
