Restart workers while their owner pauses, in the soak

The owner pauses after a write for about as long as a takeover takes, and one half of the workers restarts when a successor has asked them.

--- a/scripts/fleet_soak.sh
+++ b/scripts/fleet_soak.sh
@@ -7,7 +7,9 @@
 # Usage: scripts/fleet_soak.sh FIRST_SEED [COUNT [JOBS]]
 # FLEET_SOAK_DAEMONS: number of daemons, 1 to 10; default 4.
 # FLEET_SOAK_FAULTS: names of the faults to draw from; "takeover" stands for those
-#   around takeovers.
+#   around takeovers. Those that both lists below leave out, since a longer list
+#   would change what a seed means, are drawn by name only:
+#   pause_owner_and_restart_workers.
 # FLEET_SOAK_LONG_RUNS: if set, half of the steps have runs of 4 to 16 s.
 # FLEET_SOAK_GAP: upper limit of the seconds between two faults; without it, they
 #   are less than a second apart.
@@ -341,6 +343,23 @@
     sleep "$drawn"
   done
 }
+# The owner pauses after a write for about as long as a takeover takes, and one
+# half of the workers restarts when a successor has asked them: they know the
+# epoch of no owner when the former one goes on.
+pause_owner_and_restart_workers() {
+  local name worker first=$((RANDOM % 2))
+  find_owner write
+  name=$drawn
+  kill -STOP "${pid_of[$name]}"
+  draw_seconds 1350 1550
+  sleep "$drawn"
+  for worker in $(seq "$first" 2 11); do
+    control "/workers/$worker/restart"
+    draw_seconds 10 60
+    sleep "$drawn"
+  done
+  kill -CONT "${pid_of[$name]}"
+}
 pause_owner() { pause_again now; }
 pause_writing_owner() { pause_again write; }
 kill_owner() {
