Ignore rows of a record that its job has no tasks for

Found by reading the change: a row that begins behind the last task of its job, which only another writer can have added, gave a range that ends before it begins. RecordRows.RowsBeyondTheJobAreIgnored plays it. The model of takeovers reads the end of a delayed start from the clock of its daemon.

--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -196,6 +196,10 @@
         { mRows.back().mFirstTask + mTasksPerPart, mRows.size() });
     }
   }
+  // Rows that another writer may have added.
+  std::erase_if(mRows, [this](const RecordRow& aRow) {
+    return aRow.mFirstTask >= mTasks.size();
+  });
 }
 
 const RecordRow&
--- a/tests/coordination/RecordRowsTest.cpp
+++ b/tests/coordination/RecordRowsTest.cpp
@@ -265,3 +265,22 @@
   CHECK(rc::check("records of any length",
                   [](std::uint64_t aSeed) { RecordHistory(aSeed).Play(); }));
 }
+
+// Guards against a crash over rows that the job has no tasks for.
+TEST(RecordRows, RowsBeyondTheJobAreIgnored)
+{
+  const JobProgress row("j", "o", JobPhase::kRunning, true, { TaskRecord{} });
+  const JobProgress progress =
+    JobProgress::Join({ row.AsRow({ 0, 0 }), row.AsRow({ 50, 1 }) });
+  StepSpecValues step;
+  step.mTasks = 2;
+  Scheduler scheduler{ SchedulerOptions() };
+  scheduler.AddJob(
+    TaskJob("j", "o", QueueSettings(), "p", { StepSpec(step, 0) }, {}, {}),
+    milliseconds(0),
+    &progress,
+    milliseconds(1'000));
+  scheduler.CancelJob("j", milliseconds(1'000));
+  const auto records = scheduler.BeginWrite({ 40, 1'000 });
+  CHECK_EQUAL(1, records.size());
+}
--- a/tests/state/scheduling/TakeoverDaemonCycle.cpp
+++ b/tests/state/scheduling/TakeoverDaemonCycle.cpp
@@ -151,7 +151,7 @@
 void
 TakeoverDaemon::SendStart(const StartCommand& aCommand, milliseconds aDelay)
 {
-  if (LocalNow() + aDelay * 98 / 100 >= aCommand.mSendBefore) {
+  if (mClock.At(mContext.Now() + aDelay) >= aCommand.mSendBefore) {
     MakeDelivery<CommandReply>([aCommand](Scheduler& aScheduler,
                                           const CommandReply& aReply,
                                           milliseconds aAt) {
