--- a/tests/fleet/StoreGates.h
+++ b/tests/fleet/StoreGates.h
@@ -1,10 +1,12 @@
 #ifndef CORNELRUDDER_TESTS_FLEET_STORE_GATES_H
 #define CORNELRUDDER_TESTS_FLEET_STORE_GATES_H
 
+#include "StandinHost.h"
 #include "WorkerStandins.h"
 
 #include <memory>
 #include <string>
+#include <unistd.h>
 #include <vector>
 
 namespace cornelrudder::tests {
@@ -56,7 +58,7 @@
 
   struct Gate
   {
-    std::string mAddress = "127.0.0.1:0";
+    std::string mAddress = StandinHost(getpid()) + ":0";
     /** Null while connections are refused. */
     std::unique_ptr<transport::HttpServer> mServer;
     Fault mFault;
--- a/tests/fleet/WorkerStandins.cpp
+++ b/tests/fleet/WorkerStandins.cpp
@@ -1,5 +1,6 @@
 #include "WorkerStandins.h"
 
+#include "StandinHost.h"
 #include "cornelrudder/transport/TransportError.h"
 
 #include <algorithm>
@@ -7,6 +8,7 @@
 #include <stdexcept>
 
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace cornelrudder::tests {
 
@@ -121,7 +123,7 @@
     worker.mAllowedAccelerators = kAccelerators;
     worker.mLinks.resize(aGates);
     for (std::size_t gate = 0; gate < aGates; ++gate) {
-      worker.mLinks[gate].mAddress = "127.0.0.1:0";
+      worker.mLinks[gate].mAddress = StandinHost(getpid()) + ":0";
       Listen(worker, gate);
     }
   }
--- a/tests/fleet/fleet_standin.cpp
+++ b/tests/fleet/fleet_standin.cpp
@@ -24,6 +24,7 @@
  * - `GET /journal`
  */
 
+#include "StandinHost.h"
 #include "StoreGates.h"
 
 #include <algorithm>
@@ -37,6 +38,7 @@
 #include <vector>
 
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 using namespace cornelrudder;
 using namespace cornelrudder::tests;
@@ -303,7 +305,7 @@
   workers.Start();
   const transport::HttpServer controlServer(
     server.Thread(),
-    "127.0.0.1:0",
+    StandinHost(getpid()) + ":0",
     {},
     [&control](const HttpRequest& aRequest, const HttpResponder& aRespond) {
       control.Serve(aRequest, aRespond);
