Start nothing in evacuated availability zones

Cause: a request to evacuate a zone was read by no part of the code. Change: the catalog task follows the evacuations beside the catalog and publishes them; the scheduler plans and starts nothing there, and withdraws planned runs. Where scheduling.evacuation_ms is set, the owner starts runs only while its settings were confirmed more recently than that.

--- a/apps/cornelrudderd/DaemonSettings.h
+++ b/apps/cornelrudderd/DaemonSettings.h
@@ -52,6 +52,7 @@
   std::int64_t mOwnerTimeoutMs = 1'300;
   std::int64_t mJobRetentionMs = 600'000;
   std::int64_t mCatalogMaxAgeMs = 3'000;
+  std::int64_t mEvacuationMs = 0;
   std::string mPlacementPolicy;
 
   auto operator<=>(const DaemonSettingsValues&) const = default;
@@ -182,6 +183,11 @@
   {
     return std::chrono::milliseconds(mValues.mCatalogMaxAgeMs);
   }
+  /** Time in which an evacuation has to be in force; 0 for no bound. */
+  std::chrono::milliseconds EvacuationTime() const
+  {
+    return std::chrono::milliseconds(mValues.mEvacuationMs);
+  }
 
   auto operator<=>(const DaemonSettings&) const = default;
 
--- a/apps/cornelrudderd/FleetDaemon.cpp
+++ b/apps/cornelrudderd/FleetDaemon.cpp
@@ -135,10 +135,9 @@
 private:
   void StartTasks()
   {
-    mCatalog =
-      mTasks.Add(SpawnCatalogTask(
-                   mSystem, mStore, mStore, mPlatformCodec, mClock, mLog, {}),
-                 "catalog");
+    mCatalog = mTasks.Add(
+      SpawnCatalogTask(mSystem, mStore, mPlatformCodec, mClock, mLog, {}),
+      "catalog");
     coordination::JobGatewayTaskOptions gateway;
     gateway.mIncarnation = mIncarnation;
     gateway.mCatalogMaxAge = mSettings.CatalogMaxAge();
@@ -169,6 +168,7 @@
     scheduler.mJobRetention = mSettings.JobRetention();
     scheduler.mPolicy = mSettings.PlacementPolicy();
     scheduler.mMaxRowBytes = maxRowBytes;
+    scheduler.mEvacuationTime = mSettings.EvacuationTime();
     mScheduler = mTasks.Add(
       SpawnSchedulerTask(
         mSystem,
--- a/include/cornelrudder/coordination/CatalogTask.h
+++ b/include/cornelrudder/coordination/CatalogTask.h
@@ -5,7 +5,6 @@
 #include "cornelrudder/coordination/Clock.h"
 #include "cornelrudder/coordination/EventLog.h"
 #include "cornelrudder/coordination/SchedulingCodec.h"
-#include "cornelrudder/coordination/StorePort.h"
 
 #include <caf/fwd.hpp>
 
@@ -24,15 +23,15 @@
 };
 
 /**
- * Starts the task that watches the operator's settings. It handles Subscribe,
- * RefreshCatalog and GetCounters. It sends a CatalogView to its subscribers on
- * subscription, for each new version, for each confirmation of the current one,
- * and when the store becomes unreachable.
- * @param aStore Must outlive the actor system, as must all references.
+ * Starts the task that watches the operator's settings: the catalog and the
+ * evacuated zones. It handles Subscribe, RefreshCatalog and GetCounters. It
+ * sends a CatalogView to its subscribers on subscription, for each new version,
+ * for each confirmation of the current one, and when the store becomes
+ * unreachable.
+ * @param aFeed Must outlive the actor system, as must all references.
  */
 caf::actor
 SpawnCatalogTask(caf::actor_system& aSystem,
-                 StorePort& aStore,
                  ChangeFeedPort& aFeed,
                  const PlatformRowCodec& aCodec,
                  const Clock& aClock,
--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -109,7 +109,10 @@
   kCommandsResumed = 829,
   kCheckpointNotStored = 830,
   kCheckpointsLimited = 831,
-  kLogLinesDropped = 832
+  kLogLinesDropped = 832,
+  kZoneEvacuated = 833,
+  kZoneReturned = 834,
+  kEvacuationInForce = 835
 };
 
 /** Entry of the event catalogue. */
--- a/include/cornelrudder/coordination/SchedulerTask.h
+++ b/include/cornelrudder/coordination/SchedulerTask.h
@@ -96,6 +96,12 @@
    * which the store may execute a write, 6 s.
    */
   std::chrono::milliseconds mWithdrawalRetention{ 60'000 };
+  /**
+   * Time within which an evacuation that an operator has stored is in force.
+   * The owner starts runs only while the store has confirmed the settings more
+   * recently; 0 starts them whatever the age of the settings.
+   */
+  std::chrono::milliseconds mEvacuationTime{ 0 };
   /** Name of the placement policy; empty for the default. */
   std::string mPolicy;
   /** Largest value of a row in the store, in bytes. */
--- a/include/cornelrudder/coordination/SchedulingMessages.h
+++ b/include/cornelrudder/coordination/SchedulingMessages.h
@@ -3,6 +3,7 @@
 
 #include "cornelrudder/state/StoreRow.h"
 #include "cornelrudder/state/scheduling/Catalog.h"
+#include "cornelrudder/state/scheduling/Evacuations.h"
 #include "cornelrudder/state/scheduling/JobProgress.h"
 #include "cornelrudder/state/scheduling/TaskJob.h"
 #include "cornelrudder/state/scheduling/WorkerCalls.h"
@@ -52,6 +53,8 @@
   const bool mIsStoreReachable;
   /** Store version up to which the settings table was read; 0 if unknown. */
   const std::uint64_t mReadVersion;
+  /** The evacuated zones, as of mConfirmedAt. */
+  const state::scheduling::Evacuations mEvacuations;
 
   auto operator<=>(const CatalogView&) const = default;
 };
--- a/include/cornelrudder/coordination/SchedulingTables.h
+++ b/include/cornelrudder/coordination/SchedulingTables.h
@@ -1,6 +1,8 @@
 #ifndef CORNELRUDDER_COORDINATION_SCHEDULING_TABLES_H
 #define CORNELRUDDER_COORDINATION_SCHEDULING_TABLES_H
 
+#include "cornelrudder/state/StoreRow.h"
+
 #include <string>
 
 /**
@@ -24,6 +26,8 @@
 
 /** Row of the operator's settings. */
 inline constexpr const char* kCatalogKey = "operator/config";
+/** Keys of evacuated zones: the prefix and the name of the zone. */
+inline constexpr const char* kEvacuationPrefix = "operator/evacuate/";
 /** Row of the scheduling owner's lease, with the lengths of the queues. */
 inline constexpr const char* kOwnerLeaseKey = "owner/lease";
 
@@ -84,6 +88,17 @@
   return aKey.substr(aKey.find('/') + 1);
 }
 
+/**
+ * @return Start of the next page of a table: sorts after the last name of a
+ *   page and before any other name that follows it, since names have no control
+ *   characters.
+ */
+inline std::string
+NextPageStart(const state::StoreResult& aPage)
+{
+  return NameInTable(aPage.Rows().back().Key()) + "\x01";
+}
+
 } // namespace cornelrudder::coordination
 
 #endif // CORNELRUDDER_COORDINATION_SCHEDULING_TABLES_H
--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -2,6 +2,7 @@
 #define CORNELRUDDER_STATE_SCHEDULING_SCHEDULER_H
 
 #include "cornelrudder/state/scheduling/Catalog.h"
+#include "cornelrudder/state/scheduling/Evacuations.h"
 #include "cornelrudder/state/scheduling/JobProgress.h"
 #include "cornelrudder/state/scheduling/OwnerLease.h"
 #include "cornelrudder/state/scheduling/OwnerReachability.h"
@@ -147,7 +148,8 @@
     kRunCrashed,
     kJobSetAside,
     kCheckpointNotStored,
-    kCheckpointsLimited
+    kCheckpointsLimited,
+    kEvacuated
   };
 
   Kind mKind;
@@ -182,6 +184,13 @@
    */
   void ApplyCatalog(const Catalog& aCatalog);
 
+  /**
+   * Replaces the evacuated zones. From now on, nothing is planned or started
+   * there; planned runs whose start has not been sent are withdrawn, and runs
+   * at work continue.
+   */
+  void ApplyEvacuations(const Evacuations& aEvacuations, Millis aNow);
+
   /**
    * Adds an accepted job; does nothing if the job is already known.
    * @param aAge Time since the job was submitted.
--- a/src/coordination/CatalogTask.cpp
+++ b/src/coordination/CatalogTask.cpp
@@ -9,6 +9,9 @@
 #include <caf/event_based_actor.hpp>
 
 #include <algorithm>
+#include <optional>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace cornelrudder::coordination {
@@ -16,22 +19,32 @@
 namespace {
 
 using state::StoreResult;
+using state::StoreRow;
 using state::StoreStatus;
 using state::scheduling::Catalog;
+using state::scheduling::Evacuations;
 using std::chrono::milliseconds;
 
+/** @return The zone whose evacuation a row requests, or nothing. */
+std::optional<std::string>
+EvacuatedZone(const std::string& aKey)
+{
+  constexpr std::string_view kPrefix = kEvacuationPrefix;
+  return aKey.size() > kPrefix.size() && aKey.starts_with(kPrefix)
+           ? std::optional(aKey.substr(kPrefix.size()))
+           : std::nullopt;
+}
+
 class CatalogTask : public caf::event_based_actor
 {
 public:
   CatalogTask(caf::actor_config& aConfig,
-              StorePort& aStore,
               ChangeFeedPort& aFeed,
               const PlatformRowCodec& aCodec,
               const Clock& aClock,
               EventLog& aLog,
               CatalogTaskOptions aOptions)
     : caf::event_based_actor(aConfig)
-    , mStore(aStore)
     , mFeed(aFeed)
     , mCodec(aCodec)
     , mClock(aClock)
@@ -60,22 +73,36 @@
   }
 
 private:
-  /** Reads the row if no version is known, else polls for changes. */
+  /** Reads the table if no version is known, else polls for changes. */
   void Poll()
   {
+    mIsPollingChanges = mVersion != 0;
+    if (!mIsPollingChanges) {
+      mPages = {};
+      ReadPage("");
+      return;
+    }
     mSentAt = mClock.Now();
-    const auto complete = [self = caf::actor_cast<caf::actor>(this),
-                           operationId = ++mOperationId](StoreResult aResult) {
+    mFeed.PollChanges(
+      kOperatorTable, mVersion, mOptions.mFeedPollTimeout, ExpectResult());
+  }
+
+  void ReadPage(const std::string& aFrom)
+  {
+    if (aFrom.empty()) {
+      mSentAt = mClock.Now();
+    }
+    mFeed.ReadRange(kOperatorTable, aFrom, "", ExpectResult());
+  }
+
+  /** @return A completion that sends the result of the latest call. */
+  ChangeFeedPort::Completion ExpectResult()
+  {
+    return [self = caf::actor_cast<caf::actor>(this),
+            operationId = ++mOperationId](StoreResult aResult) {
       caf::anon_send(self,
                      StoreCallCompleted{ operationId, std::move(aResult) });
     };
-    mIsPollingChanges = mVersion != 0;
-    if (mIsPollingChanges) {
-      mFeed.PollChanges(
-        kOperatorTable, mVersion, mOptions.mFeedPollTimeout, complete);
-    } else {
-      mStore.ReadRow(kCatalogKey, complete);
-    }
   }
 
   void Reload()
@@ -99,12 +126,12 @@
       delayed_send(this, mOptions.mRetryDelay, Tick{});
       return;
     }
-    for (const state::StoreRow& row : aResult.Rows()) {
-      if (row.Key() == kCatalogKey && row.Version() != 0) {
-        Apply(row);
-      }
+    if (mIsPollingChanges) {
+      ApplyChanges(aResult.Rows());
+      mVersion = aResult.Version();
+    } else if (!CollectPage(aResult)) {
+      return;
     }
-    mVersion = aResult.Version();
     RecordConfirmation(aResult);
     if (mCatalog || mIsPollingChanges) {
       Poll();
@@ -113,7 +140,74 @@
     }
   }
 
-  void Apply(const state::StoreRow& aRow)
+  /**
+   * Adds a page of the table and applies the table after its last page.
+   * @return Whether the page was the last one; otherwise the next one is read.
+   */
+  bool CollectPage(const StoreResult& aPage)
+  {
+    // Changes are polled from the version of the first page, so that changes
+    // between pages are not missed.
+    mPages.mVersion = mPages.mVersion == 0 ? aPage.Version() : mPages.mVersion;
+    mPages.mRows.insert(
+      mPages.mRows.end(), aPage.Rows().begin(), aPage.Rows().end());
+    if (aPage.HasMore() && !aPage.Rows().empty()) {
+      ReadPage(NextPageStart(aPage));
+      return false;
+    }
+    const TablePages pages = std::exchange(mPages, {});
+    Evacuations evacuations;
+    for (const StoreRow& row : pages.mRows) {
+      if (const auto zone = EvacuatedZone(row.Key())) {
+        evacuations = evacuations.With(*zone);
+      }
+    }
+    ApplyEvacuations(std::move(evacuations));
+    ApplyCatalogRow(pages.mRows);
+    mVersion = pages.mVersion;
+    return true;
+  }
+
+  void ApplyChanges(const std::vector<StoreRow>& aRows)
+  {
+    Evacuations evacuations = mEvacuations;
+    for (const StoreRow& row : aRows) {
+      if (const auto zone = EvacuatedZone(row.Key())) {
+        evacuations = row.Version() != 0 ? evacuations.With(*zone)
+                                         : evacuations.Without(*zone);
+      }
+    }
+    ApplyEvacuations(std::move(evacuations));
+    ApplyCatalogRow(aRows);
+  }
+
+  void ApplyCatalogRow(const std::vector<StoreRow>& aRows)
+  {
+    for (const StoreRow& row : aRows) {
+      if (row.Key() == kCatalogKey && row.Version() != 0) {
+        Apply(row);
+      }
+    }
+  }
+
+  /** The name of the zone is in the key, so that any value is accepted. */
+  void ApplyEvacuations(Evacuations aEvacuations)
+  {
+    for (const std::string& zone : aEvacuations.Zones()) {
+      if (!mEvacuations.Contains(zone)) {
+        mLog.Write({ LogEvent::kZoneEvacuated, { { "zone", zone } } });
+      }
+    }
+    for (const std::string& zone : mEvacuations.Zones()) {
+      if (!aEvacuations.Contains(zone)) {
+        mLog.Write({ LogEvent::kZoneReturned, { { "zone", zone } } });
+      }
+    }
+    mEvacuations = std::move(aEvacuations);
+    mCounters["evacuated_zones"] = mEvacuations.Zones().size();
+  }
+
+  void Apply(const StoreRow& aRow)
   {
     if (mCatalog && mCatalog->RowVersion() >= aRow.Version()) {
       return;
@@ -189,10 +283,17 @@
   {
     // Without the newest settings, a poll cannot confirm the older ones.
     const std::uint64_t readVersion = mIsNewestMalformed ? 0 : mVersion;
-    return { mCatalog, mConfirmedAt, mStoreClock, mIsReachable, readVersion };
+    return { mCatalog,     mConfirmedAt, mStoreClock,
+             mIsReachable, readVersion,  mEvacuations };
   }
 
-  StorePort& mStore;
+  /** Pages of the table read so far, and the store version of the first. */
+  struct TablePages
+  {
+    std::vector<StoreRow> mRows;
+    std::uint64_t mVersion = 0;
+  };
+
   ChangeFeedPort& mFeed;
   const PlatformRowCodec& mCodec;
   const Clock& mClock;
@@ -200,10 +301,12 @@
   CatalogTaskOptions mOptions;
   std::vector<caf::actor> mSubscribers;
   std::shared_ptr<const Catalog> mCatalog;
+  Evacuations mEvacuations;
+  TablePages mPages;
   milliseconds mConfirmedAt{ 0 };
   StoreClockReading mStoreClock;
   /**
-   * Store version up to which changes were read; 0 if the row must be read.
+   * Store version up to which changes were read; 0 if the table must be read.
    */
   std::uint64_t mVersion = 0;
   /** The latest store call; replies to earlier ones are ignored. */
@@ -221,15 +324,13 @@
 
 caf::actor
 SpawnCatalogTask(caf::actor_system& aSystem,
-                 StorePort& aStore,
                  ChangeFeedPort& aFeed,
                  const PlatformRowCodec& aCodec,
                  const Clock& aClock,
                  EventLog& aLog,
                  CatalogTaskOptions aOptions)
 {
-  return aSystem.spawn<CatalogTask>(std::ref(aStore),
-                                    std::ref(aFeed),
+  return aSystem.spawn<CatalogTask>(std::ref(aFeed),
                                     std::cref(aCodec),
                                     std::cref(aClock),
                                     std::ref(aLog),
--- a/src/coordination/LogEvent.cpp
+++ b/src/coordination/LogEvent.cpp
@@ -448,6 +448,21 @@
                 "log_lines_dropped",
                 "standard output was not read for some time, and the oldest "
                 "lines that waited were dropped" },
+  LogEventInfo{ LogEvent::kZoneEvacuated,
+                LogLevel::kInfo,
+                "zone_evacuated",
+                "an operator requested the evacuation of an availability "
+                "zone; this daemon starts nothing there" },
+  LogEventInfo{ LogEvent::kZoneReturned,
+                LogLevel::kInfo,
+                "zone_returned",
+                "the evacuation of an availability zone was withdrawn" },
+  LogEventInfo{ LogEvent::kEvacuationInForce,
+                LogLevel::kInfo,
+                "evacuation_in_force",
+                "the owner applied the evacuation of an availability zone; "
+                "the fields count the workers there, the runs that continue "
+                "and the planned runs that were withdrawn" },
 };
 
 } // namespace
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -45,6 +45,9 @@
  */
 constexpr milliseconds kMaxCycleGap{ 2'000 };
 
+/** Allowance for the transmission of a start command. */
+constexpr milliseconds kStartReserve{ 500 };
+
 /** Indexed by SchedulerEvent::Kind. */
 constexpr std::array kLogEvents{ LogEvent::kTaskPlaced,
                                  LogEvent::kTaskWaits,
@@ -65,7 +68,8 @@
                                  LogEvent::kRunCrashed,
                                  LogEvent::kJobSetAside,
                                  LogEvent::kCheckpointNotStored,
-                                 LogEvent::kCheckpointsLimited };
+                                 LogEvent::kCheckpointsLimited,
+                                 LogEvent::kEvacuationInForce };
 
 milliseconds
 WallClockNow()
@@ -138,17 +142,33 @@
         ScheduleCycle(kBatchDelay);
       }
     },
-    [this](const CatalogView& aView) {
-      mCatalog = aView.mCatalog;
-      if (mScheduler && mCatalog) {
-        mScheduler->ApplyCatalog(*mCatalog);
-      }
-    },
+    [this](const CatalogView& aView) { ApplySettings(aView); },
     [this](const ReleaseOwnership&) { Release(); },
     [this](const GetCounters&) { return CollectCounters(); },
   };
 }
 
+void
+SchedulerTask::ApplySettings(const CatalogView& aView)
+{
+  mCatalog = aView.mCatalog;
+  mSettingsConfirmedAt = aView.mConfirmedAt;
+  const bool isChanged = mEvacuations != aView.mEvacuations;
+  mEvacuations = aView.mEvacuations;
+  if (!mScheduler) {
+    return;
+  }
+  if (mCatalog) {
+    mScheduler->ApplyCatalog(*mCatalog);
+  }
+  if (isChanged) {
+    mScheduler->ApplyEvacuations(mEvacuations, Now());
+    if (mMode == Mode::kOwning) {
+      ScheduleCycle(Millis(0));
+    }
+  }
+}
+
 bool
 SchedulerTask::IsCurrent(std::uint64_t aEpoch) const
 {
@@ -261,7 +281,21 @@
 SchedulerTask::StartsUntil(Millis aNow) const
 {
   const Millis limit = aNow + OwnerTenure::StartTime(mOptions.mOwnerTimeout);
-  return mIsolation ? aNow : std::min(mTenure.StartsUntil(), limit);
+  const Millis until =
+    std::min({ mTenure.StartsUntil(), limit, SettingsValidUntil() });
+  return mIsolation ? aNow : until;
+}
+
+/**
+ * @return Time up to which the evacuations that this daemon knows of are those
+ *   that have to be in force.
+ */
+milliseconds
+SchedulerTask::SettingsValidUntil() const
+{
+  return mOptions.mEvacuationTime.count() > 0
+           ? mSettingsConfirmedAt + mOptions.mEvacuationTime - kStartReserve
+           : Millis::max();
 }
 
 void
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -113,6 +113,8 @@
            mTenure.ConfirmedAt() >= mConfirmLeaseFrom;
   }
   Millis StartsUntil(Millis aNow) const;
+  Millis SettingsValidUntil() const;
+  void ApplySettings(const CatalogView& aView);
   void SendCommands(Millis aNow);
   void LogSchedulerEvents();
   Counters CollectCounters() const;
@@ -274,6 +276,9 @@
 
   std::optional<state::scheduling::Scheduler> mScheduler;
   std::shared_ptr<const state::scheduling::Catalog> mCatalog;
+  state::scheduling::Evacuations mEvacuations;
+  /** Local time up to which the store has confirmed the settings. */
+  Millis mSettingsConfirmedAt{ 0 };
   bool mCycleScheduled = false;
   bool mExpiryReadScheduled = false;
   /** Minimum delay of the next cycle, set by the last plan. */
--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -33,17 +33,6 @@
   return aKey.ends_with(kCancelSuffix);
 }
 
-/**
- * @return Start of the next page: sorts after the last name of a page and
- * before any other name that follows it, since names have no control
- * characters.
- */
-std::string
-NextPageStart(const StoreResult& aPage)
-{
-  return NameInTable(aPage.Rows().back().Key()) + "\x01";
-}
-
 } // namespace
 
 void
@@ -165,6 +154,7 @@
     }
   }
   mScheduler->RestoreUnrecordedEnds(mLease.mUnrecordedEnds, Now());
+  mScheduler->ApplyEvacuations(mEvacuations, Now());
   mPorts.mLog.Write(
     { LogEvent::kJobsRecovered,
       { { "epoch", std::to_string(mLease.mEpoch) },
--- a/src/state/scheduling/Scheduler.cpp
+++ b/src/state/scheduling/Scheduler.cpp
@@ -20,6 +20,12 @@
   mImpl->ApplyCatalog(aCatalog);
 }
 
+void
+Scheduler::ApplyEvacuations(const Evacuations& aEvacuations, Millis aNow)
+{
+  mImpl->ApplyEvacuations(aEvacuations, aNow);
+}
+
 void
 Scheduler::AddJob(const TaskJob& aJob,
                   Millis aAge,
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -22,6 +22,7 @@
  * - SchedulerDiagnostics: metrics and the report of stalled jobs.
  * - SchedulerProgress: detection of stalled and slow runs.
  * - SchedulerCrashes: runs that were in progress when their worker crashed.
+ * - SchedulerEvacuations: zones whose workers get no new runs.
  * - SchedulerPlan: the view passed to a policy, and the execution of decisions.
  */
 class Scheduler::Impl
@@ -30,6 +31,7 @@
   explicit Impl(SchedulerOptions aOptions);
 
   void ApplyCatalog(const Catalog& aCatalog);
+  void ApplyEvacuations(const Evacuations& aEvacuations, Millis aNow);
   void AddJob(const TaskJob& aJob,
               Millis aAge,
               const JobProgress* aProgress,
@@ -259,6 +261,11 @@
   bool HasUrgentRun(const WorkerState& aWorker) const;
   void CollectRenewCommands(WorkerCommands& aCommands, Millis aNow);
 
+  // Evacuations.
+  void RecordEvacuation(const std::string& aZone, std::size_t aWithdrawn);
+  std::size_t WithdrawEvacuatedRuns(Millis aNow);
+  bool IsPlanned(const TaskKey& aKey) const;
+
   // Crashes.
   bool HandleReplacedWorker(WorkerState& aWorker,
                             const WorkerTarget& aTarget,
@@ -343,6 +350,7 @@
   SchedulerOptions mOptions;
   std::unique_ptr<PlacementPolicy> mPolicy;
   std::map<std::string, std::int64_t> mGuarantees;
+  Evacuations mEvacuations;
   std::map<std::string, JobState> mJobs;
   /**
    * Terminated jobs, kept so that a late duplicate submission cannot add one
--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -38,8 +38,8 @@
 WorkerConditionName(WorkerCondition aCondition)
 {
   static constexpr std::array<const char*, kWorkerConditions> kNames{
-    "usable",      "unlisted",      "draining",  "silent",
-    "unconfirmed", "clock_unknown", "suspected", "slow"
+    "usable",        "unlisted",  "draining", "silent",   "unconfirmed",
+    "clock_unknown", "suspected", "slow",     "evacuated"
   };
   return kNames.at(static_cast<std::size_t>(aCondition));
 }
@@ -50,6 +50,7 @@
   const std::array<std::pair<bool, WorkerCondition>, kWorkerConditions - 1>
     conditions{ { { !mListed, WorkerCondition::kUnlisted },
                   { mInfo.mDraining, WorkerCondition::kDraining },
+                  { mIsEvacuated, WorkerCondition::kEvacuated },
                   { mFailedRenewals > 0, WorkerCondition::kSilent },
                   { mIsQueryDue, WorkerCondition::kUnconfirmed },
                   { mClock.count() <= 0, WorkerCondition::kClockUnknown },
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -338,10 +338,12 @@
   /** No reading of the worker's clock, which its lease needs. */
   kClockUnknown,
   kSuspected,
-  kSlow
+  kSlow,
+  /** In an evacuated zone. */
+  kEvacuated
 };
 
-constexpr std::size_t kWorkerConditions = 8;
+constexpr std::size_t kWorkerConditions = 9;
 
 /** @return Name of a condition, for logs and metrics. */
 const char*
@@ -430,6 +432,8 @@
    * or has not queried it yet; or it did not reply to the former owner.
    */
   bool mIsQueryDue = false;
+  /** The worker is in an evacuated zone. */
+  bool mIsEvacuated = false;
   /** The last renewal reply was ignored because of its incarnation. */
   bool mReplyIgnored = false;
 
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -96,6 +96,7 @@
   mWallClockOffset = aWallClock - aNow;
   RetryJobsSetAside(aNow);
   ExpireUnresponsiveWorkers(aNow);
+  WithdrawEvacuatedRuns(aNow);
   CheckProgress(aNow);
   ReportStalledJobs(aNow);
   QueryWorkersOnce(aNow);
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -138,6 +138,7 @@
   const Resources before = worker.mInfo.mCapacity;
   RemoveFromAddressIndex(worker);
   worker.mInfo = aInfo;
+  worker.mIsEvacuated = mEvacuations.Contains(aInfo.mZone);
   mWorkersByAddress[aInfo.mAddress].insert(aInfo.mId);
   if (known != 0 && aInfo.mCapacity != before) {
     RecordEvent(SchedulerEvent::Kind::kWorkerCapacityChanged,
@@ -645,7 +646,8 @@
     task.mPlanWrite != 0 && task.mPlanWrite <= mStoredWrites;
   const bool isRetryDue = task.mPhase == TaskPhase::kStarting &&
                           task.mStartRetryDue && !task.mStopRequested;
-  const bool isRetry = isRetryDue && !aWorker.IsOverCapacity();
+  const bool isRetry =
+    isRetryDue && !aWorker.IsOverCapacity() && !aWorker.mIsEvacuated;
   if (isRetryDue && !isRetry) {
     // The last reply did not list the run. Only a stop rules out that an
     // earlier copy of the command starts it late.
@@ -653,7 +655,8 @@
   }
   const bool isStartDue =
     (task.mPhase == TaskPhase::kPlanned && isStored) || isRetry;
-  const bool mayStart = !aWorker.mIsLeaseWithheld && aNow < aStartsUntil;
+  const bool mayStart =
+    !aWorker.mIsLeaseWithheld && !aWorker.mIsEvacuated && aNow < aStartsUntil;
   if (isStartDue && mayStart) {
     task.mPhase = TaskPhase::kStarting;
     task.mStartRetryDue = false;
--- a/tests/coordination/FakeFleet.cpp
+++ b/tests/coordination/FakeFleet.cpp
@@ -99,6 +99,12 @@
       rows.push_back(row);
     }
   }
+  for (const auto& [key, version] : mRemovals) {
+    if (aAfter > 0 && key.starts_with(aTable + "/") && version > aAfter &&
+        !mRows.contains(key)) {
+      rows.emplace_back(key, 0, "", "");
+    }
+  }
   return rows;
 }
 
@@ -443,6 +449,17 @@
   return mRowReads;
 }
 
+void
+FakeFeedStore::Remove(const std::string& aKey)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mRows.erase(aKey);
+    mRemovals[aKey] = ++mVersion;
+  }
+  mWake.notify_all();
+}
+
 bool
 FakeFeedStore::Has(const std::string& aKey)
 {
@@ -716,15 +733,19 @@
 FakePlatformRowCodec::DecodeWorker(const std::string& aId,
                                    const std::string& aValue) const
 {
-  if (aValue.find_first_not_of("0123456789") != std::string::npos) {
+  const std::string accelerators = aValue.substr(0, aValue.find(' '));
+  if (accelerators.find_first_not_of("0123456789") != std::string::npos) {
     throw coordination::CoordinationError("worker row is not a number");
   }
   WorkerInfo worker;
+  if (accelerators.size() < aValue.size()) {
+    worker.mZone = aValue.substr(accelerators.size() + 1);
+  }
   worker.mId = aId;
   worker.mIncarnation = 1;
   worker.mAddress = "10.0.0.1:" + aId;
   worker.mService = "s";
-  worker.mCapacity = Resources(32'000, 64'000, std::stoll(aValue));
+  worker.mCapacity = Resources(32'000, 64'000, std::stoll(accelerators));
   worker.mClock = StoreTime();
   return worker;
 }
--- a/tests/coordination/FakeFleet.h
+++ b/tests/coordination/FakeFleet.h
@@ -64,6 +64,8 @@
 
   /** Writes a row unconditionally, as an outside client. */
   void Put(const std::string& aKey, const std::string& aValue);
+  /** Removes a row, as an outside client; polls report it with version 0. */
+  void Remove(const std::string& aKey);
   bool Has(const std::string& aKey);
   /** @return Number of reads of single rows so far. */
   int RowReads();
@@ -153,6 +155,8 @@
   std::mutex mMutex;
   std::condition_variable mWake;
   std::map<std::string, state::StoreRow> mRows;
+  /** Store versions of the removals by Remove(), by key. */
+  std::map<std::string, std::uint64_t> mRemovals;
   std::uint64_t mVersion = 1;
   std::uint64_t mHistoryFrom = 0;
   std::string mDroppedTable;
@@ -259,7 +263,7 @@
 
 /**
  * Codec of test rows: a catalog is "version key...", a worker its number of
- * accelerators.
+ * accelerators, which its zone may follow.
  */
 class FakePlatformRowCodec final : public coordination::PlatformRowCodec
 {
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -94,8 +94,8 @@
     DaemonTasks tasks;
     tasks.mPath = std::make_shared<tests::FakeWorkerPath>(mWorkers);
     mPaths.push_back(tasks.mPath);
-    tasks.mCatalog = SpawnCatalogTask(
-      mSystem, mStore, mStore, mPlatformCodec, mClock, mLog, {});
+    tasks.mCatalog =
+      SpawnCatalogTask(mSystem, mStore, mPlatformCodec, mClock, mLog, {});
     JobGatewayTaskOptions gateway;
     gateway.mIncarnation = aName + "-incarnation";
     tasks.mGateway = SpawnJobGatewayTask(mSystem,
@@ -161,8 +161,8 @@
   /** Writes the rows of the workers, as running workers do. */
   void RefreshWorkers()
   {
-    mStore.Put("workers/w1", "8");
-    mStore.Put("workers/w2", "8");
+    mStore.Put("workers/w1", "8 z1");
+    mStore.Put("workers/w2", "8 z2");
   }
 
   /** Submits jobs that fill both workers. */
@@ -272,6 +272,19 @@
   CHECK_EQUAL(static_cast<int>(aExpected), static_cast<int>(aFound));
 }
 
+/** Writes of an owner in which it would have started a job. */
+constexpr int kEvacuationWrites = 8;
+
+/** Waits until a job is done while the workers refresh their rows. */
+bool
+WaitWithWorkers(Daemons& aDaemons,
+                const DaemonTasks& aDaemon,
+                const std::string& aJob)
+{
+  return aDaemons.WaitWithLiveWorkers(
+    [&] { return aDaemons.HasPhase(aDaemon, aJob, JobPhase::kDone); });
+}
+
 } // namespace
 
 TEST_GROUP(SchedulingTasks){};
@@ -1329,3 +1342,88 @@
                                          "paused_ms")) >= 0);
   CHECK_EQUAL(1, daemons.mLog.Count(LogEvent::kCommandsPaused));
 }
+
+// Guards against an evacuation that only the owner at the time of the request
+// knows of.
+TEST(SchedulingTasks, EvacuationHoldsAcrossAChangeOfOwner)
+{
+  Daemons daemons;
+  const DaemonTasks first = daemons.Start("a");
+  const DaemonTasks second = daemons.Start("b");
+  for (const char* zone : { "z1", "z2" }) {
+    daemons.mStore.Put(kEvacuationPrefix + std::string(zone), "{}");
+  }
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kZoneEvacuated) == 4; }));
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(first, "j1"));
+  daemons.Kill(first);
+  CHECK(WaitUntil([&] { return daemons.mLog.Count(LogEvent::kTakeover) > 0; }));
+  daemons.AwaitWrites(kEvacuationWrites);
+  CHECK_EQUAL(0, daemons.mWorkers.Starts());
+  daemons.mStore.Remove(kEvacuationPrefix + std::string("z2"));
+  CHECK(WaitWithWorkers(daemons, second, "j1"));
+}
+
+// Guards against a daemon that starts during an evacuation, and reads a table
+// in which the evacuation is older than the settings.
+TEST(SchedulingTasks, DaemonThatStartsDuringAnEvacuationKeepsIt)
+{
+  Daemons daemons;
+  daemons.mStore.Put(kEvacuationPrefix + std::string("z1"), "not JSON");
+  daemons.mStore.Put(kEvacuationPrefix + std::string("z2"), "");
+  daemons.mStore.Put(kCatalogKey, "2 key");
+  const DaemonTasks daemon = daemons.Start("a");
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  daemons.AwaitWrites(kEvacuationWrites);
+  CHECK_EQUAL(0, daemons.mWorkers.Starts());
+}
+
+// Guards against an evacuation that never ends, since the row was removed while
+// the store dropped its history.
+TEST(SchedulingTasks, WithdrawalDuringLostHistoryIsNoticed)
+{
+  Daemons daemons;
+  const DaemonTasks daemon = daemons.Start("a");
+  for (const char* zone : { "z1", "z2" }) {
+    daemons.mStore.Put(kEvacuationPrefix + std::string(zone), "{}");
+  }
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kZoneEvacuated) == 2; }));
+  daemons.mStore.SetFeedSuppressed(true);
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  daemons.mStore.Remove(kEvacuationPrefix + std::string("z1"));
+  daemons.mStore.DropHistory("operator");
+  CHECK(WaitUntil(
+    [&] { return daemons.mLog.Count(LogEvent::kZoneReturned) == 1; }));
+  daemons.mStore.SetFeedSuppressed(false);
+  CHECK(WaitWithWorkers(daemons, daemon, "j1"));
+  CHECK_EQUAL(1, daemons.mLog.Count(LogEvent::kZoneReturned));
+}
+
+// Guards against starts by an owner that writes to the store, but whose reads
+// of the settings get no reply: a zone may be evacuated meanwhile.
+TEST(SchedulingTasks, OwnerWithOldSettingsStartsNothingWhereABoundIsSet)
+{
+  constexpr milliseconds kBound{ 1'500 };
+  Daemons daemons;
+  daemons.mSchedulerOptions.mEvacuationTime = kBound;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mWorkers.SetRunsBlocked(true);
+  daemons.SubmitToAllWorkers(daemon);
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.mWorkers.Starts() == 4; }));
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "waiting"));
+  daemons.mStore.SetRepliesHeld("operator");
+  daemons.mStore.DropHistory("operator");
+  CHECK(WaitUntil([&] { return daemons.mStore.RepliesHeld() > 0; }));
+  const milliseconds held = daemons.Now();
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.Now() - held >= kBound; }));
+  daemons.mWorkers.SetRunsBlocked(false);
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.mWorkers.UnacknowledgedEnds() == 0; }));
+  daemons.AwaitWrites(kEvacuationWrites);
+  CHECK_EQUAL(4, daemons.mWorkers.Starts());
+  daemons.mStore.SetRepliesHeld("");
+  CHECK(WaitWithWorkers(daemons, daemon, "waiting"));
+}
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -78,6 +78,9 @@
     worker.mInfo.mAddress = "10.0.0." + std::to_string(i) + ":1";
     worker.mInfo.mService = "s";
     worker.mInfo.mRack = "r" + std::to_string(i / mOptions.mWorkersPerRack);
+    if (mOptions.mWorkersPerZone > 0) {
+      worker.mInfo.mZone = "z" + std::to_string(i / mOptions.mWorkersPerZone);
+    }
     worker.mInfo.mCapacity = mOptions.mCapacity;
     worker.mInfo.mClock = mNow;
     mWorkers.push_back(std::move(worker));
@@ -115,6 +118,7 @@
   mOwner.emplace(std::move(options));
   mWriting = false;
   mOwner->ApplyCatalog(mCatalog);
+  mOwner->ApplyEvacuations(mEvacuations, mNow);
   for (ModelWorker& worker : mWorkers) {
     if (worker.mListed) {
       worker.mInfo.mClock = mNow;
@@ -163,6 +167,14 @@
   mOwner->ApplyCatalog(aCatalog);
 }
 
+void
+FleetModel::Evacuate(const std::set<std::string>& aZones)
+{
+  RecordFault();
+  mEvacuations = Evacuations(aZones);
+  mOwner->ApplyEvacuations(mEvacuations, mNow);
+}
+
 void
 FleetModel::Submit(const TaskJob& aJob, milliseconds aRunTime)
 {
@@ -546,6 +558,9 @@
         mOwner->ApplyStartReply(aCommand, aReply, mNow);
       }
     };
+  if (mEvacuations.Contains(FindWorker(aCommand.mWorker.mId)->mInfo.mZone)) {
+    RecordViolation(aCommand.mTask.Text() + " is ordered in an evacuated zone");
+  }
   if (!FindWorker(aCommand.mWorker.mId)->mConnectable) {
     CommandReply reply;
     reply.mOutcome = CommandOutcome::kNotSent;
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -38,6 +38,8 @@
   std::size_t mJobsPerWrite = 40;
   /** Time for which a worker is down after a crash under a deadly task. */
   milliseconds mCrashTime{ 3'000 };
+  /** Workers of each zone, z0, z1 and so on; 0 for workers without a zone. */
+  std::size_t mWorkersPerZone = 0;
 };
 
 /** Result of a job as reported to its caller. */
@@ -149,6 +151,11 @@
   void LoseStartReplies(int aCount);
   void SetStoreUp(bool aUp);
   void ApplyCatalog(const scheduling::Catalog& aCatalog);
+  /**
+   * Replaces the evacuated zones, for this owner and later ones. From then on,
+   * no start may be sent to a worker there.
+   */
+  void Evacuate(const std::set<std::string>& aZones);
 
   const std::vector<std::string>& Violations() const { return mViolations; }
   /** @return Which workers the owner reaches. */
@@ -328,6 +335,7 @@
   /** Time since which a job waits although capacity is free. */
   std::map<std::string, milliseconds> mIdleSince;
   scheduling::Catalog mCatalog;
+  scheduling::Evacuations mEvacuations;
   std::optional<scheduling::Scheduler> mOwner;
   std::uint64_t mEpoch = 0;
   /** No two incarnations have the same number. */
