--- a/scripts/fleet_soak.sh
+++ b/scripts/fleet_soak.sh
@@ -9,7 +9,7 @@
 # FLEET_SOAK_FAULTS: names of the faults to draw from; "takeover" stands for those
 #   around takeovers. Those that both lists below leave out, since a longer list
 #   would change what a seed means, are drawn by name only:
-#   pause_owner_and_restart_workers.
+#   pause_owner_and_restart_workers, evacuate_zone.
 # FLEET_SOAK_LONG_RUNS: if set, half of the steps have runs of 4 to 16 s.
 # FLEET_SOAK_GAP: upper limit of the seconds between two faults; without it, they
 #   are less than a second apart.
@@ -61,6 +61,10 @@
 # The workers of the stand-in refresh their rows each second.
 worker_report_ms = 1000
 TOML
+  # Daemons of earlier versions do not know the key.
+  case " ${faults[*]} " in
+    *" evacuate_zone "*) echo "evacuation_ms = 5000" >>"$work/$name.toml" ;;
+  esac
 }
 
 start_daemon() {
@@ -216,6 +220,11 @@
   draw_of all half "$drawn"
   control "/capacity/$drawn/$accelerators/$(((RANDOM % max_fault_seconds + 1) * 1000))"
 }
+# Evacuations of several zones may overlap.
+evacuate_zone() {
+  draw_of z1 z2 z3
+  control "/evacuations/$drawn/$(((RANDOM % 4 + 6) * 1000))"
+}
 # The workers' part of the store refuses transactions.
 overload_store() {
   control "/overload/$(((RANDOM % max_fault_seconds + 1) * 1000))"
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -56,6 +56,9 @@
 step "fleet soak of takeovers, seed 32001" env \
   FLEET_SOAK_FAULTS=split_and_isolate_owner FLEET_SOAK_LONG_RUNS=1 \
   FLEET_SOAK_GAP=20 FLEET_SOAK_CALM=10 scripts/fleet_soak.sh 32001 1 60
+step "fleet soak of evacuations, seed 33001" env \
+  FLEET_SOAK_FAULTS="evacuate_zone evacuate_zone kill_owner drop_history isolate_owner_store lose_answers freeze_daemon" \
+  scripts/fleet_soak.sh 33001 1 60
 step "lint" scripts/lint.sh
 if [ -e KNOWN-RED.txt ]; then
   echo "== known red"
--- a/tests/fleet/StoreStandin.cpp
+++ b/tests/fleet/StoreStandin.cpp
@@ -94,6 +94,14 @@
   Tick();
 }
 
+void
+StoreStandin::Remove(const std::string& aTable, const std::string& aKey)
+{
+  ++mVersion;
+  Apply({ aTable, "", aKey }, { "", mVersion }, true);
+  Tick();
+}
+
 void
 StoreStandin::PutWorker(std::size_t aGate,
                         const std::string& aKey,
@@ -105,9 +113,7 @@
 void
 StoreStandin::RemoveWorker(std::size_t aGate, const std::string& aKey)
 {
-  ++mVersion;
-  Apply({ StoredTable("servers", aGate), "", aKey }, { "", mVersion }, true);
-  Tick();
+  Remove(StoredTable("servers", aGate), aKey);
 }
 
 void
--- a/tests/fleet/StoreStandin.h
+++ b/tests/fleet/StoreStandin.h
@@ -46,6 +46,9 @@
            const std::string& aKey,
            const std::string& aValue);
 
+  /** Removes a row on behalf of the operator. */
+  void Remove(const std::string& aTable, const std::string& aKey);
+
   /** Writes a worker's row as the daemon at a gate reads it. */
   void PutWorker(std::size_t aGate,
                  const std::string& aKey,
--- a/tests/fleet/WorkerStandins.cpp
+++ b/tests/fleet/WorkerStandins.cpp
@@ -117,6 +117,7 @@
     Worker& worker = mWorkers[i];
     worker.mId = "w" + std::to_string(i);
     worker.mRack = "r" + std::to_string(i / kWorkersPerRack);
+    worker.mZone = "z" + std::to_string(i / kWorkersPerRack + 1);
     worker.mIncarnation = WallClockMs();
     worker.mClockStart = Clock::now();
     worker.mAccelerators = kAccelerators;
@@ -281,6 +282,24 @@
   }
 }
 
+void
+WorkerStandins::Evacuate(const std::string& aZone, Millis aDuration)
+{
+  const std::string key = "evacuate/" + aZone;
+  const std::uint64_t request = mEvacuations.Begin(aZone, Clock::now());
+  Trace(aZone,
+        "evacuate",
+        "-",
+        static_cast<std::uint64_t>(aDuration.count()),
+        mHighestEpoch);
+  mStore.Put("op", key, "{}");
+  EndFaultAfter(aDuration, [this, aZone, key, request] {
+    if (mEvacuations.End(aZone, request)) {
+      mStore.Remove("op", key);
+    }
+  });
+}
+
 void
 WorkerStandins::RemoveRow(const Worker& aWorker)
 {
@@ -462,7 +481,7 @@
       aWorker.mId,
       json{ { "service", "presses" },
             { "address", aWorker.mLinks[gate].mAddress },
-            { "zone", "z1" },
+            { "zone", aWorker.mZone },
             { "state", aWorker.mIsDraining ? "draining" : "ready" },
             { "born", aWorker.mIncarnation },
             { "room",
@@ -495,6 +514,12 @@
     const json body = json::parse(aRequest.Body());
     mPairChecker.RecordOrder({ body.at("task"), body.at("run"), aWorker.mId },
                              WallClockMs());
+    const auto violation = mEvacuations.CheckOrder(
+      aWorker.mZone, body.at("task").get<std::string>(), Clock::now());
+    if (violation) {
+      Trace(aWorker.mId, "evacuated", *violation, 0, mHighestEpoch);
+      mViolations.push_back(*violation);
+    }
   }
   const LinkFault fault = aWorker.mLinks.at(aGate).mFault;
   if (aWorker.mIsSilent || fault == LinkFault::kSilent ||
--- a/tests/fleet/WorkerStandins.h
+++ b/tests/fleet/WorkerStandins.h
@@ -1,6 +1,7 @@
 #ifndef CORNELRUDDER_TESTS_FLEET_WORKER_STANDINS_H
 #define CORNELRUDDER_TESTS_FLEET_WORKER_STANDINS_H
 
+#include "EvacuationChecker.h"
 #include "PairChecker.h"
 #include "ProgressChecker.h"
 #include "StoreStandin.h"
@@ -35,8 +36,9 @@
  * daemon and one worker can fail. The workers run tasks under leases and
  * fencing tokens and record each violation: two concurrent runs of a task, a
  * start after completion was acknowledged or told to the same owner, more
- * accelerators in use than a worker announces, or a job without progress. The
- * payload of a job sets run time, accelerators and gang size for each step:
+ * accelerators in use than a worker announces, an order in an evacuated zone,
+ * or a job without progress. The payload of a job sets run time, accelerators
+ * and gang size for each step:
  * {"steps":[{"run_ms":700,"accelerators":4,"gang":3}]}.
  */
 class WorkerStandins
@@ -102,6 +104,13 @@
                       std::int64_t aAccelerators,
                       Millis aDuration);
 
+  /**
+   * Requests the evacuation of a zone for some time. An order that arrives
+   * there after EvacuationChecker::kBound is a violation.
+   * @param aZone z1, z2 or z3, of four workers each.
+   */
+  void Evacuate(const std::string& aZone, Millis aDuration);
+
   /**
    * Writes a row among those of the workers that stays and names no worker.
    * @param aKind "nested", "number" (too large) or "port" (out of range).
@@ -178,6 +187,7 @@
   {
     std::string mId;
     std::string mRack;
+    std::string mZone;
     /** By gate. */
     std::vector<Link> mLinks;
     bool mIsSilent = false;
@@ -259,6 +269,7 @@
   std::size_t mPairs = 0;
   ProgressChecker mProgress;
   EndChecker mEnds;
+  EvacuationChecker mEvacuations;
   std::size_t mGates;
   /** The owner's gate as traced last. */
   std::size_t mOwnerGate = 0;
--- a/tests/fleet/fleet_standin.cpp
+++ b/tests/fleet/fleet_standin.cpp
@@ -19,6 +19,7 @@
  *   WorkerStandins::ShrinkCapacity)
  * - `POST /overload/MS` (see StoreStandin::Overload)
  * - `POST /odd/KIND` (see WorkerStandins::WriteOddRow)
+ * - `POST /evacuations/ZONE/MS` (see WorkerStandins::Evacuate)
  * - `POST /faults/begin`, `POST /faults/end`: a fault from outside
  * - `POST /jobs/accepted` with id and steps, `POST /jobs/ended` with id
  * - `GET /journal`
@@ -225,6 +226,13 @@
     return json::object();
   }
 
+  json Evacuate(const Parts& aParts, const std::string&)
+  {
+    mWorkers.Evacuate(aParts[1],
+                      std::chrono::milliseconds(std::stoll(aParts[2])));
+    return json::object();
+  }
+
   json MarkFault(const Parts& aParts, const std::string&)
   {
     if (aParts[1] == "begin") {
@@ -246,14 +254,14 @@
     return json::object();
   }
 
-  static const std::array<Route, 13> kRoutes;
+  static const std::array<Route, 14> kRoutes;
 
   StoreStandin& mStore;
   WorkerStandins& mWorkers;
   StoreGates& mGates;
 };
 
-const std::array<Control::Route, 13> Control::kRoutes{ {
+const std::array<Control::Route, 14> Control::kRoutes{ {
   { "journal", 1, &Control::GetJournal },
   { "history", 2, &Control::DropHistory },
   { "workers", 3, &Control::ApplyAction },
@@ -265,6 +273,7 @@
   { "capacity", 4, &Control::ShrinkCapacity },
   { "overload", 2, &Control::OverloadStore },
   { "odd", 2, &Control::WriteOddRow },
+  { "evacuations", 3, &Control::Evacuate },
   { "faults", 2, &Control::MarkFault },
   { "jobs", 2, &Control::RecordJob },
 } };
