Confirm evacuations only by complete reads

Cause: a review of the evacuation found by reading: a table read had 3 s for a reply where the row had 0.5 s; each refresh restarted a read in flight, so that a burst of conflicts could keep it from completing; a full page of changes confirmed the settings although later ones were not read; a daemon without any settings could start runs shortly after the boot of its VM; bounds of some 100 ms stopped all starts. Change: one table read at a time, full pages confirm nothing, the rule for starts is a value type that knows settings that were never read, bounds below 2 s are rejected, the counts of withdrawn runs are by zone. A check that could not fail (StartOfUnknownOutcomeIsNotRepeated) now limits the starts in any case, and random arguments are drawn in a fixed order.

--- a/apps/cornelrudderd/DaemonSettings.cpp
+++ b/apps/cornelrudderd/DaemonSettings.cpp
@@ -34,6 +34,7 @@
 
 constexpr std::int64_t kMinuteMs = 60'000;
 constexpr std::int64_t kDayMs = 1'440 * kMinuteMs;
+constexpr std::int64_t kMinEvacuationMs = 2'000;
 
 /** A row holds at least the lease of the owner. */
 constexpr std::int64_t kMinRowBytes = 1'024;
@@ -416,6 +417,22 @@
   }
 }
 
+/**
+ * A bound below the interval at which the settings are confirmed would stop all
+ * starts.
+ */
+void
+CheckEvacuationTime(const Values& aValues, ErrorList& aErrors)
+{
+  if (aValues.mEvacuationMs > 0 && aValues.mEvacuationMs < kMinEvacuationMs) {
+    aErrors.Add(0,
+                "scheduling.evacuation_ms",
+                std::to_string(aValues.mEvacuationMs),
+                "0 or an integer from " + std::to_string(kMinEvacuationMs) +
+                  " to " + std::to_string(kMinuteMs));
+  }
+}
+
 } // namespace
 
 DaemonSettings
@@ -456,6 +473,7 @@
   CheckId("daemon.region", values.mRegion, errors);
   CheckId("daemon.zone", values.mZone, errors);
   CheckAddresses(values, errors);
+  CheckEvacuationTime(values, errors);
   errors.ThrowIfAny();
   return DaemonSettings(std::move(values));
 }
--- a/include/cornelrudder/state/scheduling/Evacuations.h
+++ b/include/cornelrudder/state/scheduling/Evacuations.h
@@ -3,6 +3,7 @@
 
 #include <set>
 #include <string>
+#include <utility>
 
 namespace cornelrudder::state::scheduling {
 
--- a/src/coordination/CatalogTask.cpp
+++ b/src/coordination/CatalogTask.cpp
@@ -25,6 +25,9 @@
 using state::scheduling::Evacuations;
 using std::chrono::milliseconds;
 
+/** Changed rows from which a reply may leave further changes out. */
+constexpr std::size_t kFullPageRows = 500;
+
 /** @return The zone whose evacuation a row requests, or nothing. */
 std::optional<std::string>
 EvacuatedZone(const std::string& aKey)
@@ -63,7 +66,15 @@
           HandleStoreResult(aCompleted.mResult);
         }
       },
-      [this](const RefreshCatalog&) { Reload(); },
+      [this](const RefreshCatalog&) {
+        // Each write conflict asks for a refresh. Restarting the read for each
+        // would never let one complete.
+        if (mIsReadingTable) {
+          mIsReloadDue = true;
+        } else {
+          Reload();
+        }
+      },
       [this](const Subscribe& aSubscribe) {
         mSubscribers.push_back(aSubscribe.mReceiver);
         send(aSubscribe.mReceiver, View());
@@ -79,6 +90,8 @@
     mIsPollingChanges = mVersion != 0;
     if (!mIsPollingChanges) {
       mPages = {};
+      mIsReadingTable = true;
+      mIsReloadDue = false;
       ReadPage("");
       return;
     }
@@ -119,7 +132,10 @@
       Reload();
       return;
     }
-    if (aResult.Status() != StoreStatus::kOk) {
+    const bool isPageLost =
+      !mIsPollingChanges && aResult.HasMore() && aResult.Rows().empty();
+    if (aResult.Status() != StoreStatus::kOk || isPageLost) {
+      mIsReadingTable = false;
       ++mCounters["catalog_failures_total"];
       CheckStale();
       SetReachable(false);
@@ -129,11 +145,19 @@
     if (mIsPollingChanges) {
       ApplyChanges(aResult.Rows());
       mVersion = aResult.Version();
+      if (aResult.HasMore() || aResult.Rows().size() >= kFullPageRows) {
+        // Later changes are not known yet, so this reply confirms nothing.
+        Publish();
+        Poll();
+        return;
+      }
     } else if (!CollectPage(aResult)) {
       return;
     }
     RecordConfirmation(aResult);
-    if (mCatalog || mIsPollingChanges) {
+    if (mIsReloadDue) {
+      Reload();
+    } else if (mCatalog || mIsPollingChanges) {
       Poll();
     } else {
       delayed_send(this, mOptions.mRetryDelay, Tick{});
@@ -155,6 +179,7 @@
       ReadPage(NextPageStart(aPage));
       return false;
     }
+    mIsReadingTable = false;
     const TablePages pages = std::exchange(mPages, {});
     Evacuations evacuations;
     for (const StoreRow& row : pages.mRows) {
@@ -303,6 +328,9 @@
   std::shared_ptr<const Catalog> mCatalog;
   Evacuations mEvacuations;
   TablePages mPages;
+  bool mIsReadingTable = false;
+  /** The table is read again once the present read is complete. */
+  bool mIsReloadDue = false;
   milliseconds mConfirmedAt{ 0 };
   StoreClockReading mStoreClock;
   /**
--- a/src/coordination/SchedulerTask.cpp
+++ b/src/coordination/SchedulerTask.cpp
@@ -16,6 +16,7 @@
 using state::scheduling::RenewCommand;
 using state::scheduling::RenewReply;
 using state::scheduling::SchedulerEvent;
+using state::scheduling::SettingsConfirmation;
 using state::scheduling::StartCommand;
 using state::scheduling::StopCommand;
 using state::scheduling::WorkerCommands;
@@ -45,9 +46,6 @@
  */
 constexpr milliseconds kMaxCycleGap{ 2'000 };
 
-/** Allowance for the transmission of a start command. */
-constexpr milliseconds kStartReserve{ 500 };
-
 /** Indexed by SchedulerEvent::Kind. */
 constexpr std::array kLogEvents{ LogEvent::kTaskPlaced,
                                  LogEvent::kTaskWaits,
@@ -152,7 +150,9 @@
 SchedulerTask::ApplySettings(const CatalogView& aView)
 {
   mCatalog = aView.mCatalog;
-  mSettingsConfirmedAt = aView.mConfirmedAt;
+  if (aView.mConfirmedAt.count() > 0) {
+    mSettingsConfirmation = SettingsConfirmation(aView.mConfirmedAt);
+  }
   const bool isChanged = mEvacuations != aView.mEvacuations;
   mEvacuations = aView.mEvacuations;
   if (!mScheduler) {
@@ -282,22 +282,12 @@
 {
   const Millis limit = aNow + OwnerTenure::StartTime(mOptions.mOwnerTimeout);
   const Millis until =
-    std::min({ mTenure.StartsUntil(), limit, SettingsValidUntil() });
+    std::min({ mTenure.StartsUntil(),
+               limit,
+               mSettingsConfirmation.StartsUntil(mOptions.mEvacuationTime) });
   return mIsolation ? aNow : until;
 }
 
-/**
- * @return Time up to which the evacuations that this daemon knows of are those
- *   that have to be in force.
- */
-milliseconds
-SchedulerTask::SettingsValidUntil() const
-{
-  return mOptions.mEvacuationTime.count() > 0
-           ? mSettingsConfirmedAt + mOptions.mEvacuationTime - kStartReserve
-           : Millis::max();
-}
-
 void
 SchedulerTask::SendCommands(Millis aNow)
 {
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -11,6 +11,7 @@
 #include "cornelrudder/state/scheduling/OwnerLease.h"
 #include "cornelrudder/state/scheduling/OwnerTenure.h"
 #include "cornelrudder/state/scheduling/Scheduler.h"
+#include "cornelrudder/state/scheduling/SettingsConfirmation.h"
 
 #include <caf/event_based_actor.hpp>
 
@@ -113,7 +114,6 @@
            mTenure.ConfirmedAt() >= mConfirmLeaseFrom;
   }
   Millis StartsUntil(Millis aNow) const;
-  Millis SettingsValidUntil() const;
   void ApplySettings(const CatalogView& aView);
   void SendCommands(Millis aNow);
   void LogSchedulerEvents();
@@ -277,8 +277,7 @@
   std::optional<state::scheduling::Scheduler> mScheduler;
   std::shared_ptr<const state::scheduling::Catalog> mCatalog;
   state::scheduling::Evacuations mEvacuations;
-  /** Local time up to which the store has confirmed the settings. */
-  Millis mSettingsConfirmedAt{ 0 };
+  state::scheduling::SettingsConfirmation mSettingsConfirmation;
   bool mCycleScheduled = false;
   bool mExpiryReadScheduled = false;
   /** Minimum delay of the next cycle, set by the last plan. */
--- a/src/state/scheduling/SchedulerEvacuations.cpp
+++ b/src/state/scheduling/SchedulerEvacuations.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace cornelrudder::state::scheduling {
 
@@ -12,10 +13,12 @@
   for (auto& [id, worker] : mWorkers) {
     worker.mIsEvacuated = mEvacuations.Contains(worker.mInfo.mZone);
   }
-  const std::size_t withdrawn = WithdrawEvacuatedRuns(aNow);
+  const std::map<std::string, std::size_t> withdrawn =
+    WithdrawEvacuatedRuns(aNow);
   for (const std::string& zone : mEvacuations.Zones()) {
     if (!before.Contains(zone)) {
-      RecordEvacuation(zone, withdrawn);
+      const auto it = withdrawn.find(zone);
+      RecordEvacuation(zone, it != withdrawn.end() ? it->second : 0);
     }
   }
 }
@@ -42,13 +45,14 @@
 /**
  * Withdraws runs in evacuated zones whose start has not been sent, with the
  * other members of their gangs.
- * @return Number of runs in evacuated zones that were withdrawn.
+ * @return Number of runs that were withdrawn, by zone.
  */
-std::size_t
+std::map<std::string, std::size_t>
 Scheduler::Impl::WithdrawEvacuatedRuns(Millis aNow)
 {
+  std::map<std::string, std::size_t> withdrawn;
   if (mEvacuations.Zones().empty()) {
-    return 0;
+    return withdrawn;
   }
   std::vector<TaskKey> planned;
   for (const auto& [id, worker] : mWorkers) {
@@ -59,8 +63,9 @@
                    [this](const TaskKey& aKey) { return IsPlanned(aKey); });
     }
   }
-  std::size_t withdrawn = 0;
   for (const TaskKey& key : planned) {
+    ++withdrawn[mWorkers.at(mJobs.at(key.first).mTasks[key.second].mWorker)
+                  .mInfo.mZone];
     // The withdrawal of another member of its gang may have included it.
     if (IsPlanned(key)) {
       JobState& job = mJobs.at(key.first);
@@ -71,7 +76,6 @@
                     { "reason", "evacuated" } });
       RequestStop(job, key.second, LossCause::kOther, aNow);
     }
-    ++withdrawn;
   }
   return withdrawn;
 }
--- a/src/state/scheduling/SchedulerHealth.cpp
+++ b/src/state/scheduling/SchedulerHealth.cpp
@@ -140,7 +140,10 @@
   mNextIdleQuery = aNow + kIdleQueryInterval;
   std::vector<WorkerState*> idle;
   for (auto& [id, worker] : mWorkers) {
-    if (worker.mAssigned.empty() && IsUsable(worker, aNow)) {
+    const bool isReachable =
+      IsUsable(worker, aNow) ||
+      worker.ConditionAt(aNow) == WorkerCondition::kEvacuated;
+    if (worker.mAssigned.empty() && isReachable) {
       idle.push_back(&worker);
     }
   }
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -263,7 +263,7 @@
 
   // Evacuations.
   void RecordEvacuation(const std::string& aZone, std::size_t aWithdrawn);
-  std::size_t WithdrawEvacuatedRuns(Millis aNow);
+  std::map<std::string, std::size_t> WithdrawEvacuatedRuns(Millis aNow);
   bool IsPlanned(const TaskKey& aKey) const;
 
   // Crashes.
--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -50,10 +50,10 @@
   const std::array<std::pair<bool, WorkerCondition>, kWorkerConditions - 1>
     conditions{ { { !mListed, WorkerCondition::kUnlisted },
                   { mInfo.mDraining, WorkerCondition::kDraining },
-                  { mIsEvacuated, WorkerCondition::kEvacuated },
                   { mFailedRenewals > 0, WorkerCondition::kSilent },
                   { mIsQueryDue, WorkerCondition::kUnconfirmed },
                   { mClock.count() <= 0, WorkerCondition::kClockUnknown },
+                  { mIsEvacuated, WorkerCondition::kEvacuated },
                   { aNow < mSuspectedUntil, WorkerCondition::kSuspected },
                   { aNow < mSlowUntil, WorkerCondition::kSlow } } };
   for (const auto& [applies, condition] : conditions) {
--- a/tests/coordination/FakeFleet.cpp
+++ b/tests/coordination/FakeFleet.cpp
@@ -234,7 +234,13 @@
           rows.push_back(row);
         }
       }
-      result = MakeResult(StoreStatus::kOk, std::move(rows));
+      const bool hasMore = mRangePage > 0 && rows.size() > mRangePage;
+      if (hasMore) {
+        rows.erase(rows.begin() + static_cast<std::ptrdiff_t>(mRangePage),
+                   rows.end());
+      }
+      result = StoreResult(
+        StoreStatus::kOk, std::move(rows), mVersion, StoreTime(), hasMore);
     }
     if (aTable == mHeldTable) {
       mHeldReplies.emplace_back(
@@ -449,6 +455,13 @@
   return mRowReads;
 }
 
+void
+FakeFeedStore::SetRangePage(std::size_t aRows)
+{
+  const std::lock_guard lock(mMutex);
+  mRangePage = aRows;
+}
+
 void
 FakeFeedStore::Remove(const std::string& aKey)
 {
--- a/tests/coordination/FakeFleet.h
+++ b/tests/coordination/FakeFleet.h
@@ -95,6 +95,8 @@
   void SetFeedSuppressed(bool aSuppressed);
   /** Limits the rows of one poll to the oldest changes; 0 for no limit. */
   void SetFeedPage(std::size_t aRows);
+  /** Limits the rows of one page of a range; 0 for no limit. */
+  void SetRangePage(std::size_t aRows);
   /**
    * Makes a poll fail because its history is no longer kept.
    * @param aTable Fails the next poll of this table; empty for the next poll of
@@ -165,6 +167,7 @@
   bool mDown = false;
   bool mFeedSuppressed = false;
   std::size_t mFeedPage = 0;
+  std::size_t mRangePage = 0;
   WriteFault mWriteFault = WriteFault::kNone;
   std::string mRefusedTable;
   std::size_t mRowLimit = std::numeric_limits<std::size_t>::max();
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -149,6 +149,16 @@
     }
   }
 
+  /** Makes a daemon read its settings again; returns when it has been told. */
+  void Refresh(const DaemonTasks& aTasks)
+  {
+    caf::anon_send(aTasks.mCatalog, RefreshCatalog{});
+    mSelf->request(aTasks.mCatalog, caf::infinite, GetCounters{})
+      .receive(
+        [](const Counters&) {},
+        [](const caf::error&) { FAIL("the catalog task does not respond"); });
+  }
+
   bool IsReady(const DaemonTasks& aTasks)
   {
     auto promise = std::make_shared<std::promise<bool>>();
@@ -1400,6 +1410,28 @@
   CHECK_EQUAL(1, daemons.mLog.Count(LogEvent::kZoneReturned));
 }
 
+// Guards against evacuations on a later page of the table, and against reads of
+// the table that are restarted by each conflict and never complete.
+TEST(SchedulingTasks, TableOfSeveralPagesIsReadOnceAtATime)
+{
+  Daemons daemons;
+  daemons.mStore.SetRangePage(1);
+  for (const char* zone : { "z1", "z2" }) {
+    daemons.mStore.Put(kEvacuationPrefix + std::string(zone), "{}");
+  }
+  const DaemonTasks daemon = daemons.Start("a");
+  CHECK_EQUAL(2, daemons.mLog.Count(LogEvent::kZoneEvacuated));
+  daemons.mStore.SetRepliesHeld("operator");
+  daemons.mStore.DropHistory("operator");
+  CHECK(WaitUntil([&] { return daemons.mStore.RepliesHeld() == 1; }));
+  daemons.Refresh(daemon);
+  daemons.Refresh(daemon);
+  CHECK_EQUAL(1, daemons.mStore.RepliesHeld());
+  daemons.mStore.SetRepliesHeld("");
+  CHECK(WaitUntil([&] { return daemons.IsReady(daemon); }));
+  CHECK_EQUAL(0, daemons.mLog.Count(LogEvent::kZoneReturned));
+}
+
 // Guards against starts by an owner that writes to the store, but whose reads
 // of the settings get no reply: a zone may be evacuated meanwhile.
 TEST(SchedulingTasks, OwnerWithOldSettingsStartsNothingWhereABoundIsSet)
--- a/tests/state/scheduling/EvacuationTest.cpp
+++ b/tests/state/scheduling/EvacuationTest.cpp
@@ -1,9 +1,13 @@
 #include "FleetModel.h"
+#include "cornelrudder/state/scheduling/SettingsConfirmation.h"
 
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
 #include <array>
+#include <random>
+#include <set>
+#include <string>
 
 using namespace cornelrudder::tests;
 using namespace cornelrudder::state::scheduling;
@@ -134,7 +138,7 @@
   model.Run(milliseconds(100));
   model.Evacuate({ "z0", "z1" });
   model.Run(milliseconds(12'000));
-  CHECK(model.OutcomeOf("j").mPhase != JobPhase::kDone || model.Starts() == 1);
+  CHECK(model.Starts() <= 1);
   model.Evacuate({});
   model.Run(milliseconds(12'000));
   CheckDone(model, "j");
@@ -160,9 +164,7 @@
 // accepts nothing.
 TEST(Evacuation, WorkWithDataInTheZoneRunsElsewhere)
 {
-  FleetModelOptions options = TwoZones();
-  options.mCheckWorkConservation = false;
-  FleetModel model(options);
+  FleetModel model(TwoZones());
   model.Evacuate({ "z0" });
   StepSpecValues step = Step(2, 8);
   step.mAffinityRack = "r0";
@@ -191,7 +193,7 @@
   CheckNoViolation(model);
 }
 
-// Guards against a worker that appears in, or moves into, an evacuated zone.
+// Guards against a worker that appears in an evacuated zone.
 TEST(Evacuation, WorkerThatAppearsInTheZoneGetsNothing)
 {
   FleetModel model(TwoZones());
@@ -217,11 +219,12 @@
     FleetModel model(options);
     std::mt19937_64 random(seed);
     for (int i = 0; i < 24; ++i) {
-      model.Submit(MakeJob("j" + std::to_string(i),
-                           Step(1 + random() % 3, 4, random() % 2 == 0),
-                           static_cast<int>(random() % 3),
-                           4),
-                   milliseconds(300 + random() % 3'000));
+      const std::size_t tasks = 1 + random() % 3;
+      const bool isGang = random() % 2 == 0;
+      const int priority = static_cast<int>(random() % 3);
+      model.Submit(
+        MakeJob("j" + std::to_string(i), Step(tasks, 4, isGang), priority, 4),
+        milliseconds(300 + random() % 3'000));
       const std::array<std::set<std::string>, 5> choices{
         { { "z0" }, { "z1" }, { "z0", "z1" }, {}, {} }
       };
@@ -239,3 +242,15 @@
     CheckNoViolation(model);
   }
 }
+
+// Guards against a daemon that starts runs before it has read the settings, on
+// a VM that was booted a moment ago.
+TEST(Evacuation, SettingsThatWereNeverReadAllowNoStarts)
+{
+  constexpr milliseconds kBound{ 5'000 };
+  CHECK(SettingsConfirmation().StartsUntil(kBound) < milliseconds(0));
+  CHECK(SettingsConfirmation().StartsUntil(milliseconds(0)) ==
+        milliseconds::max());
+  CHECK(SettingsConfirmation(milliseconds(1'000)).StartsUntil(kBound) ==
+        milliseconds(5'500));
+}
