Bound what connections of clients hold

A crowd took the memory of a VM because each connection could hold a body of 8 MiB for 60 s after each byte, with no bound on the sum. Now one budget of bytes covers all connections of the I/O thread; when it or the number of connections of a listener is exceeded, the connection that holds the most is closed, never one that is being answered. Headers have a limit of fields and of time, bodies one of time and one that can change; the buffers of the kernel and the read-ahead are small.

--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -31,6 +32,15 @@
 
 constexpr std::size_t kMaxLingerBytes = 64ULL * 1024;
 constexpr std::chrono::milliseconds kLingerTimeout{ 1'000 };
+constexpr std::size_t kReadBytes = 4'096;
+constexpr std::size_t kBodyReadBytes = 16UL * 1024;
+/** Buffers of the kernel, for each connection. */
+constexpr int kReceiveBufferBytes = 64 * 1024;
+constexpr int kSendBufferBytes = 64 * 1024;
+/** Coroutine stack, parser and socket of a connection. */
+constexpr std::size_t kConnectionBytes = 16UL * 1024;
+
+using RequestParser = http::request_parser<http::string_body>;
 
 protocol::HttpRequest
 ToRequest(http::request<http::string_body>&& aMessage)
@@ -87,6 +97,67 @@
                                         aError.message() + R"(","ran":"no"})");
 }
 
+/** The part of a request that is read, with its limits of time. */
+struct ReadPart
+{
+  ConnectionIncident mTimeout;
+  std::chrono::milliseconds HttpServerLimits::*mLimit;
+  /** Why an incomplete request is rejected; empty without a request. */
+  std::string_view mReason;
+};
+
+constexpr ReadPart kIdlePart{ ConnectionIncident::kIdleTimeout,
+                              &HttpServerLimits::mIdleTimeout,
+                              "" };
+constexpr ReadPart kHeaderPart{ ConnectionIncident::kHeaderTimeout,
+                                &HttpServerLimits::mHeaderTimeout,
+                                "the header took too long" };
+constexpr ReadPart kBodyPart{ ConnectionIncident::kBodyTimeout,
+                              &HttpServerLimits::mBodyTimeout,
+                              "the body took too long" };
+
+const ReadPart&
+PartOf(const RequestParser& aParser, const beast::flat_buffer& aBuffer)
+{
+  if (aParser.is_header_done()) {
+    return kBodyPart;
+  }
+  return aBuffer.size() > 0 ? kHeaderPart : kIdlePart;
+}
+
+protocol::HttpResponse
+TimeoutResponse(const ReadPart& aPart)
+{
+  return protocol::HttpResponse::Json(
+    408,
+    std::string(R"({"error":"timeout","reason":")") +
+      std::string(aPart.mReason) + R"(","ran":"no"})");
+}
+
+protocol::HttpResponse
+TooManyFieldsResponse(std::size_t aFound, std::size_t aAllowed)
+{
+  return protocol::HttpResponse::Json(
+    431,
+    R"({"error":"bad_http","reason":"the header has )" +
+      std::to_string(aFound) + " fields; allowed are " +
+      std::to_string(aAllowed) + R"(","ran":"no"})");
+}
+
+/** @return The response to a request that is cut off to free memory. */
+const std::string&
+DisplacedResponse()
+{
+  constexpr std::string_view kBody =
+    R"({"error":"overloaded","reason":"too many connections","ran":"no"})";
+  static const std::string sText =
+    "HTTP/1.1 503 Service Unavailable\r\n"
+    "content-type: application/json\r\nretry-after: 1\r\n"
+    "connection: close\r\ncontent-length: " +
+    std::to_string(kBody.size()) + "\r\n\r\n" + std::string(kBody);
+  return sText;
+}
+
 /** Answers with status 500 if the handler drops the responder. */
 class ResponseGuard
 {
@@ -125,18 +196,30 @@
   Impl(asio::io_context& aContext,
        const tcp::endpoint& aAddress,
        HttpServerLimits aLimits,
-       HttpHandler aHandler)
+       HttpHandler aHandler,
+       std::shared_ptr<ConnectionLimiter> aLimiter)
     : mContext(aContext)
     , mAcceptor(aContext)
     , mDrainTimer(aContext)
     , mLimits(aLimits)
+    , mMaxBodyBytes(aLimits.mMaxBodyBytes)
     , mHandler(std::move(aHandler))
+    , mLimiter(std::move(aLimiter))
   {
     error_code ec;
     mAcceptor.open(aAddress.protocol(), ec);
     if (!ec) {
       mAcceptor.set_option(asio::socket_base::reuse_address(true), ec);
     }
+    // Accepted sockets inherit the sizes.
+    if (!ec) {
+      mAcceptor.set_option(
+        asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ec);
+    }
+    if (!ec) {
+      mAcceptor.set_option(
+        asio::socket_base::send_buffer_size(kSendBufferBytes), ec);
+    }
     if (!ec) {
       mAcceptor.bind(aAddress, ec);
     }
@@ -160,6 +243,7 @@
 
   void Start()
   {
+    mListener = mLimiter->AddListener();
     asio::spawn(
       mContext,
       [self = shared_from_this()](asio::yield_context aYield) {
@@ -189,6 +273,12 @@
     CheckDrained();
   }
 
+  void SetMaxBodyBytes(std::uint64_t aBytes)
+  {
+    mMaxBodyBytes = std::min(aBytes, mLimits.mMaxBodyBytes);
+    mLimiter->EnsureRoomFor(mMaxBodyBytes);
+  }
+
   void Close()
   {
     error_code ec;
@@ -201,17 +291,79 @@
   }
 
 private:
-  struct Connection
+  struct Connection : std::enable_shared_from_this<Connection>
   {
-    explicit Connection(tcp::socket aSocket)
-      : mStream(std::move(aSocket))
+    Connection(std::shared_ptr<Impl> aServer, tcp::socket aSocket)
+      : mServer(std::move(aServer))
+      , mStream(std::move(aSocket))
+      , mReadTimer(mServer->mContext)
+      , mBuffer(mServer->MaxBufferBytes())
+      , mSlot(*mServer->mLimiter, mServer->mListener, [this] { CloseAtOnce(); })
+    {
+      ++mServer->mOpenConnections;
+      Charge(ConnectionPhase::kIdle, 0);
+    }
+
+    ~Connection()
+    {
+      if (!mSlot.IsDisplaced()) {
+        --mServer->mOpenConnections;
+      }
+    }
+
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+
+    /** @param aBytes Size of the request's body, or of the response. */
+    void Charge(ConnectionPhase aPhase, std::size_t aBytes)
+    {
+      mPhase = aPhase;
+      mSlot.Charge(aPhase, kConnectionBytes + mBuffer.capacity() + aBytes);
+    }
+
+    /** Cancels the reading after some time; unlike a timeout of the stream,
+     * this leaves the socket open for a response. */
+    void LimitReadTime(std::chrono::milliseconds aLimit)
     {
+      mStream.expires_never();
+      mReadTimer.expires_after(aLimit);
+      mReadTimer.async_wait(
+        [weak = this->weak_from_this(), n = ++mReadNumber](error_code aError) {
+          const auto self = weak.lock();
+          if (!aError && self && self->mReadNumber == n) {
+            self->mIsReadLate = true;
+            self->mStream.cancel();
+          }
+        });
+    }
+
+    void EndReadTime()
+    {
+      ++mReadNumber;
+      mReadTimer.cancel();
+    }
+
+    void CloseAtOnce()
+    {
+      --mServer->mOpenConnections;
+      if (mPhase == ConnectionPhase::kReceiving) {
+        error_code ec;
+        mStream.socket().non_blocking(true, ec);
+        mStream.socket().write_some(asio::buffer(DisplacedResponse()), ec);
+      }
+      mStream.close();
     }
 
+    std::shared_ptr<Impl> mServer;
     beast::tcp_stream mStream;
+    asio::steady_timer mReadTimer;
+    std::uint64_t mReadNumber = 0;
+    bool mIsReadLate = false;
     beast::flat_buffer mBuffer;
+    ConnectionPhase mPhase = ConnectionPhase::kIdle;
     /** Whether a request has been read and not yet answered. */
     bool mBusy = false;
+    ConnectionLimiter::Slot mSlot;
   };
 
   /** Keeps a connection in the set while its task runs. */
@@ -250,10 +402,12 @@
       }
       if (ec) {
         // Out of descriptors, most likely: wait instead of spinning.
+        mLimiter->DisplaceOne(mListener);
         WaitBeforeAccept(aYield);
         continue;
       }
-      if (mConnections.size() >= mLimits.mMaxConnections) {
+      if (mOpenConnections >= mLimits.mMaxConnections &&
+          !mLimiter->DisplaceOne(mListener)) {
         continue;
       }
       socket.set_option(tcp::no_delay(true), ec);
@@ -270,7 +424,8 @@
 
   void StartConnection(tcp::socket aSocket)
   {
-    auto connection = std::make_shared<Connection>(std::move(aSocket));
+    auto connection =
+      std::make_shared<Connection>(shared_from_this(), std::move(aSocket));
     asio::spawn(
       mContext,
       [self = shared_from_this(), connection](asio::yield_context aYield) {
@@ -282,25 +437,26 @@
       asio::detached);
   }
 
+  /** A header with its end, and what is read ahead of the next request. */
+  std::size_t MaxBufferBytes() const
+  {
+    return mLimits.mMaxHeaderBytes + kReadBytes;
+  }
+
   /** @return Whether the connection can take another request. */
   bool ServeOne(Connection& aConnection, asio::yield_context aYield)
   {
-    error_code ec;
-    http::request_parser<http::string_body> parser;
+    RequestParser parser;
     parser.header_limit(mLimits.mMaxHeaderBytes);
-    parser.body_limit(mLimits.mMaxBodyBytes);
-    aConnection.mStream.expires_after(mLimits.mIdleTimeout);
-    http::async_read(
-      aConnection.mStream, aConnection.mBuffer, parser, aYield[ec]);
-    if (ec) {
-      const auto response = ReadErrorResponse(ec);
-      if (response) {
-        Write(aConnection, ToMessage(*response, 11, false), aYield);
-      }
+    parser.body_limit(mMaxBodyBytes);
+    parser.eager(true);
+    if (!ReadRequest(aConnection, parser, aYield)) {
       return false;
     }
     aConnection.mBusy = true;
     aConnection.mStream.expires_never();
+    aConnection.Charge(ConnectionPhase::kAnswering,
+                       parser.get().body().capacity());
     const unsigned version = parser.get().version();
     const bool keepAlive = parser.get().keep_alive();
     protocol::HttpResponse response =
@@ -313,6 +469,120 @@
     return written && again && !mDraining;
   }
 
+  /**
+   * Reads a request, and answers one that is rejected.
+   * @return Whether it is complete.
+   */
+  bool ReadRequest(Connection& aConnection,
+                   RequestParser& aParser,
+                   asio::yield_context aYield)
+  {
+    beast::flat_buffer& buf = aConnection.mBuffer;
+    if (buf.size() == 0 && buf.capacity() > kReadBytes) {
+      buf.shrink_to_fit();
+    }
+    const ReadPart* part = nullptr;
+    error_code ec;
+    while (true) {
+      const bool wasHeaderDone = aParser.is_header_done();
+      ParseBuffer(buf, aParser, ec);
+      if (ec) {
+        return Reject(aConnection, ReadErrorResponse(ec), aYield);
+      }
+      if (!wasHeaderDone && aParser.is_header_done()) {
+        const auto& fields = aParser.get().base();
+        const auto n =
+          static_cast<std::size_t>(std::distance(fields.begin(), fields.end()));
+        if (n > mLimits.mMaxHeaderFields) {
+          return Reject(aConnection,
+                        TooManyFieldsResponse(n, mLimits.mMaxHeaderFields),
+                        aYield);
+        }
+      }
+      if (aParser.is_done()) {
+        if (part != nullptr && part != &kIdlePart) {
+          aConnection.EndReadTime();
+        }
+        return true;
+      }
+      if (part != &PartOf(aParser, buf)) {
+        part = &PartOf(aParser, buf);
+        LimitPart(aConnection, *part);
+      }
+      ReadSome(aConnection, aParser, *part, aYield, ec);
+      if (aConnection.mIsReadLate) {
+        mLimiter->Count(part->mTimeout);
+        return Reject(aConnection, TimeoutResponse(*part), aYield);
+      }
+      if (ec == beast::error::timeout) {
+        mLimiter->Count(part->mTimeout);
+      }
+      if (ec || aConnection.mSlot.IsDisplaced()) {
+        return Reject(aConnection, ReadErrorResponse(ec), aYield);
+      }
+    }
+  }
+
+  void LimitPart(Connection& aConnection, const ReadPart& aPart)
+  {
+    if (&aPart == &kIdlePart) {
+      aConnection.mStream.expires_after(mLimits.*aPart.mLimit);
+    } else {
+      aConnection.LimitReadTime(mLimits.*aPart.mLimit);
+    }
+  }
+
+  static void ParseBuffer(beast::flat_buffer& aBuffer,
+                          RequestParser& aParser,
+                          error_code& aError)
+  {
+    while (aBuffer.size() > 0 && !aParser.is_done()) {
+      const std::size_t n = aParser.put(aBuffer.data(), aError);
+      aBuffer.consume(n);
+      if (aError == http::error::need_more) {
+        aError = {};
+        return;
+      }
+      if (aError || n == 0) {
+        return;
+      }
+    }
+  }
+
+  void ReadSome(Connection& aConnection,
+                const RequestParser& aParser,
+                const ReadPart& aPart,
+                asio::yield_context aYield,
+                error_code& aError)
+  {
+    beast::flat_buffer& buf = aConnection.mBuffer;
+    const std::size_t wanted =
+      aParser.is_header_done() ? kBodyReadBytes : kReadBytes;
+    const std::size_t n = std::min(wanted, buf.max_size() - buf.size());
+    if (n == 0) {
+      aError = http::error::buffer_overflow;
+      return;
+    }
+    const auto space = buf.prepare(n);
+    aConnection.Charge(&aPart == &kIdlePart ? ConnectionPhase::kIdle
+                                            : ConnectionPhase::kReceiving,
+                       aParser.get().body().capacity());
+    buf.commit(aConnection.mStream.async_read_some(space, aYield[aError]));
+  }
+
+  /** @return False, since the connection takes no further request. */
+  bool Reject(Connection& aConnection,
+              const std::optional<protocol::HttpResponse>& aResponse,
+              asio::yield_context aYield)
+  {
+    aConnection.EndReadTime();
+    if (aResponse && !aConnection.mSlot.IsDisplaced()) {
+      mLimiter->Count(ConnectionIncident::kRejected);
+      Write(aConnection, ToMessage(*aResponse, 11, false), aYield);
+    }
+    return false;
+  }
+
   protocol::HttpResponse AwaitResponse(protocol::HttpRequest aRequest,
                                        asio::yield_context aYield)
   {
@@ -341,8 +611,12 @@
              asio::yield_context aYield)
   {
     error_code ec;
+    aConnection.Charge(ConnectionPhase::kSending, aMessage.body().capacity());
     aConnection.mStream.expires_after(mLimits.mWriteTimeout);
     http::async_write(aConnection.mStream, aMessage, aYield[ec]);
+    if (ec == beast::error::timeout) {
+      mLimiter->Count(ConnectionIncident::kWriteTimeout);
+    }
     return !ec;
   }
 
@@ -388,7 +662,12 @@
   tcp::acceptor mAcceptor;
   asio::steady_timer mDrainTimer;
   HttpServerLimits mLimits;
+  std::uint64_t mMaxBodyBytes;
   HttpHandler mHandler;
+  std::shared_ptr<ConnectionLimiter> mLimiter;
+  std::uint64_t mListener = 0;
+  /** Connections that were not displaced. */
+  std::size_t mOpenConnections = 0;
   std::string mAddress;
   std::set<Connection*> mConnections;
   std::function<void(std::size_t)> mOnDrained;
@@ -398,11 +677,18 @@
 HttpServer::HttpServer(IoThread& aThread,
                        const std::string& aAddress,
                        HttpServerLimits aLimits,
-                       HttpHandler aHandler)
-  : mImpl(std::make_shared<Impl>(aThread.Internal().Context(),
-                                 ParseSocketAddress(aAddress),
-                                 aLimits,
-                                 std::move(aHandler)))
+                       HttpHandler aHandler,
+                       std::shared_ptr<ConnectionLimiter> aLimiter)
+  : mImpl(std::make_shared<Impl>(
+      aThread.Internal().Context(),
+      ParseSocketAddress(aAddress),
+      aLimits,
+      std::move(aHandler),
+      aLimiter != nullptr
+        ? std::move(aLimiter)
+        : std::make_shared<ConnectionLimiter>(aThread,
+                                              kDefaultConnectionBytes,
+                                              nullptr)))
 {
   mImpl->Post([self = mImpl] { self->Start(); });
 }
@@ -418,6 +704,16 @@
   return mImpl->Address();
 }
 
+std::function<void(std::uint64_t)>
+HttpServer::BodyLimitSetter() const
+{
+  return [weak = std::weak_ptr<Impl>(mImpl)](std::uint64_t aBytes) {
+    if (const auto impl = weak.lock()) {
+      impl->Post([impl, aBytes] { impl->SetMaxBodyBytes(aBytes); });
+    }
+  };
+}
+
 void
 HttpServer::Drain(std::chrono::milliseconds aGracePeriod,
                   std::function<void(std::size_t)> aCompletion)
