Count the values of a submission before decoding it

A body of legal size made of very many short values took many times its size as a document, and the body was copied with the call. Submissions now have at most 32,768 values; the largest job, of 100 steps with all fields and dependencies, has about 12,000.

--- a/src/protocol/JsonText.cpp
+++ b/src/protocol/JsonText.cpp
@@ -17,12 +17,18 @@
 /** Limit for input that is quoted in errors, which are logged. */
 constexpr std::size_t kMaxQuotedBytes = 160;
 
-/** The nesting of a text that is valid JSON; of any other text, an estimate. */
-std::size_t
-MeasureDepth(std::string_view aText)
+/** What a text takes as a document, if it is valid JSON; else an estimate. */
+struct JsonMeasure
 {
+  std::size_t mDepth = 0;
+  std::size_t mValues = 1;
+};
+
+JsonMeasure
+Measure(std::string_view aText)
+{
+  JsonMeasure measure;
   std::size_t depth = 0;
-  std::size_t deepest = 0;
   bool isInString = false;
   for (std::size_t i = 0; i < aText.size(); ++i) {
     const char it = aText[i];
@@ -33,12 +39,15 @@
     } else if (it == '"') {
       isInString = true;
     } else if (it == '[' || it == '{') {
-      deepest = std::max(deepest, ++depth);
+      measure.mDepth = std::max(measure.mDepth, ++depth);
+      ++measure.mValues;
     } else if (it == ']' || it == '}') {
       depth -= depth > 0 ? 1 : 0;
+    } else if (it == ',') {
+      ++measure.mValues;
     }
   }
-  return deepest;
+  return measure;
 }
 
 std::string
@@ -96,9 +105,17 @@
 }
 
 json
-ParseJson(std::string_view aText, std::string_view aWhat)
-{
-  if (MeasureDepth(aText) > kMaxJsonDepth) {
+ParseJson(std::string_view aText,
+          std::string_view aWhat,
+          std::size_t aMaxValues)
+{
+  const JsonMeasure measure = Measure(aText);
+  if (measure.mValues > aMaxValues) {
+    throw ProtocolError(std::string(aWhat) + ": the JSON text has about " +
+                        std::to_string(measure.mValues) +
+                        " values; allowed are " + std::to_string(aMaxValues));
+  }
+  if (measure.mDepth > kMaxJsonDepth) {
     throw ProtocolError(std::string(aWhat) +
                         ": the JSON text is nested too deeply; allowed are " +
                         std::to_string(kMaxJsonDepth) + " levels");
--- a/src/protocol/JsonText.h
+++ b/src/protocol/JsonText.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -29,14 +30,17 @@
 ToText(const nlohmann::json& aValue);
 
 /**
- * Parses a JSON text of another process. Checks the nesting before it allocates
- * memory for values.
+ * Parses a JSON text of another process. Checks the nesting and the
+ * number of values before it allocates memory for values.
  * @param aWhat Names the text in errors.
- * @throws ProtocolError if the text is not valid JSON or is nested more than
- *   kMaxJsonDepth levels deep.
+ * @param aMaxValues Limit of the number of values.
+ * @throws ProtocolError if the text is not valid JSON, has more values or is
+ *   nested more than kMaxJsonDepth levels deep.
  */
 nlohmann::json
-ParseJson(std::string_view aText, std::string_view aWhat);
+ParseJson(std::string_view aText,
+          std::string_view aWhat,
+          std::size_t aMaxValues = std::numeric_limits<std::size_t>::max());
 
 /** Inclusive bounds of a number. */
 struct NumberRange
--- a/tests/platform/CallCodecTest.cpp
+++ b/tests/platform/CallCodecTest.cpp
@@ -272,6 +272,22 @@
   }
 }
 
+// Guards against a document many times the size of its text.
+TEST(CallCodec, SubmissionOfManyShortValuesIsRejected)
+{
+  std::string text = R"({"spec":"s","steps":[)";
+  for (int i = 0; i < 40'000; ++i) {
+    text += "[],";
+  }
+  text += "1]}";
+  try {
+    DecodeSubmission(text, CallLimits{ text.size() });
+    FAIL("accepted");
+  } catch (const ProtocolError& error) {
+    STRCMP_CONTAINS("values; allowed are 32768", error.what());
+  }
+}
+
 // Guards against a deeply nested submission that overflows the stack.
 TEST(CallCodec, DeeplyNestedSubmissionIsRejected)
 {
