Limit connections by the memory of the VM

All listeners of a daemon share one limiter: a quarter of daemon.memory_mb, or http.memory_mb. The listeners for readiness and metrics have small limits of their own, and the limit of bodies follows the catalog. Overloads are two log lines, counters and gauges.

--- a/apps/cornelrudderd/Daemon.cpp
+++ b/apps/cornelrudderd/Daemon.cpp
@@ -15,6 +15,7 @@
 #include "cornelrudder/transport/HttpClient.h"
 #include "cornelrudder/transport/HttpServer.h"
 #include "cornelrudder/transport/IoThread.h"
+#include "cornelrudderd/ClientLimits.h"
 #include "cornelrudderd/FrontTask.h"
 #include "cornelrudderd/GracefulStop.h"
 #include "cornelrudderd/Incarnation.h"
@@ -78,6 +79,7 @@
     , mIncarnation(MakeIncarnation(aSettings.Id()))
     , mIncarnationNumber(MakeIncarnationNumber())
     , mPeers(aSettings.PeerAddress())
+    , mLimiter(MakeConnectionLimiter(mThread, aSettings, mLog))
     , mPlatformClient(mThread, { kStoreConnections })
     , mRunnerClient(mThread, {})
     , mStore(mPlatformClient,
@@ -98,12 +100,13 @@
     mServer = std::make_unique<transport::HttpServer>(
       mThread,
       aSettings.HttpAddress(),
-      transport::HttpServerLimits{},
+      aSettings.HttpLimits(),
       [front = mFront](protocol::HttpRequest aRequest,
                        transport::HttpResponder aRespond) {
         caf::anon_send(front,
                        HttpCall{ std::move(aRequest), std::move(aRespond) });
-      });
+      },
+      mLimiter);
     mStop = std::make_unique<GracefulStop>(
       mThread,
       *mServer,
@@ -175,7 +178,7 @@
 
   coordination::Counters CountTraffic() const
   {
-    coordination::Counters counters;
+    coordination::Counters counters = mLimiter->Counters();
     AddTraffic(counters, "platform", mPlatformClient.Traffic());
     AddTraffic(counters, "runner", mRunnerClient.Traffic());
     AddTraffic(counters, "worker", mWorkerClient.Traffic());
@@ -304,6 +307,7 @@
   PeerAdapter mPeers;
   protocol::JsonRowCodec mCodec;
   transport::IoThread mThread;
+  std::shared_ptr<transport::ConnectionLimiter> mLimiter;
   transport::HttpClient mPlatformClient;
   transport::HttpClient mRunnerClient;
   StoreAdapter mStore;
--- a/apps/cornelrudderd/DaemonSettings.cpp
+++ b/apps/cornelrudderd/DaemonSettings.cpp
@@ -35,6 +35,11 @@
 constexpr std::int64_t kMinuteMs = 60'000;
 constexpr std::int64_t kDayMs = 1'440 * kMinuteMs;
 
+constexpr std::int64_t kMebibyte = 1'048'576;
+constexpr std::int64_t kMaxMb = 1'048'576;
+/** Part of the VM's memory for connections. */
+constexpr std::int64_t kConnectionShare = 4;
+
 /** A row holds at least the lease of the owner. */
 constexpr std::int64_t kMinRowBytes = 1'024;
 constexpr std::int64_t kMaxRowBytes = 16'777'216;
@@ -53,6 +58,64 @@
            64,
            "" },
   FileKey{ "daemon", "seeds", &Values::mSeeds, false, 0, 64, "" },
+  FileKey{ "daemon", "memory_mb", &Values::mMemoryMb, false, 0, kMaxMb, "" },
+  FileKey{ "http", "memory_mb", &Values::mHttpMemoryMb, false, 0, kMaxMb, "" },
+  FileKey{ "http",
+           "max_connections",
+           &Values::mHttpMaxConnections,
+           false,
+           1,
+           100'000,
+           "" },
+  FileKey{ "http",
+           "max_header_bytes",
+           &Values::mHttpMaxHeaderBytes,
+           false,
+           1'024,
+           kMebibyte,
+           "" },
+  FileKey{ "http",
+           "max_header_fields",
+           &Values::mHttpMaxHeaderFields,
+           false,
+           8,
+           10'000,
+           "" },
+  FileKey{ "http",
+           "max_body_bytes",
+           &Values::mHttpMaxBodyBytes,
+           false,
+           1'024,
+           64 * kMebibyte,
+           "" },
+  FileKey{ "http",
+           "idle_timeout_ms",
+           &Values::mHttpIdleTimeoutMs,
+           false,
+           100,
+           10 * kMinuteMs,
+           "" },
+  FileKey{ "http",
+           "header_timeout_ms",
+           &Values::mHttpHeaderTimeoutMs,
+           false,
+           100,
+           10 * kMinuteMs,
+           "" },
+  FileKey{ "http",
+           "body_timeout_ms",
+           &Values::mHttpBodyTimeoutMs,
+           false,
+           100,
+           10 * kMinuteMs,
+           "" },
+  FileKey{ "http",
+           "write_timeout_ms",
+           &Values::mHttpWriteTimeoutMs,
+           false,
+           100,
+           10 * kMinuteMs,
+           "" },
   FileKey{ "daemon", "cpu_share", &Values::mCpuShare, false, 0, 1'024, "" },
   FileKey{ "daemon", "link_mbps", &Values::mLinkMbps, false, 0, 1'000'000, "" },
   FileKey{ "daemon",
@@ -418,6 +481,38 @@
 
 } // namespace
 
+transport::HttpServerLimits
+DaemonSettings::HttpLimits() const
+{
+  using std::chrono::milliseconds;
+  transport::HttpServerLimits limits;
+  limits.mMaxHeaderBytes =
+    static_cast<std::uint32_t>(mValues.mHttpMaxHeaderBytes);
+  limits.mMaxHeaderFields =
+    static_cast<std::size_t>(mValues.mHttpMaxHeaderFields);
+  limits.mMaxBodyBytes = static_cast<std::uint64_t>(mValues.mHttpMaxBodyBytes);
+  limits.mMaxConnections =
+    static_cast<std::size_t>(mValues.mHttpMaxConnections);
+  limits.mIdleTimeout = milliseconds(mValues.mHttpIdleTimeoutMs);
+  limits.mHeaderTimeout = milliseconds(mValues.mHttpHeaderTimeoutMs);
+  limits.mBodyTimeout = milliseconds(mValues.mHttpBodyTimeoutMs);
+  limits.mWriteTimeout = milliseconds(mValues.mHttpWriteTimeoutMs);
+  return limits;
+}
+
+std::size_t
+DaemonSettings::ConnectionBytes() const
+{
+  if (mValues.mHttpMemoryMb > 0) {
+    return static_cast<std::size_t>(mValues.mHttpMemoryMb * kMebibyte);
+  }
+  if (mValues.mMemoryMb > 0) {
+    return static_cast<std::size_t>(mValues.mMemoryMb * kMebibyte /
+                                    kConnectionShare);
+  }
+  return transport::kDefaultConnectionBytes;
+}
+
 DaemonSettings
 DaemonSettings::Load(const std::string& aPath)
 {
--- a/apps/cornelrudderd/DaemonSettings.h
+++ b/apps/cornelrudderd/DaemonSettings.h
@@ -2,6 +2,7 @@
 #define CORNELRUDDERD_DAEMON_SETTINGS_H
 
 #include "cornelrudder/state/Ids.h"
+#include "cornelrudder/transport/HttpServer.h"
 
 #include <chrono>
 #include <stdexcept>
@@ -41,6 +42,18 @@
   std::int64_t mDrainGraceMs = 30'000;
   std::int64_t mLeaseMs = 6'000;
   std::int64_t mHeartbeatMs = 1'000;
+  /** Memory of the VM; 0 if unknown. */
+  std::int64_t mMemoryMb = 0;
+  /** Memory of all connections; 0 for a part of the VM's. */
+  std::int64_t mHttpMemoryMb = 0;
+  std::int64_t mHttpMaxConnections = 1'000;
+  std::int64_t mHttpMaxHeaderBytes = 16'384;
+  std::int64_t mHttpMaxHeaderFields = 128;
+  std::int64_t mHttpMaxBodyBytes = 8'388'608;
+  std::int64_t mHttpIdleTimeoutMs = 60'000;
+  std::int64_t mHttpHeaderTimeoutMs = 10'000;
+  std::int64_t mHttpBodyTimeoutMs = 15'000;
+  std::int64_t mHttpWriteTimeoutMs = 15'000;
   double mCpuShare = 1.0;
   double mLinkMbps = 1'000.0;
   std::int64_t mStoreReadTimeoutMs = 500;
@@ -189,6 +202,11 @@
     return std::chrono::milliseconds(mValues.mEvacuationMs);
   }
 
+  /** @return Limits of the listener for callers. */
+  transport::HttpServerLimits HttpLimits() const;
+  /** @return Limit of the memory of all connections. */
+  std::size_t ConnectionBytes() const;
+
   auto operator<=>(const DaemonSettings&) const = default;
 
 private:
--- a/apps/cornelrudderd/FleetDaemon.cpp
+++ b/apps/cornelrudderd/FleetDaemon.cpp
@@ -10,6 +10,7 @@
 #include "cornelrudder/transport/HttpClient.h"
 #include "cornelrudder/transport/HttpServer.h"
 #include "cornelrudder/transport/IoThread.h"
+#include "cornelrudderd/ClientLimits.h"
 #include "cornelrudderd/GracefulStop.h"
 #include "cornelrudderd/Incarnation.h"
 #include "cornelrudderd/MetricsTask.h"
@@ -31,7 +32,6 @@
 using coordination::LogEvent;
 using transport::HttpClientLimits;
 using transport::HttpServer;
-using transport::HttpServerLimits;
 
 /** Enough for long polls of the change feeds and short calls in parallel. */
 constexpr std::size_t kStoreConnections = 24;
@@ -68,6 +68,7 @@
            aSettings.LogLevelName(),
            aSettings.LogsJson())
     , mIncarnation(MakeIncarnation(aSettings.Id()))
+    , mLimiter(MakeConnectionLimiter(mThread, aSettings, mLog))
     , mStoreClient(mThread, HttpClientLimits{ kStoreConnections })
     , mWorkerClient(mThread, HttpClientLimits{ kWorkerConnections })
     , mStore(mStoreClient,
@@ -84,19 +85,25 @@
     mServer =
       std::make_unique<HttpServer>(mThread,
                                    aSettings.HttpAddress(),
-                                   HttpServerLimits{},
-                                   platform::MakeCallerHandler(mGateway));
+                                   aSettings.HttpLimits(),
+                                   platform::MakeCallerHandler(mGateway),
+                                   mLimiter);
+    mTasks.Add(
+      SpawnBodyLimitTask(mSystem, mCatalog, mServer->BodyLimitSetter()),
+      "body_limit");
     mReadinessServer =
       std::make_unique<HttpServer>(mThread,
                                    aSettings.ReadinessAddress(),
-                                   HttpServerLimits{},
-                                   platform::MakeReadinessHandler(mGateway));
+                                   MonitoringLimits(aSettings),
+                                   platform::MakeReadinessHandler(mGateway),
+                                   mLimiter);
     if (!aSettings.MetricsAddress().empty()) {
       mMetricsServer =
         std::make_unique<HttpServer>(mThread,
                                      aSettings.MetricsAddress(),
-                                     HttpServerLimits{},
-                                     MakeMetricsHandler(mMetricsTask));
+                                     MonitoringLimits(aSettings),
+                                     MakeMetricsHandler(mMetricsTask),
+                                     mLimiter);
     }
     mStop = std::make_unique<GracefulStop>(
       mThread,
@@ -176,14 +183,16 @@
         std::move(scheduler)),
       "scheduler");
     caf::anon_send(mCatalog, coordination::Subscribe{ mScheduler });
-    mLogCounters = mTasks.Add(
-      SpawnCounterTask(mSystem,
-                       [this] {
-                         return coordination::Counters{
-                           { "log_lines_dropped_total", mLog.DroppedLines() }
-                         };
-                       }),
-      "log_counters");
+    mLogCounters =
+      mTasks.Add(SpawnCounterTask(mSystem,
+                                  [this] {
+                                    coordination::Counters counters =
+                                      mLimiter->Counters();
+                                    counters["log_lines_dropped_total"] =
+                                      mLog.DroppedLines();
+                                    return counters;
+                                  }),
+                 "log_counters");
     mMetricsTask =
       mTasks.Add(SpawnMetricsTask(
                    mSystem, { mCatalog, mGateway, mScheduler, mLogCounters }),
@@ -214,6 +223,7 @@
   protocol::JsonSchedulingCodec mCodec;
   platform::FleetCodec mPlatformCodec;
   transport::IoThread mThread;
+  std::shared_ptr<transport::ConnectionLimiter> mLimiter;
   transport::HttpClient mStoreClient;
   transport::HttpClient mWorkerClient;
   platform::TableStore mStore;
--- a/include/cornelrudder/coordination/LogEvent.h
+++ b/include/cornelrudder/coordination/LogEvent.h
@@ -23,6 +23,8 @@
   kBadSettingsFile = 104,
   kTaskFailed = 105,
   kReloaded = 106,
+  kHttpOverloaded = 107,
+  kHttpOverloadEnded = 108,
   kRouted = 200,
   kRouteRefused = 201,
   kRunnerResult = 202,
--- a/src/coordination/LogEvent.cpp
+++ b/src/coordination/LogEvent.cpp
@@ -43,6 +43,17 @@
                 "reloaded",
                 "the settings file was checked after a signal; changes apply "
                 "at the next start" },
+  LogEventInfo{ LogEvent::kHttpOverloaded,
+                LogLevel::kWarning,
+                "http_overloaded",
+                "the connections of clients have reached a limit of memory or "
+                "number; those that hold the most are closed" },
+  LogEventInfo{ LogEvent::kHttpOverloadEnded,
+                LogLevel::kInfo,
+                "http_overload_ended",
+                "no connection was closed to make room for 5 s or longer; the "
+                "fields count those closed and the requests rejected since "
+                "the begin" },
   LogEventInfo{ LogEvent::kRouted,
                 LogLevel::kInfo,
                 "routed",
--- a/tests/daemon/DaemonTest.cpp
+++ b/tests/daemon/DaemonTest.cpp
@@ -10,7 +10,9 @@
 namespace {
 
 daemon::DaemonSettings
-Settings(const std::string& aHttpAddress, const std::string& aPeerAddress)
+Settings(const std::string& aHttpAddress,
+         const std::string& aPeerAddress,
+         const std::string& aMore = "")
 {
   return daemon::DaemonSettings::Parse("[daemon]\n"
                                        "id = \"entry-1\"\n"
@@ -20,8 +22,7 @@
                                          aHttpAddress +
                                          "\"\n"
                                          "peer_address = \"" +
-                                         aPeerAddress +
-                                         "\"\n"
+                                         aPeerAddress + "\"\n" + aMore +
                                          "[log]\n"
                                          "level = \"error\"\n"
                                          "[platform]\n"
@@ -46,3 +47,16 @@
   CHECK_THROWS(transport::TransportError,
                daemon::Daemon(Settings(any, peer.Address())));
 }
+
+// Guards against connections that take more than their part of a small VM.
+TEST(Daemon, MemoryOfConnectionsFollowsTheVm)
+{
+  constexpr std::size_t kMebibyte = 1'048'576;
+  const auto bytes = [](const std::string& aMore) {
+    return Settings("127.0.0.1:0", "127.0.0.1:0", aMore).ConnectionBytes();
+  };
+  LONGS_EQUAL(64 * kMebibyte, bytes(""));
+  LONGS_EQUAL(30 * kMebibyte, bytes("memory_mb = 120\n"));
+  LONGS_EQUAL(8 * kMebibyte, bytes("[http]\nmemory_mb = 8\n"));
+  CHECK_THROWS(daemon::SettingsFileError, bytes("[http]\nmemory_mb = -1\n"));
+}
