--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -59,6 +59,7 @@
 step "fleet soak of evacuations, seed 33001" env \
   FLEET_SOAK_FAULTS="evacuate_zone evacuate_zone kill_owner drop_history isolate_owner_store lose_answers freeze_daemon" \
   scripts/fleet_soak.sh 33001 1 60
+step "crowds of clients" scripts/client_crowds.sh
 step "lint" scripts/lint.sh
 if [ -e KNOWN-RED.txt ]; then
   echo "== known red"
