--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -150,12 +150,12 @@
 {
   constexpr std::string_view kBody =
     R"({"error":"overloaded","reason":"too many connections","ran":"no"})";
-  static const std::string sText =
+  static const std::string kText =
     "HTTP/1.1 503 Service Unavailable\r\n"
     "content-type: application/json\r\nretry-after: 1\r\n"
     "connection: close\r\ncontent-length: " +
     std::to_string(kBody.size()) + "\r\n\r\n" + std::string(kBody);
-  return sText;
+  return kText;
 }
 
 /** Answers with status 500 if the handler drops the responder. */
@@ -489,15 +489,11 @@
       if (ec) {
         return Reject(aConnection, ReadErrorResponse(ec), aYield);
       }
-      if (!wasHeaderDone && aParser.is_header_done()) {
-        const auto& fields = aParser.get().base();
-        const auto n =
-          static_cast<std::size_t>(std::distance(fields.begin(), fields.end()));
-        if (n > mLimits.mMaxHeaderFields) {
-          return Reject(aConnection,
-                        TooManyFieldsResponse(n, mLimits.mMaxHeaderFields),
-                        aYield);
-        }
+      const std::size_t fields = wasHeaderDone ? 0 : CountFields(aParser);
+      if (fields > mLimits.mMaxHeaderFields) {
+        return Reject(aConnection,
+                      TooManyFieldsResponse(fields, mLimits.mMaxHeaderFields),
+                      aYield);
       }
       if (aParser.is_done()) {
         if (part != nullptr && part != &kIdlePart) {
@@ -523,6 +519,15 @@
     }
   }
 
+  /** @return The number of fields of a header that is complete, else 0. */
+  static std::size_t CountFields(const RequestParser& aParser)
+  {
+    const auto& fields = aParser.get().base();
+    return aParser.is_header_done() ? static_cast<std::size_t>(std::distance(
+                                        fields.begin(), fields.end()))
+                                    : 0;
+  }
+
   void LimitPart(Connection& aConnection, const ReadPart& aPart)
   {
     if (&aPart == &kIdlePart) {
