Send nothing new to zones that the settings evacuate

Cause: in the product's own interface an operator could not evacuate an availability zone. Change: the settings documents zones/* say whether a zone is evacuated. Work in the zone continues. The reason of a waiting job names the excluded workers.

--- a/include/cornelrudder/state/FleetSnapshot.h
+++ b/include/cornelrudder/state/FleetSnapshot.h
@@ -55,8 +55,8 @@
 {
 public:
   /**
-   * @param aWorkers Workers of the domain, without those that are leaving or
-   *   in quarantine.
+   * @param aWorkers Workers of the domain, without those that are leaving,
+   *   in quarantine or evacuated.
    * @param aGangs Gangs that hold accelerators.
    * @param aGuarantees Shapes of all active organisations in the domain.
    */
--- a/include/cornelrudder/state/RunnerSelector.h
+++ b/include/cornelrudder/state/RunnerSelector.h
@@ -36,7 +36,7 @@
   /** Requests that this daemon runs there now. */
   int InFlight() const { return mInFlight; }
 
-  /** False if the runner is leaving, unlisted or in quarantine. */
+  /** False if the runner is leaving, unlisted, quarantined or evacuated. */
   bool Usable() const { return mUsable; }
 
   /** @return The same runner with another load. */
--- a/include/cornelrudder/state/RunnerTable.h
+++ b/include/cornelrudder/state/RunnerTable.h
@@ -5,6 +5,7 @@
 #include "cornelrudder/state/RunnerExchange.h"
 #include "cornelrudder/state/RunnerSelector.h"
 #include "cornelrudder/state/Vm.h"
+#include "cornelrudder/state/scheduling/Evacuations.h"
 
 #include <chrono>
 #include <optional>
@@ -44,6 +45,9 @@
   /** Applies the daemons that share the slots, including this one. */
   void Apply(const std::vector<VmId>& aDaemons);
 
+  /** Applies the evacuated zones, whose runners get no requests. */
+  void Apply(const scheduling::Evacuations& aEvacuations);
+
   /**
    * Chooses a runner for a request. A quarantined runner whose probe is due
    * comes first.
@@ -109,13 +113,14 @@
   void AssignSlots(Entry& aEntry) const;
   void RebuildLoads();
   void RefreshLoad(std::size_t aIndex);
-  static bool IsLive(const Entry& aEntry);
+  bool IsAvailable(const Entry& aEntry) const;
   bool SucceedsOnOtherRunner(const ClassName& aClass,
                              const Entry& aEntry) const;
 
   VmId mSelf;
   int mSlotsPerRunner;
   std::vector<VmId> mDaemons;
+  scheduling::Evacuations mEvacuations;
   /** Sorted by name; mLoads has the same order. */
   std::vector<Entry> mEntries;
   std::vector<RunnerLoad> mLoads;
--- a/src/coordination/PlacementTaskImpl.h
+++ b/src/coordination/PlacementTaskImpl.h
@@ -8,6 +8,7 @@
 #include "cornelrudder/state/FleetHealth.h"
 #include "cornelrudder/state/JobClass.h"
 #include "cornelrudder/state/JobQueue.h"
+#include "cornelrudder/state/scheduling/Evacuations.h"
 
 #include <caf/actor_system.hpp>
 #include <caf/event_based_actor.hpp>
@@ -85,9 +86,7 @@
         RunDeferredWork();
       },
       [this](const state::SettingsSnapshot& aSettings) {
-        mSettings = aSettings;
-        mQueueRunDue = true;
-        Recover();
+        ApplySettings(aSettings);
         RunDeferredWork();
       },
       [this](const DomainOwner& aOwner) {
@@ -350,7 +349,9 @@
   /** All workers of the region, including quarantined and leaving ones. */
   state::VmList RegionWorkers() const;
 
-  /** The workers that are neither quarantined nor leaving. */
+  bool IsEvacuated(const state::Vm& aWorker) const;
+
+  /** The workers that are neither quarantined, leaving nor evacuated. */
   state::VmList SchedulableWorkers() const;
 
   std::vector<state::GuaranteedShape> Guarantees() const;
@@ -396,6 +397,17 @@
 
   void ApplyVms(const state::VmList& aVms);
 
+  void ApplySettings(const state::SettingsSnapshot& aSettings);
+
+  /**
+   * Requeues the gangs that have a member in an evacuated zone and have not
+   * been started.
+   */
+  void WithdrawEvacuatedGangs();
+
+  /** @return The workers that evacuations exclude, for a wait reason. */
+  std::string ExcludedWorkersText() const;
+
   Counters CurrentCounters() const;
 
   struct ReclaimPlan
@@ -426,6 +438,7 @@
   std::map<VmId, std::string> mWorkerAddresses;
   std::set<VmId> mLeavingWorkers;
   state::SettingsSnapshot mSettings;
+  state::scheduling::Evacuations mEvacuations;
   state::FleetHealth mHealth;
   std::map<JobId, Entry> mJobs;
   std::map<JobId, Job> mFinalJobs;
--- a/src/coordination/PlacementTaskQueue.cpp
+++ b/src/coordination/PlacementTaskQueue.cpp
@@ -1,5 +1,7 @@
 #include "PlacementTaskImpl.h"
 
+#include "cornelrudder/state/ZoneSettings.h"
+
 #include <algorithm>
 
 namespace cornelrudder::coordination {
@@ -29,6 +31,12 @@
   return state::VmList(std::move(workers));
 }
 
+bool
+PlacementTask::IsEvacuated(const state::Vm& aWorker) const
+{
+  return mEvacuations.Contains(aWorker.Location().Zone().Text());
+}
+
 state::VmList
 PlacementTask::SchedulableWorkers() const
 {
@@ -37,7 +45,7 @@
   for (const state::Vm& vm : fleet.All()) {
     const bool leaving = vm.State() == state::VmState::kLeaving ||
                          mLeavingWorkers.contains(vm.Name());
-    if (!leaving && !mHealth.IsQuarantined(vm.Name())) {
+    if (!leaving && !mHealth.IsQuarantined(vm.Name()) && !IsEvacuated(vm)) {
       workers.push_back(vm);
     }
   }
@@ -251,7 +259,8 @@
                                 const std::string& aPrefix)
 {
   Entry& entry = mJobs.at(aDecision.mJob);
-  const std::string reason = aPrefix + aDecision.mDecision.Reason();
+  const std::string reason =
+    aPrefix + aDecision.mDecision.Reason() + ExcludedWorkersText();
   // The queue position is not logged, since it changes with every submission
   // and completion.
   if (reason != entry.mWaitReason) {
@@ -292,7 +301,7 @@
   for (const state::Vm& worker : fleet.All()) {
     if (!mHealth.MayProbe(worker.Name(), aNow) ||
         worker.State() == state::VmState::kLeaving ||
-        mLeavingWorkers.contains(worker.Name())) {
+        mLeavingWorkers.contains(worker.Name()) || IsEvacuated(worker)) {
       continue;
     }
     for (const state::WaitingJob& job : WaitingJobs(aNow)) {
@@ -333,6 +342,70 @@
   }
 }
 
+void
+PlacementTask::ApplySettings(const state::SettingsSnapshot& aSettings)
+{
+  mSettings = aSettings;
+  mEvacuations = EvacuationsOf(aSettings);
+  mQueueRunDue = true;
+  WithdrawEvacuatedGangs();
+  Recover();
+}
+
+void
+PlacementTask::WithdrawEvacuatedGangs()
+{
+  std::set<VmId> evacuated;
+  for (const state::Vm& vm : mVms.All()) {
+    if (IsEvacuated(vm)) {
+      evacuated.insert(vm.Name());
+    }
+  }
+  std::vector<JobId> withdrawn;
+  for (const auto& [id, entry] : mJobs) {
+    const GangPhase phase = entry.mGang.Phase();
+    const bool isUnstarted = phase == GangPhase::kRecordingPlacement ||
+                             phase == GangPhase::kReserving ||
+                             phase == GangPhase::kCommitting ||
+                             phase == GangPhase::kRecordingCommit;
+    const state::GangPlacement placement = entry.mGang.HeldPlacement();
+    const auto& members = placement.Members();
+    if (isUnstarted &&
+        std::any_of(
+          members.begin(), members.end(), [&evacuated](const auto& aMember) {
+            return evacuated.contains(aMember.Worker());
+          })) {
+      withdrawn.push_back(id);
+    }
+  }
+  for (const JobId& id : withdrawn) {
+    HandleGangEvent(id, GangEvent::ForGang(GangEventKind::kPreempt, Now()));
+  }
+}
+
+std::string
+PlacementTask::ExcludedWorkersText() const
+{
+  const state::VmList fleet = RegionWorkers();
+  std::set<std::string> zones;
+  std::size_t count = 0;
+  for (const state::Vm& vm : fleet.All()) {
+    if (IsEvacuated(vm)) {
+      zones.insert(vm.Location().Zone().Text());
+      ++count;
+    }
+  }
+  if (zones.empty()) {
+    return "";
+  }
+  std::string text =
+    "; not counted: " + std::to_string(count) + " workers of evacuated zones";
+  for (const std::string& zone : zones) {
+    text += " " + zone;
+  }
+  return text;
+}
+
 Counters
 PlacementTask::CurrentCounters() const
 {
--- a/src/coordination/RoutingTask.cpp
+++ b/src/coordination/RoutingTask.cpp
@@ -7,6 +7,7 @@
 #include "cornelrudder/state/RequestRetry.h"
 #include "cornelrudder/state/RunnerSelector.h"
 #include "cornelrudder/state/RunnerTable.h"
+#include "cornelrudder/state/ZoneSettings.h"
 
 #include <caf/actor_system.hpp>
 #include <caf/event_based_actor.hpp>
@@ -496,6 +497,7 @@
   {
     mSettings = aSettings;
     mAdmissionSettings = state::AdmissionSettings(aSettings);
+    mRunners.Apply(EvacuationsOf(aSettings));
     for (const auto& [name, jobClass] : mAdmissionSettings.AllClasses()) {
       mKnownClasses.insert_or_assign(name, jobClass);
     }
--- a/src/state/RunnerTable.cpp
+++ b/src/state/RunnerTable.cpp
@@ -76,6 +76,13 @@
   RebuildLoads();
 }
 
+void
+RunnerTable::Apply(const scheduling::Evacuations& aEvacuations)
+{
+  mEvacuations = aEvacuations;
+  RebuildLoads();
+}
+
 std::optional<std::size_t>
 RunnerTable::Choose(const RunnerSelector& aSelector,
                     const ZoneId& aOwnZone,
@@ -86,8 +93,8 @@
   const auto probeTime = aIdempotent ? aNow : aNow - kProbeOverdueAfter;
   for (std::size_t i = 0; mQuarantined > 0 && i < mEntries.size(); ++i) {
     const Entry& entry = mEntries[i];
-    const bool isProbe = entry.mHealth.IsProbeDue(probeTime) && IsLive(entry) &&
-                         entry.mInFlight < entry.mSlots &&
+    const bool isProbe = entry.mHealth.IsProbeDue(probeTime) &&
+                         IsAvailable(entry) && entry.mInFlight < entry.mSlots &&
                          !WasTried(entry.mVm.Name(), aTried);
     if (isProbe) {
       return i;
@@ -213,7 +220,7 @@
 {
   const Entry& entry = mEntries[aIndex];
   const bool usable =
-    IsLive(entry) && entry.mHealth.State() == EndpointState::kHealthy;
+    IsAvailable(entry) && entry.mHealth.State() == EndpointState::kHealthy;
   mFreeSlots -= FreeSlotsOf(mLoads[aIndex]);
   mLoads[aIndex] =
     std::move(mLoads[aIndex]).WithLoad(entry.mSlots, entry.mInFlight, usable);
@@ -221,10 +228,11 @@
 }
 
 bool
-RunnerTable::IsLive(const Entry& aEntry)
+RunnerTable::IsAvailable(const Entry& aEntry) const
 {
   return aEntry.mListed && !aEntry.mReportedLeaving &&
-         aEntry.mVm.State() == VmState::kLive;
+         aEntry.mVm.State() == VmState::kLive &&
+         !mEvacuations.Contains(aEntry.mVm.Location().Zone().Text());
 }
 
 /**
@@ -237,7 +245,7 @@
 {
   return std::any_of(
     mEntries.begin(), mEntries.end(), [&](const Entry& aOther) {
-      return &aOther != &aEntry && IsLive(aOther) &&
+      return &aOther != &aEntry && IsAvailable(aOther) &&
              aOther.mHealth.State() == EndpointState::kHealthy &&
              aOther.mHealth.HasSucceeded(aClass);
     });
--- a/src/state/SettingsSchema.cpp
+++ b/src/state/SettingsSchema.cpp
@@ -160,6 +160,17 @@
               "minimum share of slots, relative to the other classes" },
 };
 
+constexpr std::array kZoneKeys{
+  SettingKey{ "evacuated",
+              SettingType::kFlag,
+              true,
+              0,
+              0,
+              "",
+              "true sends nothing new to the zone's runners and workers; work "
+              "there continues" },
+};
+
 constexpr std::array kPolicyKeys{
   SettingKey{ "placement",
               SettingType::kText,
@@ -191,6 +202,7 @@
                 "a guaranteed shape of adjacent accelerators",
                 kShapeKeys },
   SettingsKind{ "classes/*", "a job class", kClassKeys },
+  SettingsKind{ "zones/*", "an availability zone", kZoneKeys },
   SettingsKind{ "policy", "strategies in use", kPolicyKeys },
 };
 
--- a/tests/coordination/PlacementTaskTest.cpp
+++ b/tests/coordination/PlacementTaskTest.cpp
@@ -74,6 +74,36 @@
   return VmList(std::move(vms));
 }
 
+/** One worker for each of these availability zones. */
+VmList
+WorkersInZones(const std::vector<std::string>& aZones)
+{
+  std::vector<Vm> vms;
+  int number = 0;
+  for (const std::string& zone : aZones) {
+    ++number;
+    vms.emplace_back(
+      VmId("worker-" + std::to_string(number)),
+      VmRole::kWorker,
+      AddressOf(number),
+      VmLocation(RegionId("r"), ZoneId(zone), RackId("k-" + zone)),
+      8,
+      VmState::kLive);
+  }
+  return VmList(std::move(vms));
+}
+
+SettingsSnapshot
+WithEvacuated(SettingsSnapshot aSettings,
+              const std::vector<std::string>& aZones)
+{
+  for (const std::string& zone : aZones) {
+    aSettings = *aSettings.WithDocument(
+      { "zones/" + zone, 1, { { "evacuated", true } }, {} });
+  }
+  return aSettings;
+}
+
 JobSpec
 Spec(const std::string& aId,
      int aWorkers,
@@ -279,6 +309,38 @@
     return Job::Queued(Spec(aJob, 1));
   }
 
+  /** @return Number of the job's first worker. */
+  int WorkerOf(const std::string& aJob)
+  {
+    const std::string name =
+      StoredJob(aJob).Placement().Members().front().Worker().Text();
+    return std::stoi(name.substr(name.find('-') + 1));
+  }
+
+  /** @return How often a member of the job was started on a worker. */
+  int CountStartsOn(int aWorker, const std::string& aJob)
+  {
+    int n = 0;
+    mWorkers.UseModel(AddressOf(aWorker), [&](const auto& aModel) {
+      for (const auto& entry : aModel.Journal()) {
+        n += entry.mEvent == "start" && entry.mGang.Text() == aJob ? 1 : 0;
+      }
+    });
+    return n;
+  }
+
+  /** Waits until a planning pass has looked at a queued job. */
+  std::string WaitForExplanation(const caf::actor& aTask,
+                                 const std::string& aJob)
+  {
+    std::string text;
+    WaitUntil([&] {
+      text = Ask(aTask, JobCommand::Explain(JobId(aJob))).Detail();
+      return text != "not looked at yet";
+    });
+    return text;
+  }
+
   int CountEvents(const std::string& aEvent)
   {
     int n = 0;
@@ -595,3 +657,117 @@
   LONGS_EQUAL(4, mWorkers.CommandCount(WorkerAction::kReserve));
   LONGS_EQUAL(3, CountEvents("start"));
 }
+
+// Guards against new gangs in an evacuated zone, against stopping those that
+// run there, and against workers that stay unused after the zone's return.
+TEST(PlacementTask, EvacuatedZoneKeepsItsGangsAndGetsNoNew)
+{
+  const std::vector<std::string> zones{ "za", "zb" };
+  const caf::actor owner = StartOwner(0);
+  (*mSelf)->send(owner, WorkersInZones(zones));
+  const auto submit = [&](const std::string& aJob) {
+    const auto reply =
+      Ask(owner,
+          JobCommand::Submit(Spec(aJob, 1, "", "nest", std::chrono::hours(1))));
+    CHECK(reply.Reason() == FailureReason::kNone);
+  };
+  submit("job-1");
+  WaitUntil([&] { return CountEvents("start") == 1; });
+  const int first = WorkerOf("job-1");
+  const std::string& zone = zones.at(static_cast<std::size_t>(first - 1));
+
+  (*mSelf)->send(owner, WithEvacuated(Settings(), { zone }));
+  submit("job-2");
+  WaitUntil([&] { return CountEvents("start") == 2; });
+  CHECK(WorkerOf("job-2") != first);
+  LONGS_EQUAL(0, CountEvents("stop"));
+  Ask(owner, JobCommand::Cancel(JobId("job-1")));
+  CHECK(WaitForFinalState(owner, "job-1").State() == JobState::kCancelled);
+  submit("job-3");
+  STRCMP_CONTAINS(("not counted: 1 workers of evacuated zones " + zone).c_str(),
+                  WaitForExplanation(owner, "job-3").c_str());
+  LONGS_EQUAL(2, CountEvents("reserve"));
+
+  (*mSelf)->send(owner, Settings());
+  WaitUntil([&] { return CountEvents("start") == 3; });
+  LONGS_EQUAL(first, WorkerOf("job-3"));
+}
+
+// Guards against a job that is refused for good because of an evacuation, which
+// may end at any time.
+TEST(PlacementTask, JobsWaitWhileAllZonesAreEvacuated)
+{
+  const caf::actor owner =
+    StartOwner(0, WithEvacuated(Settings(), { "za", "zb" }));
+  (*mSelf)->send(owner, WorkersInZones({ "za", "za", "zb" }));
+  CHECK(Ask(owner, JobCommand::Submit(Spec("job-1", 2))).Reason() ==
+        FailureReason::kNone);
+  CHECK(Ask(owner, JobCommand::Submit(Spec("job-2", 3))).Reason() ==
+        FailureReason::kNeverFits);
+  STRCMP_CONTAINS("not counted: 3 workers of evacuated zones za zb",
+                  WaitForExplanation(owner, "job-1").c_str());
+  LONGS_EQUAL(0, mWorkers.CommandCount(WorkerAction::kReserve));
+  (*mSelf)->send(owner, WithEvacuated(Settings(), { "zb" }));
+  CHECK(WaitForFinalState(owner, "job-1").State() == JobState::kSucceeded);
+}
+
+// Guards against a guaranteed shape that counts on an evacuated zone.
+TEST(PlacementTask, GuaranteesHoldOnTheRemainingZones)
+{
+  SettingsSnapshot settings = *Settings().WithDocument(
+    { "organisations/acme/shapes/one",
+      1,
+      { { "region", "r" },
+        { "workers", std::int64_t{ 1 } },
+        { "accelerators_per_worker", std::int64_t{ 8 } },
+        { "adjacency", "rack" } },
+      {} });
+  settings = *settings.WithDocument({ "organisations/bolt", 1, {}, {} });
+  settings =
+    *settings.WithDocument({ "organisations/bolt/teams/night", 1, {}, {} });
+  const caf::actor owner = StartOwner(0, WithEvacuated(settings, { "za" }));
+  (*mSelf)->send(owner, WorkersInZones({ "za", "zb" }));
+  const JobSpec spec(JobId("job-1"),
+                     OrganisationId("bolt"),
+                     TeamId("night"),
+                     ClassName("nest"),
+                     Shape(1, 8, Adjacency::kRack),
+                     "",
+                     std::chrono::seconds(0));
+  CHECK(Ask(owner, JobCommand::Submit(spec)).Reason() == FailureReason::kNone);
+  STRCMP_CONTAINS("guaranteed shape of organisation acme",
+                  WaitForExplanation(owner, "job-1").c_str());
+  (*mSelf)->send(owner, settings);
+  CHECK(WaitForFinalState(owner, "job-1").State() == JobState::kSucceeded);
+}
+
+// Guards against starting a gang whose zone was evacuated after its placement,
+// at each write between the two.
+TEST(PlacementTask, GangOfEvacuatedZoneIsWithdrawnBeforeItsStart)
+{
+  for (const JobState state : { JobState::kPlaced, JobState::kCommitted }) {
+    const std::vector<std::string> zones{ "za", "zb" };
+    const std::string job = "job-" + std::string(JobStateName(state));
+    const caf::actor owner = StartOwner(0);
+    (*mSelf)->send(owner, WorkersInZones(zones));
+    std::atomic<int> evacuated{ 0 };
+    mTable.SetBeforeWrite([&](const Transaction& aTransaction) {
+      const Job row = mCodec.DecodeJob(*aTransaction.Writes().front().Value());
+      if (evacuated != 0 || row.State() != state) {
+        return;
+      }
+      const std::string worker =
+        row.Placement().Members().front().Worker().Text();
+      evacuated = std::stoi(worker.substr(worker.find('-') + 1));
+      const auto i = static_cast<std::size_t>(evacuated - 1);
+      caf::anon_send(owner, WithEvacuated(Settings(), { zones.at(i) }));
+    });
+    CHECK(Ask(owner, JobCommand::Submit(Spec(job, 1))).Reason() ==
+          FailureReason::kNone);
+    CHECK(WaitForFinalState(owner, job).State() == JobState::kSucceeded);
+    mTable.SetBeforeWrite(nullptr);
+    CHECK(evacuated != 0);
+    LONGS_EQUAL(0, CountStartsOn(evacuated, job));
+    LONGS_EQUAL(1, CountStartsOn(3 - evacuated, job));
+  }
+}
--- a/tests/coordination/RoutingTaskTest.cpp
+++ b/tests/coordination/RoutingTaskTest.cpp
@@ -154,6 +154,21 @@
   return state::VmList(std::move(vms));
 }
 
+/**
+ * @return Settings with evacuated availability zones, and without slots that
+ *   are reserved for other organisations.
+ */
+state::SettingsSnapshot
+EvacuatedSettings(const std::vector<std::string>& aZones)
+{
+  state::SettingsSnapshot settings = Settings("fifo");
+  for (const std::string& zone : aZones) {
+    settings = *settings.WithDocument(
+      { "zones/" + zone, 1, { { "evacuated", true } }, {} });
+  }
+  return settings;
+}
+
 /** A routing task with runners that the test controls. */
 class RoutingFixture
 {
@@ -472,6 +487,56 @@
   LONGS_EQUAL(1, fixture.Log().Count(LogEvent::kRunnerLeaving));
 }
 
+// Guards against requests and retries to an evacuated zone, against cutting off
+// those that run there, and against requests that are lost while all zones are
+// evacuated.
+TEST(RoutingTask, EvacuatedZoneGetsNoNewRequests)
+{
+  RoutingFixture fixture(0, 2, EvacuatedSettings({}));
+  const auto runner = [](int aNumber, const std::string& aZone) {
+    return state::Vm(
+      state::VmId("runner-" + std::to_string(aNumber)),
+      state::VmRole::kRunner,
+      "127.0.0.1:" + std::to_string(aNumber),
+      { state::RegionId("r"), state::ZoneId(aZone), state::RackId("k") },
+      0,
+      state::VmState::kLive);
+  };
+  const auto addressOf = [&fixture](std::size_t aCall) {
+    return fixture.Port().Calls().At(aCall).mDispatch.Address();
+  };
+  fixture.Send(state::VmList({ runner(1, "z"), runner(2, "y") }));
+  const auto running = fixture.Request("proof");
+  STRCMP_EQUAL("127.0.0.1:1", addressOf(0).c_str());
+
+  fixture.Send(EvacuatedSettings({ "z" }));
+  const auto moved = fixture.Request("proof");
+  fixture.Request("proof");
+  STRCMP_EQUAL("127.0.0.1:2", addressOf(1).c_str());
+  STRCMP_EQUAL("127.0.0.1:2", addressOf(2).c_str());
+  CheckFailedOutcome(fixture.Request("proof")->At(0),
+                     state::FailureReason::kOverloaded,
+                     state::WasRun::kNo);
+  fixture.Port().Complete(0, RunnerStatus::kAnswered, "x");
+  CHECK(running->At(0).IsAnswer());
+  fixture.Port().Complete(1, RunnerStatus::kNotStarted);
+  CheckFailedOutcome(
+    moved->At(0), state::FailureReason::kEndpointFailed, state::WasRun::kNo);
+  fixture.Port().Complete(2, RunnerStatus::kAnswered, "x");
+
+  fixture.Send(EvacuatedSettings({ "y", "z" }));
+  const auto waiting = fixture.Request("nesting");
+  CheckFailedOutcome(fixture.Request("proof")->At(0),
+                     state::FailureReason::kNoCapacity,
+                     state::WasRun::kNo);
+  LONGS_EQUAL(3, fixture.Port().Calls().Size());
+
+  fixture.Send(EvacuatedSettings({ "y" }));
+  STRCMP_EQUAL("127.0.0.1:1", addressOf(3).c_str());
+  fixture.Port().Complete(3, RunnerStatus::kAnswered, "x");
+  CHECK(waiting->At(0).IsAnswer());
+}
+
 // Guards against leaving the slots of a departed daemon unused.
 TEST(RoutingTask, MembershipChangeServesWaitingRequests)
 {
--- a/tests/state/RunnerTableTest.cpp
+++ b/tests/state/RunnerTableTest.cpp
@@ -207,3 +207,65 @@
   table.Apply(std::vector<VmId>{ VmId("e1") });
   LONGS_EQUAL(16, table.FreeSlots());
 }
+
+// Guards against requests to an evacuated zone, also as probes, and against a
+// zone whose slots are lost after its return.
+TEST(RunnerTable, EvacuatedZoneGetsNoRequests)
+{
+  RunnerTable table = TwoRunners();
+  const RunnerSelector& selector = *FindRunnerSelector("own_zone");
+  table.AcquireSlot(1, milliseconds(0));
+  table.ReleaseSlot(VmId("runner-2"),
+                    kProof,
+                    RunnerResult(RunnerStatus::kAnswered, false, ""),
+                    true,
+                    milliseconds(0));
+  for (int i = 0; i < 5; ++i) {
+    table.AcquireSlot(0, milliseconds(0));
+    table.ReleaseSlot(VmId("runner-1"),
+                      kProof,
+                      RunnerResult(RunnerStatus::kFailed, false, ""),
+                      true,
+                      milliseconds(0));
+  }
+  LONGS_EQUAL(8, table.FreeSlots());
+  table.AcquireSlot(1, milliseconds(0));
+  const milliseconds probeDue = 2 * EndpointHealth::kProbeInterval;
+  table.Apply(scheduling::Evacuations({ kZone.Text() }));
+  LONGS_EQUAL(0, table.FreeSlots());
+  CHECK_FALSE(table.HasUntried({}));
+  CHECK_FALSE(table.Choose(selector, kZone, {}, true, probeDue).has_value());
+  table.Apply(VmList({ MakeRunner(1), MakeRunner(2), MakeRunner(3) }));
+  LONGS_EQUAL(0, table.FreeSlots());
+  table.ReleaseSlot(VmId("runner-2"),
+                    kProof,
+                    RunnerResult(RunnerStatus::kAnswered, false, ""),
+                    true,
+                    milliseconds(1));
+  LONGS_EQUAL(0, table.FreeSlots());
+  table.Apply(scheduling::Evacuations({ "other" }));
+  LONGS_EQUAL(16, table.FreeSlots());
+  LONGS_EQUAL(0, *table.Choose(selector, kZone, {}, true, probeDue));
+}
+
+// Guards against a quarantine of all usable runners because a class succeeded
+// on a runner that gets no requests any more.
+TEST(RunnerTable, EvacuatedRunnersDoNotQuarantineTheOthers)
+{
+  RunnerTable table(VmId("e1"), 8);
+  const Vm remote(VmId("runner-2"),
+                  VmRole::kRunner,
+                  "127.0.0.1:1",
+                  VmLocation(RegionId("r"), ZoneId("other"), RackId("k")),
+                  0,
+                  VmState::kLive);
+  table.Apply(VmList({ MakeRunner(1), remote }));
+  CHECK(Exchange(table, {}, milliseconds(0)) == VmId("runner-1"));
+  table.Apply(scheduling::Evacuations({ kZone.Text() }));
+  for (int i = 0; i < 20; ++i) {
+    CHECK(Exchange(table,
+                   { { "runner-2", RunnerStatus::kFailed } },
+                   milliseconds(i)) == VmId("runner-2"));
+  }
+  LONGS_EQUAL(8, table.FreeSlots());
+}
--- a/tests/state/SettingsTest.cpp
+++ b/tests/state/SettingsTest.cpp
@@ -2,6 +2,7 @@
 #include "cornelrudder/state/SettingsDocument.h"
 #include "cornelrudder/state/SettingsSchema.h"
 #include "cornelrudder/state/StateError.h"
+#include "cornelrudder/state/ZoneSettings.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -92,3 +93,24 @@
     { "organisations/acme", 2, { { "active", false } }, {} });
   CHECK_FALSE(IsActiveTeam(snapshot, org, team));
 }
+
+// Guards against an evacuation that outlives its withdrawal or spreads to a
+// zone with a similar name, and against a document that leaves it open.
+TEST(Settings, EvacuationsAreTheZonesThatSaySo)
+{
+  SettingsSnapshot settings =
+    *SettingsSnapshot().WithDocument({ "zones/z", 1, {}, {} });
+  settings =
+    *settings.WithDocument({ "zones/z1", 1, { { "evacuated", true } }, {} });
+  settings =
+    *settings.WithDocument({ "zones/z2", 1, { { "evacuated", true } }, {} });
+  settings = *settings.WithDocument({ "zonesz", 1, {}, {} });
+  CHECK(EvacuationsOf(settings) == scheduling::Evacuations({ "z1", "z2" }));
+  settings =
+    *settings.WithDocument({ "zones/z1", 2, { { "evacuated", false } }, {} });
+  CHECK(EvacuationsOf(settings) == scheduling::Evacuations({ "z2" }));
+  LONGS_EQUAL(0, CheckSettings("zones/z1", { { "evacuated", true } }).size());
+  const auto violations = CheckSettings("zones/z1", {});
+  LONGS_EQUAL(1, violations.size());
+  STRCMP_EQUAL("true or false", violations[0].mAllowed.c_str());
+}
