Evacuate availability zones from the command line

Cause: operators had no command for an evacuation, and no list of VMs. Change: `cornelrudder evacuate [--return] ZONE` replaces the current version of the document zones/ZONE; a zone that has no VM and is not evacuated is refused with the known ones.

--- a/apps/cornelrudder/Commands.cpp
+++ b/apps/cornelrudder/Commands.cpp
@@ -8,6 +8,7 @@
 #include <charconv>
 #include <chrono>
 #include <cstdio>
+#include <set>
 #include <thread>
 
 #include <nlohmann/json.hpp>
@@ -218,6 +219,89 @@
   return Print(aServer.Send({ "GET", JobTarget(aInput) + "/explain", {}, "" }));
 }
 
+int
+ListVms(ServerConnection& aServer, const CommandInput& /*aInput*/)
+{
+  return Get(aServer, "/v1/fleet");
+}
+
+/** @return All zones that have a VM or are evacuated. */
+std::set<std::string>
+KnownZones(const nlohmann::json& aFleet)
+{
+  std::set<std::string> zones = aFleet.at("evacuated_zones");
+  for (const auto& vm : aFleet.at("vms")) {
+    zones.insert(vm.at("zone").get<std::string>());
+  }
+  return zones;
+}
+
+/** @throws UsageError if the daemon knows the zones and this is not one. */
+void
+CheckZone(const std::string& aZone, const nlohmann::json& aFleet)
+{
+  const std::set<std::string> zones = KnownZones(aFleet);
+  if (aFleet.at("vms").empty() || zones.contains(aZone)) {
+    return;
+  }
+  std::string allowed;
+  for (const std::string& zone : zones) {
+    allowed += (allowed.empty() ? "" : ", ") + zone;
+  }
+  throw UsageError("ZONE \"" + aZone +
+                   "\": no VM is in this availability zone; allowed are " +
+                   allowed);
+}
+
+/** Reads the version of the zone's document, then replaces that version. */
+int
+WriteZone(ServerConnection& aServer,
+          const std::string& aZone,
+          const CommandInput& aInput)
+{
+  const std::string target = "/v1/settings/zones/" + aZone;
+  const auto current = aServer.Send({ "GET", target, {}, "" });
+  std::uint64_t version = 0;
+  if (current.Status() == 200) {
+    version = nlohmann::json::parse(current.Body()).at("version");
+  } else if (current.Status() != 404) {
+    return Print(current);
+  }
+  return Print(aServer.Send(
+    { "PUT",
+      target,
+      { { "if-match", std::to_string(version) },
+        { "x-operator", aInput.mOperator } },
+      protocol::EncodeSettingValues({ { "evacuated", !aInput.mReturn } }) }));
+}
+
+int
+EvacuateZone(ServerConnection& aServer, const CommandInput& aInput)
+{
+  const std::string& zone = aInput.mWords.at(0);
+  if (aInput.mWords.size() > 1) {
+    throw UsageError("argument \"" + aInput.mWords[1] +
+                     "\" after ZONE: allowed is one availability zone");
+  }
+  if (!state::IsValidId(zone)) {
+    throw UsageError("ZONE \"" + zone +
+                     "\": allowed is a name of 1 to 64 characters of A-Z a-z "
+                     "0-9 . _ -");
+  }
+  const auto fleet = aServer.Send({ "GET", "/v1/fleet", {}, "" });
+  if (fleet.Status() != 200) {
+    return Print(fleet);
+  }
+  try {
+    CheckZone(zone, nlohmann::json::parse(fleet.Body()));
+    return WriteZone(aServer, zone, aInput);
+  } catch (const nlohmann::json::exception& error) {
+    std::fprintf(
+      stderr, "cornelrudder: malformed response: %s\n", error.what());
+    return kExitRefused;
+  }
+}
+
 constexpr std::array kCommands{
   Command{ "settings",
            "list",
@@ -254,6 +338,17 @@
            "JOB",
            "print why a job waits or ended; short form: \"explain JOB\"",
            ExplainJob },
+  Command{ "vm",
+           "list",
+           "",
+           "list the VMs and evacuated zones; short form: \"fleet\"",
+           ListVms },
+  Command{ "zone",
+           "evacuate",
+           "ZONE",
+           "send nothing new to an availability zone; --return ends this; "
+           "short form: \"evacuate ZONE\"",
+           EvacuateZone },
 };
 
 } // namespace
--- a/apps/cornelrudder/Commands.h
+++ b/apps/cornelrudder/Commands.h
@@ -39,6 +39,7 @@
   std::string mAccelerators;
   std::string mAdjacency;
   std::string mExpected;
+  bool mReturn = false;
 };
 
 /** One command; the command line selects it by group and name. */
--- a/apps/cornelrudder/main.cpp
+++ b/apps/cornelrudder/main.cpp
@@ -29,6 +29,7 @@
   "      --adjacency LEVEL    domain that must contain all workers of a job:\n"
   "                           worker, rack, zone or region (default rack)\n"
   "      --expected SECONDS   estimated run time of a job (default 60)\n"
+  "      --return             with \"zone evacuate\": end the evacuation\n"
   "  -h, --help               print this help\n"
   "  -V, --version            print the version\n"
   "\n"
@@ -63,7 +64,7 @@
   TextOption{ 'E', &CommandInput::mExpected },
 };
 
-const std::array<option, 14> kOptions{ {
+const std::array<option, 15> kOptions{ {
   { "server", required_argument, nullptr, 's' },
   { "organisation", required_argument, nullptr, 'o' },
   { "team", required_argument, nullptr, 't' },
@@ -75,11 +76,26 @@
   { "accelerators", required_argument, nullptr, 'A' },
   { "adjacency", required_argument, nullptr, 'J' },
   { "expected", required_argument, nullptr, 'E' },
+  { "return", no_argument, nullptr, 'R' },
   { "help", no_argument, nullptr, 'h' },
   { "version", no_argument, nullptr, 'V' },
   { nullptr, 0, nullptr, 0 },
 } };
 
+/** One word that stands for a group and a command. */
+struct ShortForm
+{
+  std::string_view mWord;
+  std::string_view mGroup;
+  std::string_view mName;
+};
+
+constexpr std::array kShortForms{
+  ShortForm{ "explain", "job", "explain" },
+  ShortForm{ "evacuate", "zone", "evacuate" },
+  ShortForm{ "fleet", "vm", "list" },
+};
+
 void
 PrintUsage(std::FILE* aStream)
 {
@@ -132,6 +148,8 @@
       arguments.mHelp = true;
     } else if (flag == 'V') {
       arguments.mVersion = true;
+    } else if (flag == 'R') {
+      arguments.mInput.mReturn = true;
     } else {
       ApplyOption(arguments, flag);
     }
@@ -140,13 +158,23 @@
   return arguments;
 }
 
+/** Replaces the first word by a group and a command if it is a short form. */
+void
+ExpandShortForm(std::vector<std::string>& aWords)
+{
+  for (const ShortForm& form : kShortForms) {
+    if (!aWords.empty() && aWords[0] == form.mWord) {
+      aWords[0] = form.mName;
+      aWords.insert(aWords.begin(), std::string(form.mGroup));
+      return;
+    }
+  }
+}
+
 const Command&
 FindCommand(std::vector<std::string>& aWords)
 {
-  // "explain JOB" is short for "job explain JOB".
-  if (!aWords.empty() && aWords[0] == "explain") {
-    aWords.insert(aWords.begin(), "job");
-  }
+  ExpandShortForm(aWords);
   if (aWords.size() < 2) {
     throw UsageError(
       "a group and a command are required, such as \"settings list\"; see "
--- a/apps/cornelrudderd/FrontTask.cpp
+++ b/apps/cornelrudderd/FrontTask.cpp
@@ -6,7 +6,9 @@
 #include "cornelrudder/protocol/MembersCodec.h"
 #include "cornelrudder/protocol/ProtocolError.h"
 #include "cornelrudder/protocol/SettingsCodec.h"
+#include "cornelrudder/protocol/VmListCodec.h"
 #include "cornelrudder/state/StateError.h"
+#include "cornelrudder/state/ZoneSettings.h"
 #include "protocol/JsonText.h"
 
 #include "cornelrudderd/MetricsTask.h"
@@ -77,7 +79,7 @@
     Handler mHandler;
   };
 
-  static const std::array<Route, 15> kRoutes;
+  static const std::array<Route, 16> kRoutes;
 
   /** Catches all exceptions, so that no request can terminate the task. */
   void Serve(const HttpCall& aCall)
@@ -220,6 +222,27 @@
         });
   }
 
+  /** Requests the VMs, then the settings, and responds with both. */
+  void ListFleet(const HttpCall& aCall, const PathArguments& /*unused*/)
+  {
+    const auto fail = [respond = aCall.mRespond](const caf::error&) {
+      respond(TaskFailedResponse());
+    };
+    request(mDependencies.mMembership, caf::infinite, coordination::GetVms{})
+      .then(
+        [this, respond = aCall.mRespond, fail](const state::VmList& aVms) {
+          request(
+            mDependencies.mSettings, caf::infinite, coordination::GetSettings{})
+            .then(
+              [respond, aVms](const state::SettingsSnapshot& aSnapshot) {
+                respond(HttpResponse::Json(
+                  200, protocol::EncodeVmList(aVms, EvacuationsOf(aSnapshot))));
+              },
+              fail);
+        },
+        fail);
+  }
+
   /** Requests the counters of all tasks and responds with their sums. */
   void GetMetrics(const HttpCall& aCall, const PathArguments& /*unused*/)
   {
@@ -467,7 +490,7 @@
   bool mDraining = false;
 };
 
-const std::array<FrontTask::Route, 15> FrontTask::kRoutes{ {
+const std::array<FrontTask::Route, 16> FrontTask::kRoutes{ {
   { "POST", "/v1/requests/*", &FrontTask::RunRequest },
   { "GET", "/v1/settings", &FrontTask::ListSettings },
   { "GET", "/v1/settings/**", &FrontTask::GetSettings },
@@ -476,6 +499,7 @@
   { "GET", "/readyz", &FrontTask::GetReadiness },
   { "GET", "/metrics", &FrontTask::GetMetrics },
   { "POST", "/v1/drain", &FrontTask::Drain },
+  { "GET", "/v1/fleet", &FrontTask::ListFleet },
   { "GET", "/v1/members", &FrontTask::ListMembers },
   { "GET", "/v1/status", &FrontTask::GetStatus },
   { "POST", "/v1/jobs", &FrontTask::SubmitJob },
--- a/include/cornelrudder/coordination/MembershipMessages.h
+++ b/include/cornelrudder/coordination/MembershipMessages.h
@@ -107,6 +107,12 @@
   auto operator<=>(const GetMembers&) const = default;
 };
 
+/** Requests the VMs as last listed; the response is state::VmList. */
+struct GetVms
+{
+  auto operator<=>(const GetVms&) const = default;
+};
+
 /** The other daemons and their states at one monotonic time. */
 struct MemberList
 {
@@ -129,6 +135,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::AnnounceLeaving)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::HeartbeatTick)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::GetMembers)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::GetVms)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::coordination::MemberList)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(cornelrudder::state::VmList)
 
--- a/include/cornelrudder/coordination/MembershipTask.h
+++ b/include/cornelrudder/coordination/MembershipTask.h
@@ -33,8 +33,8 @@
  * Starts the task that tracks the VMs and the other daemons, and through which
  * all other tasks send messages to peers. It handles Subscribe, SendToPeer,
  * SendToAllPeers, SetPeerHandlers, AnnounceAddresses, AnnounceLeaving and
- * GetMembers, and SettingsSnapshot, whose versions its heartbeats carry.
- * Subscribers receive VmList and ActiveDaemonsView.
+ * GetMembers, GetVms, and SettingsSnapshot, whose versions its heartbeats
+ * carry. Subscribers receive VmList and ActiveDaemonsView.
  * @param aFleet Must outlive the actor system, as must aPeers, aClock, aLog.
  */
 caf::actor
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -215,6 +215,38 @@
 answer=$(cli -s "$entry_2" explain "$job" 2>&1 || echo "exit=$?")
 expect "explain reports the state of the job" '"explanation":"done"' "$answer"
 
+echo "== evacuation"
+answer=$(cli -s "$entry_1" evacuate zone-9 2>&1 || echo "exit=$?")
+expect "the evacuation of an unknown zone is refused" \
+  "allowed are zone-1, zone-2" "$answer"
+expect "its exit status is 2" "exit=2" "$answer"
+cli -s "$entry_1" evacuate zone-1 >/dev/null
+for i in 1 2 3; do
+  wait_until "entry-$i applies the evacuation" sh -c \
+    "curl -s http://${address_of_name[entry-$i]}/v1/fleet | jq -e '.evacuated_zones == [\"zone-1\"]'"
+done
+expect "the list of VMs shows it" '"evacuated":true' "$(cli -s "$entry_2" fleet)"
+count_runs() {
+  curl -sSf "http://${address_of_name[runner-1]}/journal" | jq '.runs | length'
+}
+before=$(count_runs)
+for i in 1 2 3 1 2 3; do
+  address=${address_of_name[entry-$i]}
+  wait_until "entry-$i returns a response from the other zone" run_request
+done
+expect "the runner of the zone got no request" "=$before=" "=$(count_runs)="
+answer=$(cli -s "$entry_2" -o acme -t night --workers 4 --accelerators 8 \
+  --expected 1 job submit nesting)
+job=$(jq -r .id <<<"$answer")
+explains_evacuation() {
+  cli -s "$entry_2" explain "$job" | grep "evacuated zones zone-1"
+}
+wait_until "explain names the evacuation" explains_evacuation
+cli -s "$entry_3" evacuate --return zone-1 >/dev/null
+answer=$(cli -s "$entry_2" job wait "$job" 2>&1 || echo "exit=$?")
+expect "the gang is done after the return of the zone" '"state":"done"' "$answer"
+expect "no member started before" "=4=" "=$(count_events start)="
+
 echo "== graceful shutdown"
 cli -s "$entry_1" -o acme -t night -b "work_ms=1500 long" request run \
   proof-render >"$work/long.out" 2>&1 &
--- a/src/coordination/MembershipTask.cpp
+++ b/src/coordination/MembershipTask.cpp
@@ -64,6 +64,7 @@
         const auto now = mClock.Now();
         return MemberList{ mMembership.Members(now), now };
       },
+      [this](const GetVms&) { return mVms; },
       [this](const GetCounters&) { return mCounters; },
     };
   }
