--- a/src/coordination/PlacementTaskQueue.cpp
+++ b/src/coordination/PlacementTaskQueue.cpp
@@ -386,6 +386,9 @@
 std::string
 PlacementTask::ExcludedWorkersText() const
 {
+  if (mEvacuations.Zones().empty()) {
+    return "";
+  }
   const state::VmList fleet = RegionWorkers();
   std::set<std::string> zones;
   std::size_t count = 0;
