--- a/apps/cornelrudderd/DaemonSettings.cpp
+++ b/apps/cornelrudderd/DaemonSettings.cpp
@@ -199,6 +199,13 @@
            1,
            32,
            "urgency|arrival" },
+  FileKey{ "scheduling",
+           "run_times",
+           &Values::mRunTimes,
+           false,
+           1,
+           32,
+           "learned|mean" },
 };
 
 /** Collects the errors found in a settings file. */
--- a/apps/cornelrudderd/DaemonSettings.h
+++ b/apps/cornelrudderd/DaemonSettings.h
@@ -54,6 +54,8 @@
   std::int64_t mCatalogMaxAgeMs = 3'000;
   std::int64_t mEvacuationMs = 0;
   std::string mPlacementPolicy;
+  /** Name of the predictor of run times; empty for the default. */
+  std::string mRunTimes;
 
   auto operator<=>(const DaemonSettingsValues&) const = default;
 };
@@ -142,6 +144,7 @@
   {
     return mValues.mPlacementPolicy;
   }
+  const std::string& RunTimes() const { return mValues.mRunTimes; }
   /** @return CPU capacity of the VM, in cores. */
   double CpuShare() const { return mValues.mCpuShare; }
   double LinkMbps() const { return mValues.mLinkMbps; }
--- a/apps/cornelrudderd/FleetDaemon.cpp
+++ b/apps/cornelrudderd/FleetDaemon.cpp
@@ -167,6 +167,7 @@
       kReportsBeforeRemoval * mSettings.WorkerReportInterval();
     scheduler.mJobRetention = mSettings.JobRetention();
     scheduler.mPolicy = mSettings.PlacementPolicy();
+    scheduler.mRunTimes = mSettings.RunTimes();
     scheduler.mMaxRowBytes = maxRowBytes;
     scheduler.mEvacuationTime = mSettings.EvacuationTime();
     mScheduler = mTasks.Add(
--- a/include/cornelrudder/coordination/SchedulerTask.h
+++ b/include/cornelrudder/coordination/SchedulerTask.h
@@ -104,6 +104,8 @@
   std::chrono::milliseconds mEvacuationTime{ 0 };
   /** Name of the placement policy; empty for the default. */
   std::string mPolicy;
+  /** Name of the predictor of run times; empty for the default. */
+  std::string mRunTimes;
   /** Largest value of a row in the store, in bytes. */
   std::size_t mMaxRowBytes = 49'152;
 };
--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -44,6 +44,8 @@
   std::chrono::milliseconds mJobRetention{ 600'000 };
   /** Name of the placement policy; empty for the default. */
   std::string mPolicy;
+  /** Name of the predictor of run times; empty for the default. */
+  std::string mRunTimes;
   /**
    * Local times from which none of the runs that earlier owners started can
    * exist, by worker, as far as the earlier owner told. The lease of any other
--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -122,6 +122,7 @@
   options.mSilenceLimit = mOptions.mSilenceLimit;
   options.mJobRetention = mOptions.mJobRetention;
   options.mPolicy = mOptions.mPolicy;
+  options.mRunTimes = mOptions.mRunTimes;
   options.mInheritedLeases = std::move(mInheritedLeases);
   options.mLastEarlierCommandAt = mLastEarlierCommandAt;
   options.mLastEarlierStartAt = mLastEarlierStartAt;
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -1,9 +1,9 @@
 #ifndef CORNELRUDDER_SRC_STATE_SCHEDULING_SCHEDULER_IMPL_H
 #define CORNELRUDDER_SRC_STATE_SCHEDULING_SCHEDULER_IMPL_H
 
-#include "RunTimes.h"
 #include "SchedulerModel.h"
 #include "WorkerEvidence.h"
+#include "cornelrudder/state/scheduling/RunTimePredictor.h"
 #include "cornelrudder/state/scheduling/Scheduler.h"
 
 #include <array>
@@ -20,6 +20,7 @@
  * - SchedulerRuns: state changes of runs.
  * - SchedulerHealth: suspected workers, and whether this owner reaches them.
  * - SchedulerDiagnostics: metrics and the report of stalled jobs.
+ * - SchedulerExpectations: expected run times and the speeds of workers.
  * - SchedulerProgress: detection of stalled and slow runs.
  * - SchedulerCrashes: runs that were in progress when their worker crashed.
  * - SchedulerEvacuations: zones whose workers get no new runs.
@@ -114,6 +115,16 @@
     double mMedianRate = 0.0;
   };
 
+  /** Expectation for the waiting tasks of one step. */
+  struct StepExpectation
+  {
+    RunTimeEstimate mRunTime;
+    /** Expected time of the longest chain of all steps of the job. */
+    Millis mCriticalPath{ 0 };
+    /** The same for the chains that begin with this step. */
+    Millis mRemaining{ 0 };
+  };
+
   void RecordEvent(SchedulerEvent::Kind aKind, EventFields aFields)
   {
     mEvents.push_back({ aKind, std::move(aFields) });
@@ -291,6 +302,18 @@
                           Millis aNow);
   void ResetCrashCount(JobState& aJob, std::size_t aTask, Millis aNow);
 
+  // Expectations.
+  static RunTimeFeatures FeaturesOf(const JobState& aJob, std::size_t aStep);
+  RunTimeEstimate Expect(const JobState& aJob, std::size_t aTask) const;
+  StepExpectation ExpectStep(const JobState& aJob,
+                             std::size_t aFirst,
+                             Millis aNow) const;
+  double SpeedOf(const std::string& aWorker) const;
+  double SpeedOfRun(const JobState& aJob, std::size_t aTask) const;
+  void RecordRun(JobState& aJob, std::size_t aTask, Millis aTime);
+  void RecordUnfinishedRun(JobState& aJob, std::size_t aTask);
+  void NoteSpeed(WorkerState& aWorker, Task& aTask, double aShare);
+
   // Progress.
   void CheckProgress(Millis aNow);
   void CheckStepProgress(JobState& aJob,
@@ -335,6 +358,7 @@
                       Millis aNow) const;
   WaitingUnit MakeUnit(const JobState& aJob,
                        const std::vector<TaskKey>& aTasks,
+                       const StepExpectation& aExpectation,
                        const ViewKeys& aKeys,
                        Millis aNow) const;
   void Apply(const PlanDecision& aDecision, const ViewKeys& aKeys, Millis aNow);
@@ -395,7 +419,7 @@
   /** Numbers of the last started write and of the last stored one. */
   std::uint64_t mWrites = 0;
   std::uint64_t mStoredWrites = 0;
-  RunTimes mRunTimes;
+  std::unique_ptr<RunTimePredictor> mRunTimes;
   /** Occurrences covered by a guarantee, as of the last planning pass. */
   std::set<OccurrenceKey> mGuaranteed;
   /** Time since 1970 less the local time, as of the last planning pass. */
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -34,6 +34,7 @@
 Scheduler::Impl::Impl(SchedulerOptions aOptions)
   : mOptions(std::move(aOptions))
   , mPolicy(MakePlacementPolicy(mOptions.mPolicy))
+  , mRunTimes(MakeRunTimePredictor(mOptions.mRunTimes))
 {
 }
 
--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -189,6 +189,7 @@
   , mTasksPerPart(aTasksPerPart)
   , mRows(std::move(aRows))
   , mTasks(mJob.Tasks())
+  , mStepRuns(mJob.Steps().size())
 {
   if (mTasksPerPart > 0) {
     mRows = { { 0, 0 } };
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -4,9 +4,11 @@
 #include "LossBasis.h"
 #include "cornelrudder/state/scheduling/JobProgress.h"
 #include "cornelrudder/state/scheduling/OwnerReachability.h"
+#include "cornelrudder/state/scheduling/RunTimePredictor.h"
 #include "cornelrudder/state/scheduling/TaskJob.h"
 #include "cornelrudder/state/scheduling/WorkerCalls.h"
 #include "cornelrudder/state/scheduling/WorkerInfo.h"
+#include "cornelrudder/state/scheduling/WorkerSpeed.h"
 
 #include <algorithm>
 #include <chrono>
@@ -142,6 +144,8 @@
   std::uint64_t mReportedIncarnation = 0;
   /** The run started without a checkpoint. */
   bool mStartedFromScratch = true;
+  /** The worker's speed contains the progress of the run. */
+  bool mIsSpeedNoted = false;
   Millis mRunningSince{ 0 };
   /** When a new checkpoint was last reported. */
   Millis mCheckpointAt{ 0 };
@@ -224,6 +228,8 @@
   /** Whether a worker has acknowledged or reported a run. */
   bool mStarted = false;
   std::vector<Task> mTasks;
+  /** Run times of the tasks of each step that this owner has seen. */
+  std::vector<StepRunTimes> mStepRuns;
   /** Runs counted as failed, by first task for a gang and by task otherwise. */
   std::map<std::size_t, std::set<std::uint64_t>> mFailedRuns;
   /**
@@ -434,6 +440,7 @@
   bool mIsQueryDue = false;
   /** The worker is in an evacuated zone. */
   bool mIsEvacuated = false;
+  WorkerSpeed mSpeed;
   /** The last renewal reply was ignored because of its incarnation. */
   bool mReplyIgnored = false;
 
@@ -461,6 +468,7 @@
     mClock = Millis(0);
     mReplyClock = Millis(0);
     mFailedRenewals = 0;
+    mSpeed = WorkerSpeed();
   }
 };
 
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -240,11 +240,15 @@
       waiting.push_back({ aJob.mJob.Id(), i });
     }
   }
+  if (waiting.empty()) {
+    return;
+  }
+  const StepExpectation expectation = ExpectStep(aJob, aFirst, aNow);
   if (step.IsGang()) {
     // A gang is placed again only when no member of its earlier run is
     // assigned.
     if (waiting.size() == step.Tasks()) {
-      aView.mWaiting.push_back(MakeUnit(aJob, waiting, aKeys, aNow));
+      aView.mWaiting.push_back(MakeUnit(aJob, waiting, expectation, aKeys, aNow));
       aView.mWaiting.back().mStepGroup = aKeys.mWaiting.size();
       aKeys.mWaiting.push_back(std::move(waiting));
     }
@@ -252,7 +256,7 @@
   }
   const std::size_t group = aKeys.mWaiting.size();
   for (const TaskKey& key : waiting) {
-    aView.mWaiting.push_back(MakeUnit(aJob, { key }, aKeys, aNow));
+    aView.mWaiting.push_back(MakeUnit(aJob, { key }, expectation, aKeys, aNow));
     aView.mWaiting.back().mStepGroup = group;
     aKeys.mWaiting.push_back({ key });
   }
@@ -261,20 +265,19 @@
 WaitingUnit
 Scheduler::Impl::MakeUnit(const JobState& aJob,
                           const std::vector<TaskKey>& aTasks,
+                          const StepExpectation& aExpectation,
                           const ViewKeys& aKeys,
                           Millis aNow) const
 {
   const std::size_t first = aTasks.front().second;
   const StepSpec& step = aJob.StepOf(first);
   const QueueSettings& settings = aJob.mJob.Settings();
-  const Millis expected =
-    mRunTimes.ExpectedRunTime(settings.mQueue, step.EstimatedRunTime());
-  const Millis criticalPath =
-    std::max(expected, aJob.mJob.EstimatedCriticalPath());
   const Millis objective =
-    Millis(static_cast<Millis::rep>(static_cast<double>(criticalPath.count()) *
-                                    settings.mSlackFactor)) +
+    Millis(static_cast<Millis::rep>(
+      static_cast<double>(aExpectation.mCriticalPath.count()) *
+      settings.mSlackFactor)) +
     settings.mTargetLatency;
+  const Millis remaining = aExpectation.mRemaining;
   WaitingUnit unit(aKeys.mWaiting.size(), settings.mService, step);
   unit.mTasks = aTasks.size();
   unit.mPriority = settings.mPriority;
@@ -289,9 +292,9 @@
       unit.mWaitingTime >= kMaxIsolationWait) {
     unit.mIsolation = Isolation::kPreferred;
   }
-  unit.mSlack = objective - unit.mAge - expected;
-  unit.mExpirySlack = objective * kExpiryObjectives - unit.mAge - expected;
-  unit.mExpectedRunTime = expected;
+  unit.mSlack = objective - unit.mAge - remaining;
+  unit.mExpirySlack = objective * kExpiryObjectives - unit.mAge - remaining;
+  unit.mExpectedRunTime = aExpectation.mRunTime.mExpected;
   const auto addPosition = [&aKeys](const std::string& aWorker,
                                     std::vector<std::size_t>& aPositions) {
     const auto it = aKeys.mPositions.find(aWorker);
--- a/src/state/scheduling/SchedulerProgress.cpp
+++ b/src/state/scheduling/SchedulerProgress.cpp
@@ -90,25 +90,16 @@
   return aTask.mPhase == TaskPhase::kRunning;
 }
 
-/**
- * @return Median of the runs' percent per second; 0 with fewer than
- *   kMinRateSamples runs of known rate.
- */
+/** @return Median, or 0 with fewer than kMinRateSamples rates. */
 double
-MedianRate(std::span<const Task> aTasks, Millis aStepStartedAt)
+MedianRate(std::vector<double> aRates)
 {
-  std::vector<double> rates;
-  for (const Task& task : aTasks) {
-    if (HasRate(task, aStepStartedAt)) {
-      rates.push_back(RateOf(task, WorkStartOf(task, aStepStartedAt)));
-    }
-  }
-  if (rates.size() < kMinRateSamples) {
+  if (aRates.size() < kMinRateSamples) {
     return 0.0;
   }
   const auto middle =
-    rates.begin() + static_cast<std::ptrdiff_t>(rates.size() / 2);
-  std::nth_element(rates.begin(), middle, rates.end());
+    aRates.begin() + static_cast<std::ptrdiff_t>(aRates.size() / 2);
+  std::nth_element(aRates.begin(), middle, aRates.end());
   return *middle;
 }
 
@@ -133,6 +124,23 @@
          TimeFor(kCompletePercent - aTask.mProgressPercent, rate) > restartTime;
 }
 
+/**
+ * @return Whether the move of a run, whose worker is known to be slow, gains
+ *   more time than the work that it loses has taken.
+ */
+bool
+IsGainingByMove(const Task& aTask,
+                Millis aStartedAt,
+                double aMedianRate,
+                Millis aNow)
+{
+  const double rate = RateOf(aTask, aStartedAt);
+  const Millis restartTime = TimeFor(kCompletePercent, aMedianRate) + kMoveTime;
+  return rate > 0.0 &&
+         TimeFor(kCompletePercent - aTask.mProgressPercent, rate) >
+           restartTime + (aNow - aStartedAt);
+}
+
 /**
  * @param aWorkedTime Estimated time that a run of unknown start has worked.
  * @return Time without progress after which a run is moved. Within fixed limits
@@ -184,7 +192,8 @@
 {
   const std::span<const Task> tasks(aJob.mTasks.data() + aFirst, aEnd - aFirst);
   StepProgress step;
-  if (aJob.StepOf(aFirst).IsGang()) {
+  const bool isGang = aJob.StepOf(aFirst).IsGang();
+  if (isGang) {
     if (!std::all_of(tasks.begin(), tasks.end(), IsRunning)) {
       // Running members make no progress until all members run.
       return;
@@ -193,7 +202,15 @@
       step.mStartedAt = std::max(step.mStartedAt, task.mRunningSince);
     }
   }
-  step.mMedianRate = MedianRate(tasks, step.mStartedAt);
+  std::vector<double> rates;
+  for (const Task& task : tasks) {
+    if (HasRate(task, step.mStartedAt)) {
+      // All members of a gang work at the speed of the slowest worker.
+      const double speed = isGang ? 1.0 : SpeedOf(task.mWorker);
+      rates.push_back(RateOf(task, WorkStartOf(task, step.mStartedAt)) / speed);
+    }
+  }
+  step.mMedianRate = MedianRate(std::move(rates));
   for (std::size_t i = aFirst; i < aEnd; ++i) {
     const Task& task = aJob.mTasks[i];
     if (IsRunning(task) && !task.mStopRequested && !aJob.IsWaitingForGang(i)) {
@@ -208,7 +225,7 @@
                                   const StepProgress& aStep,
                                   Millis aNow)
 {
-  const Task& task = aJob.mTasks[aTask];
+  Task& task = aJob.mTasks[aTask];
   const auto it = mWorkers.find(task.mWorker);
   // Without replies from the worker the progress is unknown.
   if (it == mWorkers.end() || it->second.mFailedRenewals > 0) {
@@ -223,8 +240,16 @@
   const Millis stalledFor =
     task.mReportedAt - std::max(task.mProgressAt, startedAt);
   const bool isStalled = stalledFor > kMinStallTime;
-  const bool isSlow = !isStalled && HasRate(task, aStep.mStartedAt) &&
-                      RateOf(task, startedAt) < kSlowShare * aStep.mMedianRate;
+  const bool isGang = aJob.StepOf(aTask).IsGang();
+  const bool hasRate = !isStalled && HasRate(task, aStep.mStartedAt);
+  const double rate = hasRate ? RateOf(task, startedAt) : 0.0;
+  const double speed = isGang ? 1.0 : worker.mSpeed.Factor();
+  const double slowRate = kSlowShare * aStep.mMedianRate;
+  const bool isSlow = hasRate && rate < slowRate * speed;
+  const bool isOnSlowWorker = hasRate && !isSlow && rate < slowRate;
+  if (hasRate && !isSlow && !isGang && aStep.mMedianRate > 0.0) {
+    NoteSpeed(worker, task, rate / aStep.mMedianRate);
+  }
   if (isStalled || isSlow) {
     worker.mSlowUntil = aNow + kSlowWorkerTime;
   }
@@ -238,6 +263,9 @@
              IsWorthMoving(task, startedAt, aStep.mMedianRate, aNow)) {
     RecordFailure(worker, aJob, aNow);
     MoveRun(aJob, aTask, LossCause::kSlow, aNow);
+  } else if (isOnSlowWorker &&
+             IsGainingByMove(task, startedAt, aStep.mMedianRate, aNow)) {
+    MoveRun(aJob, aTask, LossCause::kSlow, aNow);
   }
 }
 
@@ -261,8 +289,9 @@
   const bool isRateKnown = task.mStartedFromScratch &&
                            workedFor >= kMinRateTime &&
                            task.mProgressPercent > 0;
-  const Millis expected = mRunTimes.ExpectedRunTime(
-    aJob.mJob.Settings().mQueue, aJob.StepOf(aTask).EstimatedRunTime());
+  const Millis expected(static_cast<Millis::rep>(
+    static_cast<double>(Expect(aJob, aTask).mExpected.count()) /
+    SpeedOfRun(aJob, aTask)));
   const Millis remaining =
     isRateKnown ? TimeFor(kCompletePercent - task.mProgressPercent,
                           RateOf(task, aStartedAt))
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -191,7 +191,7 @@
     const bool isFullRun =
       task.mCheckpoint.empty() && task.mRunningSince.count();
     if (isFullRun) {
-      mRunTimes.Record(aJob.mJob.Settings().mQueue, aNow - task.mRunningSince);
+      RecordRun(aJob, aTask, aNow - task.mRunningSince);
     }
     Unassign(aJob, aTask);
   }
@@ -242,6 +242,10 @@
   if (aReason != TerminationReason::kDone) {
     const LossCause cause = CauseOf(aReason, task);
     const double lost = CountLoss(aJob, task, cause, aNow);
+    if (cause != LossCause::kFailed && cause != LossCause::kStalled &&
+        cause != LossCause::kSlow) {
+      RecordUnfinishedRun(aJob, aTask);
+    }
     fields.emplace_back("cause", LossCauseName(cause));
     fields.emplace_back("lost_core_s", std::to_string(std::lround(lost)));
   }
@@ -329,6 +333,7 @@
   const Task& task = job->mTasks[aKey.second];
   const double lost = CountLoss(*job, task, LossCause::kWorkerLost, aNow);
   ++mLostRunsByBasis.at(static_cast<std::size_t>(aBasis));
+  RecordUnfinishedRun(*job, aKey.second);
   EventFields fields{ { "task", job->IdOf(aKey.second).Text() },
                       { "run", std::to_string(task.mRun) },
                       { "worker", task.mWorker },
@@ -623,8 +628,7 @@
   if (task.mRunningSince.count() > 0) {
     return aNow - task.mRunningSince;
   }
-  const Millis expected = mRunTimes.ExpectedRunTime(
-    aJob.mJob.Settings().mQueue, aJob.StepOf(aTask).EstimatedRunTime());
+  const Millis expected = Expect(aJob, aTask).mExpected;
   if (task.mRecovered) {
     const Millis age = aNow - DueSince(aJob, aJob.OccurrenceOf(aTask));
     return std::clamp(age, Millis(0), expected);
--- a/tests/state/scheduling/FleetLoad.cpp
+++ b/tests/state/scheduling/FleetLoad.cpp
@@ -31,8 +31,13 @@
                0.0,
                0.0,
                aOptions.mSeed,
-               aOptions.mPolicy })
+               aOptions.mPolicy,
+               aOptions.mRunTimes })
   {
+    for (std::size_t i = 0; i < mOptions.mWorkers; ++i) {
+      mModel.SetSlowdown(
+        i, 1.0 / (i % 4 == 0 ? mOptions.mSlowSpeed : mOptions.mUsualSpeed));
+    }
     std::vector<CatalogOrganisation> organisations;
     for (std::size_t i = 0; i < kOrganisations; ++i) {
       organisations.push_back(
@@ -170,6 +175,7 @@
   {
     LoadResult result;
     result.mClasses.resize(mOptions.mClasses.size());
+    std::vector<milliseconds> total(mOptions.mClasses.size());
     for (const Submitted& job : mJobs) {
       ClassResult& jobClass = result.mClasses[job.mClass];
       const JobOutcome outcome = mModel.OutcomeOf(job.mId);
@@ -180,6 +186,7 @@
         continue;
       }
       const milliseconds took = *outcome.mEndedAt - outcome.mSubmittedAt;
+      total[job.mClass] += took;
       if (took <= job.mObjective) {
         ++jobClass.mInTime;
         jobClass.mEarnedValue += job.mValue;
@@ -188,6 +195,18 @@
         jobClass.mEarnedValue += job.mLateValue;
       }
     }
+    for (std::size_t i = 0; i < result.mClasses.size(); ++i) {
+      ClassResult& jobClass = result.mClasses[i];
+      const std::size_t done = jobClass.mJobs - jobClass.mNotDone;
+      jobClass.mMeanLatency =
+        total[i] / static_cast<std::int64_t>(std::max<std::size_t>(1, done));
+    }
+    for (const SchedulerEvent& event : mModel.OwnerEvents()) {
+      result.mPreemptions +=
+        event.mKind == SchedulerEvent::Kind::kPreempted ? 1 : 0;
+      result.mMovedRuns +=
+        event.mKind == SchedulerEvent::Kind::kRunMoved ? 1 : 0;
+    }
     result.mWasted = mModel.WastedWork();
     result.mViolations = mModel.Violations().size();
     return result;
@@ -306,6 +325,25 @@
   return options;
 }
 
+LoadOptions
+UnevenLoad(std::size_t aWorkers)
+{
+  constexpr double kWorkers = 350.0;
+  LoadOptions options = GrownAtticaLoad();
+  options.mWorkers = aWorkers;
+  options.mScale = static_cast<double>(aWorkers) / kWorkers;
+  options.mSlowSpeed = 0.55;
+  options.mUsualSpeed = 1.2;
+  options.mClasses[0].mWork = milliseconds(10'000);
+  options.mClasses[1].mWork = milliseconds(2'000);
+  options.mClasses[1].mTasks = 5.0;
+  options.mClasses[1].mTargetLatency = milliseconds(250);
+  options.mClasses[2].mWork = milliseconds(8'000);
+  options.mClasses[2].mTasks = 39.0;
+  options.mClasses[2].mBurstFactor = 2.6;
+  return options;
+}
+
 LoadResult
 RunLoad(const LoadOptions& aOptions)
 {
--- a/tests/state/scheduling/FleetLoad.h
+++ b/tests/state/scheduling/FleetLoad.h
@@ -50,6 +50,11 @@
   double mScale = 1.0;
   std::uint64_t mSeed = 1;
   std::string mPolicy;
+  /** Name of the predictor of run times; empty for the default. */
+  std::string mRunTimes{};
+  /** Workers of which every fourth one does mSlowSpeed of the usual work. */
+  double mSlowSpeed = 1.0;
+  double mUsualSpeed = 1.0;
 };
 
 /** Results of the jobs of one class. */
@@ -64,6 +69,8 @@
   std::size_t mNotDone = 0;
   double mTotalValue = 0.0;
   double mEarnedValue = 0.0;
+  /** Mean time from submission to completion of the jobs that are done. */
+  milliseconds mMeanLatency{ 0 };
 };
 
 struct LoadResult
@@ -71,6 +78,8 @@
   std::vector<ClassResult> mClasses;
   double mWasted = 0.0;
   std::size_t mViolations = 0;
+  std::size_t mPreemptions = 0;
+  std::size_t mMovedRuns = 0;
 
   /** @return Earned value divided by the total value, over all classes. */
   double EarnedShare() const;
@@ -86,6 +95,13 @@
 LoadOptions
 GrownAtticaLoad();
 
+/**
+ * Load of uneven workers: a quarter does 0.55 of the usual work, the others 1.2
+ * of it. Wide gangs, urgent steps and forecasts; a burst of the urgent ones.
+ */
+LoadOptions
+UnevenLoad(std::size_t aWorkers);
+
 /** Simulates a load with one policy. */
 LoadResult
 RunLoad(const LoadOptions& aOptions);
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -115,6 +115,7 @@
     LeaseSighting().WithRead(mEpoch + 1, mNow - kOwnerTimeout).LastCommandAt();
   options.mEpoch = ++mEpoch;
   options.mPolicy = mOptions.mPolicy;
+  options.mRunTimes = mOptions.mRunTimes;
   mOwner.emplace(std::move(options));
   mWriting = false;
   mOwner->ApplyCatalog(mCatalog);
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -32,6 +32,8 @@
   double mLateStartShare = 0.0;
   std::uint64_t mSeed = 1;
   std::string mPolicy = "urgency";
+  /** Name of the predictor of run times; empty for the default. */
+  std::string mRunTimes{};
   /** Records a violation for a job that waits although capacity is free. */
   bool mCheckWorkConservation = false;
   /** Maximum number of records in one write of the owner. */
--- /dev/null
+++ b/tests/state/scheduling/RunTimesTest.cpp
@@ -0,0 +1,266 @@
+#include "FleetLoad.h"
+#include "cornelrudder/state/StateError.h"
+#include "cornelrudder/state/scheduling/RunTimePredictor.h"
+#include "cornelrudder/state/scheduling/WorkerSpeed.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <cmath>
+#include <random>
+
+using namespace cornelrudder::state;
+using namespace cornelrudder::state::scheduling;
+using namespace cornelrudder::tests;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Estimates are off by a factor between 1/1.9 and 1.9. */
+constexpr double kEstimateError = 0.9;
+
+/** Draws run times and their estimates. */
+class Draws
+{
+public:
+  explicit Draws(std::uint64_t aSeed)
+    : mRandom(aSeed)
+  {
+  }
+
+  double Uniform()
+  {
+    return std::uniform_real_distribution<double>(0.0, 1.0)(mRandom);
+  }
+
+  /** @return A log-normal time. */
+  milliseconds Time(milliseconds aMedian, double aDeviation)
+  {
+    std::normal_distribution<double> normal(0.0, aDeviation);
+    return Scaled(aMedian, std::exp(normal(mRandom)));
+  }
+
+  milliseconds EstimateOf(milliseconds aTime)
+  {
+    const double error = 1.0 + kEstimateError * Uniform();
+    return Scaled(aTime, Uniform() < 0.5 ? error : 1.0 / error);
+  }
+
+  static milliseconds Scaled(milliseconds aTime, double aFactor)
+  {
+    return milliseconds(
+      std::llround(static_cast<double>(aTime.count()) * aFactor));
+  }
+
+private:
+  std::mt19937_64 mRandom;
+};
+
+RunTimeFeatures
+Features(milliseconds aEstimate, StepRunTimes aStepRuns = {})
+{
+  return { "q", 1, 0, 1, aEstimate, aStepRuns };
+}
+
+double
+ErrorOf(milliseconds aExpected, milliseconds aTime)
+{
+  return std::abs(std::log(static_cast<double>(aExpected.count()) /
+                           static_cast<double>(aTime.count())));
+}
+
+/**
+ * Feeds a predictor with runs and estimates that are wrong by 0.9 either way.
+ * @return Mean logarithmic error of the expectations of the last half.
+ */
+double
+MeanError(const char* aPredictor, double aDeviation, std::uint64_t aSeed)
+{
+  constexpr int kRuns = 400;
+  const auto predictor = MakeRunTimePredictor(aPredictor);
+  Draws draws(aSeed);
+  double error = 0.0;
+  for (int i = 0; i < kRuns; ++i) {
+    const milliseconds time = draws.Time(milliseconds(8'000), aDeviation);
+    const RunTimeFeatures features = Features(draws.EstimateOf(time));
+    if (i >= kRuns / 2) {
+      error += ErrorOf(predictor->Predict(features).mExpected, time);
+    }
+    predictor->Record(features, { time, 1.0, false });
+  }
+  return error / (kRuns / 2);
+}
+
+} // namespace
+
+TEST_GROUP(RunTimesTest) {};
+
+TEST(RunTimesTest, SelectsPredictorsByName)
+{
+  CHECK(MakeRunTimePredictor("")->IsLearning());
+  CHECK(MakeRunTimePredictor("learned")->IsLearning());
+  CHECK_FALSE(MakeRunTimePredictor("mean")->IsLearning());
+  CHECK_THROWS(StateError, MakeRunTimePredictor("median"));
+}
+
+TEST(RunTimesTest, ExpectsTheEstimateWithoutRuns)
+{
+  for (const RunTimePredictorInfo& info : AllRunTimePredictors()) {
+    const auto predictor = info.mFactory();
+    const RunTimeEstimate estimate =
+      predictor->Predict(Features(milliseconds(4'000)));
+    CHECK(estimate.mExpected == milliseconds(4'000));
+    CHECK(estimate.mBasis == RunTimeBasis::kEstimate);
+    CHECK(predictor->Predict(Features(milliseconds(0))).mBasis ==
+          RunTimeBasis::kNone);
+  }
+}
+
+TEST(RunTimesTest, BaselineAveragesEstimateAndMean)
+{
+  const auto predictor = MakeRunTimePredictor("mean");
+  const RunTimeFeatures features = Features(milliseconds(4'000));
+  predictor->Record(features, { milliseconds(2'000), 1.0, false });
+  CHECK(predictor->Predict(features).mExpected == milliseconds(3'000));
+  predictor->Record(features, { milliseconds(4'000), 1.0, false });
+  CHECK(predictor->Predict(features).mExpected == milliseconds(3'050));
+  CHECK(predictor->Predict(Features(milliseconds(0))).mExpected ==
+        milliseconds(2'100));
+  // Neither censored runs nor speeds change it.
+  predictor->Record(features, { milliseconds(90'000), 1.0, true });
+  CHECK(predictor->Predict(features).mExpected == milliseconds(3'050));
+}
+
+TEST(RunTimesTest, ConvergesWithWrongEstimates)
+{
+  for (const std::uint64_t seed : { 1U, 2U, 3U, 4U, 5U }) {
+    for (const double deviation : { 0.1, 0.3, 0.6 }) {
+      const double learned = MeanError("learned", deviation, seed);
+      // The absolute error of the estimates alone has a mean of 0.35.
+      CHECK(learned < 0.35);
+      CHECK(learned < MeanError("mean", deviation, seed));
+    }
+  }
+}
+
+TEST(RunTimesTest, QuantileCoversNineTenths)
+{
+  constexpr int kRuns = 2'000;
+  const auto predictor = MakeRunTimePredictor("learned");
+  Draws draws(7);
+  int covered = 0;
+  for (int i = 0; i < kRuns; ++i) {
+    const milliseconds time = draws.Time(milliseconds(8'000), 0.4);
+    const RunTimeFeatures features = Features(draws.EstimateOf(time));
+    covered += time <= predictor->Predict(features).mHigh ? 1 : 0;
+    predictor->Record(features, { time, 1.0, false });
+  }
+  CHECK(covered > kRuns * 85 / 100);
+  CHECK(covered < kRuns * 95 / 100);
+}
+
+TEST(RunTimesTest, FollowsDrift)
+{
+  const auto predictor = MakeRunTimePredictor("learned");
+  Draws draws(3);
+  const auto record = [&](milliseconds aMedian, int aRuns) {
+    for (int i = 0; i < aRuns; ++i) {
+      predictor->Record(Features(milliseconds(5'000)),
+                        { draws.Time(aMedian, 0.2), 1.0, false });
+    }
+    return predictor->Predict(Features(milliseconds(5'000))).mExpected;
+  };
+  CHECK(ErrorOf(record(milliseconds(5'000), 100), milliseconds(5'000)) < 0.15);
+  CHECK(ErrorOf(record(milliseconds(15'000), 100), milliseconds(15'000)) <
+        0.2);
+  CHECK(ErrorOf(record(milliseconds(2'000), 100), milliseconds(2'000)) < 0.2);
+}
+
+TEST(RunTimesTest, LimitsOutliers)
+{
+  const auto predictor = MakeRunTimePredictor("learned");
+  Draws draws(4);
+  for (int i = 0; i < 200; ++i) {
+    const bool isOutlier = i % 20 == 19;
+    predictor->Record(Features(milliseconds(5'000)),
+                      { isOutlier ? milliseconds(500'000)
+                                  : draws.Time(milliseconds(5'000), 0.2),
+                        1.0,
+                        false });
+  }
+  const milliseconds expected =
+    predictor->Predict(Features(milliseconds(5'000))).mExpected;
+  CHECK(ErrorOf(expected, milliseconds(5'000)) < 0.25);
+}
+
+TEST(RunTimesTest, FinishedTasksOutweighTheEstimate)
+{
+  const auto predictor = MakeRunTimePredictor("learned");
+  RunTimeFeatures features{ "q", 1, 0, 20, milliseconds(15'200), {} };
+  double error = ErrorOf(predictor->Predict(features).mExpected,
+                         milliseconds(8'000));
+  for (int i = 0; i < 8; ++i) {
+    features.mStepRuns = predictor->Observe(
+      features, { milliseconds(8'000 + 100 * (i % 3)), 1.0, false });
+    const RunTimeEstimate estimate = predictor->Predict(features);
+    CHECK(estimate.mBasis == RunTimeBasis::kStep);
+    const double next = ErrorOf(estimate.mExpected, milliseconds(8'000));
+    CHECK(next < error);
+    error = next;
+  }
+  CHECK(error < 0.1);
+}
+
+TEST(RunTimesTest, CensoredRunsRaiseTheExpectation)
+{
+  const auto predictor = MakeRunTimePredictor("learned");
+  const RunTimeFeatures features = Features(milliseconds(4'000));
+  predictor->Record(features, { milliseconds(3'000), 1.0, true });
+  CHECK(predictor->Predict(features).mExpected == milliseconds(4'000));
+  predictor->Record(features, { milliseconds(6'000), 1.0, true });
+  CHECK(predictor->Predict(features).mExpected > milliseconds(4'000));
+}
+
+TEST(RunTimesTest, LearnsWithoutEstimates)
+{
+  const auto predictor = MakeRunTimePredictor("learned");
+  for (int i = 0; i < 3; ++i) {
+    predictor->Record({ "q", 1, 0, 10, milliseconds(0), {} },
+                      { milliseconds(7'000), 1.0, false });
+  }
+  const milliseconds expected =
+    predictor->Predict(Features(milliseconds(0))).mExpected;
+  CHECK(ErrorOf(expected, milliseconds(7'000)) < 0.01);
+}
+
+TEST(RunTimesTest, BoundsTheNumberOfKeys)
+{
+  const auto predictor = MakeRunTimePredictor("learned");
+  constexpr std::size_t kMaxKeys = 2'048;
+  for (std::size_t i = 0; i < kMaxKeys + 100; ++i) {
+    const std::string queue = "q" + std::to_string(i);
+    predictor->Record({ queue, 1, 0, 1, milliseconds(1'000), {} },
+                      { milliseconds(2'000), 1.0, false });
+  }
+  CHECK(predictor->Statistics().mKeys == kMaxKeys);
+  // The oldest ones are forgotten, the others are not.
+  CHECK(predictor->Predict({ "q0", 1, 0, 1, milliseconds(1'000), {} }).mBasis ==
+        RunTimeBasis::kEstimate);
+  CHECK(predictor->Predict({ "q200", 1, 0, 1, milliseconds(1'000), {} })
+          .mBasis == RunTimeBasis::kQueue);
+}
+
+TEST(RunTimesTest, LearnsTheSpeedOfAWorker)
+{
+  Draws draws(5);
+  WorkerSpeed speed;
+  CHECK(speed.Factor() == 1.0);
+  for (int i = 0; i < 30; ++i) {
+    const double noise = 0.2 * (draws.Uniform() - 0.5);
+    speed = speed.With(std::log(0.5) + noise, 0.1);
+  }
+  CHECK(speed.Factor() > 0.45);
+  CHECK(speed.Factor() < 0.57);
+  const double before = speed.Factor();
+  speed = speed.With(std::log(0.001), 0.1);
+  CHECK(speed.Factor() > 0.8 * before);
+}
