Place urgent work on fast workers and leave runs that end soon

The packing score prefers fast workers for urgent units and workers of like speed for gangs; a run whose progress shows its end within the time of a stop counts as being released and is no victim.

--- a/include/cornelrudder/state/scheduling/Planning.h
+++ b/include/cornelrudder/state/scheduling/Planning.h
@@ -55,6 +55,8 @@
    * was slow, and to 0 after the next completed run.
    */
   double mFailureRate = 0.0;
+  /** Logarithm of the worker's speed, relative to the usual one. */
+  double mLogSpeed = 0.0;
   /** A task runs on the worker under which another worker has crashed. */
   bool mHasSuspect = false;
 
--- a/include/cornelrudder/state/scheduling/WorkerSpeed.h
+++ b/include/cornelrudder/state/scheduling/WorkerSpeed.h
@@ -16,6 +16,9 @@
   /** @return Speed relative to the usual one, between 1/4 and 4. */
   double Factor() const;
 
+  /** @return Logarithm of the speed, not limited. */
+  double LogFactor() const { return mLogMean; }
+
   /**
    * @param aLogRatio Logarithm of the observed speed of a run.
    * @param aVariance Variance of that logarithm, from the uncertainty of the
--- a/src/state/scheduling/Packing.cpp
+++ b/src/state/scheduling/Packing.cpp
@@ -60,6 +60,13 @@
  */
 constexpr double kSharedPenalty = 30.0;
 constexpr double kSuspectsPenalty = 30.0;
+/**
+ * Weights of the logarithm of a worker's speed for urgent work, and of its
+ * difference from the slowest worker of a gang, at whose speed all members
+ * work. A slow worker is used if the others fit much worse.
+ */
+constexpr double kUrgentSpeedWeight = 4.0;
+constexpr double kGangSpeedWeight = 4.0;
 
 /** @return Number of tasks of a unit that an empty worker could run. */
 std::size_t
@@ -75,6 +82,22 @@
   return n;
 }
 
+/** @param aSlowest Logarithm of the slowest speed among the chosen workers. */
+double
+SpeedPenalty(const WaitingUnit& aUnit,
+             const WorkerView& aWorker,
+             std::optional<double> aSlowest)
+{
+  double penalty = 0.0;
+  if (aUnit.mPriority == 0) {
+    penalty -= kUrgentSpeedWeight * aWorker.mLogSpeed;
+  }
+  if (aUnit.mStep.IsGang() && aSlowest) {
+    penalty += kGangSpeedWeight * std::abs(aWorker.mLogSpeed - *aSlowest);
+  }
+  return penalty;
+}
+
 } // namespace
 
 double
@@ -310,6 +333,7 @@
                        ? UsableEmptyWorkers(aUnit, aCapacity)
                        : std::numeric_limits<double>::max();
   WorkerList workers;
+  std::optional<double> slowest;
   while (workers.size() < aUnit.mTasks) {
     double bestScore = std::numeric_limits<double>::max();
     Candidate* best = nullptr;
@@ -326,7 +350,8 @@
                 : 0;
       const double score = PackingScore(worker, candidate.mCapacity, demand) +
                            kRackWeight * emptyInRack +
-                           SuspectPenalty(aUnit, candidate.mWorker, isEmpty);
+                           SuspectPenalty(aUnit, candidate.mWorker, isEmpty) +
+                           SpeedPenalty(aUnit, worker, slowest);
       if (score < bestScore) {
         bestScore = score;
         best = &candidate;
@@ -336,6 +361,8 @@
       return std::nullopt;
     }
     workers.push_back(best->mWorker);
+    const double logSpeed = mCapacity.View().mWorkers[best->mWorker].mLogSpeed;
+    slowest = std::min(slowest.value_or(logSpeed), logSpeed);
     emptyLeft -= mCapacity.IsEmpty(best->mWorker, best->mCapacity) ? 1.0 : 0.0;
     best->mCapacity = best->mCapacity.Minus(demand);
     ++best->mTasks;
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -147,9 +147,11 @@
     view.mSchedulable = IsSchedulable(worker, suspectTime, aNow);
     view.mRetryable = !view.mSchedulable && IsRetryable(worker, aNow);
     view.mFailureRate = worker.mConsecutiveFailures > 0 ? 1.0 : 0.0;
+    view.mLogSpeed = worker.mSpeed.LogFactor();
     for (const auto& [jobId, index] : worker.mAssigned) {
       const JobState& job = mJobs.at(jobId);
-      if (job.mTasks[index].mStopRequested) {
+      if (job.mTasks[index].mStopRequested ||
+          IsEndingSoon(job, index, aNow)) {
         view.mReleasing = view.mReleasing.Plus(job.StepOf(index).Demand());
       }
       if (IsSuspectRun(job, index)) {
@@ -175,7 +177,8 @@
   for (const auto& [id, job] : mJobs) {
     for (std::size_t i = 0; i < job.mTasks.size(); ++i) {
       const Task& task = job.mTasks[i];
-      if (!task.IsAssigned() || task.mStopRequested) {
+      if (!task.IsAssigned() || task.mStopRequested ||
+          IsEndingSoon(job, i, aNow)) {
         continue;
       }
       const TaskKey first{ id,
--- a/src/state/scheduling/SchedulerProgress.cpp
+++ b/src/state/scheduling/SchedulerProgress.cpp
@@ -46,6 +46,12 @@
  */
 constexpr Millis kMinOverrun{ 500 };
 constexpr int kWorkPerOverrun = 4;
+/**
+ * Time for stopping a run and learning of its end; a run that ends by itself
+ * within it is not preempted. Less progress is too inaccurate to tell that.
+ */
+constexpr Millis kEndingTime{ 500 };
+constexpr int kMinEndingPercent = 50;
 /**
  * Age up to which any slow run may be moved. By that age, two renewal replies
  * have shown its rate.
@@ -269,6 +275,31 @@
   }
 }
 
+/**
+ * @return Whether a run is expected to end by itself before a stop would free
+ *   its capacity. A run that is overdue is not.
+ */
+bool
+Scheduler::Impl::IsEndingSoon(const JobState& aJob,
+                              std::size_t aTask,
+                              Millis aNow) const
+{
+  if (!mRunTimes->IsLearning() ||
+      aJob.mTasks[aTask].mProgressPercent < kMinEndingPercent) {
+    return false;
+  }
+  // The members of a gang end together.
+  const Task& task = aJob.mTasks[aJob.CountedTask(aTask)];
+  if (!HasRate(task, Millis(0)) ||
+      task.mProgressPercent < kMinEndingPercent) {
+    return false;
+  }
+  const Millis end = task.mReportedAt +
+                     TimeFor(kCompletePercent - task.mProgressPercent,
+                             RateOf(task, task.mRunningSince));
+  return end >= aNow && end - aNow <= kEndingTime;
+}
+
 /**
  * @return Whether a run's worker is expected to shut down well before the run
  *   completes.
