Ignore differences of speed within the noise, and log expectations

Speeds of equal workers differ by noise, which scattered urgent tasks; logarithms up to 0.2 no longer count. task_placed has the expectation and its basis, the gauges scheduler_run_time_keys and scheduler_run_time_error_percent show the model.

--- a/src/state/scheduling/Packing.cpp
+++ b/src/state/scheduling/Packing.cpp
@@ -67,6 +67,8 @@
  */
 constexpr double kUrgentSpeedWeight = 4.0;
 constexpr double kGangSpeedWeight = 4.0;
+/** Smaller logarithms of speeds are not told apart from noise. */
+constexpr double kSpeedNoise = 0.2;
 
 /** @return Number of tasks of a unit that an empty worker could run. */
 std::size_t
@@ -82,6 +84,13 @@
   return n;
 }
 
+/** @return The part of a logarithm of a speed that is not noise. */
+double
+WithoutNoise(double aLogSpeed)
+{
+  return aLogSpeed - std::clamp(aLogSpeed, -kSpeedNoise, kSpeedNoise);
+}
+
 /** @param aSlowest Logarithm of the slowest speed among the chosen workers. */
 double
 SpeedPenalty(const WaitingUnit& aUnit,
@@ -90,10 +99,11 @@
 {
   double penalty = 0.0;
   if (aUnit.mPriority == 0) {
-    penalty -= kUrgentSpeedWeight * aWorker.mLogSpeed;
+    penalty -= kUrgentSpeedWeight * WithoutNoise(aWorker.mLogSpeed);
   }
   if (aUnit.mStep.IsGang() && aSlowest) {
-    penalty += kGangSpeedWeight * std::abs(aWorker.mLogSpeed - *aSlowest);
+    penalty += kGangSpeedWeight *
+               std::abs(WithoutNoise(aWorker.mLogSpeed - *aSlowest));
   }
   return penalty;
 }
--- a/src/state/scheduling/SchedulerDiagnostics.cpp
+++ b/src/state/scheduling/SchedulerDiagnostics.cpp
@@ -33,6 +33,10 @@
     { "scheduler_workers", mWorkers.size() },
     { "scheduler_checkpoint_bytes", mCheckpointBytes }
   };
+  const RunTimeStatistics runTimes = mRunTimes->Statistics();
+  gauges["scheduler_run_time_keys"] = runTimes.mKeys;
+  gauges["scheduler_run_time_error_percent"] =
+    static_cast<std::uint64_t>(std::llround(runTimes.mErrorPercent));
   const auto counts = CountConditions(mPlannedAt);
   for (std::size_t i = 0; i < counts.size(); ++i) {
     const auto condition = static_cast<WorkerCondition>(i);
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -371,6 +371,14 @@
     mNominations.erase(tasks.front());
     fields.emplace_back("run", std::to_string(run + 1));
     fields.emplace_back("workers", workers);
+    const RunTimeEstimate expected = Expect(job, tasks.front().second);
+    fields.emplace_back("expected_ms",
+                        std::to_string(expected.mExpected.count()));
+    fields.emplace_back("expected_p90_ms",
+                        std::to_string(expected.mHigh.count()));
+    fields.emplace_back("expected_by", RunTimeBasisName(expected.mBasis));
+    fields.emplace_back("expected_runs",
+                        std::to_string(std::lround(expected.mRuns)));
     RecordEvent(SchedulerEvent::Kind::kPlaced, std::move(fields));
     return;
   }
--- a/tests/state/scheduling/RunTimesTest.cpp
+++ b/tests/state/scheduling/RunTimesTest.cpp
@@ -90,6 +90,66 @@
   return error / (kRuns / 2);
 }
 
+StepSpecValues
+Step(std::size_t aTasks, std::int64_t aAccelerators, milliseconds aEstimate)
+{
+  StepSpecValues values;
+  values.mTasks = aTasks;
+  values.mDemand = Resources(1'000, 1'000, aAccelerators);
+  values.mEstimatedRunTime = aEstimate;
+  return values;
+}
+
+/** Four workers of which the first two take twice the usual time. */
+FleetModelOptions
+FourWorkers(const char* aRunTimes)
+{
+  FleetModelOptions options;
+  options.mWorkers = 4;
+  options.mWorkersPerRack = 1;
+  options.mRunTimes = aRunTimes;
+  return options;
+}
+
+void
+SlowDownHalf(FleetModel& aModel)
+{
+  aModel.SetSlowdown(0, 2.0);
+  aModel.SetSlowdown(1, 2.0);
+}
+
+/** Runs six steps that fill the fleet; their estimates are right. */
+void
+FillFleet(FleetModel& aModel, const std::string& aPrefix)
+{
+  constexpr milliseconds kTime{ 2'000 };
+  for (int i = 0; i < 6; ++i) {
+    aModel.Submit(MakeJob(aPrefix + std::to_string(i), Step(32, 1, kTime), 1),
+                  kTime);
+    aModel.Run(milliseconds(6'000));
+  }
+}
+
+/** @return Time from the submission to the end of an urgent job of 4 tasks. */
+milliseconds
+UrgentLatency(FleetModel& aModel, const std::string& aId)
+{
+  constexpr milliseconds kTime{ 2'000 };
+  aModel.Submit(MakeJob(aId, Step(4, 1, kTime), 0), kTime);
+  aModel.Run(milliseconds(10'000));
+  const JobOutcome outcome = aModel.OutcomeOf(aId);
+  CHECK(outcome.mEndedAt.has_value());
+  return outcome.mEndedAt.value_or(aModel.Now()) - outcome.mSubmittedAt;
+}
+
+void
+CheckNoViolation(const FleetModel& aModel)
+{
+  for (const std::string& violation : aModel.Violations()) {
+    FAIL(violation.c_str());
+  }
+}
+
 } // namespace
 
 TEST_GROUP(RunTimesTest) {};
@@ -264,3 +324,70 @@
   speed = speed.With(std::log(0.001), 0.1);
   CHECK(speed.Factor() > 0.8 * before);
 }
+
+// Load: full fleet of uneven workers, then an urgent job on the empty fleet.
+TEST(RunTimesTest, UrgentWorkGoesToFastWorkers)
+{
+  FleetModel model(FourWorkers("learned"));
+  SlowDownHalf(model);
+  FillFleet(model, "fill");
+  const milliseconds learned = UrgentLatency(model, "urgent");
+  CheckNoViolation(model);
+  FleetModel baseline(FourWorkers("mean"));
+  SlowDownHalf(baseline);
+  FillFleet(baseline, "fill");
+  const milliseconds mean = UrgentLatency(baseline, "urgent");
+  CheckNoViolation(baseline);
+  CHECK(learned < milliseconds(3'000));
+  CHECK(learned < mean);
+}
+
+// Load: the same, but the slow workers restart at the usual speed, and the
+// other ones become slow without a restart.
+TEST(RunTimesTest, SpeedIsForgottenWithTheIncarnation)
+{
+  FleetModel model(FourWorkers("learned"));
+  SlowDownHalf(model);
+  FillFleet(model, "before");
+  for (const std::size_t i : { 0U, 1U }) {
+    model.CrashWorker(i);
+    model.SetSlowdown(i, 1.0);
+    model.SetSlowdown(i + 2, 2.0);
+  }
+  model.Run(milliseconds(10'000));
+  FillFleet(model, "after");
+  CHECK(UrgentLatency(model, "urgent") < milliseconds(3'000));
+  CheckNoViolation(model);
+}
+
+// Load: steps of one task for each place; one worker does a third of the usual
+// work, which is below the share at which a run counts as slow.
+TEST(RunTimesTest, KnownSlowWorkerKeepsItsRuns)
+{
+  const auto count = [](const char* aRunTimes, milliseconds& aTotal) {
+    FleetModel model(FourWorkers(aRunTimes));
+    model.SetSlowdown(0, 2.8);
+    std::size_t moved = 0;
+    aTotal = milliseconds(0);
+    for (int i = 0; i < 10; ++i) {
+      const std::string id = "j" + std::to_string(i);
+      model.Submit(MakeJob(id, Step(32, 1, milliseconds(4'000)), 1),
+                   milliseconds(4'000));
+      model.Run(milliseconds(16'000));
+      const JobOutcome outcome = model.OutcomeOf(id);
+      CHECK(outcome.mEndedAt.has_value());
+      aTotal += outcome.mEndedAt.value_or(model.Now()) - outcome.mSubmittedAt;
+    }
+    CheckNoViolation(model);
+    for (const SchedulerEvent& event : model.OwnerEvents()) {
+      moved += event.mKind == SchedulerEvent::Kind::kRunMoved ? 1 : 0;
+    }
+    return moved;
+  };
+  milliseconds learnedTime{ 0 };
+  milliseconds meanTime{ 0 };
+  const std::size_t learned = count("learned", learnedTime);
+  const std::size_t mean = count("mean", meanTime);
+  CHECK(learned <= mean);
+  CHECK(learnedTime <= meanTime + milliseconds(1'000));
+}
