Leave runs that end soon only out of preemptions

Counting them as capacity that is being released, too, made less urgent units wait for it and cost preemptions.

--- a/src/state/scheduling/LearnedRunTimes.cpp
+++ b/src/state/scheduling/LearnedRunTimes.cpp
@@ -77,10 +77,9 @@
 {
   const double error = (mErrorSquares + kVarianceRuns * kErrorVariance) /
                        (mWeight + kVarianceRuns);
-  const double task = std::max(
-    kMinVariance,
-    (mTaskSquares + kVarianceRuns * kTaskVariance) /
-      (mTaskWeight + kVarianceRuns));
+  const double task = std::max(kMinVariance,
+                               (mTaskSquares + kVarianceRuns * kTaskVariance) /
+                                 (mTaskWeight + kVarianceRuns));
   const double slope = (mProducts + kSlopeRuns * kErrorVariance) /
                        (mEstimateSquares + kSlopeRuns * kErrorVariance);
   const double offsetRuns = mHasEstimates ? kOffsetRuns : 0.0;
@@ -106,13 +105,13 @@
                         const StepRunTimes& aStepRuns) const
 {
   const Prediction prior = Predict(aLogEstimate, {});
-  const double limit = kMaxDeviations *
-                       std::sqrt(prior.mStepVariance + prior.mTaskVariance);
+  const double limit =
+    kMaxDeviations * std::sqrt(prior.mStepVariance + prior.mTaskVariance);
   const bool isFirst = !mHasEstimates && mWeight <= 0.0;
   const double shown =
-    isFirst ? aLogTime
-            : std::clamp(
-                aLogTime, prior.mLogMean - limit, prior.mLogMean + limit);
+    isFirst
+      ? aLogTime
+      : std::clamp(aLogTime, prior.mLogMean - limit, prior.mLogMean + limit);
   const double error = isFirst ? 0.0 : shown - prior.mLogMean;
   const double ratio = shown - aLogEstimate;
   const double decay = std::exp(-aWeight / kMemory);
@@ -125,8 +124,8 @@
   next.mMeanRatio += share * (ratio - mMeanRatio);
   // Weighted covariance around the moving means (West's algorithm).
   const double factor = aWeight * (1.0 - share);
-  next.mEstimateSquares = mEstimateSquares * decay +
-                          factor * estimateDeviation * estimateDeviation;
+  next.mEstimateSquares =
+    mEstimateSquares * decay + factor * estimateDeviation * estimateDeviation;
   next.mProducts =
     mProducts * decay + factor * estimateDeviation * timeDeviation;
   next.mErrorSquares = mErrorSquares * decay + aWeight * error * error;
@@ -137,8 +136,8 @@
       std::clamp(aLogTime - aStepRuns.mLogMean, -bound, bound);
     next.mTaskWeight = mTaskWeight * decay + aWeight;
     // The mean of n runs deviates, too.
-    next.mTaskSquares = mTaskSquares * decay +
-                        aWeight * deviation * deviation * n / (n + 1.0);
+    next.mTaskSquares =
+      mTaskSquares * decay + aWeight * deviation * deviation * n / (n + 1.0);
   }
   return next;
 }
@@ -168,15 +167,15 @@
 LearnedRunTimes::Predict(const RunTimeFeatures& aFeatures) const
 {
   const auto it = mModels.find(KeyOf(aFeatures));
-  const double runs =
-    it != mModels.end() ? it->second.mRegression.Runs() : 0.0;
+  const double runs = it != mModels.end() ? it->second.mRegression.Runs() : 0.0;
   const bool hasStep = aFeatures.mStepRuns.mWeight > 0.0;
   const bool hasEstimate = aFeatures.mEstimate.count() > 0;
   if (runs <= 0.0 && !hasStep && !hasEstimate) {
     return {};
   }
   const RunTimeRegression::Prediction prediction = Distribution(aFeatures);
-  const double deviation = std::sqrt(prediction.mStepVariance + prediction.mTaskVariance);
+  const double deviation =
+    std::sqrt(prediction.mStepVariance + prediction.mTaskVariance);
   const RunTimeBasis basis = hasStep      ? RunTimeBasis::kStep
                              : runs > 0.0 ? RunTimeBasis::kQueue
                                           : RunTimeBasis::kEstimate;
@@ -199,8 +198,7 @@
           return aOne.second.mUsedAt < aTwo.second.mUsedAt;
         }));
     }
-    it =
-      mModels
+    it = mModels
            .emplace(Key(std::string(aKey.first), aKey.second),
                     Model{ RunTimeRegression(aKey.second.mHasEstimate) })
            .first;
@@ -244,8 +242,7 @@
   if (!shown) {
     return;
   }
-  if (!aRun.mIsCensored &&
-      Predict(aFeatures).mBasis != RunTimeBasis::kNone) {
+  if (!aRun.mIsCensored && Predict(aFeatures).mBasis != RunTimeBasis::kNone) {
     const double error =
       100.0 * std::abs(std::exp(Distribution(aFeatures).mLogMean - *shown) - 1);
     mErrorPercent +=
--- a/src/state/scheduling/Packing.cpp
+++ b/src/state/scheduling/Packing.cpp
@@ -102,8 +102,8 @@
     penalty -= kUrgentSpeedWeight * WithoutNoise(aWorker.mLogSpeed);
   }
   if (aUnit.mStep.IsGang() && aSlowest) {
-    penalty += kGangSpeedWeight *
-               std::abs(WithoutNoise(aWorker.mLogSpeed - *aSlowest));
+    penalty +=
+      kGangSpeedWeight * std::abs(WithoutNoise(aWorker.mLogSpeed - *aSlowest));
   }
   return penalty;
 }
--- a/src/state/scheduling/SchedulerExpectations.cpp
+++ b/src/state/scheduling/SchedulerExpectations.cpp
@@ -31,8 +31,7 @@
 RunTimeEstimate
 Scheduler::Impl::Expect(const JobState& aJob, std::size_t aTask) const
 {
-  return mRunTimes->Predict(
-    FeaturesOf(aJob, aJob.StepAndIndexOf(aTask).first));
+  return mRunTimes->Predict(FeaturesOf(aJob, aJob.StepAndIndexOf(aTask).first));
 }
 
 /** @param aFirst First task of the step in its occurrence. */
@@ -46,8 +45,8 @@
   StepExpectation result;
   if (!mRunTimes->IsLearning()) {
     result.mRunTime = Expect(aJob, aFirst);
-    result.mCriticalPath = std::max(result.mRunTime.mExpected,
-                                    aJob.mJob.EstimatedCriticalPath());
+    result.mCriticalPath =
+      std::max(result.mRunTime.mExpected, aJob.mJob.EstimatedCriticalPath());
     result.mRemaining = result.mRunTime.mExpected;
     return result;
   }
@@ -58,8 +57,7 @@
     if (task.mPhase == TaskPhase::kRunning && task.mStartedFromScratch &&
         task.mRunningSince.count() > 0 && !steps[position].IsGang()) {
       features.mStepRuns = mRunTimes->Observe(
-        features,
-        { aNow - task.mRunningSince, SpeedOf(task.mWorker), true });
+        features, { aNow - task.mRunningSince, SpeedOf(task.mWorker), true });
     }
   }
   result.mRunTime = mRunTimes->Predict(features);
@@ -67,9 +65,9 @@
   std::vector<Millis> ends(steps.size());
   std::vector<Millis> remaining(steps.size(), Millis(-1));
   for (std::size_t i = 0; i < steps.size(); ++i) {
-    const Millis time =
-      i == position ? result.mRunTime.mExpected
-                    : mRunTimes->Predict(FeaturesOf(aJob, i)).mExpected;
+    const Millis time = i == position
+                          ? result.mRunTime.mExpected
+                          : mRunTimes->Predict(FeaturesOf(aJob, i)).mExpected;
     Millis start{ 0 };
     for (const std::size_t earlier : steps[i].Dependencies()) {
       start = std::max(start, ends[earlier]);
@@ -122,9 +120,7 @@
   if (isGang && aTask != aJob.StepRange(aTask).first) {
     return;
   }
-  const RunObservation run{
-    aTime, SpeedOfRun(aJob, aTask), false
-  };
+  const RunObservation run{ aTime, SpeedOfRun(aJob, aTask), false };
   const RunTimeEstimate expected = mRunTimes->Predict(features);
   mRunTimes->Record(features, run);
   aJob.mStepRuns[step] = mRunTimes->Observe(features, run);
@@ -159,9 +155,9 @@
   }
   const std::size_t step = aJob.StepAndIndexOf(aTask).first;
   const RunTimeFeatures features = FeaturesOf(aJob, step);
-  const RunObservation run{
-    task.mReportedAt - task.mRunningSince, SpeedOf(task.mWorker), true
-  };
+  const RunObservation run{ task.mReportedAt - task.mRunningSince,
+                            SpeedOf(task.mWorker),
+                            true };
   mRunTimes->Record(features, run);
   aJob.mStepRuns[step] = mRunTimes->Observe(features, run);
 }
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -324,9 +324,7 @@
                         std::size_t aTask,
                         const StepProgress& aStep,
                         Millis aNow);
-  bool IsEndingSoon(const JobState& aJob,
-                    std::size_t aTask,
-                    Millis aNow) const;
+  bool IsEndingSoon(const JobState& aJob, std::size_t aTask, Millis aNow) const;
   bool CannotFinishBeforeShutdown(const JobState& aJob,
                                   std::size_t aTask,
                                   const WorkerState& aWorker,
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -150,8 +150,7 @@
     view.mLogSpeed = worker.mSpeed.LogFactor();
     for (const auto& [jobId, index] : worker.mAssigned) {
       const JobState& job = mJobs.at(jobId);
-      if (job.mTasks[index].mStopRequested ||
-          IsEndingSoon(job, index, aNow)) {
+      if (job.mTasks[index].mStopRequested) {
         view.mReleasing = view.mReleasing.Plus(job.StepOf(index).Demand());
       }
       if (IsSuspectRun(job, index)) {
@@ -251,7 +250,8 @@
     // A gang is placed again only when no member of its earlier run is
     // assigned.
     if (waiting.size() == step.Tasks()) {
-      aView.mWaiting.push_back(MakeUnit(aJob, waiting, expectation, aKeys, aNow));
+      aView.mWaiting.push_back(
+        MakeUnit(aJob, waiting, expectation, aKeys, aNow));
       aView.mWaiting.back().mStepGroup = aKeys.mWaiting.size();
       aKeys.mWaiting.push_back(std::move(waiting));
     }
--- a/src/state/scheduling/SchedulerProgress.cpp
+++ b/src/state/scheduling/SchedulerProgress.cpp
@@ -142,9 +142,8 @@
 {
   const double rate = RateOf(aTask, aStartedAt);
   const Millis restartTime = TimeFor(kCompletePercent, aMedianRate) + kMoveTime;
-  return rate > 0.0 &&
-         TimeFor(kCompletePercent - aTask.mProgressPercent, rate) >
-           restartTime + (aNow - aStartedAt);
+  return rate > 0.0 && TimeFor(kCompletePercent - aTask.mProgressPercent,
+                               rate) > restartTime + (aNow - aStartedAt);
 }
 
 /**
@@ -290,13 +289,12 @@
   }
   // The members of a gang end together.
   const Task& task = aJob.mTasks[aJob.CountedTask(aTask)];
-  if (!HasRate(task, Millis(0)) ||
-      task.mProgressPercent < kMinEndingPercent) {
+  if (!HasRate(task, Millis(0)) || task.mProgressPercent < kMinEndingPercent) {
     return false;
   }
-  const Millis end = task.mReportedAt +
-                     TimeFor(kCompletePercent - task.mProgressPercent,
-                             RateOf(task, task.mRunningSince));
+  const Millis end =
+    task.mReportedAt + TimeFor(kCompletePercent - task.mProgressPercent,
+                               RateOf(task, task.mRunningSince));
   return end >= aNow && end - aNow <= kEndingTime;
 }
 
--- a/tests/state/scheduling/RunTimesTest.cpp
+++ b/tests/state/scheduling/RunTimesTest.cpp
@@ -152,7 +152,7 @@
 
 } // namespace
 
-TEST_GROUP(RunTimesTest) {};
+TEST_GROUP(RunTimesTest){};
 
 TEST(RunTimesTest, SelectsPredictorsByName)
 {
@@ -230,8 +230,7 @@
     return predictor->Predict(Features(milliseconds(5'000))).mExpected;
   };
   CHECK(ErrorOf(record(milliseconds(5'000), 100), milliseconds(5'000)) < 0.15);
-  CHECK(ErrorOf(record(milliseconds(15'000), 100), milliseconds(15'000)) <
-        0.2);
+  CHECK(ErrorOf(record(milliseconds(15'000), 100), milliseconds(15'000)) < 0.2);
   CHECK(ErrorOf(record(milliseconds(2'000), 100), milliseconds(2'000)) < 0.2);
 }
 
@@ -256,8 +255,8 @@
 {
   const auto predictor = MakeRunTimePredictor("learned");
   RunTimeFeatures features{ "q", 1, 0, 20, milliseconds(15'200), {} };
-  double error = ErrorOf(predictor->Predict(features).mExpected,
-                         milliseconds(8'000));
+  double error =
+    ErrorOf(predictor->Predict(features).mExpected, milliseconds(8'000));
   for (int i = 0; i < 8; ++i) {
     features.mStepRuns = predictor->Observe(
       features, { milliseconds(8'000 + 100 * (i % 3)), 1.0, false });
@@ -305,8 +304,9 @@
   // The oldest ones are forgotten, the others are not.
   CHECK(predictor->Predict({ "q0", 1, 0, 1, milliseconds(1'000), {} }).mBasis ==
         RunTimeBasis::kEstimate);
-  CHECK(predictor->Predict({ "q200", 1, 0, 1, milliseconds(1'000), {} })
-          .mBasis == RunTimeBasis::kQueue);
+  CHECK(
+    predictor->Predict({ "q200", 1, 0, 1, milliseconds(1'000), {} }).mBasis ==
+    RunTimeBasis::kQueue);
 }
 
 TEST(RunTimesTest, LearnsTheSpeedOfAWorker)
