--- a/tests/state/scheduling/RunTimesTest.cpp
+++ b/tests/state/scheduling/RunTimesTest.cpp
@@ -87,7 +87,7 @@
     }
     predictor->Record(features, { time, 1.0, false });
   }
-  return error / (kRuns / 2);
+  return 2.0 * error / kRuns;
 }
 
 StepSpecValues
