--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -147,6 +147,7 @@
     view.mSchedulable = IsSchedulable(worker, suspectTime, aNow);
     view.mRetryable = !view.mSchedulable && IsRetryable(worker, aNow);
     view.mFailureRate = worker.mConsecutiveFailures > 0 ? 1.0 : 0.0;
+    view.mLogSpeed = worker.mSpeed.LogFactor();
     for (const auto& [jobId, index] : worker.mAssigned) {
       const JobState& job = mJobs.at(jobId);
       if (job.mTasks[index].mStopRequested) {
@@ -175,7 +176,8 @@
   for (const auto& [id, job] : mJobs) {
     for (std::size_t i = 0; i < job.mTasks.size(); ++i) {
       const Task& task = job.mTasks[i];
-      if (!task.IsAssigned() || task.mStopRequested) {
+      if (!task.IsAssigned() || task.mStopRequested ||
+          IsEndingSoon(job, i, aNow)) {
         continue;
       }
       const TaskKey first{ id,
@@ -240,11 +242,16 @@
       waiting.push_back({ aJob.mJob.Id(), i });
     }
   }
+  if (waiting.empty()) {
+    return;
+  }
+  const StepExpectation expectation = ExpectStep(aJob, aFirst, aNow);
   if (step.IsGang()) {
     // A gang is placed again only when no member of its earlier run is
     // assigned.
     if (waiting.size() == step.Tasks()) {
-      aView.mWaiting.push_back(MakeUnit(aJob, waiting, aKeys, aNow));
+      aView.mWaiting.push_back(
+        MakeUnit(aJob, waiting, expectation, aKeys, aNow));
       aView.mWaiting.back().mStepGroup = aKeys.mWaiting.size();
       aKeys.mWaiting.push_back(std::move(waiting));
     }
@@ -252,7 +259,7 @@
   }
   const std::size_t group = aKeys.mWaiting.size();
   for (const TaskKey& key : waiting) {
-    aView.mWaiting.push_back(MakeUnit(aJob, { key }, aKeys, aNow));
+    aView.mWaiting.push_back(MakeUnit(aJob, { key }, expectation, aKeys, aNow));
     aView.mWaiting.back().mStepGroup = group;
     aKeys.mWaiting.push_back({ key });
   }
@@ -261,20 +268,19 @@
 WaitingUnit
 Scheduler::Impl::MakeUnit(const JobState& aJob,
                           const std::vector<TaskKey>& aTasks,
+                          const StepExpectation& aExpectation,
                           const ViewKeys& aKeys,
                           Millis aNow) const
 {
   const std::size_t first = aTasks.front().second;
   const StepSpec& step = aJob.StepOf(first);
   const QueueSettings& settings = aJob.mJob.Settings();
-  const Millis expected =
-    mRunTimes.ExpectedRunTime(settings.mQueue, step.EstimatedRunTime());
-  const Millis criticalPath =
-    std::max(expected, aJob.mJob.EstimatedCriticalPath());
   const Millis objective =
-    Millis(static_cast<Millis::rep>(static_cast<double>(criticalPath.count()) *
-                                    settings.mSlackFactor)) +
+    Millis(static_cast<Millis::rep>(
+      static_cast<double>(aExpectation.mCriticalPath.count()) *
+      settings.mSlackFactor)) +
     settings.mTargetLatency;
+  const Millis remaining = aExpectation.mRemaining;
   WaitingUnit unit(aKeys.mWaiting.size(), settings.mService, step);
   unit.mTasks = aTasks.size();
   unit.mPriority = settings.mPriority;
@@ -289,9 +295,9 @@
       unit.mWaitingTime >= kMaxIsolationWait) {
     unit.mIsolation = Isolation::kPreferred;
   }
-  unit.mSlack = objective - unit.mAge - expected;
-  unit.mExpirySlack = objective * kExpiryObjectives - unit.mAge - expected;
-  unit.mExpectedRunTime = expected;
+  unit.mSlack = objective - unit.mAge - remaining;
+  unit.mExpirySlack = objective * kExpiryObjectives - unit.mAge - remaining;
+  unit.mExpectedRunTime = aExpectation.mRunTime.mExpected;
   const auto addPosition = [&aKeys](const std::string& aWorker,
                                     std::vector<std::size_t>& aPositions) {
     const auto it = aKeys.mPositions.find(aWorker);
@@ -365,6 +371,14 @@
     mNominations.erase(tasks.front());
     fields.emplace_back("run", std::to_string(run + 1));
     fields.emplace_back("workers", workers);
+    const RunTimeEstimate expected = Expect(job, tasks.front().second);
+    fields.emplace_back("expected_ms",
+                        std::to_string(expected.mExpected.count()));
+    fields.emplace_back("expected_p90_ms",
+                        std::to_string(expected.mHigh.count()));
+    fields.emplace_back("expected_by", RunTimeBasisName(expected.mBasis));
+    fields.emplace_back("expected_runs",
+                        std::to_string(std::lround(expected.mRuns)));
     RecordEvent(SchedulerEvent::Kind::kPlaced, std::move(fields));
     return;
   }
