--- a/src/state/scheduling/RunTimePredictor.cpp
+++ b/src/state/scheduling/RunTimePredictor.cpp
@@ -12,18 +12,18 @@
 namespace {
 
 constexpr std::array kPredictors{
-  RunTimePredictorInfo{
-    "learned",
-    "from the estimate, similar runs and the finished tasks of the step",
-    []() -> std::unique_ptr<RunTimePredictor> {
-      return std::make_unique<LearnedRunTimes>();
-    } },
   RunTimePredictorInfo{
     "mean",
     "baseline: average of the estimate and the mean of the queue",
     []() -> std::unique_ptr<RunTimePredictor> {
       return std::make_unique<MeanRunTimes>();
     } },
+  RunTimePredictorInfo{
+    "learned",
+    "from the estimate, similar runs and the finished tasks of the step",
+    []() -> std::unique_ptr<RunTimePredictor> {
+      return std::make_unique<LearnedRunTimes>();
+    } },
 };
 
 } // namespace
