Pass over several known failures of one test program

Cause: a test of peer frames hung once in nng_close() (KNOWN-RED.txt), the second entry for its program. Change: the other tests are selected by name; listed tests have two minutes, programs half an hour, after which they have failed.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -32,20 +32,35 @@
   sed -n "s/^ *Test: $1 \([A-Za-z0-9_.]*\)$/\1/p" KNOWN-RED.txt 2>/dev/null
 }
 
+# Prints the options that select all tests of a program but the given ones:
+# CppUTest runs a test that any of several exclusions does not name.
+all_but() {
+  local program=$1 test
+  shift
+  for test in $("$program" -ln); do
+    [[ " $* " == *" $test "* ]] || printf -- '-sn %s ' "${test#*.}"
+  done
+}
+
 for program in "$build"/tests/*_tests; do
   name=$(basename "$program")
-  excluded=()
+  known=()
   for test in $(known_red "$name"); do
-    excluded+=(-xsn "${test#*.}")
+    known+=("$test")
     # Runs the test to print its result, which is not counted.
-    if env RC_PARAMS=seed=20261204 "$program" -t "$test"; then
+    if timeout 120 env RC_PARAMS=seed=20261204 "$program" -t "$test"; then
       echo "KNOWN RED, passed this time: $name $test"
     else
       echo "KNOWN RED, failed: $name $test"
     fi
   done
-  # A fixed seed makes property tests reproducible.
-  step "$name" env RC_PARAMS=seed=20261204 "$program" -v "${excluded[@]}"
+  selected=()
+  if [ ${#known[@]} -gt 0 ]; then
+    read -ra selected <<<"$(all_but "$program" "${known[@]}")"
+  fi
+  # A fixed seed makes property tests reproducible; a program that hangs fails.
+  step "$name" timeout 1800 env RC_PARAMS=seed=20261204 "$program" -v \
+    "${selected[@]}"
 done
 step "install tree" scripts/check_install.sh "$build"
 step "demo" scripts/demo.sh --no-install
