--- a/review/platform-3.py
+++ b/review/platform-3.py
@@ -713,6 +713,9 @@
     record.write("disruption:", "yes" if trouble else "no")
 
     async def run():
+        # The daemons are ended, too, if the script is told to end early.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         with tempfile.TemporaryDirectory() as temporary:
             fleet = fleet_type(record)
             started = []
@@ -747,7 +750,8 @@
 
     try:
         asyncio.run(run())
-    except (CannotRun, OSError, TimeoutError, KeyError) as error:
+    except (CannotRun, OSError, TimeoutError, KeyError,
+            asyncio.CancelledError) as error:
         record.write("the case could not run:", repr(error))
         print("could not run:", repr(error))
         return 2
