Log why a job failed, and how old a run was when its worker crashed

Cause: the lines of a job that is shown as failed tell neither failed attempts from crashes, nor a count of this owner from one of its record, nor whether the crashes came at random ages of the run. Change: job_ended has reason, task and the counts; run_crashed has the age from the start command to the first sign of the crash, the units on the worker, the workers that crashed within 2 s, and whether the run was counted already. No verdict changes.

--- a/src/state/scheduling/SchedulerCrashes.cpp
+++ b/src/state/scheduling/SchedulerCrashes.cpp
@@ -39,6 +39,17 @@
          aTask.mReportedAt - aTask.mRunningSince < kYoungRunTime;
 }
 
+/**
+ * @return When an incarnation that has crashed may have run last: until its
+ *   first missed reply, or until now if it has missed none.
+ */
+Millis
+SeenUntil(const WorkerState& aWorker, Millis aNow)
+{
+  const Millis silentSince = aWorker.mContact.mSilentSince;
+  return silentSince > aWorker.mIncarnationRepliedAt ? silentSince : aNow;
+}
+
 } // namespace
 
 /**
@@ -102,8 +113,7 @@
                                    Millis aNow)
 {
   const Task& task = mJobs.at(aKey.first).mTasks[aKey.second];
-  const std::optional<RunCrash> crash = task.mPendingCrash;
-  const std::uint64_t run = task.mRun;
+  const std::optional<CrashedRun> crash = task.mPendingCrash;
   HandleLostRun(
     aKey,
     aReason,
@@ -114,7 +124,7 @@
       { "epoch", std::to_string(mOptions.mEpoch) },
       { "sent_ms_ago", std::to_string((aNow - aSentAt).count()) } });
   if (crash) {
-    CountCrash({ aKey, run, *crash }, aWorker.mInfo.mId, "restarted", aNow);
+    CountCrash(*crash, aWorker.mInfo.mId, "restarted", aNow);
   }
 }
 
@@ -130,6 +140,7 @@
   if (aWorker.mInfo.mDraining) {
     return runs;
   }
+  const Millis seenUntil = SeenUntil(aWorker, aNow);
   // Each call that is in flight when a worker crashes may show the crash.
   mCrashTimes[aWorker.mInfo.mId] = aNow;
   std::erase_if(mCrashTimes, [aNow](const auto& aIt) {
@@ -151,7 +162,11 @@
     if (IsInProgress(task)) {
       units.insert({ key.first, job.CountedTask(key.second) });
       isAnyYoung = isAnyYoung || IsYoung(task);
-      runs.push_back({ key, task.mRun, {} });
+      std::optional<Millis> age;
+      if (task.mStartSentAt) {
+        age = std::max(seenUntil - *task.mStartSentAt, Millis(0));
+      }
+      runs.push_back({ key, task.mRun, {}, age });
     }
   }
   for (CrashedRun& run : runs) {
@@ -160,6 +175,7 @@
     // A run that has worked for long is no clear cause even if it was alone.
     run.mCrash.mIsAlone = units.size() == 1 && IsYoung(task);
     run.mCrash.mIsSuspect = !isCommonCause && (IsYoung(task) || !isAnyYoung);
+    run.mUnits = units.size();
   }
   return runs;
 }
@@ -197,8 +213,7 @@
   }
   for (const CrashedRun& run : AssessCrash(aWorker, aNow)) {
     if (isCrashed(run.mTask)) {
-      mJobs.at(run.mTask.first).mTasks[run.mTask.second].mPendingCrash =
-        run.mCrash;
+      mJobs.at(run.mTask.first).mTasks[run.mTask.second].mPendingCrash = run;
     }
   }
 }
@@ -255,23 +270,36 @@
     MarkChanged(*job, countedTask);
     if (aRun.mCrash.mIsSuspect) {
       mRecentSuspects.push_back(
-        { aNow, { { id, countedTask }, aRun.mRun, aRun.mCrash } });
+        { aNow, { { id, countedTask }, aRun.mRun, aRun.mCrash, {}, {} } });
     }
   }
-  RecordEvent(SchedulerEvent::Kind::kRunCrashed,
-              { { "task", job->IdOf(index).Text() },
-                { "run", std::to_string(aRun.mRun) },
-                { "worker", aWorker },
-                { "evidence", aEvidence },
-                { "started", aRun.mCrash.mIsStarted ? "yes" : "unknown" },
-                { "alone", aRun.mCrash.mIsAlone ? "yes" : "no" },
-                { "suspect", aRun.mCrash.mIsSuspect ? "yes" : "no" },
-                { "crashes", std::to_string(counted.mCrashes.Total()) },
-                { "as_suspect", std::to_string(counted.mCrashes.Suspect()) },
-                { "as_only_run", std::to_string(counted.mCrashes.Alone()) } });
+  RecordEvent(
+    SchedulerEvent::Kind::kRunCrashed,
+    { { "task", job->IdOf(index).Text() },
+      { "run", std::to_string(aRun.mRun) },
+      { "worker", aWorker },
+      { "evidence", aEvidence },
+      { "started", aRun.mCrash.mIsStarted ? "yes" : "unknown" },
+      { "alone", aRun.mCrash.mIsAlone ? "yes" : "no" },
+      { "suspect", aRun.mCrash.mIsSuspect ? "yes" : "no" },
+      { "counted", isNew ? "yes" : "no" },
+      { "age_ms", aRun.mAge ? std::to_string(aRun.mAge->count()) : "unknown" },
+      { "units", std::to_string(aRun.mUnits) },
+      { "recent_crashes", std::to_string(mCrashTimes.size()) },
+      { "crashes", std::to_string(counted.mCrashes.Total()) },
+      { "as_suspect", std::to_string(counted.mCrashes.Suspect()) },
+      { "as_only_run", std::to_string(counted.mCrashes.Alone()) } });
   // Tasks that last are restarted however they end; isolation contains them.
   if (counted.mCrashes.IsExhausted() && !job->StepOf(index).IsLongRunning()) {
-    TerminateJob(*job, JobPhase::kFailed, aNow);
+    ++mJobsCrashingWorkers;
+    TerminateJob(*job,
+                 JobPhase::kFailed,
+                 aNow,
+                 { { "reason", "crashes" },
+                   { "task", job->IdOf(index).Text() },
+                   { "run", std::to_string(aRun.mRun) },
+                   { "crashes", std::to_string(counted.mCrashes.Total()) },
+                   { "failures", std::to_string(counted.mFailures) } });
   }
 }
 
--- a/src/state/scheduling/SchedulerDiagnostics.cpp
+++ b/src/state/scheduling/SchedulerDiagnostics.cpp
@@ -49,6 +49,8 @@
            LossCauseName(cause) + "\"}"] =
       static_cast<std::uint64_t>(std::llround(mLostWork.at(i)));
   }
+  gauges["scheduler_jobs_failed{reason=\"attempts\"}"] = mJobsOutOfAttempts;
+  gauges["scheduler_jobs_failed{reason=\"crashes\"}"] = mJobsCrashingWorkers;
   for (std::size_t i = 0; i < mLostRunsByBasis.size(); ++i) {
     const auto basis = static_cast<LossBasis>(i);
     gauges[std::string("scheduler_runs_lost{basis=\"") + LossBasisName(basis) +
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -147,7 +147,11 @@
   void BeginRoundIfDue();
   bool HasUnwrittenJobs() const { return !mDirty.empty() || !mRound.empty(); }
   void UpdatePhase(JobState& aJob, Millis aNow);
-  void TerminateJob(JobState& aJob, JobPhase aPhase, Millis aNow);
+  /** @param aCause What ended the job, for the log. */
+  void TerminateJob(JobState& aJob,
+                    JobPhase aPhase,
+                    Millis aNow,
+                    const EventFields& aCause = {});
   void RemoveIfTerminated(const std::string& aJob);
   bool HasUnwrittenTerminations() const;
 
@@ -446,6 +450,9 @@
   std::vector<SchedulerEvent> mEvents;
   /** Core seconds of lost work, by LossCause. */
   std::array<double, kLossCauses> mLostWork{};
+  /** Jobs that this owner ended as failed after failed runs, or crashes. */
+  std::uint64_t mJobsOutOfAttempts = 0;
+  std::uint64_t mJobsCrashingWorkers = 0;
   /** Number of lost runs, by LossBasis. */
   std::array<std::uint64_t, kLossBases> mLostRunsByBasis{};
   bool mFenced = false;
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -128,12 +128,21 @@
 Scheduler::Impl::UpdateRestoredPhase(JobState& aJob, Millis aNow)
 {
   const int maxAttempts = aJob.mJob.Settings().mMaxAttempts;
-  const bool hasFailed = std::any_of(
+  const auto failed = std::find_if(
     aJob.mTasks.begin(), aJob.mTasks.end(), [maxAttempts](const Task& aTask) {
       return aTask.mFailures > 0 && aTask.mFailures >= maxAttempts;
     });
-  if (hasFailed && !IsFinal(aJob.mPhase)) {
-    TerminateJob(aJob, JobPhase::kFailed, aNow);
+  if (failed != aJob.mTasks.end() && !IsFinal(aJob.mPhase)) {
+    const auto index = static_cast<std::size_t>(failed - aJob.mTasks.begin());
+    ++mJobsOutOfAttempts;
+    TerminateJob(aJob,
+                 JobPhase::kFailed,
+                 aNow,
+                 { { "reason", "attempts" },
+                   { "task", aJob.IdOf(index).Text() },
+                   { "failures", std::to_string(failed->mFailures) },
+                   { "attempts", std::to_string(maxAttempts) },
+                   { "source", "record" } });
   }
   UpdatePhase(aJob, aNow);
 }
@@ -205,17 +214,21 @@
 }
 
 void
-Scheduler::Impl::TerminateJob(JobState& aJob, JobPhase aPhase, Millis aNow)
+Scheduler::Impl::TerminateJob(JobState& aJob,
+                              JobPhase aPhase,
+                              Millis aNow,
+                              const EventFields& aCause)
 {
   aJob.mPhase = aPhase;
   aJob.mSetAsideUntil = Millis(0);
   MarkAllChanged(aJob);
-  RecordEvent(
-    SchedulerEvent::Kind::kJobEnded,
-    { { "job", aJob.mJob.Id() },
-      { "queue", aJob.mJob.Settings().mQueue },
-      { "state", JobPhaseName(aPhase) },
-      { "age_ms", std::to_string((aNow - aJob.mSubmittedAt).count()) } });
+  EventFields fields{ { "job", aJob.mJob.Id() },
+                      { "queue", aJob.mJob.Settings().mQueue },
+                      { "state", JobPhaseName(aPhase) },
+                      { "age_ms",
+                        std::to_string((aNow - aJob.mSubmittedAt).count()) } };
+  fields.insert(fields.end(), aCause.begin(), aCause.end());
+  RecordEvent(SchedulerEvent::Kind::kJobEnded, std::move(fields));
   StopAll(aJob, aNow);
 }
 
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -79,6 +79,26 @@
 const char*
 LossCauseName(LossCause aCause);
 
+/** Job and number of a task within the job. */
+using TaskKey = std::pair<std::string, std::size_t>;
+
+/** A crash of a worker under a run. */
+struct CrashedRun
+{
+  TaskKey mTask;
+  std::uint64_t mRun = 0;
+  RunCrash mCrash;
+  /**
+   * Time from the start command to the first sign of the crash; nothing if an
+   * earlier owner may have started the run.
+   */
+  std::optional<Millis> mAge;
+  /** Jobs or gangs with a run on the worker, this one included. */
+  std::size_t mUnits = 0;
+
+  auto operator<=>(const CrashedRun&) const = default;
+};
+
 /** State of a task and of its current run. */
 struct Task
 {
@@ -94,7 +114,7 @@
    * The worker has restarted, and its new incarnation has not shown yet whether
    * it has the run.
    */
-  std::optional<RunCrash> mPendingCrash;
+  std::optional<CrashedRun> mPendingCrash;
   /**
    * The record leaves the checkpoint out, since with it the record of this task
    * alone is too large for a row. This owner still resumes the task from it.
@@ -102,6 +122,11 @@
   bool mIsCheckpointUnstored = false;
   /** Number of the write that contains the planned run; 0 before that write. */
   std::uint64_t mPlanWrite = 0;
+  /**
+   * When this owner sent the first start command of the run; nothing if an
+   * earlier owner may have started it.
+   */
+  std::optional<Millis> mStartSentAt;
   /**
    * An earlier owner may have started the run, and no renewal reply has listed
    * it yet.
@@ -164,22 +189,9 @@
   }
 };
 
-/** Job and number of a task within the job. */
-using TaskKey = std::pair<std::string, std::size_t>;
-
 /** Job and number of an occurrence; 0 for an unscheduled job. */
 using OccurrenceKey = std::pair<std::string, std::size_t>;
 
-/** A crash of a worker under a run. */
-struct CrashedRun
-{
-  TaskKey mTask;
-  std::uint64_t mRun = 0;
-  RunCrash mCrash;
-
-  auto operator<=>(const CrashedRun&) const = default;
-};
-
 /**
  * Runs that were presumed lost when the lease of a silent worker expired. They
  * have crashed if a later incarnation of the worker appears.
@@ -372,6 +384,8 @@
   /** Clock in the last renewal reply, and when that renewal was sent. */
   Millis mReplyClock{ 0 };
   Millis mReplySentAt{ 0 };
+  /** Local time of the last renewal reply of the present incarnation. */
+  Millis mIncarnationRepliedAt{ 0 };
   /** See Scheduler::Impl::CanOnlyBeDeregistered(). */
   bool mIsDeregistered = false;
   /**
@@ -467,6 +481,7 @@
     mConfirmedUpTo = 0;
     mClock = Millis(0);
     mReplyClock = Millis(0);
+    mIncarnationRepliedAt = Millis(0);
     mFailedRenewals = 0;
     mSpeed = WorkerSpeed();
   }
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -313,9 +313,19 @@
     ++aJob.mTasks[countedTask].mFailures;
     MarkChanged(aJob, countedTask);
   }
-  if (!IsFinal(aJob.mPhase) &&
-      aJob.mTasks[countedTask].mFailures >= aJob.mJob.Settings().mMaxAttempts) {
-    TerminateJob(aJob, JobPhase::kFailed, aNow);
+  const int failures = aJob.mTasks[countedTask].mFailures;
+  const int maxAttempts = aJob.mJob.Settings().mMaxAttempts;
+  if (!IsFinal(aJob.mPhase) && failures >= maxAttempts) {
+    ++mJobsOutOfAttempts;
+    TerminateJob(aJob,
+                 JobPhase::kFailed,
+                 aNow,
+                 { { "reason", "attempts" },
+                   { "task", aJob.IdOf(aTask).Text() },
+                   { "run", std::to_string(aRun) },
+                   { "failures", std::to_string(failures) },
+                   { "attempts", std::to_string(maxAttempts) },
+                   { "source", "run" } });
   }
 }
 
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -344,7 +344,7 @@
   RecordWorkerGone(aWorker, reason, aSource, aNow);
   for (const CrashedRun& run : AssessCrash(aWorker, aNow)) {
     Task& task = mJobs.at(run.mTask.first).mTasks[run.mTask.second];
-    task.mPendingCrash = run.mCrash;
+    task.mPendingCrash = run;
     if (MayEarlierOwnerStart(task, aNow)) {
       task.mPhase = TaskPhase::kStarting;
       task.mRecovered = true;
@@ -554,6 +554,7 @@
   worker.mInfo.mIncarnation = aReply.mIncarnation;
   UpdateClock(worker, aReply.mClock, aNow);
   worker.mReplyClock = aReply.mClock;
+  worker.mIncarnationRepliedAt = aNow;
   worker.mReplySentAt = aSentAt;
   std::set<TaskKey> listed;
   for (const RunningRun& run : aReply.mRunning) {
@@ -658,6 +659,9 @@
   const bool mayStart =
     !aWorker.mIsLeaseWithheld && !aWorker.mIsEvacuated && aNow < aStartsUntil;
   if (isStartDue && mayStart) {
+    if (task.mPhase == TaskPhase::kPlanned) {
+      task.mStartSentAt = aNow;
+    }
     task.mPhase = TaskPhase::kStarting;
     task.mStartRetryDue = false;
     task.mOutcomeUnknown = false;
