Add tests of healthy jobs that fail after crashes of their workers

Cause: no test has workers that crash for other causes often enough. A crashed worker of the model is silent until it restarts, and ends the other members of its gangs, as on the platform; before, its next reply showed the restart at once.

--- a/tests/state/scheduling/CrashTest.cpp
+++ b/tests/state/scheduling/CrashTest.cpp
@@ -1,4 +1,4 @@
-#include "FleetModel.h"
+#include "CrashTrial.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -39,6 +39,28 @@
   }
 }
 
+CrashTrialResult
+PlaySeeds(CrashTrialOptions aOptions, std::uint64_t aSeeds)
+{
+  CrashTrialResult sum;
+  for (std::uint64_t seed = 1; seed <= aSeeds; ++seed) {
+    aOptions.mSeed = seed;
+    sum = sum.Plus(PlayCrashTrial(aOptions));
+  }
+  return sum;
+}
+
+void
+CheckAllHealthyJobsEnd(const CrashTrialOptions& aOptions, std::uint64_t aSeeds)
+{
+  const CrashTrialResult result = PlaySeeds(aOptions, aSeeds);
+  CHECK_EQUAL(0, result.mHealthyFailed);
+  CHECK_EQUAL(0, result.mHealthyUnfinished);
+  for (const std::string& violation : result.mViolations) {
+    FAIL(violation.c_str());
+  }
+}
+
 } // namespace
 
 TEST_GROUP(SchedulerCrashes){};
@@ -370,6 +392,73 @@
   }
 }
 
+// Guards against failing a healthy gang because workers crashed under different
+// members of it.
+TEST(SchedulerCrashes, CrashesUnderDifferentMembersOfAGangFailNoJob)
+{
+  constexpr std::size_t kWorkers = 16;
+  constexpr std::size_t kMembers = 8;
+  constexpr std::size_t kCrashes = 5;
+  FleetModel model({ kWorkers, 8 });
+  model.Submit(MakeJob("a", Step(kMembers, 8, true), 1), milliseconds(6'000));
+  for (std::size_t i = 0; i < kCrashes; ++i) {
+    std::vector<std::size_t> hosts;
+    for (int n = 0; n < 200 && hosts.size() < kMembers; ++n) {
+      model.Run(milliseconds(100));
+      hosts.clear();
+      for (std::size_t worker = 0; worker < kWorkers; ++worker) {
+        if (model.RunningOn(worker) > 0) {
+          hosts.push_back(worker);
+        }
+      }
+    }
+    CheckPhase(model, "a", JobPhase::kRunning);
+    model.Run(milliseconds(1'200));
+    model.CrashWorkerFor(hosts.at(i + 1), milliseconds(4'500));
+  }
+  model.Run(milliseconds(40'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
+// Guards against failing healthy gangs where workers crash often.
+TEST(SchedulerCrashes, FrequentCrashesOfWorkersFailNoHealthyGang)
+{
+  CrashTrialOptions options;
+  options.mTasks = 5;
+  options.mIsGang = true;
+  options.mAccelerators = 4;
+  options.mSubmitInterval = milliseconds(900);
+  CheckAllHealthyJobsEnd(options, 6);
+}
+
+// Guards against failing healthy single tasks where workers crash often.
+TEST(SchedulerCrashes, FrequentCrashesOfWorkersFailNoHealthyTask)
+{
+  CrashTrialOptions options;
+  options.mDownShare = 0.14;
+  options.mWaveInterval = milliseconds(2'000);
+  options.mSubmitInterval = milliseconds(300);
+  CheckAllHealthyJobsEnd(options, 6);
+}
+
+// Guards against tasks that crash their workers and hide among other crashes.
+TEST(SchedulerCrashes, FrequentCrashesOfWorkersHideNoTaskThatCausesThem)
+{
+  CrashTrialOptions options;
+  options.mDeadlyShare = 0.3;
+  options.mSubmitInterval = milliseconds(700);
+  for (const bool isGang : { false, true }) {
+    options.mIsGang = isGang;
+    options.mTasks = isGang ? 5 : 1;
+    options.mAccelerators = isGang ? 4 : 8;
+    const CrashTrialResult result = PlaySeeds(options, 4);
+    CHECK_EQUAL(0, result.mExcessStarts);
+    CHECK_EQUAL(result.mDeadlyJobs, result.mDeadlyFailed);
+    CHECK_EQUAL(0, result.mHealthyFailed);
+  }
+}
+
 // Guards against failing jobs because all workers restart at the same time.
 TEST(SchedulerCrashes, SimultaneousRestartsFailNoJob)
 {
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -335,9 +335,25 @@
     return;
   }
   ++mCrashes[aTask];
+  CrashWorkerFor(aWorker, mOptions.mCrashTime);
+}
+
+void
+FleetModel::CrashWorkerFor(std::size_t aWorker, milliseconds aDownTime)
+{
+  ModelWorker& worker = mWorkers[aWorker];
+  if (worker.mIsDown) {
+    return;
+  }
+  const std::vector<ModelRun> runs = worker.mRuns;
   RestartUnannounced(aWorker);
+  worker.mIsDown = true;
   SetConnectable(aWorker, false);
-  ScheduleEvent(mOptions.mCrashTime, [this, aWorker] {
+  for (const ModelRun& run : runs) {
+    TerminateMembers(run, TerminationReason::kGangBroken);
+  }
+  ScheduleEvent(aDownTime, [this, aWorker] {
+    mWorkers[aWorker].mIsDown = false;
     SetConnectable(aWorker, true);
     PublishWorker(aWorker);
   });
@@ -599,6 +615,10 @@
   ScheduleEvent(
     kNetworkDelay, [this, aCommand, capacity, deliver, isReplyLost] {
       const ModelWorker& worker = *FindWorker(aCommand.mWorker.mId);
+      if (worker.mIsDown) {
+        ScheduleEvent(kNetworkDelay, [deliver] { deliver(CommandReply{}); });
+        return;
+      }
       const std::uint64_t incarnation = worker.mInfo.mIncarnation;
       const CommandReply reply = HandleStart(aCommand, capacity);
       if (isReplyLost || worker.mInfo.mIncarnation != incarnation) {
@@ -657,13 +677,18 @@
   }
   // The worker replies at the end of the wait. Terminations are therefore
   // reported slightly late, which the protocol allows.
-  ScheduleEvent(kNetworkDelay, [this, aCommand] { HandleRenewal(aCommand); });
-  ScheduleEvent(std::min(aCommand.mMaxWait, milliseconds(100)) + kNetworkDelay,
-                [this, aCommand, deliver] {
-                  const RenewReply report = HandleRenewal(aCommand);
-                  ScheduleEvent(kNetworkDelay,
-                                [deliver, report] { deliver(report); });
-                });
+  ScheduleEvent(kNetworkDelay, [this, aCommand] {
+    if (!FindWorker(aCommand.mWorker.mId)->mIsDown) {
+      HandleRenewal(aCommand);
+    }
+  });
+  ScheduleEvent(
+    std::min(aCommand.mMaxWait, milliseconds(100)) + kNetworkDelay,
+    [this, aCommand, deliver] {
+      const bool isDown = FindWorker(aCommand.mWorker.mId)->mIsDown;
+      const RenewReply report = isDown ? RenewReply{} : HandleRenewal(aCommand);
+      ScheduleEvent(kNetworkDelay, [deliver, report] { deliver(report); });
+    });
 }
 
 void
@@ -992,14 +1017,19 @@
   if (aReason == TerminationReason::kDone) {
     mCompletedTasks.emplace(aRun.mTask, mNow);
   }
-  const StepSpec& step = mJobs.at(aRun.mTask.Job()).Steps()[aRun.mTask.Step()];
-  if (!step.IsGang()) {
+  // The termination of one member terminates all members.
+  TerminateMembers(aRun,
+                   aReason == TerminationReason::kDone
+                     ? TerminationReason::kDone
+                     : TerminationReason::kGangBroken);
+}
+
+void
+FleetModel::TerminateMembers(const ModelRun& aRun, TerminationReason aReason)
+{
+  if (!StepOf(aRun).IsGang()) {
     return;
   }
-  // The termination of one member terminates all members.
-  const TerminationReason othersReason = aReason == TerminationReason::kDone
-                                           ? TerminationReason::kDone
-                                           : TerminationReason::kGangBroken;
   for (ModelWorker& worker : mWorkers) {
     for (std::size_t i = 0; i < worker.mRuns.size(); ++i) {
       const ModelRun run = worker.mRuns[i];
@@ -1007,7 +1037,7 @@
           run.mTask.Step() == aRun.mTask.Step() && run.mRun == aRun.mRun) {
         worker.mRuns.erase(worker.mRuns.begin() +
                            static_cast<std::ptrdiff_t>(i));
-        TerminateRun(worker, run, othersReason);
+        TerminateRun(worker, run, aReason);
         return;
       }
     }
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -101,6 +101,13 @@
   /** Makes connections to a worker fail, or succeed again. */
   void SetConnectable(std::size_t aWorker, bool aConnectable);
   void CrashWorker(std::size_t aWorker);
+  /**
+   * Crashes a worker, which restarts with a new incarnation after a time. Its
+   * connections end, and the other members of its gangs terminate.
+   */
+  void CrashWorkerFor(std::size_t aWorker, milliseconds aDownTime);
+  /** @return Whether a worker has crashed and not restarted yet. */
+  bool IsDown(std::size_t aWorker) const { return mWorkers[aWorker].mIsDown; }
   /** Restarts a worker without updating the list of workers. */
   void RestartUnannounced(std::size_t aWorker);
   /** Updates the list of workers with the current state of a worker. */
@@ -226,6 +233,8 @@
     scheduling::WorkerInfo mInfo;
     bool mReachable = true;
     bool mConnectable = true;
+    /** Crashed by CrashWorkerFor() and not restarted yet. */
+    bool mIsDown = false;
     bool mFailing = false;
     bool mStalled = false;
     bool mRejecting = false;
@@ -271,6 +280,9 @@
   void TerminateRun(ModelWorker& aWorker,
                     const ModelRun& aRun,
                     scheduling::TerminationReason aReason);
+  /** Terminates the other members of the gang of a run that has ended. */
+  void TerminateMembers(const ModelRun& aRun,
+                        scheduling::TerminationReason aReason);
   void DiscardTerminations(ModelWorker& aWorker, std::uint64_t aUpTo);
   const scheduling::StepSpec& StepOf(const ModelRun& aRun) const;
   milliseconds CompletedWork(const ModelRun& aRun) const;
