Judge crashes by how many were to be expected, not by their number

Cause: three crashes, one of them alone, or four of any cause ended a job. Workers also crash without a cause in their runs, so that healthy tasks reach any number; a gang is hit on all its workers and was counted as one task. Change: for each crash under a run the owner estimates how many crashes of other causes were to be expected on that worker in the time of the run: from the rate of the fleet (of crashes that no start preceded), from crashes of the same moment, and from younger runs on the worker. A job fails only if so many crashes would hit a healthy task with a probability below 1e-6, for the gang or for one member of it. The record has the expectations and the earliest start of the run. Crashes of a common cause need no rule of their own any more; no count ends a job.

--- a/include/cornelrudder/state/scheduling/CrashCount.h
+++ b/include/cornelrudder/state/scheduling/CrashCount.h
@@ -1,7 +1,10 @@
 #ifndef CORNELRUDDER_STATE_SCHEDULING_CRASH_COUNT_H
 #define CORNELRUDDER_STATE_SCHEDULING_CRASH_COUNT_H
 
+#include "cornelrudder/state/scheduling/CrashEvidence.h"
+
 #include <compare>
+#include <cstddef>
 
 namespace cornelrudder::state::scheduling {
 
@@ -10,7 +13,7 @@
 {
   /** The worker had acknowledged or reported the run. */
   bool mIsStarted = false;
-  /** The run was young, and the worker had no runs of other tasks or gangs. */
+  /** No run of another task or gang on the worker may be the cause. */
   bool mIsAlone = false;
   /** The run may be the cause: it was young, or no run on the worker was. */
   bool mIsSuspect = false;
@@ -26,74 +29,59 @@
 class CrashCount
 {
 public:
-  /** Limit of each count in a record. */
-  static constexpr int kMaxCount = 1'000'000;
-
   CrashCount() = default;
 
-  CrashCount(int aTotal, int aSuspect, int aAlone)
+  CrashCount(int aTotal, int aAlone, CrashEvidence aSuspect)
     : mTotal(aTotal)
-    , mSuspect(aSuspect)
     , mAlone(aAlone)
+    , mSuspect(std::move(aSuspect))
   {
   }
 
   /** @return Number of crashes under a run, whatever their cause. */
   int Total() const { return mTotal; }
-  /** @return Number of crashes of which the run may be the cause. */
-  int Suspect() const { return mSuspect; }
-  /** @return Number of these with no other run on the worker. */
+  /** @return The crashes of which the run may be the cause. */
+  const CrashEvidence& Suspect() const { return mSuspect; }
+  /** @return Number of these of which no other run may be the cause. */
   int Alone() const { return mAlone; }
 
-  CrashCount With(const RunCrash& aCrash) const
-  {
-    const bool isAlone =
-      aCrash.mIsStarted && aCrash.mIsAlone && aCrash.mIsSuspect;
-    return { mTotal + 1,
-             mSuspect + (aCrash.mIsSuspect ? 1 : 0),
-             mAlone + (isAlone ? 1 : 0) };
-  }
+  /**
+   * @param aExpected Expected crashes of other causes during the run, on all
+   *   workers of a gang, in millionths.
+   */
+  CrashCount With(const RunCrash& aCrash, std::int64_t aExpected) const;
 
-  /** @return The count if a crash that was counted has another cause. */
-  CrashCount WithOtherCause(const RunCrash& aCrash) const
-  {
-    const CrashCount other = CrashCount().With(aCrash);
-    return { mTotal, mSuspect - other.mSuspect, mAlone - other.mAlone };
-  }
+  /** @return The count with a corrected expectation of one crash. */
+  CrashCount WithReplaced(std::int64_t aExpected,
+                          std::int64_t aCorrected) const;
 
   /** @return Whether the task should run on an empty worker if there is one. */
-  bool IsSuspected() const { return mSuspect > 0; }
+  bool IsSuspected() const;
 
   /** @return Whether the task may run on a worker of its own only. */
-  bool NeedsIsolation() const
-  {
-    return mSuspect >= kIsolatedCrashes || mTotal > kIsolatedCrashes;
-  }
+  bool NeedsIsolation() const;
 
   /**
-   * @return Whether the task must not start again. Two crashes are no reason,
-   *   even if the task was the only one on its worker: the platform counts only
-   *   failed runs as attempts, and workers crash without a cause in their runs.
+   * @param aMembers Members of the gang; 1 for a task.
+   * @param aOfMember Crashes of the worker of one member like those of
+   *   Suspect(), with the expectations for this worker.
+   * @return Probability that other causes alone led to these crashes.
    */
-  bool IsExhausted() const
-  {
-    return (mAlone > 0 && mSuspect > kIsolatedCrashes) || mTotal >= kMaxCrashes;
-  }
-
-  auto operator<=>(const CrashCount&) const = default;
+  double Chance(std::size_t aMembers, const CrashEvidence& aOfMember) const;
 
-private:
-  /** One crash is no evidence; a second one is worth a worker of its own. */
-  static constexpr int kIsolatedCrashes = 2;
   /**
-   * The platform allows two starts after three crashes. One of them is left for
-   * a crash that no owner has detected.
+   * For the parameters see Chance().
+   * @return Whether the task, or the member of the gang, crashes its workers,
+   *   so that it must not start again.
    */
-  static constexpr int kMaxCrashes = 4;
+  bool IsCause(std::size_t aMembers, const CrashEvidence& aOfMember) const;
+
+  auto operator<=>(const CrashCount&) const = default;
 
+private:
   int mTotal = 0;
-  int mSuspect = 0;
   int mAlone = 0;
+  CrashEvidence mSuspect;
 };
 
 } // namespace cornelrudder::state::scheduling
--- a/include/cornelrudder/state/scheduling/JobProgress.h
+++ b/include/cornelrudder/state/scheduling/JobProgress.h
@@ -3,6 +3,7 @@
 
 #include "cornelrudder/state/scheduling/CrashCount.h"
 
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -64,6 +65,13 @@
   std::uint64_t mIncarnation = 0;
   /** Crashes of workers under runs; a gang counts them on its first task. */
   CrashCount mCrashes = {};
+  /** Crashes of the worker of this task, or of this member of a gang. */
+  CrashEvidence mMemberCrashes = {};
+  /**
+   * Time from the submission of the job before which the run has not started; 0
+   * if there is no run, or if it is unknown.
+   */
+  std::chrono::milliseconds mStartAfter{ 0 };
 
   auto operator<=>(const TaskRecord&) const = default;
 };
--- a/src/protocol/JsonSchedulingCodec.cpp
+++ b/src/protocol/JsonSchedulingCodec.cpp
@@ -14,6 +14,7 @@
 using coordination::CoordinationError;
 using nlohmann::json;
 using state::scheduling::CrashCount;
+using state::scheduling::CrashEvidence;
 using state::scheduling::JobPhase;
 using state::scheduling::JobProgress;
 using state::scheduling::OwnerLease;
@@ -148,8 +149,10 @@
 
 /**
  * @return [state, run, worker, failures, checkpoint], followed by [incarnation,
- *   total, suspect and alone crashes] if any of them is set; 0 for a default
- *   record.
+ *   total, suspect and alone crashes, earliest start] if any of them is set. If
+ *   there was a crash, these are followed by the expectations of the suspect
+ *   crashes, and the number and expectations of those of the member. 0 for a
+ *   default record.
  */
 json
 RecordToJson(const TaskRecord& aRecord)
@@ -164,15 +167,36 @@
       aRecord.mFailures,
       aRecord.mCheckpoint });
   const CrashCount& crashes = aRecord.mCrashes;
-  if (aRecord.mIncarnation != 0 || crashes != CrashCount()) {
-    record.push_back(json::array({ aRecord.mIncarnation,
-                                   crashes.Total(),
-                                   crashes.Suspect(),
-                                   crashes.Alone() }));
+  const bool hasCrashes =
+    crashes != CrashCount() || aRecord.mMemberCrashes != CrashEvidence();
+  if (aRecord.mIncarnation != 0 || aRecord.mStartAfter.count() != 0 ||
+      hasCrashes) {
+    json run = json::array({ aRecord.mIncarnation,
+                             crashes.Total(),
+                             crashes.Suspect().Crashes(),
+                             crashes.Alone(),
+                             aRecord.mStartAfter.count() });
+    if (hasCrashes) {
+      run.push_back(crashes.Suspect().Expected());
+      run.push_back(aRecord.mMemberCrashes.Crashes());
+      run.push_back(aRecord.mMemberCrashes.Expected());
+    }
+    record.push_back(std::move(run));
   }
   return record;
 }
 
+std::vector<std::int64_t>
+ExpectedFromJson(const JsonReader& aExpected)
+{
+  constexpr NumberRange kRange{ 0, CrashEvidence::kMaxExpected };
+  std::vector<std::int64_t> expected;
+  for (int i = 0; aExpected.Has(i); ++i) {
+    expected.push_back(aExpected.Integer(i, kRange));
+  }
+  return expected;
+}
+
 TaskRecord
 RecordFromJson(const JsonReader& aRecord)
 {
@@ -192,10 +216,23 @@
     const JsonReader crashes = aRecord.At(5);
     record.mIncarnation = crashes.Counter(0);
     const auto count = [&crashes](int aPosition) {
-      constexpr NumberRange kRange{ 0, CrashCount::kMaxCount };
+      constexpr NumberRange kRange{ 0, CrashEvidence::kMaxCrashes };
       return static_cast<int>(crashes.Integer(aPosition, kRange));
     };
-    record.mCrashes = CrashCount(count(1), count(2), count(3));
+    // Records of earlier versions end after the counts.
+    if (crashes.Has(4)) {
+      record.mStartAfter = milliseconds(crashes.Integer(4, kMillisecondsRange));
+    }
+    const auto evidence = [&](int aCrashes, int aExpected) {
+      return CrashEvidence(count(aCrashes),
+                           crashes.Has(aExpected)
+                             ? ExpectedFromJson(crashes.At(aExpected))
+                             : std::vector<std::int64_t>());
+    };
+    record.mCrashes = CrashCount(count(1), count(3), evidence(2, 5));
+    if (crashes.Has(6)) {
+      record.mMemberCrashes = evidence(6, 7);
+    }
   }
   return record;
 }
--- /dev/null
+++ b/src/state/scheduling/CrashRate.h
@@ -0,0 +1,91 @@
+#ifndef CORNELRUDDER_SRC_STATE_SCHEDULING_CRASH_RATE_H
+#define CORNELRUDDER_SRC_STATE_SCHEDULING_CRASH_RATE_H
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace cornelrudder::state::scheduling {
+
+/** The crash of a worker that no run had just started on. */
+struct BackgroundCrash
+{
+  std::chrono::milliseconds mAt{ 0 };
+  std::string mAddress;
+
+  auto operator<=>(const BackgroundCrash&) const = default;
+};
+
+/** The time of a run on a worker, up to the crash of the worker. */
+struct CrashSpan
+{
+  std::chrono::milliseconds mStart{ 0 };
+  std::chrono::milliseconds mEnd{ 0 };
+  /** Address of the worker. */
+  std::string mAddress;
+
+  std::chrono::milliseconds Length() const { return mEnd - mStart; }
+
+  auto operator<=>(const CrashSpan&) const = default;
+};
+
+/**
+ * How often workers crash without a cause in their runs. Crashes soon after a
+ * start may be caused by the run, so neither they nor the time after starts are
+ * counted: tasks that crash their workers do not raise the rate.
+ */
+class CrashRate
+{
+public:
+  using Millis = std::chrono::milliseconds;
+
+  /** Time after a start in which a crash may be caused by the run. */
+  static constexpr Millis kStartTime{ 1'000 };
+  /**
+   * Crashes of the same moment are noticed up to this long apart: when a
+   * connection ends, or when a call times out.
+   */
+  static constexpr Millis kNoticeTime{ 50 };
+
+  /**
+   * Adds the time since the last call.
+   * @param aWorkers Responsive workers with runs, none of them just started.
+   */
+  void Observe(std::size_t aWorkers, Millis aNow);
+
+  /** @return Whether Observe() is to be called; once a second is enough. */
+  bool IsDue(Millis aNow) const;
+
+  void AddCrash(const BackgroundCrash& aCrash);
+
+  /**
+   * @param aPending Workers that became silent and may have crashed.
+   * @return Expected number of crashes of a worker from other causes than a run
+   *   during the run. The crash at the end of the span itself is not counted.
+   */
+  double ExpectedIn(const CrashSpan& aSpan,
+                    const std::vector<BackgroundCrash>& aPending) const;
+
+  /** @return Whether the time of a span is still known. */
+  bool Covers(const CrashSpan& aSpan, Millis aNow) const;
+
+private:
+  /** Time between two calls of Observe(). */
+  struct Sample
+  {
+    Millis mAt;
+    double mSeconds;
+    double mWorkerSeconds;
+  };
+
+  std::deque<Sample> mSamples;
+  std::deque<BackgroundCrash> mCrashes;
+  Millis mObservedAt{ 0 };
+};
+
+} // namespace cornelrudder::state::scheduling
+
+#endif // CORNELRUDDER_SRC_STATE_SCHEDULING_CRASH_RATE_H
--- a/src/state/scheduling/SchedulerCrashes.cpp
+++ b/src/state/scheduling/SchedulerCrashes.cpp
@@ -1,6 +1,8 @@
 #include "SchedulerImpl.h"
 
 #include <algorithm>
+#include <cmath>
+#include <cstdio>
 
 namespace cornelrudder::state::scheduling {
 
@@ -13,12 +15,8 @@
 constexpr Millis kYoungRunTime{ 3'000 };
 /** Reported run time after which no earlier crash was caused by the task. */
 constexpr Millis kProvenRunTime{ 30'000 };
-/**
- * Number of workers that crash within a time from which a common cause, for
- * example a power loss, is more likely than their runs.
- */
-constexpr std::size_t kCommonCauseCrashes = 4;
-constexpr Millis kCommonCauseTime{ 2'000 };
+/** Unit of expected crashes in records. */
+constexpr double kMillionths = 1e6;
 /** Limit of the isolated units that run at the same time. */
 constexpr std::size_t kMinIsolatedUnits = 2;
 constexpr std::size_t kWorkersPerIsolatedUnit = 5;
@@ -39,6 +37,34 @@
          aTask.mReportedAt - aTask.mRunningSince < kYoungRunTime;
 }
 
+/**
+ * @return Probability that another run on the worker has crashed it. Tasks that
+ *   crash their workers do so soon after each start, so it is the youngest run.
+ */
+double
+ChanceOfOtherRun(Millis aAge, Millis aOtherAge)
+{
+  constexpr int kMuchYounger = 4;
+  /** Share of such tasks among all, and if one run is much younger. */
+  constexpr double kShare = 0.001;
+  constexpr double kYoungerChance = 0.5;
+  const Millis age = std::max(aAge, CrashRate::kNoticeTime);
+  const Millis otherAge = std::max(aOtherAge, CrashRate::kNoticeTime);
+  if (otherAge * kMuchYounger < age) {
+    return kYoungerChance;
+  }
+  return age * kMuchYounger < otherAge ? 0.0 : kShare;
+}
+
+/** @return A number for the log, with two significant digits. */
+std::string
+ToText(double aNumber)
+{
+  std::array<char, 32> buf{};
+  std::snprintf(buf.data(), buf.size(), "%.2g", aNumber);
+  return buf.data();
+}
+
 /**
  * @return When an incarnation that has crashed may have run last: until its
  *   first missed reply, or until now if it has missed none.
@@ -67,6 +93,9 @@
     return false;
   }
   const std::vector<CrashedRun> runs = AssessCrash(aWorker, aNow);
+  if (const auto crash = BackgroundCrashOf(aWorker, aNow)) {
+    mCrashRate.AddCrash(*crash);
+  }
   EndRunsIfProven(aWorker, WorkerEvidence::kOtherWorkerAtAddress, aNow);
   for (const CrashedRun& run : runs) {
     CountCrash(run,
@@ -87,6 +116,8 @@
 Scheduler::Impl::HandleExpiredWorker(WorkerState& aWorker, Millis aNow)
 {
   std::vector<CrashedRun> runs = AssessCrash(aWorker, aNow);
+  const std::optional<BackgroundCrash> background =
+    BackgroundCrashOf(aWorker, aNow);
   const bool isUnknown = aWorker.mInfo.mAddress.empty();
   EndRunsIfProven(aWorker, WorkerEvidence::kLeaseExpired, aNow);
   if (isUnknown) {
@@ -95,9 +126,9 @@
       CountCrash(run, aWorker.mInfo.mId, "unlisted", aNow);
     }
   } else if (!runs.empty()) {
-    mPresumedCrashes[aWorker.mInfo.mAddress] = { aWorker.mInfo.mId,
-                                                 aWorker.mInfo.mIncarnation,
-                                                 std::move(runs) };
+    mPresumedCrashes[aWorker.mInfo.mAddress] = {
+      aWorker.mInfo.mId, aWorker.mInfo.mIncarnation, std::move(runs), background
+    };
   }
 }
 
@@ -141,58 +172,147 @@
     return runs;
   }
   const Millis seenUntil = SeenUntil(aWorker, aNow);
-  // Each call that is in flight when a worker crashes may show the crash.
-  mCrashTimes[aWorker.mInfo.mId] = aNow;
-  std::erase_if(mCrashTimes, [aNow](const auto& aIt) {
-    return aNow - aIt.second > kCommonCauseTime;
-  });
-  while (!mRecentSuspects.empty() &&
-         aNow - mRecentSuspects.front().first > kCommonCauseTime) {
-    mRecentSuspects.pop_front();
-  }
-  const bool isCommonCause = mCrashTimes.size() >= kCommonCauseCrashes;
-  if (isCommonCause) {
-    ClearRecentSuspects();
-  }
-  std::set<TaskKey> units;
+  std::map<TaskKey, Millis> ages;
   bool isAnyYoung = false;
   for (const TaskKey& key : aWorker.mAssigned) {
     const JobState& job = mJobs.at(key.first);
     const Task& task = job.mTasks[key.second];
     if (IsInProgress(task)) {
-      units.insert({ key.first, job.CountedTask(key.second) });
+      const Millis start = std::min(task.mEarliestStart, seenUntil);
+      const TaskKey unit{ key.first, job.CountedTask(key.second) };
+      const auto it = ages.try_emplace(unit, seenUntil - start).first;
+      it->second = std::min(it->second, seenUntil - start);
       isAnyYoung = isAnyYoung || IsYoung(task);
-      std::optional<Millis> age;
-      if (task.mStartSentAt) {
-        age = std::max(seenUntil - *task.mStartSentAt, Millis(0));
-      }
-      runs.push_back({ key, task.mRun, {}, age });
+      runs.push_back(
+        { key, task.mRun, {}, { start, seenUntil, aWorker.mInfo.mAddress } });
     }
   }
   for (CrashedRun& run : runs) {
-    const Task& task = mJobs.at(run.mTask.first).mTasks[run.mTask.second];
+    const JobState& job = mJobs.at(run.mTask.first);
+    const Task& task = job.mTasks[run.mTask.second];
+    const TaskKey unit{ run.mTask.first, job.CountedTask(run.mTask.second) };
+    for (const auto& [other, age] : ages) {
+      run.mOthersChance +=
+        other != unit ? ChanceOfOtherRun(run.mSpan.Length(), age) : 0.0;
+    }
     run.mCrash.mIsStarted = task.mPhase == TaskPhase::kRunning;
     // A run that has worked for long is no clear cause even if it was alone.
-    run.mCrash.mIsAlone = units.size() == 1 && IsYoung(task);
-    run.mCrash.mIsSuspect = !isCommonCause && (IsYoung(task) || !isAnyYoung);
-    run.mUnits = units.size();
+    run.mCrash.mIsAlone = IsYoung(task) && run.mOthersChance == 0.0;
+    run.mCrash.mIsSuspect = IsYoung(task) || !isAnyYoung;
+    run.mUnits = ages.size();
   }
   return runs;
 }
 
-/** Clears the runs that were suspected before a common cause was detected. */
+/**
+ * @return The crash of a worker for the rate of other causes; nothing if one of
+ *   its runs may be the cause.
+ */
+std::optional<BackgroundCrash>
+Scheduler::Impl::BackgroundCrashOf(const WorkerState& aWorker,
+                                   Millis aNow) const
+{
+  const Millis seenUntil = SeenUntil(aWorker, aNow);
+  const bool isCounted =
+    IsObserved(aWorker) &&
+    seenUntil - aWorker.mLastStartAt >= CrashRate::kStartTime;
+  return isCounted ? std::make_optional<BackgroundCrash>(
+                       { seenUntil, aWorker.mInfo.mAddress })
+                   : std::nullopt;
+}
+
+/**
+ * @return Whether a crash of a worker would be one of other causes than its
+ *   runs, unless one of them has just started.
+ */
+bool
+Scheduler::Impl::IsObserved(const WorkerState& aWorker) const
+{
+  return !aWorker.mAssigned.empty() && !aWorker.mInfo.mDraining &&
+         std::none_of(aWorker.mAssigned.begin(),
+                      aWorker.mAssigned.end(),
+                      [this](const TaskKey& aKey) {
+                        const JobState& job = mJobs.at(aKey.first);
+                        return job.mTasks[aKey.second].mRecovered ||
+                               job.CrashesOf(aKey.second).IsSuspected();
+                      });
+}
+
+/** Adds the time since the last call to the observed time of the workers. */
+void
+Scheduler::Impl::ObserveWorkers(Millis aNow)
+{
+  if (!mCrashRate.IsDue(aNow)) {
+    return;
+  }
+  std::size_t n = 0;
+  for (const auto& [id, worker] : mWorkers) {
+    n += worker.mFailedRenewals == 0 && IsObserved(worker) &&
+             aNow - worker.mLastStartAt >= CrashRate::kStartTime
+           ? 1
+           : 0;
+  }
+  mCrashRate.Observe(n, aNow);
+}
+
+/** @return Crashes as which the present silence of workers may turn out. */
+std::vector<BackgroundCrash>
+Scheduler::Impl::PendingCrashes(Millis aNow) const
+{
+  std::vector<BackgroundCrash> crashes;
+  for (const auto& [id, worker] : mWorkers) {
+    const auto crash = worker.mFailedRenewals > 0
+                         ? BackgroundCrashOf(worker, aNow)
+                         : std::nullopt;
+    if (crash) {
+      crashes.push_back(*crash);
+    }
+  }
+  return crashes;
+}
+
+/**
+ * @return Expected crashes of other causes than the run on its worker, in
+ *   millionths.
+ */
+std::int64_t
+Scheduler::Impl::ExpectedCrashes(
+  const CrashSpan& aSpan,
+  double aOthersChance,
+  const std::vector<BackgroundCrash>& aPending) const
+{
+  const double expected =
+    std::max(mCrashRate.ExpectedIn(aSpan, aPending), aOthersChance);
+  return std::llround(std::min(expected, 1.0) * kMillionths);
+}
+
+/**
+ * Corrects what was to be expected at the earlier crashes under a task or gang:
+ * crashes of other workers at the same times may have been noticed since.
+ */
 void
-Scheduler::Impl::ClearRecentSuspects()
+Scheduler::Impl::UpdateEvidence(JobState& aJob,
+                                std::size_t aCountedTask,
+                                Millis aNow)
 {
-  for (const auto& [time, run] : mRecentSuspects) {
-    JobState* job = FindJob(run.mTask.first);
-    if (job != nullptr && !IsFinal(job->mPhase)) {
-      CrashCount& crashes = job->mTasks[run.mTask.second].mCrashes;
-      crashes = crashes.WithOtherCause(run.mCrash);
-      MarkChanged(*job, run.mTask.second);
+  const std::vector<BackgroundCrash> pending = PendingCrashes(aNow);
+  const auto members = static_cast<std::int64_t>(aJob.MembersOf(aCountedTask));
+  Task& counted = aJob.mTasks[aCountedTask];
+  for (CountedCrash& crash : aJob.mCountedCrashes[aCountedTask]) {
+    if (!mCrashRate.Covers(crash.mSpan, aNow)) {
+      continue;
+    }
+    const std::int64_t before = crash.mExpected;
+    crash.mExpected =
+      ExpectedCrashes(crash.mSpan, crash.mOthersChance, pending);
+    counted.mCrashes = counted.mCrashes.WithReplaced(before * members,
+                                                     crash.mExpected * members);
+    for (const std::size_t member : crash.mMembers) {
+      Task& task = aJob.mTasks[member];
+      task.mMemberCrashes =
+        task.mMemberCrashes.WithReplaced(before, crash.mExpected);
     }
   }
-  mRecentSuspects.clear();
 }
 
 /**
@@ -237,6 +357,9 @@
   }
   mPresumedCrashes.erase(it);
   if (aPresent.mIncarnation > crash.mIncarnation) {
+    if (crash.mBackground) {
+      mCrashRate.AddCrash(*crash.mBackground);
+    }
     for (const CrashedRun& run : crash.mRuns) {
       CountCrash(run, crash.mWorker, "restarted", aNow);
     }
@@ -264,15 +387,32 @@
   const bool isNew = job->mCrashedRuns[countedTask] < aRun.mRun;
   // The worker may crash by itself again.
   job->mTasks[index].mAvoidedWorker = aWorker;
+  std::vector<CountedCrash>& crashes = job->mCountedCrashes[countedTask];
+  const std::size_t members = job->MembersOf(index);
+  const std::int64_t expected =
+    ExpectedCrashes(aRun.mSpan, aRun.mOthersChance, PendingCrashes(aNow));
+  UpdateEvidence(*job, countedTask, aNow);
   if (isNew) {
     job->mCrashedRuns[countedTask] = aRun.mRun;
-    counted.mCrashes = counted.mCrashes.With(aRun.mCrash);
+    counted.mCrashes = counted.mCrashes.With(
+      aRun.mCrash, expected * static_cast<std::int64_t>(members));
     MarkChanged(*job, countedTask);
-    if (aRun.mCrash.mIsSuspect) {
-      mRecentSuspects.push_back(
-        { aNow, { { id, countedTask }, aRun.mRun, aRun.mCrash, {}, {} } });
+  }
+  if (isNew && aRun.mCrash.mIsSuspect) {
+    crashes.push_back(
+      { aRun.mRun, aRun.mSpan, aRun.mOthersChance, expected, {} });
+  }
+  // Several members may have run on the worker; each of them may be the cause.
+  Task& task = job->mTasks[index];
+  if (task.mLastCrashedRun < aRun.mRun && aRun.mCrash.mIsSuspect) {
+    task.mLastCrashedRun = aRun.mRun;
+    task.mMemberCrashes = task.mMemberCrashes.With(expected);
+    if (!crashes.empty() && crashes.back().mRun == aRun.mRun) {
+      crashes.back().mMembers.push_back(index);
     }
+    MarkChanged(*job, index);
   }
+  const double chance = counted.mCrashes.Chance(members, task.mMemberCrashes);
   RecordEvent(
     SchedulerEvent::Kind::kRunCrashed,
     { { "task", job->IdOf(index).Text() },
@@ -283,23 +423,29 @@
       { "alone", aRun.mCrash.mIsAlone ? "yes" : "no" },
       { "suspect", aRun.mCrash.mIsSuspect ? "yes" : "no" },
       { "counted", isNew ? "yes" : "no" },
-      { "age_ms", aRun.mAge ? std::to_string(aRun.mAge->count()) : "unknown" },
+      { "age_ms", std::to_string(aRun.mSpan.Length().count()) },
       { "units", std::to_string(aRun.mUnits) },
-      { "recent_crashes", std::to_string(mCrashTimes.size()) },
       { "crashes", std::to_string(counted.mCrashes.Total()) },
-      { "as_suspect", std::to_string(counted.mCrashes.Suspect()) },
-      { "as_only_run", std::to_string(counted.mCrashes.Alone()) } });
+      { "as_suspect", std::to_string(counted.mCrashes.Suspect().Crashes()) },
+      { "as_only_run", std::to_string(counted.mCrashes.Alone()) },
+      { "of_member", std::to_string(task.mMemberCrashes.Crashes()) },
+      { "expected", ToText(static_cast<double>(expected) / kMillionths) },
+      { "chance", ToText(chance) } });
   // Tasks that last are restarted however they end; isolation contains them.
-  if (counted.mCrashes.IsExhausted() && !job->StepOf(index).IsLongRunning()) {
+  if (counted.mCrashes.IsCause(members, task.mMemberCrashes) &&
+      !job->StepOf(index).IsLongRunning()) {
     ++mJobsCrashingWorkers;
-    TerminateJob(*job,
-                 JobPhase::kFailed,
-                 aNow,
-                 { { "reason", "crashes" },
-                   { "task", job->IdOf(index).Text() },
-                   { "run", std::to_string(aRun.mRun) },
-                   { "crashes", std::to_string(counted.mCrashes.Total()) },
-                   { "failures", std::to_string(counted.mFailures) } });
+    TerminateJob(
+      *job,
+      JobPhase::kFailed,
+      aNow,
+      { { "reason", "crashes" },
+        { "task", job->IdOf(index).Text() },
+        { "run", std::to_string(aRun.mRun) },
+        { "crashes", std::to_string(counted.mCrashes.Suspect().Crashes()) },
+        { "of_member", std::to_string(task.mMemberCrashes.Crashes()) },
+        { "chance", ToText(chance) },
+        { "failures", std::to_string(counted.mFailures) } });
   }
 }
 
@@ -338,6 +484,7 @@
   if (isProven && aJob.CrashesOf(aTask) != CrashCount()) {
     const std::size_t counted = aJob.CountedTask(aTask);
     aJob.mTasks[counted].mCrashes = CrashCount();
+    aJob.mCountedCrashes.erase(counted);
     MarkChanged(aJob, counted);
   }
 }
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -292,7 +292,16 @@
                          Millis aSentAt,
                          Millis aNow);
   std::vector<CrashedRun> AssessCrash(const WorkerState& aWorker, Millis aNow);
-  void ClearRecentSuspects();
+  std::optional<BackgroundCrash> BackgroundCrashOf(const WorkerState& aWorker,
+                                                   Millis aNow) const;
+  bool IsObserved(const WorkerState& aWorker) const;
+  void ObserveWorkers(Millis aNow);
+  std::vector<BackgroundCrash> PendingCrashes(Millis aNow) const;
+  std::int64_t ExpectedCrashes(
+    const CrashSpan& aSpan,
+    double aOthersChance,
+    const std::vector<BackgroundCrash>& aPending) const;
+  void UpdateEvidence(JobState& aJob, std::size_t aCountedTask, Millis aNow);
   void MarkRecoveredCrashes(const WorkerState& aWorker, Millis aNow);
   void CountPresumedCrashes(const WorkerInfo& aPresent, Millis aNow);
   void CountCrash(const CrashedRun& aRun,
@@ -435,10 +444,7 @@
   std::map<TaskKey, std::vector<std::string>> mNominations;
   /** Units that wait, by their first task. */
   std::map<TaskKey, WaitState> mWaits;
-  /** Recent times at which workers were found to have crashed, by worker. */
-  std::map<std::string, Millis> mCrashTimes;
-  /** Counted crashes of suspects that may turn out to have a common cause. */
-  std::deque<std::pair<Millis, CrashedRun>> mRecentSuspects;
+  CrashRate mCrashRate;
   /** By address, since a restarted worker may have another identifier. */
   std::map<std::string, PresumedCrash> mPresumedCrashes;
   Millis mNextProgressCheck{ 0 };
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -102,12 +102,14 @@
     task.mFailures = record.mFailures;
     ReplaceCheckpoint(task, record.mCheckpoint);
     task.mCrashes = record.mCrashes;
+    task.mMemberCrashes = record.mMemberCrashes;
     if (task.mCrashes != CrashCount()) {
       aJob.mCrashedRuns.emplace(i, 0);
     }
     if (!record.mWorker.empty()) {
       Assign(aJob, i, FindOrAddWorker(record.mWorker, aNow), record.mRun);
       task.mIncarnation = record.mIncarnation;
+      task.mEarliestStart = aJob.mSubmittedAt + record.mStartAfter;
       task.mPhase = TaskPhase::kStarting;
       task.mRecovered = true;
       task.mIsInherited = true;
--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -263,10 +263,13 @@
     record.mRun = task.mRun;
     record.mFailures = task.mFailures;
     record.mCrashes = task.mCrashes;
+    record.mMemberCrashes = task.mMemberCrashes;
     if (task.IsAssigned()) {
       record.mState = RecordedState::kAssigned;
       record.mWorker = task.mWorker;
       record.mIncarnation = task.mIncarnation;
+      record.mStartAfter =
+        std::max(task.mEarliestStart - mSubmittedAt, Millis(0));
     }
     if (task.IsDone()) {
       record.mState = RecordedState::kDone;
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -1,6 +1,7 @@
 #ifndef CORNELRUDDER_SRC_STATE_SCHEDULING_SCHEDULER_MODEL_H
 #define CORNELRUDDER_SRC_STATE_SCHEDULING_SCHEDULER_MODEL_H
 
+#include "CrashRate.h"
 #include "LossBasis.h"
 #include "cornelrudder/state/scheduling/JobProgress.h"
 #include "cornelrudder/state/scheduling/OwnerReachability.h"
@@ -88,11 +89,10 @@
   TaskKey mTask;
   std::uint64_t mRun = 0;
   RunCrash mCrash;
-  /**
-   * Time from the start command to the first sign of the crash; nothing if an
-   * earlier owner may have started the run.
-   */
-  std::optional<Millis> mAge;
+  /** From the earliest start of the run to the first sign of the crash. */
+  CrashSpan mSpan;
+  /** Probability that a run of another task or gang crashed the worker. */
+  double mOthersChance = 0.0;
   /** Jobs or gangs with a run on the worker, this one included. */
   std::size_t mUnits = 0;
 
@@ -110,6 +110,10 @@
   /** Incarnation of the worker when the run was planned; 0 if unknown. */
   std::uint64_t mIncarnation = 0;
   CrashCount mCrashes;
+  /** Crashes of the worker of this task, or of this member of a gang. */
+  CrashEvidence mMemberCrashes;
+  /** The last run counted in mMemberCrashes. */
+  std::uint64_t mLastCrashedRun = 0;
   /**
    * The worker has restarted, and its new incarnation has not shown yet whether
    * it has the run.
@@ -123,10 +127,10 @@
   /** Number of the write that contains the planned run; 0 before that write. */
   std::uint64_t mPlanWrite = 0;
   /**
-   * When this owner sent the first start command of the run; nothing if an
-   * earlier owner may have started it.
+   * The run has not started earlier: when it was planned, or when this owner
+   * first sent the start command.
    */
-  std::optional<Millis> mStartSentAt;
+  Millis mEarliestStart{ 0 };
   /**
    * An earlier owner may have started the run, and no renewal reply has listed
    * it yet.
@@ -192,6 +196,21 @@
 /** Job and number of an occurrence; 0 for an unscheduled job. */
 using OccurrenceKey = std::pair<std::string, std::size_t>;
 
+/** A suspect crash that an owner has counted. */
+struct CountedCrash
+{
+  std::uint64_t mRun = 0;
+  CrashSpan mSpan;
+  /** See CrashedRun. */
+  double mOthersChance = 0.0;
+  /** Expected crashes of other causes on the worker, in millionths. */
+  std::int64_t mExpected = 0;
+  /** Tasks that count it as a crash of their worker. */
+  std::vector<std::size_t> mMembers;
+
+  auto operator<=>(const CountedCrash&) const = default;
+};
+
 /**
  * Runs that were presumed lost when the lease of a silent worker expired. They
  * have crashed if a later incarnation of the worker appears.
@@ -201,6 +220,8 @@
   std::string mWorker;
   std::uint64_t mIncarnation = 0;
   std::vector<CrashedRun> mRuns;
+  /** The crash, if it counts as one of other causes. */
+  std::optional<BackgroundCrash> mBackground;
 
   auto operator<=>(const PresumedCrash&) const = default;
 };
@@ -254,6 +275,8 @@
    * crash is counted.
    */
   std::map<std::size_t, std::uint64_t> mCrashedRuns;
+  /** Crashes that this owner counted as suspect ones, by CountedTask(). */
+  std::map<std::size_t, std::vector<CountedCrash>> mCountedCrashes;
   /**
    * Since when the job makes no progress, as seen by
    * Scheduler::Impl::ReportStalledJobs(); 0 otherwise.
@@ -291,6 +314,13 @@
     return StepOf(aTask).IsGang() ? StepRange(aTask).first : aTask;
   }
 
+  /** @return Number of members of the gang of a task; 1 if it has none. */
+  std::size_t MembersOf(std::size_t aTask) const
+  {
+    const auto [first, end] = StepRange(aTask);
+    return StepOf(aTask).IsGang() ? end - first : 1;
+  }
+
   CrashCount CrashesOf(std::size_t aTask) const
   {
     return mCrashedRuns.empty() ? CrashCount()
@@ -384,6 +414,8 @@
   /** Clock in the last renewal reply, and when that renewal was sent. */
   Millis mReplyClock{ 0 };
   Millis mReplySentAt{ 0 };
+  /** When a start command was last sent to the worker by this owner. */
+  Millis mLastStartAt{ 0 };
   /** Local time of the last renewal reply of the present incarnation. */
   Millis mIncarnationRepliedAt{ 0 };
   /** See Scheduler::Impl::CanOnlyBeDeregistered(). */
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -97,6 +97,7 @@
   RetryJobsSetAside(aNow);
   ExpireUnresponsiveWorkers(aNow);
   WithdrawEvacuatedRuns(aNow);
+  ObserveWorkers(aNow);
   CheckProgress(aNow);
   ReportStalledJobs(aNow);
   QueryWorkersOnce(aNow);
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -44,7 +44,9 @@
 {
   Task& task = aJob.mTasks[aTask];
   const int failures = task.mFailures;
-  const CrashCount crashes = task.mCrashes;
+  CrashCount crashes = std::move(task.mCrashes);
+  CrashEvidence memberCrashes = std::move(task.mMemberCrashes);
+  const std::uint64_t lastCrashedRun = task.mLastCrashedRun;
   std::string checkpoint = std::move(task.mCheckpoint);
   std::string avoidedWorker = std::move(task.mAvoidedWorker);
   task = Task();
@@ -52,7 +54,10 @@
   task.mRun = aRun;
   task.mWorker = aWorker.mInfo.mId;
   task.mFailures = failures;
-  task.mCrashes = crashes;
+  task.mCrashes = std::move(crashes);
+  task.mMemberCrashes = std::move(memberCrashes);
+  task.mLastCrashedRun = lastCrashedRun;
+  task.mEarliestStart = mPlannedAt;
   task.mIncarnation = aWorker.mInfo.mIncarnation;
   task.mStartedFromScratch = checkpoint.empty();
   task.mCheckpoint = std::move(checkpoint);
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -342,6 +342,9 @@
 {
   const char* const reason = InfoOf(WorkerEvidence::kLaterIncarnation).mName;
   RecordWorkerGone(aWorker, reason, aSource, aNow);
+  if (const auto crash = BackgroundCrashOf(aWorker, aNow)) {
+    mCrashRate.AddCrash(*crash);
+  }
   for (const CrashedRun& run : AssessCrash(aWorker, aNow)) {
     Task& task = mJobs.at(run.mTask.first).mTasks[run.mTask.second];
     task.mPendingCrash = run;
@@ -660,8 +663,9 @@
     !aWorker.mIsLeaseWithheld && !aWorker.mIsEvacuated && aNow < aStartsUntil;
   if (isStartDue && mayStart) {
     if (task.mPhase == TaskPhase::kPlanned) {
-      task.mStartSentAt = aNow;
+      task.mEarliestStart = aNow;
     }
+    aWorker.mLastStartAt = aNow;
     task.mPhase = TaskPhase::kStarting;
     task.mStartRetryDue = false;
     task.mOutcomeUnknown = false;
--- a/tests/state/scheduling/CrashTest.cpp
+++ b/tests/state/scheduling/CrashTest.cpp
@@ -432,6 +432,18 @@
   CheckAllHealthyJobsEnd(options, 6);
 }
 
+// Guards against missing the crashes of workers that return as other ones.
+TEST(SchedulerCrashes, CrashesOfWorkersWithNewIdentifiersFailNoHealthyGang)
+{
+  CrashTrialOptions options;
+  options.mTasks = 5;
+  options.mIsGang = true;
+  options.mAccelerators = 4;
+  options.mSubmitInterval = milliseconds(900);
+  options.mHasNewIdentifiers = true;
+  CheckAllHealthyJobsEnd(options, 10);
+}
+
 // Guards against failing healthy single tasks where workers crash often.
 TEST(SchedulerCrashes, FrequentCrashesOfWorkersFailNoHealthyTask)
 {
--- a/tests/state/scheduling/CrashTrial.cpp
+++ b/tests/state/scheduling/CrashTrial.cpp
@@ -59,6 +59,7 @@
   options.mWorkersPerRack = aOptions.mWorkersPerRack;
   options.mCrashTime = aOptions.mDownTime;
   options.mSeed = aOptions.mSeed;
+  options.mHasNewIdentifiers = aOptions.mHasNewIdentifiers;
   FleetModel model(options);
   std::vector<std::string> healthy;
   std::vector<std::string> deadly;
--- a/tests/state/scheduling/CrashTrial.h
+++ b/tests/state/scheduling/CrashTrial.h
@@ -15,6 +15,8 @@
   double mDownShare = 0.06;
   milliseconds mWaveInterval{ 3'100 };
   milliseconds mDownTime{ 4'500 };
+  /** See FleetModelOptions. */
+  bool mHasNewIdentifiers = false;
   /** Time in which jobs are submitted, and the time between two of them. */
   milliseconds mSubmitTime{ 60'000 };
   milliseconds mSubmitInterval{ 700 };
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -40,6 +40,8 @@
   std::size_t mJobsPerWrite = 40;
   /** Time for which a worker is down after a crash under a deadly task. */
   milliseconds mCrashTime{ 3'000 };
+  /** Crashed workers return under another identifier. */
+  bool mHasNewIdentifiers = false;
   /** Workers of each zone, z0, z1 and so on; 0 for workers without a zone. */
   std::size_t mWorkersPerZone = 0;
 };
@@ -235,6 +237,8 @@
     bool mConnectable = true;
     /** Crashed by CrashWorkerFor() and not restarted yet. */
     bool mIsDown = false;
+    /** Ends the open renewals of this worker, by number of the call. */
+    std::map<std::uint64_t, std::function<void()>> mOpenCalls;
     bool mFailing = false;
     bool mStalled = false;
     bool mRejecting = false;
@@ -352,6 +356,7 @@
   scheduling::Evacuations mEvacuations;
   std::optional<scheduling::Scheduler> mOwner;
   std::uint64_t mEpoch = 0;
+  std::uint64_t mCalls = 0;
   /** No two incarnations have the same number. */
   std::uint64_t mHighestIncarnation;
   std::uint64_t mLowestIncarnation;
