Store the numbers of the failed runs that a record counts

Cause: the numbers of the counted runs belong to one owner. A record tells only how many there are, so a successor counts a run again whose end it is told of once more: where only the first row of a divided record was stored, where another member of the gang reports the same failed run, and where the lease row has the end of a member whose row the store rejects. With two attempts, one failed run fails the job (LOST). Change: the record of a task has the numbers of the runs that it counts, at most the latest 16, after the crashes; it has none while no run has failed or once the task is done.

--- a/include/cornelrudder/state/scheduling/JobProgress.h
+++ b/include/cornelrudder/state/scheduling/JobProgress.h
@@ -46,6 +46,9 @@
 /** State of a task that a new owner needs after the previous one is lost. */
 struct TaskRecord
 {
+  /** Limit on the length of mFailedRuns. */
+  static constexpr std::size_t kMaxFailedRuns = 16;
+
   RecordedState mState = RecordedState::kWaiting;
   /** Highest run number that a start command may have used; 0 for none. */
   std::uint64_t mRun = 0;
@@ -64,6 +67,11 @@
   std::uint64_t mIncarnation = 0;
   /** Crashes of workers under runs; a gang counts them on its first task. */
   CrashCount mCrashes = {};
+  /**
+   * The latest runs that mFailures counts, in ascending order. Their ends may
+   * be reported again to a new owner. Empty for a task that is done.
+   */
+  std::vector<std::uint64_t> mFailedRuns = {};
 
   auto operator<=>(const TaskRecord&) const = default;
 };
--- a/src/protocol/JsonSchedulingCodec.cpp
+++ b/src/protocol/JsonSchedulingCodec.cpp
@@ -148,8 +148,8 @@
 
 /**
  * @return [state, run, worker, failures, checkpoint], followed by [incarnation,
- *   total, suspect and alone crashes] if any of them is set; 0 for a default
- *   record.
+ *   total, suspect and alone crashes] and [failed runs], each if it or a later
+ *   one is set; 0 for a default record.
  */
 json
 RecordToJson(const TaskRecord& aRecord)
@@ -164,12 +164,16 @@
       aRecord.mFailures,
       aRecord.mCheckpoint });
   const CrashCount& crashes = aRecord.mCrashes;
-  if (aRecord.mIncarnation != 0 || crashes != CrashCount()) {
+  const bool hasFailedRuns = !aRecord.mFailedRuns.empty();
+  if (aRecord.mIncarnation != 0 || crashes != CrashCount() || hasFailedRuns) {
     record.push_back(json::array({ aRecord.mIncarnation,
                                    crashes.Total(),
                                    crashes.Suspect(),
                                    crashes.Alone() }));
   }
+  if (hasFailedRuns) {
+    record.push_back(aRecord.mFailedRuns);
+  }
   return record;
 }
 
@@ -197,6 +201,10 @@
     };
     record.mCrashes = CrashCount(count(1), count(2), count(3));
   }
+  if (aRecord.Has(6) && !aRecord.HasArray(6)) {
+    throw CoordinationError("job progress: failed runs are no array");
+  }
+  record.mFailedRuns = aRecord.Counters(6);
   return record;
 }
 
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -100,6 +100,10 @@
     Task& task = aJob.mTasks[i];
     task.mRun = record.mRun;
     task.mFailures = record.mFailures;
+    if (!record.mFailedRuns.empty()) {
+      aJob.mFailedRuns[i].insert(record.mFailedRuns.begin(),
+                                 record.mFailedRuns.end());
+    }
     ReplaceCheckpoint(task, record.mCheckpoint);
     task.mCrashes = record.mCrashes;
     if (task.mCrashes != CrashCount()) {
--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -246,6 +246,18 @@
   mChangedRows.insert({ first, added.mFirstTask });
 }
 
+std::vector<std::uint64_t>
+JobState::LatestFailedRuns(std::size_t aTask) const
+{
+  const auto it = mFailedRuns.find(aTask);
+  if (it == mFailedRuns.end()) {
+    return {};
+  }
+  const std::size_t n = std::min(it->second.size(), TaskRecord::kMaxFailedRuns);
+  return { std::prev(it->second.end(), static_cast<std::ptrdiff_t>(n)),
+           it->second.end() };
+}
+
 JobProgress
 JobState::ToProgress(std::size_t aFirst) const
 {
@@ -268,6 +280,9 @@
       record.mWorker = task.mWorker;
       record.mIncarnation = task.mIncarnation;
     }
+    if (!task.IsDone() && !IsFinal(mPhase)) {
+      record.mFailedRuns = LatestFailedRuns(i);
+    }
     if (task.IsDone()) {
       record.mState = RecordedState::kDone;
     } else if (!IsFinal(mPhase) && !task.mIsCheckpointUnstored) {
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -340,6 +340,9 @@
   /** Divides a row that has several tasks into two. */
   void DivideRow(std::size_t aFirst);
 
+  /** @return TaskRecord::mFailedRuns of a task that is not done. */
+  std::vector<std::uint64_t> LatestFailedRuns(std::size_t aTask) const;
+
   /** @return A row of the job's record. */
   JobProgress ToProgress(std::size_t aFirst) const;
 };
--- a/tests/protocol/SchedulingCodecTest.cpp
+++ b/tests/protocol/SchedulingCodecTest.cpp
@@ -156,6 +156,42 @@
   CHECK(codec.DecodeProgress(codec.EncodeProgress(progress)) == progress);
 }
 
+// Guards against an owner that counts the failed runs of an earlier one again.
+TEST(SchedulingCodec, FailedRunsOfRecordAreKept)
+{
+  const JsonSchedulingCodec codec;
+  TaskRecord record{ RecordedState::kWaiting, 5, "", 2, "" };
+  record.mFailedRuns = { 3, 5 };
+  const JobProgress progress("j", "o", JobPhase::kRunning, true, { record });
+  CHECK(codec.DecodeProgress(codec.EncodeProgress(progress)) == progress);
+}
+
+// Guards against failed runs that are counted again because their numbers
+// cannot be read.
+TEST(SchedulingCodec, ProgressRowWithOddFailedRunsIsRejected)
+{
+  DecodeProgress(Replace(kProgress, "\"c\"", "\"c\",[5,3,2,1],[3,5]"));
+  const auto checkRejected = [](const std::string& aRuns) {
+    CheckRejected(DecodeProgress,
+                  Replace(kProgress, "\"c\"", "\"c\",[5,3,2,1]," + aRuns));
+  };
+  for (const char* runs : { "null", "7", "\"a\"", "{}", "true" }) {
+    checkRejected(runs);
+  }
+  for (const std::string& value : tests::NoCounters()) {
+    checkRejected("[3," + value + "]");
+  }
+}
+
+// Guards against a record that takes more bytes of a row than it needs.
+TEST(SchedulingCodec, RecordWithoutFailedRunsHasNoPlaceForThem)
+{
+  const TaskRecord record{ RecordedState::kAssigned, 2, "w", 1, "c" };
+  const JobProgress progress("j", "o", JobPhase::kRunning, true, { record });
+  CHECK(JsonSchedulingCodec().EncodeProgress(progress).find(
+          "[\"a\",2,\"w\",1,\"c\"]") != std::string::npos);
+}
+
 // Guards against a part of a record that a new owner takes for another one.
 TEST(SchedulingCodec, PartOfARecordIsKept)
 {
