Count failed runs that only a successor learns of

Cause: a successor ignored the failure of a run that is not the current one of its task, since the record may have counted it. A worker that was out of reach may report it only then, and the row of a gang's member may be stored before the one that counts; the end is acknowledged and no owner counts it, so a task may start after its last attempt (BUDGET). Change: the numbers in the record tell which failures are counted; all others count. Where the record has failures without numbers, only runs that this owner presumed lost count, as before. The same holds for ends in the lease row.

--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -525,11 +525,20 @@
       continue;
     }
     const Task& task = job->mTasks[*index];
-    if (task.IsAssigned() && task.mRun == end.mRun) {
+    const bool isCurrent = task.IsAssigned() && task.mRun == end.mRun;
+    // The row of a gang's member may be stored without the one that counts.
+    const bool fails = !isCurrent &&
+                       end.mReason == TerminationReason::kFailed &&
+                       job->IsUncountedFailure(*index, end.mRun);
+    if (isCurrent || fails) {
       // The lease row contains the end until the record does.
       mRejectedJobs.insert(end.mTask.Job());
       mUnrecordedEnds.emplace(end, 0);
+    }
+    if (isCurrent) {
       HandleTermination(*job, *index, end.mReason, "", aNow);
+    } else if (fails) {
+      CountFailure(*job, *index, end.mRun, aNow);
     }
   }
 }
--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -246,6 +246,21 @@
   mChangedRows.insert({ first, added.mFirstTask });
 }
 
+bool
+JobState::IsUncountedFailure(std::size_t aTask, std::uint64_t aRun) const
+{
+  const std::size_t counted = CountedTask(aTask);
+  const auto it = mFailedRuns.find(counted);
+  const bool isCounted = it != mFailedRuns.end() && it->second.contains(aRun);
+  // A record with many failures, or one of an earlier version, may count runs
+  // without their numbers.
+  const std::size_t known = it != mFailedRuns.end() ? it->second.size() : 0;
+  const bool areAllKnown =
+    known >= static_cast<std::size_t>(mTasks[counted].mFailures);
+  return IsOpen(aTask) && aRun <= mTasks[aTask].mRun && !isCounted &&
+         (areAllKnown || mLostRuns.contains({ aTask, aRun }));
+}
+
 std::vector<std::uint64_t>
 JobState::LatestFailedRuns(std::size_t aTask) const
 {
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -244,10 +244,7 @@
   std::vector<StepRunTimes> mStepRuns;
   /** Runs counted as failed, by first task for a gang and by task otherwise. */
   std::map<std::size_t, std::set<std::uint64_t>> mFailedRuns;
-  /**
-   * Tasks and runs that this owner presumed lost and whose failure would still
-   * count. Failures of any other earlier run may be counted in the record.
-   */
+  /** Tasks and runs that this owner presumed lost. */
   std::set<std::pair<std::size_t, std::uint64_t>> mLostRuns;
   /**
    * Number of the last run counted as crashed, by CountedTask(); empty while no
@@ -297,6 +294,19 @@
                                 : mTasks[CountedTask(aTask)].mCrashes;
   }
 
+  /** @return Whether an earlier run of a task may still complete or fail it. */
+  bool IsOpen(std::size_t aTask) const
+  {
+    return !mTasks[aTask].IsDone() && !IsFinal(mPhase) &&
+           !StepOf(aTask).IsLongRunning();
+  }
+
+  /**
+   * @return Whether the failure of an earlier run is an attempt that is not
+   *   counted yet.
+   */
+  bool IsUncountedFailure(std::size_t aTask, std::uint64_t aRun) const;
+
   /** @return Whether all tasks of a step are done. */
   bool IsStepDone(std::size_t aOccurrence, std::size_t aStep) const;
 
--- a/src/state/scheduling/SchedulerRuns.cpp
+++ b/src/state/scheduling/SchedulerRuns.cpp
@@ -485,12 +485,11 @@
                                          Millis aNow)
 {
   const Task& task = aJob.mTasks[aTask];
-  const bool isOpen = !task.IsDone() && !IsFinal(aJob.mPhase) &&
-                      !aJob.StepOf(aTask).IsLongRunning();
-  const bool completes = isOpen && aRun.mReason == TerminationReason::kDone &&
+  const bool completes = aJob.IsOpen(aTask) &&
+                         aRun.mReason == TerminationReason::kDone &&
                          aRun.mRun <= task.mRun;
-  const bool fails = isOpen && aRun.mReason == TerminationReason::kFailed &&
-                     aJob.mLostRuns.contains({ aTask, aRun.mRun });
+  const bool fails = aRun.mReason == TerminationReason::kFailed &&
+                     aJob.IsUncountedFailure(aTask, aRun.mRun);
   RecordEvent(completes || fails ? SchedulerEvent::Kind::kRunEnded
                                  : SchedulerEvent::Kind::kEndIgnored,
               { { "task", aRun.mTask.Text() },
--- a/tests/state/scheduling/FailureCountTest.cpp
+++ b/tests/state/scheduling/FailureCountTest.cpp
@@ -258,6 +258,64 @@
   CHECK(owners.HasFailed());
 }
 
+// Guards against a failed run that no owner counts, since the row of its member
+// was stored before the row with the count.
+TEST(FailureCount, EndReportedAgainBeforeTheFirstRowWasStoredCounts)
+{
+  OwnersOfOneJob owners(2, true, Division::kUnequal);
+  CHECK_EQUAL(2, owners.StartRuns());
+  owners.Report(1, 1, TerminationReason::kFailed);
+  owners.Write(kOneRow);
+  owners.Replace();
+  owners.Report(1, 1, TerminationReason::kFailed);
+  owners.Report(0, 1, TerminationReason::kGangBroken);
+  CHECK(!owners.HasFailed());
+  FailNextRun(owners, 2);
+  CHECK(owners.HasFailed());
+  CHECK_EQUAL(0, owners.StartRuns());
+}
+
+// Guards against losing an acknowledged failure whose count only the lease row
+// contains.
+TEST(FailureCount, EndInTheLeaseRowCountsIfOnlyTheMemberIsStored)
+{
+  OwnersOfOneJob owners(2, true, Division::kUnequal);
+  CHECK_EQUAL(2, owners.StartRuns());
+  owners.Report(1, 1, TerminationReason::kFailed);
+  owners.Write(kOneRow);
+  owners.Replace({ { { "j", 0, 0, 1 }, 1, TerminationReason::kFailed } });
+  owners.Report(0, 1, TerminationReason::kGangBroken);
+  CHECK(!owners.HasFailed());
+  FailNextRun(owners, 2);
+  CHECK(owners.HasFailed());
+}
+
+// Guards against a start after the last attempt: a worker out of reach reports
+// a failed run only after a change of owner.
+TEST(FailureCount, LateFailureCountsForTheSuccessor)
+{
+  FleetModel model({ 2, 1 });
+  StepSpecValues step;
+  step.mDemand = Resources(1'000, 1'000, 8);
+  step.mEstimatedRunTime = milliseconds(1'000);
+  model.Submit(MakeJob("a", step, 1), milliseconds(5'000));
+  model.FailRuns("a", 3);
+  model.Run(milliseconds(500));
+  const std::size_t host = model.RunningOn(0) > 0 ? 0 : 1;
+  model.SetReachable(host, false);
+  model.Run(milliseconds(9'500));
+  CHECK_EQUAL(2, model.Starts());
+  model.ReplaceOwner();
+  model.SetReachable(host, true);
+  model.Run(milliseconds(12'000));
+  CHECK_EQUAL(2, model.Starts());
+  CHECK_EQUAL(static_cast<int>(JobPhase::kFailed),
+              static_cast<int>(model.OutcomeOf("a").mPhase));
+  for (const std::string& violation : model.Violations()) {
+    FAIL(violation.c_str());
+  }
+}
+
 // Guards against counting a run again that a record of an earlier version
 // counts without its number.
 TEST(FailureCount, EarlierRunOfARecordWithoutNumbersIsNotCountedAgain)
