Test the count of failed runs over partial writes and changes of owner

Change: FailureCount.JobFailsAfterAsManyFailedRunsAsItHasAttempts plays 5,000 scripts of up to 60 steps of one job with two tasks or a gang of two, in whole and divided records: starts, ends of runs, replies, writes of one row and changes of owner, with acknowledgements as the owners send them. The job fails if and only if as many of its runs have failed as it has attempts, and no run starts after the last one.

--- a/tests/state/scheduling/FailureCountTest.cpp
+++ b/tests/state/scheduling/FailureCountTest.cpp
@@ -7,7 +7,11 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <random>
+#include <set>
+#include <string>
 #include <utility>
+#include <vector>
 
 using namespace cornelrudder::tests;
 using namespace cornelrudder::state::scheduling;
@@ -19,6 +23,12 @@
 constexpr WriteLimits kWholeWrite{ 40, 1'000 };
 constexpr WriteLimits kOneRow{ 1, 1'000 };
 constexpr std::size_t kMaxRowBytes = 1'000;
+constexpr std::size_t kAttempts = 2;
+constexpr std::uint64_t kScripts = 5'000;
+constexpr int kScriptSteps = 60;
+
+/** Index of a task and number of a run. */
+using RunKey = std::pair<std::size_t, std::uint64_t>;
 
 /** How the record of a job with two tasks is divided. */
 enum class Division
@@ -46,6 +56,7 @@
 public:
   OwnersOfOneJob(std::size_t aTasks, bool aGang, Division aDivision)
     : mJob(MakeJob("j", Step(aTasks, aGang), 1))
+    , mIsGang(aGang)
     , mDivision(aDivision)
   {
     Replace();
@@ -54,6 +65,7 @@
   /** Replaces the owner by one that knows only what is stored. */
   void Replace(const std::vector<UnrecordedEnd>& aEnds = {})
   {
+    HasFailed();
     SchedulerOptions options;
     options.mEpoch = ++mEpoch;
     options.mTasksPerRecord =
@@ -79,13 +91,8 @@
     mOwner->RestoreUnrecordedEnds(aEnds, mNow);
     mOwner->Plan(mNow, mNow);
     for (std::size_t i = 0; i < kWorkers; ++i) {
-      const WorkerTarget worker{ WorkerName(i), WorkerName(i) + ":1" };
-      const bool isHost =
-        std::any_of(mHosts.begin(), mHosts.end(), [&worker](const auto& aIt) {
-          return aIt.second.mId == worker.mId;
-        });
-      if (!isHost) {
-        Reply(worker);
+      if (!IsInUse(WorkerName(i))) {
+        Reply(WorkerName(i));
       }
     }
   }
@@ -105,7 +112,8 @@
   }
 
   /**
-   * Plans and stores the plan.
+   * Plans, stores the plan and sends commands; workers discard the ends that
+   * are acknowledged.
    * @return Number of runs that are started.
    */
   std::size_t StartRuns()
@@ -116,8 +124,15 @@
     const WorkerCommands commands = mOwner->CollectCommands(mNow);
     for (const StartCommand& start : commands.mStarts) {
       mOwner->ApplyStartReply(start, { CommandOutcome::kDone, mNow, "" }, mNow);
-      mHosts.insert_or_assign({ start.mTask.Index(), start.mRun },
-                              start.mWorker);
+      const RunKey run{ start.mTask.Index(), start.mRun };
+      CHECK(FailedRuns(run.first) < kAttempts);
+      mHosts.insert_or_assign(run, start.mWorker);
+      mRunning.insert(run);
+    }
+    for (const RenewCommand& renewal : commands.mRenewals) {
+      std::erase_if(mEnds[renewal.mWorker.mId], [&renewal](const auto& aEnd) {
+        return aEnd.mSequence <= renewal.mAckedUpTo;
+      });
     }
     return commands.mStarts.size();
   }
@@ -125,24 +140,77 @@
   /** Lets the worker of a run report that it has ended. */
   void Report(std::size_t aTask, std::uint64_t aRun, TerminationReason aReason)
   {
-    const WorkerTarget& worker = mHosts.at({ aTask, aRun });
-    auto& ends = mEnds[worker.mId];
-    const TerminatedRun end{ 0, { "j", 0, 0, aTask }, aRun, aReason, "" };
-    const bool isKnown =
-      std::any_of(ends.begin(), ends.end(), [&end](const auto& aIt) {
-        return aIt.mTask == end.mTask && aIt.mRun == end.mRun;
-      });
-    if (!isKnown) {
-      ends.push_back(end);
-      ends.back().mSequence = ends.size();
+    End({ aTask, aRun }, aReason);
+    Reply(mHosts.at({ aTask, aRun }).mId);
+  }
+
+  /** Ends a run; its worker tells with its next reply. */
+  void End(const RunKey& aRun, TerminationReason aReason)
+  {
+    if (mRunning.erase(aRun) > 0) {
+      if (aReason == TerminationReason::kFailed) {
+        mFailed.insert(aRun);
+      }
+      const std::string& worker = mHosts.at(aRun).mId;
+      mEnds[worker].push_back({ ++mSequences[worker],
+                                { "j", 0, 0, aRun.first },
+                                aRun.second,
+                                aReason,
+                                "" });
+    }
+  }
+
+  /** Lets a worker report its runs and all ends that it has not discarded. */
+  void Reply(const std::string& aWorker)
+  {
+    mNow += milliseconds(10);
+    RenewReply reply;
+    reply.mOutcome = CommandOutcome::kDone;
+    reply.mIncarnation = kIncarnation;
+    reply.mClock = mNow;
+    reply.mTerminated = mEnds[aWorker];
+    for (const auto& [task, run] : mRunning) {
+      if (mHosts.at({ task, run }).mId == aWorker) {
+        reply.mRunning.push_back({ { "j", 0, 0, task }, run, "", 0 });
+      }
+    }
+    RenewCommand command;
+    command.mWorker = { aWorker, aWorker + ":1" };
+    mOwner->ApplyRenewReply(command, reply, mNow, mNow);
+  }
+
+  void ReplyOfAll()
+  {
+    for (std::size_t i = 0; i < kWorkers; ++i) {
+      Reply(WorkerName(i));
+    }
+  }
+
+  const std::set<RunKey>& Running() const { return mRunning; }
+
+  /** @return Failed runs of a task, or of the gang that it belongs to. */
+  std::size_t FailedRuns(std::size_t aTask) const
+  {
+    std::set<std::uint64_t> runs;
+    for (const auto& [task, run] : mFailed) {
+      if (mIsGang || task == aTask) {
+        runs.insert(run);
+      }
     }
-    Reply(worker);
+    return runs.size();
+  }
+
+  bool IsOutOfAttempts() const
+  {
+    return std::max(FailedRuns(0), FailedRuns(1)) >= kAttempts;
   }
 
   /** @return Whether an owner has ended the job as failed. */
   bool HasFailed()
   {
-    for (const SchedulerEvent& event : mOwner->TakeEvents()) {
+    const auto events =
+      mOwner ? mOwner->TakeEvents() : std::vector<SchedulerEvent>();
+    for (const SchedulerEvent& event : events) {
       const bool isFailure =
         event.mKind == SchedulerEvent::Kind::kJobEnded &&
         std::find(event.mFields.begin(),
@@ -155,17 +223,14 @@
   }
 
 private:
-  void Reply(const WorkerTarget& aWorker)
+  /** @return Whether a worker has a run or the end of one. */
+  bool IsInUse(const std::string& aWorker)
   {
-    mNow += milliseconds(10);
-    RenewReply reply;
-    reply.mOutcome = CommandOutcome::kDone;
-    reply.mIncarnation = kIncarnation;
-    reply.mClock = mNow;
-    reply.mTerminated = mEnds[aWorker.mId];
-    RenewCommand command;
-    command.mWorker = aWorker;
-    mOwner->ApplyRenewReply(command, reply, mNow, mNow);
+    return !mEnds[aWorker].empty() ||
+           std::any_of(
+             mRunning.begin(), mRunning.end(), [&](const RunKey& aRun) {
+               return mHosts.at(aRun).mId == aWorker;
+             });
   }
 
   static std::string WorkerName(std::size_t aWorker)
@@ -184,15 +249,19 @@
   }
 
   TaskJob mJob;
+  bool mIsGang;
   Division mDivision;
   milliseconds mNow{ 1'000 };
   std::uint64_t mEpoch = 0;
   std::optional<Scheduler> mOwner;
   std::map<std::size_t, JobProgress> mRows;
-  /** Worker of each run, by the index of its task and its number. */
-  std::map<std::pair<std::size_t, std::uint64_t>, WorkerTarget> mHosts;
-  /** Ends that each worker reports until they are acknowledged. */
+  /** Worker of each run. */
+  std::map<RunKey, WorkerTarget> mHosts;
+  std::set<RunKey> mRunning;
+  std::set<RunKey> mFailed;
+  /** Ends that each worker reports, and the number of its last end. */
   std::map<std::string, std::vector<TerminatedRun>> mEnds;
+  std::map<std::string, std::uint64_t> mSequences;
   bool mIsFailed = false;
 };
 
@@ -205,6 +274,63 @@
   aOwners.Report(1, aRun, TerminationReason::kGangBroken);
 }
 
+/** Ends a run; the members of a gang end together. */
+void
+EndRun(OwnersOfOneJob& aOwners,
+       const RunKey& aRun,
+       bool aGang,
+       std::mt19937_64& aRandom)
+{
+  const bool fails = aRandom() % 2 == 0;
+  const std::set<RunKey> running = aOwners.Running();
+  for (const RunKey& run : running) {
+    const bool isMember = aGang && run.second == aRun.second;
+    if (run == aRun) {
+      aOwners.End(
+        run, fails ? TerminationReason::kFailed : TerminationReason::kStopped);
+    } else if (isMember) {
+      aOwners.End(run,
+                  fails && aRandom() % 2 == 0 ? TerminationReason::kFailed
+                                              : TerminationReason::kGangBroken);
+    }
+  }
+}
+
+/** Lets something happen; all workers reply to a new owner. */
+void
+PlayStep(OwnersOfOneJob& aOwners, bool aGang, std::mt19937_64& aRandom)
+{
+  const std::set<RunKey>& running = aOwners.Running();
+  switch (aRandom() % 8) {
+    case 0:
+    case 1:
+      aOwners.StartRuns();
+      break;
+    case 2:
+      if (!running.empty()) {
+        EndRun(
+          aOwners,
+          *std::next(running.begin(),
+                     static_cast<std::ptrdiff_t>(aRandom() % running.size())),
+          aGang,
+          aRandom);
+      }
+      break;
+    case 3:
+    case 4:
+      aOwners.Reply("w" + std::to_string(aRandom() % kWorkers));
+      break;
+    case 5:
+    case 6:
+      aOwners.Write(kOneRow);
+      break;
+    default:
+      aOwners.Replace();
+      aOwners.ReplyOfAll();
+      break;
+  }
+}
+
 } // namespace
 
 TEST_GROUP(FailureCount){};
@@ -333,3 +459,24 @@
   owners.Report(0, 2, TerminationReason::kFailed);
   CHECK(owners.HasFailed());
 }
+
+// Guards against a verdict that depends on the order of ends, partial writes
+// and changes of owner.
+TEST(FailureCount, JobFailsAfterAsManyFailedRunsAsItHasAttempts)
+{
+  std::size_t failed = 0;
+  for (std::uint64_t seed = 1; seed <= kScripts; ++seed) {
+    std::mt19937_64 random(seed);
+    const bool isGang = random() % 2 == 0;
+    OwnersOfOneJob owners(2, isGang, static_cast<Division>(random() % 3));
+    for (int i = 0; i < kScriptSteps && !owners.HasFailed(); ++i) {
+      PlayStep(owners, isGang, random);
+      CHECK(owners.IsOutOfAttempts() || !owners.HasFailed());
+    }
+    owners.ReplyOfAll();
+    CHECK_EQUAL(owners.IsOutOfAttempts(), owners.HasFailed());
+    failed += owners.HasFailed() ? 1 : 0;
+  }
+  CHECK(failed > kScripts / 10);
+  CHECK(failed < kScripts);
+}
