Test that a job is shown as failed only for its stored state and its own terms

Change: the tests cover two hypotheses of the incident that reading the code rules out. SuccessorKeepsTheAttemptsThatAJobWasAcceptedWith: a new owner compares with the attempts in the job's row, not with the present ones of its queue. PhaseOfRecordIsKept, EachStateOfAJobIsShownUnderItsName: the state in the record is the one that callers are shown, and an unknown one is no state. OnlyEndsNamedFailedCountAsFailed: no other end of a run is decoded as a failure.

--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -786,6 +786,33 @@
     [&] { return daemons.HasPhase(daemon, "j1", JobPhase::kCancelled); }));
 }
 
+// Guards against a successor that ends a job by the present settings of its
+// queue, which allow two attempts.
+TEST(SchedulingTasks, SuccessorKeepsTheAttemptsThatAJobWasAcceptedWith)
+{
+  Daemons daemons;
+  constexpr int kAttempts = 3;
+  const TaskJob job("j1",
+                    "org-key",
+                    { "q", "s", 1, kAttempts, 3.0, milliseconds(1'000) },
+                    "payload",
+                    { StepSpec(daemons.mStep, 0) },
+                    {},
+                    {});
+  TaskRecord record;
+  record.mRun = 2;
+  record.mFailures = 2;
+  const protocol::JsonSchedulingCodec codec;
+  daemons.mStore.Put("jobs/j1", codec.EncodeTaskJob(job));
+  daemons.mStore.Put(
+    ProgressKey("j1"),
+    codec.EncodeProgress(
+      { "j1", "org-key", JobPhase::kRunning, true, { record } }));
+  const DaemonTasks daemon = daemons.Start("a");
+  CHECK(WaitWithWorkers(daemons, daemon, "j1"));
+  CHECK_EQUAL(1, daemons.mWorkers.Starts());
+}
+
 // Guards against queue lengths that only the owner reports.
 TEST(SchedulingTasks, EveryDaemonReportsQueuedJobs)
 {
--- a/tests/platform/CallCodecTest.cpp
+++ b/tests/platform/CallCodecTest.cpp
@@ -38,6 +38,15 @@
               static_cast<int>(DecodeCommandReply(aResult).mOutcome));
 }
 
+/** @return A reply to a renewal that lists the end of one run. */
+RenewReply
+DecodeEnd(const std::string& aHow)
+{
+  return DecodeRenewReply(Response(
+    200,
+    R"({"clock-ms":9,"finished":[[1,"j.0.0.1",1,")" + aHow + R"(",""]]})"));
+}
+
 } // namespace
 
 TEST_GROUP(CallCodec){};
@@ -337,3 +346,38 @@
   reply.mStatus = JobCallStatus::kUnknown;
   CHECK_EQUAL(504, EncodeReply(JobCallKind::kSubmit, reply).Status());
 }
+
+// Guards against showing a job in another state than the one it is in.
+TEST(CallCodec, EachStateOfAJobIsShownUnderItsName)
+{
+  for (const auto& [phase, body] :
+       { std::pair(JobPhase::kQueued, R"({"state":"queued"})"),
+         std::pair(JobPhase::kRunning, R"({"state":"running"})"),
+         std::pair(JobPhase::kDone, R"({"state":"done"})"),
+         std::pair(JobPhase::kFailed, R"({"state":"failed"})"),
+         std::pair(JobPhase::kCancelled, R"({"state":"cancelled"})") }) {
+    JobCallReply reply;
+    reply.mStatus = JobCallStatus::kOk;
+    reply.mPhase = phase;
+    STRCMP_EQUAL(
+      body,
+      std::string(EncodeReply(JobCallKind::kQuery, reply).Body()).c_str());
+  }
+}
+
+// Guards against an attempt that is counted for a run that has not failed.
+TEST(CallCodec, OnlyEndsNamedFailedCountAsFailed)
+{
+  for (const auto& [name, reason] :
+       { std::pair("done", TerminationReason::kDone),
+         std::pair("failed", TerminationReason::kFailed),
+         std::pair("stopped", TerminationReason::kStopped),
+         std::pair("lapsed", TerminationReason::kLeaseExpired),
+         std::pair("broken", TerminationReason::kGangBroken),
+         std::pair("alone", TerminationReason::kGangIncomplete) }) {
+    const RenewReply reply = DecodeEnd(name);
+    CHECK_EQUAL(1, reply.mTerminated.size());
+    CHECK(reply.mTerminated.front().mReason == reason);
+  }
+  CHECK(DecodeEnd("crashed").mOutcome != CommandOutcome::kDone);
+}
--- a/tests/protocol/SchedulingCodecTest.cpp
+++ b/tests/protocol/SchedulingCodecTest.cpp
@@ -145,6 +145,24 @@
                 Replace(kProgress, "0,\"c\"", "4294967297,\"c\""));
 }
 
+// Guards against a daemon that shows another state of a job than the owner
+// stored, and against one that shows a state that it does not know.
+TEST(SchedulingCodec, PhaseOfRecordIsKept)
+{
+  const JsonSchedulingCodec codec;
+  for (const JobPhase phase : { JobPhase::kQueued,
+                                JobPhase::kRunning,
+                                JobPhase::kDone,
+                                JobPhase::kFailed,
+                                JobPhase::kCancelled }) {
+    const JobProgress progress("j", "o", phase, true, {});
+    CHECK(codec.DecodeProgress(codec.EncodeProgress(progress)) == progress);
+  }
+  for (const char* state : { "", "paused", "Failed", "failed " }) {
+    CheckRejected(DecodeProgress, Replace(kProgress, "running", state));
+  }
+}
+
 // Guards against a count of crashes that starts anew with the next owner.
 TEST(SchedulingCodec, CrashesOfRecordAreKept)
 {
