--- a/tests/state/scheduling/FailureCountTest.cpp
+++ b/tests/state/scheduling/FailureCountTest.cpp
@@ -54,8 +54,11 @@
 class OwnersOfOneJob
 {
 public:
-  OwnersOfOneJob(std::size_t aTasks, bool aGang, Division aDivision)
-    : mJob(MakeJob("j", Step(aTasks, aGang), 1))
+  OwnersOfOneJob(std::size_t aTasks,
+                 bool aGang,
+                 Division aDivision,
+                 int aAttempts = static_cast<int>(kAttempts))
+    : mJob(MakeJob("j", Step(aTasks, aGang), 1, aAttempts))
     , mIsGang(aGang)
     , mDivision(aDivision)
   {
@@ -100,6 +103,10 @@
   /** Replaces a stored record. */
   void Store(const JobProgress& aRow) { mRows.insert_or_assign(0, aRow); }
 
+  const JobProgress& Stored() const { return mRows.at(0); }
+
+  void Advance(milliseconds aTime) { mNow += aTime; }
+
   void Write(WriteLimits aLimits = kWholeWrite)
   {
     aLimits.mRecordBytes = kMaxRowBytes;
@@ -125,7 +132,8 @@
     for (const StartCommand& start : commands.mStarts) {
       mOwner->ApplyStartReply(start, { CommandOutcome::kDone, mNow, "" }, mNow);
       const RunKey run{ start.mTask.Index(), start.mRun };
-      CHECK(FailedRuns(run.first) < kAttempts);
+      CHECK(FailedRuns(run.first) <
+            static_cast<std::size_t>(mJob.Settings().mMaxAttempts));
       mHosts.insert_or_assign(run, start.mWorker);
       mRunning.insert(run);
     }
@@ -460,6 +468,30 @@
   CHECK(owners.HasFailed());
 }
 
+// Guards against a record that grows with each failed run of a task with many
+// attempts.
+TEST(FailureCount, RecordHasTheNumbersOfTheLatestFailedRunsOnly)
+{
+  constexpr std::uint64_t kRuns = TaskRecord::kMaxFailedRuns + 4;
+  OwnersOfOneJob owners(1, false, Division::kWhole, 100);
+  for (std::uint64_t run = 1; run <= kRuns; ++run) {
+    for (int i = 0; i < 100 && owners.Running().empty(); ++i) {
+      owners.Advance(milliseconds(1'000));
+      owners.StartRuns();
+    }
+    owners.Report(0, run, TerminationReason::kFailed);
+  }
+  owners.Write();
+  const TaskRecord& record = owners.Stored().Tasks().front();
+  CHECK_EQUAL(kRuns, record.mFailures);
+  CHECK_EQUAL(TaskRecord::kMaxFailedRuns, record.mFailedRuns.size());
+  CHECK_EQUAL(kRuns, record.mFailedRuns.back());
+  owners.Replace();
+  owners.Report(0, kRuns, TerminationReason::kFailed);
+  owners.Write();
+  CHECK_EQUAL(kRuns, owners.Stored().Tasks().front().mFailures);
+}
+
 // Guards against a verdict that depends on the order of ends, partial writes
 // and changes of owner.
 TEST(FailureCount, JobFailsAfterAsManyFailedRunsAsItHasAttempts)
