--- a/src/protocol/JsonSchedulingCodec.cpp
+++ b/src/protocol/JsonSchedulingCodec.cpp
@@ -149,10 +149,10 @@
 
 /**
  * @return [state, run, worker, failures, checkpoint], followed by [incarnation,
- *   total, suspect and alone crashes, earliest start] if any of them is set. If
- *   there was a crash, these are followed by the expectations of the suspect
- *   crashes, and the number and expectations of those of the member. 0 for a
- *   default record.
+ *   total, suspect and alone crashes, earliest start] and [failed runs], each
+ * if it or a later one is set; 0 for a default record. If there was a crash,
+ * the former is continued by the expectations of the suspect crashes, and the
+ *   number and expectations of those of the member.
  */
 json
 RecordToJson(const TaskRecord& aRecord)
@@ -169,8 +169,9 @@
   const CrashCount& crashes = aRecord.mCrashes;
   const bool hasCrashes =
     crashes != CrashCount() || aRecord.mMemberCrashes != CrashEvidence();
+  const bool hasFailedRuns = !aRecord.mFailedRuns.empty();
   if (aRecord.mIncarnation != 0 || aRecord.mStartAfter.count() != 0 ||
-      hasCrashes) {
+      hasCrashes || hasFailedRuns) {
     json run = json::array({ aRecord.mIncarnation,
                              crashes.Total(),
                              crashes.Suspect().Crashes(),
@@ -183,6 +184,9 @@
     }
     record.push_back(std::move(run));
   }
+  if (hasFailedRuns) {
+    record.push_back(aRecord.mFailedRuns);
+  }
   return record;
 }
 
@@ -234,6 +238,10 @@
       record.mMemberCrashes = evidence(6, 7);
     }
   }
+  if (aRecord.Has(6) && !aRecord.HasArray(6)) {
+    throw CoordinationError("job progress: failed runs are no array");
+  }
+  record.mFailedRuns = aRecord.Counters(6);
   return record;
 }
 
