Restart lasting tasks on full fleets despite headroom

Headroom, reservations and racks were ignored only while half of the service was free, which is the rule for tasks that end. Change: for a task that lasts they end 1.5 s after the last report of a run, or after a wait of 1.5 s, however full the fleet is, as long as there is capacity for it twice over. Such a task then also tries workers with recent failures, is not held back by a task of its step that has waited for a shorter time, and the tasks of its step that run do not make capacity scarce for it. The model checks tasks that last, however full the fleet is.

--- a/include/cornelrudder/state/scheduling/Planning.h
+++ b/include/cornelrudder/state/scheduling/Planning.h
@@ -111,6 +111,11 @@
   std::chrono::milliseconds mAge{ 0 };
   /** Time since a planning pass first found no place for the unit. */
   std::chrono::milliseconds mWaitingTime{ 0 };
+  /**
+   * Time since a run of the unit's tasks was last reported, or the waiting time
+   * if that is longer.
+   */
+  std::chrono::milliseconds mDownTime{ 0 };
   /** Whether other tasks of the occurrence run; false for long-running tasks.
    */
   bool mHasRunningPeers = false;
--- a/src/state/scheduling/Packing.cpp
+++ b/src/state/scheduling/Packing.cpp
@@ -32,6 +32,11 @@
  * the platform counts the job as lost.
  */
 constexpr Millis kMaxPreferenceWait{ 1'500 };
+/**
+ * The same for a task that lasts, however full the fleet is, from the last
+ * report of a run. The platform allows 6 s without a run.
+ */
+constexpr Millis kMaxPreferenceDownTime{ 1'500 };
 /**
  * Time that a unit waits for schedulable workers before it also tries retryable
  * ones, if no schedulable worker can run it.
@@ -70,15 +75,18 @@
 /** Smaller logarithms of speeds are not told apart from noise. */
 constexpr double kSpeedNoise = 0.2;
 
-/** @return Number of tasks of a unit that an empty worker could run. */
+/**
+ * @param aMost Upper limit of the result.
+ * @return Number of tasks of a unit that fit into the capacity of a worker
+ *   which has none yet.
+ */
 std::size_t
-CountPlaces(const WaitingUnit& aUnit, const WorkerView& aWorker)
+CountPlaces(const WaitingUnit& aUnit, Resources aCapacity, std::size_t aMost)
 {
-  Resources capacity = aWorker.mCapacity;
   std::size_t n = 0;
-  while (n < aUnit.mTasks && !IsAtLimit(aUnit, n) &&
-         aUnit.mStep.Demand().FitsIn(capacity)) {
-    capacity = capacity.Minus(aUnit.mStep.Demand());
+  while (n < aMost && !IsAtLimit(aUnit, n) &&
+         aUnit.mStep.Demand().FitsIn(aCapacity)) {
+    aCapacity = aCapacity.Minus(aUnit.mStep.Demand());
     ++n;
   }
   return n;
@@ -143,7 +151,7 @@
     if (isOnRack && CanHost(aUnit, worker, 0) && mPriorities[i] == kNone &&
         aUnit.mStep.Demand().FitsIn(worker.mCapacity)) {
       hosts.push_back(i);
-      places += CountPlaces(aUnit, worker);
+      places += CountPlaces(aUnit, worker.mCapacity, aUnit.mTasks);
     }
   }
   if (places < aUnit.mTasks) {
@@ -181,19 +189,41 @@
   if (auto workers = PlaceByPreference(aUnit, aCapacity)) {
     return workers;
   }
-  if (aUnit.mHasRunningPeers || aUnit.mWaitingTime < kMaxPreferenceWait ||
-      !mCapacity.IsMostlyFree(aUnit.mService)) {
+  // With places for only one such unit, capacity is scarce for it.
+  if (!MayIgnorePreferences(aUnit) || !FitsTwice(aUnit, aCapacity)) {
     return std::nullopt;
   }
-  // With places for only one such unit, capacity is scarce for it.
-  WaitingUnit twoUnits = aUnit;
-  twoUnits.mTasks = 2 * aUnit.mTasks;
-  auto workers =
-    PlaceOn(twoUnits, mCapacity.Workers(), aCapacity, Preferences::kIgnored);
-  if (workers) {
-    workers->resize(aUnit.mTasks);
+  return PlaceOn(aUnit, mCapacity.Workers(), aCapacity, Preferences::kIgnored);
+}
+
+bool
+Packer::MayIgnorePreferences(const WaitingUnit& aUnit) const
+{
+  if (aUnit.mStep.IsLongRunning()) {
+    return aUnit.mDownTime >= kMaxPreferenceDownTime;
   }
-  return workers;
+  return !aUnit.mHasRunningPeers && aUnit.mWaitingTime >= kMaxPreferenceWait &&
+         mCapacity.IsMostlyFree(aUnit.mService);
+}
+
+/**
+ * @return Whether the free capacity holds the unit twice, apart from
+ *   preferences. Tasks of the step that run already do not count towards its
+ *   limit per worker: they make capacity for it no scarcer.
+ */
+bool
+Packer::FitsTwice(const WaitingUnit& aUnit,
+                  const CapacitySnapshot& aCapacity) const
+{
+  const std::size_t needed = 2 * aUnit.mTasks;
+  const bool usesRetryable = UsesRetryable(aUnit, Preferences::kIgnored);
+  std::size_t places = 0;
+  for (const std::size_t i : mCapacity.Workers()) {
+    if (places < needed && Accepts(aUnit, i, 0, aCapacity, usesRetryable)) {
+      places += CountPlaces(aUnit, aCapacity.Of(i), needed - places);
+    }
+  }
+  return places >= needed;
 }
 
 std::optional<WorkerList>
@@ -297,32 +327,57 @@
          (mCapacity.HasSuspect(aWorker) ? kSuspectsPenalty : 0.0);
 }
 
+/** @return Whether a unit also tries workers that are only retryable. */
+bool
+Packer::UsesRetryable(const WaitingUnit& aUnit, Preferences aPreferences) const
+{
+  const bool mustRun =
+    aPreferences == Preferences::kIgnored && aUnit.mStep.IsLongRunning();
+  return mustRun || (aUnit.mWaitingTime >= kRetryableWait &&
+                     !HasHost(aUnit, mCapacity.Workers()));
+}
+
+/**
+ * @param aTasksOnWorker Tasks of the step that the worker already has.
+ * @return Whether a worker may run a task of a unit, apart from preferences.
+ */
+bool
+Packer::Accepts(const WaitingUnit& aUnit,
+                std::size_t aWorker,
+                std::size_t aTasksOnWorker,
+                const CapacitySnapshot& aCapacity,
+                bool aUsesRetryable) const
+{
+  const Resources& capacity = aCapacity.Of(aWorker);
+  if (!aUnit.mStep.Demand().FitsIn(capacity) || IsAvoided(aUnit, aWorker)) {
+    return false;
+  }
+  if (aUnit.mIsolation == Isolation::kRequired &&
+      !mCapacity.IsEmpty(aWorker, capacity)) {
+    return false;
+  }
+  const WorkerView& worker = mCapacity.View().mWorkers[aWorker];
+  return (worker.mSchedulable || (aUsesRetryable && worker.mRetryable)) &&
+         IsSuitable(aUnit, worker, aTasksOnWorker);
+}
+
 std::vector<Packer::Candidate>
 Packer::CandidatesFor(const WaitingUnit& aUnit,
                       const WorkerList& aWorkers,
                       const CapacitySnapshot& aCapacity,
                       Preferences aPreferences) const
 {
-  const Resources& demand = aUnit.mStep.Demand();
-  const bool usesRetryable = aUnit.mWaitingTime >= kRetryableWait &&
-                             !HasHost(aUnit, mCapacity.Workers());
+  const bool usesRetryable = UsesRetryable(aUnit, aPreferences);
   std::vector<Candidate> candidates;
   candidates.reserve(aWorkers.size());
   for (const std::size_t i : aWorkers) {
     const bool isReserved =
       aPreferences == Preferences::kRespected && mReservations.Blocks(i, aUnit);
-    if (!demand.FitsIn(aCapacity.Of(i)) || isReserved || IsAvoided(aUnit, i)) {
-      continue;
-    }
-    if (aUnit.mIsolation == Isolation::kRequired &&
-        !mCapacity.IsEmpty(i, aCapacity.Of(i))) {
+    if (isReserved || !aUnit.mStep.Demand().FitsIn(aCapacity.Of(i))) {
       continue;
     }
-    const WorkerView& worker = mCapacity.View().mWorkers[i];
     const std::size_t n = mCapacity.TasksOn(aUnit, i);
-    const bool isAccepting =
-      worker.mSchedulable || (usesRetryable && worker.mRetryable);
-    if (isAccepting && IsSuitable(aUnit, worker, n)) {
+    if (Accepts(aUnit, i, n, aCapacity, usesRetryable)) {
       candidates.push_back({ i, aCapacity.Of(i), n });
     }
   }
--- a/src/state/scheduling/Packing.h
+++ b/src/state/scheduling/Packing.h
@@ -74,6 +74,12 @@
    */
   bool FitsAnyRack(const WaitingUnit& aUnit) const;
 
+  /**
+   * @return Whether a unit has waited long enough to be placed without regard
+   *   to racks, reservations and headroom, if capacity is not scarce for it.
+   */
+  bool MayIgnorePreferences(const WaitingUnit& aUnit) const;
+
 private:
   /** Whether a placement respects reservations and headroom. */
   enum class Preferences
@@ -102,6 +108,14 @@
     const WorkerList& aWorkers,
     const CapacitySnapshot& aCapacity,
     Preferences aPreferences = Preferences::kRespected) const;
+  bool FitsTwice(const WaitingUnit& aUnit,
+                 const CapacitySnapshot& aCapacity) const;
+  bool UsesRetryable(const WaitingUnit& aUnit, Preferences aPreferences) const;
+  bool Accepts(const WaitingUnit& aUnit,
+               std::size_t aWorker,
+               std::size_t aTasksOnWorker,
+               const CapacitySnapshot& aCapacity,
+               bool aUsesRetryable) const;
   std::vector<Candidate> CandidatesFor(const WaitingUnit& aUnit,
                                        const WorkerList& aWorkers,
                                        const CapacitySnapshot& aCapacity,
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -25,6 +25,13 @@
 /** A late result still has value up to this multiple of the objective. */
 constexpr int kExpiryObjectives = 3;
 
+/** @return Time since a run of the task was last reported; 0 if unknown. */
+Millis
+TimeSinceReport(const Task& aTask, Millis aNow)
+{
+  return aTask.mReportedAt.count() > 0 ? aNow - aTask.mReportedAt : Millis(0);
+}
+
 } // namespace
 
 std::int64_t
@@ -290,6 +297,8 @@
   if (const auto it = mWaits.find(aTasks.front()); it != mWaits.end()) {
     unit.mWaitingTime = aNow - it->second.mSince;
   }
+  unit.mDownTime =
+    std::max(unit.mWaitingTime, TimeSinceReport(aJob.mTasks[first], aNow));
   unit.mIsolation = IsolationOf(aJob, first);
   if (unit.mIsolation == Isolation::kRequired &&
       unit.mWaitingTime >= kMaxIsolationWait) {
--- a/src/state/scheduling/UrgencyPolicy.cpp
+++ b/src/state/scheduling/UrgencyPolicy.cpp
@@ -65,6 +65,9 @@
   }
 
 private:
+  /** Step group, and whether the unit may ignore preferences. */
+  using UnitGroup = std::pair<std::size_t, bool>;
+
   PlanDecision Decide(const WaitingUnit& aUnit)
   {
     PlanDecision decision;
@@ -72,8 +75,9 @@
     // If one unit of a step found no capacity, equal units of that step are not
     // tried in the same pass. Capacity that a preemption for another unit frees
     // in addition is used by a later pass.
-    if (aUnit.mNominatedWorkers.empty() &&
-        mUnplaceableGroups.contains(aUnit.mStepGroup)) {
+    const UnitGroup group{ aUnit.mStepGroup,
+                           mPacker.MayIgnorePreferences(aUnit) };
+    if (aUnit.mNominatedWorkers.empty() && mUnplaceableGroups.contains(group)) {
       return decision;
     }
     if (!aUnit.mNominatedWorkers.empty() && IsNominationUsable(aUnit)) {
@@ -111,7 +115,7 @@
     decision.mReason = PlanReason::kNoCapacity;
     if (aUnit.mAvoidedWorkers.empty() &&
         aUnit.mIsolation != Isolation::kRequired) {
-      mUnplaceableGroups.insert(aUnit.mStepGroup);
+      mUnplaceableGroups.insert(group);
     }
     mReservations.Add(aUnit, mCapacity);
     return decision;
@@ -154,10 +158,10 @@
   Packer mPacker;
   Preemptor mPreemptor;
   /**
-   * Step groups with a unit that found no capacity in this pass, although it
-   * avoids no worker and needs no empty one.
+   * Groups with a unit that found no capacity in this pass, although it avoids
+   * no worker and needs no empty one.
    */
-  std::set<std::size_t> mUnplaceableGroups;
+  std::set<UnitGroup> mUnplaceableGroups;
 };
 
 } // namespace
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -312,6 +312,7 @@
   void RecordFault() { mLastFaultAt = mNow; }
   bool IsFaultInForce() const;
   void CheckWorkConservation();
+  void CheckLastingTasks();
   bool CouldRun(const scheduling::TaskJob& aJob) const;
   bool IsStepReady(const scheduling::TaskJob& aJob, std::size_t aStep) const;
   bool HasCapacityTwice(const scheduling::TaskJob& aJob,
@@ -348,6 +349,8 @@
   milliseconds mLastFaultAt{ 0 };
   /** Time since which a job waits although capacity is free. */
   std::map<std::string, milliseconds> mIdleSince;
+  /** Time since which a task that lasts is down although it has capacity. */
+  std::map<scheduling::TaskId, milliseconds> mDownSince;
   scheduling::Catalog mCatalog;
   scheduling::Evacuations mEvacuations;
   std::optional<scheduling::Scheduler> mOwner;
--- a/tests/state/scheduling/PlanningTest.cpp
+++ b/tests/state/scheduling/PlanningTest.cpp
@@ -55,6 +55,17 @@
   return aView.mWaiting.back();
 }
 
+/** Adds a unit of a step that lasts and that has been down for some time. */
+WaitingUnit&
+AddLastingUnit(PlanningView& aView, StepSpecValues aStep, int aPriority)
+{
+  aStep.mLongRunning = true;
+  WaitingUnit& unit = AddUnit(aView, aStep, aPriority);
+  unit.mWaitingTime = milliseconds(2'000);
+  unit.mDownTime = unit.mWaitingTime;
+  return unit;
+}
+
 /** Adds a running unit that uses all free resources of a worker. */
 void
 Occupy(PlanningView& aView, std::size_t aWorker, int aPriority, double aLost)
@@ -196,6 +207,125 @@
   CHECK_EQUAL(kWorkers - 4, placed);
 }
 
+// Guards against a lasting task that stays down beside free workers because
+// urgent work keeps its headroom.
+TEST(Planning, LastingTaskIsPlacedInTheHeadroomOfAFullFleet)
+{
+  constexpr std::size_t kWorkers = 25;
+  PlanningView view = Fleet(kWorkers);
+  for (std::size_t i = 0; i < kWorkers - 4; ++i) {
+    Occupy(view, i, 0, 0.0);
+  }
+  AddLastingUnit(view, Step(1, 8), 1);
+  CHECK(Plan(view).front().mReason == PlanReason::kFits);
+  // The headroom is kept from tasks that were up lately, and that end.
+  view.mWaiting.front().mDownTime = milliseconds(1'000);
+  CHECK(Plan(view).front().mReason == PlanReason::kNoCapacity);
+  view.mWaiting.clear();
+  AddUnit(view, Step(1, 8), 1).mWaitingTime = milliseconds(10'000);
+  CHECK(Plan(view).front().mReason == PlanReason::kNoCapacity);
+}
+
+// Guards against a lasting task that stays down on a full fleet because the
+// free workers are reserved, or are not on the rack of its data.
+TEST(Planning, LastingTaskIgnoresReservationsAndAFullRackOnAFullFleet)
+{
+  PlanningView view = Fleet(6);
+  for (std::size_t i = 0; i < 4; ++i) {
+    Occupy(view, i, 1, 0.0);
+  }
+  StepSpecValues gang = Step(4, 8);
+  gang.mGang = true;
+  AddUnit(view, gang, 1);
+  StepSpecValues lasting = Step(1, 8);
+  lasting.mAffinityRack = "r0";
+  lasting.mEstimatedRunTime = milliseconds(100'000);
+  AddLastingUnit(view, lasting, 2).mExpectedRunTime = milliseconds(100'000);
+  CHECK(DecisionFor(Plan(view), 1).mReason == PlanReason::kFits);
+}
+
+// Guards against taking the last free place as if there were two.
+TEST(Planning, LastingTaskLeavesTheHeadroomIfThatIsScarce)
+{
+  constexpr std::size_t kWorkers = 25;
+  PlanningView view = Fleet(kWorkers);
+  for (std::size_t i = 0; i < kWorkers - 1; ++i) {
+    Occupy(view, i, 0, 0.0);
+  }
+  AddLastingUnit(view, Step(1, 8), 1);
+  CHECK(Plan(view).front().mReason == PlanReason::kNoCapacity);
+}
+
+// Guards against a lasting task that stays down because another task of its
+// step, which has waited for a shorter time, finds no place.
+TEST(Planning, LastingTaskIsNotBlockedByAYoungerWaitOfItsStep)
+{
+  constexpr std::size_t kWorkers = 25;
+  PlanningView view = Fleet(kWorkers);
+  for (std::size_t i = 0; i < kWorkers - 4; ++i) {
+    Occupy(view, i, 0, 0.0);
+  }
+  AddLastingUnit(view, Step(2, 8), 1).mDownTime = milliseconds(0);
+  AddLastingUnit(view, Step(2, 8), 1).mStepGroup = 0;
+  const auto decisions = Plan(view);
+  CHECK(DecisionFor(decisions, 0).mReason == PlanReason::kNoCapacity);
+  CHECK(DecisionFor(decisions, 1).mReason == PlanReason::kFits);
+}
+
+// Guards against a lasting task that stays down because the other tasks of its
+// step run on the only other worker with capacity for it.
+TEST(Planning, LastingTaskWithALimitPerWorkerTakesTheOnlyOtherWorker)
+{
+  constexpr std::size_t kWorkers = 14;
+  PlanningView view = Fleet(kWorkers);
+  for (std::size_t i = 0; i < kWorkers - 2; ++i) {
+    Occupy(view, i, 0, 0.0);
+  }
+  // A task of the step runs here beside room for another one.
+  view.mWorkers[kWorkers - 1].mFree = Resources(16'000, 32'000, 4);
+  StepSpecValues step = Step(2, 4);
+  step.mMaxPerWorker = 1;
+  AddLastingUnit(view, step, 1).mPeerWorkers = { kWorkers - 1 };
+  const auto decisions = Plan(view);
+  CHECK(decisions.front().mReason == PlanReason::kFits);
+  CHECK_EQUAL(kWorkers - 2, decisions.front().mWorkers.front());
+}
+
+// Guards against a lasting task that stays down because all free workers have
+// failed recently and the sound ones are full.
+TEST(Planning, LastingTaskTriesSuspectedWorkersWhileTheOthersAreFull)
+{
+  PlanningView view = Fleet(4);
+  for (std::size_t i = 0; i < 2; ++i) {
+    Occupy(view, i, 0, 0.0);
+    view.mWorkers[2 + i].mSchedulable = false;
+    view.mWorkers[2 + i].mRetryable = true;
+  }
+  AddLastingUnit(view, Step(1, 8), 1);
+  CHECK(Plan(view).front().mReason == PlanReason::kFits);
+}
+
+// Guards against breaking hard conditions for a lasting task that is down.
+TEST(Planning, LastingTaskThatIsDownKeepsHardConditions)
+{
+  PlanningView view = Fleet(6);
+  Occupy(view, 0, 0, 0.0);
+  view.mWorkers[1].mService = "other";
+  view.mWorkers[2].mSchedulable = false;
+  view.mWorkers[3].mLabels = { "b" };
+  view.mWorkers[4].mLabels = { "a" };
+  view.mWorkers[4].mFree = Resources(32'000, 64'000, 7);
+  view.mWorkers[5].mLabels = { "a" };
+  StepSpecValues step = Step(2, 1);
+  step.mRequiredLabel = "a";
+  step.mMaxPerWorker = 1;
+  AddLastingUnit(view, step, 1).mPeerWorkers = { 4 };
+  AddLastingUnit(view, step, 1).mPeerWorkers = { 4, 5 };
+  const auto decisions = Plan(view);
+  CHECK_EQUAL(5, DecisionFor(decisions, 0).mWorkers.front());
+  CHECK(DecisionFor(decisions, 1).mReason == PlanReason::kNoCapacity);
+}
+
 // Guards against two equally urgent units that preempt each other repeatedly.
 TEST(Planning, EquallyUrgentWorkIsPreemptedOnlyForDueReclaim)
 {
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -1308,6 +1308,28 @@
   CheckNoViolation(model);
 }
 
+// Guards against a lasting task that stays down after a crash of its worker
+// while urgent work keeps its headroom.
+TEST(Scheduler, LastingTaskReturnsWhileUrgentWorkKeepsItsHeadroom)
+{
+  constexpr std::size_t kWorkers = 26;
+  FleetModel model({ kWorkers, 6 });
+  StepSpecValues lasting = Step(1, 8);
+  lasting.mLongRunning = true;
+  model.Submit(MakeJob("a", lasting, 1), milliseconds(1'000'000));
+  model.Run(milliseconds(1'000));
+  const std::size_t host = FirstBusyWorker(model);
+  model.Submit(MakeJob("urgent", Step(21, 8), 0), milliseconds(75'000));
+  model.Run(milliseconds(4'000));
+  CHECK_EQUAL(22, model.Starts());
+  model.SetReachable(host, false);
+  model.UnlistWorker(host);
+  // Most of the time is the lease of the lost run.
+  model.Run(milliseconds(7'000));
+  CHECK_EQUAL(23, model.Starts());
+  CheckNoViolation(model);
+}
+
 // Guards against starting a run that was planned before the capacity shrank.
 TEST(Scheduler, PlannedRunIsNotStartedOnWorkerThatShrank)
 {
@@ -1645,6 +1667,46 @@
   }
 }
 
+// Guards against lasting tasks that stay down although they have capacity,
+// however full the fleet is, after crashes of workers.
+TEST(Scheduler, LastingTasksReturnAfterCrashesOnBusyFleets)
+{
+  constexpr std::uint64_t kSeeds = 20;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    std::mt19937_64 random(seed * 104'729);
+    FleetModelOptions options;
+    options.mSeed = seed;
+    options.mWorkers = 13 + random() % 15;
+    options.mWorkersPerRack = 2 + random() % 4;
+    options.mCheckWorkConservation = true;
+    options.mCrashTime = milliseconds(1'000);
+    FleetModel model(options);
+    for (int i = 0; i < 3; ++i) {
+      StepSpecValues lasting = Step(1 + random() % 3, 1 << (random() % 4));
+      lasting.mLongRunning = true;
+      lasting.mAffinityRack = random() % 2 == 0 ? "r1" : "";
+      model.Submit(MakeJob("l" + std::to_string(i), lasting, 1 + i % 2),
+                   milliseconds(1'000'000));
+    }
+    model.Run(milliseconds(3'000));
+    for (int round = 0; round < 4; ++round) {
+      const std::string id = std::to_string(round);
+      model.Submit(MakeJob("u" + id, Step(options.mWorkers / 3, 8), 0),
+                   milliseconds(20'000 + random() % 20'000));
+      model.Submit(MakeJob("g" + id, Step(2 + random() % 4, 8, true), 1),
+                   milliseconds(5'000 + random() % 10'000));
+      model.Run(milliseconds(2'000));
+      for (int i = 0; i < 2; ++i) {
+        model.CrashWorkerFor(random() % options.mWorkers, milliseconds(1'000));
+      }
+      model.Run(milliseconds(16'000));
+    }
+    for (const std::string& violation : model.Violations()) {
+      FAIL(("seed " + std::to_string(seed) + ": " + violation).c_str());
+    }
+  }
+}
+
 // Guards against jobs that wait although most of the fleet is free, after
 // faults of workers, of their list, of the store and of the owner.
 TEST(Scheduler, WorkIsConservedAfterRandomFaults)
--- a/tests/state/scheduling/WorkConservation.cpp
+++ b/tests/state/scheduling/WorkConservation.cpp
@@ -129,13 +129,50 @@
   return false;
 }
 
+/** Checks tasks that last and are down, however full the fleet is. */
+void
+FleetModel::CheckLastingTasks()
+{
+  std::set<TaskId> running;
+  for (const ModelWorker& worker : mWorkers) {
+    for (const ModelRun& run : worker.mRuns) {
+      running.insert(run.mTask);
+    }
+  }
+  for (const auto& [id, job] : mJobs) {
+    for (std::size_t step = 0; step < job.Steps().size(); ++step) {
+      const bool isDue = job.Steps()[step].IsLongRunning() &&
+                         !mCancelled.contains(id) && IsStepReady(job, step) &&
+                         HasCapacityTwice(job, step);
+      for (std::size_t i = 0; i < job.Steps()[step].Tasks(); ++i) {
+        const TaskId task(id, 0, step, i);
+        if (!isDue || running.contains(task)) {
+          mDownSince.erase(task);
+          continue;
+        }
+        const milliseconds since = mDownSince.emplace(task, mNow).first->second;
+        if (mNow - since >= kMaxIdleTime) {
+          RecordViolation(task.Text() + " is down although there is capacity");
+          mDownSince.erase(task);
+        }
+      }
+    }
+  }
+}
+
 void
 FleetModel::CheckWorkConservation()
 {
   if (IsFaultInForce()) {
     RecordFault();
   }
-  if (mNow < mLastFaultAt + kFaultGrace || !IsMostCapacityFree()) {
+  if (mNow < mLastFaultAt + kFaultGrace) {
+    mDownSince.clear();
+    mIdleSince.clear();
+    return;
+  }
+  CheckLastingTasks();
+  if (!IsMostCapacityFree()) {
     mIdleSince.clear();
     return;
   }
