Count the tasks of a step in nominations

A nomination was taken without counting the tasks of the step that run on the worker or were placed there in the same pass. The other task had come there since its own nominated worker drained and units with a nomination, usable or not, were planned before others. Change: a nomination is usable only if its workers accept the unit beside the tasks of its step and the other members of the unit. Only units with a usable nomination are planned before others, so that none takes the capacity that was freed for another one. The model of the fleet reports each start beyond the limit of a step.

--- a/src/state/scheduling/UrgencyPolicy.cpp
+++ b/src/state/scheduling/UrgencyPolicy.cpp
@@ -18,15 +18,18 @@
 /** Sort key of a waiting unit; see Rank(). */
 using RankKey = std::tuple<bool, bool, bool, int, bool, Millis, std::size_t>;
 
-/** @return Sort key that determines the sequence in which units are planned. */
+/**
+ * @param aIsNominated Whether the unit has a usable nomination.
+ * @return Sort key that determines the sequence in which units are planned.
+ */
 RankKey
-Rank(const WaitingUnit& aUnit)
+Rank(const WaitingUnit& aUnit, bool aIsNominated)
 {
   const bool isLate = aUnit.mSlack.count() < 0;
   const bool isExpired = aUnit.mExpirySlack.count() < 0;
   // Nominated units come first. If another unit used the capacity that was
   // freed for them, they would preempt work again.
-  return std::make_tuple(aUnit.mNominatedWorkers.empty(),
+  return std::make_tuple(!aIsNominated,
                          !aUnit.mGuaranteed,
                          isExpired,
                          aUnit.mPriority,
@@ -53,7 +56,7 @@
     std::vector<std::pair<RankKey, const WaitingUnit*>> ranked;
     ranked.reserve(mView.mWaiting.size());
     for (const WaitingUnit& unit : mView.mWaiting) {
-      ranked.emplace_back(Rank(unit), &unit);
+      ranked.emplace_back(Rank(unit, IsNominationUsable(unit)), &unit);
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<PlanDecision> decisions;
@@ -80,7 +83,7 @@
     if (aUnit.mNominatedWorkers.empty() && mUnplaceableGroups.contains(group)) {
       return decision;
     }
-    if (!aUnit.mNominatedWorkers.empty() && IsNominationUsable(aUnit)) {
+    if (IsNominationUsable(aUnit)) {
       const bool fits = FitsOnNomination(aUnit, mCapacity.Free().All());
       decision.mReason =
         fits ? PlanReason::kFits : PlanReason::kAwaitingCapacity;
@@ -137,18 +140,23 @@
   }
 
   /**
-   * @return Whether the nominated workers accept the unit and have capacity for
-   *   it, counting capacity that is being released.
+   * @return Whether the unit is nominated, and the nominated workers accept it
+   *   beside the tasks of its step and have capacity for it, counting capacity
+   *   that is being released.
    */
   bool IsNominationUsable(const WaitingUnit& aUnit) const
   {
-    const bool areUsable =
-      std::all_of(aUnit.mNominatedWorkers.begin(),
-                  aUnit.mNominatedWorkers.end(),
-                  [&](std::size_t aWorker) {
-                    return CanHost(aUnit, mView.mWorkers[aWorker], 0);
-                  });
-    return areUsable &&
+    const WorkerList& workers = aUnit.mNominatedWorkers;
+    for (auto it = workers.begin(); it != workers.end(); ++it) {
+      const auto members =
+        static_cast<std::size_t>(std::count(workers.begin(), it, *it));
+      if (!CanHost(aUnit,
+                   mView.mWorkers[*it],
+                   mCapacity.TasksOn(aUnit, *it) + members)) {
+        return false;
+      }
+    }
+    return !workers.empty() &&
            FitsOnNomination(aUnit, mCapacity.FreeAfterStops().All());
   }
 
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -705,6 +705,18 @@
       }
     }
   }
+  const StepSpec& step = job.Steps()[aCommand.mTask.Step()];
+  const auto peers = std::count_if(
+    aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const ModelRun& aRun) {
+      return aRun.mTask.Job() == aCommand.mTask.Job() &&
+             aRun.mTask.Occurrence() == aCommand.mTask.Occurrence() &&
+             aRun.mTask.Step() == aCommand.mTask.Step();
+    });
+  if (step.MaxPerWorker() > 0 &&
+      static_cast<std::size_t>(peers) >= step.MaxPerWorker()) {
+    RecordViolation(name + " exceeds the limit of its step on " +
+                    aWorker.mInfo.mId);
+  }
   if (mDoneTasks.contains(aCommand.mTask)) {
     RecordViolation(name + " starts after its completion was recorded");
   }
--- a/tests/state/scheduling/PlanningTest.cpp
+++ b/tests/state/scheduling/PlanningTest.cpp
@@ -356,6 +356,63 @@
   CHECK(DecisionFor(decisions, 1).mReason == PlanReason::kPreempts);
 }
 
+// Guards against two tasks of a step on one worker beyond its limit: a
+// nomination was taken although the worker had got another task of the step.
+TEST(Planning, NominationCountsTheTasksOfItsStepOnTheWorker)
+{
+  PlanningView view = Fleet(2);
+  view.mWorkers[0].mSchedulable = false;
+  StepSpecValues step = Step(2, 2);
+  step.mMaxPerWorker = 1;
+  AddUnit(view, step, 0).mNominatedWorkers = { 0 };
+  WaitingUnit& second = AddUnit(view, step, 0);
+  second.mNominatedWorkers = { 1 };
+  second.mStepGroup = 0;
+  const auto decisions = Plan(view);
+  CHECK(DecisionFor(decisions, 0).mReason == PlanReason::kNoCapacity);
+  CHECK_EQUAL(1, DecisionFor(decisions, 1).mWorkers.front());
+}
+
+// Guards against the same with a task of the step that runs there already.
+TEST(Planning, NominationCountsTheRunningTasksOfItsStep)
+{
+  PlanningView view = Fleet(2);
+  StepSpecValues step = Step(2, 2);
+  step.mMaxPerWorker = 1;
+  WaitingUnit& unit = AddUnit(view, step, 0);
+  unit.mNominatedWorkers = { 1 };
+  unit.mPeerWorkers = { 1 };
+  CHECK_EQUAL(0, Plan(view).front().mWorkers.front());
+}
+
+// Guards against the same with the members of one gang.
+TEST(Planning, NominationOfAGangKeepsItsLimitPerWorker)
+{
+  PlanningView view = Fleet(2);
+  StepSpecValues gang = Step(2, 2);
+  gang.mGang = true;
+  gang.mMaxPerWorker = 1;
+  AddUnit(view, gang, 0).mNominatedWorkers = { 1, 1 };
+  const auto decisions = Plan(view);
+  CHECK(decisions.front().mReason == PlanReason::kFits);
+  CHECK(decisions.front().mWorkers[0] != decisions.front().mWorkers[1]);
+}
+
+// Guards against a second preemption: a unit whose nominated worker drains took
+// the capacity that was freed for another one.
+TEST(Planning, UnitWithAnUnusableNominationTakesNoOtherNomination)
+{
+  PlanningView view = Fleet(3);
+  view.mWorkers[0].mSchedulable = false;
+  Occupy(view, 2, 2, 1.0);
+  AddUnit(view, Step(1, 8), 0).mNominatedWorkers = { 0 };
+  AddUnit(view, Step(1, 8), 0).mNominatedWorkers = { 1 };
+  const auto decisions = Plan(view);
+  CHECK_EQUAL(1, DecisionFor(decisions, 1).mWorkers.front());
+  CHECK(DecisionFor(decisions, 0).mReason == PlanReason::kPreempts);
+  CHECK_EQUAL(2, DecisionFor(decisions, 0).mWorkers.front());
+}
+
 // Guards against preempting work that the guarantee of another organisation
 // covers.
 TEST(Planning, GuaranteedWorkIsNeverPreempted)
--- a/tests/state/scheduling/SchedulerTest.cpp
+++ b/tests/state/scheduling/SchedulerTest.cpp
@@ -1330,6 +1330,41 @@
   CheckNoViolation(model);
 }
 
+// Guards against two tasks of a step on one worker beyond its limit when one of
+// the workers on which work was preempted for them begins to drain.
+TEST(Scheduler, LimitPerWorkerHoldsWhileANominatedWorkerDrains)
+{
+  constexpr std::size_t kWorkers = 16;
+  FleetModel model({ kWorkers, 6 });
+  model.ApplyCatalog(CatalogWithGuarantee(16));
+  const auto fill = [&](std::size_t aJob) {
+    model.Submit(MakeJob("low" + std::to_string(aJob), Step(1, 8), 2),
+                 milliseconds(60'000));
+    model.Run(milliseconds(400));
+  };
+  for (std::size_t i = 1; i < kWorkers; ++i) {
+    fill(i);
+  }
+  // The least work is lost on the worker that starts last, and is nominated for
+  // the first task.
+  std::size_t last = 0;
+  while (model.RunningOn(last) > 0) {
+    ++last;
+  }
+  fill(kWorkers);
+  StepSpecValues urgent = Step(2, 2);
+  urgent.mEstimatedRunTime = milliseconds(4'000);
+  urgent.mMaxPerWorker = 1;
+  model.Submit(MakeJob("urgent", urgent, 0), milliseconds(4'000));
+  while (model.Stops() < 2) {
+    model.Run(milliseconds(10));
+  }
+  model.SetDraining(last);
+  model.Run(milliseconds(15'000));
+  CheckPhase(model, "urgent", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
 // Guards against starting a run that was planned before the capacity shrank.
 TEST(Scheduler, PlannedRunIsNotStartedOnWorkerThatShrank)
 {
