Store which run of a gang was counted as crashed last

What callers saw: nothing of its own; a gang came nearer to being shown as failed for each change of the owner between the crashes of two of its workers. Cause: the record has the number of crashes but not the run that was counted last, so that a new owner counts the same run again when it finds another worker crashed. The same class as failed runs that are counted twice. Change: the record has the run; the times of counted crashes that the rate no longer covers are dropped, which grew with each crash of a task that lasts. Result: CrashedRunOfAGangCountsOnceAcrossOwners had 2 crashes before, 1 now.

--- a/include/cornelrudder/state/scheduling/JobProgress.h
+++ b/include/cornelrudder/state/scheduling/JobProgress.h
@@ -70,6 +70,11 @@
   CrashCount mCrashes = {};
   /** Crashes of the worker of this task, or of this member of a gang. */
   CrashEvidence mMemberCrashes = {};
+  /**
+   * The last run that mCrashes counts; 0 for none. Workers of other members may
+   * be found to have crashed under it only by a new owner.
+   */
+  std::uint64_t mLastCrashedRun = 0;
   /**
    * Time from the submission of the job before which the run has not started; 0
    * if there is no run, or if it is unknown.
--- a/src/protocol/JsonSchedulingCodec.cpp
+++ b/src/protocol/JsonSchedulingCodec.cpp
@@ -151,8 +151,8 @@
  * @return [state, run, worker, failures, checkpoint], followed by [incarnation,
  *   total, suspect and alone crashes, earliest start] and [failed runs], each
  * if it or a later one is set; 0 for a default record. If there was a crash,
- * the former is continued by the expectations of the suspect crashes, and the
- *   number and expectations of those of the member.
+ * the former is continued by the expectations of the suspect crashes, the
+ * number and expectations of those of the member, and the last run counted.
  */
 json
 RecordToJson(const TaskRecord& aRecord)
@@ -181,6 +181,7 @@
       run.push_back(crashes.Suspect().Expected());
       run.push_back(aRecord.mMemberCrashes.Crashes());
       run.push_back(aRecord.mMemberCrashes.Expected());
+      run.push_back(aRecord.mLastCrashedRun);
     }
     record.push_back(std::move(run));
   }
@@ -236,6 +237,7 @@
     record.mCrashes = CrashCount(count(1), count(3), evidence(2, 5));
     if (crashes.Has(6)) {
       record.mMemberCrashes = evidence(6, 7);
+      record.mLastCrashedRun = crashes.Counter(8);
     }
   }
   if (aRecord.Has(6) && !aRecord.HasArray(6)) {
--- a/src/state/scheduling/SchedulerCrashes.cpp
+++ b/src/state/scheduling/SchedulerCrashes.cpp
@@ -295,13 +295,14 @@
                                 std::size_t aCountedTask,
                                 Millis aNow)
 {
+  std::vector<CountedCrash>& crashes = aJob.mCountedCrashes[aCountedTask];
+  std::erase_if(crashes, [this, aNow](const CountedCrash& aCrash) {
+    return !mCrashRate.Covers(aCrash.mSpan, aNow);
+  });
   const std::vector<BackgroundCrash> pending = PendingCrashes(aNow);
   const auto members = static_cast<std::int64_t>(aJob.MembersOf(aCountedTask));
   Task& counted = aJob.mTasks[aCountedTask];
-  for (CountedCrash& crash : aJob.mCountedCrashes[aCountedTask]) {
-    if (!mCrashRate.Covers(crash.mSpan, aNow)) {
-      continue;
-    }
+  for (CountedCrash& crash : crashes) {
     const std::int64_t before = crash.mExpected;
     crash.mExpected =
       ExpectedCrashes(crash.mSpan, crash.mOthersChance, pending);
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -108,7 +108,7 @@
     task.mCrashes = record.mCrashes;
     task.mMemberCrashes = record.mMemberCrashes;
     if (task.mCrashes != CrashCount()) {
-      aJob.mCrashedRuns.emplace(i, 0);
+      aJob.mCrashedRuns.emplace(i, record.mLastCrashedRun);
     }
     if (!record.mWorker.empty()) {
       Assign(aJob, i, FindOrAddWorker(record.mWorker, aNow), record.mRun);
--- a/src/state/scheduling/SchedulerModel.cpp
+++ b/src/state/scheduling/SchedulerModel.cpp
@@ -291,6 +291,9 @@
     record.mFailures = task.mFailures;
     record.mCrashes = task.mCrashes;
     record.mMemberCrashes = task.mMemberCrashes;
+    if (const auto it = mCrashedRuns.find(i); it != mCrashedRuns.end()) {
+      record.mLastCrashedRun = it->second;
+    }
     if (task.IsAssigned()) {
       record.mState = RecordedState::kAssigned;
       record.mWorker = task.mWorker;
--- a/tests/protocol/SchedulingCodecTest.cpp
+++ b/tests/protocol/SchedulingCodecTest.cpp
@@ -171,6 +171,7 @@
   record.mIncarnation = 1'790'000'000'000;
   record.mCrashes = CrashCount(3, 1, CrashEvidence(2, { 150, 20'000 }));
   record.mMemberCrashes = CrashEvidence(1, { 30 });
+  record.mLastCrashedRun = 2;
   record.mStartAfter = std::chrono::milliseconds(1'500);
   const JobProgress progress("j", "o", JobPhase::kRunning, true, { record });
   CHECK(codec.DecodeProgress(codec.EncodeProgress(progress)) == progress);
@@ -237,16 +238,17 @@
 {
   DecodeProgress(Replace(kProgress, "\"c\"", "\"c\",[5,3,2,1]"));
   DecodeProgress(
-    Replace(kProgress, "\"c\"", "\"c\",[5,3,2,1,700,[4,9],1,[4]]"));
+    Replace(kProgress, "\"c\"", "\"c\",[5,3,2,1,700,[4,9],1,[4],2]"));
   for (const std::string& value : tests::NoCounters()) {
     for (const std::string& crashes :
          { value,
            "[5,3,2," + value + "]",
            "[5," + value + ",2,1]",
            "[5,3,2,1," + value + "]",
-           "[5,3,2,1,700,[" + value + "],1,[4]]",
-           "[5,3,2,1,700,[4,9]," + value + ",[4]]",
-           "[5,3,2,1,700,[4,9],1,[" + value + "]]" }) {
+           "[5,3,2,1,700,[" + value + "],1,[4],2]",
+           "[5,3,2,1,700,[4,9]," + value + ",[4],2]",
+           "[5,3,2,1,700,[4,9],1,[" + value + "],2]",
+           "[5,3,2,1,700,[4,9],1,[4]," + value + "]" }) {
       CheckRejected(DecodeProgress,
                     Replace(kProgress, "\"c\"", "\"c\"," + crashes));
     }
--- a/tests/state/scheduling/CrashTest.cpp
+++ b/tests/state/scheduling/CrashTest.cpp
@@ -421,6 +421,23 @@
   CheckNoViolation(model);
 }
 
+// Guards against counting one crashed run of a gang again with the next owner.
+TEST(SchedulerCrashes, CrashedRunOfAGangCountsOnceAcrossOwners)
+{
+  constexpr std::size_t kWorkers = 4;
+  FleetModel model({ kWorkers, 2 });
+  model.Submit(MakeJob("a", Step(kWorkers, 8, true), 1), milliseconds(20'000));
+  model.Run(milliseconds(2'000));
+  model.CrashWorkerFor(0, milliseconds(1'000));
+  model.CrashWorkerFor(1, milliseconds(3'000));
+  model.Run(milliseconds(2'000));
+  CHECK_EQUAL(1, model.StoredCrashes("a").Total());
+  model.ReplaceOwner();
+  model.Run(milliseconds(5'000));
+  CHECK_EQUAL(1, model.StoredCrashes("a").Total());
+  CheckNoViolation(model);
+}
+
 // Guards against failing healthy gangs where workers crash often.
 TEST(SchedulerCrashes, FrequentCrashesOfWorkersFailNoHealthyGang)
 {
