Limit the memory of all jobs that have not ended

Change: JobBytes estimates the memory of a job. The owner reports the sum and the part of each organisation in its lease row; JobAdmission adds what its daemon has accepted since and refuses a submission that leaves too little, large jobs before small ones, with 503 and "ran":"no" unless the job is stored already. The limit follows the memory of the VM (scheduling.job_memory_mb). An owner holds jobs without a record back over its limit, as after a takeover. A pass has units of a step only for the slots of the workers, which leaves the plan as it is, and above 16,384 units an even share for each step.

--- a/apps/cornelrudderd/DaemonSettings.cpp
+++ b/apps/cornelrudderd/DaemonSettings.cpp
@@ -1,6 +1,7 @@
 #include "cornelrudderd/DaemonSettings.h"
 
 #include "cornelrudder/state/SettingsSchema.h"
+#include "cornelrudder/state/scheduling/JobMemory.h"
 
 #include <algorithm>
 #include <array>
@@ -40,6 +41,8 @@
 constexpr std::int64_t kMaxMb = 1'048'576;
 /** Part of the VM's memory for connections. */
 constexpr std::int64_t kConnectionShare = 4;
+/** Part of the VM's memory for jobs. */
+constexpr std::int64_t kJobShare = 4;
 
 /** A row holds at least the lease of the owner. */
 constexpr std::int64_t kMinRowBytes = 1'024;
@@ -228,6 +231,13 @@
            0,
            kMinuteMs,
            "" },
+  FileKey{ "scheduling",
+           "job_memory_mb",
+           &Values::mJobMemoryMb,
+           false,
+           0,
+           kMaxMb,
+           "" },
   FileKey{ "scheduling",
            "job_retention_ms",
            &Values::mJobRetentionMs,
@@ -524,6 +534,19 @@
   return limits;
 }
 
+std::uint64_t
+DaemonSettings::JobBytes() const
+{
+  if (mValues.mJobMemoryMb > 0) {
+    return static_cast<std::uint64_t>(mValues.mJobMemoryMb * kMebibyte);
+  }
+  if (mValues.mMemoryMb > 0) {
+    return static_cast<std::uint64_t>(mValues.mMemoryMb * kMebibyte /
+                                      kJobShare);
+  }
+  return state::scheduling::kDefaultJobBytes;
+}
+
 std::size_t
 DaemonSettings::ConnectionBytes() const
 {
--- a/apps/cornelrudderd/DaemonSettings.h
+++ b/apps/cornelrudderd/DaemonSettings.h
@@ -46,6 +46,8 @@
   std::int64_t mMemoryMb = 0;
   /** Memory of all connections; 0 for a part of the VM's. */
   std::int64_t mHttpMemoryMb = 0;
+  /** Memory of all jobs; 0 for a part of the VM's. */
+  std::int64_t mJobMemoryMb = 0;
   std::int64_t mHttpMaxConnections = 1'000;
   std::int64_t mHttpMaxHeaderBytes = 16'384;
   std::int64_t mHttpMaxHeaderFields = 128;
@@ -207,6 +209,8 @@
 
   /** @return Limits of the listener for callers. */
   transport::HttpServerLimits HttpLimits() const;
+  /** @return Limit of the memory of all jobs that have not ended. */
+  std::uint64_t JobBytes() const;
   /** @return Limit of the memory of all connections. */
   std::size_t ConnectionBytes() const;
 
--- a/apps/cornelrudderd/FleetDaemon.cpp
+++ b/apps/cornelrudderd/FleetDaemon.cpp
@@ -151,6 +151,7 @@
     const std::size_t maxRowBytes =
       platform::TableLimits{ mSettings.RowBytes() }.MaxValueBytes();
     gateway.mMaxRowBytes = maxRowBytes;
+    gateway.mMaxJobBytes = mSettings.JobBytes();
     mGateway = mTasks.Add(SpawnJobGatewayTask(mSystem,
                                               mCatalog,
                                               mStore,
@@ -176,6 +177,7 @@
     scheduler.mPolicy = mSettings.PlacementPolicy();
     scheduler.mRunTimes = mSettings.RunTimes();
     scheduler.mMaxRowBytes = maxRowBytes;
+    scheduler.mMaxJobBytes = mSettings.JobBytes();
     scheduler.mEvacuationTime = mSettings.EvacuationTime();
     mScheduler = mTasks.Add(
       SpawnSchedulerTask(
--- a/include/cornelrudder/coordination/JobGatewayTask.h
+++ b/include/cornelrudder/coordination/JobGatewayTask.h
@@ -6,6 +6,7 @@
 #include "cornelrudder/coordination/EventLog.h"
 #include "cornelrudder/coordination/SchedulingCodec.h"
 #include "cornelrudder/coordination/StorePort.h"
+#include "cornelrudder/state/scheduling/JobMemory.h"
 
 #include <caf/fwd.hpp>
 
@@ -42,6 +43,8 @@
   std::chrono::milliseconds mReplyTimeReserve{ 200 };
   /** Largest value of a row in the store, in bytes. */
   std::size_t mMaxRowBytes = 49'152;
+  /** Memory of all jobs that are accepted and not ended, in bytes. */
+  std::uint64_t mMaxJobBytes = state::scheduling::kDefaultJobBytes;
 };
 
 /**
--- a/include/cornelrudder/coordination/SchedulerTask.h
+++ b/include/cornelrudder/coordination/SchedulerTask.h
@@ -7,6 +7,7 @@
 #include "cornelrudder/coordination/SchedulingCodec.h"
 #include "cornelrudder/coordination/StorePort.h"
 #include "cornelrudder/coordination/TaskWorkerPort.h"
+#include "cornelrudder/state/scheduling/JobMemory.h"
 
 #include <caf/fwd.hpp>
 
@@ -108,6 +109,8 @@
   std::string mRunTimes;
   /** Largest value of a row in the store, in bytes. */
   std::size_t mMaxRowBytes = 49'152;
+  /** Memory of all jobs; see SchedulerOptions::mMaxJobBytes. */
+  std::uint64_t mMaxJobBytes = state::scheduling::kDefaultJobBytes;
 };
 
 /**
--- a/include/cornelrudder/state/scheduling/OwnerLease.h
+++ b/include/cornelrudder/state/scheduling/OwnerLease.h
@@ -2,6 +2,7 @@
 #define CORNELRUDDER_STATE_SCHEDULING_OWNER_LEASE_H
 
 #include "cornelrudder/state/PeakWindow.h"
+#include "cornelrudder/state/scheduling/JobMemory.h"
 #include "cornelrudder/state/scheduling/TaskId.h"
 #include "cornelrudder/state/scheduling/WorkerCalls.h"
 
@@ -10,6 +11,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,6 +64,8 @@
    * unacknowledged terminations, and those of other jobs come after them.
    */
   std::vector<UnrecordedEnd> mUnrecordedEnds{};
+  /** Memory of the jobs; nothing from an owner that does not report it. */
+  std::optional<JobMemory> mJobMemory{};
 
   /**
    * Limits handovers among daemons of which none reaches the workers.
@@ -74,11 +78,15 @@
   /** @return The lease as such an owner releases it. */
   OwnerLease HandedOver(std::chrono::milliseconds aHeld) const;
 
-  bool HasLists() const { return !mPending.empty() || !mWorkerLeases.empty(); }
+  bool HasLists() const
+  {
+    return !mPending.empty() || !mWorkerLeases.empty() ||
+           (mJobMemory && !mJobMemory->mByOrganisation.empty());
+  }
 
   /**
    * @return The lease without half of the workers' leases or, if there are
-   *   none, without the shorter half of the queues.
+   *   none, without the lower half of the longer of the other lists.
    */
   OwnerLease WithShorterLists() const;
 
--- a/include/cornelrudder/state/scheduling/Scheduler.h
+++ b/include/cornelrudder/state/scheduling/Scheduler.h
@@ -3,6 +3,7 @@
 
 #include "cornelrudder/state/scheduling/Catalog.h"
 #include "cornelrudder/state/scheduling/Evacuations.h"
+#include "cornelrudder/state/scheduling/JobMemory.h"
 #include "cornelrudder/state/scheduling/JobProgress.h"
 #include "cornelrudder/state/scheduling/OwnerLease.h"
 #include "cornelrudder/state/scheduling/OwnerReachability.h"
@@ -72,6 +73,11 @@
    * keep the checkpoints that they have.
    */
   std::size_t mMaxCheckpointBytes = 24'000'000;
+  /**
+   * Memory of jobs beyond which further jobs are held back until others have
+   * ended, in bytes by JobBytes(). Jobs with a record are never held back.
+   */
+  std::uint64_t mMaxJobBytes = std::numeric_limits<std::uint64_t>::max();
   auto operator<=>(const SchedulerOptions&) const = default;
 };
 
@@ -336,6 +342,13 @@
   /** @return Number of jobs not started yet, by queue. */
   std::map<std::string, std::uint64_t> PendingJobs() const;
 
+  /** @return Memory of the jobs, in bytes. */
+  std::uint64_t BytesOfJobs() const;
+
+  /** @return Memory of the jobs, without the version up to which they are read.
+   */
+  JobMemory MemoryOfJobs() const;
+
   /** @return Whether no job is active and no change is unwritten. */
   bool IsIdle() const;
 
--- a/src/coordination/JobGatewayTask.cpp
+++ b/src/coordination/JobGatewayTask.cpp
@@ -25,7 +25,10 @@
 using state::StoreRow;
 using state::StoreStatus;
 using state::Transaction;
+using state::scheduling::AdmissionVerdict;
 using state::scheduling::Catalog;
+using state::scheduling::JobAdmission;
+using state::scheduling::JobMemory;
 using state::scheduling::JobPhase;
 using state::scheduling::Queue;
 using state::scheduling::TaskJob;
@@ -77,6 +80,11 @@
    * writes need no condition on their row.
    */
   bool mIsCatalogChecked = false;
+  /** Whether the owner's report of the jobs was read for this call. */
+  bool mIsReportRead = false;
+  /** Why a submission is refused for the memory of the jobs, if it is. */
+  AdmissionVerdict mVerdict = AdmissionVerdict::kAccepted;
+  std::uint64_t mJobBytes = 0;
   int mReevaluations = 0;
 };
 
@@ -102,6 +110,7 @@
     , mLog(aLog)
     , mOptions(aOptions)
     , mWriteIds(aOptions.mIncarnation + "-call")
+    , mAdmission(aOptions.mMaxJobBytes)
   {
   }
 
@@ -241,6 +250,9 @@
                  std::to_string(mOptions.mMaxRowBytes));
         return;
       }
+      if (!Admit(aId, aPending, JobBytes(job))) {
+        return;
+      }
       Write(aId,
             { { JobKey(aPending.mJob), 0, std::move(row) } },
             &JobGatewayTask::HandleSubmitResult,
@@ -250,6 +262,98 @@
     }
   }
 
+  /**
+   * Checks that the memory of the owner allows another job. The owner's report
+   * is read again if it does not, or if much was accepted since. A call whose
+   * write may be stored already is not judged again.
+   * @return Whether the write may be sent now.
+   */
+  bool Admit(std::uint64_t aId, Pending& aPending, std::uint64_t aBytes)
+  {
+    if (aPending.mMayBeWritten) {
+      return true;
+    }
+    mAdmission = mAdmission.WithEnded(aId);
+    const std::string& organisation = aPending.mOrganisation;
+    if (!aPending.mIsReportRead &&
+        mAdmission.NeedsReport(organisation, aBytes)) {
+      aPending.mIsReportRead = true;
+      mStore.ReadRow(kOwnerLeaseKey,
+                     ExpectResult(aId, &JobGatewayTask::HandleReport));
+      return false;
+    }
+    aPending.mVerdict = mAdmission.Judge(organisation, aBytes);
+    if (aPending.mVerdict != AdmissionVerdict::kAccepted) {
+      aPending.mJobBytes = aBytes;
+      mStore.ReadRow(JobKey(aPending.mJob),
+                     ExpectResult(aId, &JobGatewayTask::HandleRefusedJob));
+      return false;
+    }
+    mAdmission = mAdmission.WithAccepted(aId, organisation, aBytes);
+    return true;
+  }
+
+  /** Refuses a job unless an earlier call has stored it. */
+  void HandleRefusedJob(std::uint64_t aId,
+                        Pending& aPending,
+                        const StoreResult& aResult)
+  {
+    if (aResult.Status() != StoreStatus::kOk) {
+      RejectOrRetry(aId, aPending, "the store does not answer");
+    } else if (HasRow(aResult)) {
+      ReplyStored(aId, aPending, aResult.Rows().front());
+    } else {
+      RejectForMemory(aId, aPending);
+    }
+  }
+
+  void RejectForMemory(std::uint64_t aId, const Pending& aPending)
+  {
+    static constexpr std::array kVerdicts{
+      std::pair{ "accepted", "" },
+      std::pair{ "job_too_large",
+                 "the job takes more than half of the memory for jobs" },
+      std::pair{ "memory_used", "the jobs that have not ended use the memory" },
+      std::pair{ "share_used",
+                 "the jobs of the organisation that have not ended use its "
+                 "share of the memory" },
+      std::pair{ "unconfirmed", "the owner has not read the last jobs yet" }
+    };
+    const auto& [reason, detail] =
+      kVerdicts.at(static_cast<std::size_t>(aPending.mVerdict));
+    ++mCounters[std::string("jobs_refused_total{reason=\"") + reason + "\"}"];
+    Reject(aId,
+           aPending.mVerdict == AdmissionVerdict::kTooLarge
+             ? JobCallStatus::kBadRequest
+             : JobCallStatus::kUnavailable,
+           std::string(detail) + ": the job takes " +
+             std::to_string(aPending.mJobBytes) + " bytes, all others " +
+             std::to_string(mAdmission.Used()) + "; allowed are " +
+             std::to_string(mAdmission.Limit()));
+  }
+
+  void HandleReport(std::uint64_t aId,
+                    Pending& aPending,
+                    const StoreResult& aResult)
+  {
+    if (aResult.Status() != StoreStatus::kOk) {
+      RejectOrRetry(aId, aPending, "the store does not answer");
+      return;
+    }
+    try {
+      std::optional<JobMemory> report{ JobMemory{} };
+      if (HasRow(aResult)) {
+        report =
+          mCodec.DecodeOwnerLease(aResult.Rows().front().Value()).mJobMemory;
+      }
+      mAdmission = mAdmission.WithReport(std::move(report));
+    } catch (const CoordinationError&) {
+      // The row of an owner of another version; the owner task logs it.
+      mAdmission = mAdmission.WithReport(std::nullopt);
+    }
+    Evaluate(aId, aPending);
+  }
+
   /**
    * Checks that the store is reachable before a write. If it is not, the call
    * is rejected without a write, so that the rejection is certain. If the
@@ -357,6 +461,9 @@
                           Pending& aPending,
                           const StoreResult& aResult)
   {
+    if (aResult.Status() == StoreStatus::kOk) {
+      mAdmission = mAdmission.WithStored(aId, aResult.Version());
+    }
     if (aResult.Status() == StoreStatus::kConflict) {
       const StoreRow* row = FindRow(aResult, JobKey(aPending.mJob));
       if (row != nullptr && row->Version() != 0) {
@@ -762,6 +869,9 @@
               std::to_string((mClock.Now() - pending.mStartedAt).count()) },
             { "detail", aReply.mDetail } } });
     }
+    if (pending.mCall.mKind == JobCallKind::kSubmit) {
+      mAdmission = mAdmission.WithEnded(aId);
+    }
     const auto respond = pending.mCall.mRespond;
     JobCallReply reply = aReply;
     reply.mKind = pending.mCall.mKind;
@@ -782,6 +892,7 @@
   std::shared_ptr<const Catalog> mCatalog;
   milliseconds mConfirmedAt{ 0 };
   StoreClockReading mStoreClock;
+  JobAdmission mAdmission;
   bool mIsStoreReachable = false;
   /** Store version up to which the catalog task has read the settings table. */
   std::uint64_t mReadVersion = 0;
--- a/src/coordination/SchedulerTaskImpl.h
+++ b/src/coordination/SchedulerTaskImpl.h
@@ -134,6 +134,7 @@
   void HandleAcquireResult(const state::StoreResult& aResult);
   void FinishAcquire(std::uint64_t aVersion);
   bool IsWriteDue() const;
+  bool IsMemoryReportDue() const;
   void Write();
   std::size_t TasksPerRecord() const;
   std::string EncodeLease();
--- a/src/coordination/SchedulerTaskOwnership.cpp
+++ b/src/coordination/SchedulerTaskOwnership.cpp
@@ -47,6 +47,9 @@
 constexpr std::size_t kMaxRemovedRows = 60;
 constexpr std::size_t kMaxRecordsBesideRemovals = 20;
 
+/** Part of the memory for jobs whose change is reported at once. */
+constexpr std::uint64_t kMemoryReportShare = 64;
+
 /** Writes of unknown outcome whose sending is remembered. */
 constexpr std::size_t kMaxSentWrites = 32;
 
@@ -245,6 +248,9 @@
   mMode = Mode::kAcquiring;
   mLease = aObserved;
   mLease.mWorkerLeases.clear();
+  if (aVersion == 0) {
+    mLease.mJobMemory = state::scheduling::JobMemory{};
+  }
   mInheritedLeases.clear();
   if (!aObserved.mOwner.empty()) {
     mLease.mHandovers = 0;
@@ -325,12 +331,26 @@
   if (mWriteInFlight || Now() < mNextWriteAt) {
     return false;
   }
-  const bool hasChanges =
-    mMode == Mode::kOwning && mScheduler && mScheduler->HasChanges();
+  const bool hasChanges = mMode == Mode::kOwning && mScheduler &&
+                          (mScheduler->HasChanges() || IsMemoryReportDue());
   return hasChanges || mReleasing || mIsolation || !IsLeaseConfirmed() ||
          Now() - mLastWriteAt >= mOptions.mRenewInterval;
 }
 
+/**
+ * @return Whether the memory of the jobs differs so much from the last report
+ *   that other daemons would accept too many jobs, or refuse them.
+ */
+bool
+SchedulerTask::IsMemoryReportDue() const
+{
+  const std::uint64_t reported =
+    mLease.mJobMemory ? mLease.mJobMemory->mBytes : 0;
+  const std::uint64_t bytes = mScheduler->BytesOfJobs();
+  return std::max(bytes, reported) - std::min(bytes, reported) >
+         mOptions.mMaxJobBytes / kMemoryReportShare;
+}
+
 /** @return A write of the present lease. */
 LeaseWrite
 SchedulerTask::MakeLeaseWrite(Millis aSentAt) const
@@ -364,6 +384,8 @@
   if (mMode == Mode::kOwning) {
     records = CollectRecords();
     mLease.mPending = mScheduler->PendingJobs();
+    mLease.mJobMemory = mScheduler->MemoryOfJobs();
+    mLease.mJobMemory->mJobsVersion = mJobsVersion;
     mLease.mUnrecordedEnds = mScheduler->UnrecordedEnds();
   }
   if (mReleasing) {
--- a/src/coordination/SchedulerTaskRows.cpp
+++ b/src/coordination/SchedulerTaskRows.cpp
@@ -127,6 +127,7 @@
   options.mLastEarlierCommandAt = mLastEarlierCommandAt;
   options.mLastEarlierStartAt = mLastEarlierStartAt;
   options.mTasksPerRecord = TasksPerRecord();
+  options.mMaxJobBytes = mOptions.mMaxJobBytes;
   mInheritedLeases.clear();
   mScheduler.emplace(std::move(options));
   if (mCatalog) {
@@ -144,16 +145,21 @@
   for (const StoreRow& row : mProgressRead.mRows) {
     progressRows[JobOfProgressRow(NameInTable(row.Key()))].push_back(&row);
   }
+  // Jobs with a record come first: others may be held back for them.
+  std::vector<const StoreRow*> otherRows;
   for (const StoreRow& row : mJobsRead.mRows) {
     const auto it = progressRows.find(NameInTable(row.Key()));
     if (it == progressRows.end()) {
-      ApplyJobRow(row, nullptr);
+      otherRows.push_back(&row);
     } else if (const auto progress = DecodeRecord(it->second)) {
       ApplyJobRow(row, &*progress);
     } else {
       mUnreadableJobs.insert(row.Key());
     }
   }
+  for (const StoreRow* row : otherRows) {
+    ApplyJobRow(*row, nullptr);
+  }
   mScheduler->RestoreUnrecordedEnds(mLease.mUnrecordedEnds, Now());
   mScheduler->ApplyEvacuations(mEvacuations, Now());
   mPorts.mLog.Write(
--- a/src/protocol/JsonSchedulingCodec.cpp
+++ b/src/protocol/JsonSchedulingCodec.cpp
@@ -336,6 +336,13 @@
   if (!aLease.mWorkerLeases.empty()) {
     lease["worker_leases_ms"] = aLease.mWorkerLeases;
   }
+  if (aLease.mJobMemory) {
+    lease["job_memory"] = {
+      { "bytes", aLease.mJobMemory->mBytes },
+      { "organisations", aLease.mJobMemory->mByOrganisation },
+      { "jobs_version", aLease.mJobMemory->mJobsVersion }
+    };
+  }
   for (const UnrecordedEnd& it : aLease.mUnrecordedEnds) {
     lease["unrecorded_ends"].push_back(
       { it.mTask.Text(), it.mRun, TerminationReasonName(it.mReason) });
@@ -360,6 +367,12 @@
     if (aObject.Has("worker_leases_ms")) {
       lease.mWorkerLeases = aObject.CountersByName("worker_leases_ms");
     }
+    if (aObject.Has("job_memory")) {
+      const JsonReader memory = aObject.At("job_memory");
+      lease.mJobMemory = { memory.Counter("bytes"),
+                           memory.CountersByName("organisations"),
+                           memory.Counter("jobs_version") };
+    }
     if (aObject.Has("unrecorded_ends")) {
       lease.mUnrecordedEnds = EndsFromJson(aObject.At("unrecorded_ends"));
     }
--- a/src/state/scheduling/OwnerLease.cpp
+++ b/src/state/scheduling/OwnerLease.cpp
@@ -32,6 +32,21 @@
 /** Time of ownership after which earlier handovers do not count any more. */
 constexpr std::chrono::milliseconds kHandoverMemory{ 30'000 };
 
+/** Removes the entries with the lower half of the values. */
+void
+RemoveLowerHalf(std::map<std::string, std::uint64_t>& aList)
+{
+  std::vector<std::pair<std::uint64_t, std::string>> entries;
+  for (const auto& [name, value] : aList) {
+    entries.emplace_back(value, name);
+  }
+  std::sort(entries.begin(), entries.end());
+  entries.resize((entries.size() + 1) / 2);
+  for (const auto& [value, name] : entries) {
+    aList.erase(name);
+  }
+}
+
 } // namespace
 
 bool
@@ -60,15 +75,11 @@
       lease.mWorkerLeases.end());
     return lease;
   }
-  std::vector<std::pair<std::uint64_t, std::string>> queues;
-  for (const auto& [queue, jobs] : lease.mPending) {
-    queues.emplace_back(jobs, queue);
-  }
-  std::sort(queues.begin(), queues.end());
-  queues.resize((queues.size() + 1) / 2);
-  for (const auto& [jobs, queue] : queues) {
-    lease.mPending.erase(queue);
-  }
+  const bool isMemoryLonger =
+    lease.mJobMemory &&
+    lease.mJobMemory->mByOrganisation.size() > lease.mPending.size();
+  RemoveLowerHalf(isMemoryLonger ? lease.mJobMemory->mByOrganisation
+                                 : lease.mPending);
   return lease;
 }
 
--- a/src/state/scheduling/Scheduler.cpp
+++ b/src/state/scheduling/Scheduler.cpp
@@ -187,6 +187,18 @@
   return mImpl->PendingJobs();
 }
 
+std::uint64_t
+Scheduler::BytesOfJobs() const
+{
+  return mImpl->BytesOfJobs();
+}
+
+JobMemory
+Scheduler::MemoryOfJobs() const
+{
+  return mImpl->MemoryOfJobs();
+}
+
 bool
 Scheduler::IsIdle() const
 {
--- a/src/state/scheduling/SchedulerDiagnostics.cpp
+++ b/src/state/scheduling/SchedulerDiagnostics.cpp
@@ -30,8 +30,11 @@
 {
   std::map<std::string, std::uint64_t> gauges{
     { "scheduler_jobs", mJobs.size() },
+    { "scheduler_jobs_deferred", mDeferred.size() },
+    { "scheduler_job_bytes", mJobBytes },
     { "scheduler_workers", mWorkers.size() },
-    { "scheduler_checkpoint_bytes", mCheckpointBytes }
+    { "scheduler_checkpoint_bytes", mCheckpointBytes },
+    { "scheduler_planned_units", mPlannedUnits }
   };
   const RunTimeStatistics runTimes = mRunTimes->Statistics();
   gauges["scheduler_run_time_keys"] = runTimes.mKeys;
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -10,6 +10,8 @@
 #include <deque>
 #include <optional>
 #include <set>
+#include <span>
+#include <tuple>
 
 namespace cornelrudder::state::scheduling {
 
@@ -52,6 +54,8 @@
   std::vector<std::string> ExpiredJobs(Millis aNow, std::size_t aMax) const;
   void RemoveExpiredJobs(std::size_t aCount);
   std::map<std::string, std::uint64_t> PendingJobs() const;
+  std::uint64_t BytesOfJobs() const { return mJobBytes + mDeferredBytes; }
+  JobMemory MemoryOfJobs() const;
   bool IsIdle() const;
   std::map<std::string, std::uint64_t> Gauges() const;
 
@@ -95,6 +99,21 @@
     std::vector<std::vector<TaskKey>> mWaiting;
   };
 
+  /** A step of an occurrence that is due and ready and has waiting tasks. */
+  struct WaitingStep
+  {
+    const JobState* mJob;
+    std::size_t mFirst;
+    std::vector<std::size_t> mTasks;
+    bool mHasRunningPeers;
+
+    /** @return Number of units that the step asks for. */
+    std::size_t Units() const
+    {
+      return mJob->StepOf(mFirst).IsGang() ? 1 : mTasks.size();
+    }
+  };
+
   /** Why and since when a unit waits. */
   struct WaitState
   {
@@ -103,6 +122,9 @@
     Millis mSince;
   };
 
+  /** Priority, local time of the submission and identifier of a job. */
+  using DeferralKey = std::tuple<int, Millis, std::string>;
+
   /** Progress of the runs of one step. */
   struct StepProgress
   {
@@ -132,6 +154,14 @@
 
   // Jobs and records.
   JobState* FindJob(const std::string& aJob);
+  JobState& Insert(const TaskJob& aJob,
+                   Millis aSubmittedAt,
+                   const JobProgress* aProgress);
+  bool HasRoomFor(const TaskJob& aJob) const;
+  std::map<DeferralKey, TaskJob>::iterator FindDeferred(
+    const std::string& aJob);
+  void AdmitDeferred();
+  void Admit(std::map<DeferralKey, TaskJob>::iterator aDeferred);
   void Restore(JobState& aJob, const JobProgress& aProgress, Millis aNow);
   void UpdateRestoredPhase(JobState& aJob, Millis aNow);
   void MarkChanged(JobState& aJob);
@@ -352,14 +382,19 @@
   PlanningView BuildView(ViewKeys& aKeys, Millis aNow);
   void AddWorkers(PlanningView& aView, ViewKeys& aKeys, Millis aNow) const;
   void AddRunning(PlanningView& aView, ViewKeys& aKeys, Millis aNow) const;
-  void AddWaiting(PlanningView& aView,
-                  ViewKeys& aKeys,
-                  const JobState& aJob,
-                  Millis aNow) const;
+  void CollectWaiting(std::vector<WaitingStep>& aSteps,
+                      std::span<const WorkerView> aWorkers,
+                      const JobState& aJob,
+                      Millis aNow) const;
+  std::vector<std::size_t> WaitingTasks(const JobState& aJob,
+                                        std::size_t aFirst,
+                                        std::span<const WorkerView> aWorkers,
+                                        Millis aNow) const;
+  bool IsPlannedLikePeers(const JobState& aJob, std::size_t aTask) const;
   void AddWaitingStep(PlanningView& aView,
                       ViewKeys& aKeys,
-                      const JobState& aJob,
-                      std::size_t aFirst,
+                      const WaitingStep& aStep,
+                      std::size_t aShare,
                       Millis aNow) const;
   WaitingUnit MakeUnit(const JobState& aJob,
                        const std::vector<TaskKey>& aTasks,
@@ -381,6 +416,11 @@
   std::map<std::string, std::int64_t> mGuarantees;
   Evacuations mEvacuations;
   std::map<std::string, JobState> mJobs;
+  /** Memory of mJobs by JobBytes(). */
+  std::uint64_t mJobBytes = 0;
+  /** Jobs held back, in the sequence in which they are admitted. */
+  std::map<DeferralKey, TaskJob> mDeferred;
+  std::uint64_t mDeferredBytes = 0;
   /**
    * Terminated jobs, kept so that a late duplicate submission cannot add one
    * again.
@@ -433,6 +473,8 @@
    * Workers on which runs were preempted for a waiting unit, by its first task.
    */
   std::map<TaskKey, std::vector<std::string>> mNominations;
+  /** Number of waiting units in the last planning pass. */
+  std::size_t mPlannedUnits = 0;
   /** Units that wait, by their first task. */
   std::map<TaskKey, WaitState> mWaits;
   /** Recent times at which workers were found to have crashed, by worker. */
--- a/src/state/scheduling/SchedulerJobs.cpp
+++ b/src/state/scheduling/SchedulerJobs.cpp
@@ -29,6 +29,13 @@
   return std::min(time, kMaxSetAsideTime);
 }
 
+/** @return Whether a record was stored in several rows. */
+bool
+IsDivided(const JobProgress& aProgress)
+{
+  return aProgress.TasksPerPart() > 0 || !aProgress.Rows().empty();
+}
+
 } // namespace
 
 Scheduler::Impl::Impl(SchedulerOptions aOptions)
@@ -60,33 +67,83 @@
                         const JobProgress* aProgress,
                         Millis aNow)
 {
-  if (mJobs.contains(aJob.Id()) || mTerminatedJobs.contains(aJob.Id())) {
+  if (mJobs.contains(aJob.Id()) || mTerminatedJobs.contains(aJob.Id()) ||
+      FindDeferred(aJob.Id()) != mDeferred.end()) {
+    return;
+  }
+  mPlannedAt = std::max(mPlannedAt, aNow);
+  const Millis submittedAt = aNow - std::max(aAge, Millis(0));
+  if (aProgress == nullptr && !HasRoomFor(aJob)) {
+    mDeferredBytes += JobBytes(aJob);
+    mDeferred.emplace(
+      DeferralKey{ aJob.Settings().mPriority, submittedAt, aJob.Id() }, aJob);
     return;
   }
+  JobState& added = Insert(aJob, submittedAt, aProgress);
+  if (aProgress != nullptr) {
+    Restore(added, *aProgress, aNow);
+    if (IsDivided(*aProgress) && IsFinal(added.mPhase)) {
+      // The earlier owner may not have deleted the other parts of the record.
+      MarkAllChanged(added);
+    }
+    RemoveIfTerminated(aJob.Id());
+  }
+}
+
+JobState&
+Scheduler::Impl::Insert(const TaskJob& aJob,
+                        Millis aSubmittedAt,
+                        const JobProgress* aProgress)
+{
   // A record is divided, or whole, as it was stored; BeginWrite() divides it
   // further if that is necessary.
-  const bool isDivided =
-    aProgress != nullptr &&
-    (aProgress->TasksPerPart() > 0 || !aProgress->Rows().empty());
+  const bool isDivided = aProgress != nullptr && IsDivided(*aProgress);
   const std::size_t storedTasks =
     aProgress != nullptr ? aProgress->Tasks().size() : 0;
   JobState job(aJob,
-               aNow - std::max(aAge, Millis(0)),
+               aSubmittedAt,
                isDivided ? aProgress->TasksPerPart()
                          : std::max(mOptions.mTasksPerRecord, storedTasks),
                isDivided ? aProgress->Rows() : std::vector<RecordRow>());
-  mPlannedAt = std::max(mPlannedAt, aNow);
-  JobState& added = mJobs.emplace(aJob.Id(), std::move(job)).first->second;
-  if (aProgress != nullptr) {
-    Restore(added, *aProgress, aNow);
-    if (isDivided && IsFinal(added.mPhase)) {
-      // The earlier owner may not have deleted the other parts of the record.
-      MarkAllChanged(added);
-    }
-    RemoveIfTerminated(aJob.Id());
+  mJobBytes += JobBytes(aJob);
+  return mJobs.emplace(aJob.Id(), std::move(job)).first->second;
+}
+
+bool
+Scheduler::Impl::HasRoomFor(const TaskJob& aJob) const
+{
+  // A job that exceeds the limit alone was accepted under a higher one.
+  return mJobs.empty() || (mJobBytes <= mOptions.mMaxJobBytes &&
+                           JobBytes(aJob) <= mOptions.mMaxJobBytes - mJobBytes);
+}
+
+std::map<Scheduler::Impl::DeferralKey, TaskJob>::iterator
+Scheduler::Impl::FindDeferred(const std::string& aJob)
+{
+  return std::find_if(
+    mDeferred.begin(), mDeferred.end(), [&aJob](const auto& aIt) {
+      return aIt.second.Id() == aJob;
+    });
+}
+
+/** Smaller jobs do not overtake the first one, which would never be admitted.
+ */
+void
+Scheduler::Impl::AdmitDeferred()
+{
+  while (!mDeferred.empty() && HasRoomFor(mDeferred.begin()->second)) {
+    Admit(mDeferred.begin());
   }
 }
 
+void
+Scheduler::Impl::Admit(std::map<DeferralKey, TaskJob>::iterator aDeferred)
+{
+  const auto job = mDeferred.extract(aDeferred);
+  mDeferredBytes -= JobBytes(job.mapped());
+  Insert(job.mapped(), std::get<Millis>(job.key()), nullptr);
+}
+
 void
 Scheduler::Impl::Restore(JobState& aJob,
                          const JobProgress& aProgress,
@@ -150,6 +207,9 @@
 void
 Scheduler::Impl::CancelJob(const std::string& aJob, Millis aNow)
 {
+  if (const auto it = FindDeferred(aJob); it != mDeferred.end()) {
+    Admit(it);
+  }
   JobState* job = FindJob(aJob);
   if (job != nullptr && !IsFinal(job->mPhase)) {
     TerminateJob(*job, JobPhase::kCancelled, aNow);
@@ -246,6 +306,7 @@
       mNominations.erase({ aJob, i });
       mCheckpointBytes -= job->mTasks[i].mCheckpoint.size();
     }
+    mJobBytes -= JobBytes(job->mJob);
     mJobs.erase(aJob);
     mTerminatedJobs.insert(aJob);
     mTerminatedJobsByTime.emplace_back(mPlannedAt, aJob);
@@ -574,13 +635,35 @@
       ++pending[job.mJob.Settings().mQueue];
     }
   }
+  for (const auto& [key, job] : mDeferred) {
+    ++pending[job.Settings().mQueue];
+  }
   return pending;
 }
 
+JobMemory
+Scheduler::Impl::MemoryOfJobs() const
+{
+  JobMemory memory;
+  const auto add = [&memory](const TaskJob& aJob) {
+    const std::uint64_t bytes = JobBytes(aJob);
+    memory.mBytes += bytes;
+    memory.mByOrganisation[aJob.Organisation()] += bytes;
+  };
+  for (const auto& [id, job] : mJobs) {
+    add(job.mJob);
+  }
+  for (const auto& [key, job] : mDeferred) {
+    add(job);
+  }
+  return memory;
+}
+
 bool
 Scheduler::Impl::IsIdle() const
 {
-  return mJobs.empty() && !HasUnwrittenJobs() && mWriting.empty();
+  return mJobs.empty() && mDeferred.empty() && !HasUnwrittenJobs() &&
+         mWriting.empty();
 }
 
 } // namespace cornelrudder::state::scheduling
--- a/src/state/scheduling/SchedulerPlan.cpp
+++ b/src/state/scheduling/SchedulerPlan.cpp
@@ -1,4 +1,5 @@
 #include "SchedulerImpl.h"
+#include "UnitLimits.h"
 
 #include <algorithm>
 #include <cmath>
@@ -24,6 +25,8 @@
 constexpr Millis kMaxIsolationWait{ 2'000 };
 /** A late result still has value up to this multiple of the objective. */
 constexpr int kExpiryObjectives = 3;
+/** Waiting tasks of a step up to which its slots are not counted. */
+constexpr std::size_t kMinLimitedTasks = 64;
 
 } // namespace
 
@@ -94,6 +97,7 @@
 {
   mPlannedAt = aNow;
   mWallClockOffset = aWallClock - aNow;
+  AdmitDeferred();
   RetryJobsSetAside(aNow);
   ExpireUnresponsiveWorkers(aNow);
   WithdrawEvacuatedRuns(aNow);
@@ -117,12 +121,23 @@
 {
   PlanningView view;
   AddWorkers(view, aKeys, aNow);
+  std::vector<WaitingStep> steps;
   for (const auto& [id, job] : mJobs) {
     if (IsFinal(job.mPhase) || mSetAside.contains(id)) {
       continue;
     }
-    AddWaiting(view, aKeys, job, aNow);
+    CollectWaiting(steps, view.mWorkers, job, aNow);
   }
+  std::vector<std::size_t> counts;
+  counts.reserve(steps.size());
+  for (const WaitingStep& step : steps) {
+    counts.push_back(step.Units());
+  }
+  const std::size_t share = EvenShare(std::move(counts), kMaxWaitingUnits);
+  for (const WaitingStep& step : steps) {
+    AddWaitingStep(view, aKeys, step, share, aNow);
+  }
+  mPlannedUnits = view.mWaiting.size();
   LimitIsolatedUnits(view, aKeys, aNow);
   if (!view.mWaiting.empty()) {
     AddRunning(view, aKeys, aNow);
@@ -202,66 +217,129 @@
 }
 
 void
-Scheduler::Impl::AddWaiting(PlanningView& aView,
-                            ViewKeys& aKeys,
-                            const JobState& aJob,
-                            Millis aNow) const
+Scheduler::Impl::CollectWaiting(std::vector<WaitingStep>& aSteps,
+                                std::span<const WorkerView> aWorkers,
+                                const JobState& aJob,
+                                Millis aNow) const
 {
   for (std::size_t k = 0; k < aJob.mJob.Occurrences(); ++k) {
     if (!IsDue(aJob, k, aNow)) {
       return;
     }
-    const std::size_t first = aView.mWaiting.size();
+    const std::size_t first = aSteps.size();
     for (std::size_t step = 0; step < aJob.mJob.Steps().size(); ++step) {
-      if (aJob.IsStepReady(k, step)) {
-        AddWaitingStep(aView, aKeys, aJob, aJob.FirstTask(k, step), aNow);
+      if (!aJob.IsStepReady(k, step)) {
+        continue;
+      }
+      WaitingStep waiting{ &aJob, aJob.FirstTask(k, step), {}, false };
+      waiting.mTasks = WaitingTasks(aJob, waiting.mFirst, aWorkers, aNow);
+      if (!waiting.mTasks.empty()) {
+        aSteps.push_back(std::move(waiting));
       }
     }
-    const bool isRunning =
-      first < aView.mWaiting.size() && aJob.IsAnyAssigned(k);
-    for (std::size_t i = first; i < aView.mWaiting.size(); ++i) {
-      WaitingUnit& unit = aView.mWaiting[i];
-      unit.mHasRunningPeers = isRunning && !unit.mStep.IsLongRunning();
+    const bool isRunning = first < aSteps.size() && aJob.IsAnyAssigned(k);
+    for (std::size_t i = first; i < aSteps.size(); ++i) {
+      aSteps[i].mHasRunningPeers = isRunning;
     }
   }
 }
 
-void
-Scheduler::Impl::AddWaitingStep(PlanningView& aView,
-                                ViewKeys& aKeys,
-                                const JobState& aJob,
-                                std::size_t aFirst,
-                                Millis aNow) const
+/**
+ * @return Waiting tasks of a step: all members of a gang, or none. Those beyond
+ *   the slots of the step, which a pass could not place, are left out.
+ */
+std::vector<std::size_t>
+Scheduler::Impl::WaitingTasks(const JobState& aJob,
+                              std::size_t aFirst,
+                              std::span<const WorkerView> aWorkers,
+                              Millis aNow) const
 {
   const StepSpec& step = aJob.StepOf(aFirst);
-  std::vector<TaskKey> waiting;
+  std::size_t slots = step.Tasks();
+  if (!step.IsGang() && step.Tasks() > kMinLimitedTasks) {
+    slots = std::max(
+      TaskSlots(
+        aWorkers, aJob.mJob.Settings().mService, step, kMaxWaitingUnits),
+      kMinLimitedTasks);
+  }
+  std::vector<std::size_t> waiting;
   for (std::size_t i = aFirst; i < aFirst + step.Tasks(); ++i) {
     const Task& task = aJob.mTasks[i];
-    if (task.mPhase == TaskPhase::kWaiting &&
-        !MayEarlierOwnerStart(task, aNow)) {
-      waiting.push_back({ aJob.mJob.Id(), i });
+    if (task.mPhase != TaskPhase::kWaiting ||
+        MayEarlierOwnerStart(task, aNow)) {
+      continue;
+    }
+    if (IsPlannedLikePeers(aJob, i)) {
+      if (slots == 0) {
+        continue;
+      }
+      --slots;
     }
+    waiting.push_back(i);
   }
-  if (waiting.empty()) {
-    return;
+  // A gang is placed again only when no member of its earlier run is assigned.
+  if (step.IsGang() && waiting.size() < step.Tasks()) {
+    waiting.clear();
   }
-  const StepExpectation expectation = ExpectStep(aJob, aFirst, aNow);
+  return waiting;
+}
+
+/** @return Whether nothing tells a waiting task from others of its step. */
+bool
+Scheduler::Impl::IsPlannedLikePeers(const JobState& aJob,
+                                    std::size_t aTask) const
+{
+  return aJob.mTasks[aTask].mAvoidedWorker.empty() &&
+         IsolationOf(aJob, aTask) == Isolation::kNone &&
+         (mNominations.empty() ||
+          !mNominations.contains({ aJob.mJob.Id(), aTask }));
+}
+
+/** @param aShare Limit of the units; the tasks nearest to a start come first.
+ */
+void
+Scheduler::Impl::AddWaitingStep(PlanningView& aView,
+                                ViewKeys& aKeys,
+                                const WaitingStep& aStep,
+                                std::size_t aShare,
+                                Millis aNow) const
+{
+  const JobState& job = *aStep.mJob;
+  const StepSpec& step = job.StepOf(aStep.mFirst);
+  const StepExpectation expectation = ExpectStep(job, aStep.mFirst, aNow);
+  const std::size_t group = aKeys.mWaiting.size();
+  const auto add = [&](std::vector<TaskKey> aTasks) {
+    aView.mWaiting.push_back(MakeUnit(job, aTasks, expectation, aKeys, aNow));
+    aView.mWaiting.back().mStepGroup = group;
+    aView.mWaiting.back().mHasRunningPeers =
+      aStep.mHasRunningPeers && !step.IsLongRunning();
+    aKeys.mWaiting.push_back(std::move(aTasks));
+  };
   if (step.IsGang()) {
-    // A gang is placed again only when no member of its earlier run is
-    // assigned.
-    if (waiting.size() == step.Tasks()) {
-      aView.mWaiting.push_back(
-        MakeUnit(aJob, waiting, expectation, aKeys, aNow));
-      aView.mWaiting.back().mStepGroup = aKeys.mWaiting.size();
-      aKeys.mWaiting.push_back(std::move(waiting));
+    std::vector<TaskKey> members;
+    members.reserve(aStep.mTasks.size());
+    for (const std::size_t i : aStep.mTasks) {
+      members.emplace_back(job.mJob.Id(), i);
     }
+    add(std::move(members));
     return;
   }
-  const std::size_t group = aKeys.mWaiting.size();
-  for (const TaskKey& key : waiting) {
-    aView.mWaiting.push_back(MakeUnit(aJob, { key }, expectation, aKeys, aNow));
-    aView.mWaiting.back().mStepGroup = group;
-    aKeys.mWaiting.push_back({ key });
+  std::vector<std::size_t> tasks = aStep.mTasks;
+  if (tasks.size() > aShare) {
+    // Tasks that wait for workers of their own must not take all of the share.
+    const auto rank = [&](std::size_t aTask) {
+      const bool isNominated = mNominations.contains({ job.mJob.Id(), aTask });
+      return std::make_pair(!isNominated,
+                            IsolationOf(job, aTask) == Isolation::kRequired);
+    };
+    std::stable_sort(
+      tasks.begin(), tasks.end(), [&](std::size_t aOne, std::size_t aTwo) {
+        return rank(aOne) < rank(aTwo);
+      });
+    tasks.resize(aShare);
+  }
+  for (const std::size_t i : tasks) {
+    add({ { job.mJob.Id(), i } });
   }
 }
 
--- a/tests/coordination/SchedulingTasksTest.cpp
+++ b/tests/coordination/SchedulingTasksTest.cpp
@@ -84,6 +84,8 @@
 
   /** Options of the scheduler tasks that are started from now on. */
   SchedulerTaskOptions mSchedulerOptions;
+  /** Memory for jobs of the daemons that are started from now on. */
+  std::uint64_t mMaxJobBytes = kDefaultJobBytes;
   /** The only step and the payload of the jobs submitted from now on. */
   StepSpecValues mStep;
   std::string mPayload = "payload";
@@ -98,6 +100,7 @@
       SpawnCatalogTask(mSystem, mStore, mPlatformCodec, mClock, mLog, {});
     JobGatewayTaskOptions gateway;
     gateway.mIncarnation = aName + "-incarnation";
+    gateway.mMaxJobBytes = mMaxJobBytes;
     tasks.mGateway = SpawnJobGatewayTask(mSystem,
                                          tasks.mCatalog,
                                          mStore,
@@ -111,6 +114,7 @@
     scheduler.mSelf = aName;
     scheduler.mIncarnation = aName + "-incarnation";
     scheduler.mJobRetention = aRetention;
+    scheduler.mMaxJobBytes = mMaxJobBytes;
     tasks.mScheduler = SpawnSchedulerTask(
       mSystem,
       { mStore, mStore, *tasks.mPath, mCodec, mPlatformCodec, mClock, mLog },
@@ -275,6 +279,8 @@
 /** Row size of the store, and a step whose record is larger than one row. */
 constexpr std::size_t kRowBytes = 65'536;
 constexpr std::size_t kWideStep = 2'760;
+/** Memory for two jobs, but not three, with such a step. */
+constexpr std::uint64_t kMemoryOfTwoJobs = 8'000'000;
 
 void
 CheckStatus(JobCallStatus aExpected, JobCallStatus aFound)
@@ -803,6 +809,61 @@
   }));
 }
 
+// Guards against jobs that together exceed the memory of every owner in turn:
+// a submission beyond the limit is refused before it is stored, on any daemon.
+TEST(SchedulingTasks, JobBeyondTheMemoryOfAllJobsIsRefused)
+{
+  Daemons daemons;
+  daemons.mMaxJobBytes = kMemoryOfTwoJobs;
+  daemons.Start("a");
+  const DaemonTasks other = daemons.Start("b");
+  daemons.mWorkers.SetRunsBlocked(true);
+  daemons.mStep.mTasks = kWideStep;
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(other, "j1"));
+  CHECK(WaitUntil([&] {
+    const OwnerLease lease = daemons.Lease();
+    return lease.mJobMemory && lease.mJobMemory->mBytes > 0;
+  }));
+  const JobCallReply refusal = daemons.Call(other, JobCallKind::kSubmit, "j2");
+  CheckStatus(JobCallStatus::kUnavailable, refusal.mStatus);
+  CHECK(!daemons.mStore.Has("jobs/j2"));
+  CheckStatus(JobCallStatus::kNoJob,
+              daemons.Call(other, JobCallKind::kQuery, "j2").mStatus);
+  daemons.mStep.mTasks = 1;
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(other, "j3"));
+  CheckStatus(JobCallStatus::kOk,
+              daemons.Call(other, JobCallKind::kCancel, "j1").mStatus);
+  daemons.mWorkers.SetRunsBlocked(false);
+  daemons.mStep.mTasks = kWideStep;
+  CHECK(daemons.WaitWithLiveWorkers(
+    [&] { return daemons.Submit(other, "j2") == JobCallStatus::kOk; }));
+}
+
+// Guards against "not run" for a job that an earlier call has stored.
+TEST(SchedulingTasks, RepeatedSubmissionIsAcceptedWhileTheMemoryIsUsed)
+{
+  Daemons daemons;
+  daemons.mMaxJobBytes = kMemoryOfTwoJobs;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mWorkers.SetRunsBlocked(true);
+  daemons.mStep.mTasks = kWideStep;
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+  CheckStatus(JobCallStatus::kUnavailable, daemons.Submit(daemon, "j2"));
+  CheckStatus(JobCallStatus::kOk, daemons.Submit(daemon, "j1"));
+}
+
+// Guards against asking a caller to come back with a job that never fits.
+TEST(SchedulingTasks, JobLargerThanTheMemoryOfAllJobsIsRejected)
+{
+  Daemons daemons;
+  daemons.mMaxJobBytes = kMemoryOfTwoJobs;
+  const DaemonTasks daemon = daemons.Start("a");
+  daemons.mStep.mTasks = 2 * kWideStep;
+  const JobCallReply refusal = daemons.Call(daemon, JobCallKind::kSubmit, "j1");
+  CheckStatus(JobCallStatus::kBadRequest, refusal.mStatus);
+  CHECK(refusal.mDetail.find("memory for jobs") != std::string::npos);
+}
+
 // Guards against an attempt to acquire the lease after each look at its row
 // while the store refuses writes, which keeps an overloaded store overloaded.
 TEST(SchedulingTasks, AcquisitionBacksOffWhileWritesFail)
--- a/tests/daemon/DaemonTest.cpp
+++ b/tests/daemon/DaemonTest.cpp
@@ -60,3 +60,15 @@
   LONGS_EQUAL(8 * kMebibyte, bytes("[http]\nmemory_mb = 8\n"));
   CHECK_THROWS(daemon::SettingsFileError, bytes("[http]\nmemory_mb = -1\n"));
 }
+
+// Guards against jobs that take more than their part of a small VM.
+TEST(Daemon, MemoryOfJobsFollowsTheVm)
+{
+  constexpr std::size_t kMebibyte = 1'048'576;
+  const auto bytes = [](const std::string& aMore) {
+    return Settings("127.0.0.1:0", "127.0.0.1:0", aMore).JobBytes();
+  };
+  LONGS_EQUAL(64 * kMebibyte, bytes(""));
+  LONGS_EQUAL(65 * kMebibyte, bytes("memory_mb = 260\n"));
+  LONGS_EQUAL(8 * kMebibyte, bytes("[scheduling]\njob_memory_mb = 8\n"));
+}
--- a/tests/protocol/SchedulingCodecTest.cpp
+++ b/tests/protocol/SchedulingCodecTest.cpp
@@ -204,6 +204,21 @@
   CheckRejected(DecodeLease, Replace(text, "lease_expired", "unknown"));
 }
 
+// Guards against daemons that accept jobs without knowing those of others.
+TEST(SchedulingCodec, MemoryOfJobsIsKept)
+{
+  const JsonSchedulingCodec codec;
+  OwnerLease lease;
+  lease.mOwner = "v";
+  lease.mJobMemory = { 7, { { "", 3 }, { "acme", 4 } }, 5 };
+  const std::string text = codec.EncodeOwnerLease(lease);
+  CHECK(codec.DecodeOwnerLease(text) == lease);
+  for (const std::string& value : tests::NoCounters()) {
+    CheckRejected(DecodeLease, Replace(text, ":7", ":" + value));
+  }
+  CHECK(!codec.DecodeOwnerLease(kLease).mJobMemory);
+}
+
 // Guards against an epoch or a sequence number that no later one exceeds.
 TEST(SchedulingCodec, LeaseRowWithNumberOutOfRangeIsRejected)
 {
--- a/tests/state/scheduling/FleetModel.cpp
+++ b/tests/state/scheduling/FleetModel.cpp
@@ -116,6 +116,7 @@
   options.mEpoch = ++mEpoch;
   options.mPolicy = mOptions.mPolicy;
   options.mRunTimes = mOptions.mRunTimes;
+  options.mMaxJobBytes = mOptions.mMaxJobBytes;
   mOwner.emplace(std::move(options));
   mWriting = false;
   mOwner->ApplyCatalog(mCatalog);
--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <random>
@@ -42,6 +43,8 @@
   milliseconds mCrashTime{ 3'000 };
   /** Workers of each zone, z0, z1 and so on; 0 for workers without a zone. */
   std::size_t mWorkersPerZone = 0;
+  /** See scheduling::SchedulerOptions::mMaxJobBytes. */
+  std::uint64_t mMaxJobBytes = std::numeric_limits<std::uint64_t>::max();
 };
 
 /** Result of a job as reported to its caller. */
--- a/tests/state/scheduling/OwnerLeaseTest.cpp
+++ b/tests/state/scheduling/OwnerLeaseTest.cpp
@@ -85,3 +85,19 @@
   CHECK(lease.HasLists());
   CHECK(!lease.WithShorterLists().HasLists());
 }
+
+// Guards against the same with the number of organisations, and against a total
+// that changes with the list.
+TEST(OwnerLease, MemoryOfTheLargestOrganisationsIsKept)
+{
+  OwnerLease lease;
+  lease.mJobMemory = { 16,
+                       { { "large", 9 }, { "middle", 5 }, { "small", 2 } },
+                       1 };
+  lease = lease.WithShorterLists();
+  CHECK(lease.mJobMemory->mByOrganisation ==
+        (std::map<std::string, std::uint64_t>{ { "large", 9 } }));
+  CHECK_EQUAL(16, lease.mJobMemory->mBytes);
+  CHECK(lease.HasLists());
+  CHECK(!lease.WithShorterLists().HasLists());
+}
