--- a/tests/state/scheduling/FleetModel.h
+++ b/tests/state/scheduling/FleetModel.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <random>
@@ -44,6 +45,8 @@
   bool mHasNewIdentifiers = false;
   /** Workers of each zone, z0, z1 and so on; 0 for workers without a zone. */
   std::size_t mWorkersPerZone = 0;
+  /** See scheduling::SchedulerOptions::mMaxJobBytes. */
+  std::uint64_t mMaxJobBytes = std::numeric_limits<std::uint64_t>::max();
 };
 
 /** Result of a job as reported to its caller. */
