Crash workers under running jobs in the fleet soak

Cause: no fault of the soak crashed single workers under running jobs, and no task crashed its workers, so that it could not show healthy jobs as failed. Change: the fault crash_workers (drawn by name only) crashes one to three workers in three waves, which return under other identifiers at the same addresses. FLEET_SOAK_DEADLY sets the percentage of jobs with a task that crashes its workers. CrashChecker finds jobs that are shown as failed without enough failed runs or such a task, and a third start of such a task after three crashes.

--- a/scripts/fleet_soak.sh
+++ b/scripts/fleet_soak.sh
@@ -9,7 +9,8 @@
 # FLEET_SOAK_FAULTS: names of the faults to draw from; "takeover" stands for those
 #   around takeovers. Those that both lists below leave out, since a longer list
 #   would change what a seed means, are drawn by name only:
-#   pause_owner_and_restart_workers, evacuate_zone.
+#   pause_owner_and_restart_workers, evacuate_zone, crash_workers.
+# FLEET_SOAK_DEADLY: percentage of jobs with a task that crashes its workers.
 # FLEET_SOAK_LONG_RUNS: if set, half of the steps have runs of 4 to 16 s.
 # FLEET_SOAK_GAP: upper limit of the seconds between two faults; without it, they
 #   are less than a second apart.
@@ -225,6 +226,18 @@
   draw_of z1 z2 z3
   control "/evacuations/$drawn/$(((RANDOM % 4 + 6) * 1000))"
 }
+# Three waves of crashes, 2 to 5 s apart; the workers are down for 1 to 4 s.
+crash_workers() {
+  local milliseconds=0 worker
+  for _ in 1 2 3; do
+    for _ in $(seq $((RANDOM % 3 + 1))); do
+      draw_worker
+      worker=$drawn
+      control "/crashes/$worker/$milliseconds/$((RANDOM % 3000 + 1000))"
+    done
+    milliseconds=$((milliseconds + RANDOM % 3000 + 2000))
+  done
+}
 # The workers' part of the store refuses transactions.
 overload_store() {
   control "/overload/$(((RANDOM % max_fault_seconds + 1) * 1000))"
@@ -477,7 +490,8 @@
   "$build/tests/fleet_caller" --seed "$seed" --jobs "$jobs" \
     --standin "${address_of_name[control]}" \
     --daemons "$(IFS=,; echo "${servers[*]}")" \
-    ${FLEET_SOAK_LONG_RUNS:+--long-runs} >"$work/caller.log" 2>&1 &
+    ${FLEET_SOAK_LONG_RUNS:+--long-runs} \
+    ${FLEET_SOAK_DEADLY:+--deadly "$FLEET_SOAK_DEADLY"} >"$work/caller.log" 2>&1 &
   load=$!
   begin=$SECONDS
   while kill -0 "$load" 2>/dev/null; do
--- a/tests/fleet/WorkerStandins.cpp
+++ b/tests/fleet/WorkerStandins.cpp
@@ -37,6 +37,9 @@
 constexpr Millis kMaxSilence{ 3'000 };
 /** Time from the departure of a worker until it joins again. */
 constexpr Millis kRejoinDelay{ 1'000 };
+/** Age at which a run crashes its worker, and how long that stays down. */
+constexpr Millis kCrashAge{ 30 };
+constexpr Millis kCrashDowntime{ 3'000 };
 constexpr std::int64_t kAccelerators = 8;
 /** Time for which starts may use a capacity that was reduced since. */
 constexpr Millis kCapacityGrace{ 4'500 };
@@ -148,7 +151,7 @@
     // Another socket uses the port for a moment.
     std::printf("%s: %s\n", aWorker.mId.c_str(), error.what());
     EndFaultAfter(kListenRetry, [this, &aWorker, aGate] {
-      if (!aWorker.mLinks[aGate].mServer &&
+      if (!aWorker.mIsDown && !aWorker.mLinks[aGate].mServer &&
           aWorker.mLinks[aGate].mFault != LinkFault::kReset) {
         Listen(aWorker, aGate);
       }
@@ -167,7 +170,7 @@
   mEnds.ForgetUnconfirmed(aWorker.mId);
   if (aFault == LinkFault::kReset) {
     link.mServer.reset();
-  } else if (!link.mServer) {
+  } else if (!aWorker.mIsDown && !link.mServer) {
     Listen(aWorker, aGate);
   }
 }
@@ -271,7 +274,7 @@
           static_cast<std::uint64_t>(aDuration.count()),
           worker.mEpoch);
     if (!worker.mIsDraining) {
-      RemoveRow(worker);
+      RemoveRow(worker.mId);
     }
     EndFaultAfter(aDuration, [this, &worker, number] {
       if (worker.mRemovalNumber == number) {
@@ -301,10 +304,10 @@
 }
 
 void
-WorkerStandins::RemoveRow(const Worker& aWorker)
+WorkerStandins::RemoveRow(const std::string& aWorker)
 {
   for (std::size_t gate = 0; gate < mGates; ++gate) {
-    mStore.RemoveWorker(gate, aWorker.mId);
+    mStore.RemoveWorker(gate, aWorker);
   }
 }
 
@@ -314,7 +317,7 @@
 {
   if (aWorker.mIsDraining && !aWorker.mIsListed &&
       Clock::now() - aWorker.mRegisteredAt >= kMaxSilence) {
-    RemoveRow(aWorker);
+    RemoveRow(aWorker.mId);
   }
 }
 
@@ -346,7 +349,7 @@
   // While it is not listed, it answers nobody.
   aWorker.mIsListed = false;
   aWorker.mIsSilent = true;
-  RemoveRow(aWorker);
+  RemoveRow(aWorker.mId);
   EndFaultAfter(kRejoinDelay,
                 [this, &aWorker, number = ++aWorker.mRemovalNumber] {
                   aWorker.mIsDraining = false;
@@ -379,6 +382,62 @@
   }
 }
 
+void
+WorkerStandins::Crash(const std::string& aWorkers,
+                      Millis aDelay,
+                      Millis aDowntime)
+{
+  for (const std::size_t i : SelectWorkers(aWorkers)) {
+    mThread.PostAfter(aDelay, [this, &worker = mWorkers[i], aDowntime] {
+      if (!worker.mIsDown) {
+        CrashNow(worker, aDowntime);
+      }
+    });
+  }
+}
+
+void
+WorkerStandins::CrashNow(Worker& aWorker, Millis aDowntime)
+{
+  Trace(aWorker.mId,
+        "crash",
+        "-",
+        static_cast<std::uint64_t>(aDowntime.count()),
+        aWorker.mEpoch);
+  for (const Run& run : aWorker.mRuns) {
+    Trace(aWorker.mId, "crashed", run.mTask, run.mRun, aWorker.mEpoch);
+    mCrashChecker.RecordCrash(run.mTask);
+  }
+  aWorker.mIsDown = true;
+  Restart(aWorker);
+  mPendingRenewals[&aWorker].clear();
+  for (Link& link : aWorker.mLinks) {
+    link.mServer.reset();
+  }
+  mEnds.ForgetUnconfirmed(aWorker.mId);
+  mThread.PostAfter(kMaxSilence, [this, id = aWorker.mId] { RemoveRow(id); });
+  EndFaultAfter(aDowntime, [this, &aWorker] { Return(aWorker); });
+}
+
+/** Begins another life of a worker that has crashed. */
+void
+WorkerStandins::Return(Worker& aWorker)
+{
+  aWorker.mId = aWorker.mId.substr(0, aWorker.mId.find('-')) + "-" +
+                std::to_string(++aWorker.mCrashes);
+  aWorker.mIsDown = false;
+  aWorker.mIsDraining = false;
+  ++aWorker.mDrainNumber;
+  Restart(aWorker);
+  for (std::size_t gate = 0; gate < mGates; ++gate) {
+    if (aWorker.mLinks[gate].mFault != LinkFault::kReset) {
+      Listen(aWorker, gate);
+    }
+  }
+  Trace(aWorker.mId, "return", "-", 0, 0);
+  Register(aWorker);
+}
+
 void
 WorkerStandins::WriteOddRow(const std::string& aKind)
 {
@@ -456,7 +515,8 @@
 {
   return { { "violations", mViolations },
            { "pairs", mPairs },
-           { "started", mStartedJobs } };
+           { "started", mStartedJobs },
+           { "failable", mCrashChecker.FailableJobs() } };
 }
 
 json
@@ -470,7 +530,7 @@
 void
 WorkerStandins::Register(Worker& aWorker)
 {
-  if (!aWorker.mIsListed) {
+  if (!aWorker.mIsListed || aWorker.mIsDown) {
     return;
   }
   aWorker.mRegisteredAt = Clock::now();
@@ -530,7 +590,9 @@
   if (fault == LinkFault::kLate) {
     tools::LeaveUnanswered(mThread, aRespond);
     mThread.PostAfter(kLateness, [this, &aWorker, aGate, aRequest] {
-      Serve(aWorker, aGate, aRequest, [](const HttpResponse&) {});
+      if (!aWorker.mIsDown) {
+        Serve(aWorker, aGate, aRequest, [](const HttpResponse&) {});
+      }
     });
     return;
   }
@@ -630,11 +692,17 @@
   }
   const json payload =
     StepPayload(json::parse(aBody.at("spec").get<std::string>()), task);
+  const bool crashesWorker = payload.contains("deadly") &&
+                             task.ends_with("." + payload.at("deadly").dump());
+  if (const auto violation = mCrashChecker.RecordStart(task, crashesWorker)) {
+    mViolations.push_back(*violation);
+  }
   aWorker.mRuns.push_back({ task,
                             run,
                             Millis(payload.at("run_ms").get<std::int64_t>()),
                             payload.at("accelerators").get<std::int64_t>(),
                             payload.value("gang", std::size_t{ 0 }),
+                            crashesWorker,
                             Clock::now(),
                             std::nullopt,
                             std::nullopt });
@@ -762,6 +830,9 @@
 {
   FleetView view;
   for (const Worker& worker : mWorkers) {
+    if (worker.mIsDown) {
+      continue;
+    }
     std::int64_t free = worker.mAccelerators;
     for (const Run& run : worker.mRuns) {
       free -= run.mAccelerators;
@@ -817,6 +888,10 @@
   }
   for (auto it = aWorker.mRuns.begin(); it != aWorker.mRuns.end();) {
     const auto run = it++;
+    if (run->mCrashesWorker && now - run->mStartedAt >= kCrashAge) {
+      CrashNow(aWorker, kCrashDowntime);
+      return;
+    }
     const bool isGang = run->mGangSize > 0;
     const std::string step = StepName(run->mTask);
     const std::uint64_t number = run->mRun;
@@ -856,6 +931,8 @@
   Trace(aWorker.mId, aOutcome.c_str(), aRun->mTask, aRun->mRun, aWorker.mEpoch);
   std::uint64_t& highestEndedRun = aWorker.mHighestEndedRuns[aRun->mTask];
   highestEndedRun = std::max(highestEndedRun, aRun->mRun);
+  mCrashChecker.RecordEnd(
+    aRun->mTask, aRun->mRun, aRun->mGangSize > 0, aOutcome);
   aWorker.mResults.push_back({ ++aWorker.mLastResultNumber,
                                aRun->mTask,
                                aRun->mRun,
--- a/tests/fleet/WorkerStandins.h
+++ b/tests/fleet/WorkerStandins.h
@@ -1,6 +1,7 @@
 #ifndef CORNELRUDDER_TESTS_FLEET_WORKER_STANDINS_H
 #define CORNELRUDDER_TESTS_FLEET_WORKER_STANDINS_H
 
+#include "CrashChecker.h"
 #include "EvacuationChecker.h"
 #include "PairChecker.h"
 #include "ProgressChecker.h"
@@ -37,9 +38,10 @@
  * fencing tokens and record each violation: two concurrent runs of a task, a
  * start after completion was acknowledged or told to the same owner, more
  * accelerators in use than a worker announces, an order in an evacuated zone,
- * or a job without progress. The payload of a job sets run time, accelerators
- * and gang size for each step:
- * {"steps":[{"run_ms":700,"accelerators":4,"gang":3}]}.
+ * a job without progress, or too many starts of a task that crashes its
+ * workers. The payload of a job sets run time, accelerators and gang size for
+ * each step, and the index of a task that crashes its workers:
+ * {"steps":[{"run_ms":700,"accelerators":4,"gang":3,"deadly":0}]}.
  */
 class WorkerStandins
 {
@@ -104,6 +106,14 @@
                       std::int64_t aAccelerators,
                       Millis aDuration);
 
+  /**
+   * Crashes workers after some time: their connections end, their runs are
+   * lost and their rows stay for kMaxSilence. They return at the same addresses
+   * under other identifiers.
+   * @param aWorkers As in FailLinks.
+   */
+  void Crash(const std::string& aWorkers, Millis aDelay, Millis aDowntime);
+
   /**
    * Requests the evacuation of a zone for some time. An order that arrives
    * there after EvacuationChecker::kBound is a violation.
@@ -126,7 +136,10 @@
   /** Marks a fault that begins now, and ends it after a time. */
   void EndFaultAfter(Millis aDuration, std::function<void()> aEnd);
 
-  /** @return {"violations":[...],"pairs":N,"started":[jobs]}. */
+  /**
+   * @return {"violations":[...],"pairs":N,"started":[jobs],"failable":[jobs]},
+   *   the last of which may be shown as failed.
+   */
   nlohmann::json Journal() const;
 
 private:
@@ -158,6 +171,7 @@
     std::int64_t mAccelerators;
     /** Number of tasks in the gang; 0 if the task has no gang. */
     std::size_t mGangSize;
+    bool mCrashesWorker;
     Clock::time_point mStartedAt;
     /** Set when all members of the gang have started. */
     std::optional<Clock::time_point> mWorkStartedAt;
@@ -192,6 +206,10 @@
     std::vector<Link> mLinks;
     bool mIsSilent = false;
     bool mIsListed = true;
+    /** Crashed, and not returned so far. */
+    bool mIsDown = false;
+    /** Counts the crashes. */
+    std::uint64_t mCrashes = 0;
     bool mIsDraining = false;
     /** Counts the drains, so that an earlier one does not end a later one. */
     std::uint64_t mDrainNumber = 0;
@@ -245,10 +263,13 @@
   nlohmann::json ClockMs(const Worker& aWorker) const;
   void SetCapacity(Worker& aWorker, std::int64_t aAccelerators);
   void Register(Worker& aWorker);
-  void RemoveRow(const Worker& aWorker);
+  /** @param aWorker Identifier of the worker. */
+  void RemoveRow(const std::string& aWorker);
   void RemoveSilentRow(const Worker& aWorker);
   void Restart(Worker& aWorker);
   void Leave(Worker& aWorker);
+  void CrashNow(Worker& aWorker, Millis aDowntime);
+  void Return(Worker& aWorker);
   void Tick();
   void Advance(Worker& aWorker);
   void FinishRun(Worker& aWorker,
@@ -270,6 +291,7 @@
   ProgressChecker mProgress;
   EndChecker mEnds;
   EvacuationChecker mEvacuations;
+  CrashChecker mCrashChecker;
   std::size_t mGates;
   /** The owner's gate as traced last. */
   std::size_t mOwnerGate = 0;
--- a/tests/fleet/fleet_caller.cpp
+++ b/tests/fleet/fleet_caller.cpp
@@ -3,7 +3,7 @@
  * Submits seeded jobs to the daemons, polls them until they finish and checks
  * the promises made to callers. Usage:
  * fleet_caller --daemons A,B,... --standin CONTROL_ADDRESS --seed N --jobs N
- * [--long-runs]
+ * [--long-runs] [--deadly PERCENT]
  */
 
 #include "cornelrudder/transport/HttpClient.h"
@@ -64,6 +64,8 @@
   std::string mStandin;
   std::uint64_t mSeed = 1;
   int mJobs = 60;
+  /** Percentage of the jobs that have a task that crashes its workers. */
+  std::uint64_t mDeadlyPercent = 0;
   Profile mProfile = kMixedRuns;
 };
 
@@ -74,7 +76,8 @@
   kUnknown,
   kDone,
   kNotDone,
-  kShownAsEnded
+  kFailed,
+  kCancelled
 };
 
 /** Sends requests and waits for each response. */
@@ -114,7 +117,9 @@
       return mOptions.mDaemons[random() % mOptions.mDaemons.size()];
     };
     const std::string path = "/q" + std::to_string(random() % 3) + "/" + aId;
-    const json body = MakeBody(random);
+    const bool isDeadly =
+      mOptions.mDeadlyPercent > 0 && random() % 100 < mOptions.mDeadlyPercent;
+    const json body = MakeBody(random, isDeadly);
     const std::string text = body.dump();
     bool mayBeStored = false;
     bool isAccepted = false;
@@ -135,7 +140,11 @@
     if (!isAccepted) {
       return Outcome::kRefused;
     }
-    Report("/jobs/accepted", { { "id", aId }, { "steps", body.at("steps") } });
+    // Suspicion may delay the runs of a deadly job.
+    if (!isDeadly) {
+      Report("/jobs/accepted",
+             { { "id", aId }, { "steps", body.at("steps") } });
+    }
     const auto deadline = std::chrono::steady_clock::now() + kCompletionTimeout;
     while (std::chrono::steady_clock::now() < deadline) {
       const HttpResult result = Send(anyDaemon(), "GET", path, "");
@@ -161,8 +170,11 @@
     const auto shows = [&text](const char* aState) {
       return text.find(aState) != std::string::npos;
     };
-    if (shows("\"failed\"") || shows("\"cancelled\"")) {
-      return Outcome::kShownAsEnded;
+    if (shows("\"failed\"")) {
+      return Outcome::kFailed;
+    }
+    if (shows("\"cancelled\"")) {
+      return Outcome::kCancelled;
     }
     return shows("\"done\"") ? Outcome::kDone : Outcome::kNotDone;
   }
@@ -180,8 +192,11 @@
     }
   }
 
-  /** @return A job of one to three steps, one after the other. */
-  json MakeBody(std::mt19937_64& aRandom) const
+  /**
+   * @param aIsDeadly Whether a task of the last step crashes its workers.
+   * @return A job of one to three steps, one after the other.
+   */
+  json MakeBody(std::mt19937_64& aRandom, bool aIsDeadly) const
   {
     json payloads = json::array();
     json steps = json::array();
@@ -194,6 +209,10 @@
       payloads.push_back(std::move(payload));
       steps.push_back(std::move(step));
     }
+    if (aIsDeadly) {
+      payloads.back()["deadly"] =
+        aRandom() % steps.back().at("count").get<std::uint64_t>();
+    }
     return { { "spec", json{ { "steps", std::move(payloads) } }.dump() },
              { "steps", std::move(steps) } };
   }
@@ -234,12 +253,13 @@
 bool
 ParseOptions(int aCount, char** aArguments, Options& aOptions)
 {
-  static const std::array<option, 6> kOptions{ {
+  static const std::array<option, 7> kOptions{ {
     { "daemons", required_argument, nullptr, 'd' },
     { "standin", required_argument, nullptr, 's' },
     { "seed", required_argument, nullptr, 'r' },
     { "jobs", required_argument, nullptr, 'j' },
     { "long-runs", no_argument, nullptr, 'l' },
+    { "deadly", required_argument, nullptr, 'y' },
     { nullptr, 0, nullptr, 0 },
   } };
   int flag = 0;
@@ -260,6 +280,8 @@
       aOptions.mJobs = std::stoi(optarg);
     } else if (flag == 'l') {
       aOptions.mProfile = kLongRuns;
+    } else if (flag == 'y') {
+      aOptions.mDeadlyPercent = std::stoull(optarg);
     } else {
       return false;
     }
@@ -310,6 +332,7 @@
 {
   std::vector<std::string> violations = aJournal.at("violations");
   const std::set<std::string> started = aJournal.at("started");
+  const std::set<std::string> failable = aJournal.at("failable");
   for (std::size_t i = 0; i < aOutcomes.size(); ++i) {
     const std::string id = JobId(aOptions, i);
     if (aOutcomes[i] == Outcome::kRefused && started.contains(id)) {
@@ -318,9 +341,12 @@
     if (aOutcomes[i] == Outcome::kNotDone) {
       violations.push_back(id + " was accepted but did not finish in time");
     }
-    // No task fails by itself and no caller cancels a job.
-    if (aOutcomes[i] == Outcome::kShownAsEnded) {
-      violations.push_back(id + " was shown as failed or cancelled");
+    if (aOutcomes[i] == Outcome::kFailed && !failable.contains(id)) {
+      violations.push_back(id + " was shown as failed without a cause");
+    }
+    // No caller cancels a job.
+    if (aOutcomes[i] == Outcome::kCancelled) {
+      violations.push_back(id + " was shown as cancelled");
     }
   }
   for (const std::string& it : violations) {
@@ -338,7 +364,7 @@
   if (!ParseOptions(aCount, aArguments, options)) {
     std::fprintf(stderr,
                  "usage: %s --daemons A,B --standin A [--seed N] [--jobs N] "
-                 "[--long-runs]\n",
+                 "[--long-runs] [--deadly PERCENT]\n",
                  aArguments[0]);
     return 2;
   }
@@ -358,13 +384,14 @@
     return static_cast<int>(
       std::count(outcomes.begin(), outcomes.end(), aOutcome));
   };
-  std::printf(
-    "seed %llu: %d done, %d refused, %d unknown, %d broken, pairs=%zu\n",
-    static_cast<unsigned long long>(options.mSeed),
-    count(Outcome::kDone),
-    count(Outcome::kRefused),
-    count(Outcome::kUnknown),
-    violations,
-    journal.at("pairs").get<std::size_t>());
+  std::printf("seed %llu: %d done, %d failed, %d refused, %d unknown, %d "
+              "broken, pairs=%zu\n",
+              static_cast<unsigned long long>(options.mSeed),
+              count(Outcome::kDone),
+              count(Outcome::kFailed),
+              count(Outcome::kRefused),
+              count(Outcome::kUnknown),
+              violations,
+              journal.at("pairs").get<std::size_t>());
   return violations == 0 ? 0 : 1;
 }
--- a/tests/fleet/fleet_standin.cpp
+++ b/tests/fleet/fleet_standin.cpp
@@ -15,6 +15,7 @@
  * at once or after its next write (see StoreStandin::AwaitOwnerWrite)
  * - `POST /rows/WORKERS/MS` (see WorkerStandins::RemoveRows)
  * - `POST /drains/WORKERS/MS` (see WorkerStandins::Drain)
+ * - `POST /crashes/WORKERS/DELAY_MS/MS` (see WorkerStandins::Crash)
  * - `POST /capacity/WORKERS/ACCELERATORS/MS` (see
  *   WorkerStandins::ShrinkCapacity)
  * - `POST /overload/MS` (see StoreStandin::Overload)
@@ -63,7 +64,7 @@
            { "prefix", "/" + name + "/" },
            { "priority", aPriority },
            { "service", "presses" },
-           { "attempts", 2 },
+           { "attempts", CrashChecker::kAttempts },
            { "slack-factor", aSlack },
            { "target-latency-ms", 1'000 } };
 }
@@ -206,6 +207,14 @@
     return json::object();
   }
 
+  json Crash(const Parts& aParts, const std::string&)
+  {
+    mWorkers.Crash(aParts[1],
+                   std::chrono::milliseconds(std::stoll(aParts[2])),
+                   std::chrono::milliseconds(std::stoll(aParts[3])));
+    return json::object();
+  }
+
   json ShrinkCapacity(const Parts& aParts, const std::string&)
   {
     mWorkers.ShrinkCapacity(aParts[1],
@@ -254,14 +263,14 @@
     return json::object();
   }
 
-  static const std::array<Route, 14> kRoutes;
+  static const std::array<Route, 15> kRoutes;
 
   StoreStandin& mStore;
   WorkerStandins& mWorkers;
   StoreGates& mGates;
 };
 
-const std::array<Control::Route, 14> Control::kRoutes{ {
+const std::array<Control::Route, 15> Control::kRoutes{ {
   { "journal", 1, &Control::GetJournal },
   { "history", 2, &Control::DropHistory },
   { "workers", 3, &Control::ApplyAction },
@@ -270,6 +279,7 @@
   { "owner", 2, &Control::GetOwner },
   { "rows", 3, &Control::RemoveRows },
   { "drains", 3, &Control::Drain },
+  { "crashes", 4, &Control::Crash },
   { "capacity", 4, &Control::ShrinkCapacity },
   { "overload", 2, &Control::OverloadStore },
   { "odd", 2, &Control::WriteOddRow },
