--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -74,6 +74,9 @@
 step "fleet soak of evacuations, seed 33001" env \
   FLEET_SOAK_FAULTS="evacuate_zone evacuate_zone kill_owner drop_history isolate_owner_store lose_answers freeze_daemon" \
   scripts/fleet_soak.sh 33001 1 60
+step "fleet soak of crashes, seed 36001" env \
+  FLEET_SOAK_FAULTS="crash_workers kill_owner lose_answers freeze_daemon" \
+  FLEET_SOAK_GAP=3 FLEET_SOAK_DEADLY=10 scripts/fleet_soak.sh 36001 1 40
 step "crowds of clients" scripts/client_crowds.sh
 step "lint" scripts/lint.sh
 if [ -e KNOWN-RED.txt ]; then
