Judge crashes among young runs, and soon after starts

A task that crashes its workers was started without limit on a full fleet of short tasks; healthy jobs failed when a rack or fleet went down soon after their starts, three times. Cause: a verdict needed one crash with no run of similar age on the worker, however low the probability. Crashes within 1 s of a start counted neither for the rate of the fleet nor as simultaneous ones. An age of 0 proved anything. Change: five crashes need none that stands alone; the start time is 250 ms; three or more simultaneous crashes after starts count as a common cause; at least 50 ms of the rate are expected. Silent workers are collected once for all runs of a moment.

--- a/src/state/scheduling/CrashCount.cpp
+++ b/src/state/scheduling/CrashCount.cpp
@@ -11,6 +11,8 @@
  * starts after three crashes, not those before.
  */
 constexpr int kMinCrashes = 3;
+/** The same if another run may be the cause of each of them. */
+constexpr int kMinCrashesBesideOthers = 5;
 /** Those that must speak against the task; the others may have other causes. */
 constexpr int kMinTestedCrashes = 2;
 /** Accepted probability of taking a healthy task for the cause. */
@@ -62,7 +64,8 @@
 bool
 CrashCount::IsCause(std::size_t aMembers, const CrashEvidence& aOfMember) const
 {
-  return mSuspect.Crashes() >= kMinCrashes && mAlone > 0 &&
+  const int minCrashes = mAlone > 0 ? kMinCrashes : kMinCrashesBesideOthers;
+  return mSuspect.Crashes() >= minCrashes &&
          Chance(aMembers, aOfMember) < kWrongVerdictChance;
 }
 
--- a/src/state/scheduling/CrashRate.cpp
+++ b/src/state/scheduling/CrashRate.cpp
@@ -16,6 +16,11 @@
 /** Time in which crashes of one worker tell how often this worker crashes. */
 constexpr Millis kWorkerTime{ 60'000 };
 constexpr Millis kHistory{ 120'000 };
+/**
+ * Number of other workers that crash at the same moment soon after starts from
+ * which a power loss is more likely than their runs.
+ */
+constexpr int kCommonCauseCrashes = 3;
 /** Several calls may show one crash of a worker, some of them later. */
 constexpr Millis kSameCrashTime{ 2'000 };
 /** What is assumed beside the observed crashes and time of workers. */
@@ -31,13 +36,13 @@
 } // namespace
 
 void
-CrashRate::Observe(std::size_t aWorkers, Millis aNow)
+CrashRate::Observe(std::size_t aWorkers, std::size_t aFleet, Millis aNow)
 {
+  mFleet = std::max<std::size_t>(aFleet, 1);
   const Millis gap = mObservedAt.count() > 0 ? aNow - mObservedAt : Millis(0);
   mObservedAt = aNow;
   const double seconds = Seconds(std::clamp(gap, Millis(0), kMaxGap));
-  mSamples.push_back(
-    { aNow, seconds, seconds * static_cast<double>(aWorkers) });
+  mSamples.push_back({ aNow, seconds * static_cast<double>(aWorkers) });
   while (aNow - mSamples.front().mAt > kHistory) {
     mSamples.pop_front();
   }
@@ -53,10 +58,10 @@
 }
 
 void
-CrashRate::AddCrash(const BackgroundCrash& aCrash)
+CrashRate::AddCrash(const WorkerCrash& aCrash)
 {
   const bool isKnown = std::any_of(
-    mCrashes.begin(), mCrashes.end(), [&](const BackgroundCrash& aKnown) {
+    mCrashes.begin(), mCrashes.end(), [&](const WorkerCrash& aKnown) {
       return aKnown.mAddress == aCrash.mAddress &&
              std::chrono::abs(aKnown.mAt - aCrash.mAt) < kSameCrashTime;
     });
@@ -67,29 +72,32 @@
 
 double
 CrashRate::ExpectedIn(const CrashSpan& aSpan,
-                      const std::vector<BackgroundCrash>& aPending) const
+                      const std::vector<WorkerCrash>& aPending) const
 {
-  double seconds = 0.0;
   double workerSeconds = 0.0;
   for (const Sample& sample : mSamples) {
     if (sample.mAt >= aSpan.mEnd - kRateTime &&
         sample.mAt <= aSpan.mEnd + kRateTime) {
-      seconds += sample.mSeconds;
       workerSeconds += sample.mWorkerSeconds;
     }
   }
   int crashes = 0;
   int crashesOfWorker = 0;
   int simultaneous = 0;
-  const auto count = [&](const BackgroundCrash& aCrash) {
+  int simultaneousAfterStarts = 0;
+  const auto count = [&](const WorkerCrash& aCrash) {
     const bool isSameWorker = aCrash.mAddress == aSpan.mAddress;
     if (isSameWorker && aCrash.mAt == aSpan.mEnd) {
       return;
     }
     const Millis distance = std::chrono::abs(aCrash.mAt - aSpan.mEnd);
-    crashes += distance <= kRateTime ? 1 : 0;
-    crashesOfWorker += isSameWorker && distance <= kWorkerTime ? 1 : 0;
-    simultaneous += distance <= kNoticeTime && !isSameWorker ? 1 : 0;
+    const bool isBackground = aCrash.mIsBackground;
+    crashes += isBackground && distance <= kRateTime ? 1 : 0;
+    crashesOfWorker +=
+      isBackground && isSameWorker && distance <= kWorkerTime ? 1 : 0;
+    if (distance <= kNoticeTime && !isSameWorker) {
+      ++(isBackground ? simultaneous : simultaneousAfterStarts);
+    }
   };
   std::for_each(mCrashes.begin(), mCrashes.end(), count);
   std::for_each(aPending.begin(), aPending.end(), count);
@@ -98,10 +106,13 @@
   // One crash of a worker tells nothing about it.
   const double workerRate =
     std::max(crashesOfWorker - 1, 0) / Seconds(kWorkerTime);
-  const double workers =
-    seconds > 0.0 ? std::max(workerSeconds / seconds, 1.0) : 1.0;
-  return std::max(std::max(fleetRate, workerRate) * Seconds(aSpan.Length()),
-                  simultaneous / workers);
+  if (simultaneousAfterStarts >= kCommonCauseCrashes) {
+    simultaneous += simultaneousAfterStarts;
+  }
+  // A worker may have crashed unnoticed shortly before the start.
+  const Millis length = std::max(aSpan.Length(), kNoticeTime);
+  return std::max(std::max(fleetRate, workerRate) * Seconds(length),
+                  simultaneous / static_cast<double>(mFleet));
 }
 
 bool
--- a/src/state/scheduling/CrashRate.h
+++ b/src/state/scheduling/CrashRate.h
@@ -10,13 +10,15 @@
 
 namespace cornelrudder::state::scheduling {
 
-/** The crash of a worker that no run had just started on. */
-struct BackgroundCrash
+/** The crash of a worker without a run that is suspected of such crashes. */
+struct WorkerCrash
 {
   std::chrono::milliseconds mAt{ 0 };
   std::string mAddress;
+  /** No run had just started on the worker. */
+  bool mIsBackground = false;
 
-  auto operator<=>(const BackgroundCrash&) const = default;
+  auto operator<=>(const WorkerCrash&) const = default;
 };
 
 /** The time of a run on a worker, up to the crash of the worker. */
@@ -43,7 +45,7 @@
   using Millis = std::chrono::milliseconds;
 
   /** Time after a start in which a crash may be caused by the run. */
-  static constexpr Millis kStartTime{ 1'000 };
+  static constexpr Millis kStartTime{ 250 };
   /**
    * Crashes of the same moment are noticed up to this long apart: when a
    * connection ends, or when a call times out.
@@ -53,13 +55,14 @@
   /**
    * Adds the time since the last call.
    * @param aWorkers Responsive workers with runs, none of them just started.
+   * @param aFleet All workers.
    */
-  void Observe(std::size_t aWorkers, Millis aNow);
+  void Observe(std::size_t aWorkers, std::size_t aFleet, Millis aNow);
 
   /** @return Whether Observe() is to be called; once a second is enough. */
   bool IsDue(Millis aNow) const;
 
-  void AddCrash(const BackgroundCrash& aCrash);
+  void AddCrash(const WorkerCrash& aCrash);
 
   /**
    * @param aPending Workers that became silent and may have crashed.
@@ -67,7 +70,7 @@
    *   during the run. The crash at the end of the span itself is not counted.
    */
   double ExpectedIn(const CrashSpan& aSpan,
-                    const std::vector<BackgroundCrash>& aPending) const;
+                    const std::vector<WorkerCrash>& aPending) const;
 
   /** @return Whether the time of a span is still known. */
   bool Covers(const CrashSpan& aSpan, Millis aNow) const;
@@ -77,13 +80,13 @@
   struct Sample
   {
     Millis mAt;
-    double mSeconds;
     double mWorkerSeconds;
   };
 
   std::deque<Sample> mSamples;
-  std::deque<BackgroundCrash> mCrashes;
+  std::deque<WorkerCrash> mCrashes;
   Millis mObservedAt{ 0 };
+  std::size_t mFleet = 1;
 };
 
 } // namespace cornelrudder::state::scheduling
--- a/src/state/scheduling/SchedulerCrashes.cpp
+++ b/src/state/scheduling/SchedulerCrashes.cpp
@@ -93,8 +93,8 @@
     return false;
   }
   const std::vector<CrashedRun> runs = AssessCrash(aWorker, aNow);
-  if (const auto crash = BackgroundCrashOf(aWorker, aNow)) {
-    mCrashRate.AddCrash(*crash);
+  if (IsObserved(aWorker)) {
+    NoteCrash(CrashOf(aWorker, aNow));
   }
   EndRunsIfProven(aWorker, WorkerEvidence::kOtherWorkerAtAddress, aNow);
   for (const CrashedRun& run : runs) {
@@ -116,8 +116,9 @@
 Scheduler::Impl::HandleExpiredWorker(WorkerState& aWorker, Millis aNow)
 {
   std::vector<CrashedRun> runs = AssessCrash(aWorker, aNow);
-  const std::optional<BackgroundCrash> background =
-    BackgroundCrashOf(aWorker, aNow);
+  const std::optional<WorkerCrash> crash =
+    IsObserved(aWorker) ? std::make_optional(CrashOf(aWorker, aNow))
+                        : std::nullopt;
   const bool isUnknown = aWorker.mInfo.mAddress.empty();
   EndRunsIfProven(aWorker, WorkerEvidence::kLeaseExpired, aNow);
   if (isUnknown) {
@@ -127,7 +128,7 @@
     }
   } else if (!runs.empty()) {
     mPresumedCrashes[aWorker.mInfo.mAddress] = {
-      aWorker.mInfo.mId, aWorker.mInfo.mIncarnation, std::move(runs), background
+      aWorker.mInfo.mId, aWorker.mInfo.mIncarnation, std::move(runs), crash
     };
   }
 }
@@ -204,21 +205,24 @@
   return runs;
 }
 
-/**
- * @return The crash of a worker for the rate of other causes; nothing if one of
- *   its runs may be the cause.
- */
-std::optional<BackgroundCrash>
-Scheduler::Impl::BackgroundCrashOf(const WorkerState& aWorker,
-                                   Millis aNow) const
+/** @return The crash of a worker, if it has crashed. */
+WorkerCrash
+Scheduler::Impl::CrashOf(const WorkerState& aWorker, Millis aNow) const
 {
   const Millis seenUntil = SeenUntil(aWorker, aNow);
-  const bool isCounted =
-    IsObserved(aWorker) &&
-    seenUntil - aWorker.mLastStartAt >= CrashRate::kStartTime;
-  return isCounted ? std::make_optional<BackgroundCrash>(
-                       { seenUntil, aWorker.mInfo.mAddress })
-                   : std::nullopt;
+  return { seenUntil,
+           aWorker.mInfo.mAddress,
+           seenUntil - aWorker.mLastStartAt >= CrashRate::kStartTime };
+}
+
+/** Adds a crash to those of the fleet that have other causes than runs. */
+void
+Scheduler::Impl::NoteCrash(const WorkerCrash& aCrash)
+{
+  mCrashRate.AddCrash(aCrash);
+  std::erase_if(mPendingCrashes, [&aCrash](const WorkerCrash& aPending) {
+    return aPending.mAddress == aCrash.mAddress;
+  });
 }
 
 /**
@@ -252,23 +256,26 @@
            ? 1
            : 0;
   }
-  mCrashRate.Observe(n, aNow);
+  mCrashRate.Observe(n, mWorkers.size(), aNow);
 }
 
-/** @return Crashes as which the present silence of workers may turn out. */
-std::vector<BackgroundCrash>
-Scheduler::Impl::PendingCrashes(Millis aNow) const
+/**
+ * @return Crashes as which the present silence of workers with runs may turn
+ *   out. Collected once for all runs of a moment.
+ */
+const std::vector<WorkerCrash>&
+Scheduler::Impl::PendingCrashes(Millis aNow)
 {
-  std::vector<BackgroundCrash> crashes;
-  for (const auto& [id, worker] : mWorkers) {
-    const auto crash = worker.mFailedRenewals > 0
-                         ? BackgroundCrashOf(worker, aNow)
-                         : std::nullopt;
-    if (crash) {
-      crashes.push_back(*crash);
+  if (mPendingCrashesAt != aNow) {
+    mPendingCrashesAt = aNow;
+    mPendingCrashes.clear();
+    for (const auto& [id, worker] : mWorkers) {
+      if (worker.mFailedRenewals > 0 && IsObserved(worker)) {
+        mPendingCrashes.push_back(CrashOf(worker, aNow));
+      }
     }
   }
-  return crashes;
+  return mPendingCrashes;
 }
 
 /**
@@ -276,10 +283,9 @@
  *   millionths.
  */
 std::int64_t
-Scheduler::Impl::ExpectedCrashes(
-  const CrashSpan& aSpan,
-  double aOthersChance,
-  const std::vector<BackgroundCrash>& aPending) const
+Scheduler::Impl::ExpectedCrashes(const CrashSpan& aSpan,
+                                 double aOthersChance,
+                                 const std::vector<WorkerCrash>& aPending) const
 {
   const double expected =
     std::max(mCrashRate.ExpectedIn(aSpan, aPending), aOthersChance);
@@ -299,7 +305,7 @@
   std::erase_if(crashes, [this, aNow](const CountedCrash& aCrash) {
     return !mCrashRate.Covers(aCrash.mSpan, aNow);
   });
-  const std::vector<BackgroundCrash> pending = PendingCrashes(aNow);
+  const std::vector<WorkerCrash>& pending = PendingCrashes(aNow);
   const auto members = static_cast<std::int64_t>(aJob.MembersOf(aCountedTask));
   Task& counted = aJob.mTasks[aCountedTask];
   for (CountedCrash& crash : crashes) {
@@ -358,8 +364,8 @@
   }
   mPresumedCrashes.erase(it);
   if (aPresent.mIncarnation > crash.mIncarnation) {
-    if (crash.mBackground) {
-      mCrashRate.AddCrash(*crash.mBackground);
+    if (crash.mCrash) {
+      NoteCrash(*crash.mCrash);
     }
     for (const CrashedRun& run : crash.mRuns) {
       CountCrash(run, crash.mWorker, "restarted", aNow);
@@ -465,7 +471,7 @@
 Isolation
 Scheduler::Impl::IsolationOf(const JobState& aJob, std::size_t aTask)
 {
-  const CrashCount crashes = aJob.CrashesOf(aTask);
+  const CrashCount& crashes = aJob.CrashesOf(aTask);
   return crashes.NeedsIsolation() ? Isolation::kRequired
          : crashes.IsSuspected()  ? Isolation::kPreferred
                                   : Isolation::kNone;
--- a/src/state/scheduling/SchedulerImpl.h
+++ b/src/state/scheduling/SchedulerImpl.h
@@ -322,15 +322,14 @@
                          Millis aSentAt,
                          Millis aNow);
   std::vector<CrashedRun> AssessCrash(const WorkerState& aWorker, Millis aNow);
-  std::optional<BackgroundCrash> BackgroundCrashOf(const WorkerState& aWorker,
-                                                   Millis aNow) const;
+  WorkerCrash CrashOf(const WorkerState& aWorker, Millis aNow) const;
+  void NoteCrash(const WorkerCrash& aCrash);
   bool IsObserved(const WorkerState& aWorker) const;
   void ObserveWorkers(Millis aNow);
-  std::vector<BackgroundCrash> PendingCrashes(Millis aNow) const;
-  std::int64_t ExpectedCrashes(
-    const CrashSpan& aSpan,
-    double aOthersChance,
-    const std::vector<BackgroundCrash>& aPending) const;
+  const std::vector<WorkerCrash>& PendingCrashes(Millis aNow);
+  std::int64_t ExpectedCrashes(const CrashSpan& aSpan,
+                               double aOthersChance,
+                               const std::vector<WorkerCrash>& aPending) const;
   void UpdateEvidence(JobState& aJob, std::size_t aCountedTask, Millis aNow);
   void MarkRecoveredCrashes(const WorkerState& aWorker, Millis aNow);
   void CountPresumedCrashes(const WorkerInfo& aPresent, Millis aNow);
@@ -487,6 +486,9 @@
   /** Units that wait, by their first task. */
   std::map<TaskKey, WaitState> mWaits;
   CrashRate mCrashRate;
+  /** See PendingCrashes(). */
+  std::vector<WorkerCrash> mPendingCrashes;
+  Millis mPendingCrashesAt{ -1 };
   /** By address, since a restarted worker may have another identifier. */
   std::map<std::string, PresumedCrash> mPresumedCrashes;
   Millis mNextProgressCheck{ 0 };
--- a/src/state/scheduling/SchedulerModel.h
+++ b/src/state/scheduling/SchedulerModel.h
@@ -220,8 +220,8 @@
   std::string mWorker;
   std::uint64_t mIncarnation = 0;
   std::vector<CrashedRun> mRuns;
-  /** The crash, if it counts as one of other causes. */
-  std::optional<BackgroundCrash> mBackground;
+  /** The crash, if none of the runs is suspected. */
+  std::optional<WorkerCrash> mCrash;
 
   auto operator<=>(const PresumedCrash&) const = default;
 };
@@ -318,10 +318,10 @@
     return StepOf(aTask).IsGang() ? end - first : 1;
   }
 
-  CrashCount CrashesOf(std::size_t aTask) const
+  const CrashCount& CrashesOf(std::size_t aTask) const
   {
-    return mCrashedRuns.empty() ? CrashCount()
-                                : mTasks[CountedTask(aTask)].mCrashes;
+    static const CrashCount kNone;
+    return mCrashedRuns.empty() ? kNone : mTasks[CountedTask(aTask)].mCrashes;
   }
 
   /** @return Whether an earlier run of a task may still complete or fail it. */
--- a/src/state/scheduling/SchedulerWorkers.cpp
+++ b/src/state/scheduling/SchedulerWorkers.cpp
@@ -342,8 +342,8 @@
 {
   const char* const reason = InfoOf(WorkerEvidence::kLaterIncarnation).mName;
   RecordWorkerGone(aWorker, reason, aSource, aNow);
-  if (const auto crash = BackgroundCrashOf(aWorker, aNow)) {
-    mCrashRate.AddCrash(*crash);
+  if (IsObserved(aWorker)) {
+    NoteCrash(CrashOf(aWorker, aNow));
   }
   for (const CrashedRun& run : AssessCrash(aWorker, aNow)) {
     Task& task = mJobs.at(run.mTask.first).mTasks[run.mTask.second];
--- a/tests/state/scheduling/CrashTest.cpp
+++ b/tests/state/scheduling/CrashTest.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 using namespace cornelrudder::tests;
 using namespace cornelrudder::state::scheduling;
 
@@ -504,6 +506,83 @@
   CheckNoViolation(model);
 }
 
+// Guards against missing a common cause soon after the starts.
+TEST(SchedulerCrashes, SimultaneousRestartsSoonAfterStartsFailNoJob)
+{
+  constexpr std::size_t kWorkers = 8;
+  FleetModel model({ kWorkers, 2 });
+  model.Submit(MakeJob("a", Step(kWorkers, 8), 1), milliseconds(6'000));
+  for (int n = 0; n < 3; ++n) {
+    model.Run(milliseconds(700));
+    for (std::size_t i = 0; i < kWorkers; ++i) {
+      model.CrashWorker(i);
+    }
+  }
+  model.Run(milliseconds(60'000));
+  CheckPhase(model, "a", JobPhase::kDone);
+  CheckNoViolation(model);
+}
+
+// Guards against failing healthy jobs whose rack loses power soon after starts.
+TEST(SchedulerCrashes, RackThatLosesPowerSoonAfterStartsFailsNoJob)
+{
+  constexpr std::size_t kWorkers = 32;
+  constexpr std::size_t kRack = 8;
+  constexpr int kOutages = 4;
+  FleetModel model({ kWorkers, kRack });
+  model.Submit(MakeJob("busy", Step(kWorkers - kRack, 8), 1),
+               milliseconds(200'000));
+  model.Run(milliseconds(5'000));
+  for (std::size_t i = 0; i < kRack; ++i) {
+    model.Submit(MakeJob("a" + std::to_string(i), Step(1, 8), 1),
+                 milliseconds(6'000));
+  }
+  std::vector<std::size_t> rack;
+  for (std::size_t worker = 0; worker < kWorkers; ++worker) {
+    if (model.RunningOn(worker) == 0) {
+      rack.push_back(worker);
+    }
+  }
+  CHECK_EQUAL(kRack, rack.size());
+  const auto isIdle = [&model](std::size_t aWorker) {
+    return model.RunningOn(aWorker) == 0;
+  };
+  for (int n = 0; n < kOutages; ++n) {
+    for (int i = 0; i < 200 && std::any_of(rack.begin(), rack.end(), isIdle);
+         ++i) {
+      model.Run(milliseconds(50));
+    }
+    model.Run(milliseconds(500));
+    for (const std::size_t worker : rack) {
+      model.CrashWorkerFor(worker, milliseconds(3'000));
+    }
+    model.Run(milliseconds(100));
+  }
+  model.Run(milliseconds(60'000));
+  for (std::size_t i = 0; i < kRack; ++i) {
+    CheckPhase(model, "a" + std::to_string(i), JobPhase::kDone);
+  }
+  CheckPhase(model, "busy", JobPhase::kRunning);
+  CheckNoViolation(model);
+}
+
+// Guards against a task that is never alone on a full fleet of short runs.
+TEST(SchedulerCrashes, TaskAmongYoungRunsOnAFullFleetFailsItsJob)
+{
+  for (const int delay : { 10, 500, 1'500 }) {
+    FleetModel model({ 8, 2 });
+    model.MakeDeadly(FirstTaskOf("a"), milliseconds(delay));
+    model.Submit(MakeJob("a", Step(1, 1), 1), milliseconds(4'000));
+    for (int i = 0; i < 120; ++i) {
+      model.Submit(MakeJob("b" + std::to_string(i), Step(16, 1), 1),
+                   milliseconds(3'000));
+    }
+    model.Run(milliseconds(90'000));
+    CheckPhase(model, "a", JobPhase::kFailed);
+    CheckNoViolation(model);
+  }
+}
+
 // Guards against counting planned shutdowns and lost paths as crashes.
 TEST(SchedulerCrashes, ShutdownsAndLapsedLeasesAreNoCrashes)
 {
